--- /dev/null
+++ b/papayacrank/config/_settings.py
@@ -0,0 +1,102 @@
+"""Settings of the long-running processes."""
+
+from pydantic import Field
+
+from ._configuration import Address, Name, StrictModel
+
+
+class PeerAddress(StrictModel):
+    """Another process of the system."""
+
+    name: Name
+    address: Address
+    failure_domain: Name = "default"
+
+
+class EntryLimits(StrictModel):
+    """Bounds on what one entry process accepts."""
+
+    max_header_bytes: int = Field(default=16_384, ge=1_024)
+    max_body_bytes: int = Field(default=4_194_304, ge=1_024)
+    max_prompt_tokens: int = Field(default=200_000, ge=1)
+    max_connections: int = Field(default=2_000, ge=1)
+    max_queued_requests: int = Field(default=1_000, ge=1)
+    max_stream_buffer_bytes: int = Field(default=262_144, ge=1_024)
+
+
+class EntryTimings(StrictModel):
+    """Timeouts of one entry process, in milliseconds."""
+
+    heartbeat_interval_ms: int = Field(default=500, ge=10)
+    control_contact_ms: int = Field(default=3_000, ge=100)
+    body_timeout_ms: int = Field(default=10_000, ge=100)
+    slow_reader_timeout_ms: int = Field(default=30_000, ge=100)
+    target_connect_timeout_ms: int = Field(default=1_000, ge=10)
+    first_token_timeout_ms: int = Field(default=20_000, ge=100)
+    progress_timeout_ms: int = Field(default=5_000, ge=100)
+    idle_connection_ms: int = Field(default=15_000, ge=100)
+    load_poll_interval_ms: int = Field(default=500, ge=10)
+    warmup_timeout_ms: int = Field(default=5_000, ge=0)
+    budget_wait_ms: int = Field(default=1_000, ge=0)
+
+
+class EntrySettings(StrictModel):
+    """Settings of `papayacrank-entry`.
+
+    Attributes
+    ----------
+    instance : str
+        Name of the instance.
+    listen : str
+        Callers' address; port 0 lets the system choose.
+    link : str
+        Address for the other processes.
+    control, peers : list of PeerAddress
+        Control processes and other entry processes.
+    """
+
+    instance: Name
+    failure_domain: Name
+    listen: Address
+    link: Address
+    control: list[PeerAddress] = Field(min_length=1)
+    peers: list[PeerAddress] = []
+    log_level: str = Field(default="info", pattern="^(debug|info|warning|error)$")
+    limits: EntryLimits = EntryLimits()
+    timings: EntryTimings = EntryTimings()
+
+
+class ControlSettings(StrictModel):
+    """Settings of `papayacrank-control`.
+
+    Attributes
+    ----------
+    link : str
+        Address for the other processes.
+    data_folder : str
+        Folder for all durable files.
+    peers : list of PeerAddress
+        The other control processes.
+    initial_voters : list of str
+        Names of the voters of a new group; used only while no log exists anywhere.
+    platform_list_url : str or None
+        Where the platform publishes live and leaving targets.
+    """
+
+    instance: Name
+    failure_domain: Name
+    link: Address
+    data_folder: str
+    peers: list[PeerAddress] = []
+    initial_voters: list[Name] = Field(min_length=1)
+    target_voters: int = Field(default=5, ge=1, le=7)
+    platform_list_url: str | None = None
+    platform_poll_interval_ms: int = Field(default=1_000, ge=50)
+    log_level: str = Field(default="info", pattern="^(debug|info|warning|error)$")
+    heartbeat_interval_ms: int = Field(default=100, ge=10)
+    election_timeout_ms: int = Field(default=600, ge=50)
+    leader_lease_ms: int = Field(default=500, ge=50)
+    clock_drift: float = Field(default=0.05, ge=0, lt=0.5)
+    voter_silence_ms: int = Field(default=10_000, ge=100)
+    entry_lease_ms: int = Field(default=3_000, ge=100)
+    snapshot_every_entries: int = Field(default=2_000, ge=10)
--- /dev/null
+++ b/papayacrank/kernel/__init__.py
@@ -0,0 +1,33 @@
+"""Clock, verdicts, plug-in registry, effects and numbered log events."""
+
+from ._clock import Clock, ManualClock, MonotonicClock
+from ._effects import CancelTimer, Effect, Send, SetTimer
+from ._events import (
+    LogEvent,
+    configure_logging,
+    declare_events,
+    declared_events,
+    log_event,
+)
+from ._registry import available, create, register
+from ._verdict import Failure, Verdict
+
+__all__ = [
+    "CancelTimer",
+    "Clock",
+    "Effect",
+    "Failure",
+    "LogEvent",
+    "ManualClock",
+    "MonotonicClock",
+    "Send",
+    "SetTimer",
+    "Verdict",
+    "available",
+    "configure_logging",
+    "create",
+    "declare_events",
+    "declared_events",
+    "log_event",
+    "register",
+]
--- /dev/null
+++ b/papayacrank/kernel/_registry.py
@@ -0,0 +1,78 @@
+"""Registry in which plug-ins announce themselves under a name."""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+
+_plugins: dict[type, dict[str, type]] = {}
+
+
+def register(kind: type, name: str) -> Callable[[type[T]], type[T]]:
+    """Register the decorated class as the implementation `name` of `kind`.
+
+    Parameters
+    ----------
+    kind : type
+        Abstract base class that the decorated class implements.
+    name : str
+        Name by which the settings select the implementation.
+
+    Returns
+    -------
+    Callable
+        Class decorator that returns the class unchanged.
+
+    Raises
+    ------
+    TypeError
+        If the decorated class does not derive from `kind`.
+    ValueError
+        If another class is already registered under `name`.
+    """
+
+    def decorate(cls: type[T]) -> type[T]:
+        if not issubclass(cls, kind):
+            raise TypeError(f"{cls.__name__} does not derive from {kind.__name__}")
+        names = _plugins.setdefault(kind, {})
+        if names.get(name, cls).__qualname__ != cls.__qualname__:
+            raise ValueError(f"{kind.__name__} {name!r} is already registered")
+        names[name] = cls
+        return cls
+
+    return decorate
+
+
+def available(kind: type) -> list[str]:
+    """Return the sorted names registered for `kind`."""
+    return sorted(_plugins.get(kind, {}))
+
+
+def create(kind: type[T], name: str, **params: Any) -> T:
+    """Construct the implementation `name` of `kind`.
+
+    Parameters
+    ----------
+    kind : type
+        Abstract base class.
+    name : str
+        Registered name.
+    **params : Any
+        Constructor parameters.
+
+    Returns
+    -------
+    T
+        New instance.
+
+    Raises
+    ------
+    KeyError
+        If nothing is registered under `name`; the message lists the known names.
+    """
+    try:
+        cls = _plugins[kind][name]
+    except KeyError:
+        known = ", ".join(available(kind)) or "none"
+        raise KeyError(f"unknown {kind.__name__} {name!r}; known: {known}") from None
+    return cls(**params)
--- /dev/null
+++ b/papayacrank/kernel/tests/test_kernel.py
@@ -0,0 +1,76 @@
+"""Tests of the kernel."""
+
+from abc import ABC, abstractmethod
+
+import pytest
+
+from papayacrank.kernel import (
+    LogEvent,
+    ManualClock,
+    MonotonicClock,
+    available,
+    create,
+    declare_events,
+    register,
+)
+
+
+class Shape(ABC):
+    """Kind used by these tests."""
+
+    @abstractmethod
+    def area(self):
+        """Return the area."""
+
+
+@register(Shape, "square")
+class Square(Shape):
+    """Implementation used by these tests."""
+
+    def __init__(self, side=1):
+        self.side = side
+
+    def area(self):
+        """Return the area."""
+        return self.side**2
+
+
+def test_clock_rejects_negative_step():
+    """Guards against virtual time that runs backwards."""
+    clock = ManualClock(5)
+    assert clock.advance(3) == 8
+    with pytest.raises(ValueError, match="backwards"):
+        clock.advance(-1)
+    assert MonotonicClock().now_ms() <= MonotonicClock().now_ms()
+
+
+def test_registry_creates_by_name_and_lists_known_names():
+    """Guards against an unclear error for a misspelt policy in the settings."""
+    assert available(Shape) == ["square"]
+    assert create(Shape, "square", side=2).side == 2
+    with pytest.raises(KeyError, match="known: square"):
+        create(Shape, "circle")
+
+
+def test_registry_refuses_second_class_under_a_name():
+    """Guards against one plug-in silently replacing another."""
+    with pytest.raises(ValueError, match="already registered"):
+
+        @register(Shape, "square")
+        class Other(Shape):
+            """Clashing implementation."""
+
+            def area(self):
+                """Return nothing."""
+
+    with pytest.raises(TypeError, match="does not derive"):
+        register(Shape, "int")(int)
+
+
+def test_event_number_is_unique():
+    """Guards against two log lines under one number."""
+    event = LogEvent(999_999, "sample", "info", "Sample.")
+    declare_events(event)
+    declare_events(event)
+    with pytest.raises(ValueError, match="declared twice"):
+        declare_events(LogEvent(999_999, "other", "info", "Other."))
--- /dev/null
+++ b/papayacrank/messages/_feed.py
@@ -0,0 +1,78 @@
+"""The part of the replicated state that entry processes need."""
+
+import msgspec
+
+from ._commands import TargetStatus
+
+
+class KeyEntry(msgspec.Struct, frozen=True):
+    """A key in force."""
+
+    key_id: str
+    workspace: str
+    digest: str
+
+
+class EntryAddress(msgspec.Struct, frozen=True):
+    """A live entry process.
+
+    Attributes
+    ----------
+    address : str
+        Callers' address as ``ip:port``.
+    status : str
+        ``"starting"``, ``"serving"`` or ``"draining"``.
+    """
+
+    instance: str
+    boot: int
+    failure_domain: str
+    address: str
+    status: str
+
+
+class ConfigurationChange(msgspec.Struct, tag=True, frozen=True):
+    """A new configuration, as canonical JSON."""
+
+    version: int
+    document: str
+
+
+class KeyChange(msgspec.Struct, tag=True, frozen=True):
+    """A key was granted (`entry` set) or withdrawn (`entry` is None)."""
+
+    key_id: str
+    entry: KeyEntry | None = None
+
+
+class TargetsChange(msgspec.Struct, tag=True, frozen=True):
+    """The platform's list of targets."""
+
+    targets: list[TargetStatus]
+
+
+class InstancesChange(msgspec.Struct, tag=True, frozen=True):
+    """All live entry processes."""
+
+    instances: list[EntryAddress]
+
+
+FeedChange = ConfigurationChange | KeyChange | TargetsChange | InstancesChange
+
+
+class FeedUpdate(msgspec.Struct, tag=True, frozen=True):
+    """Changes after `from_version` up to `to_version`."""
+
+    from_version: int
+    to_version: int
+    changes: list[FeedChange]
+
+
+class FeedSnapshot(msgspec.Struct, tag=True, frozen=True):
+    """The whole feed at `version`."""
+
+    version: int
+    configuration: ConfigurationChange
+    keys: list[KeyEntry]
+    targets: list[TargetStatus]
+    instances: list[EntryAddress]
--- /dev/null
+++ b/papayacrank/transport/_events.py
@@ -0,0 +1,34 @@
+"""Log events of the transport."""
+
+from papayacrank.kernel import LogEvent, declare_events
+
+UNDECODABLE_MESSAGE = LogEvent(
+    1001,
+    "undecodable_message",
+    "warning",
+    "A message from another process could not be decoded and was dropped.",
+    "Check that all instances run compatible versions.",
+)
+HANDLER_FAILED = LogEvent(
+    1002,
+    "handler_failed",
+    "error",
+    "An event handler raised an exception; the event was dropped.",
+    "Report the traceback; the process goes on serving.",
+)
+PROCESS_STARTED = LogEvent(1003, "process_started", "info", "The process started.")
+PROCESS_STOPPED = LogEvent(1004, "process_stopped", "info", "The process stopped.")
+SEND_QUEUE_FULL = LogEvent(
+    1005,
+    "send_queue_full",
+    "debug",
+    "A message was dropped because the peer does not read or is not connected.",
+)
+
+declare_events(
+    UNDECODABLE_MESSAGE,
+    HANDLER_FAILED,
+    PROCESS_STARTED,
+    PROCESS_STOPPED,
+    SEND_QUEUE_FULL,
+)
--- /dev/null
+++ b/papayacrank/transport/_process.py
@@ -0,0 +1,74 @@
+"""Common parts of the long-running processes."""
+
+import signal
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+from papayacrank.kernel import configure_logging, log_event
+
+from ._events import HANDLER_FAILED, PROCESS_STARTED, PROCESS_STOPPED
+
+
+class ProcessHandlers(BaseComponent):
+    """Logs failed handlers as numbered events and turns signals into a stop."""
+
+    channel = "*"
+
+    def __init__(self):
+        super().__init__()
+        self.terminate = None
+
+    @handler("exception", channel="*", priority=100)
+    def _on_exception(self, error_type, value, traceback, handler=None, fevent=None):
+        log_event(
+            HANDLER_FAILED,
+            error=f"{error_type.__name__}: {value}",
+            failed_event=getattr(fevent, "name", None),
+            traceback="".join(traceback) if isinstance(traceback, list) else "",
+        )
+
+    @handler("signal", channel="*", priority=100)
+    def _on_signal_received(self, event, signo, stack):
+        if signo not in (signal.SIGTERM, signal.SIGINT) or self.terminate is None:
+            return
+        event.stop()
+        terminate, self.terminate = self.terminate, lambda: None
+        terminate()
+
+
+def install_process_handlers(root: BaseComponent) -> None:
+    """Register the poller and the exception handler of a process.
+
+    Parameters
+    ----------
+    root : BaseComponent
+        Root component of the process.
+    """
+    EPoll().register(root)
+    ProcessHandlers().register(root)
+
+
+def run_process(
+    root: BaseComponent, name: str, log_level: str = "info", on_terminate=None
+) -> None:
+    """Run a process until it stops.
+
+    Parameters
+    ----------
+    root : BaseComponent
+        Root component with `install_process_handlers` applied.
+    name : str
+        Name for the log.
+    log_level : str
+        Lowest level that is logged.
+    on_terminate : Callable, optional
+        Called once at the first SIGTERM or SIGINT, to stop gracefully. Without it,
+        the process stops at once.
+    """
+    configure_logging(name, log_level)
+    handlers = next(c for c in root.components if isinstance(c, ProcessHandlers))
+    handlers.terminate = on_terminate or root.stop
+    log_event(PROCESS_STARTED)
+    root.run()
+    log_event(PROCESS_STOPPED)
--- /dev/null
+++ b/papayacrank/transport/_timers.py
@@ -0,0 +1,73 @@
+"""Named timers on the monotonic clock."""
+
+from collections.abc import Callable
+
+from circuits import BaseComponent, handler
+from sortedcontainers import SortedKeyList
+
+from papayacrank.kernel import Clock
+
+MS_PER_SECOND = 1000
+
+
+class Timers(BaseComponent):
+    """Component that calls functions at given times.
+
+    The timers of circuits follow the wall clock, which may jump; these follow the
+    given clock.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock that the times refer to.
+    """
+
+    channel = "timers"
+
+    def __init__(self, clock: Clock):
+        super().__init__()
+        self._clock = clock
+        self._schedule = SortedKeyList(key=lambda item: item[0])
+        self._by_name: dict[str, tuple] = {}
+
+    def set(self, name: str, at_ms: int, callback: Callable[[], None]) -> None:
+        """Call `callback` at `at_ms`, replacing a timer of the same name.
+
+        Parameters
+        ----------
+        name : str
+            Name of the timer.
+        at_ms : int
+            Time on the clock, in milliseconds.
+        callback : Callable
+            Called without arguments in the event loop.
+        """
+        self.cancel(name)
+        item = (at_ms, name, callback)
+        self._by_name[name] = item
+        self._schedule.add(item)
+
+    def cancel(self, name: str) -> None:
+        """Forget a timer; unknown names are ignored."""
+        item = self._by_name.pop(name, None)
+        if item is not None:
+            self._schedule.remove(item)
+
+    @handler("generate_events", channel="*")
+    def _on_generate_events(self, event):
+        now_ms = self._clock.now_ms()
+        for name, callback in self._take_due(now_ms):
+            self._by_name.pop(name, None)
+            callback()
+        if self._schedule:
+            left_ms = self._schedule[0][0] - self._clock.now_ms()
+            event.reduce_time_left(max(0, left_ms) / MS_PER_SECOND)
+
+    def _take_due(self, now_ms: int) -> list[tuple]:
+        """Remove and return what is due, so that callbacks may set new timers."""
+        due = []
+        while self._schedule and self._schedule[0][0] <= now_ms:
+            _, name, callback = self._schedule.pop(0)
+            self._by_name.pop(name, None)
+            due.append((name, callback))
+        return due
--- /dev/null
+++ b/papayacrank/transport/tests/test_transport.py
@@ -0,0 +1,110 @@
+"""Tests of the codec, the link and the timers."""
+
+import msgspec
+import pytest
+from circuits import BaseComponent, handler
+from hypothesis import given
+from hypothesis import strategies as st
+
+from papayacrank.kernel import ManualClock, MonotonicClock
+from papayacrank.messages import CONTROL_MESSAGES, NotLeader
+from papayacrank.transport import (
+    Link,
+    LinkSettings,
+    MessageCodec,
+    MessageDecodeError,
+    Timers,
+    install_process_handlers,
+)
+
+CODEC = MessageCodec(CONTROL_MESSAGES)
+
+
+class Node(BaseComponent):
+    """Process with one link that collects what it receives."""
+
+    channel = "link"
+
+    def __init__(self, name, listen=None, peers=None):
+        super().__init__()
+        install_process_handlers(self)
+        settings = LinkSettings(name, listen, peers or {})
+        self.link = Link(settings, CODEC).register(self)
+        self.messages = []
+        self._running = True
+
+    @handler("received")
+    def _on_received(self, sender, message):
+        self.messages.append((sender, message))
+
+
+def run_until(nodes, condition, timeout_ms=5_000):
+    """Tick the nodes until the condition holds."""
+    clock = MonotonicClock()
+    deadline_ms = clock.now_ms() + timeout_ms
+    while not condition():
+        assert clock.now_ms() < deadline_ms, "timed out"
+        for node in nodes:
+            node.tick(0.002)
+
+
+def test_link_carries_messages_both_ways():
+    """Guards against replies that do not find the way back to a client."""
+    server = Node("control-1", "127.0.0.1:0")
+    client = Node("entry-1", peers={"control-1": server.link.listen_address})
+
+    def exchanged():
+        if not client.messages:
+            client.link.send("control-1", NotLeader("r1"))
+        if server.messages:
+            server.link.send("entry-1", NotLeader("r2", "control-2"))
+        return client.messages
+
+    run_until([server, client], exchanged)
+    assert server.messages[0] == ("entry-1", NotLeader("r1"))
+    assert client.messages[0] == ("control-1", NotLeader("r2", "control-2"))
+    for node in (server, client):
+        node.link.close()
+
+
+def test_send_to_unknown_process_is_reported():
+    """Guards against a silent loss when nobody is connected under a name."""
+    server = Node("control-1", "127.0.0.1:0")
+    assert server.link.send("entry-9", NotLeader("r1")) is False
+    server.link.close()
+
+
+@given(st.binary(max_size=200))
+def test_decoder_accepts_or_raises_its_own_error(data):
+    """Guards against arbitrary bytes raising anything but a decode error."""
+    try:
+        message = CODEC.decode(data)
+    except MessageDecodeError:
+        return
+    assert isinstance(message, CONTROL_MESSAGES)
+
+
+def test_encoder_refuses_foreign_types():
+    """Guards against sending what the receiver cannot decode."""
+
+    class Foreign(msgspec.Struct, tag=True):
+        """Not part of the set."""
+
+    with pytest.raises(TypeError, match="Foreign"):
+        CODEC.encode(Foreign())
+
+
+def test_timers_fire_in_order_and_can_be_replaced():
+    """Guards against a replaced or cancelled timer that still fires."""
+    clock = ManualClock()
+    root = BaseComponent()
+    timers = Timers(clock).register(root)
+    fired = []
+    for name, at_ms in (("b", 20), ("a", 10), ("c", 30)):
+        timers.set(name, at_ms, lambda name=name: fired.append(name))
+    timers.set("c", 5, lambda: fired.append("c2"))
+    timers.cancel("b")
+    clock.advance(40)
+    root._running = True
+    root.tick(0)
+    assert fired == ["c2", "a"]
