Add usage accounting, burn report and generated reference pages

Cause: managers must see who got what and who was turned away; pages that are written by hand lag behind the code.

Change: accounting counts per workspace with mergeable HDR histograms in numbered reports that are resent until confirmed; report computes objectives, error budget and burn over 5 min to 3 days as text, JSON and one HTML page; docs/generate.py writes docs/events.md and docs/settings.md, and a test compares them.

--- /dev/null
+++ b/papayacrank/accounting/_usage.py
@@ -0,0 +1,241 @@
+"""Counts what each workspace asked for, got, and was refused."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from papayacrank.kernel import Failure, Verdict
+from papayacrank.messages import ReportUsage, UsageDelta
+
+from ._histogram import (
+    HIGHEST_MS,
+    LOWEST_MS,
+    decode_histogram,
+    encode_histogram,
+    new_histogram,
+)
+
+MAX_PENDING_REPORTS = 60
+SUMMED_FIELDS = (
+    "asked",
+    "served",
+    "refused",
+    "failed",
+    "may_have_run",
+    "prompt_tokens",
+    "cached_tokens",
+    "output_tokens",
+    "charged_tokens",
+    "refused_within_rate",
+    "actions_finished",
+    "actions_unknown",
+)
+HISTOGRAM_FIELDS = ("ttft_histogram", "token_gap_histogram")
+
+
+@dataclass(slots=True)
+class _Counters:
+    """Usage of one workspace since the last report."""
+
+    counts: dict[str, int] = field(
+        default_factory=lambda: dict.fromkeys(SUMMED_FIELDS, 0)
+    )
+    refused_by_code: dict[str, int] = field(default_factory=dict)
+    ttft: HdrHistogram = field(default_factory=new_histogram)
+    token_gap: HdrHistogram = field(default_factory=new_histogram)
+
+    def to_delta(self, workspace: str) -> UsageDelta:
+        """Return the wire form."""
+        return UsageDelta(
+            workspace=workspace,
+            refused_by_code=dict(self.refused_by_code),
+            ttft_histogram=encode_histogram(self.ttft),
+            token_gap_histogram=encode_histogram(self.token_gap),
+            **self.counts,
+        )
+
+
+class UsageRecorder:
+    """Collects usage and hands it over in numbered reports.
+
+    A report stays pending until it is confirmed and is sent again under the same
+    sequence number, so that the control group counts it once. What was recorded since
+    the last report is lost if the process is killed.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance.
+    boot : int
+        Boot number of the process.
+    """
+
+    def __init__(self, instance: str, boot: int):
+        self.instance = instance
+        self.boot = boot
+        self._counters: dict[str, _Counters] = {}
+        self._pending: deque[ReportUsage] = deque()
+        self._sequence = 0
+
+    @property
+    def pending(self) -> list[ReportUsage]:
+        """Reports that are not confirmed yet, oldest first."""
+        return list(self._pending)
+
+    def on_asked(self, workspace: str) -> None:
+        """Count a request of a known workspace."""
+        self._of(workspace).counts["asked"] += 1
+
+    def on_served(
+        self,
+        workspace: str,
+        prompt_tokens: int = 0,
+        cached_tokens: int = 0,
+        output_tokens: int = 0,
+        ttft_ms: int | None = None,
+    ) -> None:
+        """Count a request that was answered whole.
+
+        Parameters
+        ----------
+        workspace : str
+            Workspace that paid.
+        prompt_tokens, cached_tokens, output_tokens : int
+            Numbers of tokens; `cached_tokens` is a part of `prompt_tokens`.
+        ttft_ms : int, optional
+            Time to first token, from the arrival of the request.
+        """
+        counters = self._of(workspace)
+        counters.counts["served"] += 1
+        self._add_tokens(counters, prompt_tokens, cached_tokens, output_tokens)
+        if ttft_ms is not None:
+            counters.ttft.record_value(_clamp(ttft_ms))
+
+    def on_token_gap(self, workspace: str, gap_ms: int) -> None:
+        """Record the time between two tokens."""
+        self._of(workspace).token_gap.record_value(_clamp(gap_ms))
+
+    def on_refused(
+        self, workspace: str, failure: Failure, within_rate: bool = False
+    ) -> None:
+        """Count a request that was refused before it ran."""
+        counters = self._of(workspace)
+        counters.counts["refused"] += 1
+        counters.counts["refused_within_rate"] += int(within_rate)
+        codes = counters.refused_by_code
+        codes[failure.code] = codes.get(failure.code, 0) + 1
+
+    def on_failed(
+        self,
+        workspace: str,
+        failure: Failure,
+        prompt_tokens: int = 0,
+        cached_tokens: int = 0,
+        output_tokens: int = 0,
+    ) -> None:
+        """Count a request that failed after it was admitted."""
+        counters = self._of(workspace)
+        counters.counts["failed"] += 1
+        unknown = failure.verdict is Verdict.MAY_HAVE_RUN
+        counters.counts["may_have_run"] += int(unknown)
+        self._add_tokens(counters, prompt_tokens, cached_tokens, output_tokens)
+
+    def on_action(self, workspace: str, finished: bool) -> None:
+        """Count the outcome of a non-idempotent action."""
+        name = "actions_finished" if finished else "actions_unknown"
+        self._of(workspace).counts[name] += 1
+
+    def close_report(self, minute: int) -> ReportUsage | None:
+        """Turn what was recorded into the next report.
+
+        Parameters
+        ----------
+        minute : int
+            Wall-clock minute since the epoch.
+
+        Returns
+        -------
+        ReportUsage or None
+            The new report, or None if nothing was recorded. When too many reports
+            are pending, usage is kept for the next report instead.
+        """
+        if not self._counters or len(self._pending) >= MAX_PENDING_REPORTS:
+            return None
+        self._sequence += 1
+        deltas = [c.to_delta(name) for name, c in sorted(self._counters.items())]
+        report = ReportUsage(self.instance, self.boot, self._sequence, minute, deltas)
+        self._counters = {}
+        self._pending.append(report)
+        return report
+
+    def confirm(self, sequence: int) -> None:
+        """Forget a report that the control group has stored."""
+        self._pending = deque(r for r in self._pending if r.sequence != sequence)
+
+    def _of(self, workspace: str) -> _Counters:
+        return self._counters.setdefault(workspace, _Counters())
+
+    @staticmethod
+    def _add_tokens(
+        counters: _Counters, prompt_tokens: int, cached_tokens: int, output_tokens: int
+    ) -> None:
+        counts = counters.counts
+        counts["prompt_tokens"] += prompt_tokens
+        counts["cached_tokens"] += cached_tokens
+        counts["output_tokens"] += output_tokens
+        counts["charged_tokens"] += prompt_tokens + output_tokens
+
+
+class UsageRow(msgspec.Struct, frozen=True):
+    """Usage of one workspace in one wall-clock minute since the epoch."""
+
+    minute: int
+    usage: UsageDelta
+
+
+class UsageDocument(msgspec.Struct, frozen=True):
+    """Usage as the control group returns it; JSON with base64 histograms.
+
+    Attributes
+    ----------
+    now_minute : int
+        Wall-clock minute since the epoch at which the document was made.
+    """
+
+    now_minute: int
+    rows: list[UsageRow]
+
+
+def merge_usage(first: UsageDelta, second: UsageDelta) -> UsageDelta:
+    """Add the usage of the same workspace from two reports.
+
+    Raises
+    ------
+    ValueError
+        If the workspaces differ.
+    """
+    if first.workspace != second.workspace:
+        raise ValueError(f"{first.workspace} and {second.workspace} cannot be added")
+    sums = {n: getattr(first, n) + getattr(second, n) for n in SUMMED_FIELDS}
+    histograms = {
+        n: _merge_encoded(getattr(first, n), getattr(second, n))
+        for n in HISTOGRAM_FIELDS
+    }
+    codes = dict(first.refused_by_code)
+    for code, count in second.refused_by_code.items():
+        codes[code] = codes.get(code, 0) + count
+    return msgspec.structs.replace(first, refused_by_code=codes, **sums, **histograms)
+
+
+def _merge_encoded(first: bytes, second: bytes) -> bytes:
+    if not first or not second:
+        return first or second
+    merged = decode_histogram(first)
+    merged.decode_and_add(second)
+    return encode_histogram(merged)
+
+
+def _clamp(value_ms: int) -> int:
+    return min(max(value_ms, LOWEST_MS), HIGHEST_MS)
--- /dev/null
+++ b/papayacrank/kernel/tests/test_docs.py
@@ -0,0 +1,47 @@
+"""Tests that the pages in docs/ agree with the code."""
+
+import importlib.util
+import re
+from pathlib import Path
+
+import pytest
+
+import papayacrank
+
+ROOT = Path(papayacrank.__file__).parents[1]
+DOCS = ROOT / "docs"
+
+
+def load_generator():
+    """Import docs/generate.py."""
+    spec = importlib.util.spec_from_file_location("generate", DOCS / "generate.py")
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+@pytest.mark.parametrize("page", ["events", "settings"])
+def test_generated_pages_are_current(page):
+    """Guards against a catalogue or reference that lags behind the code."""
+    expected = getattr(load_generator(), f"render_{page}")()
+    assert (DOCS / f"{page}.md").read_text(encoding="utf-8") == expected
+
+
+def test_links_between_pages_lead_to_files():
+    """Guards against pages that name a file which is not there."""
+    broken = []
+    for page in [ROOT / "README.md", *DOCS.rglob("*.md")]:
+        for link in re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", page.read_text()):
+            if not (page.parent / link).exists():
+                broken.append((page.name, link))
+    assert broken == []
+
+
+def test_log_events_are_logged_only_by_declared_objects():
+    """Guards against log lines without a number."""
+    offenders = [
+        path.name
+        for path in Path(papayacrank.__file__).parent.rglob("*.py")
+        if "get_logger(" in path.read_text() and path.name != "_events.py"
+    ]
+    assert offenders == ["test_docs.py"]
--- /dev/null
+++ b/papayacrank/report/__init__.py
@@ -0,0 +1,22 @@
+"""Report on service-level burn: who got what, and who was turned away."""
+
+from ._burn import (
+    BURN_WINDOWS_MINUTES,
+    BurnReport,
+    WindowBurn,
+    WorkspaceReport,
+    build_report,
+)
+from ._html import render_html
+from ._text import render_json, render_text
+
+__all__ = [
+    "BURN_WINDOWS_MINUTES",
+    "BurnReport",
+    "WindowBurn",
+    "WorkspaceReport",
+    "build_report",
+    "render_html",
+    "render_json",
+    "render_text",
+]
--- /dev/null
+++ b/papayacrank/report/tests/test_report.py
@@ -0,0 +1,78 @@
+"""Tests of the report on service-level burn."""
+
+import json
+
+import msgspec
+import pytest
+
+from papayacrank.accounting import UsageDocument, UsageRecorder, UsageRow
+from papayacrank.config import generate_configuration
+from papayacrank.kernel import Failure, Verdict
+from papayacrank.report import build_report, render_html, render_json, render_text
+from papayacrank.testing import build_questionnaire
+
+NOW_MINUTE = 100_000
+
+
+def build_document(served=990, lost=10, over_rate=50, age=0):
+    """Build usage of team-a; team-b sent nothing."""
+    recorder = UsageRecorder("i1", 1)
+    for _ in range(served):
+        recorder.on_asked("team-a")
+        recorder.on_served("team-a", 100, 80, 10, 150)
+    for code, count in (("overloaded", lost), ("over_rate", over_rate)):
+        for _ in range(count):
+            recorder.on_asked("team-a")
+            recorder.on_refused("team-a", Failure(code, Verdict.NOT_RUN, "", 503))
+    deltas = recorder.close_report(NOW_MINUTE - age).deltas
+    rows = [UsageRow(NOW_MINUTE - age, delta) for delta in deltas]
+    return UsageDocument(NOW_MINUTE, rows)
+
+
+CONFIGURATION = generate_configuration(build_questionnaire())
+
+
+def test_refusals_over_the_rate_spend_no_error_budget():
+    """Guards against blaming the system for a workspace that exceeds its rate."""
+    report = build_report(build_document(), CONFIGURATION)
+    team = report.workspaces[0]
+    assert (team.eligible, team.bad) == (1_000, 10)
+    assert team.windows[0].burn_rate == pytest.approx(10.0)
+    assert team.budget_left == pytest.approx(-9.0)
+    assert report.worst_workspace == "team-a"
+
+
+def test_old_usage_leaves_short_windows():
+    """Guards against a burn rate that never recovers."""
+    report = build_report(build_document(age=90), CONFIGURATION)
+    rates = [window.burn_rate for window in report.workspaces[0].windows]
+    assert rates[:2] == [0.0, 0.0]
+    assert rates[2] == pytest.approx(10.0)
+
+
+def test_workspace_without_traffic_is_listed():
+    """Guards against a workspace that vanishes because nothing was served."""
+    report = build_report(UsageDocument(NOW_MINUTE, []), CONFIGURATION)
+    assert [item.workspace for item in report.workspaces] == ["team-a", "team-b"]
+    assert report.worst_workspace is None
+    assert "none yet" in render_text(report)
+
+
+def test_renderings_agree():
+    """Guards against formats that show different figures."""
+    report = build_report(build_document(), CONFIGURATION)
+    document = json.loads(render_json(report))
+    assert document["workspaces"][0]["usage"]["served"] == 990
+    text = render_text(report)
+    page = render_html(report)
+    for rendering in (text, page):
+        assert "990" in rendering
+        assert "overloaded" in rendering
+    assert "http" not in page.replace("data:image", "")
+
+
+def test_document_round_trips_as_json():
+    """Guards against histograms that are damaged on the way to the report."""
+    document = build_document()
+    data = msgspec.json.encode(document)
+    assert msgspec.json.decode(data, type=UsageDocument) == document
