--- a/papayacrank/control/_contact.py
+++ b/papayacrank/control/_contact.py
@@ -179,6 +179,15 @@
         """Status that heartbeats announce."""
         return self._status
 
+    @property
+    def drain_requested(self) -> bool:
+        """Whether an operator has asked this instance to drain."""
+        return any(
+            entry.status == "draining"
+            for entry in self._instances
+            if entry.instance == self._settings.instance
+        )
+
     def has_contact(self, now_ms: int) -> bool:
         """Return whether keys may be used at `now_ms`."""
         if self._contact_from_ms is None:
--- /dev/null
+++ b/papayacrank/state/__init__.py
@@ -0,0 +1,37 @@
+"""Deterministic replicated state machine of the control group."""
+
+from ._check import check_command
+from ._entries import (
+    CommandEntry,
+    Entry,
+    ExpireEntry,
+    HeartbeatEntry,
+    InstanceRef,
+    LeaderEntry,
+    OrderEntry,
+    decode_entry,
+    encode_entry,
+)
+from ._machine import SnapshotError, StateMachine
+from ._orders import MAX_WEIGHT_LOADS, OrderRow
+from ._usage import UsageRow, merge_histograms, merge_usage
+
+__all__ = [
+    "MAX_WEIGHT_LOADS",
+    "CommandEntry",
+    "Entry",
+    "ExpireEntry",
+    "HeartbeatEntry",
+    "InstanceRef",
+    "LeaderEntry",
+    "OrderEntry",
+    "OrderRow",
+    "SnapshotError",
+    "StateMachine",
+    "UsageRow",
+    "check_command",
+    "decode_entry",
+    "encode_entry",
+    "merge_histograms",
+    "merge_usage",
+]
--- a/papayacrank/state/_entries.py
+++ b/papayacrank/state/_entries.py
@@ -53,7 +53,26 @@
     leader: str
 
 
-Entry = CommandEntry | HeartbeatEntry | ExpireEntry | LeaderEntry
+class OrderEntry(msgspec.Struct, tag=True, frozen=True):
+    """The leader is about to send an order, or gives an attempt up.
+
+    Attributes
+    ----------
+    issue : bool
+        True before a sending, which takes a new fencing token; False when the
+        attempt ended without confirmation.
+    observed : str
+        State that was read back, empty if the target did not answer.
+    """
+
+    at_ms: int
+    wall_ms: int
+    order_id: str
+    issue: bool
+    observed: str = ""
+
+
+Entry = CommandEntry | HeartbeatEntry | ExpireEntry | LeaderEntry | OrderEntry
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Entry)
--- a/papayacrank/state/_instances.py
+++ b/papayacrank/state/_instances.py
@@ -74,6 +74,10 @@
         row = self._rows.get(instance)
         return row if row is not None and row.boot == boot else None
 
+    def current(self, instance: str) -> InstanceRow | None:
+        """Return the live process of an instance."""
+        return self._rows.get(instance)
+
     def addresses(self) -> list[EntryAddress]:
         """Return the feed form of the live processes."""
         return [
--- /dev/null
+++ b/papayacrank/state/_machine.py
@@ -0,0 +1,431 @@
+"""The deterministic replicated state machine."""
+
+import json
+
+import msgspec
+
+from papayacrank.admission import BudgetLedger, WorkspaceBudget
+from papayacrank.config import parse_configuration
+from papayacrank.messages import (
+    AbandonAction,
+    BeginAction,
+    ConfigurationFiled,
+    ConfirmOrder,
+    ControlReply,
+    ControlRequest,
+    Done,
+    FailureRecord,
+    FeedSnapshot,
+    FeedUpdate,
+    FileConfiguration,
+    FinishAction,
+    GrantKey,
+    Heartbeat,
+    InstancesChange,
+    KeyChange,
+    KeyChanged,
+    ObserveTargets,
+    PlaceOrder,
+    ReportUsage,
+    SetInstanceState,
+    ShareGrant,
+    StateView,
+    TargetsChange,
+    WithdrawKey,
+)
+
+from ._actions import ActionsDump, ActionTable
+from ._base import Table, refuse
+from ._configuration import ConfigurationDump, ConfigurationTable
+from ._entries import (
+    CommandEntry,
+    ExpireEntry,
+    HeartbeatEntry,
+    LeaderEntry,
+    OrderEntry,
+    decode_entry,
+)
+from ._feed import FeedDump, FeedHistory
+from ._instances import InstancesDump, InstanceTable
+from ._keys import KeysDump, KeyTable
+from ._orders import OrdersDump, OrderTable
+from ._outcomes import OutcomesDump, RequestOutcomes
+from ._targets import TargetsDump, TargetTable
+from ._usage import UsageDump, UsageTable
+from ._views import read_view
+
+SNAPSHOT_FORMAT = 1
+_OPERATOR_COMMANDS = (
+    FileConfiguration,
+    GrantKey,
+    WithdrawKey,
+    SetInstanceState,
+    PlaceOrder,
+)
+
+
+class SnapshotError(ValueError):
+    """The bytes are no snapshot of the state machine."""
+
+
+class _Snapshot(msgspec.Struct):
+    format: int
+    applied_index: int
+    now_ms: int
+    outcomes: OutcomesDump
+    configuration: ConfigurationDump
+    keys: KeysDump
+    actions: ActionsDump
+    instances: InstancesDump
+    targets: TargetsDump
+    orders: OrdersDump
+    usage: UsageDump
+    feed: FeedDump
+    ledger: bytes
+
+
+class StateMachine:
+    """Replicated state: the same entries give the same state in every process.
+
+    `apply` neither reads a clock nor performs I/O; each entry carries the time that
+    its leader gave it. All tables are bounded.
+    """
+
+    def __init__(self):
+        self._applied_index = 0
+        self._now_ms = 0
+        self._outcomes = RequestOutcomes()
+        self._configuration = ConfigurationTable()
+        self._keys = KeyTable()
+        self._actions = ActionTable()
+        self._instances = InstanceTable()
+        self._targets = TargetTable()
+        self._orders = OrderTable()
+        self._usage = UsageTable()
+        self._feed = FeedHistory()
+        self._ledger = BudgetLedger()
+
+    @property
+    def applied_index(self) -> int:
+        """Log index of the last applied entry."""
+        return self._applied_index
+
+    @property
+    def now_ms(self) -> int:
+        """Group time of the last applied entry, in milliseconds."""
+        return self._now_ms
+
+    @property
+    def feed_version(self) -> int:
+        """Version of the feed; it never decreases."""
+        return self._feed.version
+
+    @property
+    def configuration(self) -> ConfigurationTable:
+        """Configuration and its history."""
+        return self._configuration
+
+    @property
+    def keys(self) -> KeyTable:
+        """Live and withdrawn keys."""
+        return self._keys
+
+    @property
+    def actions(self) -> ActionTable:
+        """Non-idempotent actions."""
+        return self._actions
+
+    @property
+    def instances(self) -> InstanceTable:
+        """Live entry processes."""
+        return self._instances
+
+    @property
+    def targets(self) -> TargetTable:
+        """The platform's list of targets."""
+        return self._targets
+
+    @property
+    def orders(self) -> OrderTable:
+        """Orders to targets."""
+        return self._orders
+
+    @property
+    def usage(self) -> UsageTable:
+        """Usage totals."""
+        return self._usage
+
+    @property
+    def ledger(self) -> BudgetLedger:
+        """Budgets of the workspaces."""
+        return self._ledger
+
+    def apply(self, index: int, data: bytes) -> ControlReply | None:
+        """Apply a committed entry.
+
+        Parameters
+        ----------
+        index : int
+            Log index; entries that were already applied are ignored.
+        data : bytes
+            Entry from `encode_entry`; empty for entries of the log itself.
+
+        Returns
+        -------
+        ControlReply or None
+            Outcome of a command; None for other entries.
+        """
+        if index <= self._applied_index:
+            return None
+        self._applied_index = index
+        if not data:
+            return None
+        entry = decode_entry(data)
+        self._now_ms = max(self._now_ms, entry.at_ms)
+        if isinstance(entry, CommandEntry):
+            return self._apply_request(entry.request, entry.wall_ms)
+        if isinstance(entry, HeartbeatEntry):
+            self._apply_heartbeats(entry.heartbeats)
+        elif isinstance(entry, ExpireEntry):
+            self._apply_expiry(entry)
+        elif isinstance(entry, LeaderEntry):
+            self._ledger.restart_leases(self._now_ms)
+        elif isinstance(entry, OrderEntry):
+            self._apply_order(entry)
+        return None
+
+    def find_outcome(self, request_id: str) -> ControlReply | None:
+        """Return the first outcome of a request id, if it is still known."""
+        return self._outcomes.find(request_id)
+
+    def grants(self, instance: str, boot: int) -> list[ShareGrant]:
+        """Return the totals granted to a process."""
+        row = self._instances.find(instance, boot)
+        return list(row.grants) if row is not None else []
+
+    def needs_entry(self, heartbeat: Heartbeat) -> bool:
+        """Return whether a heartbeat would change the state."""
+        if not self._instances.is_known(heartbeat):
+            return True
+        return any(r.wanted_tokens > r.held_tokens for r in heartbeat.shares)
+
+    def feed_since(self, version: int) -> FeedUpdate | FeedSnapshot:
+        """Return what a receiver at `version` lacks."""
+        update = self._feed.since(version)
+        if update is not None and version > 0:
+            return update
+        return FeedSnapshot(
+            self._feed.version,
+            self._configuration.change(),
+            [record.entry for record in self._keys.live],
+            self._targets.targets,
+            self._instances.addresses(),
+        )
+
+    def read(self, what: str) -> StateView | FailureRecord:
+        """Return one part of the state as JSON.
+
+        Parameters
+        ----------
+        what : str
+            As in `papayacrank.messages.ReadState`, except ``"members"``.
+        """
+        view = read_view(self, what)
+        if view is None:
+            return refuse("invalid_command", f"no such part of the state: {what}", 400)
+        return StateView(what, json.dumps(view, sort_keys=True))
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        tables = {name: table.dump() for name, table in self._tables().items()}
+        ledger = msgspec.msgpack.encode(self._ledger.snapshot())
+        return msgspec.msgpack.encode(
+            _Snapshot(
+                SNAPSHOT_FORMAT,
+                self._applied_index,
+                self._now_ms,
+                ledger=ledger,
+                **tables,
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by a snapshot.
+
+        Raises
+        ------
+        SnapshotError
+            If the bytes are no snapshot of this format.
+        """
+        try:
+            snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
+        except msgspec.DecodeError as error:
+            raise SnapshotError(str(error)) from error
+        if snapshot.format != SNAPSHOT_FORMAT:
+            raise SnapshotError(f"format {snapshot.format} is not {SNAPSHOT_FORMAT}")
+        self._applied_index = snapshot.applied_index
+        self._now_ms = snapshot.now_ms
+        for name, table in self._tables().items():
+            table.load(getattr(snapshot, name))
+        self._ledger.restore(msgspec.msgpack.decode(snapshot.ledger))
+
+    def _tables(self) -> dict[str, Table]:
+        return {
+            "outcomes": self._outcomes,
+            "configuration": self._configuration,
+            "keys": self._keys,
+            "actions": self._actions,
+            "instances": self._instances,
+            "targets": self._targets,
+            "orders": self._orders,
+            "usage": self._usage,
+            "feed": self._feed,
+        }
+
+    def _apply_request(self, request: ControlRequest, wall_ms: int) -> ControlReply:
+        known = self._outcomes.find(request.request_id)
+        if known is not None:
+            return known
+        self._actions.expire(self._now_ms)
+        outcome = self._run(request, wall_ms)
+        if isinstance(outcome, FailureRecord):
+            reply = ControlReply(request.request_id, failure=outcome)
+        else:
+            reply = ControlReply(request.request_id, result=outcome)
+        if self._must_remember(request, outcome):
+            by_operator = isinstance(request.command, _OPERATOR_COMMANDS)
+            self._outcomes.record(reply, by_operator)
+        return reply
+
+    @staticmethod
+    def _must_remember(request: ControlRequest, outcome) -> bool:
+        """Leave out outcomes that repeat the state, which may hold a large answer.
+
+        Usage reports are recognized by their sequence numbers.
+        """
+        if isinstance(request.command, BeginAction):
+            return not isinstance(outcome, FailureRecord) and outcome.started_now
+        return not isinstance(request.command, ReportUsage)
+
+    def _run(self, request: ControlRequest, wall_ms: int):
+        command = request.command
+        match command:
+            case FileConfiguration():
+                return self._file_configuration(command, request.request_id, wall_ms)
+            case GrantKey():
+                return self._grant_key(command, wall_ms)
+            case WithdrawKey():
+                return self._withdraw_key(command, wall_ms)
+            case BeginAction():
+                return self._begin_action(command, request.request_id)
+            case FinishAction():
+                return self._actions.finish(command)
+            case AbandonAction():
+                return self._actions.abandon(command, request.request_id)
+            case ReportUsage():
+                return self._usage.add(command, wall_ms)
+            case SetInstanceState():
+                return self._set_instance_state(command)
+            case ObserveTargets():
+                return self._observe_targets(command)
+            case PlaceOrder():
+                order_id = request.request_id
+                return self._orders.place(command, order_id, self._applied_index)
+            case ConfirmOrder():
+                return self._orders.confirm(command)
+        return refuse("invalid_command", "the command does not change the state", 400)
+
+    def _file_configuration(
+        self, command: FileConfiguration, request_id: str, wall_ms: int
+    ) -> ConfigurationFiled | FailureRecord:
+        outcome = self._configuration.file(command, request_id, wall_ms)
+        if isinstance(outcome, ConfigurationFiled):
+            self._configure_ledger()
+            self._feed.add(self._configuration.change())
+        return outcome
+
+    def _configure_ledger(self) -> None:
+        configuration = parse_configuration(self._configuration.document)
+        budgets = [
+            WorkspaceBudget(item.name, item.rate_tokens_per_s, item.burst_tokens)
+            for item in configuration.workspaces
+        ]
+        self._ledger.configure(budgets, self._now_ms)
+
+    def _grant_key(self, command: GrantKey, wall_ms: int) -> KeyChanged | FailureRecord:
+        before = len(self._keys.live)
+        outcome = self._keys.grant(command, wall_ms)
+        if isinstance(outcome, FailureRecord):
+            return outcome
+        if len(self._keys.live) > before:
+            self._feed.add(KeyChange(command.key_id, outcome.entry))
+        return KeyChanged(command.key_id, self._feed.version)
+
+    def _withdraw_key(
+        self, command: WithdrawKey, wall_ms: int
+    ) -> KeyChanged | FailureRecord:
+        outcome = self._keys.withdraw(command, wall_ms)
+        if isinstance(outcome, FailureRecord):
+            return outcome
+        if outcome:
+            self._feed.add(KeyChange(command.key_id))
+        return KeyChanged(command.key_id, self._feed.version)
+
+    def _begin_action(self, command: BeginAction, request_id: str):
+        """Accept only actions of live processes, so that each has an expiring lease."""
+        if self._instances.find(command.owner, command.owner_boot) is None:
+            return refuse("owner_not_live", "the owner has no lease", 503)
+        return self._actions.begin(command, request_id, self._now_ms)
+
+    def _set_instance_state(self, command: SetInstanceState) -> Done | FailureRecord:
+        changed = self._instances.set_state(command)
+        if isinstance(changed, FailureRecord):
+            return changed
+        if changed:
+            self._publish_instances()
+        return Done()
+
+    def _observe_targets(self, command: ObserveTargets) -> Done:
+        if self._targets.observe(command):
+            self._feed.add(TargetsChange(self._targets.targets))
+        return Done()
+
+    def _apply_heartbeats(self, heartbeats: list[Heartbeat]) -> None:
+        before = self._instances.addresses()
+        for heartbeat in heartbeats:
+            self._apply_heartbeat(heartbeat)
+        if self._instances.addresses() != before:
+            self._publish_instances()
+
+    def _apply_heartbeat(self, heartbeat: Heartbeat) -> None:
+        known = self._instances.current(heartbeat.instance)
+        if known is not None and known.boot < heartbeat.boot:
+            self._lose_instance(known.instance, known.boot)
+        row = self._instances.register(heartbeat)
+        if row is None:
+            return
+        row.shares = heartbeat.shares
+        row.grants = self._ledger.apply_reports(
+            heartbeat.instance, heartbeat.boot, heartbeat.shares, self._now_ms
+        )
+
+    def _apply_expiry(self, entry: ExpireEntry) -> None:
+        before = self._instances.addresses()
+        for item in entry.instances:
+            self._lose_instance(item.instance, item.boot)
+        if self._instances.addresses() != before:
+            self._publish_instances()
+
+    def _lose_instance(self, instance: str, boot: int) -> None:
+        self._instances.remove(instance, boot)
+        self._ledger.expire(instance, boot, self._now_ms)
+        self._actions.lose_owner(instance, boot)
+
+    def _apply_order(self, entry: OrderEntry) -> None:
+        if entry.issue:
+            self._orders.issue(entry.order_id, self._applied_index)
+        else:
+            self._orders.release(entry.order_id, entry.observed)
+
+    def _publish_instances(self) -> None:
+        self._feed.add(InstancesChange(self._instances.addresses()))
--- a/papayacrank/state/_outcomes.py
+++ b/papayacrank/state/_outcomes.py
@@ -41,9 +41,7 @@
 
     def dump(self) -> OutcomesDump:
         """Return the content for a snapshot."""
-        return OutcomesDump(
-            list(self._operator.values()), list(self._process.values())
-        )
+        return OutcomesDump(list(self._operator.values()), list(self._process.values()))
 
     def load(self, dumped: OutcomesDump) -> None:
         """Restore the content of a snapshot."""
--- a/papayacrank/state/_usage.py
+++ b/papayacrank/state/_usage.py
@@ -139,7 +139,9 @@
 
     def _fold(self) -> None:
         while len(self._rows) > MAX_USAGE_ROWS:
-            minutes = sorted({key[0] for key, row in self._rows.items() if row.minutes == 1})
+            minutes = sorted(
+                {key[0] for key, row in self._rows.items() if row.minutes == 1}
+            )
             if minutes:
                 self._fold_minute(minutes[0])
             else:
