--- /dev/null
+++ b/papayacrank/cache/_events.py
@@ -0,0 +1,26 @@
+"""Log events of the prefix cache."""
+
+from papayacrank.kernel import LogEvent, declare_events
+
+EVENTS_GAP = LogEvent(
+    6100,
+    "cache_events_gap",
+    "info",
+    "Cache events of an engine are missing; a replay or a listing was requested.",
+    "None, unless it repeats: then check the network to the engine.",
+)
+EVENTS_REPAIRED = LogEvent(
+    6101,
+    "cache_events_repaired",
+    "info",
+    "The view of an engine's cache is complete again.",
+)
+EVENTS_MALFORMED = LogEvent(
+    6102,
+    "cache_events_malformed",
+    "warning",
+    "A cache event batch or listing could not be decoded and was dropped.",
+    "Check that the engine publishes the documented format.",
+)
+
+declare_events(EVENTS_GAP, EVENTS_REPAIRED, EVENTS_MALFORMED)
--- /dev/null
+++ b/papayacrank/routing/_router.py
@@ -0,0 +1,209 @@
+"""Routing decisions of one entry instance."""
+
+import random
+
+from expression import Error, Ok, Result
+
+from papayacrank.cache import PrefixIndex
+from papayacrank.config import Goals
+from papayacrank.kernel import Failure, Verdict, create
+
+from ._base import RoutingPolicy, Situation, missing_tokens
+from ._targets import Attempt, TargetState, TargetTable
+from ._types import Choice, LoadReport, RoutingRequest, TargetView
+
+DEFAULT_MAX_BLOCKS = 4_000_000
+MAX_ATTEMPTS = 100_000
+NO_TARGET_RETRY_MS = 1_000
+
+
+class Router:
+    """Chooses targets from the instance's own view of caches and load.
+
+    Parameters
+    ----------
+    policy : str or RoutingPolicy
+        Registered name or object.
+    goals : Goals
+        Weights of the goals.
+    instance : str
+        Name of this instance.
+    failure_domain : str
+        Failure domain of this instance.
+    random_state : random.Random
+        Source of all random choices.
+    max_blocks : int
+        Bound of the prefix index.
+    """
+
+    def __init__(
+        self,
+        policy: str | RoutingPolicy,
+        goals: Goals,
+        instance: str,
+        failure_domain: str,
+        random_state: random.Random,
+        max_blocks: int = DEFAULT_MAX_BLOCKS,
+    ):
+        self.policy = (
+            create(RoutingPolicy, policy) if isinstance(policy, str) else policy
+        )
+        self.goals = goals
+        self.instance = instance
+        self.failure_domain = failure_domain
+        self.random_state = random_state
+        self.index = PrefixIndex(max_blocks)
+        self._instances = 1
+        self._tables: dict[str, TargetTable] = {}
+        self._services: dict[str, str] = {}
+        self._attempts: dict[str, TargetState] = {}
+
+    def set_instances(self, count: int) -> None:
+        """Set the number of serving entry instances, this one included."""
+        self._instances = max(1, count)
+
+    def update_targets(
+        self, service: str, views: list[TargetView], now_ms: int
+    ) -> None:
+        """Take the list of targets of a service from the feed.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        views : list of TargetView
+            All targets; those that are missing are forgotten.
+        now_ms : int
+            Current time.
+        """
+        table = self._tables.setdefault(service, TargetTable())
+        for name in table.update(views):
+            self._services.pop(name, None)
+            self.index.forget(name)
+        for view in views:
+            self._services[view.name] = service
+            if view.incarnation:
+                self.index.set_incarnation(view.name, view.incarnation)
+
+    def observe_load(self, target: str, report: LoadReport, now_ms: int) -> None:
+        """Take a load report; reports of unknown targets are ignored.
+
+        A report of a new incarnation or of other weights drops all cache entries of
+        the target. A report of an older incarnation is ignored.
+        """
+        service = self._services.get(target)
+        if service is None:
+            return
+        table = self._tables[service]
+        if not self.index.set_incarnation(target, report.incarnation):
+            return
+        previous = table.states[target].report
+        if previous and previous.weights_version != report.weights_version:
+            self.index.clear(target)
+        table.observe(target, report, now_ms)
+
+    def choose(self, request: RoutingRequest, now_ms: int) -> Result[Choice, Failure]:
+        """Choose a target for a request.
+
+        Parameters
+        ----------
+        request : RoutingRequest
+            Request to place.
+        now_ms : int
+            Current time.
+
+        Returns
+        -------
+        Result of Choice or Failure
+            ``no_target`` with verdict "not run" if no target may receive it.
+        """
+        table = self._tables.get(request.service)
+        targets = self._eligible(table, request) if table else []
+        if not targets:
+            return Error(_no_target(request.service))
+        situation = Situation(
+            targets=targets,
+            table=table,
+            levels=self.index.match_levels(request.blocks),
+            index=self.index,
+            goals=self.goals,
+            failure_domain=self.failure_domain,
+            instances=self._instances,
+            random_state=self.random_state,
+            now_ms=now_ms,
+        )
+        return Ok(self.policy.select(request, situation))
+
+    def on_sent(self, request: RoutingRequest, choice: Choice, now_ms: int) -> None:
+        """Count a request as work of its target, and its blocks as cached there."""
+        state = self._find_state(choice.target)
+        if state is None:
+            return
+        self.on_finished(request.request_id, False, now_ms)
+        self._forget_oldest_attempt()
+        table = self._tables[request.service]
+        incarnation = self.index.incarnation(choice.target) or 0
+        held = self.index.match(request.blocks).get(choice.target, 0)
+        attempt = Attempt(
+            request=request,
+            choice=choice,
+            sent_ms=now_ms,
+            work_tokens=missing_tokens(request, choice.matched_blocks),
+            queue_tokens=state.queue_tokens(now_ms, table.ms_per_token_),
+            new_blocks=request.blocks[held:],
+            incarnation=incarnation,
+        )
+        self.index.store(choice.target, incarnation, request.blocks)
+        state.add(attempt)
+        self._attempts[request.request_id] = state
+
+    def on_first_token(self, request_id: str, now_ms: int) -> None:
+        """Learn from the time to first token (first byte for plain services)."""
+        state = self._attempts.get(request_id)
+        if state is None:
+            return
+        attempt = state.attempts[request_id]
+        if attempt.has_first_token:
+            return
+        state.mark_first_token(attempt)
+        table = self._tables.get(attempt.request.service)
+        if table:
+            table.learn_speed(attempt, now_ms - attempt.sent_ms)
+
+    def on_finished(self, request_id: str, ok: bool, now_ms: int) -> None:
+        """Stop counting a request, whether it succeeded, failed or was cancelled."""
+        state = self._attempts.pop(request_id, None)
+        if state is None:
+            return
+        attempt = state.attempts[request_id]
+        if not ok and not attempt.has_first_token:
+            target = attempt.choice.target
+            self.index.remove(target, attempt.incarnation, attempt.new_blocks)
+        state.discard(attempt)
+
+    def _eligible(
+        self, table: TargetTable, request: RoutingRequest
+    ) -> list[TargetState]:
+        if not request.excluded:
+            return table.current
+        return [s for s in table.current if s.name not in request.excluded]
+
+    def _find_state(self, target: str) -> TargetState | None:
+        service = self._services.get(target)
+        return self._tables[service].states.get(target) if service else None
+
+    def _forget_oldest_attempt(self) -> None:
+        if len(self._attempts) >= MAX_ATTEMPTS:
+            oldest = next(iter(self._attempts))
+            state = self._attempts.pop(oldest)
+            state.discard(state.attempts[oldest])
+
+
+def _no_target(service: str) -> Failure:
+    return Failure(
+        code="no_target",
+        verdict=Verdict.NOT_RUN,
+        message=f"no target of service {service!r} can take new work",
+        status=503,
+        retry_after_ms=NO_TARGET_RETRY_MS,
+    )
--- /dev/null
+++ b/papayacrank/routing/_types.py
@@ -0,0 +1,106 @@
+"""Inputs and outputs of routing decisions."""
+
+from dataclasses import dataclass
+
+LIVE = "live"
+LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingRequest:
+    """What the router needs to know about a request.
+
+    Parameters
+    ----------
+    request_id : str
+        Unique among the requests in flight at this instance.
+    service, workspace : str
+        Names from the configuration.
+    blocks : tuple of int
+        Block hashes of the prompt; empty for plain services.
+    prompt_tokens, max_output_tokens : int
+        Sizes; 0 for plain services.
+    deadline_ms : int
+        Time by which the answer must be complete, on the caller's clock.
+    priority : int
+        Priority passed to the engine.
+    excluded : frozenset of str
+        Targets that must not be chosen, for example after a failed attempt.
+    """
+
+    request_id: str
+    service: str
+    workspace: str
+    blocks: tuple[int, ...] = ()
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    deadline_ms: int = 0
+    priority: int = 0
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class TargetView:
+    """A target as the feed describes it.
+
+    Parameters
+    ----------
+    state : str
+        Only ``"live"`` targets receive new work.
+    incarnation : int
+        Newest known incarnation, 0 if not known yet.
+    weights_version : str
+        Version that answers must come from; empty for plain services.
+    """
+
+    name: str
+    address: str
+    failure_domain: str
+    state: str = LIVE
+    incarnation: int = 0
+    weights_version: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load of an engine, observed with a lag.
+
+    Parameters
+    ----------
+    running, waiting : int
+        Requests in the batch and in the queue.
+    queued_prefill_tokens : int
+        Prompt tokens that the engine has yet to compute.
+    """
+
+    incarnation: int
+    weights_version: str
+    running: int
+    waiting: int
+    queued_prefill_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Result of a routing decision.
+
+    Parameters
+    ----------
+    target : str
+        Name of the chosen target.
+    matched_blocks : int
+        Leading blocks that are expected in its cache.
+    expected_ttft_ms : float
+        Expected time to first token.
+    kv_source : str or None
+        Engine from which the target imports the blocks beyond its own.
+    reason : str
+        ``"only"``, ``"match"``, ``"load"``, ``"spread"``, ``"import"``, ``"trial"``
+        or ``"policy"``.
+    """
+
+    target: str
+    matched_blocks: int
+    expected_ttft_ms: float
+    kv_source: str | None
+    reason: str
