--- a/papayacrank/kernel/tests/test_docs.py
+++ b/papayacrank/kernel/tests/test_docs.py
@@ -45,3 +45,19 @@
         if "get_logger(" in path.read_text() and path.name != "_events.py"
     ]
     assert offenders == ["test_docs.py"]
+
+
+def test_code_uses_the_words_of_the_glossary():
+    """Guards against two words for one thing in the code."""
+    table = (DOCS / "glossary.md").read_text(encoding="utf-8").split("\n\n")[2]
+    cells = [line.split("|")[3] for line in table.splitlines()[2:]]
+    unused = {word.strip() for cell in cells for word in cell.split(",")} - {""}
+    assert {"zone", "tenant", "backend"} <= unused
+    pattern = re.compile(r"\b\w*(" + "|".join(sorted(unused)) + r")s?\b", re.I)
+    offenders = [
+        (path.name, match.group())
+        for path in Path(papayacrank.__file__).parent.rglob("*.py")
+        if path.name != "test_docs.py"
+        for match in pattern.finditer(path.read_text(encoding="utf-8"))
+    ]
+    assert offenders == []
