--- a/papayacrank/accounting/__init__.py
+++ b/papayacrank/accounting/__init__.py
@@ -2,7 +2,13 @@
 
 from ._histogram import decode_histogram, encode_histogram, new_histogram
 from ._records import RequestRecord, RequestRecords
-from ._usage import UsageDocument, UsageRecorder, UsageRow, merge_usage
+from ._usage import (
+    UsageDocument,
+    UsageRecorder,
+    UsageRow,
+    merge_usage,
+    parse_usage_view,
+)
 
 __all__ = [
     "RequestRecord",
@@ -14,4 +20,5 @@
     "encode_histogram",
     "merge_usage",
     "new_histogram",
+    "parse_usage_view",
 ]
--- a/papayacrank/accounting/_usage.py
+++ b/papayacrank/accounting/_usage.py
@@ -189,14 +189,23 @@
 
 
 class UsageRow(msgspec.Struct, frozen=True):
-    """Usage of one workspace in one wall-clock minute since the epoch."""
+    """Usage of one workspace.
+
+    Attributes
+    ----------
+    minute : int
+        First wall-clock minute since the epoch.
+    minutes : int
+        Number of minutes that the row covers; old rows cover more.
+    """
 
     minute: int
     usage: UsageDelta
+    minutes: int = 1
 
 
 class UsageDocument(msgspec.Struct, frozen=True):
-    """Usage as the control group returns it; JSON with base64 histograms.
+    """Usage of all workspaces.
 
     Attributes
     ----------
@@ -208,6 +217,40 @@
     rows: list[UsageRow]
 
 
+def parse_usage_view(view: list[dict], now_minute: int) -> UsageDocument:
+    """Parse the usage as the control group shows it.
+
+    Parameters
+    ----------
+    view : list of dict
+        Flat rows with ``minute``, ``minutes`` and the fields of `UsageDelta`;
+        histograms are ASCII text.
+    now_minute : int
+        Current wall-clock minute since the epoch.
+
+    Returns
+    -------
+    UsageDocument
+        The parsed rows.
+
+    Raises
+    ------
+    ValueError
+        If a row is no usage.
+    """
+    rows = []
+    for item in view:
+        fields = dict(item)
+        try:
+            minute, minutes = fields.pop("minute"), fields.pop("minutes", 1)
+            for name in HISTOGRAM_FIELDS:
+                fields[name] = fields.get(name, "").encode("ascii")
+            rows.append(UsageRow(minute, UsageDelta(**fields), minutes))
+        except (KeyError, TypeError, AttributeError) as error:
+            raise ValueError(f"not a row of usage: {error}") from error
+    return UsageDocument(now_minute, rows)
+
+
 def merge_usage(first: UsageDelta, second: UsageDelta) -> UsageDelta:
     """Add the usage of the same workspace from two reports.
 
--- a/papayacrank/admission/_ledger.py
+++ b/papayacrank/admission/_ledger.py
@@ -48,15 +48,29 @@
     refilled_ms: int
     accounts: dict[str, _Account] = field(default_factory=dict)
 
-    @property
-    def outstanding(self) -> int:
-        """Tokens that instances hold or have reserved."""
-        return sum(account.outstanding for account in self.accounts.values())
+    # Sums over the accounts, kept so that a report does not visit all of them.
+    outstanding: int = 0
+    deficit: int = 0
 
-    @property
-    def deficit(self) -> int:
-        """Tokens that instances want beyond what they hold."""
-        return sum(account.deficit for account in self.accounts.values())
+    def add_account(self, key: str, account: _Account) -> None:
+        """Add an account and count it in the sums."""
+        self.accounts[key] = account
+        self.outstanding += account.outstanding
+        self.deficit += account.deficit
+
+    def remove_account(self, key: str) -> None:
+        """Remove an account from the sums; unknown keys are ignored."""
+        account = self.accounts.pop(key, None)
+        if account is not None:
+            self.outstanding -= account.outstanding
+            self.deficit -= account.deficit
+
+    def set_account(self, account: _Account, outstanding: int, deficit: int) -> None:
+        """Change an account and the sums."""
+        self.outstanding += outstanding - account.outstanding
+        self.deficit += deficit - account.deficit
+        account.outstanding = outstanding
+        account.deficit = deficit
 
     def refill(self, now_ms: int) -> None:
         """Add the refill since the last call; a clock that went back adds none."""
@@ -141,7 +155,7 @@
         """
         for bucket in self._buckets.values():
             bucket.refill(now_ms)
-            bucket.accounts.pop(_account_key(instance, boot), None)
+            bucket.remove_account(_account_key(instance, boot))
 
     def restart_leases(self, now_ms: int) -> None:
         """Continue on the clock of a new leader, without refill for the gap."""
@@ -198,7 +212,7 @@
         account = bucket.accounts.get(key)
         if account is None:
             account = _Account(report.granted_tokens, report.spent_tokens)
-            bucket.accounts[key] = account
+            bucket.add_account(key, account)
         if report.spent_tokens < account.spent:
             return account
         undelivered = max(0, account.granted - report.granted_tokens)
@@ -207,10 +221,8 @@
         returned = account.outstanding - spent - outstanding
         bucket.level_millitokens += returned * MILLITOKENS_PER_TOKEN
         account.spent = report.spent_tokens
-        account.outstanding = outstanding
-        account.deficit = max(
-            0, report.wanted_tokens - report.held_tokens - undelivered
-        )
+        wanted = report.wanted_tokens - report.held_tokens - undelivered
+        bucket.set_account(account, outstanding, max(0, wanted))
         bucket.cap()
         return account
 
@@ -225,8 +237,7 @@
         if total > available:
             part = available * account.deficit // total
         account.granted += part
-        account.outstanding += part
-        account.deficit -= part
+        bucket.set_account(account, account.outstanding + part, account.deficit - part)
         bucket.level_millitokens -= part * MILLITOKENS_PER_TOKEN
 
 
--- a/papayacrank/admission/_shares.py
+++ b/papayacrank/admission/_shares.py
@@ -7,6 +7,7 @@
 DEMAND_HORIZON_MS = 1_500
 IDLE_RETURN_MS = 1_000
 MIN_REPORT_INTERVAL_MS = 20
+IDLE_REPORTS = 10  # an idle share is reported this often, since reports can be lost
 MS_PER_SECOND = 1000
 
 
@@ -22,6 +23,12 @@
     demand_per_s: float = 0.0
     demand_at_ms: int = 0
     used_at_ms: int = 0
+    idle_reports: int = 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is held, reserved or wanted."""
+        return not (self.held or self.reserved or self.queued or self.demand_per_s)
 
 
 @dataclass(slots=True)
@@ -138,10 +145,11 @@
         """Return the reports for the next heartbeat and give back idle tokens."""
         self._expire(now_ms)
         self._reported_ms = now_ms
-        return [
-            self._report(workspace, share, now_ms)
-            for workspace, share in sorted(self._shares.items())
-        ]
+        reports = []
+        for workspace, share in sorted(self._shares.items()):
+            if share.idle_reports < IDLE_REPORTS or not share.idle:
+                reports.append(self._report(workspace, share, now_ms))
+        return reports
 
     def surrender(self, now_ms: int) -> list[ShareReport]:
         """Give back everything that is not reserved, before a planned stop."""
@@ -155,6 +163,9 @@
         wanted = share.queued + self._predict_demand(share, now_ms)
         if now_ms - share.used_at_ms >= IDLE_RETURN_MS:
             share.held = min(share.held, wanted)
+        if wanted == 0:
+            share.demand_per_s = 0.0
+        share.idle_reports = share.idle_reports + 1 if share.idle else 0
         return ShareReport(
             workspace=workspace,
             held_tokens=share.held,
--- a/papayacrank/admission/tests/test_budget.py
+++ b/papayacrank/admission/tests/test_budget.py
@@ -210,6 +210,17 @@
     assert restored.snapshot() == fleet.ledger.snapshot()
 
 
+def test_sums_equal_the_accounts():
+    """Guards against running sums that drift away from the accounts."""
+    fleet = BudgetFleet(2)
+    for _ in range(1_000):
+        fleet.step()
+        bucket = fleet.ledger._buckets["w"]
+        accounts = bucket.accounts.values()
+        assert bucket.outstanding == sum(a.outstanding for a in accounts)
+        assert bucket.deficit == sum(a.deficit for a in accounts)
+
+
 def test_new_leader_clock_gives_no_refill():
     """Guards against free tokens when the time base changes with the leader."""
     ledger = BudgetLedger()
@@ -255,3 +266,19 @@
     report = shares.reports(LEASE_MS)[0]
     assert (report.held_tokens, report.reserved_tokens) == (0, 0)
     assert report.spent_tokens == 40
+
+
+def test_idle_share_is_left_out_after_some_reports():
+    """Guards against heartbeats that grow with every workspace ever served."""
+    ledger = BudgetLedger()
+    ledger.configure([WorkspaceBudget("w", 1, BURST_TOKENS)], 0)
+    shares = share_of_whole_burst(ledger)
+    shares.set_queued("w", 0)
+    assert shares.try_reserve("r", "w", 100, 10)
+    shares.settle("r", 100, 20)
+    sent = [shares.reports(2_000 + step) for step in range(12)]
+    assert [len(reports) for reports in sent] == [1] * 10 + [0, 0]
+    ledger.apply_reports("a", 1, sent[0], 2_000)
+    assert ledger.view()[0]["outstanding_tokens"] == 0
+    shares.set_queued("w", 50)
+    assert shares.reports(3_000)[0].wanted_tokens == 50
--- a/papayacrank/report/_burn.py
+++ b/papayacrank/report/_burn.py
@@ -161,7 +161,7 @@
 def _sum_window(document: UsageDocument, name: str, minutes: int) -> UsageDelta:
     total = UsageDelta(name)
     for row in document.rows:
-        age = document.now_minute - row.minute
+        age = document.now_minute - (row.minute + row.minutes - 1)
         if row.usage.workspace == name and age < minutes:
             total = merge_usage(total, row.usage)
     return total
--- a/papayacrank/report/tests/test_report.py
+++ b/papayacrank/report/tests/test_report.py
@@ -5,7 +5,12 @@
 import msgspec
 import pytest
 
-from papayacrank.accounting import UsageDocument, UsageRecorder, UsageRow
+from papayacrank.accounting import (
+    UsageDocument,
+    UsageRecorder,
+    UsageRow,
+    parse_usage_view,
+)
 from papayacrank.config import generate_configuration
 from papayacrank.kernel import Failure, Verdict
 from papayacrank.report import build_report, render_html, render_json, render_text
@@ -71,8 +76,13 @@
     assert "http" not in page.replace("data:image", "")
 
 
-def test_document_round_trips_as_json():
+def test_view_of_the_control_group_is_parsed():
     """Guards against histograms that are damaged on the way to the report."""
     document = build_document()
-    data = msgspec.json.encode(document)
-    assert msgspec.json.decode(data, type=UsageDocument) == document
+    usage = msgspec.structs.asdict(document.rows[0].usage)
+    for name in ("ttft_histogram", "token_gap_histogram"):
+        usage[name] = usage[name].decode("ascii")
+    view = [{"minute": NOW_MINUTE, "minutes": 1} | usage]
+    assert parse_usage_view(view, NOW_MINUTE) == document
+    with pytest.raises(ValueError, match="not a row"):
+        parse_usage_view([{"colour": 1}], NOW_MINUTE)
