--- a/papayacrank/consensus/__init__.py
+++ b/papayacrank/consensus/__init__.py
@@ -45,6 +45,7 @@
 """
 
 from ._effects import Committed, InstallState, Notice, Persist
+from ._membership import AddLearner, MemberChange, Promote, Remove, Replace
 from ._messages import (
     CONSENSUS_MESSAGES,
     Entry,
@@ -55,7 +56,7 @@
     Snapshot,
     StoreState,
 )
-from ._node import AddLearner, MemberChange, Promote, RaftNode, Remove, Replace
+from ._node import RaftNode
 from ._settings import Protections, RaftSettings
 from ._store import LogStore, LogStoreError
 
--- /dev/null
+++ b/papayacrank/consensus/_core.py
@@ -0,0 +1,215 @@
+"""State, output and persistence shared by the parts of the decision code."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+from typing import Any
+
+from papayacrank.kernel import LogEvent, Send, SetTimer
+
+from ._effects import Committed, Notice, Persist
+from ._events import LEADER_STEPPED_DOWN, MEMBERSHIP_CHANGED
+from ._log import RaftLog
+from ._messages import (
+    KIND_DATA,
+    KIND_MEMBERSHIP,
+    AppendEntry,
+    ChangeIdentity,
+    Entry,
+    HardState,
+    Member,
+    PeerRecord,
+    Position,
+    Record,
+    StoreState,
+)
+from ._progress import Progress
+from ._settings import RaftSettings
+
+MAX_PEER_RECORDS = 64
+ELECTION_TIMER = "raft.election"
+HEARTBEAT_TIMER = "raft.heartbeat"
+QUERY_TIMER = "raft.query"
+
+
+class Role(Enum):
+    """Role of a member in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass
+class _Pending:
+    """What waits for the sync of a `Persist` effect."""
+
+    token: int
+    last_index: int
+    deferred: list[tuple[int, Callable[[], None]]]
+
+
+class NodeCore:
+    """Shared state of a member."""
+
+    def __init__(
+        self, settings: RaftSettings, store_state: StoreState, random_state: Random
+    ):
+        self._settings = settings
+        self._protections = settings.protections
+        self._random = random_state
+        self._identity = store_state.identity
+        self._group = store_state.hard_state.group
+        self._term = store_state.hard_state.term
+        self._voted_for = store_state.hard_state.voted_for
+        self._log = RaftLog(store_state.snapshot, store_state.entries)
+        self._commit_index = self._log.snapshot_index
+        self._durable_index = self._log.last_index
+        self._role = Role.FOLLOWER
+        self._leader = ""
+        self._votes: set[str] = set()
+        self._progress: dict[str, Progress] = {}
+        self._peer_records: dict[str, PeerRecord] = {}
+        self._term_start_index = 0
+        self._contact_ms = 0
+        self._now_ms = 0
+        self._effects: list[Any] = []
+        self._records: list[Record] = []
+        self._hard_state_changed = False
+        self._deferred: list[tuple[int, Callable[[], None]]] = []
+        self._pending: deque[_Pending] = deque()
+        self._token = 0
+
+    # Members
+
+    @property
+    def _members(self) -> tuple[Member, ...]:
+        return self._log.membership.members
+
+    @property
+    def _voters(self) -> list[Member]:
+        return self._log.membership.voters
+
+    @property
+    def _is_voter(self) -> bool:
+        return any(m.identity == self._identity for m in self._voters)
+
+    def _is_majority(self, identities: set[str]) -> bool:
+        voters = self._voters
+        count = sum(member.identity in identities for member in voters)
+        return bool(voters) and count >= len(voters) // 2 + 1
+
+    # Output
+
+    def _send(self, to: str, message: Any) -> None:
+        self._effects.append(Send(to, message))
+
+    def _set_timer(self, name: str, at_ms: int) -> None:
+        self._effects.append(SetTimer(name, at_ms))
+
+    def _notice(self, event: LogEvent, **fields: Any) -> None:
+        self._effects.append(Notice(event, fields))
+
+    def _after_sync(self, action: Callable[[], None]) -> None:
+        """Run `action` once everything so far is synced, unless the term ends."""
+        self._deferred.append((self._term, action))
+
+    def _finish(self) -> list[Any]:
+        """Return the effects of one input; `Persist` is last, after the sends."""
+        while self._deferred and not self._protections.sync_before_reply:
+            self._durable_index = self._log.last_index
+            self._run_deferred(self._take_deferred())
+        records = self._take_records()
+        if records:
+            self._token += 1
+            pending = _Pending(self._token, self._log.last_index, self._take_deferred())
+            self._pending.append(pending)
+            self._effects.append(Persist(self._token, records))
+        elif self._pending:
+            self._pending[-1].deferred.extend(self._take_deferred())
+        elif self._deferred:
+            self._run_deferred(self._take_deferred())
+            return self._finish()
+        effects, self._effects = self._effects, []
+        return effects
+
+    def _take_records(self) -> tuple[Record, ...]:
+        records, self._records = self._records, []
+        if self._hard_state_changed:
+            hard_state = HardState(self._term, self._voted_for, self._group)
+            first = 1 if records and isinstance(records[0], ChangeIdentity) else 0
+            records.insert(first, hard_state)
+            self._hard_state_changed = False
+        return tuple(records)
+
+    def _take_deferred(self) -> list[tuple[int, Callable[[], None]]]:
+        deferred, self._deferred = self._deferred, []
+        return deferred
+
+    def _run_deferred(self, deferred: list[tuple[int, Callable[[], None]]]) -> None:
+        for term, action in deferred:
+            if term == self._term:
+                action()
+
+    def _on_synced(self, token: int) -> None:
+        while self._pending and self._pending[0].token <= token:
+            pending = self._pending.popleft()
+            self._durable_index = min(pending.last_index, self._log.last_index)
+            self._run_deferred(pending.deferred)
+
+    # Log
+
+    def _append_entry(self, entry: Entry) -> None:
+        self._log.append(entry)
+        self._records.append(AppendEntry(entry))
+        if entry.kind == KIND_MEMBERSHIP:
+            members = [
+                f"{m.name}/{m.identity}/{'voter' if m.voter else 'learner'}"
+                for m in self._members
+            ]
+            self._notice(MEMBERSHIP_CHANGED, index=entry.index, members=members)
+
+    def _advance_commit(self, index: int) -> None:
+        """Pass on the newly committed entries of the state machine."""
+        first = self._commit_index + 1
+        self._commit_index = max(self._commit_index, index)
+        for i in range(first, self._commit_index + 1):
+            entry = self._log.entry(i)
+            if entry.kind == KIND_DATA:
+                self._effects.append(Committed(i, entry.term, entry.data))
+
+    def _note_record(self, record: PeerRecord) -> None:
+        """Keep the highest term and match index of an identity."""
+        known = self._peer_records.get(record.identity)
+        new = Position(record.term, record.match_index)
+        if known is None or new > Position(known.term, known.match_index):
+            self._peer_records.pop(record.identity, None)
+            self._peer_records[record.identity] = record
+        while len(self._peer_records) > MAX_PEER_RECORDS:
+            del self._peer_records[next(iter(self._peer_records))]
+
+    # Term and role
+
+    def _set_term(self, term: int, voted_for: str = "") -> None:
+        self._term = term
+        self._voted_for = voted_for
+        self._hard_state_changed = True
+
+    def _become_follower(self, term: int, leader: str, reason: str) -> None:
+        if term > self._term:
+            self._set_term(term)
+        if self._role is Role.LEADER:
+            self._notice(LEADER_STEPPED_DOWN, term=term, reason=reason)
+        self._role = Role.FOLLOWER
+        self._leader = leader
+        self._votes = set()
+        self._progress = {}
+
+    def _heard_from_leader(self) -> bool:
+        """Whether this member has promised not to vote."""
+        if self._role is Role.LEADER:
+            return True
+        return self._now_ms - self._contact_ms < self._settings.election_timeout_ms
--- /dev/null
+++ b/papayacrank/consensus/_election.py
@@ -0,0 +1,143 @@
+"""Election with pre-vote and randomized timeouts."""
+
+from ._core import ELECTION_TIMER, NodeCore, Role
+from ._messages import PeerRecord, Position, VoteReply, VoteRequest
+
+
+class Election(NodeCore):
+    """Part of the decision code that elects a leader."""
+
+    _election_deadline_ms = 0
+    _drawn_timeout_ms = 0
+
+    def _arm_election(self) -> None:
+        """Draw a new timeout and count it from now."""
+        timeout_ms = self._settings.election_timeout_ms
+        self._drawn_timeout_ms = timeout_ms + self._random.randrange(timeout_ms)
+        self._postpone_election()
+
+    def _postpone_election(self) -> None:
+        """Count the timeout from now; the running timer is moved when it fires."""
+        self._election_deadline_ms = self._now_ms + self._drawn_timeout_ms
+
+    def _on_election_timer(self) -> None:
+        if self._role is not Role.LEADER and self._now_ms >= self._election_deadline_ms:
+            self._arm_election()
+            if self._may_campaign():
+                self._campaign()
+        interval_ms = self._settings.election_timeout_ms // 2
+        next_ms = max(self._election_deadline_ms, self._now_ms + 1)
+        if self._role is Role.LEADER:
+            next_ms = self._now_ms + interval_ms
+        self._set_timer(ELECTION_TIMER, next_ms)
+
+    def _may_campaign(self) -> bool:
+        return (
+            self._is_voter and self._is_verified and self._meets_floor(self._log.last)
+        )
+
+    def _campaign(self) -> None:
+        self._leader = ""
+        if self._protections.pre_vote:
+            self._role = Role.PRE_CANDIDATE
+            self._votes = {self._identity}
+            self._request_votes(self._term + 1, pre_vote=True)
+            self._count_votes()
+        else:
+            self._start_election()
+
+    def _start_election(self) -> None:
+        self._role = Role.CANDIDATE
+        self._votes = set()
+        self._set_term(self._term + 1, self._identity)
+        self._after_sync(self._on_own_vote_synced)
+
+    def _on_own_vote_synced(self) -> None:
+        if self._role is not Role.CANDIDATE:
+            return
+        self._votes.add(self._identity)
+        self._request_votes(self._term, pre_vote=False)
+        self._count_votes()
+
+    def _request_votes(self, term: int, pre_vote: bool) -> None:
+        last = self._log.last
+        for member in self._voters:
+            if member.identity != self._identity:
+                request = VoteRequest(
+                    group=self._group,
+                    term=term,
+                    identity=self._identity,
+                    recipient=member.identity,
+                    last_index=last.index,
+                    last_term=last.term,
+                    pre_vote=pre_vote,
+                )
+                self._send(member.name, request)
+
+    def _count_votes(self) -> None:
+        if not self._is_majority(self._votes):
+            return
+        if self._role is Role.PRE_CANDIDATE:
+            self._start_election()
+        elif self._role is Role.CANDIDATE:
+            self._become_leader()
+
+    def _on_vote_request(self, sender: str, request: VoteRequest) -> None:
+        if request.recipient != self._identity or not self._is_verified:
+            return
+        # A promise to the leader keeps its lease valid, so that a vote that would
+        # break it is not even answered.
+        if self._heard_from_leader() and request.term > self._term:
+            return
+        if request.pre_vote:
+            granted = request.term > self._term and self._accepts(request)
+            term = request.term if granted else self._term
+            self._send(sender, self._vote_reply(term, True, granted))
+            return
+        if request.term > self._term:
+            self._become_follower(request.term, "", "higher term")
+        granted = self._grant_vote(request)
+        self._after_sync(
+            lambda: self._send(sender, self._vote_reply(self._term, False, granted))
+        )
+
+    def _grant_vote(self, request: VoteRequest) -> bool:
+        free = self._voted_for in ("", request.identity)
+        if request.term != self._term or not free or not self._accepts(request):
+            return False
+        if self._voted_for != request.identity:
+            self._voted_for = request.identity
+            self._hard_state_changed = True
+        self._arm_election()
+        return True
+
+    def _accepts(self, request: VoteRequest) -> bool:
+        last = Position(request.last_term, request.last_index)
+        return (
+            last >= self._log.last
+            and self._meets_floor(last)
+            and request.term > self._term_floor
+        )
+
+    def _vote_reply(self, term: int, pre_vote: bool, granted: bool) -> VoteReply:
+        return VoteReply(
+            group=self._group,
+            term=term,
+            identity=self._identity,
+            pre_vote=pre_vote,
+            granted=granted,
+        )
+
+    def _on_vote_reply(self, sender: str, reply: VoteReply) -> None:
+        if not reply.granted:
+            if reply.term > self._term:
+                self._become_follower(reply.term, "", "higher term")
+            return
+        if reply.pre_vote:
+            expected = self._role is Role.PRE_CANDIDATE and reply.term == self._term + 1
+        else:
+            self._note_record(PeerRecord(reply.identity, reply.term, 0))
+            expected = self._role is Role.CANDIDATE and reply.term == self._term
+        if expected:
+            self._votes.add(reply.identity)
+            self._count_votes()
--- /dev/null
+++ b/papayacrank/consensus/_files.py
@@ -0,0 +1,157 @@
+"""Operations on the files of one folder."""
+
+import fcntl
+import os
+from abc import ABC, abstractmethod
+from pathlib import Path
+
+LOCK_FILE = "lock"
+
+
+class Files(ABC):
+    """Files of one folder; nothing is durable before it is synced.
+
+    The content of a file is durable after `sync`; its creation, renaming or removal
+    is durable after `sync_folder`.
+    """
+
+    @abstractmethod
+    def open_folder(self) -> None:
+        """Create the folder if missing and take exclusive use of it."""
+
+    @abstractmethod
+    def names(self) -> list[str]:
+        """Return the names of the files."""
+
+    @abstractmethod
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+
+    @abstractmethod
+    def append(self, name: str, data: bytes) -> None:
+        """Add bytes to the end of a file; creates the file if missing."""
+
+    @abstractmethod
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to `size` bytes."""
+
+    @abstractmethod
+    def sync(self, name: str) -> None:
+        """Make the content of a file durable."""
+
+    @abstractmethod
+    def rename(self, old: str, new: str) -> None:
+        """Rename a file, replacing `new`."""
+
+    @abstractmethod
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+
+    @abstractmethod
+    def sync_folder(self) -> None:
+        """Make creations, renamings and removals durable."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Release everything that is open."""
+
+
+class FolderFiles(Files):
+    """Files in a folder of the file system.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder to use.
+    """
+
+    def __init__(self, folder: Path):
+        self._folder = folder
+        self._lock_fd: int | None = None
+        self._open: dict[str, int] = {}
+
+    def open_folder(self) -> None:
+        """Create the folder if missing and lock it.
+
+        Raises
+        ------
+        OSError
+            If another process uses the folder.
+        """
+        missing = [p for p in (self._folder, *self._folder.parents) if not p.exists()]
+        self._folder.mkdir(parents=True, exist_ok=True)
+        for created in missing:
+            _sync_path(created.parent)
+        self._lock_fd = os.open(
+            self._folder / LOCK_FILE, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600
+        )
+        fcntl.flock(self._lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+
+    def names(self) -> list[str]:
+        """Return the names of the files, without the lock."""
+        return sorted(
+            path.name
+            for path in self._folder.iterdir()
+            if path.is_file() and path.name != LOCK_FILE
+        )
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+        return (self._folder / name).read_bytes()
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add bytes to the end of a file."""
+        fd = self._descriptor(name)
+        view = memoryview(data)
+        while view:
+            view = view[os.write(fd, view) :]
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to `size` bytes."""
+        os.ftruncate(self._descriptor(name), size)
+
+    def sync(self, name: str) -> None:
+        """Make the content of a file durable."""
+        os.fsync(self._descriptor(name))
+
+    def rename(self, old: str, new: str) -> None:
+        """Rename a file, replacing `new`."""
+        self._forget(old)
+        self._forget(new)
+        os.rename(self._folder / old, self._folder / new)
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        self._forget(name)
+        os.unlink(self._folder / name)
+
+    def sync_folder(self) -> None:
+        """Make creations, renamings and removals durable."""
+        _sync_path(self._folder)
+
+    def close(self) -> None:
+        """Close all files and release the lock."""
+        for name in list(self._open):
+            self._forget(name)
+        if self._lock_fd is not None:
+            os.close(self._lock_fd)
+            self._lock_fd = None
+
+    def _descriptor(self, name: str) -> int:
+        if name not in self._open:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
+            self._open[name] = os.open(self._folder / name, flags, 0o600)
+        return self._open[name]
+
+    def _forget(self, name: str) -> None:
+        fd = self._open.pop(name, None)
+        if fd is not None:
+            os.close(fd)
+
+
+def _sync_path(path: Path) -> None:
+    fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
--- /dev/null
+++ b/papayacrank/consensus/_log.py
@@ -0,0 +1,145 @@
+"""In-memory copy of the log after the last compaction."""
+
+import msgspec
+
+from ._messages import KIND_MEMBERSHIP, Entry, Membership, Position, Snapshot
+
+encode_membership = msgspec.msgpack.Encoder().encode
+_decode_membership = msgspec.msgpack.Decoder(Membership).decode
+
+
+class RaftLog:
+    """Entries of the log, with the memberships that they contain.
+
+    Parameters
+    ----------
+    snapshot : Snapshot or None
+        Newest snapshot.
+    entries : tuple of Entry
+        Entries after the snapshot, without gaps.
+    """
+
+    def __init__(self, snapshot: Snapshot | None, entries: tuple[Entry, ...]):
+        self.snapshot = snapshot
+        self._entries = list(entries)
+        self._base = Position(0, 0)
+        self._memberships = [Membership()]
+        if snapshot is not None:
+            self._base = Position(snapshot.term, snapshot.index)
+            self._memberships = [snapshot.membership]
+        self.bytes_since_snapshot = 0
+        for entry in entries:
+            self._note(entry)
+
+    @property
+    def base_index(self) -> int:
+        """Index before the first entry that is still in memory."""
+        return self._base.index
+
+    @property
+    def last(self) -> Position:
+        """Position of the last entry."""
+        if not self._entries:
+            return self._base
+        return Position(self._entries[-1].term, self._entries[-1].index)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self._base.index + len(self._entries)
+
+    @property
+    def snapshot_index(self) -> int:
+        """Index of the newest snapshot; 0 if there is none."""
+        return self.snapshot.index if self.snapshot else 0
+
+    @property
+    def membership(self) -> Membership:
+        """Newest membership, committed or not."""
+        return self._memberships[-1]
+
+    def membership_at(self, index: int) -> Membership:
+        """Return the membership in force at an index."""
+        known = [m for m in self._memberships if m.index <= index]
+        return known[-1] if known else self._memberships[0]
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry; None if it is not in memory."""
+        if index == self._base.index:
+            return self._base.term
+        if self._base.index < index <= self.last_index:
+            return self._entries[index - self._base.index - 1].term
+        return None
+
+    def first_index_of_term_at(self, index: int) -> int:
+        """Return the first index in memory of the run of equal terms at an index."""
+        term = self.term_at(index)
+        while self.term_at(index - 1) == term and index - 1 > self._base.index:
+            index -= 1
+        return index
+
+    def entry(self, index: int) -> Entry:
+        """Return an entry that is in memory."""
+        return self._entries[index - self._base.index - 1]
+
+    def batch(self, first: int, max_entries: int, max_bytes: int) -> tuple[Entry, ...]:
+        """Return entries from `first` on, at least one if there is any."""
+        start = first - self._base.index - 1
+        chosen = []
+        size = 0
+        for entry in self._entries[start : start + max_entries]:
+            size += len(entry.data)
+            if chosen and size > max_bytes:
+                break
+            chosen.append(entry)
+        return tuple(chosen)
+
+    def append(self, entry: Entry) -> None:
+        """Add the next entry."""
+        if entry.index != self.last_index + 1:
+            raise ValueError(f"entry {entry.index} after {self.last_index}")
+        self._entries.append(entry)
+        self._note(entry)
+
+    def truncate(self, index: int) -> None:
+        """Remove all entries above `index`."""
+        del self._entries[index - self._base.index :]
+        self._memberships = [m for m in self._memberships if m.index <= index]
+
+    def compact(self, snapshot: Snapshot, max_entries: int, max_bytes: int) -> None:
+        """Take over a snapshot of this log, keeping some entries before it.
+
+        The kept entries save slow followers a snapshot transfer.
+        """
+        keep_from = self._kept_from(snapshot.index, max_entries, max_bytes)
+        base_term = self.term_at(keep_from)
+        in_force = self.membership_at(keep_from)
+        del self._entries[: keep_from - self._base.index]
+        self._base = Position(base_term, keep_from)
+        self._memberships = [in_force] + [
+            m for m in self._memberships if m.index > keep_from
+        ]
+        self.snapshot = snapshot
+        after = self._entries[snapshot.index - keep_from :]
+        self.bytes_since_snapshot = sum(len(entry.data) for entry in after)
+
+    def reset(self, snapshot: Snapshot | None) -> None:
+        """Replace the whole log by a snapshot."""
+        self.__init__(snapshot, ())
+
+    def _kept_from(self, index: int, max_entries: int, max_bytes: int) -> int:
+        size = 0
+        kept = 0
+        while index > self._base.index and kept < max_entries:
+            size += len(self.entry(index).data)
+            if size > max_bytes:
+                break
+            index -= 1
+            kept += 1
+        return index
+
+    def _note(self, entry: Entry) -> None:
+        self.bytes_since_snapshot += len(entry.data)
+        if entry.kind == KIND_MEMBERSHIP:
+            membership = _decode_membership(entry.data)
+            self._memberships.append(Membership(entry.index, membership.members))
--- /dev/null
+++ b/papayacrank/consensus/_membership.py
@@ -0,0 +1,233 @@
+"""Membership changes, one at a time, and automatic replacement of silent voters."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from papayacrank.kernel import Failure, Verdict
+
+from ._core import NodeCore, Role
+from ._events import VOTER_SILENT
+from ._log import encode_membership
+from ._messages import KIND_MEMBERSHIP, Entry, JoinRequest, Member, Membership
+
+MAX_MEMBERS = 24
+MAX_JOINERS = 16
+MIN_VOTERS = 3
+# A learner within this distance finishes catching up in about one round trip.
+CAUGHT_UP_ENTRIES = 256
+LEARNER_CONTACT_MS = 2_000
+
+
+@dataclass(frozen=True)
+class AddLearner:
+    """Add a member without a vote."""
+
+    name: str
+    identity: str
+    failure_domain: str
+
+
+@dataclass(frozen=True)
+class Promote:
+    """Give a caught-up learner a vote."""
+
+    name: str
+
+
+@dataclass(frozen=True)
+class Remove:
+    """Remove a member; it joins again as a learner if it is still running."""
+
+    name: str
+
+
+@dataclass(frozen=True)
+class Replace:
+    """Remove the voter `old`, then promote the caught-up learner `new`."""
+
+    old: str
+    new: str
+
+
+MemberChange = AddLearner | Promote | Remove | Replace
+
+
+def refuse(code: str, message: str, status: int = 409) -> Result[int, Failure]:
+    """Return the refusal of an input that had no effect."""
+    return Error(Failure(code, Verdict.NOT_RUN, message, status))
+
+
+class MembershipControl(NodeCore):
+    """Part of the decision code that changes the members."""
+
+    _planned_voter = ""
+
+    def _change_member(self, change: MemberChange) -> Result[int, Failure]:
+        if self._role is not Role.LEADER:
+            return refuse("not_leader", f"the leader is {self._leader!r}", 503)
+        if not self._may_change_members():
+            return refuse("change_in_progress", "another change is not committed yet")
+        match change:
+            case AddLearner(name, identity, domain):
+                return self._add_learner(Member(name, identity, domain, False))
+            case Promote(name):
+                return self._promote_by_name(name)
+            case Remove(name):
+                return self._remove_by_name(name)
+            case Replace(old, new):
+                return self._replace(old, new)
+
+    def _may_change_members(self) -> bool:
+        """Whether the last change and an entry of the own term are committed."""
+        settled = self._log.membership.index <= self._commit_index
+        if not self._protections.one_change:
+            settled = True
+        return settled and self._is_ready
+
+    def _add_learner(self, member: Member) -> Result[int, Failure]:
+        if any(m.identity == member.identity for m in self._members):
+            return refuse("already_member", f"{member.name} is a member")
+        if len(self._members) >= MAX_MEMBERS:
+            return refuse("too_many_members", f"the limit is {MAX_MEMBERS}")
+        return Ok(self._log_members((*self._members, member)))
+
+    def _promote_by_name(self, name: str) -> Result[int, Failure]:
+        learner = self._find_learner(name)
+        if learner is None:
+            return refuse("not_a_learner", f"{name} is not a learner")
+        if not self._is_caught_up(learner):
+            return refuse("not_caught_up", f"{name} has not caught up")
+        return Ok(self._promote(learner))
+
+    def _remove_by_name(self, name: str) -> Result[int, Failure]:
+        named = [m for m in self._members if m.name == name]
+        if not named:
+            return refuse("not_a_member", f"{name} is not a member")
+        member = max(named, key=lambda m: m.voter)
+        if member.voter and len(self._voters) == 1:
+            return refuse("last_voter", "the last voter cannot be removed")
+        return Ok(self._remove(member))
+
+    def _replace(self, old: str, new: str) -> Result[int, Failure]:
+        learner = self._find_learner(new)
+        if not any(m.name == old and m.voter for m in self._members):
+            return refuse("not_a_voter", f"{old} is not a voter")
+        if learner is None or not self._is_caught_up(learner):
+            return refuse("not_caught_up", f"{new} is not a caught-up learner")
+        result = self._remove_by_name(old)
+        if result.is_ok():
+            self._planned_voter = learner.identity
+        return result
+
+    def _find_learner(self, name: str) -> Member | None:
+        named = [m for m in self._members if m.name == name and not m.voter]
+        return named[-1] if named else None
+
+    def _promote(self, learner: Member) -> int:
+        voter = Member(learner.name, learner.identity, learner.failure_domain, True)
+        others = (m for m in self._members if m.identity != learner.identity)
+        return self._log_members((*others, voter))
+
+    def _remove(self, member: Member) -> int:
+        others = (m for m in self._members if m.identity != member.identity)
+        return self._log_members(tuple(others))
+
+    def _log_members(self, members: tuple[Member, ...]) -> int:
+        index = self._log.last_index + 1
+        payload = encode_membership(Membership(index, members))
+        self._append_own_entry(Entry(index, self._term, KIND_MEMBERSHIP, payload))
+        self._sync_progress_with_members()
+        return index
+
+    def _on_committed_membership(self) -> None:
+        """Step down once the removal of this leader is committed."""
+        committed = self._log.membership.index <= self._commit_index
+        if committed and not self._is_voter:
+            self._become_follower(self._term, "", "removed from the voters")
+
+    # Automatic changes
+
+    def _on_join_request(self, sender: str, request: JoinRequest) -> None:
+        known = any(m.identity == request.identity for m in self._members)
+        if self._role is not Role.LEADER or known:
+            return
+        member = Member(sender, request.identity, request.failure_domain, False)
+        self._joiners[request.identity] = member
+        while len(self._joiners) > MAX_JOINERS:
+            del self._joiners[next(iter(self._joiners))]
+
+    def _manage_members(self) -> None:
+        """Make at most one change towards the intended members."""
+        if not self._may_change_members() or not self._holds_lease():
+            return
+        silent = self._find_silent()
+        learner = self._find_promotable()
+        if silent is not None:
+            progress = self._progress[silent.identity]
+            silent_ms = self._now_ms - progress.heard_ms
+            self._notice(VOTER_SILENT, member=silent.name, silent_ms=silent_ms)
+            self._remove(silent)
+        elif learner is not None:
+            self._planned_voter = ""
+            self._promote(learner)
+        elif self._joiners:
+            self._add_joiner()
+
+    def _find_silent(self) -> Member | None:
+        """Return a silent member that may be removed, learners first.
+
+        Without a learner to promote, a group keeps 3 voters: removing one of 3 would
+        not let it survive more losses, and the silent voter may return.
+        """
+        silent = [m for m in self._members if self._is_silent(m)]
+        for member in sorted(silent, key=lambda m: m.voter):
+            if not member.voter:
+                return member
+            spare = len(self._voters) - 1 >= MIN_VOTERS
+            if spare or self._caught_up_learners():
+                return member
+        return None
+
+    def _is_silent(self, member: Member) -> bool:
+        silent_ms = self._now_ms - self._heard_ms_of(member)
+        return silent_ms > self._settings.voter_silence_ms
+
+    def _find_promotable(self) -> Member | None:
+        """Return the learner to promote, from the domain with the fewest voters."""
+        learners = self._caught_up_learners()
+        planned = [m for m in learners if m.identity == self._planned_voter]
+        if planned:
+            return planned[0]
+        if not learners or len(self._voters) >= self._intended_voters():
+            return None
+        voters = Counter(m.failure_domain for m in self._voters)
+        return min(learners, key=lambda m: (voters[m.failure_domain], m.name))
+
+    def _intended_voters(self) -> int:
+        target = self._settings.target_voters
+        live = sum(not self._is_silent(member) for member in self._members)
+        return target if live >= target else min(target, MIN_VOTERS)
+
+    def _caught_up_learners(self) -> list[Member]:
+        return [m for m in self._members if not m.voter and self._is_caught_up(m)]
+
+    def _is_caught_up(self, learner: Member) -> bool:
+        progress = self._progress.get(learner.identity)
+        if progress is None or progress.probing:
+            return False
+        behind = self._log.last_index - progress.match_index
+        silent_ms = self._now_ms - progress.heard_ms
+        return behind <= CAUGHT_UP_ENTRIES and silent_ms <= LEARNER_CONTACT_MS
+
+    def _add_joiner(self) -> None:
+        """Add the next joiner, after removing a learner with its old folder."""
+        identity = next(iter(self._joiners))
+        joiner = self._joiners[identity]
+        for member in self._members:
+            if member.name == joiner.name and not member.voter:
+                self._remove(member)
+                return
+        del self._joiners[identity]
+        self._add_learner(joiner)
--- a/papayacrank/consensus/_messages.py
+++ b/papayacrank/consensus/_messages.py
@@ -58,6 +58,11 @@
     index: int = 0
     members: tuple[Member, ...] = ()
 
+    @property
+    def voters(self) -> list[Member]:
+        """Members with a vote."""
+        return [member for member in self.members if member.voter]
+
 
 class Snapshot(msgspec.Struct, frozen=True, array_like=True):
     """State of the state machine after the entry at `index`."""
@@ -133,7 +138,29 @@
     entries: tuple[Entry, ...] = ()
 
 
-class VoteRequest(msgspec.Struct, frozen=True, tag=True, array_like=True):
+# Heartbeats dominate the idle traffic, so that field names are short on the wire.
+_WIRE_NAMES = {
+    "group": "g",
+    "term": "t",
+    "identity": "i",
+    "recipient": "r",
+    "previous_index": "p",
+    "previous_term": "q",
+    "commit_index": "c",
+    "sent_ms": "s",
+    "entries": "e",
+    "records": "k",
+    "accepted": "a",
+    "match_index": "m",
+    "snapshot_offset": "o",
+}
+
+
+class _Message(msgspec.Struct, frozen=True, rename=_WIRE_NAMES.get, omit_defaults=True):
+    """Base of the messages between members."""
+
+
+class VoteRequest(_Message, frozen=True, tag="rv"):
     """Request for a vote, or for the promise of one if `pre_vote` is set.
 
     Attributes
@@ -151,7 +178,7 @@
     pre_vote: bool
 
 
-class VoteReply(msgspec.Struct, frozen=True, tag=True, array_like=True):
+class VoteReply(_Message, frozen=True, tag="rw"):
     """Answer to a `VoteRequest`.
 
     Attributes
@@ -175,7 +202,7 @@
     match_index: int
 
 
-class AppendRequest(msgspec.Struct, frozen=True, tag=True, array_like=True):
+class AppendRequest(_Message, frozen=True, tag="ra"):
     """Entries for a follower; without entries, a heartbeat.
 
     Attributes
@@ -198,7 +225,7 @@
     records: tuple[PeerRecord, ...] = ()
 
 
-class AppendReply(msgspec.Struct, frozen=True, tag=True, array_like=True):
+class AppendReply(_Message, frozen=True, tag="rb"):
     """Answer to an `AppendRequest` or a `SnapshotChunk`.
 
     Attributes
@@ -219,7 +246,7 @@
     snapshot_offset: int = -1
 
 
-class SnapshotChunk(msgspec.Struct, frozen=True, tag=True, array_like=True):
+class SnapshotChunk(_Message, frozen=True, tag="rs"):
     """Part of a snapshot.
 
     Attributes
@@ -244,7 +271,7 @@
     data: bytes
 
 
-class StatusQuery(msgspec.Struct, frozen=True, tag=True, array_like=True):
+class StatusQuery(_Message, frozen=True, tag="rq"):
     """Question of a starting member, or of one without contact to a leader."""
 
     identity: str
@@ -253,7 +280,7 @@
     nonce: int
 
 
-class StatusReply(msgspec.Struct, frozen=True, tag=True, array_like=True):
+class StatusReply(_Message, frozen=True, tag="rp"):
     """What a member knows about the group and about the questioner.
 
     Attributes
@@ -279,7 +306,7 @@
     membership: Membership
 
 
-class JoinRequest(msgspec.Struct, frozen=True, tag=True, array_like=True):
+class JoinRequest(_Message, frozen=True, tag="rj"):
     """Request to the leader to add the sender as a learner."""
 
     group: str
--- a/papayacrank/consensus/_node.py
+++ b/papayacrank/consensus/_node.py
@@ -1,131 +1,329 @@
-"""Decision code of one member of the replicated log (interface; body follows)."""
+"""Decision code of one member of the replicated log."""
 
-from dataclasses import dataclass
 from random import Random
 from typing import Any
 
-from expression import Result
+from expression import Ok, Result
 
 from papayacrank.kernel import Failure
 
-from ._messages import Member, StoreState
+from ._core import ELECTION_TIMER, HEARTBEAT_TIMER, QUERY_TIMER, Role
+from ._effects import InstallState
+from ._election import Election
+from ._membership import MemberChange, MembershipControl, refuse
+from ._messages import (
+    KIND_DATA,
+    AppendReply,
+    AppendRequest,
+    Entry,
+    JoinRequest,
+    Member,
+    SaveSnapshot,
+    Snapshot,
+    SnapshotChunk,
+    StatusQuery,
+    StatusReply,
+    StoreState,
+    VoteReply,
+    VoteRequest,
+)
+from ._recovery import Recovery
+from ._replication import Replication
 from ._settings import RaftSettings
 
+MAX_ENTRY_BYTES = 1024 * 1024
+MAX_UNCOMMITTED_ENTRIES = 4_096
+MAX_LOG_BYTES_BEFORE_SNAPSHOT = 16 * 1024 * 1024
+TRAILING_BYTES = 4 * 1024 * 1024
 
-@dataclass(frozen=True)
-class AddLearner:
-    """Add a member without a vote."""
 
-    name: str
-    identity: str
-    failure_domain: str
+class RaftNode(Election, Replication, MembershipControl, Recovery):
+    """Member of a group that agrees on a log.
 
-
-@dataclass(frozen=True)
-class Promote:
-    """Give a caught-up learner a vote."""
-
-    name: str
-
-
-@dataclass(frozen=True)
-class Remove:
-    """Remove a member."""
-
-    name: str
-
-
-@dataclass(frozen=True)
-class Replace:
-    """Remove the voter `old`, then promote the learner `new`."""
-
-    old: str
-    new: str
-
-
-MemberChange = AddLearner | Promote | Remove | Replace
-
-
-class RaftNode:
-    """Member of the group.
+    The node performs no I/O and reads no clock. Each input returns the effects to
+    run, in order. The docstring of the package shows how a process drives it.
 
     Parameters
     ----------
     settings : RaftSettings
+        Settings of this member.
     store_state : StoreState
         Result of `LogStore.load`.
     random_state : random.Random
+        Source of timeouts and identifiers.
     """
 
     def __init__(
         self, settings: RaftSettings, store_state: StoreState, random_state: Random
     ):
-        self._settings = settings
-        self._store_state = store_state
-        self._random = random_state
+        super().__init__(settings, store_state, random_state)
+        self._joiners: dict[str, Member] = {}
 
     @property
     def is_leader(self) -> bool:
         """Whether this member leads its term; says nothing about the lease."""
-        raise NotImplementedError
+        return self._role is Role.LEADER
 
     @property
     def leader(self) -> str:
         """Name of the leader of the current term; empty if unknown."""
-        raise NotImplementedError
+        return self._leader
 
     @property
     def term(self) -> int:
         """Current term."""
-        raise NotImplementedError
+        return self._term
+
+    @property
+    def identity(self) -> str:
+        """Identity of this member's data folder."""
+        return self._identity
 
     @property
     def commit_index(self) -> int:
         """Last index known to be committed."""
-        raise NotImplementedError
+        return self._commit_index
 
     @property
     def members(self) -> tuple[Member, ...]:
         """Members by the newest membership entry in the log."""
-        raise NotImplementedError
+        return self._members
 
     @property
     def wants_snapshot(self) -> bool:
-        """Whether `compact` should be called."""
-        raise NotImplementedError
+        """Whether `compact` should be called with the state at `commit_index`."""
+        entries = self._commit_index - self._log.snapshot_index
+        return (
+            entries >= self._settings.snapshot_every_entries
+            or self._log.bytes_since_snapshot >= MAX_LOG_BYTES_BEFORE_SNAPSHOT
+        )
 
     def has_lease(self, now_ms: int) -> bool:
-        """Whether reads may be served at `now_ms`."""
-        raise NotImplementedError
+        """Whether this member may serve reads.
+
+        Parameters
+        ----------
+        now_ms : int
+            Time on the monotonic clock that all inputs use, in milliseconds.
+
+        Returns
+        -------
+        bool
+            True only while no other member can be elected, and once an entry of the
+            term is committed.
+        """
+        self._now_ms = max(self._now_ms, now_ms)
+        return self._is_ready and self._holds_lease()
 
     def start(self, now_ms: int) -> list[Any]:
-        """Start after the construction; call once."""
-        raise NotImplementedError
+        """Start the member; call once, before all other inputs.
+
+        Parameters
+        ----------
+        now_ms : int
+            Current time in milliseconds.
+
+        Returns
+        -------
+        list
+            Effects.
+        """
+        self._now_ms = now_ms
+        # A vote given right after a restart could break the lease of a leader that
+        # the process had answered before.
+        self._contact_ms = now_ms
+        if self._log.snapshot is not None:
+            snapshot = self._log.snapshot
+            self._effects.append(InstallState(snapshot.data, snapshot.index))
+        self._arm_election()
+        self._set_timer(ELECTION_TIMER, self._election_deadline_ms)
+        self._start_recovery()
+        return self._finish()
 
     def receive(self, sender: str, message: Any, now_ms: int) -> list[Any]:
-        """Handle a message of `CONSENSUS_MESSAGES`."""
-        raise NotImplementedError
+        """Handle a message of `CONSENSUS_MESSAGES`.
+
+        Parameters
+        ----------
+        sender : str
+            Name of the sending process.
+        message : Any
+            Message; those of another group are ignored.
+        now_ms : int
+            Current time in milliseconds.
+
+        Returns
+        -------
+        list
+            Effects.
+        """
+        self._now_ms = max(self._now_ms, now_ms)
+        match message:
+            case StatusQuery():
+                self._on_status_query(sender, message)
+            case StatusReply():
+                self._on_status_reply(sender, message)
+            case _ if not self._group:
+                self._on_unknown_group()
+            case _ if message.group == self._group:
+                self._receive_in_group(sender, message)
+        return self._finish()
+
+    def _receive_in_group(self, sender: str, message: Any) -> None:
+        match message:
+            case AppendRequest():
+                self._on_append_request(sender, message)
+            case AppendReply():
+                self._on_append_reply(sender, message)
+            case VoteRequest():
+                self._on_vote_request(sender, message)
+            case VoteReply():
+                self._on_vote_reply(sender, message)
+            case SnapshotChunk():
+                self._on_snapshot_chunk(sender, message)
+            case JoinRequest():
+                self._on_join_request(sender, message)
 
     def tick(self, timer_name: str, now_ms: int) -> list[Any]:
-        """Handle a timer."""
-        raise NotImplementedError
+        """Handle a timer.
+
+        Parameters
+        ----------
+        timer_name : str
+            Name from `SetTimer`; unknown names are ignored.
+        now_ms : int
+            Current time in milliseconds.
+
+        Returns
+        -------
+        list
+            Effects.
+        """
+        self._now_ms = max(self._now_ms, now_ms)
+        if timer_name == ELECTION_TIMER:
+            self._on_election_timer()
+        elif timer_name == HEARTBEAT_TIMER:
+            self._on_heartbeat_timer()
+        elif timer_name == QUERY_TIMER:
+            self._on_query_timer()
+        return self._finish()
 
     def persisted(self, token: int, now_ms: int) -> list[Any]:
-        """Handle the completion of a `Persist` effect."""
-        raise NotImplementedError
+        """Handle the completion of a `Persist` effect.
+
+        Parameters
+        ----------
+        token : int
+            Token of the effect; all lower tokens count as completed, too.
+        now_ms : int
+            Current time in milliseconds.
+
+        Returns
+        -------
+        list
+            Effects.
+        """
+        self._now_ms = max(self._now_ms, now_ms)
+        self._on_synced(token)
+        return self._finish()
 
     def propose(self, data: bytes, now_ms: int) -> Result[int, Failure]:
-        """Buffer an entry; returns its log index."""
-        raise NotImplementedError
+        """Buffer an entry for the log; `flush` sends it on.
+
+        Parameters
+        ----------
+        data : bytes
+            Payload for the state machine.
+        now_ms : int
+            Current time in milliseconds.
+
+        Returns
+        -------
+        Result
+            Log index, or a failure with verdict "not run": ``not_leader``,
+            ``too_large`` or ``overloaded``.
+        """
+        self._now_ms = max(self._now_ms, now_ms)
+        if self._role is not Role.LEADER:
+            return refuse("not_leader", f"the leader is {self._leader!r}", 503)
+        if len(data) > MAX_ENTRY_BYTES:
+            return refuse("too_large", f"the limit is {MAX_ENTRY_BYTES} bytes", 413)
+        if self._log.last_index - self._commit_index >= MAX_UNCOMMITTED_ENTRIES:
+            return refuse("overloaded", "too many uncommitted entries", 503)
+        index = self._log.last_index + 1
+        self._append_own_entry(Entry(index, self._term, KIND_DATA, data))
+        return Ok(index)
 
     def change_member(self, change: MemberChange, now_ms: int) -> Result[int, Failure]:
-        """Buffer a change of the members; returns its log index."""
-        raise NotImplementedError
+        """Buffer a change of the members; `flush` sends it on.
+
+        Parameters
+        ----------
+        change : MemberChange
+            `AddLearner`, `Promote`, `Remove` or `Replace`. For `Replace`, the
+            promotion follows by itself once the removal is committed.
+        now_ms : int
+            Current time in milliseconds.
+
+        Returns
+        -------
+        Result
+            Log index, or a failure with verdict "not run".
+        """
+        self._now_ms = max(self._now_ms, now_ms)
+        return self._change_member(change)
 
     def flush(self, now_ms: int) -> list[Any]:
-        """Replicate and persist what was buffered."""
-        raise NotImplementedError
+        """Replicate and persist what was buffered, as one batch.
+
+        Parameters
+        ----------
+        now_ms : int
+            Current time in milliseconds.
+
+        Returns
+        -------
+        list
+            Effects.
+        """
+        self._now_ms = max(self._now_ms, now_ms)
+        return self._finish()
 
     def compact(self, index: int, data: bytes, now_ms: int) -> list[Any]:
-        """Take a snapshot of the state machine at `index`; drops the log before it."""
-        raise NotImplementedError
+        """Take over a snapshot of the state machine and drop the log before it.
+
+        Parameters
+        ----------
+        index : int
+            Last log index that was applied to the state machine.
+        data : bytes
+            State after that index.
+        now_ms : int
+            Current time in milliseconds.
+
+        Returns
+        -------
+        list
+            Effects.
+
+        Raises
+        ------
+        ValueError
+            If the entry at `index` is not committed.
+        """
+        self._now_ms = max(self._now_ms, now_ms)
+        if index > self._commit_index:
+            raise ValueError(f"index {index} is above {self._commit_index}")
+        term = self._log.term_at(index)
+        if index <= self._log.snapshot_index or term is None:
+            return self._finish()
+        snapshot = Snapshot(index, term, self._log.membership_at(index), data)
+        self._records.append(SaveSnapshot(snapshot))
+        trailing = self._settings.snapshot_every_entries // 2
+        self._log.compact(snapshot, trailing, TRAILING_BYTES)
+        return self._finish()
+
+    def _finish(self) -> list[Any]:
+        if self._role is Role.LEADER:
+            self._replicate()
+        return super()._finish()
--- /dev/null
+++ b/papayacrank/consensus/_recovery.py
@@ -0,0 +1,293 @@
+"""Start of a member: comparison with the others, joining, founding a group.
+
+A folder may be empty, intact or an old copy, and looks the same to the process in the
+last two cases. Before it votes or acknowledges, a member therefore asks the others what
+they know about it.
+"""
+
+from ._core import QUERY_TIMER, NodeCore
+from ._effects import InstallState
+from ._events import (
+    GROUP_FOUNDED,
+    IDENTITY_DISCARDED,
+    START_CHECKED,
+    WAITING_TO_FOUND,
+)
+from ._log import encode_membership
+from ._messages import (
+    KIND_MEMBERSHIP,
+    ChangeIdentity,
+    Entry,
+    JoinRequest,
+    Member,
+    Membership,
+    PeerRecord,
+    Position,
+    StatusQuery,
+    StatusReply,
+)
+
+FIRST_QUERY_INTERVAL_MS = 100
+MAX_QUERY_INTERVAL_MS = 1_000
+UNKNOWN_GROUP_INTERVAL_MS = 20
+WAITING_NOTICE_INTERVAL_MS = 5_000
+IDENTITY_BITS = 48
+
+
+class Recovery(NodeCore):
+    """Part of the decision code that handles starting and rejoining members."""
+
+    _is_verified = False
+    _started_ms = 0
+    _nonce = 0
+    _query_sent_ms = 0
+    _term_floor = 0
+    _query_interval_ms = FIRST_QUERY_INTERVAL_MS
+    _known_leader = ""
+    _notice_due_ms = 0
+
+    def _start_recovery(self) -> None:
+        self._started_ms = self._now_ms
+        self._notice_due_ms = self._now_ms + WAITING_NOTICE_INTERVAL_MS
+        self._answers: dict[str, StatusReply] = {}
+        self._floors: dict[str, tuple[Position, int]] = {}
+        self._nonce = self._random.getrandbits(62)
+        self._is_verified = not self._protections.identity and bool(self._group)
+        self._query_interval_ms = FIRST_QUERY_INTERVAL_MS
+        self._query_all()
+        self._check_start()
+        self._set_timer(QUERY_TIMER, self._now_ms + self._query_interval_ms)
+
+    def _on_query_timer(self) -> None:
+        self._check_start()
+        if self._needs_answers():
+            self._query_all()
+            self._query_interval_ms = min(
+                2 * self._query_interval_ms, MAX_QUERY_INTERVAL_MS
+            )
+            self._join()
+        else:
+            self._query_interval_ms = MAX_QUERY_INTERVAL_MS
+        self._set_timer(QUERY_TIMER, self._now_ms + self._query_interval_ms)
+
+    def _on_unknown_group(self) -> None:
+        """Ask again soon, because another member knows a group."""
+        if self._now_ms - self._query_sent_ms >= UNKNOWN_GROUP_INTERVAL_MS:
+            self._query_all()
+
+    def _needs_answers(self) -> bool:
+        silent_ms = self._now_ms - self._contact_ms
+        return (
+            not self._is_verified
+            or not self._meets_floor(self._log.last)
+            or (not self._is_member and not self._is_leading)
+            or (silent_ms > MAX_QUERY_INTERVAL_MS and not self._is_leading)
+        )
+
+    @property
+    def _is_leading(self) -> bool:
+        return self._leader == self._settings.name
+
+    @property
+    def _is_member(self) -> bool:
+        members = self._newest_membership().members
+        return any(m.identity == self._identity for m in members)
+
+    @property
+    def _others(self) -> list[str]:
+        names = {*self._settings.peers, *(m.name for m in self._members)}
+        return sorted(names - {self._settings.name})
+
+    def _query_all(self) -> None:
+        query = StatusQuery(
+            identity=self._identity,
+            group=self._group,
+            failure_domain=self._settings.failure_domain,
+            nonce=self._nonce,
+        )
+        self._query_sent_ms = self._now_ms
+        for name in self._others:
+            self._send(name, query)
+
+    def _on_status_query(self, sender: str, query: StatusQuery) -> None:
+        record = self._peer_records.get(query.identity)
+        last = self._log.last
+        reply = StatusReply(
+            identity=self._identity,
+            group=self._group,
+            failure_domain=self._settings.failure_domain,
+            nonce=query.nonce,
+            term=self._term,
+            last_index=last.index,
+            last_term=last.term,
+            record=record or PeerRecord(query.identity, 0, 0),
+            leader=self._leader,
+            membership=self._log.membership,
+        )
+        self._send(sender, reply)
+
+    def _on_status_reply(self, sender: str, reply: StatusReply) -> None:
+        if reply.nonce != self._nonce:
+            return
+        if self._group and reply.group and reply.group != self._group:
+            return
+        self._answers[sender] = reply
+        if reply.leader and self._knows_group(reply):
+            self._known_leader = reply.leader
+        if self._is_verified:
+            if sender in self._floors:
+                self._raise_floor(sender, reply)
+        elif self._is_rolled_back(reply):
+            self._discard_identity(f"{sender} knows a later acknowledgement")
+        else:
+            self._check_start()
+            self._join()
+
+    def _knows_group(self, reply: StatusReply) -> bool:
+        return bool(reply.group) and bool(reply.membership.members)
+
+    # Lost or rolled-back folder
+
+    def _is_rolled_back(self, reply: StatusReply) -> bool:
+        """Whether the folder is older than what this identity acknowledged."""
+        known = Position(reply.record.term, reply.record.match_index)
+        return reply.record.identity == self._identity and known > Position(
+            self._term, self._log.last_index
+        )
+
+    def _discard_identity(self, reason: str) -> None:
+        old = self._identity
+        self._become_follower(self._term, "", reason)
+        self._identity = f"{self._random.getrandbits(IDENTITY_BITS):012x}"
+        self._notice(
+            IDENTITY_DISCARDED, reason=reason, old=old, identity=self._identity
+        )
+        self._records = [ChangeIdentity(self._identity)]
+        self._deferred = []
+        for pending in self._pending:
+            pending.deferred.clear()
+        self._group = ""
+        self._set_term(0)
+        self._log.reset(None)
+        self._commit_index = 0
+        self._durable_index = 0
+        self._effects.append(InstallState(b"", 0))
+        self._contact_ms = self._now_ms
+        self._start_recovery()
+
+    def _check_start(self) -> None:
+        """End the check once enough members have answered."""
+        if self._is_verified:
+            return
+        voters = self._newest_membership().voters
+        if not voters:
+            self._found_group()
+            return
+        answered = [member for member in voters if self._has_answered(member)]
+        grace_ms = self._settings.election_timeout_ms // 2
+        waited = self._now_ms - self._started_ms >= grace_ms
+        complete = len(answered) == len(voters)
+        if complete or (waited and len(answered) > len(voters) // 2):
+            self._finish_check()
+
+    def _has_answered(self, member: Member) -> bool:
+        if member.identity == self._identity:
+            return True
+        reply = self._answers.get(member.name)
+        return reply is not None and reply.identity == member.identity
+
+    def _newest_membership(self) -> Membership:
+        known = [reply.membership for reply in self._answers.values()]
+        return max([self._log.membership, *known], key=lambda m: m.index)
+
+    def _finish_check(self) -> None:
+        self._is_verified = True
+        for sender, reply in self._answers.items():
+            self._raise_floor(sender, reply)
+        self._adopt_group()
+        self._contact_ms = max(self._contact_ms, self._started_ms)
+        self._arm_election()
+        self._notice(START_CHECKED, identity=self._identity, group=self._group)
+
+    def _adopt_group(self) -> None:
+        groups = {r.group for r in self._answers.values() if self._knows_group(r)}
+        if not self._group and groups:
+            self._group = min(groups)
+            self._hard_state_changed = True
+
+    def _raise_floor(self, sender: str, reply: StatusReply) -> None:
+        """Remember how far the log of another member went.
+
+        If this folder is an old copy and nobody remembers its acknowledgements, an
+        entry that it helped to commit is in the log of one of the others. Voting for
+        a shorter log could lose it.
+        """
+        self._term_floor = max(self._term_floor, reply.term)
+        last = Position(reply.last_term, reply.last_index)
+        self._floors[sender] = (last, self._now_ms)
+
+    def _meets_floor(self, last: Position) -> bool:
+        """Whether a log is at least as long as those of the members heard lately.
+
+        The limit ends with the silence after which a voter is replaced, so that an
+        entry that only a lost member had cannot block elections for ever.
+        """
+        if not self._protections.identity or not self._floors:
+            return True
+        silence_ms = self._settings.voter_silence_ms
+        for sender, (floor, heard_ms) in list(self._floors.items()):
+            expired = self._now_ms - heard_ms > silence_ms
+            if expired or self._log.last >= floor:
+                del self._floors[sender]
+        return all(last >= floor for floor, _ in self._floors.values())
+
+    # Joining and founding
+
+    def _join(self) -> None:
+        leader = self._leader or self._known_leader
+        if not self._is_verified or not self._group or self._is_member:
+            return
+        if leader and leader != self._settings.name:
+            request = JoinRequest(
+                group=self._group,
+                identity=self._identity,
+                failure_domain=self._settings.failure_domain,
+            )
+            self._send(leader, request)
+
+    def _found_group(self) -> None:
+        """Start a new group, if this is the founder and nobody knows a log.
+
+        Only the first of the initial voters founds, and only after every configured
+        member has answered: a group must not be started again beside the logs of
+        members that are merely unreachable.
+        """
+        voters = self._settings.initial_voters
+        if self._group or not voters or self._settings.name != min(voters):
+            return
+        expected = {*self._others, *voters} - {self._settings.name}
+        missing = sorted(expected - self._answers.keys())
+        if missing:
+            self._notice_waiting(missing)
+            return
+        if any(reply.group for reply in self._answers.values()):
+            return
+        self._group = f"{self._random.getrandbits(IDENTITY_BITS):012x}"
+        self._set_term(1, self._identity)
+        members = tuple(self._initial_member(name) for name in voters)
+        payload = encode_membership(Membership(1, members))
+        self._append_entry(Entry(1, 1, KIND_MEMBERSHIP, payload))
+        self._is_verified = True
+        self._notice(GROUP_FOUNDED, group=self._group, voters=list(voters))
+        self._after_sync(self._become_leader)
+
+    def _initial_member(self, name: str) -> Member:
+        if name == self._settings.name:
+            return Member(name, self._identity, self._settings.failure_domain, True)
+        reply = self._answers[name]
+        return Member(name, reply.identity, reply.failure_domain, True)
+
+    def _notice_waiting(self, missing: list[str]) -> None:
+        if self._now_ms >= self._notice_due_ms:
+            self._notice_due_ms = self._now_ms + WAITING_NOTICE_INTERVAL_MS
+            self._notice(WAITING_TO_FOUND, missing=missing)
--- a/papayacrank/consensus/_store.py
+++ b/papayacrank/consensus/_store.py
@@ -1,43 +1,461 @@
-"""Durable store of the replicated log (interface; body follows)."""
+"""Durable store of the replicated log."""
 
-from collections.abc import Sequence
+import secrets
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from itertools import groupby
 from pathlib import Path
 
-from ._messages import Record, Snapshot, StoreState
+import msgspec
+
+from papayacrank.kernel import log_event
+
+from ._events import IDENTITY_CREATED, TORN_TAIL_TRUNCATED
+from ._files import Files, FolderFiles
+from ._frames import (
+    KIND_BATCH,
+    KIND_IDENTITY,
+    KIND_SEGMENT,
+    KIND_SNAPSHOT,
+    decode_frame,
+    encode_frame,
+    has_later_frame,
+    read_frames,
+    seed_of,
+)
+from ._messages import (
+    AppendEntry,
+    ChangeIdentity,
+    Entry,
+    HardState,
+    Record,
+    SaveSnapshot,
+    Snapshot,
+    StoreState,
+    TruncateSuffix,
+)
+
+SEGMENT_BYTES = 4 * 1024 * 1024
+# A snapshot starts a new segment only above this size, so that frequent snapshots
+# do not create a file each.
+ROTATE_AT_SNAPSHOT_BYTES = 256 * 1024
+IDENTITY_FILE = "identity"
+IDENTITY_BYTES = 6
+LOG_PREFIX = "log-"
+SNAPSHOT_PREFIX = "snapshot-"
+TEMPORARY_SUFFIX = ".tmp"
 
 
 class LogStoreError(RuntimeError):
-    """The data folder is damaged or cannot be written."""
+    """The data folder is damaged or cannot be written; the process must stop."""
+
+
+class _Identity(msgspec.Struct, frozen=True, array_like=True):
+    """Content of the identity file; files of other generations are not used."""
+
+    identity: str
+    generation: int
+
+
+@dataclass
+class _Segment:
+    sequence: int
+    name: str
+    seed: int
+    size: int = 0
+    last_index: int = 0
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode_batch = msgspec.msgpack.Decoder(
+    list[HardState | AppendEntry | TruncateSuffix]
+).decode
+_decode_hard_state = msgspec.msgpack.Decoder(HardState).decode
+_decode_identity = msgspec.msgpack.Decoder(_Identity).decode
+_decode_snapshot = msgspec.msgpack.Decoder(Snapshot).decode
 
 
 class LogStore:
     """Durable store in one folder.
 
+    The log is a sequence of segment files. Each starts with the term, vote and group
+    of the time of its creation, followed by one frame for each batch of records.
+
     Parameters
     ----------
     folder : str or Path
         Data folder; created if missing.
+    files : Files, optional
+        Replaces the file system in tests.
+    segment_bytes : int
+        Size from which a new segment is started.
     """
 
-    def __init__(self, folder: str | Path):
-        self._folder = Path(folder)
+    def __init__(
+        self,
+        folder: str | Path,
+        files: Files | None = None,
+        segment_bytes: int = SEGMENT_BYTES,
+    ):
+        self._folder = folder
+        self._files = files if files is not None else FolderFiles(Path(folder))
+        self._segment_bytes = segment_bytes
+        self._identity = _Identity("", 0)
+        self._hard_state = HardState()
+        self._entries: list[Entry] = []
+        self._segments: list[_Segment] = []
+        self._failed = True
+
+    @property
+    def identity(self) -> str:
+        """Identity of the folder; empty before `load`."""
+        return self._identity.identity
 
     def load(self) -> StoreState:
-        """Read and repair the folder; create an identity in an empty one."""
-        raise NotImplementedError
+        """Read and repair the folder; create an identity in an empty one.
+
+        Returns
+        -------
+        StoreState
+            Durable state.
+
+        Raises
+        ------
+        LogStoreError
+            If the folder is in use, unreadable or damaged before the tail of the log.
+        """
+        try:
+            return self._load()
+        except (OSError, msgspec.DecodeError) as error:
+            raise self._damage(str(error)) from error
 
     def append(self, records: Sequence[Record]) -> None:
-        """Write records as one batch and return once they are synced."""
-        raise NotImplementedError
+        """Write records in order and return once they are synced.
+
+        Parameters
+        ----------
+        records : sequence of Record
+            Records of a `Persist` effect.
+
+        Raises
+        ------
+        LogStoreError
+            If a write or sync fails. The store then refuses all further writes,
+            because the content of the file is unknown after a failed sync.
+        """
+        for kind, group in groupby(records, key=_kind_of_write):
+            if kind is SaveSnapshot:
+                for record in group:
+                    self.save_snapshot(record.snapshot, record.discard_log)
+            elif kind is ChangeIdentity:
+                for record in group:
+                    self._guarded(self._change_identity, record.identity)
+            else:
+                self._guarded(self._write_batch, list(group))
 
     def save_snapshot(self, snapshot: Snapshot, discard_log: bool = False) -> None:
-        """Store a snapshot and remove the log before it."""
-        raise NotImplementedError
+        """Store a snapshot and remove the log before it.
+
+        Parameters
+        ----------
+        snapshot : Snapshot
+            State at an index.
+        discard_log : bool
+            Also remove the entries after the snapshot.
+
+        Raises
+        ------
+        LogStoreError
+            If a write or sync fails.
+        """
+        self._guarded(self._save_snapshot, snapshot, discard_log)
 
     def truncate_suffix(self, index: int) -> None:
-        """Remove all entries with an index above `index`."""
-        raise NotImplementedError
+        """Remove all entries with an index above `index`.
+
+        Raises
+        ------
+        LogStoreError
+            If a write or sync fails.
+        """
+        self._guarded(self._write_batch, [TruncateSuffix(index)])
 
     def close(self) -> None:
-        """Close the files."""
-        raise NotImplementedError
+        """Close the files and release the folder."""
+        self._failed = True
+        self._files.close()
+
+    def _guarded(self, write, *args) -> None:
+        if self._failed:
+            raise LogStoreError(
+                f"{self._folder}: not loaded, or an earlier write failed"
+            )
+        self._failed = True
+        try:
+            write(*args)
+        except OSError as error:
+            raise LogStoreError(f"{self._folder}: write failed: {error}") from error
+        self._failed = False
+
+    def _damage(self, what: str) -> LogStoreError:
+        return LogStoreError(f"{self._folder}: {what}; nothing was changed or removed")
+
+    # Loading
+
+    def _load(self) -> StoreState:
+        self._files.open_folder()
+        names = self._files.names()
+        if IDENTITY_FILE not in names:
+            self._create_folder_content(names)
+        else:
+            self._identity = self._read_identity()
+        snapshot = self._read_snapshot(names)
+        self._read_segments(names)
+        entries = self._entries_after(snapshot)
+        if not self._segments:
+            self._start_segment(1)
+        self._remove_leftovers(names, snapshot)
+        self._failed = False
+        return StoreState(
+            self._identity.identity, self._hard_state, snapshot, tuple(entries)
+        )
+
+    def _create_folder_content(self, names: list[str]) -> None:
+        if any(name.startswith((LOG_PREFIX, SNAPSHOT_PREFIX)) for name in names):
+            raise self._damage("log files without an identity file")
+        identity = _Identity(secrets.token_hex(IDENTITY_BYTES), 1)
+        self._write_identity(identity)
+        log_event(IDENTITY_CREATED, identity=identity.identity)
+
+    def _read_identity(self) -> _Identity:
+        data = self._files.read(IDENTITY_FILE)
+        frame = decode_frame(data, 0, seed_of(IDENTITY_FILE))
+        if frame is None or frame.kind != KIND_IDENTITY:
+            raise self._damage("the identity file is corrupt")
+        return _decode_identity(frame.payload)
+
+    def _read_snapshot(self, names: list[str]) -> Snapshot | None:
+        ours = self._own(names, SNAPSHOT_PREFIX)
+        if not ours:
+            return None
+        name = max(ours)
+        frame = decode_frame(self._files.read(name), 0, self._seed(name))
+        if frame is None or frame.kind != KIND_SNAPSHOT:
+            raise self._damage(f"{name} is corrupt")
+        return _decode_snapshot(frame.payload)
+
+    def _read_segments(self, names: list[str]) -> None:
+        self._segments = []
+        self._entries = []
+        self._hard_state = HardState()
+        ours = sorted(self._own(names, LOG_PREFIX))
+        for name in ours:
+            segment = _Segment(int(name.rsplit("-", 1)[1]), name, self._seed(name))
+            previous = self._segments[-1] if self._segments else None
+            if previous and segment.sequence != previous.sequence + 1:
+                raise self._damage(f"the segment before {name} is missing")
+            self._read_segment(segment, is_last=name == ours[-1])
+
+    def _read_segment(self, segment: _Segment, is_last: bool) -> None:
+        data = self._files.read(segment.name)
+        for frame in read_frames(data, segment.seed):
+            if segment.size == 0:
+                self._replay_header(frame, segment)
+            else:
+                self._replay_batch(_decode_batch(frame.payload), segment)
+            segment.size = frame.end
+        if segment.size == len(data) and data:
+            self._segments.append(segment)
+            if is_last:
+                self._sync_tail(segment)
+            return
+        self._repair(segment, data, is_last)
+
+    def _sync_tail(self, segment: _Segment) -> None:
+        """Make durable what was read.
+
+        After a crash of the process alone, written but unsynced bytes are still
+        readable and may be acknowledged from now on.
+        """
+        self._files.sync(segment.name)
+        self._files.sync_folder()
+
+    def _repair(self, segment: _Segment, data: bytes, is_last: bool) -> None:
+        where = f"{segment.name} at byte {segment.size}"
+        if not is_last:
+            raise self._damage(f"corrupt record in {where}, before the last segment")
+        if has_later_frame(data, segment.size, segment.seed):
+            raise self._damage(f"corrupt record in {where}, before a valid record")
+        log_event(
+            TORN_TAIL_TRUNCATED,
+            file=segment.name,
+            offset=segment.size,
+            removed_bytes=len(data) - segment.size,
+        )
+        if segment.size == 0:
+            self._files.remove(segment.name)
+            self._files.sync_folder()
+            return
+        self._files.truncate(segment.name, segment.size)
+        self._segments.append(segment)
+        self._sync_tail(segment)
+
+    def _replay_header(self, frame, segment: _Segment) -> None:
+        if frame.kind != KIND_SEGMENT:
+            raise self._damage(f"{segment.name} does not start with a header")
+        self._hard_state = _decode_hard_state(frame.payload)
+
+    def _replay_batch(self, records: Iterable[Record], segment: _Segment) -> None:
+        for record in records:
+            match record:
+                case HardState():
+                    self._hard_state = record
+                case TruncateSuffix(index):
+                    self._cut(index)
+                case AppendEntry(entry):
+                    self._replay_entry(entry, segment)
+
+    def _replay_entry(self, entry: Entry, segment: _Segment) -> None:
+        if self._entries and entry.index > self._entries[-1].index + 1:
+            raise self._damage(f"entry {entry.index - 1} is missing in {segment.name}")
+        self._cut(entry.index - 1)
+        self._entries.append(entry)
+        segment.last_index = max(segment.last_index, entry.index)
+
+    def _cut(self, index: int) -> None:
+        if self._entries:
+            keep = index - self._entries[0].index + 1
+            del self._entries[max(0, keep) :]
+
+    def _entries_after(self, snapshot: Snapshot | None) -> list[Entry]:
+        entries, self._entries = self._entries, []
+        base = snapshot.index if snapshot else 0
+        at_base = next((e for e in entries if e.index == base), None)
+        if at_base and snapshot and at_base.term != snapshot.term:
+            # The process stopped between saving the leader's snapshot and
+            # removing its own log, which belongs to another history.
+            return []
+        after = [entry for entry in entries if entry.index > base]
+        if after and after[0].index != base + 1:
+            raise self._damage(f"entry {base + 1} is missing")
+        return after
+
+    def _remove_leftovers(self, names: list[str], snapshot: Snapshot | None) -> None:
+        """Remove unfinished files, old snapshots and old generations.
+
+        The generation before the current one is kept for an examination by hand.
+        """
+        current = self._snapshot_name(snapshot.index) if snapshot else ""
+        for name in names:
+            old_snapshot = name in self._own(names, SNAPSHOT_PREFIX) and name != current
+            generation = _generation_of(name)
+            expired = generation is not None and generation < self._generation - 1
+            if name.endswith(TEMPORARY_SUFFIX) or old_snapshot or expired:
+                self._files.remove(name)
+        self._remove_segments(snapshot.index if snapshot else 0)
+        self._files.sync_folder()
+
+    # Writing
+
+    def _write_batch(self, records: list[Record]) -> None:
+        segment = self._segments[-1]
+        if segment.size >= self._segment_bytes:
+            segment = self._start_segment(segment.sequence + 1)
+        frame = encode_frame(KIND_BATCH, _encode(records), segment.seed)
+        self._files.append(segment.name, frame)
+        self._files.sync(segment.name)
+        segment.size += len(frame)
+        for record in records:
+            if isinstance(record, HardState):
+                self._hard_state = record
+            elif isinstance(record, AppendEntry):
+                segment.last_index = max(segment.last_index, record.entry.index)
+
+    def _start_segment(self, sequence: int) -> _Segment:
+        name = f"{LOG_PREFIX}{self._generation:08d}-{sequence:08d}"
+        segment = _Segment(sequence, name, self._seed(name))
+        frame = encode_frame(KIND_SEGMENT, _encode(self._hard_state), segment.seed)
+        self._files.append(name, frame)
+        self._files.sync(name)
+        self._files.sync_folder()
+        segment.size = len(frame)
+        self._segments.append(segment)
+        return segment
+
+    def _save_snapshot(self, snapshot: Snapshot, discard_log: bool) -> None:
+        name = self._snapshot_name(snapshot.index)
+        self._replace_file(name, KIND_SNAPSHOT, _encode(snapshot), self._seed(name))
+        if discard_log:
+            self._write_batch([TruncateSuffix(0)])
+        if discard_log or self._segments[-1].size >= ROTATE_AT_SNAPSHOT_BYTES:
+            self._start_segment(self._segments[-1].sequence + 1)
+        for old in self._own(self._files.names(), SNAPSHOT_PREFIX):
+            if old != name:
+                self._files.remove(old)
+        self._remove_segments(None if discard_log else snapshot.index)
+        self._files.sync_folder()
+
+    def _remove_segments(self, index: int | None) -> None:
+        """Remove the leading segments without entries above `index`; None: all."""
+        while len(self._segments) > 1:
+            if index is not None and self._segments[0].last_index > index:
+                return
+            self._files.remove(self._segments.pop(0).name)
+            # Synced one by one: a later removal that outlives a crash without the
+            # earlier one would look like a missing segment.
+            self._files.sync_folder()
+
+    def _change_identity(self, identity: str) -> None:
+        """Start a new generation; the identity file decides which one is in use."""
+        self._write_identity(_Identity(identity, self._generation + 1))
+        self._hard_state = HardState()
+        self._segments = []
+        self._start_segment(1)
+
+    def _write_identity(self, identity: _Identity) -> None:
+        payload = _encode(identity)
+        seed = seed_of(IDENTITY_FILE)
+        self._replace_file(IDENTITY_FILE, KIND_IDENTITY, payload, seed)
+        self._identity = identity
+
+    def _replace_file(self, name: str, kind: int, payload: bytes, seed: int) -> None:
+        temporary = name + TEMPORARY_SUFFIX
+        if temporary in self._files.names():
+            self._files.remove(temporary)
+        self._files.append(temporary, encode_frame(kind, payload, seed))
+        self._files.sync(temporary)
+        self._files.rename(temporary, name)
+        self._files.sync_folder()
+
+    # Names
+
+    @property
+    def _generation(self) -> int:
+        return self._identity.generation
+
+    def _own(self, names: list[str], prefix: str) -> list[str]:
+        start = f"{prefix}{self._generation:08d}-"
+        return [
+            name
+            for name in names
+            if name.startswith(start) and not name.endswith(TEMPORARY_SUFFIX)
+        ]
+
+    def _snapshot_name(self, index: int) -> str:
+        return f"{SNAPSHOT_PREFIX}{self._generation:08d}-{index:012d}"
+
+    def _seed(self, name: str) -> int:
+        return seed_of(f"{self._identity.identity}/{name}")
+
+
+def _kind_of_write(record: Record) -> type:
+    if isinstance(record, SaveSnapshot | ChangeIdentity):
+        return type(record)
+    return HardState
+
+
+def _generation_of(name: str) -> int | None:
+    parts = name.split("-")
+    if name.startswith((LOG_PREFIX, SNAPSHOT_PREFIX)) and len(parts) == 3:
+        return int(parts[1])
+    return None
