Add control process, its duties as leader, and the admin command line

Decision code for requests, heartbeats, leases, feed pushes, platform list and orders, with a thin circuits process around it. The log itself is not there yet, so nothing has run end to end.

--- /dev/null
+++ b/papayacrank/admin/_exchange.py
@@ -0,0 +1,101 @@
+"""Sends one command to the control group and waits for its outcome."""
+
+import random
+import secrets
+from functools import partial
+from typing import Any
+
+from circuits import BaseComponent, handler
+from expression import Result
+
+from papayacrank.config import PeerAddress
+from papayacrank.control import ControlClient, LeaderHint, RequestFinished
+from papayacrank.kernel import CancelTimer, Failure, MonotonicClock, Send, SetTimer
+from papayacrank.messages import CONTROL_MESSAGES
+from papayacrank.messages._commands import Command
+from papayacrank.transport import (
+    Link,
+    LinkSettings,
+    MessageCodec,
+    Timers,
+    install_process_handlers,
+)
+
+TICK_SECONDS = 0.05
+
+
+class ControlExchange(BaseComponent):
+    """Runs a `ControlClient` in the foreground.
+
+    Parameters
+    ----------
+    control : list of PeerAddress
+        Control processes.
+    timeout_ms : int
+        Time after which an outcome is reported as unknown.
+    """
+
+    channel = "admin"
+
+    def __init__(self, control: list[PeerAddress], timeout_ms: int):
+        super().__init__()
+        name = f"admin/{secrets.token_hex(4)}"
+        peers = {peer.name: peer.address for peer in control}
+        self._clock = MonotonicClock()
+        self._outcomes: dict[str, Result[Any, Failure]] = {}
+        self._client = ControlClient(
+            name, 0, LeaderHint(peers), random.SystemRandom(), timeout_ms
+        )
+        install_process_handlers(self)
+        self._timers = Timers(self._clock).register(self)
+        codec = MessageCodec(CONTROL_MESSAGES)
+        self._link = Link(LinkSettings(name, None, peers), codec).register(self)
+        self._running = True
+
+    def run_command(
+        self, command: Command, request_id: str | None = None
+    ) -> tuple[str, Result[Any, Failure]]:
+        """Send a command and wait.
+
+        Parameters
+        ----------
+        command : Command
+            Command of `papayacrank.messages`.
+        request_id : str, optional
+            Identifier of an earlier sending of the command.
+
+        Returns
+        -------
+        tuple of str and expression.Result
+            Request identifier and outcome.
+        """
+        request_id, effects = self._client.submit(
+            command, self._clock.now_ms(), request_id
+        )
+        self._run(effects)
+        while request_id not in self._outcomes:
+            self.tick(TICK_SECONDS)
+        return request_id, self._outcomes.pop(request_id)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._link.close()
+
+    @handler("received", channel="link")
+    def _on_received(self, sender, message):
+        self._run(self._client.receive(sender, message, self._clock.now_ms()))
+
+    def _on_timer(self, name: str) -> None:
+        self._run(self._client.tick(name, self._clock.now_ms()))
+
+    def _run(self, effects: list[Any]) -> None:
+        for effect in effects:
+            match effect:
+                case Send(to, message):
+                    self._link.send(to, message)
+                case SetTimer(name, at_ms):
+                    self._timers.set(name, at_ms, partial(self._on_timer, name))
+                case CancelTimer(name):
+                    self._timers.cancel(name)
+                case RequestFinished(request_id, outcome):
+                    self._outcomes[request_id] = outcome
--- /dev/null
+++ b/papayacrank/admin/_explain.py
@@ -0,0 +1,66 @@
+"""Asks entry processes what happened to a request."""
+
+import http.client
+import json
+from urllib.parse import quote
+
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+
+
+class ExplainError(Exception):
+    """No entry process could be asked."""
+
+
+def explain_request(
+    addresses: list[str], request_id: str, timeout_ms: int
+) -> dict | None:
+    """Return the record of a request.
+
+    Parameters
+    ----------
+    addresses : list of str
+        Entry processes as ``ip:port``; each is asked until one knows the request.
+    request_id : str
+        Identifier that the caller received.
+    timeout_ms : int
+        Limit for each process.
+
+    Returns
+    -------
+    dict or None
+        None if no process knows the request.
+
+    Raises
+    ------
+    ExplainError
+        If a process could not be asked and no other one knows the request.
+    """
+    errors = []
+    for address in addresses:
+        try:
+            record = _ask(address, request_id, timeout_ms)
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            errors.append(f"{address}: {error}")
+            continue
+        if record is not None:
+            return record
+    if errors or not addresses:
+        raise ExplainError("; ".join(errors) or "no entry process is known")
+    return None
+
+
+def _ask(address: str, request_id: str, timeout_ms: int) -> dict | None:
+    connection = http.client.HTTPConnection(address, timeout=timeout_ms / 1000)
+    try:
+        connection.request("GET", f"/v1/explain/{quote(request_id, safe='')}")
+        response = connection.getresponse()
+        body = response.read(MAX_ANSWER_BYTES)
+    finally:
+        connection.close()
+    if response.status == STATUS_NOT_FOUND:
+        return None
+    if response.status != STATUS_OK:
+        raise ValueError(f"status {response.status}")
+    return json.loads(body)
--- a/papayacrank/control/__init__.py
+++ b/papayacrank/control/__init__.py
@@ -2,6 +2,7 @@
 
 from ._client import ControlClient, RequestFinished
 from ._contact import ContactSettings, ControlContact, FeedChanged, GrantsReceived
+from ._digest import digest_key
 from ._leader import LeaderHint
 
 __all__ = [
@@ -12,4 +13,5 @@
     "GrantsReceived",
     "LeaderHint",
     "RequestFinished",
+    "digest_key",
 ]
--- /dev/null
+++ b/papayacrank/control/_effects.py
@@ -0,0 +1,42 @@
+"""Effects of the control process's decision code."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class HttpCall:
+    """Request to make one HTTP call; its result is handed back under the key.
+
+    Parameters
+    ----------
+    key : str
+        Identity of the call.
+    url : str
+        ``http://ip:port/path``.
+    body : bytes
+        JSON body; empty for GET.
+    """
+
+    key: str
+    method: str
+    url: str
+    body: bytes = b""
+    timeout_ms: int = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResult:
+    """Answer to an `HttpCall`.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status; 0 if there was no complete answer.
+    error : str
+        Reason if there was none.
+    """
+
+    key: str
+    status: int
+    body: bytes = b""
+    error: str = ""
--- /dev/null
+++ b/papayacrank/control/_events.py
@@ -0,0 +1,81 @@
+"""Log events of the control process."""
+
+from papayacrank.kernel import LogEvent, declare_events
+
+LEADER_ACTIVE = LogEvent(
+    3001,
+    "leader_active",
+    "info",
+    "This member leads, has applied all earlier entries and answers requests.",
+)
+LEADER_INACTIVE = LogEvent(
+    3002,
+    "leader_inactive",
+    "info",
+    "This member no longer answers requests; pending ones are sent to the new leader.",
+)
+INSTANCES_EXPIRED = LogEvent(
+    3003,
+    "instances_expired",
+    "warning",
+    "The leases of entry processes have expired without a heartbeat.",
+    "Check the named instances and their network.",
+)
+CONFIGURATION_ACCEPTED = LogEvent(
+    3004, "configuration_accepted", "info", "A new configuration is in force."
+)
+KEY_CHANGED = LogEvent(
+    3005, "key_changed", "info", "A key was granted or withdrawn by an operator."
+)
+PLATFORM_LIST_FAILED = LogEvent(
+    3006,
+    "platform_list_failed",
+    "warning",
+    "The platform's list of targets could not be read; the last one stays in force.",
+    "Check `platform_list_url` and the platform.",
+)
+ORDER_ISSUED = LogEvent(
+    3007, "order_issued", "info", "An order got a fencing token and is sent."
+)
+ORDER_CONFIRMED = LogEvent(
+    3008, "order_confirmed", "info", "The ordered state was read back from the target."
+)
+ORDER_RELEASED = LogEvent(
+    3009,
+    "order_released",
+    "warning",
+    "An order was not confirmed in time and waits for its next attempt.",
+    "Check the target; the order is repeated until it is confirmed or superseded.",
+)
+ORDER_OVERWRITTEN = LogEvent(
+    3010,
+    "order_overwritten",
+    "warning",
+    "A target no longer has the state that was confirmed; the order is repeated.",
+    "If it recurs, find out who else gives orders to the target.",
+)
+STORE_FAILED = LogEvent(
+    3011,
+    "store_failed",
+    "error",
+    "The data folder is damaged or cannot be written; the process stops.",
+    "Replace the disk; the process joins with an empty folder as a learner.",
+)
+HANDING_OVER = LogEvent(
+    3012, "handing_over", "info", "The leader hands over before it stops."
+)
+
+declare_events(
+    LEADER_ACTIVE,
+    LEADER_INACTIVE,
+    INSTANCES_EXPIRED,
+    CONFIGURATION_ACCEPTED,
+    KEY_CHANGED,
+    PLATFORM_LIST_FAILED,
+    ORDER_ISSUED,
+    ORDER_CONFIRMED,
+    ORDER_RELEASED,
+    ORDER_OVERWRITTEN,
+    STORE_FAILED,
+    HANDING_OVER,
+)
--- /dev/null
+++ b/papayacrank/control/_process.py
@@ -0,0 +1,171 @@
+"""Component that runs a control process."""
+
+import random
+import time
+from functools import partial
+from typing import Any
+
+from circuits import BaseComponent, Event, handler
+
+from papayacrank.config import ControlSettings
+from papayacrank.consensus import (
+    CONSENSUS_MESSAGES,
+    LogStore,
+    LogStoreError,
+    Notice,
+    Persist,
+    RaftNode,
+    RaftSettings,
+)
+from papayacrank.kernel import CancelTimer, MonotonicClock, Send, SetTimer, log_event
+from papayacrank.messages import CONTROL_MESSAGES
+from papayacrank.state import StateMachine
+from papayacrank.transport import (
+    Link,
+    LinkSettings,
+    MessageCodec,
+    Timers,
+    install_process_handlers,
+)
+
+from ._effects import HttpCall
+from ._events import HANDING_OVER, STORE_FAILED
+from ._http import HttpCaller
+from ._node import ControlNode
+
+MS_PER_SECOND = 1000
+HAND_OVER_TIMEOUT_MS = 2_000
+HAND_OVER_POLL_MS = 20
+STOP_TIMER = "control.stop"
+
+
+class flush(Event):  # noqa: N801 - circuits events are lower case
+    """All messages that had arrived are handled: send what they proposed."""
+
+
+class ControlProcess(BaseComponent):
+    """Runs a `ControlNode`: carries out its effects and feeds it events.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Settings of the process.
+    """
+
+    channel = "control"
+
+    def __init__(self, settings: ControlSettings):
+        super().__init__()
+        self._settings = settings
+        self._clock = MonotonicClock()
+        self._flush_pending = False
+        self._failed = False
+        self._stop_by_ms: int | None = None
+        install_process_handlers(self)
+        self._timers = Timers(self._clock).register(self)
+        self._http = HttpCaller(self._clock, self._timers).register(self)
+        self._store = LogStore(settings.data_folder)
+        self._node = self._build_node()
+        codec = MessageCodec(CONTROL_MESSAGES + CONSENSUS_MESSAGES)
+        self._link = Link(self._link_settings(), codec).register(self)
+
+    @property
+    def node(self) -> ControlNode:
+        """Decision code of the process."""
+        return self._node
+
+    @property
+    def failed(self) -> bool:
+        """Whether the process stops because of its data folder."""
+        return self._failed
+
+    def begin_stop(self) -> None:
+        """Stop gracefully: hand over leadership first, if this member leads."""
+        self._node.stop()
+        self._stop_by_ms = self._clock.now_ms() + HAND_OVER_TIMEOUT_MS
+        transfer = getattr(self._node.raft, "transfer_leadership", None)
+        if self._node.raft.is_leader and transfer is not None:
+            log_event(HANDING_OVER)
+            self._run(self._node.hand_over(self._clock.now_ms()))
+        self._continue_stop()
+
+    @handler("started", channel="*")
+    def _on_started(self, *_):
+        self._run(self._node.start(self._clock.now_ms()))
+
+    @handler("received", channel="link")
+    def _on_received(self, sender, message):
+        self._run(self._node.receive(sender, message, self._clock.now_ms()))
+
+    @handler("http_finished", channel="http-caller")
+    def _on_http_finished(self, result):
+        self._run(self._node.http_finished(result, self._clock.now_ms()))
+
+    @handler("flush")
+    def _on_flush(self):
+        self._flush_pending = False
+        self._run(self._node.flush(self._clock.now_ms()), flushes=False)
+
+    def _on_timer(self, name: str) -> None:
+        self._run(self._node.tick(name, self._clock.now_ms()))
+
+    def _run(self, effects: list[Any], flushes: bool = True) -> None:
+        if self._failed:
+            return
+        for effect in effects:
+            self._carry_out(effect)
+        if flushes and not self._flush_pending:
+            self._flush_pending = True
+            self.fire(flush(), self.channel)
+
+    def _carry_out(self, effect: Any) -> None:
+        match effect:
+            case Send(to, message):
+                self._link.send(to, message)
+            case SetTimer(name, at_ms):
+                self._timers.set(name, at_ms, partial(self._on_timer, name))
+            case CancelTimer(name):
+                self._timers.cancel(name)
+            case Persist(token, records):
+                self._persist(token, records)
+            case Notice(event, fields):
+                log_event(event, **fields)
+            case HttpCall():
+                self._http.submit(effect)
+
+    def _persist(self, token: int, records) -> None:
+        """Write records; after a failed write, acknowledge nothing and stop."""
+        if self._failed:
+            return
+        try:
+            self._store.append(records)
+        except LogStoreError as error:
+            self._failed = True
+            log_event(STORE_FAILED, error=str(error))
+            self.root.stop()
+            return
+        self._run(self._node.persisted(token, self._clock.now_ms()))
+
+    def _continue_stop(self) -> None:
+        now_ms = self._clock.now_ms()
+        if not self._node.raft.is_leader or now_ms >= self._stop_by_ms:
+            self.root.stop()
+            return
+        if getattr(self._node.raft, "transfer_leadership", None) is None:
+            self.root.stop()
+            return
+        next_ms = now_ms + HAND_OVER_POLL_MS
+        self._timers.set(STOP_TIMER, next_ms, self._continue_stop)
+
+    def _build_node(self) -> ControlNode:
+        raft = RaftNode(
+            RaftSettings.from_control(self._settings),
+            self._store.load(),
+            random.Random(),
+        )
+        wall_clock_ms = lambda: int(time.time() * MS_PER_SECOND)  # noqa: E731
+        return ControlNode(self._settings, raft, StateMachine(), wall_clock_ms)
+
+    def _link_settings(self) -> LinkSettings:
+        peers = {peer.name: peer.address for peer in self._settings.peers}
+        return LinkSettings(self._settings.instance, self._settings.link, peers)
--- /dev/null
+++ b/papayacrank/control/_requests.py
@@ -0,0 +1,173 @@
+"""Requests that wait for their entry to be committed."""
+
+import json
+
+from papayacrank.consensus import RaftNode, Replace
+from papayacrank.kernel import Send, Verdict
+from papayacrank.messages import (
+    ControlReply,
+    ControlRequest,
+    Done,
+    FailureRecord,
+    NotLeader,
+    ReadState,
+    ReplaceMember,
+    StateView,
+)
+from papayacrank.state import StateMachine, check_command
+
+MAX_WAITING_REQUESTS = 2_000
+MAX_REPLACEMENTS = 16
+MAX_SENDERS = 4
+
+
+class RequestDesk:
+    """Answers requests at the leader.
+
+    Parameters
+    ----------
+    raft : RaftNode
+        Replicated log.
+    machine : StateMachine
+        Replicated state.
+    instance : str
+        Name of this member.
+    """
+
+    def __init__(self, raft: RaftNode, machine: StateMachine, instance: str):
+        self._raft = raft
+        self._machine = machine
+        self._instance = instance
+        self._waiting: dict[str, list[str]] = {}
+        self._replacements: dict[str, tuple[ReplaceMember, list[str]]] = {}
+
+    def accept(
+        self, sender: str, request: ControlRequest, now_ms: int
+    ) -> list[Send] | None:
+        """Answer a request without the log, or let it wait.
+
+        Returns
+        -------
+        list of Send or None
+            Answers; None if the request must be proposed.
+        """
+        if isinstance(request.command, ReadState):
+            return [Send(sender, self._read(request))]
+        if isinstance(request.command, ReplaceMember):
+            return self._replace(sender, request, now_ms)
+        known = self._machine.find_outcome(request.request_id)
+        if known is not None:
+            return [Send(sender, known)]
+        if request.request_id in self._waiting:
+            _add_sender(self._waiting[request.request_id], sender)
+            return []
+        failure = check_command(request.command)
+        if failure is None and len(self._waiting) >= MAX_WAITING_REQUESTS:
+            failure = _overloaded()
+        if failure is not None:
+            return [Send(sender, ControlReply(request.request_id, failure=failure))]
+        self._waiting[request.request_id] = [sender]
+        return None
+
+    def answer(self, reply: ControlReply) -> list[Send]:
+        """Answer those who wait for a committed request."""
+        senders = self._waiting.pop(reply.request_id, [])
+        return [Send(sender, reply) for sender in senders]
+
+    def redirect(self, request_id: str, leader: str) -> list[Send]:
+        """Send those who wait for a request to another member."""
+        senders = self._waiting.pop(request_id, [])
+        return [Send(sender, NotLeader(request_id, leader)) for sender in senders]
+
+    def redirect_all(self, leader: str) -> list[Send]:
+        """Send all who wait to another member, which finds out what was committed."""
+        self._replacements.clear()
+        sends = []
+        for request_id in list(self._waiting):
+            sends += self.redirect(request_id, leader)
+        return sends
+
+    def poll(self) -> list[Send]:
+        """Answer the replacements of members that are complete."""
+        sends = []
+        for request_id, (command, senders) in list(self._replacements.items()):
+            if self._is_replaced(command):
+                del self._replacements[request_id]
+                reply = ControlReply(request_id, Done())
+                sends += [Send(sender, reply) for sender in senders]
+        return sends
+
+    def _read(self, request: ControlRequest) -> ControlReply:
+        what = request.command.what
+        if what == "members":
+            return _view(request, what, self._members())
+        view = self._machine.read(what)
+        if isinstance(view, FailureRecord):
+            return ControlReply(request.request_id, failure=view)
+        if what == "status":
+            return _view(request, what, json.loads(view.document) | self._status())
+        return ControlReply(request.request_id, view)
+
+    def _members(self) -> list[dict]:
+        return [
+            {
+                "name": member.name,
+                "identity": member.identity,
+                "failure_domain": member.failure_domain,
+                "role": "voter" if member.voter else "learner",
+                "leader": member.name == self._raft.leader,
+            }
+            for member in self._raft.members
+        ]
+
+    def _status(self) -> dict:
+        return {
+            "leader": self._instance,
+            "term": self._raft.term,
+            "commit_index": self._raft.commit_index,
+            "members": self._members(),
+        }
+
+    def _replace(self, sender: str, request: ControlRequest, now_ms: int) -> list[Send]:
+        """Start a replacement; it is answered once the membership shows it."""
+        command = request.command
+        request_id = request.request_id
+        if self._is_replaced(command):
+            return [Send(sender, ControlReply(request_id, Done()))]
+        if request_id in self._replacements:
+            _add_sender(self._replacements[request_id][1], sender)
+            return []
+        if len(self._replacements) >= MAX_REPLACEMENTS:
+            return [Send(sender, ControlReply(request_id, failure=_overloaded()))]
+        change = Replace(command.old, command.new)
+        outcome = self._raft.change_member(change, now_ms)
+        if outcome.is_error():
+            failure = FailureRecord.from_failure(outcome.error)
+            return [Send(sender, ControlReply(request_id, failure=failure))]
+        self._replacements[request_id] = (command, [sender])
+        return []
+
+    def _is_replaced(self, command: ReplaceMember) -> bool:
+        voters = {member.name for member in self._raft.members if member.voter}
+        return command.new in voters and command.old not in voters
+
+
+def _add_sender(senders: list[str], sender: str) -> None:
+    if sender not in senders and len(senders) < MAX_SENDERS:
+        senders.append(sender)
+
+
+def _view(request: ControlRequest, what: str, document) -> ControlReply:
+    text = json.dumps(document, sort_keys=True)
+    return ControlReply(request.request_id, StateView(what, text))
+
+
+def _overloaded() -> FailureRecord:
+    """Another member may have received a copy of the request, so it may run."""
+    return FailureRecord(
+        "control_overloaded",
+        Verdict.MAY_HAVE_RUN.value,
+        "too many requests wait for the control group",
+        503,
+        500,
+    )
--- a/papayacrank/state/_machine.py
+++ b/papayacrank/state/_machine.py
@@ -8,6 +8,7 @@
 from papayacrank.config import parse_configuration
 from papayacrank.messages import (
     AbandonAction,
+    ActionRecord,
     BeginAction,
     ConfigurationFiled,
     ConfirmOrder,
@@ -299,12 +300,15 @@
 
     @staticmethod
     def _must_remember(request: ControlRequest, outcome) -> bool:
-        """Leave out outcomes that repeat the state, which may hold a large answer.
+        """Leave out what the state itself remembers.
 
-        Usage reports are recognized by their sequence numbers.
+        The answer of a finished action is large and final; usage reports are
+        recognized by their sequence numbers.
         """
-        if isinstance(request.command, BeginAction):
-            return not isinstance(outcome, FailureRecord) and outcome.started_now
+        if isinstance(request.command, BeginAction) and isinstance(
+            outcome, ActionRecord
+        ):
+            return outcome.state != "finished"
         return not isinstance(request.command, ReportUsage)
 
     def _run(self, request: ControlRequest, wall_ms: int):
