Deliver events of timer callbacks without waiting for the poller

Cause: an event fired by a timer callback stayed queued until a socket or the next timer woke the poller, because callbacks run while generate_events is handled.

Change: Timers reduces the poller's waiting time to 0 after it ran a callback.

Conclusion: a process is no longer idle while it has queued work.

--- a/papayacrank/transport/_timers.py
+++ b/papayacrank/transport/_timers.py
@@ -56,9 +56,13 @@
     @handler("generate_events", channel="*")
     def _on_generate_events(self, event):
         now_ms = self._clock.now_ms()
-        for name, callback in self._take_due(now_ms):
+        due = self._take_due(now_ms)
+        for name, callback in due:
             self._by_name.pop(name, None)
             callback()
+        if due:
+            # The callbacks may have fired events, which must not wait in the poller.
+            event.reduce_time_left(0)
         if self._schedule:
             left_ms = self._schedule[0][0] - self._clock.now_ms()
             event.reduce_time_left(max(0, left_ms) / MS_PER_SECOND)
--- a/papayacrank/transport/tests/test_transport.py
+++ b/papayacrank/transport/tests/test_transport.py
@@ -2,7 +2,7 @@
 
 import msgspec
 import pytest
-from circuits import BaseComponent, handler
+from circuits import BaseComponent, Event, handler
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -108,3 +108,27 @@
     root._running = True
     root.tick(0)
     assert fired == ["c2", "a"]
+
+
+def test_events_fired_by_a_timer_do_not_wait_for_the_poller():
+    """Guards against a process that sleeps while an event of a timer is queued."""
+    clock = MonotonicClock()
+    root = BaseComponent()
+    install_process_handlers(root)
+    timers = Timers(clock).register(root)
+    seen_ms = []
+
+    class Sink(BaseComponent):
+        channel = "sink"
+
+        @handler("probe")
+        def _on_probe(self):
+            seen_ms.append(clock.now_ms())
+            root.stop()
+
+    Sink().register(root)
+    set_ms = clock.now_ms()
+    timers.set("late", set_ms + 3_000, root.stop)
+    timers.set("a", set_ms + 20, lambda: root.fire(Event.create("probe"), "sink"))
+    root.run()
+    assert seen_ms[0] - set_ms < 1_000
