Add the target client and the stand-in programs

Cause: the entry process needs connections to targets, and tests need targets.

Change: TargetClient with its events, TargetRequest, TargetFailure, TargetUsage, StreamAssembler, render_prompt and pad_tokens; StandInEngine and StandInService with the programs papayacrank.testing.engine and papayacrank.testing.service.

--- /dev/null
+++ b/papayacrank/targets/__init__.py
@@ -0,0 +1,54 @@
+"""Connections to engines and plain services."""
+
+from ._assembler import Delivery, ResumePoint, ResumeStep, StreamAssembler
+from ._client import TargetClient
+from ._headers import filter_answer_headers, filter_request_headers
+from ._notifications import (
+    cache_batch,
+    cache_listed,
+    cache_listing_failed,
+    cache_replay_ended,
+    load_failed,
+    load_observed,
+    target_data,
+    target_failed,
+    target_finished,
+    target_headers,
+    target_token,
+)
+from ._prompt import pad_tokens, render_prompt
+from ._request import (
+    TargetClientLimits,
+    TargetFailure,
+    TargetRequest,
+    TargetTimeouts,
+    TargetUsage,
+)
+
+__all__ = [
+    "Delivery",
+    "ResumePoint",
+    "ResumeStep",
+    "StreamAssembler",
+    "TargetClient",
+    "TargetClientLimits",
+    "TargetFailure",
+    "TargetRequest",
+    "TargetTimeouts",
+    "TargetUsage",
+    "cache_batch",
+    "cache_listed",
+    "cache_listing_failed",
+    "cache_replay_ended",
+    "filter_answer_headers",
+    "filter_request_headers",
+    "load_failed",
+    "load_observed",
+    "pad_tokens",
+    "render_prompt",
+    "target_data",
+    "target_failed",
+    "target_finished",
+    "target_headers",
+    "target_token",
+]
--- /dev/null
+++ b/papayacrank/targets/_request.py
@@ -0,0 +1,197 @@
+"""Requests to targets and their outcomes."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+CONNECT_TIMEOUT_MS = 1_000
+FIRST_BYTE_TIMEOUT_MS = 20_000
+FIRST_TOKEN_TIMEOUT_MS = 20_000
+PROGRESS_TIMEOUT_MS = 5_000
+IDLE_CONNECTION_MS = 15_000
+PROBE_TIMEOUT_MS = 300
+PROBE_AFTER_IDLE_MS = 500
+MAX_IDLE_PER_TARGET = 32
+MAX_ACTIVE_REQUESTS = 4_000
+MAX_ANSWER_HEADER_BYTES = 65_536
+MAX_ANSWER_BODY_BYTES = 16 * 1024 * 1024
+MAX_SSE_EVENT_BYTES = 262_144
+
+
+@dataclass(frozen=True, slots=True)
+class TargetTimeouts:
+    """Timeouts of one request, in milliseconds.
+
+    Parameters
+    ----------
+    connect_ms : int
+        From the start of the connection until it is established.
+    first_byte_ms : int
+        From the last written byte until the head of the answer is complete.
+    first_token_ms : int
+        From the head of the answer until the first token; streams only.
+    progress_ms : int
+        Between two pieces of the answer, and between two writes of the request.
+    """
+
+    connect_ms: int = CONNECT_TIMEOUT_MS
+    first_byte_ms: int = FIRST_BYTE_TIMEOUT_MS
+    first_token_ms: int = FIRST_TOKEN_TIMEOUT_MS
+    progress_ms: int = PROGRESS_TIMEOUT_MS
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRequest:
+    """One attempt to run a request at a target.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the attempt. It is unique among all attempts of the process, because
+        events of an earlier attempt may still be queued when the next one starts.
+    channel : str
+        Circuits channel that receives the events.
+    address : str
+        Address of the target as ``ip:port``.
+    method, path : str
+        Request line; the path includes the query.
+    headers : tuple of (str, str)
+        Headers to send. Hop-by-hop and credential headers are removed.
+    body : bytes
+        Request body.
+    stream : bool
+        Whether the answer is an engine's stream of tokens.
+    idempotent : bool
+        Whether the request may be sent more than once. A request that may not uses
+        a connection that was just opened.
+    first_offset : int
+        Offset of the first token expected; streams only.
+    pass_headers : frozenset of str
+        Lower-case names of credential headers that are passed on purpose.
+    echo_id : str or None
+        Id sent as ``X-Request-Id``, which the answer must carry in the same header
+        and in each chunk of a stream; ``request_id`` if None.
+    check_echo : bool
+        Whether an answer with another ``X-Request-Id`` is refused; False for plain
+        services that make up their own. Ids of chunks are always checked.
+    require_echo : bool
+        Whether a plain answer without ``X-Request-Id`` is refused.
+    cancel_path : str or None
+        Path to which `TargetClient.cancel` posts ``{"request_id": ...}``.
+    probe_path : str or None
+        Path of a cheap GET that checks an idle connection before reuse. Without it,
+        a connection that was idle for long is dropped.
+    timeouts : TargetTimeouts
+        Timeouts.
+    max_body_bytes : int
+        Longest accepted answer.
+    """
+
+    request_id: str
+    channel: str
+    address: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    stream: bool = False
+    idempotent: bool = False
+    first_offset: int = 0
+    pass_headers: frozenset[str] = frozenset()
+    echo_id: str | None = None
+    check_echo: bool = True
+    require_echo: bool = False
+    cancel_path: str | None = None
+    probe_path: str | None = None
+    timeouts: TargetTimeouts = field(default_factory=TargetTimeouts)
+    max_body_bytes: int = MAX_ANSWER_BODY_BYTES
+
+    @property
+    def expected_id(self) -> str:
+        """Id that the answer must carry."""
+        return self.request_id if self.echo_id is None else self.echo_id
+
+
+@dataclass(frozen=True, slots=True)
+class TargetFailure:
+    """Failed attempt.
+
+    Parameters
+    ----------
+    code : str
+        ``"invalid_request"``, ``"overloaded"``, ``"connect_failed"``,
+        ``"connect_timeout"``, ``"write_failed"``, ``"first_byte_timeout"``,
+        ``"first_token_timeout"``, ``"progress_timeout"``, ``"connection_lost"``,
+        ``"malformed_answer"``, ``"truncated_answer"``, ``"answer_too_large"``,
+        ``"wrong_answer"`` (id of another request), ``"offset_gap"``,
+        ``"target_status"`` (a stream was refused) or ``"engine_error"``.
+    bytes_written : bool
+        Whether any byte of the request was handed to the operating system. If
+        False, the target provably did not run the request.
+    message : str
+        Explanation for a person; contains no prompt and no answer text.
+    status : int or None
+        HTTP status of the answer, once known.
+    body : bytes
+        Start of the body of a refused stream, at most 4 KiB.
+    """
+
+    code: str
+    bytes_written: bool
+    message: str = ""
+    status: int | None = None
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetUsage:
+    """End of an engine's stream.
+
+    Parameters
+    ----------
+    prompt_tokens, completion_tokens, cached_tokens : int
+        Tokens of the prompt, of the whole output from offset 0, and of the prompt
+        found in the engine's cache.
+    finish_reason : str
+        ``"stop"`` or ``"length"``.
+    """
+
+    prompt_tokens: int
+    completion_tokens: int
+    cached_tokens: int
+    finish_reason: str
+
+    @classmethod
+    def parse(cls, usage: dict[str, Any], finish_reason: str) -> "TargetUsage":
+        """Read the ``usage`` object of the last chunk."""
+        details = usage.get("prompt_tokens_details") or {}
+        return cls(
+            int(usage["prompt_tokens"]),
+            int(usage["completion_tokens"]),
+            int(details.get("cached_tokens", 0)),
+            str(finish_reason),
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class TargetClientLimits:
+    """Bounds of the client.
+
+    Parameters
+    ----------
+    max_active : int
+        Requests at once; further ones fail as ``"overloaded"``.
+    max_idle_per_target : int
+        Idle connections kept for each address.
+    idle_ms : int
+        Longest time that a connection is kept idle.
+    probe_after_idle_ms : int
+        Idle time from which a connection is probed or dropped instead of reused.
+    probe_timeout_ms : int
+        Time for the answer to a probe.
+    """
+
+    max_active: int = MAX_ACTIVE_REQUESTS
+    max_idle_per_target: int = MAX_IDLE_PER_TARGET
+    idle_ms: int = IDLE_CONNECTION_MS
+    probe_after_idle_ms: int = PROBE_AFTER_IDLE_MS
+    probe_timeout_ms: int = PROBE_TIMEOUT_MS
--- a/papayacrank/testing/__init__.py
+++ b/papayacrank/testing/__init__.py
@@ -1,5 +1,14 @@
 """Support for tests, demo and proofs: builders of test data and stand-ins."""
 
 from ._builders import build_questionnaire
+from ._engine import StandInEngine
+from ._engine_model import EngineSpeed, expected_output
+from ._service import StandInService
 
-__all__ = ["build_questionnaire"]
+__all__ = [
+    "EngineSpeed",
+    "StandInEngine",
+    "StandInService",
+    "build_questionnaire",
+    "expected_output",
+]
--- /dev/null
+++ b/papayacrank/testing/_engine_model.py
@@ -0,0 +1,340 @@
+"""Speed, cache and output of the stand-in engine; no I/O."""
+
+from collections import OrderedDict, deque
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+import msgspec
+import xxhash
+
+from papayacrank.targets import render_prompt
+
+from ._blocks import chain_blocks
+
+MS_PER_SECOND = 1000
+LETTERS = "abcdefghijklmnopqrstuvwxyz"
+LETTERS_PER_TOKEN = 3
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSpeed:
+    """Speed and sizes of an engine.
+
+    Parameters
+    ----------
+    prefill_tokens_per_s : float
+        Prompt tokens computed per second, for one request after the other.
+    decode_tokens_per_s : float
+        Output tokens per second of each request in the batch.
+    max_batch, max_waiting : int
+        Requests in the batch and in the queue.
+    cache_blocks, block_tokens : int
+        Size of the prefix cache, and of one block in tokens.
+    output_tokens : int
+        Typical length of an output.
+    load_weights_ms : int
+        Time to load weights, in milliseconds.
+    """
+
+    prefill_tokens_per_s: float = 50_000.0
+    decode_tokens_per_s: float = 200.0
+    max_batch: int = 16
+    max_waiting: int = 256
+    cache_blocks: int = 256
+    block_tokens: int = 2_048
+    output_tokens: int = 64
+    load_weights_ms: int = 600
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A request at the engine.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the request.
+    prompt : str
+        Text of the prompt.
+    salt : str
+        Separates the cache entries of workspaces.
+    output : list of str
+        Tokens of the whole output.
+    finish_reason : str
+        How the output ends.
+    first_offset : int
+        Offset of the first token to send.
+    priority : int
+        A lower number is served first.
+    """
+
+    request_id: str
+    prompt: str
+    salt: str
+    output: list[str]
+    finish_reason: str
+    first_offset: int = 0
+    priority: int = 0
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    next_offset: int = 0
+    due_ms: float = 0.0
+    arrival: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CacheChange:
+    """Blocks that entered or left the cache."""
+
+    stored: tuple[bytes, ...] = ()
+    parent: bytes | None = None
+    tokens: bytes = b""
+    salt: str = ""
+    removed: tuple[bytes, ...] = ()
+
+
+class BlockCache:
+    """Blocks in least-recently-used order.
+
+    Parameters
+    ----------
+    max_blocks : int
+        Size.
+    """
+
+    def __init__(self, max_blocks: int):
+        self._max_blocks = max_blocks
+        self._blocks: OrderedDict[bytes, None] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    @property
+    def hashes(self) -> list[bytes]:
+        """Hashes of all blocks."""
+        return list(self._blocks)
+
+    def match(self, hashes: Sequence[bytes]) -> int:
+        """Return the number of leading blocks that are cached, and refresh them."""
+        count = 0
+        while count < len(hashes) and hashes[count] in self._blocks:
+            count += 1
+        for value in reversed(hashes[:count]):
+            self._blocks.move_to_end(value)
+        return count
+
+    def store(self, hashes: Sequence[bytes]) -> tuple[list[bytes], list[bytes]]:
+        """Add blocks; return the new ones and the evicted ones.
+
+        Later blocks of a chain are evicted before earlier ones.
+        """
+        new = [value for value in hashes if value not in self._blocks]
+        for value in reversed(hashes):
+            self._blocks[value] = None
+            self._blocks.move_to_end(value)
+        evicted = []
+        while len(self._blocks) > self._max_blocks:
+            evicted.append(self._blocks.popitem(last=False)[0])
+        kept = [value for value in new if value in self._blocks]
+        return kept, [value for value in evicted if value not in set(new)]
+
+    def clear(self) -> None:
+        """Remove all blocks."""
+        self._blocks.clear()
+
+
+@dataclass(slots=True)
+class Progress:
+    """What happened since the last call."""
+
+    tokens: list[tuple[Job, int, str]] = field(default_factory=list)
+    finished: list[Job] = field(default_factory=list)
+    changes: list[CacheChange] = field(default_factory=list)
+
+
+class EngineModel:
+    """Queue, batch and prefix cache of an engine.
+
+    Parameters
+    ----------
+    speed : EngineSpeed
+        Speed and sizes.
+    model, weights_version : str
+        What the engine serves.
+    """
+
+    def __init__(self, speed: EngineSpeed, model: str, weights_version: str):
+        self.speed = speed
+        self.model = model
+        self.weights_version = weights_version
+        self.cache = BlockCache(speed.cache_blocks)
+        self._waiting: deque[Job] = deque()
+        self._prefill: Job | None = None
+        self._prefill_free_ms = 0.0
+        self._decoding: list[Job] = []
+        self._arrivals = 0
+
+    @property
+    def running(self) -> int:
+        """Requests in the batch."""
+        return len(self._decoding) + (self._prefill is not None)
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return len(self._waiting)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the queue takes no further request."""
+        return len(self._waiting) >= self.speed.max_waiting
+
+    @property
+    def queued_prefill_tokens(self) -> int:
+        """Prompt tokens that are yet to be computed, without regard to the cache."""
+        jobs = [*self._waiting, *([self._prefill] if self._prefill else [])]
+        return sum(job.prompt_tokens - job.cached_tokens for job in jobs)
+
+    def submit(self, job: Job, now_ms: float) -> None:
+        """Queue a request."""
+        self._arrivals += 1
+        job.arrival = self._arrivals
+        job.prompt_tokens = count_tokens(job.prompt)
+        job.next_offset = job.first_offset
+        self._waiting.append(job)
+        if self._prefill is None:
+            self._prefill_free_ms = max(self._prefill_free_ms, now_ms)
+
+    def cancel(self, job: Job) -> None:
+        """Forget a request; a finished one is ignored."""
+        if job in self._waiting:
+            self._waiting.remove(job)
+        if job in self._decoding:
+            self._decoding.remove(job)
+        if job is self._prefill:
+            self._prefill = None
+
+    def clear(self) -> None:
+        """Forget all requests and blocks."""
+        self._waiting.clear()
+        self._decoding.clear()
+        self._prefill = None
+        self.cache.clear()
+
+    def next_due_ms(self) -> float | None:
+        """Return when `advance` has something to do."""
+        due = [job.due_ms for job in self._decoding]
+        if self._prefill is not None:
+            due.append(self._prefill.due_ms)
+        elif self._waiting and self.running < self.speed.max_batch:
+            due.append(self._prefill_free_ms)
+        return min(due, default=None)
+
+    def advance(self, now_ms: float) -> Progress:
+        """Compute up to `now_ms`."""
+        progress = Progress()
+        while True:
+            due_ms = self.next_due_ms()
+            if due_ms is None or due_ms > now_ms:
+                return progress
+            self._step(due_ms, progress)
+
+    def _step(self, due_ms: float, progress: Progress) -> None:
+        if self._prefill is not None and self._prefill.due_ms <= due_ms:
+            self._end_prefill(progress)
+        elif self._prefill is None and self._waiting and self._has_room(due_ms):
+            self._start_prefill(due_ms)
+        else:
+            for job in [j for j in self._decoding if j.due_ms <= due_ms]:
+                self._decode(job, progress)
+
+    def _has_room(self, due_ms: float) -> bool:
+        return self.running < self.speed.max_batch and self._prefill_free_ms <= due_ms
+
+    def _start_prefill(self, now_ms: float) -> None:
+        job = min(self._waiting, key=lambda j: (j.priority, j.arrival))
+        self._waiting.remove(job)
+        hashes = self.hash_job(job)
+        job.cached_tokens = self.cache.match(hashes) * self.speed.block_tokens
+        computed = job.prompt_tokens - job.cached_tokens + job.first_offset
+        job.due_ms = now_ms + computed * MS_PER_SECOND / self.speed.prefill_tokens_per_s
+        self._prefill = job
+
+    def _end_prefill(self, progress: Progress) -> None:
+        job, self._prefill = self._prefill, None
+        self._prefill_free_ms = job.due_ms
+        progress.changes += self.store_chain(self.hash_job(job), job)
+        self._decoding.append(job)
+        self._decode(job, progress)
+
+    def store_chain(self, hashes: tuple[bytes, ...], job: Job) -> list[CacheChange]:
+        """Add a chain of blocks to the cache and return the changes."""
+        stored, removed = self.cache.store(hashes)
+        changes = []
+        if removed:
+            changes.append(CacheChange(removed=tuple(removed)))
+        if stored:
+            first = hashes.index(stored[0])
+            parent = hashes[first - 1] if first else None
+            size = self.speed.block_tokens * 4
+            data = job.prompt.encode()
+            tokens = data[first * size : (first + len(stored)) * size]
+            changes.append(CacheChange(tuple(stored), parent, tokens, job.salt))
+        return changes
+
+    def _decode(self, job: Job, progress: Progress) -> None:
+        if job.next_offset < len(job.output):
+            token = job.output[job.next_offset]
+            progress.tokens.append((job, job.next_offset, token))
+            job.next_offset += 1
+        job.due_ms += MS_PER_SECOND / self.speed.decode_tokens_per_s
+        if job.next_offset >= len(job.output):
+            self._decoding.remove(job)
+            progress.finished.append(job)
+
+    def hash_job(self, job: Job) -> tuple[bytes, ...]:
+        """Return the chain of block hashes of a prompt."""
+        return chain_blocks(
+            job.salt,
+            self.model,
+            self.weights_version,
+            job.prompt.encode(),
+            self.speed.block_tokens,
+        )
+
+
+def count_tokens(text: str) -> int:
+    """Return the number of tokens of a text: one per 4 UTF-8 bytes, rounded up."""
+    return -(-len(text.encode()) // 4)
+
+
+def expected_output(
+    messages: Sequence[Mapping[str, str]],
+    max_tokens: int = 512,
+    typical_tokens: int = EngineSpeed().output_tokens,
+) -> tuple[list[str], str]:
+    """Return the tokens and the finish reason that every stand-in engine produces.
+
+    Parameters
+    ----------
+    messages : sequence of mapping
+        Chat messages with ``role`` and ``content``.
+    max_tokens : int
+        Limit of the request.
+    typical_tokens : int
+        Typical length; the output is between half and one and a half of it.
+    """
+    seed = xxhash.xxh3_64_intdigest(render_prompt(messages).encode())
+    length = typical_tokens // 2 + seed % (typical_tokens + 1)
+    reason = "stop" if length <= max_tokens else "length"
+    count = min(length, max_tokens)
+    return [_token(seed, offset) for offset in range(count)], reason
+
+
+def _token(seed: int, offset: int) -> str:
+    value = xxhash.xxh3_64_intdigest(msgspec.msgpack.encode([seed, offset]))
+    letters = []
+    for _ in range(LETTERS_PER_TOKEN):
+        value, index = divmod(value, len(LETTERS))
+        letters.append(LETTERS[index])
+    return " " + "".join(letters)
--- /dev/null
+++ b/papayacrank/testing/_http_server.py
@@ -0,0 +1,230 @@
+"""HTTP server that the stand-ins share."""
+
+import json
+import socket
+import struct
+import time
+from typing import Any
+
+from circuits import BaseComponent, handler
+from circuits.net.events import close
+from circuits.web import BaseServer
+from circuits.web.events import response, stream
+from circuits.web.headers import Headers
+
+from papayacrank.kernel import Clock
+from papayacrank.transport import Timers
+
+from ._faults import Fault, FaultPlan
+
+LOOPBACK = "127.0.0.1"
+RECEIVE_BYTES = 65_536
+MS_PER_SECOND = 1000
+COMMON_FAULTS = frozenset(
+    {
+        "clear",
+        "delay",
+        "drop_after",
+        "drop_before",
+        "freeze",
+        "refuse",
+        "silent",
+        "silent_connections",
+        "swap_answers",
+    }
+)
+
+
+class StreamHeaders(Headers):
+    """Headers of a chunked answer.
+
+    circuits would add a length of 0, or without one close the connection after it.
+    """
+
+    def __contains__(self, name):
+        return name.lower() == "content-length" or super().__contains__(name)
+
+    def __setitem__(self, name, value):
+        if name.lower() != "content-length":
+            super().__setitem__(name, value)
+
+
+class StandInServer(BaseComponent):
+    """Base of the stand-ins: server, faults and answers.
+
+    A subclass implements `_serve`, which returns the response, or True if the answer
+    follows later or never.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of `timers`.
+    timers : Timers
+        Timers of the process.
+    port : int
+        Port to listen on; 0 lets the system choose.
+    faults : frozenset of str
+        Faults of the subclass in addition to the common ones.
+    """
+
+    channel = "web"
+
+    def __init__(self, clock: Clock, timers: Timers, port: int, faults: frozenset[str]):
+        super().__init__()
+        self._clock = clock
+        self._timers = timers
+        self._faults = FaultPlan(COMMON_FAULTS | faults)
+        self._server = BaseServer(
+            (LOOPBACK, port), display_banner=False, bufsize=RECEIVE_BYTES
+        ).register(self)
+        self._sockets: set[socket.socket] = set()
+        self._delays = 0
+        self.connections_accepted_ = 0
+
+    @property
+    def address(self) -> str:
+        """Address that the stand-in listens on."""
+        return f"{LOOPBACK}:{self._server.port}"
+
+    def inject(self, document: dict[str, Any]) -> None:
+        """Plan a fault, or carry it out if it does not wait for a request.
+
+        Parameters
+        ----------
+        document : dict
+            ``kind``, and where they apply ``count`` (times), ``path`` (prefix),
+            ``ms`` and further arguments of the fault.
+
+        Raises
+        ------
+        ValueError
+            If the fault is unknown.
+        """
+        fault = self._faults.add(document)
+        if fault.kind == "clear":
+            self._faults.clear()
+        elif fault.kind == "freeze":
+            self._faults.take("freeze", fault.path)
+            self._after(1, lambda: time.sleep(fault.number("ms", 100) / MS_PER_SECOND))
+        elif fault.kind == "silent_connections":
+            self._faults.take("silent_connections", fault.path)
+            self._after(1, self._silence_connections)
+
+    def _serve(self, req, res):
+        raise NotImplementedError
+
+    @handler("request", priority=1.0)
+    def _on_request(self, event, req, res, *_):
+        event.stop()
+        if req.path == "/fault" and req.method == "POST":
+            return self._on_fault(req, res)
+        if req.path == "/health":
+            return self._answer(res, 200, {"status": "ok"})
+        delay = self._faults.take("delay", req.path)
+        if delay is None:
+            return self._dispatch(req, res)
+        self._after(delay.number("ms", 100), lambda: self._dispatch_late(req, res))
+        return True
+
+    def _on_fault(self, req, res):
+        try:
+            self.inject(json.loads(req.body.read()))
+        except (ValueError, TypeError) as error:
+            return self._answer(res, 400, {"error": str(error)})
+        return self._answer(res, 200, {"status": "injected"})
+
+    def _dispatch(self, req, res):
+        refusal = self._faults.take("refuse", req.path)
+        if refusal is not None:
+            return self._answer(
+                res, refusal.number("status", 503), {"error": "refused"}
+            )
+        if self._faults.take("silent", req.path) is not None:
+            return True
+        drop = self._faults.take("drop_before", req.path)
+        if drop is not None:
+            self._drop(req.sock, drop)
+            return True
+        return self._serve(req, res)
+
+    def _dispatch_late(self, req, res) -> None:
+        if self._dispatch(req, res) is res:
+            self._respond(res)
+
+    def _answer(self, res, status: int, document: Any, headers: dict | None = None):
+        res.status = status
+        res.headers["Content-Type"] = "application/json"
+        for name, value in (headers or {}).items():
+            res.headers[name] = value
+        res.body = json.dumps(document)
+        return res
+
+    def _respond(self, res) -> None:
+        """Send an answer that was not returned by the handler."""
+        if self._is_open(res.request.sock):
+            self.fire(response(res), "web")
+
+    def _start_stream(self, res, headers: dict) -> None:
+        res.headers = StreamHeaders()
+        for name, value in headers.items():
+            res.headers[name] = value
+        res.headers["Transfer-Encoding"] = "chunked"
+        res.stream = True
+        res.chunked = True
+        res.body = b""
+        self._respond(res)
+
+    def _send_piece(self, res, data: bytes | None) -> None:
+        """Send part of a stream, or its end if `data` is None."""
+        if self._is_open(res.request.sock):
+            self.fire(stream(res, data), "web")
+
+    def _drop(self, sock, fault: Fault) -> None:
+        """Close a connection, by default with a reset."""
+        if fault.arguments.get("how", "reset") == "reset" and self._is_open(sock):
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.fire(close(sock), "web")
+
+    def _is_open(self, sock) -> bool:
+        return sock in self._sockets
+
+    def _silence_connections(self) -> None:
+        """Stop reading from the open connections; new ones work."""
+        for sock in list(self._sockets):
+            self._server.server._poller.discard(sock)
+            self._sockets.discard(sock)
+
+    def _after(self, ms: int, callback) -> None:
+        self._delays += 1
+        name = f"stand-in/{self._delays}"
+        self._timers.set(name, self._clock.now_ms() + ms, callback)
+
+    @handler("connect")
+    def _on_connect(self, sock, *_):
+        self._sockets.add(sock)
+        self.connections_accepted_ += 1
+
+    @handler("disconnect", priority=-1.0)
+    def _on_disconnect(self, sock, *_):
+        self._sockets.discard(sock)
+        # circuits keeps the parser of a connection that ends within a request.
+        self._server.http._buffers.pop(sock, None)
+        self._on_closed_connection(sock)
+
+    def _on_closed_connection(self, sock) -> None:
+        """Forget what ran for a connection."""
+
+
+def read_json(req) -> dict[str, Any]:
+    """Return the body of a request.
+
+    Raises
+    ------
+    ValueError
+        If it is no JSON object.
+    """
+    document = json.loads(req.body.read())
+    if not isinstance(document, dict):
+        raise ValueError("the body is no JSON object")
+    return document
--- /dev/null
+++ b/papayacrank/testing/service.py
@@ -0,0 +1,26 @@
+"""Program of the stand-in service: ``python -m papayacrank.testing.service``."""
+
+import fire
+
+from ._program import run_stand_in
+from ._service import StandInService
+
+
+def run_service(port: int = 0, work_ms: int = 0) -> None:
+    """Run a stand-in plain service on loopback.
+
+    Prints one JSON line with address.
+
+    Args:
+        port: TCP port; 0 lets the system choose.
+        work_ms: Time from running a request to its answer, in milliseconds.
+    """
+
+    def build(clock, timers):
+        return StandInService(clock, timers, port, work_ms)
+
+    run_stand_in("stand-in-service", build, ("address",))
+
+
+if __name__ == "__main__":
+    fire.Fire(run_service)
