Let the report read usage and configuration from the control group

Figures: without a control group the program exits with 4 after 5 s.

Conclusion: the report needs no intermediate files.

--- a/papayacrank/admission/tests/test_queue.py
+++ b/papayacrank/admission/tests/test_queue.py
@@ -110,10 +110,7 @@
     """Guards against unbounded memory and against callers that return all at once."""
     policy = build_policy(max_queued=1)
     policy.submit(build_request(1), 0)
-    failures = [
-        policy.submit(build_request(n), 0).swap().default_value(None)
-        for n in range(2, 12)
-    ]
+    failures = [policy.submit(build_request(n), 0).error for n in range(2, 12)]
     assert {failure.code for failure in failures} == {"overloaded"}
     assert len({failure.retry_after_ms for failure in failures}) > 5
 
@@ -128,7 +125,7 @@
             policy.on_served(decision.request.request_id, 0, 100, now_ms)
     policy.poll(10_000)
     result = policy.submit(build_request(99, deadline_ms=10_500), 10_000)
-    assert result.swap().default_value(None).code == "deadline_unreachable"
+    assert result.error.code == "deadline_unreachable"
 
 
 @pytest.mark.parametrize("name", ["fair", "fifo"])
--- a/papayacrank/report/__main__.py
+++ b/papayacrank/report/__main__.py
@@ -4,21 +4,44 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import fire
 
 from papayacrank.accounting import parse_usage_view
-from papayacrank.admin import AdminError, read_state
-from papayacrank.config import parse_configuration
+from papayacrank.admin import ControlExchange, find_control
+from papayacrank.config import PeerAddress, parse_configuration
+from papayacrank.kernel import configure_logging
+from papayacrank.messages import ReadState
 
 from ._burn import build_report
 from ._html import render_html
 from ._text import render_json, render_text
 
 SECONDS_PER_MINUTE = 60
+CONTROL_TIMEOUT_MS = 5_000
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+EXIT_UNKNOWN = 4
 RENDERERS = {"text": render_text, "json": render_json, "html": render_html}
 
 
+class ControlReadError(Exception):
+    """The control group did not return the state.
+
+    Parameters
+    ----------
+    message : str
+        Reason.
+    exit_code : int
+        Exit code of the program.
+    """
+
+    def __init__(self, message: str, exit_code: int):
+        super().__init__(message)
+        self.exit_code = exit_code
+
+
 def report(
     control: str | None = None,
     usage: str | None = None,
@@ -33,7 +56,8 @@
     control : str
         Addresses of control processes as ``ip:port,ip:port``.
     usage : str
-        Instead of `control`: file with the output of `papayacrank-admin usage --json`.
+        Instead of `control`: file with the output of
+        ``papayacrank-admin usage --rows --json``.
     configuration : str
         Instead of `control`: file with a configuration as JSON.
     format : str
@@ -42,18 +66,18 @@
         File to write to; standard output by default.
     """
     if format not in RENDERERS:
-        _stop(f"--format: got {format!r}; expected text, json or html", 2)
+        _stop(f"--format: got {format!r}; expected text, json or html", EXIT_INVALID)
     if control is None and (usage is None or configuration is None):
-        _stop("give --control, or both --usage and --configuration", 2)
+        _stop("give --control, or both --usage and --configuration", EXIT_INVALID)
     try:
         view, document = _load(control, usage, configuration)
         now_minute = int(time.time()) // SECONDS_PER_MINUTE
         parsed = parse_usage_view(view, now_minute)
         text = RENDERERS[format](build_report(parsed, parse_configuration(document)))
-    except AdminError as error:
+    except ControlReadError as error:
         _stop(str(error), error.exit_code)
     except (OSError, ValueError) as error:
-        _stop(str(error), 2)
+        _stop(str(error), EXIT_INVALID)
     if output is None:
         print(text)
     else:
@@ -64,11 +88,25 @@
     control: str | None, usage: str | None, configuration: str | None
 ) -> tuple[list[dict], str]:
     """Return the usage view and the configuration document."""
-    if control is not None:
-        document = json.loads(read_state(control, "configuration"))["document"]
-        return json.loads(read_state(control, "usage")), document
-    view = json.loads(Path(usage).read_text(encoding="utf-8"))
-    return view, Path(configuration).read_text(encoding="utf-8")
+    if control is None:
+        view = json.loads(Path(usage).read_text(encoding="utf-8"))
+        return view, Path(configuration).read_text(encoding="utf-8")
+    peers = find_control(control, None).control
+    document = _read_state(peers, "configuration")["document"]
+    return _read_state(peers, "usage"), document
+
+
+def _read_state(peers: list[PeerAddress], what: str) -> Any:
+    exchange = ControlExchange(peers, CONTROL_TIMEOUT_MS)
+    try:
+        _, outcome = exchange.run_command(ReadState(what))
+    finally:
+        exchange.close()
+    if outcome.is_error():
+        unknown = outcome.error.code == "control_timeout"
+        exit_code = EXIT_UNKNOWN if unknown else EXIT_FAILED
+        raise ControlReadError(outcome.error.message, exit_code)
+    return json.loads(outcome.ok.document)
 
 
 def _stop(message: str, exit_code: int) -> None:
@@ -78,6 +116,7 @@
 
 def main() -> None:
     """Run the program."""
+    configure_logging("papayacrank-report", "warning")
     fire.Fire(report, name="papayacrank-report")
 
 
