Add fleet, relay, load poller and cache event subscriber

Cause: demo, proofs and the entry process need processes to run against, and the load and cache events of engines.

Change: testing.Fleet and testing.Relay; targets.LoadPoller and targets.CacheEventSubscriber with replay through a DEALER and listing over HTTP.

Conclusion: the stand-in programs survive kill, pause and restart at their addresses.

--- a/papayacrank/targets/__init__.py
+++ b/papayacrank/targets/__init__.py
@@ -1,8 +1,10 @@
 """Connections to engines and plain services."""
 
 from ._assembler import Delivery, ResumePoint, ResumeStep, StreamAssembler
+from ._cache_events import CacheEventSource, CacheEventSubscriber
 from ._client import TargetClient
 from ._headers import filter_answer_headers, filter_request_headers
+from ._load import LoadPoller
 from ._notifications import (
     cache_batch,
     cache_listed,
@@ -26,7 +28,10 @@
 )
 
 __all__ = [
+    "CacheEventSource",
+    "CacheEventSubscriber",
     "Delivery",
+    "LoadPoller",
     "ResumePoint",
     "ResumeStep",
     "StreamAssembler",
--- a/papayacrank/targets/_notifications.py
+++ b/papayacrank/targets/_notifications.py
@@ -50,8 +50,12 @@
 
 
 class cache_listed(Event):
-    """A fresh listing arrived: ``(target, listing)``."""
+    """A fresh listing arrived: ``(target, payload)``, the JSON text as bytes."""
 
 
 class cache_listing_failed(Event):
     """A fresh listing failed: ``(target, failure)``."""
+
+
+class cache_socket_ready(Event):
+    """A ZeroMQ socket may have more messages: ``(descriptor,)``; internal."""
--- a/papayacrank/testing/__init__.py
+++ b/papayacrank/testing/__init__.py
@@ -3,9 +3,17 @@
 from ._builders import build_questionnaire
 from ._engine import StandInEngine
 from ._engine_model import EngineSpeed, expected_output
+from ._fleet import Fleet, FleetError, FleetProcess, HttpAnswer
+from ._relay import Direction, Relay
 from ._service import StandInService
 
 __all__ = [
+    "Direction",
+    "Fleet",
+    "FleetError",
+    "FleetProcess",
+    "HttpAnswer",
+    "Relay",
     "EngineSpeed",
     "StandInEngine",
     "StandInService",
--- a/papayacrank/testing/_engine.py
+++ b/papayacrank/testing/_engine.py
@@ -112,11 +112,10 @@
         self._highest_token: list[int] = [0, 0]
         self._incarnation = time.time_ns() // 1_000_000
         self._loading_until_ms = 0
-        self._down_until_ms = 0
         self._streams: dict[Job, _Stream] = {}
         self._records: list[EngineRecord] = []
+        self._seen_ids: set[str] = set()
         self._cancelled_ids: OrderedDict[str, None] = OrderedDict()
-        self._late_changes: list = []
         self._tick_set = False
         self._counts = {"tokens_sent": 0, "computed_tokens": 0, "cached_tokens": 0}
 
@@ -174,7 +173,8 @@
         headers = {name.lower(): value for name, value in req.headers.items()}
         record = EngineRecord(job.request_id, headers, first_offset=job.first_offset)
         self._remember(record)
-        if job.request_id in self._cancelled_ids:
+        self._seen_ids.add(job.request_id)
+        if self._cancelled_ids.pop(job.request_id, self) is None:
             record.cancelled = True
             return self._answer(res, 499, {"error": "cancelled"})
         stream = _Stream(job, res, record, bool(document.get("stream")), job.request_id)
@@ -222,7 +222,9 @@
 
     def _cancel(self, req, res):
         request_id = str(read_json(req)["request_id"])
-        self._cancelled_ids[request_id] = None
+        if request_id not in self._seen_ids:
+            # The request itself may still be on its way on another connection.
+            self._cancelled_ids[request_id] = None
         if len(self._cancelled_ids) > MAX_CANCELLED_IDS:
             self._cancelled_ids.popitem(last=False)
         found = [s for s in self._streams.values() if s.job.request_id == request_id]
--- /dev/null
+++ b/papayacrank/testing/tests/test_fleet.py
@@ -0,0 +1,131 @@
+"""Tests of the fleet, the relay and the stand-in programs."""
+
+import http.client
+import socket
+import time
+
+import pytest
+
+from papayacrank.testing import Direction, Fleet, FleetError, Relay, expected_output
+
+MESSAGES = [{"role": "user", "content": "Which remnants are left? " * 40}]
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    """Fleet whose processes are ended after the test."""
+    with Fleet(tmp_path) as fleet:
+        yield fleet
+
+
+def test_engine_is_killed_and_comes_back_empty_at_its_addresses(fleet):
+    """Guards against a restart that keeps its cache or loses its addresses."""
+    engine = fleet.start_engine("engine-1", block_tokens=16)
+    document = {"request_id": "r1", "messages": MESSAGES, "max_tokens": 5}
+    answer = fleet.request(engine.address, "POST", "/v1/chat/completions", document)
+    output, _ = expected_output(MESSAGES, 5)
+    assert answer.json()["choices"][0]["message"]["content"] == "".join(output)
+    before = fleet.request(engine.address, "GET", "/v1/kv/blocks").json()
+    assert before["block_hashes"]
+    fleet.kill("engine-1")
+    with pytest.raises(OSError):
+        fleet.request(engine.address, "GET", "/v1/load")
+    again = fleet.restart("engine-1")
+    assert again.addresses == engine.addresses
+    after = fleet.request(again.address, "GET", "/v1/kv/blocks").json()
+    assert after["block_hashes"] == []
+    assert after["incarnation"] > before["incarnation"]
+
+
+def test_paused_process_does_not_answer_until_resumed(fleet):
+    """Guards against a pause that ends the process, and an end without exit code 0."""
+    service = fleet.start_service("service-1")
+    fleet.pause("service-1")
+    with pytest.raises(TimeoutError):
+        fleet.request(service.address, "GET", "/health", timeout_s=0.3)
+    fleet.resume("service-1")
+    fleet.wait_healthy(service.address)
+    assert fleet.terminate("service-1") == 0
+
+
+def test_service_journal_shows_headers_of_requests_that_ran(fleet):
+    """Guards against a journal in which leaked keys or double claims do not show."""
+    service = fleet.start_service("service-1")
+    headers = {"Authorization": "Bearer sample", "X-Request-Id": "r7"}
+    fleet.request(service.address, "POST", "/claims", {"roll": 3}, headers)
+    fleet.inject("service-1", "drop_before", path="/claims")
+    with pytest.raises((OSError, http.client.HTTPException)):
+        fleet.request(service.address, "POST", "/claims", {"roll": 4})
+    fleet.inject("service-1", "drop_after", path="/claims")
+    with pytest.raises((OSError, http.client.HTTPException)):
+        fleet.request(service.address, "POST", "/claims", {"roll": 5})
+    entries = fleet.journal("service-1")
+    assert [entry["body"] for entry in entries] == ['{"roll": 3}', '{"roll": 5}']
+    assert entries[0]["headers"]["authorization"] == "Bearer sample"
+    assert entries[0]["request_id"] == "r7"
+
+
+def test_only_own_processes_can_be_ended(fleet):
+    """Guards against signals to processes that the fleet did not start."""
+    with pytest.raises(FleetError):
+        fleet.kill("engine-9")
+
+
+def test_failed_start_reports_the_output(fleet):
+    """Guards against a start that hangs when the program ends with an error."""
+    with pytest.raises(FleetError, match="ended"):
+        fleet.start_engine("engine-1", port="none")
+
+
+@pytest.fixture
+def echo_relay(fleet):
+    """Relay to a stand-in service, and the service's address."""
+    service = fleet.start_service("service-1")
+    with Relay(service.address) as relay:
+        yield relay
+
+
+def ask(connection):
+    """Ask for the health on an open connection and return the status."""
+    connection.request("GET", "/health")
+    answer = connection.getresponse()
+    answer.read()
+    return answer.status
+
+
+def connect(relay, timeout_s=1.0):
+    """Open a connection through the relay."""
+    port = int(relay.address.rsplit(":", 1)[1])
+    return http.client.HTTPConnection("127.0.0.1", port, timeout=timeout_s)
+
+
+@pytest.mark.parametrize("direction", list(Direction))
+def test_relay_freezes_open_connections_only(echo_relay, direction):
+    """Guards against a fault that also hits new connections, or none."""
+    old = connect(echo_relay, 0.3)
+    assert ask(old) == 200
+    echo_relay.freeze_open((direction,))
+    with pytest.raises(socket.timeout):
+        ask(old)
+    assert ask(connect(echo_relay)) == 200
+
+
+def test_relay_cuts_and_restores(echo_relay):
+    """Guards against a cut that leaves a connection open or cannot be undone."""
+    old = connect(echo_relay)
+    assert ask(old) == 200
+    echo_relay.cut()
+    with pytest.raises((OSError, http.client.HTTPException)):
+        ask(old)
+    with pytest.raises(ConnectionRefusedError):
+        ask(connect(echo_relay))
+    echo_relay.restore()
+    assert ask(connect(echo_relay)) == 200
+
+
+def test_relay_delays(echo_relay):
+    """Guards against a delay that is not applied."""
+    echo_relay.delay(150, (Direction.TO_CLIENT,))
+    start = time.monotonic()
+    assert ask(connect(echo_relay)) == 200
+    assert time.monotonic() - start >= 0.15
