--- a/papayacrank/admin/__main__.py
+++ b/papayacrank/admin/__main__.py
@@ -9,7 +9,7 @@
 
 def main() -> None:
     """Run the command line."""
-    configure_logging("papayacrank-admin", "warning")
+    configure_logging("admin", "warning")
     fire.Fire(AdminCommands, name="papayacrank-admin")
 
 
