--- a/papayacrank/cache/_events.py
+++ b/papayacrank/cache/_events.py
@@ -5,14 +5,14 @@
 EVENTS_GAP = LogEvent(
     6100,
     "cache_events_gap",
-    "info",
+    "debug",
     "Cache events of an engine are missing; a replay or a listing was requested.",
     "None, unless it repeats: then check the network to the engine.",
 )
 EVENTS_REPAIRED = LogEvent(
     6101,
     "cache_events_repaired",
-    "info",
+    "debug",
     "The view of an engine's cache is complete again.",
 )
 EVENTS_MALFORMED = LogEvent(
--- /dev/null
+++ b/papayacrank/replay/_cli.py
@@ -0,0 +1,105 @@
+"""Command line of the replay."""
+
+import json
+from collections.abc import Iterator
+from pathlib import Path
+
+from papayacrank.kernel import available, configure_logging
+from papayacrank.routing import RoutingPolicy
+
+from ._bound import run_bound
+from ._generate import generate_trace
+from ._metrics import Measures, measure
+from ._runner import Run, Runner
+from ._targets import find_missed, load_target
+from ._trace import TRACE_NAMES, TRACES_FOLDER, Trace, load_trace, write_trace
+
+SHIPPED_POLICY = "papayacrank"
+
+
+class ReplayCommands:
+    """Replay traces through the routing and admission code in virtual time."""
+
+    def bench(self, traces: str = "", policies: str = "", seed: int = 1):
+        """Print one JSON object a line for each trace and policy.
+
+        Parameters
+        ----------
+        traces : str
+            Names or paths, separated by commas; all committed traces by default.
+        policies : str
+            Registered names, separated by commas; all by default.
+        seed : int
+            Seed of delays, losses and random choices.
+        """
+        configure_logging("replay", "error")
+        for name in _split(traces) or TRACE_NAMES:
+            done = []
+            for run in _replay(load_trace(name), _split(policies), seed):
+                done.append(measure(run))
+            for measures in done:
+                print(json.dumps(_describe(measures, done)), flush=True)
+
+    def plot(
+        self,
+        folder: str = "build/replay",
+        traces: str = "",
+        policies: str = "",
+        seed: int = 1,
+    ):
+        """Write PNG files that compare the policies.
+
+        Parameters
+        ----------
+        folder : str
+            Folder for the files.
+        traces, policies : str
+            As for `bench`.
+        seed : int
+            As for `bench`.
+        """
+        from ._plot import plot_runs
+
+        configure_logging("replay", "error")
+        for name in _split(traces) or TRACE_NAMES:
+            runs = list(_replay(load_trace(name), _split(policies), seed))
+            for path in plot_runs(runs, [measure(r) for r in runs], Path(folder)):
+                print(path)
+
+    def generate(self, folder: str = str(TRACES_FOLDER), seed: int = 1):
+        """Write the four traces.
+
+        Parameters
+        ----------
+        folder : str
+            Folder for the files; by default the committed ones are replaced.
+        seed : int
+            Seed of the requests.
+        """
+        for name in TRACE_NAMES:
+            path = Path(folder) / f"{name}.jsonl"
+            write_trace(generate_trace(name, seed), path)
+            print(path)
+
+
+def _split(names: str | tuple) -> list[str]:
+    if isinstance(names, tuple):
+        return list(names)
+    return [name for name in names.split(",") if name]
+
+
+def _replay(trace: Trace, policies: list[str], seed: int) -> Iterator[Run]:
+    for policy in policies or available(RoutingPolicy):
+        yield Runner(trace, policy, seed).run()
+    if not policies:
+        yield run_bound(trace)
+
+
+def _describe(measures: Measures, done: list[Measures]) -> dict:
+    described = measures.to_dict()
+    target = load_target(measures.trace)
+    if target is not None and measures.policy == target.policy:
+        rivals = (target.policy, "offline_bound")
+        baselines = [other for other in done if other.policy not in rivals]
+        described["missed_targets"] = find_missed(target, measures, baselines)
+    return described
--- a/papayacrank/replay/_engine.py
+++ b/papayacrank/replay/_engine.py
@@ -1,6 +1,5 @@
 """Model of an engine in virtual time: batch, prefill, decode and prefix cache."""
 
-import math
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,8 +17,8 @@
 
     Attributes
     ----------
-    on_first_token, on_finished, on_lost : callable
-        Called with the job.
+    on_prefill, on_first_token, on_finished, on_lost : callable
+        Called with the job; the first when its prefill starts.
     cached_blocks, imported_blocks : int
         Set when prefill starts.
     """
@@ -29,6 +28,7 @@
     prompt_tokens: int
     output_tokens: int
     kv_source: "EngineModel | None"
+    on_prefill: Callable[["Job"], None]
     on_first_token: Callable[["Job"], None]
     on_finished: Callable[["Job"], None]
     on_lost: Callable[["Job"], None]
@@ -119,9 +119,7 @@
             left_ms = self._prefill_until_ms - self.schedule.now_ms
             speed = self.settings.prefill_tokens_per_s / 1_000
             queued += int(max(0.0, left_ms) * speed)
-        queued -= sum(
-            self.match(job.blocks) * self.block_tokens for job in self._queue
-        )
+        queued -= sum(self.match(job.blocks) * self.block_tokens for job in self._queue)
         return LoadReport(
             incarnation=self.incarnation,
             weights_version="1",
@@ -177,6 +175,7 @@
         if job.imported_blocks:
             import_ms = settings.import_setup_ms
             import_ms += job.imported_blocks * settings.import_ms_per_block
+        job.on_prefill(job)
         present = (job.cached_blocks + job.imported_blocks) * self.block_tokens
         missing = max(1, job.prompt_tokens - present)
         prefill_ms = missing * 1_000 / settings.prefill_tokens_per_s
@@ -236,8 +235,3 @@
             del undo[block]
         else:
             into[block] = None
-
-
-def round_up_ms(value: float) -> int:
-    """Return whole milliseconds, never too early."""
-    return math.ceil(value)
--- a/papayacrank/replay/_generate.py
+++ b/papayacrank/replay/_generate.py
@@ -26,7 +26,7 @@
     """Deployment 1: long nested catalogues, a few very hot ones that shift."""
 
     duration_ms: int = 120_000
-    requests_per_s: float = 15.0
+    requests_per_s: float = 9.0
     catalogues: int = 14
     catalogue_blocks: tuple[int, int] = (22, 44)
     sections: int = 5
@@ -42,20 +42,20 @@
 class InspectionShape:
     """Deployment 2: short notes, a few long histories, bursts, one greedy workspace."""
 
-    duration_ms: int = 90_000
-    requests_per_s: float = 30.0
+    duration_ms: int = 120_000
+    requests_per_s: float = 14.0
     burst_every_ms: int = 15_000
     burst_ms: int = 3_000
     burst_factor: float = 3.0
     rules_blocks: int = 2
     stations: int = 24
     station_blocks: tuple[int, int] = (1, 3)
-    long_share: float = 0.1
-    history_blocks: tuple[int, int] = (16, 60)
+    long_share: float = 0.05
+    history_blocks: tuple[int, int] = (12, 40)
     follow_ups: tuple[int, int] = (1, 5)
     follow_up_gap_ms: tuple[int, int] = (1_500, 9_000)
     greedy_from_ms: int = 30_000
-    greedy_until_ms: int = 65_000
+    greedy_until_ms: int = 75_000
     greedy_factor: float = 5.0
 
 
@@ -87,9 +87,7 @@
 
 
 def _places(prefix: str, count: int, domains: list[str]) -> list[Place]:
-    return [
-        Place(f"{prefix}-{i + 1}", domains[i % len(domains)]) for i in range(count)
-    ]
+    return [Place(f"{prefix}-{i + 1}", domains[i % len(domains)]) for i in range(count)]
 
 
 def _pick_weighted(random_state: random.Random, count: int, exponent: float) -> int:
@@ -132,7 +130,9 @@
             number = _pick_weighted(random_state, shape.catalogues, 0.7)
         prefix = library[(workspace, number)]
         arrivals.append(
-            _catalogue_request(shape, workspace, prefix, len(arrivals), now_ms, random_state)
+            _catalogue_request(
+                shape, workspace, prefix, len(arrivals), now_ms, random_state
+            )
         )
     header = Header(
         name="catalogue",
--- a/papayacrank/replay/_trace.py
+++ b/papayacrank/replay/_trace.py
@@ -222,7 +222,9 @@
         full_blocks = arrival.prompt_tokens // self.header.block_tokens
         levels = [*arrival.prefix, (arrival.request_id, full_blocks)]
         digests = [
-            self._digest(label, number) for label, count in levels for number in range(count)
+            self._digest(label, number)
+            for label, count in levels
+            for number in range(count)
         ]
         tokens = b"".join(digests[:full_blocks])
         return hash_prompt(
--- a/papayacrank/routing/_baselines.py
+++ b/papayacrank/routing/_baselines.py
@@ -64,13 +64,17 @@
         Number of leading blocks that decide.
     """
 
-    def __init__(self, prefix_blocks: int = 4):
+    def __init__(self, prefix_blocks: int = 16):
         self.prefix_blocks = prefix_blocks
 
     def select(self, request: RoutingRequest, situation: Situation) -> Choice:
         """Choose a target."""
         leading = request.blocks[: self.prefix_blocks]
-        key = leading[-1] if leading else xxhash.xxh3_64_intdigest(request.request_id)
+        key = (
+            leading[-1]
+            if leading
+            else xxhash.xxh3_64_intdigest(request.request_id.encode())
+        )
         state = max(situation.targets, key=lambda s: rendezvous_weight(key, s.name))
         return self._choice(request, situation, state)
 
@@ -90,6 +94,10 @@
         return self._choice(request, situation, state)
 
 
+def _hash_name(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
 def rendezvous_weight(key: int, target: str) -> int:
     """Return the weight of a target for a key; the highest one wins."""
-    return xxhash.xxh3_64_intdigest(target, seed=key & ((1 << 64) - 1))
+    return xxhash.xxh3_64_intdigest(target.encode(), seed=key & ((1 << 64) - 1))
--- a/papayacrank/routing/_router.py
+++ b/papayacrank/routing/_router.py
@@ -1,7 +1,9 @@
 """Routing decisions of one entry instance."""
 
 import random
+from collections.abc import Iterator
 
+import msgspec
 from expression import Error, Ok, Result
 
 from papayacrank.cache import PrefixIndex
@@ -17,6 +19,13 @@
 NO_TARGET_RETRY_MS = 1_000
 
 
+class RouterPage(msgspec.Struct, array_like=True):
+    """Part of the routing state on its way to a starting instance."""
+
+    loads: dict[str, LoadReport]
+    index: bytes
+
+
 class Router:
     """Chooses targets from the instance's own view of caches and load.
 
@@ -181,6 +190,55 @@
             self.index.remove(target, attempt.incarnation, attempt.new_blocks)
         state.discard(attempt)
 
+    def export_page(self, cursor: str = "") -> tuple[bytes, str]:
+        """Encode a part of the index and the load reports for a starting instance.
+
+        Parameters
+        ----------
+        cursor : str
+            Empty for the first page.
+
+        Returns
+        -------
+        bytes
+            Page for `import_page`.
+        str
+            Cursor of the next page, empty at the end.
+        """
+        blocks, following = self.index.export_page(int(cursor or "0"))
+        loads = {} if cursor else self._known_loads()
+        page = msgspec.msgpack.encode(RouterPage(loads, blocks))
+        return page, "" if following is None else str(following)
+
+    def export_pages(self) -> Iterator[bytes]:
+        """Encode all pages."""
+        page, cursor = self.export_page()
+        yield page
+        while cursor:
+            page, cursor = self.export_page(cursor)
+            yield page
+
+    def import_page(self, page: bytes, now_ms: int) -> None:
+        """Take a page of another instance.
+
+        Raises
+        ------
+        msgspec.DecodeError
+            If `page` is malformed.
+        """
+        decoded = msgspec.msgpack.decode(page, type=RouterPage)
+        self.index.import_page(decoded.index)
+        for target, report in decoded.loads.items():
+            self.observe_load(target, report, now_ms)
+
+    def _known_loads(self) -> dict[str, LoadReport]:
+        return {
+            state.name: state.report
+            for table in self._tables.values()
+            for state in table.states.values()
+            if state.report is not None
+        }
+
     def _eligible(
         self, table: TargetTable, request: RoutingRequest
     ) -> list[TargetState]:
