Add bounded HTTP front end of the entry process

The HTTP component of circuits.web buffers without bound, accepts several lengths and decodes escape sequences in headers.

--- /dev/null
+++ b/papayacrank/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry process: serves callers."""
--- /dev/null
+++ b/papayacrank/entry/_answers.py
@@ -0,0 +1,74 @@
+"""Answers to callers in HTTP."""
+
+from email.utils import formatdate
+from functools import lru_cache
+from time import time
+
+import msgspec
+from circuits.web.constants import HTTP_STATUS_CODES
+
+from papayacrank.kernel import Failure
+
+VERDICT_HEADER = "Papayacrank-Verdict"
+JSON_TYPE = "application/json"
+SSE_TYPE = "text/event-stream"
+MS_PER_SECOND = 1000
+
+Headers = list[tuple[str, str]]
+
+
+@lru_cache(maxsize=1)
+def _format_date(second: int) -> str:
+    return formatdate(second, usegmt=True)
+
+
+def encode_head(status: int, headers: Headers) -> bytes:
+    """Encode the status line and headers of an answer."""
+    reason = HTTP_STATUS_CODES.get(status, "Status")
+    lines = [f"HTTP/1.1 {status} {reason}", f"Date: {_format_date(int(time()))}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace")
+
+
+def encode_chunk(data: bytes) -> bytes:
+    """Encode one piece of a chunked body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def describe_failure(failure: Failure, request_id: str) -> bytes:
+    """Return the JSON body for a failure."""
+    error = {
+        "code": failure.code,
+        "message": failure.message,
+        "verdict": failure.verdict.value,
+        "retry_after_ms": failure.retry_after_ms,
+        "request_id": request_id,
+    }
+    return msgspec.json.encode({"error": failure.details | error})
+
+
+def failure_headers(failure: Failure) -> Headers:
+    """Return the headers for a failure; ``Retry-After`` is in whole seconds."""
+    headers = [
+        ("Content-Type", JSON_TYPE),
+        (VERDICT_HEADER, failure.verdict.value),
+    ]
+    if failure.retry_after_ms is not None:
+        seconds = -(-failure.retry_after_ms // MS_PER_SECOND)
+        headers.append(("Retry-After", str(max(1, seconds))))
+    if failure.status == 401:
+        headers.append(("WWW-Authenticate", "Bearer"))
+    return headers
+
+
+def encode_sse(document: dict) -> bytes:
+    """Encode one server-sent event."""
+    return b"data: " + msgspec.json.encode(document) + b"\n\n"
+
+
+def encode_sse_failure(failure: Failure, request_id: str) -> bytes:
+    """Encode the event that ends a stream with an explicit error."""
+    return b"event: error\ndata: " + describe_failure(failure, request_id) + b"\n\n"
+
+
+SSE_DONE = b"data: [DONE]\n\n"
--- /dev/null
+++ b/papayacrank/entry/_caller_server.py
@@ -0,0 +1,181 @@
+"""Listening socket and connections of callers."""
+
+from socket import SHUT_WR
+
+from circuits import Event, handler
+from circuits.net.events import connect, disconnect, read
+from circuits.net.sockets import TCPServer
+
+READ_BYTES = 65_536
+ACCEPTS_PER_WAKEUP = 64
+
+
+class caller_progress(Event):  # noqa: N801 - circuits events are lower case
+    """Bytes that were held back left for a caller: ``caller_progress(sock)``."""
+
+
+class CallerServer(TCPServer):
+    """TCP server that counts what it holds for each connection.
+
+    The server of circuits queues an event and a poller registration for each piece
+    of data. This one writes at once and only waits for the poller if the socket is
+    full.
+
+    Parameters
+    ----------
+    bind : tuple of (str, int)
+        Address to listen on.
+    max_connections : int
+        Further connections get `refusal` and are closed.
+    refusal : bytes
+        Whole HTTP answer for a connection too many.
+    """
+
+    channel = "web"
+
+    def __init__(self, bind: tuple[str, int], max_connections: int, refusal: bytes):
+        super().__init__(bind, channel=self.channel, bufsize=READ_BYTES)
+        self._max_connections = max_connections
+        self._refusal = refusal
+        self._held_bytes: dict = {}
+
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return len(self._held_bytes)
+
+    def held_bytes(self, sock) -> int:
+        """Return the number of bytes that the caller has not taken yet."""
+        return self._held_bytes.get(sock, 0)
+
+    def send(self, sock, data: bytes) -> None:
+        """Send data, keeping what the socket does not take."""
+        if sock not in self._held_bytes or not data:
+            return
+        if not self._held_bytes[sock]:
+            data = data[self._send_now(sock, data) :]
+        if data and sock in self._held_bytes:
+            self._buffers[sock].append(data)
+            self._held_bytes[sock] += len(data)
+            if not self._poller.isWriting(sock):
+                self._poller.addWriter(self, sock)
+
+    def end(self, sock) -> None:
+        """Close a connection after everything was sent."""
+        if sock in self._held_bytes:
+            self.close(sock)
+
+    def abort(self, sock) -> None:
+        """Close a connection at once."""
+        self._close(sock)
+
+    def half_close(self, sock) -> None:
+        """Signal the end of the answers while still reading."""
+        try:
+            sock.shutdown(SHUT_WR)
+        except OSError:
+            self._close(sock)
+
+    def stop_listening(self) -> None:
+        """Accept no further connections."""
+        if self._sock is not None:
+            self._poller.discard(self._sock)
+            self._sock.close()
+            self._sock = None
+
+    def _send_now(self, sock, data: bytes) -> int:
+        try:
+            return sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return 0
+        except OSError:
+            self._close(sock)
+            return 0
+
+    def _read(self, sock) -> None:
+        # The server of circuits keeps polling a connection at its end while data is
+        # still held for it, which occupies the process until the caller resets it.
+        if sock not in self._held_bytes:
+            return
+        try:
+            data = sock.recv(READ_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            data = b""
+        if data:
+            self.fire(read(sock, data))
+        else:
+            self._close(sock)
+
+    def _close(self, sock) -> None:
+        if sock is None or self._held_bytes.pop(sock, None) is None:
+            return
+        self._poller.discard(sock)
+        self._buffers.pop(sock, None)
+        self._clients.remove(sock)
+        if sock in self._closeq:
+            self._closeq.remove(sock)
+        sock.close()
+        self.fire(disconnect(sock))
+
+    @handler("stopped", channel="*", override=True)
+    def _on_stopped(self, component):
+        self.stop_listening()
+        for sock in list(self._held_bytes):
+            self._close(sock)
+
+    @handler("_read", priority=1, override=True)
+    def _on_read(self, sock):
+        if sock is self._sock:
+            for _ in range(ACCEPTS_PER_WAKEUP):
+                if not self._accept_one():
+                    return
+            return
+        self._read(sock)
+
+    @handler("_write", priority=1, override=True)
+    def _on_write(self, sock):
+        buffer = self._buffers[sock]
+        while buffer and sock in self._held_bytes:
+            data = buffer.popleft()
+            sent = self._send_now(sock, data)
+            if sock not in self._held_bytes:
+                return
+            self._held_bytes[sock] -= sent
+            if sent < len(data):
+                buffer.appendleft(data[sent:])
+                break
+        if not buffer:
+            self._on_all_sent(sock)
+        self.fire(caller_progress(sock))
+
+    def _on_all_sent(self, sock) -> None:
+        if sock in self._closeq:
+            self._close(sock)
+        elif self._poller.isWriting(sock):
+            self._poller.removeWriter(sock)
+
+    def _accept_one(self) -> bool:
+        try:
+            sock, (host, port) = self._sock.accept()
+        except OSError:
+            return False
+        sock.setblocking(False)
+        if len(self._held_bytes) >= self._max_connections:
+            self._refuse(sock)
+            return True
+        self._held_bytes[sock] = 0
+        self._clients.append(sock)
+        self._poller.addReader(self, sock)
+        self.fire(connect(sock, host, port))
+        return True
+
+    def _refuse(self, sock) -> None:
+        try:
+            sock.send(self._refusal)
+            sock.shutdown(SHUT_WR)
+        except OSError:
+            pass
+        finally:
+            sock.close()
--- /dev/null
+++ b/papayacrank/entry/_exchange.py
@@ -0,0 +1,113 @@
+"""One request of a caller and its answer."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from papayacrank.kernel import Failure
+
+from ._answers import (
+    SSE_TYPE,
+    Headers,
+    describe_failure,
+    encode_chunk,
+    encode_head,
+    encode_sse_failure,
+    failure_headers,
+)
+from ._request_parser import CallerRequest
+
+REQUEST_ID_HEADER = "X-Request-Id"
+
+
+@dataclass(eq=False)
+class Exchange:
+    """A request and the way to answer it, once.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        The request.
+    request_id : str
+        Identifier within the process, unique; used towards targets.
+    public_id : str
+        Identifier shown to the caller: the caller's own or `request_id`.
+    peer : str
+        IP address of the caller.
+    sock : socket
+        Connection.
+    front_end : FrontEnd
+        Component that owns the connection.
+    """
+
+    request: CallerRequest
+    request_id: str
+    public_id: str
+    peer: str
+    sock: Any
+    front_end: Any
+    extra_headers: Headers = field(default_factory=list)
+    status: int = 0
+    is_open: bool = True
+    is_streaming: bool = False
+
+    @property
+    def is_blocked(self) -> bool:
+        """Whether the caller reads too slowly to take more now."""
+        return self.front_end.is_blocked(self.sock)
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        if not self.is_open:
+            return
+        self.status = status
+        length = ("Content-Length", str(len(body)))
+        head = encode_head(status, [*self._common_headers(), *headers, length])
+        if self.request.method == "HEAD":
+            body = b""
+        self.front_end.send(self, head + body)
+        self._finish()
+
+    def respond_failure(self, failure: Failure) -> None:
+        """Send a failure: as an answer, or as the last event of a running stream."""
+        if self.is_streaming:
+            self.write(encode_sse_failure(failure, self.public_id))
+            self.end_stream()
+            return
+        body = describe_failure(failure, self.public_id)
+        self.respond(failure.status, failure_headers(failure), body)
+
+    def start_stream(self, headers: Headers = ()) -> None:
+        """Send the head of an answer whose pieces follow."""
+        if not self.is_open or self.is_streaming:
+            return
+        self.status = 200
+        self.is_streaming = True
+        framing = [("Content-Type", SSE_TYPE), ("Cache-Control", "no-store")]
+        if self.request.chunked_answers:
+            framing.append(("Transfer-Encoding", "chunked"))
+        all_headers = [*self._common_headers(), *headers, *framing]
+        self.front_end.send(self, encode_head(200, all_headers))
+
+    def write(self, data: bytes) -> None:
+        """Send a piece of a streamed answer."""
+        if self.is_open and data:
+            chunked = self.request.chunked_answers
+            self.front_end.send(self, encode_chunk(data) if chunked else data)
+
+    def end_stream(self) -> None:
+        """End a streamed answer."""
+        if not self.is_open:
+            return
+        if self.request.chunked_answers:
+            self.front_end.send(self, b"0\r\n\r\n")
+        self._finish()
+
+    def _finish(self) -> None:
+        self.is_open = False
+        self.front_end.finish(self)
+
+    def _common_headers(self) -> Headers:
+        headers = [(REQUEST_ID_HEADER, self.public_id), *self.extra_headers]
+        if not self.front_end.keeps_connection(self):
+            headers.append(("Connection", "close"))
+        return headers
