--- /dev/null
+++ b/papayacrank/entry/_authentication.py
@@ -0,0 +1,105 @@
+"""Authentication of callers by key."""
+
+import hashlib
+import re
+from dataclasses import dataclass
+from typing import Any, Protocol
+from urllib.parse import unquote
+
+from expression import Error, Ok, Result
+
+from papayacrank.kernel import Failure, Verdict
+from papayacrank.messages import KeyEntry
+
+from ._request_parser import CallerRequest
+
+KEY_DIGEST_BYTES = 32
+MAX_KEY_CHARACTERS = 512
+_BEARER = re.compile(r"[Bb]earer +([\x21-\x7e]+)")
+
+
+class KeyDirectory(Protocol):
+    """Source of the keys in force, such as `papayacrank.control.ControlContact`."""
+
+    def find_key(self, digest: str) -> KeyEntry | None:
+        """Return the key of a digest, compared in constant time."""
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """Who sent a request.
+
+    Parameters
+    ----------
+    workspace : str
+        The only workspace that the key opens.
+    key_id : str
+        Public identifier of the key.
+    """
+
+    workspace: str
+    key_id: str
+
+
+def digest_key(key: str) -> str:
+    """Return the hexadecimal BLAKE2b-256 digest of a key."""
+    return hashlib.blake2b(key.encode(), digest_size=KEY_DIGEST_BYTES).hexdigest()
+
+
+def has_key(request: CallerRequest) -> bool:
+    """Return whether the request carries credentials."""
+    return "authorization" in request.headers
+
+
+def authenticate(
+    request: CallerRequest, keys: KeyDirectory
+) -> Result[Caller, Failure]:
+    """Find out whose key a request carries.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        Request of a caller.
+    keys : KeyDirectory
+        Keys in force.
+
+    Returns
+    -------
+    Result
+        Error side: 401 if the key is missing, unknown or withdrawn; 400 if the key
+        also appears where it would be passed to a target.
+    """
+    key = _read_key(request.headers)
+    if key is None:
+        return Error(_refuse("key_missing", "a key is needed: Authorization: Bearer"))
+    entry = keys.find_key(digest_key(key))
+    if entry is None:
+        return Error(_refuse("key_unknown", "the key is unknown or was withdrawn"))
+    if _appears_elsewhere(key, request):
+        text = "the key must appear in the Authorization header only"
+        return Error(Failure("key_exposed", Verdict.NOT_RUN, text, 400))
+    return Ok(Caller(entry.workspace, entry.key_id))
+
+
+def _read_key(headers: Any) -> str | None:
+    found = _BEARER.fullmatch(headers.get("authorization", ""))
+    if found is None or len(found.group(1)) > MAX_KEY_CHARACTERS:
+        return None
+    return found.group(1)
+
+
+def _appears_elsewhere(key: str, request: CallerRequest) -> bool:
+    """Tell whether a target would see the key although the header is removed."""
+    if key in request.target or key in unquote(request.target):
+        return True
+    if key.encode() in request.body:
+        return True
+    return any(
+        key in value
+        for name, value in request.headers.items()
+        if name.lower() != "authorization"
+    )
+
+
+def _refuse(code: str, message: str) -> Failure:
+    return Failure(code, Verdict.NOT_RUN, message, 401)
--- /dev/null
+++ b/papayacrank/entry/_completion_request.py
@@ -0,0 +1,141 @@
+"""Body of a completion request."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+
+from papayacrank.config import Assistant, EntryLimits, Service
+from papayacrank.kernel import Failure, Verdict
+
+MAX_OUTPUT_TOKENS = 1_000_000
+TOKEN_BYTES = 4
+# Fields by which the system talks to engines. A caller who could set the salt of the
+# cache would reach the cache entries of another workspace.
+INTERNAL_FIELDS = (
+    "request_id",
+    "cache_salt",
+    "priority",
+    "resume_from",
+    "kv_source",
+    "weights_version",
+)
+
+
+class _TextPart(msgspec.Struct):
+    text: str = ""
+    type: str = "text"
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: str | list[_TextPart] | None = None
+
+
+class _Body(msgspec.Struct):
+    model: str
+    messages: list[_Message]
+    stream: bool | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int | None = None
+    assistant: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CompletionRequest:
+    """A checked completion request.
+
+    Parameters
+    ----------
+    document : dict
+        Body to pass to an engine, without the system's own fields.
+    model : str
+        Model that the caller asks for.
+    text : str
+        Whole prompt.
+    stream : bool
+        Whether the caller wants server-sent events.
+    wanted_output_tokens : int or None
+        Limit that the caller states.
+    assistant : str or None
+        Assistant that the caller names.
+    """
+
+    document: dict[str, Any]
+    model: str
+    text: str
+    stream: bool
+    wanted_output_tokens: int | None
+    assistant: str | None
+
+
+def parse_completion(body: bytes) -> Result[CompletionRequest, Failure]:
+    """Parse and check the body of a completion request.
+
+    Returns
+    -------
+    Result
+        Error side: 400 with the path of the first wrong value.
+    """
+    try:
+        document = msgspec.json.decode(body)
+        fields = msgspec.convert(document, _Body)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        return Error(_refuse("invalid_body", f"invalid body: {error}"))
+    if not fields.messages:
+        return Error(_refuse("invalid_body", "invalid body: messages is empty"))
+    if fields.n not in (None, 1):
+        return Error(_refuse("invalid_body", "invalid body: only n = 1 is supported"))
+    wanted = fields.max_completion_tokens or fields.max_tokens
+    if wanted is not None and not 1 <= wanted <= MAX_OUTPUT_TOKENS:
+        text = f"invalid body: max_tokens must be 1 to {MAX_OUTPUT_TOKENS}"
+        return Error(_refuse("invalid_body", text))
+    passed = {k: v for k, v in document.items() if k not in INTERNAL_FIELDS}
+    passed.pop("assistant", None)
+    return Ok(
+        CompletionRequest(
+            passed,
+            fields.model,
+            "".join(_read_text(message) for message in fields.messages),
+            bool(fields.stream),
+            wanted,
+            fields.assistant,
+        )
+    )
+
+
+def check_size(
+    prompt_tokens: int, limits: EntryLimits, burst_tokens: int, output_tokens: int
+) -> Failure | None:
+    """Refuse prompts that this instance or the workspace can never serve."""
+    if prompt_tokens > limits.max_prompt_tokens:
+        text = f"the prompt exceeds {limits.max_prompt_tokens} tokens"
+        return Failure("prompt_too_large", Verdict.NOT_RUN, text, 413)
+    if prompt_tokens + output_tokens > burst_tokens:
+        text = f"prompt and output exceed the burst of {burst_tokens} tokens"
+        return Failure("request_exceeds_burst", Verdict.NOT_RUN, text, 413)
+    return None
+
+
+def find_assistant(
+    assistants: list[Assistant], service: Service, name: str | None
+) -> Assistant | None:
+    """Return the assistant a request belongs to; None if the named one is unknown."""
+    own = [item for item in assistants if item.service == service.name]
+    if name is None:
+        return own[0] if own else Assistant(name="default", service=service.name)
+    return next((item for item in own if item.name == name), None)
+
+
+def _read_text(message: _Message) -> str:
+    if message.content is None:
+        return ""
+    if isinstance(message.content, str):
+        return message.content
+    return "".join(part.text for part in message.content)
+
+
+def _refuse(code: str, message: str) -> Failure:
+    return Failure(code, Verdict.NOT_RUN, message, 400)
--- /dev/null
+++ b/papayacrank/entry/_drain.py
@@ -0,0 +1,78 @@
+"""Decision code of a planned stop."""
+
+from enum import Enum
+
+# Other instances receive the feed that omits this one a moment later.
+FEED_DELAY_MS = 500
+
+
+class DrainState(Enum):
+    """Progress of a planned stop."""
+
+    SERVING = "serving"
+    ANNOUNCED = "announced"
+    LEAVING = "leaving"
+    STOPPED = "stopped"
+
+
+class Drain:
+    """Decides when a process that was told to stop may stop.
+
+    The process goes on serving until the route answers that name it have expired and
+    its requests have ended. Route answers name it until the feed omits it; without
+    control contact that is at the latest when its lease has expired.
+
+    Parameters
+    ----------
+    lease_ms : int
+        Time after which the control group takes a silent instance for lost.
+    """
+
+    def __init__(self, lease_ms: int):
+        self._lease_ms = lease_ms
+        self._state = DrainState.SERVING
+        self._announced_ms = 0
+        self._omitted_ms = 0
+
+    @property
+    def state(self) -> DrainState:
+        """Progress of the stop."""
+        return self._state
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the process was told to stop."""
+        return self._state is not DrainState.SERVING
+
+    def begin(self, now_ms: int) -> None:
+        """Start the planned stop; a second call has no effect."""
+        if self._state is DrainState.SERVING:
+            self._state = DrainState.ANNOUNCED
+            self._announced_ms = now_ms
+
+    def update(
+        self, now_ms: int, is_omitted: bool, keep_ms: int, open_requests: int
+    ) -> DrainState:
+        """Advance the stop.
+
+        Parameters
+        ----------
+        now_ms : int
+            Current time in milliseconds.
+        is_omitted : bool
+            Whether the feed no longer lists this instance as serving.
+        keep_ms : int
+            Time for which callers keep a route answer.
+        open_requests : int
+            Requests and actions that have not ended.
+        """
+        if self._state is DrainState.ANNOUNCED:
+            lease_over = now_ms - self._announced_ms >= self._lease_ms
+            if is_omitted or lease_over:
+                self._state = DrainState.LEAVING
+                self._omitted_ms = now_ms
+        if self._state is DrainState.LEAVING:
+            expired_ms = self._omitted_ms + FEED_DELAY_MS + keep_ms
+            if now_ms >= expired_ms and open_requests == 0:
+                self._state = DrainState.STOPPED
+        return self._state
--- /dev/null
+++ b/papayacrank/entry/_route_answer.py
@@ -0,0 +1,76 @@
+"""Addresses that callers are told to use."""
+
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+from papayacrank.messages import EntryAddress
+
+MAX_ADDRESSES = 4
+MAX_FALLBACK_ADDRESSES = 4
+SERVING = "serving"
+
+
+def list_serving(
+    instances: Iterable[EntryAddress], own_instance: str, include_self: bool
+) -> list[EntryAddress]:
+    """Return the instances that callers may use, in a fixed order.
+
+    Parameters
+    ----------
+    instances : iterable of EntryAddress
+        Live entry processes according to the feed.
+    own_instance : str
+        Name of this instance.
+    include_self : bool
+        False while this process drains or has no control contact.
+    """
+    usable = [
+        item
+        for item in instances
+        if item.status == SERVING and (include_self or item.instance != own_instance)
+    ]
+    return sorted(usable, key=lambda item: item.instance)
+
+
+def build_route(
+    serving: Sequence[EntryAddress], turn: int, keep_ms: int
+) -> dict[str, Any]:
+    """Build the answer of ``GET /v1/route``.
+
+    Parameters
+    ----------
+    serving : sequence of EntryAddress
+        Instances that callers may use.
+    turn : int
+        Number of answers given before; rotates the order, so that callers behind
+        one address are spread too.
+    keep_ms : int
+        Time for which the caller may keep the answer, in milliseconds.
+
+    Returns
+    -------
+    dict
+        ``addresses`` to use in this order; ``fallback`` addresses, from other
+        failure domains than the first address where there are any, for the case
+        that none of them answers.
+    """
+    count = len(serving)
+    rotated = [serving[(turn + i) % count] for i in range(count)]
+    chosen = rotated[:MAX_ADDRESSES]
+    rest = rotated[MAX_ADDRESSES:]
+    if chosen:
+        home = chosen[0].failure_domain
+        rest.sort(key=lambda item: item.failure_domain == home)
+    return {
+        "addresses": [item.address for item in chosen],
+        "keep_ms": keep_ms,
+        "fallback": [item.address for item in rest[:MAX_FALLBACK_ADDRESSES]],
+    }
+
+
+def list_other_addresses(
+    instances: Iterable[EntryAddress], own_instance: str, turn: int
+) -> list[str]:
+    """Return addresses to try instead of this instance."""
+    others = list_serving(instances, own_instance, include_self=False)
+    return build_route(others, turn, 0)["addresses"]
