--- /dev/null
+++ b/papayacrank/entry/_action_flow.py
@@ -0,0 +1,248 @@
+"""Flow of a non-idempotent action."""
+
+import hashlib
+
+from expression import Result
+
+from papayacrank.config import Service
+from papayacrank.kernel import Failure, Verdict
+from papayacrank.messages import (
+    AbandonAction,
+    ActionRecord,
+    BeginAction,
+    FinishAction,
+)
+
+from ._answers import VERDICT_HEADER
+from ._authentication import Caller
+from ._context import EntryContext
+from ._exchange import Exchange
+from ._idempotency_key import HEADER
+from ._request_life import Phase, RecordClosing
+from ._service_flow import ServiceFlow
+
+BEGIN_TIMEOUT_MS = 3_000
+# A recorded answer survives the loss of this process, so it is recorded before it is
+# passed on; without the control group the caller gets it after this time.
+RECORD_WAIT_MS = 2_000
+MAX_RECORDED_BYTES = 64 * 1024
+DEFAULT_TYPE = "application/octet-stream"
+REPLAYED_HEADER = "Idempotency-Replayed"
+STARTED_RETRY_MS = 1_000
+_DETACHABLE = (Phase.RECORDING, Phase.ATTEMPTING, Phase.ANSWERED)
+
+
+def compute_fingerprint(service: str, method: str, target: str, body: bytes) -> str:
+    """Return the digest that identifies the content of an action."""
+    digest = hashlib.blake2b(digest_size=32)
+    for part in (service.encode(), method.encode(), target.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+class ActionFlow(ServiceFlow):
+    """Runs an action at most once.
+
+    The record of the action is committed before a byte is sent. An action that may
+    have reached the target is neither repeated nor cancelled: when the caller leaves,
+    the deadline passes or the key is withdrawn, it is finished and recorded without
+    the caller.
+
+    Parameters
+    ----------
+    context, exchange, caller, service, target_path
+        As for `ServiceFlow`.
+    idempotency_key : str
+        Key from the caller, or a generated one.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        exchange: Exchange,
+        caller: Caller | None,
+        service: Service,
+        target_path: str,
+        idempotency_key: str,
+    ):
+        super().__init__(
+            context, exchange, caller, service, target_path, idempotent=False
+        )
+        self._key = idempotency_key
+        self._is_detached = False
+        self._is_closing = False
+        exchange.extra_headers.append((HEADER, idempotency_key))
+
+    def on_caller_left(self) -> None:
+        """Go on without the caller once the action may have reached the target."""
+        if self._life.phase in _DETACHABLE:
+            self._detach("left", None)
+        else:
+            super().on_caller_left()
+
+    def fail(self, failure: Failure) -> None:
+        """End the request; an action under way is finished without the caller."""
+        if self._life.phase in _DETACHABLE:
+            self._detach(failure.code, failure)
+        else:
+            super().fail(failure)
+
+    def _target_headers(self) -> tuple[tuple[str, str], ...]:
+        headers = super()._target_headers()
+        kept = tuple(pair for pair in headers if pair[0].lower() != HEADER.lower())
+        return (*kept, (HEADER, self._key))
+
+    def _detach(self, outcome: str, failure: Failure | None) -> None:
+        if self._is_detached:
+            return
+        self._is_detached = True
+        self._note(f"goes on without the caller: {outcome}")
+        if failure is not None:
+            self._exchange.respond_failure(failure)
+        self._book(outcome, failure)
+
+    def _run(self) -> None:
+        """Commit the record before anything is sent."""
+        self._life.on_record_requested()
+        request = self._exchange.request
+        command = BeginAction(
+            workspace=self.workspace,
+            idempotency_key=self._key,
+            fingerprint=compute_fingerprint(
+                self._service.name, request.method, self._target_path, request.body
+            ),
+            service=self._service.name,
+            owner=self._context.settings.instance,
+            owner_boot=self._context.boot,
+        )
+        self._context.submit_command(command, self._on_begun, BEGIN_TIMEOUT_MS)
+
+    def _on_begun(self, result: Result[ActionRecord, Failure]) -> None:
+        if result.is_error():
+            self._on_begin_failed(result.error)
+        elif not result.ok.started_now:
+            self._life.on_record_refused()
+            self._on_known(result.ok)
+        elif self._is_detached:
+            self._note("not sent: the caller is gone")
+            self._end("not_sent", None)
+        else:
+            self._note("recorded as started")
+            self._start_attempt()
+
+    def _on_begin_failed(self, failure: Failure) -> None:
+        if failure.verdict is Verdict.NOT_RUN:
+            self._life.on_record_refused()
+            status, code = failure.status, failure.code
+            retry_after_ms = failure.retry_after_ms
+        else:
+            # The record may exist; nothing was sent, so it is abandoned below.
+            status, code, retry_after_ms = 503, "control_unavailable", STARTED_RETRY_MS
+        message = failure.message
+        self._finish_with(self._life.fail(code, message, status, retry_after_ms))
+
+    def _on_known(self, record: ActionRecord) -> None:
+        """Answer a repeat from the record of the first request."""
+        self._note(f"repeat of an action that is {record.state}")
+        kept = record.body or not record.content_type
+        if record.state == "finished" and kept:
+            self._replay(record)
+        elif record.state == "finished":
+            text = "the action has run; its answer was too large to be kept"
+            self._finish_with(_describe_record(record, "answer_not_kept", text))
+        elif record.state == "started":
+            text = "the action is in progress"
+            self._finish_with(_describe_record(record, "action_in_progress", text))
+        else:
+            text = "the outcome of the action is unknown; it is not run again"
+            self._finish_with(_describe_record(record, "action_unknown", text))
+
+    def _replay(self, record: ActionRecord) -> None:
+        headers = [(REPLAYED_HEADER, "true"), (VERDICT_HEADER, Verdict.RAN.value)]
+        if record.content_type:
+            headers.append(("Content-Type", record.content_type))
+        if not self._is_detached:
+            self._exchange.respond(record.status, headers, record.body)
+        self._end("replayed", None)
+
+    def _answer(self) -> None:
+        """Record the answer, and pass it on once that is confirmed."""
+        self._is_closing = True
+        self._set_timer("record", self._now_ms() + RECORD_WAIT_MS, self._pass_on)
+        kept = bytes(self._body) if len(self._body) <= MAX_RECORDED_BYTES else b""
+        self._context.records_closer.close(
+            FinishAction(
+                workspace=self.workspace,
+                idempotency_key=self._key,
+                owner=self._context.settings.instance,
+                owner_boot=self._context.boot,
+                status=self._status,
+                content_type=self._content_type() if self._body else "",
+                body=kept,
+            ),
+            self._on_recorded,
+        )
+
+    def _content_type(self) -> str:
+        """Return the type to record; an empty one stands for an empty answer."""
+        types = [v for n, v in self._headers if n.lower() == "content-type"]
+        return types[0] if types else DEFAULT_TYPE
+
+    def _on_recorded(self, recorded: bool) -> None:
+        self._note("answer recorded" if recorded else "answer could not be recorded")
+        if self._caller is not None:
+            self._context.usage.on_action(self.workspace, finished=recorded)
+        self._pass_on()
+        self._end("served", None)
+
+    def _pass_on(self) -> None:
+        """Pass the answer to the caller, unless it is withheld or nobody waits."""
+        if self._is_detached or not self._exchange.is_open:
+            return
+        self._exchange.respond(self._status, self._headers, bytes(self._body))
+        self._book("served", None)
+
+    def _give_up(self, failure: Failure) -> None:
+        self._finish_with(failure)
+
+    def _may_retry(self) -> bool:
+        return not self._is_detached and super()._may_retry()
+
+    def _finish_with(self, failure: Failure) -> None:
+        """End a request of which no attempt is under way."""
+        if not self._is_detached:
+            self._exchange.respond_failure(failure)
+        self._note(f"failed: {failure.code} ({failure.verdict.value})")
+        self._end(failure.code, failure)
+
+    def _end(self, outcome: str, failure: Failure | None) -> None:
+        closing = self._life.record_closing
+        if not self._is_closing:
+            self._is_closing = True
+            self._close_record(closing)
+        self._cancel_timer("record")
+        super()._end(outcome, failure)
+
+    def _close_record(self, closing: RecordClosing) -> None:
+        identity = {
+            "workspace": self.workspace,
+            "idempotency_key": self._key,
+            "owner": self._context.settings.instance,
+            "owner_boot": self._context.boot,
+        }
+        closer = self._context.records_closer
+        if closing is RecordClosing.ABANDON:
+            closer.close(AbandonAction(**identity), lambda recorded: None)
+        elif closing is RecordClosing.UNKNOWN:
+            if self._caller is not None:
+                self._context.usage.on_action(self.workspace, finished=False)
+            closer.close(FinishAction(**identity, status=0), lambda recorded: None)
+
+
+def _describe_record(record: ActionRecord, code: str, message: str) -> Failure:
+    ran = record.state == "finished"
+    verdict = Verdict.RAN if ran else Verdict.MAY_HAVE_RUN
+    details = {"state": record.state, "status": record.status}
+    retry_after_ms = STARTED_RETRY_MS if record.state == "started" else None
+    return Failure(code, verdict, message, 409, retry_after_ms, details)
--- a/papayacrank/entry/_authentication.py
+++ b/papayacrank/entry/_authentication.py
@@ -15,6 +15,7 @@
 
 KEY_DIGEST_BYTES = 32
 MAX_KEY_CHARACTERS = 512
+_JSON_ESCAPE = re.compile(rb"\\(?:u00([2-7][0-9a-fA-F])|/)")
 _BEARER = re.compile(r"[Bb]earer +([\x21-\x7e]+)")
 
 
@@ -92,7 +93,8 @@
     """Tell whether a target would see the key although the header is removed."""
     if key in request.target or key in unquote(request.target):
         return True
-    if key.encode() in request.body:
+    body = request.body
+    if key.encode() in body or key.encode() in _JSON_ESCAPE.sub(_unescape, body):
         return True
     return any(
         key in value
@@ -101,5 +103,10 @@
     )
 
 
+def _unescape(found: re.Match) -> bytes:
+    """Return the ASCII character of a JSON escape sequence."""
+    return bytes([int(found.group(1), 16)]) if found.group(1) else b"/"
+
+
 def _refuse(code: str, message: str) -> Failure:
     return Failure(code, Verdict.NOT_RUN, message, 401)
--- /dev/null
+++ b/papayacrank/entry/_completion_flow.py
@@ -0,0 +1,275 @@
+"""Flow of a completion request."""
+
+from papayacrank.admission import AdmissionPolicy, AdmissionRequest
+from papayacrank.cache import hash_prompt
+from papayacrank.config import Assistant, Service, Workspace
+from papayacrank.routing import Choice, RoutingRequest
+from papayacrank.targets import (
+    Delivery,
+    ResumeStep,
+    StreamAssembler,
+    TargetFailure,
+    TargetRequest,
+    TargetTimeouts,
+    TargetUsage,
+)
+
+from ._answers import JSON_TYPE, Headers
+from ._authentication import Caller
+from ._completion_answer import CompletionAnswer
+from ._completion_request import CompletionRequest, encode_tokens
+from ._context import EntryContext
+from ._engine_body import EngineFields, encode_engine_body
+from ._exchange import Exchange
+from ._flow import FLOW_CHANNEL, RequestFlow
+
+COMPLETIONS_PATH = "/v1/chat/completions"
+CANCEL_PATH = "/v1/cancel"
+LOAD_PATH = "/v1/load"
+TOKEN_BYTES = 4
+CACHED_TOKEN_COST = 0.1
+# After these, the engine is reachable and may still know the request.
+_ENGINE_USABLE_AFTER = frozenset(
+    {"connection_lost", "truncated_answer", "progress_timeout", "offset_gap"}
+)
+_CALLER_FAULT_STATUSES = frozenset({400, 413, 422})
+
+
+class CompletionFlow(RequestFlow):
+    """Serves a completion, over several attempts if need be.
+
+    An attempt that fails before the first token is repeated on another engine within
+    the retry budget. Later, the stream is resumed on the same engine, and if that
+    fails continued on another one from the text that the caller already has.
+
+    Parameters
+    ----------
+    context, exchange, caller, service
+        As for `RequestFlow`.
+    completion : CompletionRequest
+        Checked request.
+    assistant : Assistant
+        Limits and deadline.
+    workspace : Workspace
+        Configuration of the caller's workspace.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        exchange: Exchange,
+        caller: Caller,
+        service: Service,
+        completion: CompletionRequest,
+        assistant: Assistant,
+        workspace: Workspace,
+    ):
+        super().__init__(
+            context, exchange, caller, service, True, assistant.deadline_ms
+        )
+        self._completion = completion
+        self._assistant = assistant
+        self._weight = workspace.weight
+        tokens = encode_tokens(completion.text)
+        self._prompt_tokens = len(tokens) // TOKEN_BYTES
+        self._max_output = (
+            completion.wanted_output_tokens or assistant.default_max_output_tokens
+        )
+        self._blocks = hash_prompt(
+            caller.workspace,
+            service.model,
+            service.weights_version,
+            tokens,
+            service.block_tokens,
+        )
+        self._assembler = StreamAssembler(self._max_output)
+        self._answer = CompletionAnswer(exchange.public_id, completion.model)
+        self._usage: TargetUsage | None = None
+        self._is_paused = False
+        self._first_token_ms: int | None = None
+        self._last_token_ms = 0
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Number of tokens of the prompt."""
+        return self._prompt_tokens
+
+    @property
+    def max_output_tokens(self) -> int:
+        """Limit of the output."""
+        return self._max_output
+
+    @property
+    def _admission(self) -> AdmissionPolicy:
+        return self._context.engine_admission
+
+    def _build_admission(self) -> AdmissionRequest:
+        matches = self._context.router.index.match(self._blocks)
+        cached = max(matches.values(), default=0) * self._service.block_tokens
+        cost = self._prompt_tokens - cached + CACHED_TOKEN_COST * cached
+        return AdmissionRequest(
+            request_id=self.request_id,
+            workspace=self.workspace,
+            service=self._service.name,
+            tokens=self._prompt_tokens + self._max_output,
+            expected_cost=cost + self._max_output,
+            deadline_ms=self._deadline_at_ms,
+            priority=self._assistant.priority,
+            weight=self._weight,
+        )
+
+    def _build_routing(self) -> RoutingRequest:
+        return RoutingRequest(
+            request_id=self._next_attempt_id(),
+            service=self._service.name,
+            workspace=self.workspace,
+            blocks=self._blocks,
+            prompt_tokens=self._prompt_tokens,
+            max_output_tokens=self._max_output,
+            deadline_ms=self._deadline_at_ms,
+            priority=self._assistant.priority,
+            excluded=self._excluded,
+        )
+
+    def _build_attempt(self, attempt_id: str, choice: Choice) -> TargetRequest:
+        timings = self._context.settings.timings
+        point = self._assembler.resume_point
+        fields = EngineFields(
+            request_id=self.request_id,
+            cache_salt=self.workspace,
+            priority=self._assistant.priority,
+            weights_version=self._service.weights_version,
+            max_tokens=self._max_output,
+            resume_from=point.offset,
+            resume_text=point.text,
+            kv_source=choice.kv_source and self._address_of(choice.kv_source),
+        )
+        return TargetRequest(
+            request_id=attempt_id,
+            channel=FLOW_CHANNEL,
+            address=self._address_of(choice.target),
+            method="POST",
+            path=COMPLETIONS_PATH,
+            headers=(("Content-Type", JSON_TYPE),),
+            body=encode_engine_body(self._completion.document, fields),
+            stream=True,
+            idempotent=True,
+            first_offset=point.offset,
+            echo_id=self.request_id,
+            cancel_path=CANCEL_PATH,
+            probe_path=LOAD_PATH,
+            timeouts=TargetTimeouts(
+                connect_ms=timings.target_connect_timeout_ms,
+                first_byte_ms=timings.first_token_timeout_ms,
+                first_token_ms=timings.first_token_timeout_ms,
+                progress_ms=timings.progress_timeout_ms,
+            ),
+        )
+
+    def on_headers(self, status: int, headers: Headers) -> None:
+        """The engine accepted the request; the caller's answer starts with a token."""
+
+    def on_token(self, offset: int, text: str) -> None:
+        """Deliver a token, once and in order."""
+        delivery = self._assembler.accept(offset, text)
+        if delivery is Delivery.REPEATED:
+            return
+        if delivery is not Delivery.DELIVER:
+            self._reject_attempt("offset_gap", f"token {offset} is out of order")
+            return
+        self._observe_token()
+        if not self._completion.stream:
+            return
+        self._exchange.start_stream()
+        self._exchange.write(self._answer.encode_token(offset, text))
+        self._pause_if_blocked()
+
+    def on_finished(self, usage: TargetUsage | None) -> None:
+        """Deliver the end of the answer."""
+        if self._assembler.finish(usage.completion_tokens) is not Delivery.DELIVER:
+            self._reject_attempt("truncated_answer", "tokens are missing at the end")
+            return
+        self._usage = usage
+        self._finish_attempt()
+        if self._completion.stream:
+            self._exchange.start_stream()
+            offset = self._assembler.next_offset
+            self._exchange.write(self._answer.encode_end(offset, usage))
+            self._exchange.end_stream()
+        else:
+            text = self._assembler.resume_point.text
+            body = self._answer.encode_whole(text, usage)
+            self._exchange.respond(200, [("Content-Type", JSON_TYPE)], body)
+        self._note(f"answered: {usage.completion_tokens} tokens")
+        self._end("served", None)
+
+    def on_caller_ready(self) -> None:
+        """Read on from the engine."""
+        if self._is_paused and self._attempt_id is not None:
+            self._context.targets.resume(self._attempt_id)
+        self._is_paused = False
+
+    def _on_attempt_lost(self, target: str, failure: TargetFailure) -> None:
+        self._is_paused = False
+        if failure.status in _CALLER_FAULT_STATUSES:
+            text = f"the engine refused the request with status {failure.status}"
+            self.fail(self._life.fail("refused_by_target", text, 400))
+        elif self._assembler.next_offset:
+            self._resume(target, failure)
+        elif self._may_retry():
+            self._retry_elsewhere(target)
+        else:
+            self._fail_after(target, failure)
+
+    def _resume(self, target: str, failure: TargetFailure) -> None:
+        """Go on with a stream of which the caller already has a part.
+
+        Resumes are bounded for each stream and do not count as retries: they replace
+        work that was lost, and a refusal would break an answer that has begun.
+        """
+        usable = failure.code in _ENGINE_USABLE_AFTER and self._is_live(target)
+        step = self._assembler.next_step(target, usable)
+        if step is ResumeStep.SAME_ENGINE:
+            self._context.metrics.on_repeated(self._service.name, "resume")
+            choice = Choice(target, 0, 0.0, None, "resume")
+            self._send_attempt(self._build_routing(), choice)
+        elif step is ResumeStep.OTHER_ENGINE:
+            self._retry_elsewhere(target, "move")
+        else:
+            self._fail_after(target, failure)
+
+    def _is_live(self, target: str) -> bool:
+        return self._context.contact.targets.get(target, "live") == "live"
+
+    def _reject_attempt(self, code: str, message: str) -> None:
+        """Stop an attempt whose output does not fit what the caller has."""
+        self._context.targets.cancel(self._attempt_id)
+        self.on_failed(TargetFailure(code, True, message))
+
+    def _observe_token(self) -> None:
+        now_ms = self._now_ms()
+        if self._first_token_ms is None:
+            self._first_token_ms = now_ms
+            self._context.router.on_first_token(self._attempt_id, now_ms)
+            ttft_ms = now_ms - self._arrived_ms
+            self._context.metrics.on_first_token(self._service.name, ttft_ms)
+            self._note("first token")
+        else:
+            gap_ms = now_ms - self._last_token_ms
+            self._context.usage.on_token_gap(self.workspace, gap_ms)
+        self._last_token_ms = now_ms
+
+    def _pause_if_blocked(self) -> None:
+        if self._exchange.is_blocked and not self._is_paused:
+            self._is_paused = True
+            self._context.targets.pause(self._attempt_id)
+
+    def _used_tokens(self) -> tuple[int, int, int]:
+        cached = self._usage.cached_tokens if self._usage else 0
+        cached = min(cached, self._prompt_tokens)
+        return self._prompt_tokens, cached, self._assembler.next_offset
+
+    def _ttft_ms(self) -> int | None:
+        if self._first_token_ms is None:
+            return None
+        return self._first_token_ms - self._arrived_ms
--- a/papayacrank/entry/_completion_request.py
+++ b/papayacrank/entry/_completion_request.py
@@ -106,6 +106,12 @@
     )
 
 
+def encode_tokens(text: str) -> bytes:
+    """Return the prompt as tokens of 4 bytes; the last one is padded with NUL."""
+    raw = text.encode("utf-8", "replace")
+    return raw + b"\0" * (-len(raw) % TOKEN_BYTES)
+
+
 def check_size(
     prompt_tokens: int, limits: EntryLimits, burst_tokens: int, output_tokens: int
 ) -> Failure | None:
--- /dev/null
+++ b/papayacrank/entry/_context.py
@@ -0,0 +1,54 @@
+"""Parts that all request flows of a process share."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from papayacrank.accounting import RequestRecords, UsageRecorder
+from papayacrank.admission import AdmissionPolicy, LocalShares
+from papayacrank.config import EntrySettings
+from papayacrank.control import ControlContact
+from papayacrank.kernel import Clock
+from papayacrank.routing import RetryPolicy, Router
+from papayacrank.targets import TargetClient
+from papayacrank.transport import Timers
+
+from ._metrics import EntryMetrics
+
+
+@dataclass(eq=False)
+class EntryContext:
+    """Shared parts of one entry process.
+
+    Parameters
+    ----------
+    boot : int
+        Boot number of the process.
+    engine_admission, plain_admission : AdmissionPolicy
+        Queues in front of engines and of plain services.
+    submit_command : Callable
+        ``submit_command(command, callback, timeout_ms)`` sends a command to the
+        control group; the callback gets its ``Result``.
+    records_closer : RecordCloser
+        Commits the outcomes of actions.
+    flows : FlowTable
+        Requests in progress.
+    """
+
+    settings: EntrySettings
+    boot: int
+    clock: Clock
+    timers: Timers
+    contact: ControlContact
+    targets: TargetClient
+    router: Router
+    shares: LocalShares
+    engine_admission: AdmissionPolicy
+    plain_admission: AdmissionPolicy
+    retries: RetryPolicy
+    usage: UsageRecorder
+    records: RequestRecords
+    metrics: EntryMetrics
+    submit_command: Callable[..., Any]
+    records_closer: Any = field(default=None)
+    flows: Any = field(default=None)
--- /dev/null
+++ b/papayacrank/entry/_control_port.py
@@ -0,0 +1,121 @@
+"""Carries out what the control client and the control contact decide."""
+
+from collections.abc import Callable
+from typing import Any
+
+from circuits import BaseComponent, handler
+
+from papayacrank.control import (
+    ControlClient,
+    ControlContact,
+    FeedChanged,
+    GrantsReceived,
+    RequestFinished,
+)
+from papayacrank.kernel import CancelTimer, Clock, Send, SetTimer
+from papayacrank.transport import Link, Timers
+
+
+class ControlPort(BaseComponent):
+    """Connects the decision code of the control protocol with link and timers.
+
+    Parameters
+    ----------
+    link : Link
+        Connections to the control processes and to peers.
+    contact : ControlContact
+        Heartbeat and feed copy.
+    client : ControlClient
+        Commands.
+    clock : Clock
+        Clock of `timers`.
+    timers : Timers
+        Timers of the process.
+    """
+
+    channel = "link"
+
+    def __init__(
+        self,
+        link: Link,
+        contact: ControlContact,
+        client: ControlClient,
+        clock: Clock,
+        timers: Timers,
+    ):
+        super().__init__()
+        self._link = link
+        self._contact = contact
+        self._client = client
+        self._clock = clock
+        self._timers = timers
+        self._callbacks: dict[str, Callable] = {}
+        self.on_feed: Callable[[FeedChanged], None] = lambda change: None
+        self.on_grants: Callable[[GrantsReceived], None] = lambda grants: None
+        self.on_message: Callable[[str, Any], None] = lambda sender, message: None
+
+    def start_contact(self) -> None:
+        """Send the first heartbeat."""
+        self.run(self._contact.start(self._clock.now_ms()))
+
+    def set_status(self, status: str) -> None:
+        """Announce a status."""
+        self.run(self._contact.set_status(status, self._clock.now_ms()))
+
+    def beat(self) -> None:
+        """Send a heartbeat ahead of its time."""
+        self.set_status(self._contact.status)
+
+    def submit(
+        self,
+        command: Any,
+        callback: Callable,
+        timeout_ms: int | None = None,
+        request_id: str | None = None,
+    ) -> str:
+        """Send a command; `callback` gets its result, never before the return."""
+        now_ms = self._clock.now_ms()
+        request_id, effects = self._client.submit(
+            command, now_ms, request_id, timeout_ms
+        )
+        self._callbacks[request_id] = callback
+        if any(isinstance(effect, RequestFinished) for effect in effects):
+            name = f"control-port/{request_id}"
+            self._timers.set(name, now_ms, lambda: self.run(effects))
+        else:
+            self.run(effects)
+        return request_id
+
+    def run(self, effects: list) -> None:
+        """Carry out effects."""
+        for effect in effects:
+            self._run_one(effect)
+
+    def _run_one(self, effect: Any) -> None:
+        match effect:
+            case Send(to, message):
+                self._link.send(to, message)
+            case SetTimer(name, at_ms):
+                self._timers.set(name, at_ms, lambda: self._tick(name))
+            case CancelTimer(name):
+                self._timers.cancel(name)
+            case RequestFinished(request_id, outcome):
+                callback = self._callbacks.pop(request_id, None)
+                if callback is not None:
+                    callback(outcome)
+            case FeedChanged():
+                self.on_feed(effect)
+            case GrantsReceived():
+                self.on_grants(effect)
+
+    def _tick(self, name: str) -> None:
+        now_ms = self._clock.now_ms()
+        self.run(self._contact.tick(name, now_ms))
+        self.run(self._client.tick(name, now_ms))
+
+    @handler("received")
+    def _on_received(self, sender, message):
+        now_ms = self._clock.now_ms()
+        self.run(self._contact.receive(sender, message, now_ms))
+        self.run(self._client.receive(sender, message, now_ms))
+        self.on_message(sender, message)
--- /dev/null
+++ b/papayacrank/entry/_dispatcher.py
@@ -0,0 +1,364 @@
+"""Directs callers' requests and targets' answers to the request flows."""
+
+import json
+from datetime import UTC, datetime
+
+from circuits import BaseComponent, handler
+from expression import Error, Ok, Result
+
+from papayacrank.config import Service, ServiceKind
+from papayacrank.kernel import Failure, Verdict, log_event
+
+from ._action_flow import ActionFlow
+from ._answers import JSON_TYPE
+from ._authentication import Caller, authenticate, has_key
+from ._completion_flow import COMPLETIONS_PATH, CompletionFlow
+from ._completion_request import (
+    CompletionRequest,
+    check_size,
+    find_assistant,
+    parse_completion,
+)
+from ._context import EntryContext
+from ._events import FLOW_FAILED
+from ._exchange import Exchange
+from ._flow import FLOW_CHANNEL, RequestFlow
+from ._idempotency_key import HEADER, read_key
+from ._route_answer import build_route, list_other_addresses, list_serving
+from ._service_flow import ServiceFlow
+
+SERVICES_PREFIX = "/v1/services/"
+EXPLAIN_PREFIX = "/v1/explain/"
+UNAVAILABLE_RETRY_MS = 1_000
+DEFAULT_KEEP_MS = 5_000
+
+
+class Dispatcher(BaseComponent):
+    """Answers the system's own paths and starts a flow for all others.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Shared parts.
+    """
+
+    channel = FLOW_CHANNEL
+
+    def __init__(self, context: EntryContext):
+        super().__init__()
+        self._context = context
+        self._turn = context.boot
+        self._status = "starting"
+
+    @property
+    def status(self) -> str:
+        """``"starting"``, ``"serving"`` or ``"draining"``."""
+        return self._status
+
+    def set_status(self, status: str) -> None:
+        """Change the status; requests for targets are refused while starting."""
+        self._status = status
+
+    # Events of callers
+
+    @handler("caller_request", channel="web")
+    def _on_caller_request(self, exchange):
+        try:
+            self._dispatch(exchange)
+        except Exception as error:
+            self._on_error(exchange.request_id, error)
+            exchange.respond_failure(_internal_error(Verdict.NOT_RUN))
+
+    @handler("caller_left", channel="web")
+    def _on_caller_left(self, exchange):
+        self._call(exchange.request_id, "on_caller_left")
+
+    @handler("caller_ready", channel="web")
+    def _on_caller_ready(self, exchange):
+        self._call(exchange.request_id, "on_caller_ready")
+
+    # Events of targets
+
+    @handler("target_headers")
+    def _on_target_headers(self, attempt_id, status, headers):
+        self._call_attempt(attempt_id, "on_headers", status, headers)
+
+    @handler("target_data")
+    def _on_target_data(self, attempt_id, data):
+        self._call_attempt(attempt_id, "on_data", data)
+
+    @handler("target_token")
+    def _on_target_token(self, attempt_id, offset, text):
+        self._call_attempt(attempt_id, "on_token", offset, text)
+
+    @handler("target_finished")
+    def _on_target_finished(self, attempt_id, usage):
+        self._call_attempt(attempt_id, "on_finished", usage)
+
+    @handler("target_failed")
+    def _on_target_failed(self, attempt_id, failure):
+        self._call_attempt(attempt_id, "on_failed", failure)
+
+    def _call(self, request_id: str, method: str, *args) -> None:
+        flow = self._context.flows.find(request_id)
+        if flow is not None:
+            self._run_safely(flow, method, *args)
+
+    def _call_attempt(self, attempt_id: str, method: str, *args) -> None:
+        flow = self._context.flows.find_attempt(attempt_id)
+        if flow is not None:
+            self._run_safely(flow, method, *args)
+
+    def _run_safely(self, flow: RequestFlow, method: str, *args) -> None:
+        """Call a flow; an internal error ends this request only."""
+        try:
+            getattr(flow, method)(*args)
+        except Exception as error:
+            self._on_error(flow.request_id, error)
+            flow.abort(_internal_error(Verdict.MAY_HAVE_RUN))
+
+    def _on_error(self, request_id: str, error: Exception) -> None:
+        text = f"{type(error).__name__}: {error}"
+        log_event(FLOW_FAILED, request_id=request_id, error=text)
+
+    # Paths
+
+    def _dispatch(self, exchange: Exchange) -> None:
+        request = exchange.request
+        path = request.path
+        if path.startswith(SERVICES_PREFIX):
+            self._start_service(exchange)
+        elif path == COMPLETIONS_PATH and request.method == "POST":
+            self._start_completion(exchange)
+        elif request.method not in ("GET", "HEAD"):
+            exchange.respond_failure(_unknown_path())
+        elif path == "/v1/route":
+            self._answer_route(exchange)
+        elif path == "/health":
+            self._answer_health(exchange)
+        elif path == "/metrics":
+            metrics = self._context.metrics
+            headers = [("Content-Type", metrics.content_type)]
+            exchange.respond(200, headers, metrics.render())
+        elif path.startswith(EXPLAIN_PREFIX):
+            self._answer_explain(exchange, path.removeprefix(EXPLAIN_PREFIX))
+        else:
+            exchange.respond_failure(_unknown_path())
+
+    def _answer_route(self, exchange: Exchange) -> None:
+        context = self._context
+        usable = self._status == "serving" and self._has_contact()
+        own = context.settings.instance
+        serving = list_serving(context.contact.instances, own, include_self=usable)
+        configuration = context.contact.configuration
+        keep_ms = configuration.keep_route_ms if configuration else DEFAULT_KEEP_MS
+        self._turn += 1
+        _respond_json(exchange, 200, build_route(serving, self._turn, keep_ms))
+
+    def _answer_health(self, exchange: Exchange) -> None:
+        contact = self._has_contact()
+        document = {
+            "status": self._status,
+            "control_contact": contact,
+            "configuration_version": self._context.contact.configuration_version,
+            "requests_in_progress": len(self._context.flows),
+        }
+        usable = self._status == "serving" and contact
+        _respond_json(exchange, 200 if usable else 503, document)
+
+    def _answer_explain(self, exchange: Exchange, request_id: str) -> None:
+        """Explain a request to its workspace, or to anyone on this instance."""
+        record = self._context.records.find(request_id)
+        if not exchange.peer.startswith("127."):
+            caller = self._authenticate(exchange)
+            if caller.is_error():
+                exchange.respond_failure(caller.error)
+                return
+            if record is not None and record.workspace != caller.ok.workspace:
+                record = None
+        if record is None:
+            text = "no record of this request on this instance"
+            failure = Failure("unknown_request", Verdict.NOT_RUN, text, 404)
+            exchange.respond_failure(failure)
+            return
+        document = {
+            "request_id": record.request_id,
+            "workspace": record.workspace,
+            "service": record.service,
+            "steps": [{"at_ms": at_ms, "step": text} for at_ms, text in record.steps],
+        }
+        _respond_json(exchange, 200, document)
+
+    def _start_completion(self, exchange: Exchange) -> None:
+        prepared = self._prepare_completion(exchange)
+        if prepared.is_error():
+            exchange.respond_failure(prepared.error)
+        else:
+            prepared.ok.begin()
+
+    def _prepare_completion(
+        self, exchange: Exchange
+    ) -> Result[CompletionFlow, Failure]:
+        caller = self._authenticate(exchange)
+        if caller.is_error():
+            return caller
+        parsed = parse_completion(exchange.request.body)
+        if parsed.is_error():
+            return parsed
+        return self._build_completion(exchange, caller.ok, parsed.ok)
+
+    def _build_completion(
+        self, exchange: Exchange, caller: Caller, completion: CompletionRequest
+    ) -> Result[CompletionFlow, Failure]:
+        configuration = self._context.contact.configuration
+        service = configuration.find_model(completion.model)
+        if service is None:
+            return Error(_refuse("unknown_model", "no service has this model", 404))
+        workspace = configuration.find_workspace(caller.workspace)
+        if workspace is None or service.name not in workspace.services:
+            return Error(_no_access(service.name))
+        assistant = find_assistant(
+            configuration.assistants, service, completion.assistant
+        )
+        if assistant is None:
+            return Error(_refuse("unknown_assistant", "unknown assistant", 400))
+        flow = CompletionFlow(
+            self._context, exchange, caller, service, completion, assistant, workspace
+        )
+        too_large = check_size(
+            flow.prompt_tokens,
+            self._context.settings.limits,
+            workspace.burst_tokens,
+            flow.max_output_tokens,
+        )
+        return Ok(flow) if too_large is None else Error(too_large)
+
+    def _start_service(self, exchange: Exchange) -> None:
+        prepared = self._prepare_service(exchange)
+        if prepared.is_error():
+            exchange.respond_failure(prepared.error)
+        else:
+            prepared.ok.begin()
+
+    def _prepare_service(self, exchange: Exchange) -> Result[ServiceFlow, Failure]:
+        request = exchange.request
+        name, path = _split_service_path(request.path)
+        raw_name, raw_path = _split_service_path(request.target)
+        configuration = self._context.contact.configuration
+        service = configuration.find_service(name) if configuration else None
+        usable = service is not None and service.kind is ServiceKind.PLAIN
+        rule = service.find_rule(request.method, path) if usable else None
+        is_public = rule is not None and rule.public
+        caller = self._identify(exchange, is_public)
+        if caller.is_error():
+            return caller
+        if not usable or raw_name != name:
+            return Error(_refuse("unknown_service", "unknown service", 404))
+        if caller.ok is not None and not self._may_use(caller.ok, service):
+            return Error(_no_access(name))
+        if rule.idempotent:
+            context = self._context
+            return Ok(ServiceFlow(context, exchange, caller.ok, service, raw_path))
+        return self._build_action(exchange, caller.ok, service, raw_path)
+
+    def _build_action(
+        self,
+        exchange: Exchange,
+        caller: Caller | None,
+        service: Service,
+        target_path: str,
+    ) -> Result[ActionFlow, Failure]:
+        header = exchange.request.headers.get(HEADER)
+        key = read_key(header, datetime.now(UTC))
+        if key.is_error():
+            return key
+        return Ok(
+            ActionFlow(
+                self._context, exchange, caller, service, target_path, key.ok
+            )
+        )
+
+    # Access
+
+    def _identify(
+        self, exchange: Exchange, is_public: bool
+    ) -> Result[Caller | None, Failure]:
+        """Authenticate the caller; on public paths nobody is authenticated."""
+        if not is_public:
+            return self._authenticate(exchange)
+        unavailable = self._find_unavailability(needs_contact=False)
+        if unavailable is not None:
+            return Error(unavailable)
+        if has_key(exchange.request):
+            checked = authenticate(exchange.request, self._context.contact)
+            if checked.is_error() and checked.error.code == "key_exposed":
+                return checked
+        return Ok(None)
+
+    def _authenticate(self, exchange: Exchange) -> Result[Caller, Failure]:
+        unavailable = self._find_unavailability(needs_contact=True)
+        if unavailable is not None:
+            return Error(unavailable)
+        return authenticate(exchange.request, self._context.contact)
+
+    def _find_unavailability(self, needs_contact: bool) -> Failure | None:
+        if self._status == "starting":
+            text = "this instance is starting"
+            return self._refuse_with_addresses("starting", text)
+        if needs_contact and not self._has_contact():
+            text = "this instance has no contact with the control group"
+            return self._refuse_with_addresses("no_control_contact", text)
+        return None
+
+    def _refuse_with_addresses(self, code: str, text: str) -> Failure:
+        details = {"addresses": self.list_other_addresses()}
+        retry_after_ms = UNAVAILABLE_RETRY_MS
+        return Failure(code, Verdict.NOT_RUN, text, 503, retry_after_ms, details)
+
+    def list_other_addresses(self) -> list[str]:
+        """Return addresses to try instead of this instance."""
+        self._turn += 1
+        contact = self._context.contact
+        own = self._context.settings.instance
+        return list_other_addresses(contact.instances, own, self._turn)
+
+    def _has_contact(self) -> bool:
+        contact = self._context.contact
+        has_contact = contact.has_contact(self._context.clock.now_ms())
+        return has_contact and contact.configuration is not None
+
+    def _may_use(self, caller: Caller, service: Service) -> bool:
+        configuration = self._context.contact.configuration
+        workspace = configuration.find_workspace(caller.workspace)
+        return workspace is not None and service.name in workspace.services
+
+
+def _split_service_path(path: str) -> tuple[str, str]:
+    """Return the service and the path within it; a query belongs to the path."""
+    rest = path.removeprefix(SERVICES_PREFIX)
+    end = min((i for i in (rest.find("/"), rest.find("?")) if i >= 0), default=None)
+    if end is None:
+        return rest, "/"
+    inner = rest[end:]
+    return rest[:end], inner if inner.startswith("/") else "/" + inner
+
+
+def _respond_json(exchange: Exchange, status: int, document: dict) -> None:
+    headers = [("Content-Type", JSON_TYPE), ("Cache-Control", "no-store")]
+    exchange.respond(status, headers, json.dumps(document).encode())
+
+
+def _refuse(code: str, message: str, status: int) -> Failure:
+    return Failure(code, Verdict.NOT_RUN, message, status)
+
+
+def _unknown_path() -> Failure:
+    return _refuse("unknown_path", "unknown path or method", 404)
+
+
+def _no_access(service: str) -> Failure:
+    return _refuse("no_access", f"the workspace may not use {service}", 403)
+
+
+def _internal_error(verdict: Verdict) -> Failure:
+    return Failure("internal_error", verdict, "internal error", 500)
--- /dev/null
+++ b/papayacrank/entry/_flow.py
@@ -0,0 +1,345 @@
+"""Common part of the flows of requests to targets."""
+
+from abc import ABC, abstractmethod
+
+from papayacrank.admission import AdmissionPolicy, AdmissionRequest
+from papayacrank.config import Service
+from papayacrank.kernel import Failure, Verdict
+from papayacrank.routing import Choice, RoutingRequest
+from papayacrank.targets import TargetFailure, TargetRequest, TargetUsage
+
+from ._answers import Headers
+from ._authentication import Caller
+from ._context import EntryContext
+from ._exchange import Exchange
+from ._request_life import Phase, RequestLife
+
+FLOW_CHANNEL = "entry"
+PUBLIC_WORKSPACE = "(public)"
+MAX_ATTEMPTS = 4
+MAX_MESSAGE_CHARACTERS = 200
+
+
+class RequestFlow(ABC):
+    """Flow of one request from admission to its answer.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Shared parts.
+    exchange : Exchange
+        Request and way to answer it.
+    caller : Caller or None
+        Who sent it; None on public paths.
+    service : Service
+        Service that is asked for.
+    idempotent : bool
+        Whether it may be sent more than once.
+    deadline_ms : int
+        Time allowed for the whole request, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        exchange: Exchange,
+        caller: Caller | None,
+        service: Service,
+        idempotent: bool,
+        deadline_ms: int,
+    ):
+        self._context = context
+        self._exchange = exchange
+        self._caller = caller
+        self._service = service
+        self._life = RequestLife(idempotent)
+        self._arrived_ms = context.clock.now_ms()
+        self._deadline_at_ms = self._arrived_ms + deadline_ms
+        self._excluded: frozenset[str] = frozenset()
+        self._choice: Choice | None = None
+        self._attempt_id: str | None = None
+        self._is_counted = False
+        self._is_booked = False
+        self._ended = False
+        self._record = context.records.open(
+            exchange.public_id, self.workspace, service.name, self._arrived_ms
+        )
+
+    @property
+    def request_id(self) -> str:
+        """Identifier within the process."""
+        return self._exchange.request_id
+
+    @property
+    def workspace(self) -> str:
+        """Workspace that pays."""
+        return self._caller.workspace if self._caller else PUBLIC_WORKSPACE
+
+    @property
+    def caller(self) -> Caller | None:
+        """Who sent the request."""
+        return self._caller
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing remains to be done."""
+        return self._ended
+
+    # Steps that the subclasses fill in
+
+    @property
+    @abstractmethod
+    def _admission(self) -> AdmissionPolicy:
+        """Queue that the request goes through."""
+
+    @abstractmethod
+    def _build_admission(self) -> AdmissionRequest:
+        """Return the request for admission."""
+
+    @abstractmethod
+    def _build_routing(self) -> RoutingRequest:
+        """Return the request for the choice of a target."""
+
+    @abstractmethod
+    def _build_attempt(self, attempt_id: str, choice: Choice) -> TargetRequest:
+        """Return what is sent to the target."""
+
+    @abstractmethod
+    def on_headers(self, status: int, headers: Headers) -> None:
+        """The head of the answer arrived."""
+
+    def on_data(self, data: bytes) -> None:  # noqa: B027
+        """A piece of a plain answer arrived."""
+
+    def on_token(self, offset: int, text: str) -> None:  # noqa: B027
+        """A token arrived."""
+
+    @abstractmethod
+    def on_finished(self, usage: TargetUsage | None) -> None:
+        """The answer is complete."""
+
+    @abstractmethod
+    def _on_attempt_lost(self, target: str, failure: TargetFailure) -> None:
+        """Decide how to go on after a failed attempt."""
+
+    @abstractmethod
+    def _used_tokens(self) -> tuple[int, int, int]:
+        """Return prompt, cached and output tokens that were used."""
+
+    def on_caller_ready(self) -> None:  # noqa: B027
+        """A blocked caller takes data again."""
+
+    # Events
+
+    def begin(self) -> None:
+        """Ask for admission."""
+        self._context.flows.add(self)
+        self._set_timer("deadline", self._deadline_at_ms, self._on_deadline)
+        if self._caller is not None:
+            self._context.usage.on_asked(self.workspace)
+        self._life.on_queued()
+        outcome = self._admission.submit(self._build_admission(), self._now_ms())
+        if outcome.is_error():
+            self.fail(outcome.error)
+        else:
+            self._context.flows.poll_admission()
+
+    def on_admitted(self) -> None:
+        """The request may run."""
+        self._life.on_admitted()
+        self._is_counted = True
+        self._note("admitted")
+        self._context.retries.on_request(self._now_ms())
+        self._run()
+
+    def on_failed(self, failure: TargetFailure) -> None:
+        """The attempt failed."""
+        target = self._choice.target
+        self._life.on_attempt_failed(failure.bytes_written)
+        self._context.router.on_finished(self._attempt_id, False, self._now_ms())
+        self._forget_attempt()
+        self._note(f"attempt at {target} failed: {failure.code}")
+        self._on_attempt_lost(target, failure)
+
+    def on_caller_left(self) -> None:
+        """The caller is gone: nobody needs the answer."""
+        if not self._ended:
+            self._note("the caller left")
+            self._cancel_attempt()
+            self._end("left", None)
+
+    def on_key_withdrawn(self) -> None:
+        """The key of a running request was withdrawn."""
+        text = "the key was withdrawn while the request was running"
+        self.fail(self._life.fail("key_withdrawn", text, 401))
+
+    def on_contact_lost(self, addresses: list[str]) -> None:
+        """Keys can no longer be trusted, so the request of a key must not go on."""
+        text = "control contact was lost while the request was running"
+        details = {"addresses": addresses}
+        self.fail(self._life.fail("no_control_contact", text, 503, details=details))
+
+    def fail(self, failure: Failure) -> None:
+        """End the request with a failure."""
+        if self._ended:
+            return
+        self._note(f"failed: {failure.code} ({failure.verdict.value})")
+        self._cancel_attempt()
+        self._exchange.respond_failure(failure)
+        self._end(failure.code, failure)
+
+    def abort(self, failure: Failure) -> None:
+        """End the request after an internal error, whatever its state."""
+        self._exchange.respond_failure(failure)
+        if not self._ended:
+            self._cancel_attempt()
+            self._end(failure.code, failure)
+
+    # Helpers
+
+    def _run(self) -> None:
+        self._start_attempt()
+
+    def _start_attempt(self) -> None:
+        """Choose a target and send the request."""
+        routing = self._build_routing()
+        outcome = self._context.router.choose(routing, self._now_ms())
+        if outcome.is_error() and self._excluded:
+            # All targets have failed once; one of them may be back.
+            self._excluded = frozenset()
+            routing = self._build_routing()
+            outcome = self._context.router.choose(routing, self._now_ms())
+        if outcome.is_error():
+            refused = outcome.error
+            code, status = refused.code, refused.status
+            self._give_up(
+                self._life.fail(code, refused.message, status, refused.retry_after_ms)
+            )
+            return
+        self._send_attempt(routing, outcome.ok)
+
+    def _send_attempt(self, routing: RoutingRequest, choice: Choice) -> None:
+        now_ms = self._now_ms()
+        self._life.on_attempt()
+        self._choice = choice
+        self._attempt_id = routing.request_id
+        self._note(
+            f"sent to {choice.target}: {choice.reason}, "
+            f"{choice.matched_blocks} blocks cached"
+        )
+        self._context.router.on_sent(routing, choice, now_ms)
+        self._context.flows.add_attempt(self._attempt_id, self)
+        self._context.targets.submit(self._build_attempt(self._attempt_id, choice))
+
+    def _give_up(self, failure: Failure) -> None:
+        """End a request for which no further attempt is made."""
+        self.fail(failure)
+
+    def _next_attempt_id(self) -> str:
+        return f"{self.request_id}.{self._life.attempts + 1}"
+
+    def _address_of(self, target: str) -> str:
+        return next(t.address for t in self._service.targets if t.name == target)
+
+    def _finish_attempt(self) -> None:
+        """Book an attempt that delivered its answer."""
+        self._life.on_answered()
+        self._context.router.on_finished(self._attempt_id, True, self._now_ms())
+        self._forget_attempt()
+
+    def _cancel_attempt(self) -> None:
+        if self._attempt_id is None:
+            return
+        self._context.targets.cancel(self._attempt_id)
+        self._context.router.on_finished(self._attempt_id, False, self._now_ms())
+        self._forget_attempt()
+
+    def _forget_attempt(self) -> None:
+        self._context.flows.remove_attempt(self._attempt_id)
+        self._attempt_id = None
+
+    def _may_retry(self) -> bool:
+        """Ask for a further attempt, within the bounds of safety and budget."""
+        if not self._life.may_repeat or self._life.attempts >= MAX_ATTEMPTS:
+            return False
+        return self._context.retries.may_retry(self._now_ms())
+
+    def _retry_elsewhere(self, target: str, kind: str = "retry") -> None:
+        self._excluded |= {target}
+        self._context.metrics.on_repeated(self._service.name, kind)
+        self._start_attempt()
+
+    def _fail_after(self, target: str, failure: TargetFailure) -> None:
+        """End with the failure of the last attempt."""
+        text = f"target {target} failed: {failure.code}"
+        if failure.message:
+            text = f"{text}: {failure.message[:MAX_MESSAGE_CHARACTERS]}"
+        self._give_up(self._life.fail("target_failed", text, 502))
+
+    def _on_deadline(self) -> None:
+        text = "the request did not end within its deadline"
+        self.fail(self._life.fail("deadline_exceeded", text, 504))
+
+    def _end(self, outcome: str, failure: Failure | None) -> None:
+        """Return what the request holds, and book it."""
+        if self._ended:
+            return
+        self._ended = True
+        now_ms = self._now_ms()
+        verdict = self._life.verdict
+        was_queued = self._life.phase is Phase.QUEUED
+        self._life.end()
+        prompt, cached, output = self._used_tokens()
+        used = 0 if verdict is Verdict.NOT_RUN else prompt + output
+        self._context.shares.settle(self.request_id, used, now_ms)
+        if was_queued:
+            self._admission.cancel(self.request_id)
+        if self._is_counted:
+            ran = 0 if verdict is Verdict.NOT_RUN else 1
+            computed = (prompt - cached + output) * ran
+            self._admission.on_served(self.request_id, cached * ran, computed, now_ms)
+        self._cancel_timer("deadline")
+        if verdict is not Verdict.NOT_RUN:
+            metrics = self._context.metrics
+            metrics.on_tokens(self._service.name, prompt, cached, output)
+        self._book(outcome, failure)
+        self._context.flows.remove(self)
+
+    def _book(self, outcome: str, failure: Failure | None) -> None:
+        """Count the outcome towards the caller, once."""
+        if self._is_booked:
+            return
+        self._is_booked = True
+        self._context.metrics.on_ended(self._service.name, outcome)
+        if self._caller is not None:
+            self._book_usage(outcome, failure)
+
+    def _book_usage(self, outcome: str, failure: Failure | None) -> None:
+        usage = self._context.usage
+        tokens = self._used_tokens()
+        if failure is None and outcome in ("served", "replayed"):
+            usage.on_served(self.workspace, *tokens, ttft_ms=self._ttft_ms())
+        elif failure is None:
+            text = "the caller left"
+            left = Failure("caller_left", self._life.verdict, text, 499)
+            usage.on_failed(self.workspace, left, *tokens)
+        elif failure.verdict is Verdict.NOT_RUN:
+            within_rate = failure.code != "over_rate"
+            usage.on_refused(self.workspace, failure, within_rate)
+        else:
+            usage.on_failed(self.workspace, failure, *tokens)
+
+    def _ttft_ms(self) -> int | None:
+        return None
+
+    def _now_ms(self) -> int:
+        return self._context.clock.now_ms()
+
+    def _note(self, text: str) -> None:
+        self._record.add_step(self._now_ms(), text)
+
+    def _set_timer(self, name: str, at_ms: int, callback) -> None:
+        self._context.timers.set(f"flow/{self.request_id}/{name}", at_ms, callback)
+
+    def _cancel_timer(self, name: str) -> None:
+        self._context.timers.cancel(f"flow/{self.request_id}/{name}")
--- /dev/null
+++ b/papayacrank/entry/_flow_table.py
@@ -0,0 +1,115 @@
+"""Table of the request flows in progress."""
+
+from papayacrank.admission import AdmissionPolicy, Admitted
+from papayacrank.kernel import Clock
+from papayacrank.transport import Timers
+
+from ._flow import RequestFlow
+
+ADMISSION_TIMER = "entry/admission"
+
+
+class FlowTable:
+    """Finds flows by request, attempt and key, and hands out admissions.
+
+    The number of flows is bounded by the number of connections.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of `timers`.
+    timers : Timers
+        Timers of the process.
+    policies : tuple of AdmissionPolicy
+        Queues to poll.
+    on_polled : Callable
+        Called after each poll, for example to ask for a larger share at once.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        timers: Timers,
+        policies: tuple[AdmissionPolicy, ...],
+        on_polled=lambda: None,
+    ):
+        self._clock = clock
+        self._timers = timers
+        self._policies = policies
+        self._on_polled = on_polled
+        self._flows: dict[str, RequestFlow] = {}
+        self._by_attempt: dict[str, RequestFlow] = {}
+        self._is_polling = False
+        self._poll_again = False
+
+    def __len__(self) -> int:
+        return len(self._flows)
+
+    def add(self, flow: RequestFlow) -> None:
+        """Add a flow."""
+        self._flows[flow.request_id] = flow
+
+    def remove(self, flow: RequestFlow) -> None:
+        """Remove a flow that has ended, and let queued requests follow."""
+        if self._flows.pop(flow.request_id, None) is not None:
+            self.poll_admission()
+
+    def find(self, request_id: str) -> RequestFlow | None:
+        """Return the flow of a request."""
+        return self._flows.get(request_id)
+
+    def add_attempt(self, attempt_id: str, flow: RequestFlow) -> None:
+        """Direct the events of an attempt to a flow."""
+        self._by_attempt[attempt_id] = flow
+
+    def remove_attempt(self, attempt_id: str | None) -> None:
+        """Ignore further events of an attempt."""
+        self._by_attempt.pop(attempt_id, None)
+
+    def find_attempt(self, attempt_id: str) -> RequestFlow | None:
+        """Return the flow of an attempt that is in progress."""
+        return self._by_attempt.get(attempt_id)
+
+    def with_key(self, key_id: str) -> list[RequestFlow]:
+        """Return the flows of a key."""
+        return [f for f in self.with_any_key() if f.caller.key_id == key_id]
+
+    def with_any_key(self) -> list[RequestFlow]:
+        """Return the flows that depend on a key."""
+        return [flow for flow in self._flows.values() if flow.caller is not None]
+
+    def poll_admission(self) -> None:
+        """Admit or refuse queued requests; calls during a poll repeat it."""
+        self._poll_again = True
+        if self._is_polling:
+            return
+        self._is_polling = True
+        try:
+            while self._poll_again:
+                self._poll_again = False
+                self._poll_once()
+        finally:
+            self._is_polling = False
+        self._schedule()
+        self._on_polled()
+
+    def _poll_once(self) -> None:
+        now_ms = self._clock.now_ms()
+        for policy in self._policies:
+            for decision in policy.poll(now_ms):
+                flow = self._flows.get(decision.request.request_id)
+                if flow is None:
+                    continue
+                if isinstance(decision, Admitted):
+                    flow.on_admitted()
+                else:
+                    flow.fail(decision.failure)
+
+    def _schedule(self) -> None:
+        now_ms = self._clock.now_ms()
+        times = [policy.next_wakeup_ms(now_ms) for policy in self._policies]
+        times = [at_ms for at_ms in times if at_ms is not None]
+        if times:
+            self._timers.set(ADMISSION_TIMER, min(times), self.poll_admission)
+        else:
+            self._timers.cancel(ADMISSION_TIMER)
--- a/papayacrank/entry/_front_end.py
+++ b/papayacrank/entry/_front_end.py
@@ -148,6 +148,10 @@
         """Cut the connection of an exchange."""
         self._listener.abort(exchange.sock)
 
+    def close_after_answers(self) -> None:
+        """Close each connection after its next answer."""
+        self._closing_all = True
+
     def stop_listening(self) -> None:
         """Accept no further connections and close each after its answer."""
         self._closing_all = True
--- /dev/null
+++ b/papayacrank/entry/_service_flow.py
@@ -0,0 +1,169 @@
+"""Flow of an idempotent request to a plain service."""
+
+from papayacrank.admission import AdmissionPolicy, AdmissionRequest
+from papayacrank.config import Service
+from papayacrank.routing import Choice, RoutingRequest
+from papayacrank.targets import (
+    TargetFailure,
+    TargetRequest,
+    TargetTimeouts,
+    TargetUsage,
+)
+
+from ._answers import VERDICT_HEADER, Headers
+from ._authentication import Caller
+from ._context import EntryContext
+from ._exchange import REQUEST_ID_HEADER, Exchange
+from ._flow import FLOW_CHANNEL, RequestFlow
+
+SERVICE_DEADLINE_MS = 30_000
+# Work of one request in the unit of the fair queue, which counts tokens of engines.
+REQUEST_COST = 1.0
+# The target states that it did not do the work, or that a system behind it failed.
+RETRYABLE_STATUSES = frozenset({502, 503, 504})
+_OWN_ANSWER_HEADERS = frozenset(
+    {
+        "content-length",
+        "date",
+        "server",
+        "idempotency-key",
+        REQUEST_ID_HEADER.lower(),
+        VERDICT_HEADER.lower(),
+    }
+)
+
+
+class ServiceFlow(RequestFlow):
+    """Serves a request to a plain service that may be repeated.
+
+    Parameters
+    ----------
+    context, exchange, caller, service
+        As for `RequestFlow`.
+    target_path : str
+        Path and query for the target, as received.
+    idempotent : bool
+        Whether the request may be sent more than once.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        exchange: Exchange,
+        caller: Caller | None,
+        service: Service,
+        target_path: str,
+        idempotent: bool = True,
+    ):
+        super().__init__(
+            context, exchange, caller, service, idempotent, SERVICE_DEADLINE_MS
+        )
+        self._target_path = target_path
+        self._idempotent = idempotent
+        self._status = 0
+        self._headers: Headers = []
+        self._body = bytearray()
+
+    @property
+    def _admission(self) -> AdmissionPolicy:
+        return self._context.plain_admission
+
+    def _build_admission(self) -> AdmissionRequest:
+        return AdmissionRequest(
+            request_id=self.request_id,
+            workspace=self.workspace,
+            service=self._service.name,
+            tokens=0,
+            expected_cost=REQUEST_COST,
+            deadline_ms=self._deadline_at_ms,
+            weight=self._find_weight(),
+        )
+
+    def _find_weight(self) -> float:
+        configuration = self._context.contact.configuration
+        workspace = configuration.find_workspace(self.workspace)
+        return workspace.weight if workspace else 1.0
+
+    def _build_routing(self) -> RoutingRequest:
+        return RoutingRequest(
+            request_id=self._next_attempt_id(),
+            service=self._service.name,
+            workspace=self.workspace,
+            deadline_ms=self._deadline_at_ms,
+            excluded=self._excluded,
+        )
+
+    def _build_attempt(self, attempt_id: str, choice: Choice) -> TargetRequest:
+        timings = self._context.settings.timings
+        request = self._exchange.request
+        self._status = 0
+        self._body.clear()
+        return TargetRequest(
+            request_id=attempt_id,
+            channel=FLOW_CHANNEL,
+            address=self._address_of(choice.target),
+            method=request.method,
+            path=self._target_path,
+            headers=self._target_headers(),
+            body=request.body,
+            idempotent=self._idempotent,
+            pass_headers=frozenset({"idempotency-key", "cookie"}),
+            echo_id=self.request_id,
+            max_body_bytes=self._context.settings.limits.max_body_bytes,
+            timeouts=TargetTimeouts(
+                connect_ms=timings.target_connect_timeout_ms,
+                first_byte_ms=timings.first_token_timeout_ms,
+                first_token_ms=timings.first_token_timeout_ms,
+                progress_ms=timings.progress_timeout_ms,
+            ),
+        )
+
+    def _target_headers(self) -> tuple[tuple[str, str], ...]:
+        return tuple(self._exchange.request.headers.items())
+
+    def on_headers(self, status: int, headers: Headers) -> None:
+        """Keep the head of the answer."""
+        self._context.router.on_first_token(self._attempt_id, self._now_ms())
+        self._status = status
+        self._headers = [
+            (name, value)
+            for name, value in headers
+            if name.lower() not in _OWN_ANSWER_HEADERS
+        ]
+
+    def on_data(self, data: bytes) -> None:
+        """Keep a piece of the answer, which the target client bounds."""
+        self._body += data
+
+    def on_finished(self, usage: TargetUsage | None) -> None:
+        """Pass the answer on, or ask another target if this one could not help."""
+        if self._status in RETRYABLE_STATUSES and self._idempotent:
+            self._on_unavailable()
+            return
+        self._finish_attempt()
+        self._answer()
+
+    def _on_unavailable(self) -> None:
+        target = self._choice.target
+        self._life.on_attempt_failed(bytes_written=True)
+        self._context.router.on_finished(self._attempt_id, False, self._now_ms())
+        self._forget_attempt()
+        self._note(f"{target} answered with status {self._status}")
+        if self._may_retry():
+            self._retry_elsewhere(target)
+        else:
+            self._answer()
+
+    def _answer(self) -> None:
+        self._note(f"answered with status {self._status}")
+        self._exchange.respond(self._status, self._headers, bytes(self._body))
+        self._end("served", None)
+
+    def _on_attempt_lost(self, target: str, failure: TargetFailure) -> None:
+        if self._may_retry():
+            self._retry_elsewhere(target)
+        else:
+            self._fail_after(target, failure)
+
+    def _used_tokens(self) -> tuple[int, int, int]:
+        return 0, 0, 0
--- /dev/null
+++ b/papayacrank/entry/_target_sync.py
@@ -0,0 +1,65 @@
+"""Passes the targets of the feed on to the router."""
+
+from papayacrank.config import Configuration, Service
+from papayacrank.control import ControlContact
+from papayacrank.kernel import Clock, create
+from papayacrank.routing import LIVE, Router, RoutingPolicy, TargetView
+
+
+class TargetSync:
+    """Keeps the router in line with configuration and platform list.
+
+    Parameters
+    ----------
+    contact : ControlContact
+        Feed copy.
+    router : Router
+        Router to update.
+    clock : Clock
+        Source of the time.
+    """
+
+    def __init__(self, contact: ControlContact, router: Router, clock: Clock):
+        self._contact = contact
+        self._router = router
+        self._clock = clock
+        self._services: set[str] = set()
+        self._policy = ""
+
+    def update(self) -> None:
+        """Apply the feed copy."""
+        configuration = self._contact.configuration
+        if configuration is None:
+            return
+        self._apply_policy(configuration)
+        now_ms = self._clock.now_ms()
+        names = {service.name for service in configuration.services}
+        for gone in sorted(self._services - names):
+            self._router.update_targets(gone, [], now_ms)
+        for service in configuration.services:
+            self._router.update_targets(service.name, self._list(service), now_ms)
+        self._services = names
+
+    def update_instances(self) -> None:
+        """Apply the list of instances."""
+        serving = [i for i in self._contact.instances if i.status == "serving"]
+        self._router.set_instances(len(serving))
+
+    def _apply_policy(self, configuration: Configuration) -> None:
+        self._router.goals = configuration.goals
+        if configuration.routing_policy != self._policy:
+            self._policy = configuration.routing_policy
+            self._router.policy = create(RoutingPolicy, self._policy)
+
+    def _list(self, service: Service) -> list[TargetView]:
+        version = service.weights_version if service.model is not None else ""
+        return [
+            TargetView(
+                name=target.name,
+                address=target.address,
+                failure_domain=target.failure_domain,
+                state=self._contact.targets.get(target.name, LIVE),
+                weights_version=version,
+            )
+            for target in service.targets
+        ]
--- /dev/null
+++ b/papayacrank/entry/_warmup.py
@@ -0,0 +1,217 @@
+"""Decision code of the copy of routing state between entry processes."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from papayacrank.kernel import CancelTimer, Effect, Send, SetTimer
+from papayacrank.messages import WarmupReply, WarmupRequest
+from papayacrank.routing import LoadReport
+
+MAX_COPIES = 3
+COPY_SILENCE_MS = 2_000
+PAGE_TIMEOUT_MS = 1_000
+BUSY_RETRY_MS = 200
+MAX_PAGES = 10_000
+TIMER = "warmup"
+
+
+class LoadCopy(msgspec.Struct, frozen=True):
+    """Load report of a target in a copy."""
+
+    target: str
+    incarnation: int
+    weights_version: str
+    running: int
+    waiting: int
+    queued_prefill_tokens: int
+
+    @classmethod
+    def of(cls, target: str, report: LoadReport) -> "LoadCopy":
+        """Convert a report."""
+        return cls(
+            target,
+            report.incarnation,
+            report.weights_version,
+            report.running,
+            report.waiting,
+            report.queued_prefill_tokens,
+        )
+
+    def to_report(self) -> LoadReport:
+        """Convert back."""
+        return LoadReport(
+            self.incarnation,
+            self.weights_version,
+            self.running,
+            self.waiting,
+            self.queued_prefill_tokens,
+        )
+
+
+class WarmupPage(msgspec.Struct, frozen=True):
+    """Content of `WarmupReply.page`."""
+
+    index: bytes = b""
+    loads: list[LoadCopy] = []
+
+
+class WarmupSource:
+    """Serving side: hands out the routing state in pages.
+
+    Parameters
+    ----------
+    export_page : Callable
+        ``export_page(cursor) -> (page, next_cursor or None)`` of the prefix index.
+    list_loads : Callable
+        Returns the latest load reports by target.
+    max_copies : int
+        Instances that may copy at a time.
+    """
+
+    def __init__(
+        self,
+        export_page: Callable[[int], tuple[bytes, int | None]],
+        list_loads: Callable[[], dict[str, LoadReport]],
+        max_copies: int = MAX_COPIES,
+    ):
+        self._export_page = export_page
+        self._list_loads = list_loads
+        self._max_copies = max_copies
+        self._last_seen_ms: dict[str, int] = {}
+
+    def receive(
+        self, sender: str, request: WarmupRequest, may_serve: bool, now_ms: int
+    ) -> list[Effect]:
+        """Answer a request for a page.
+
+        Parameters
+        ----------
+        may_serve : bool
+            Whether this process has a state worth copying.
+        """
+        self._forget_silent(now_ms)
+        known = request.instance in self._last_seen_ms
+        full = not known and len(self._last_seen_ms) >= self._max_copies
+        if not may_serve or full or not _is_cursor(request.cursor):
+            return [Send(sender, WarmupReply(accepted=False))]
+        self._last_seen_ms[request.instance] = now_ms
+        page, following = self._export_page(int(request.cursor or 0))
+        loads = [] if request.cursor else self._copy_loads()
+        content = msgspec.msgpack.encode(WarmupPage(page, loads))
+        if following is None:
+            self._last_seen_ms.pop(request.instance, None)
+        cursor = "" if following is None else str(following)
+        return [Send(sender, WarmupReply(True, cursor, content))]
+
+    def _copy_loads(self) -> list[LoadCopy]:
+        return [LoadCopy.of(name, load) for name, load in self._list_loads().items()]
+
+    def _forget_silent(self, now_ms: int) -> None:
+        oldest_ms = now_ms - COPY_SILENCE_MS
+        self._last_seen_ms = {
+            name: seen for name, seen in self._last_seen_ms.items() if seen > oldest_ms
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class PageReceived:
+    """Effect: a page to import."""
+
+    page: WarmupPage
+
+
+@dataclass(frozen=True, slots=True)
+class WarmupEnded:
+    """Effect: the copy has ended.
+
+    Parameters
+    ----------
+    complete : bool
+        Whether all pages of one peer arrived.
+    peer : str
+        Source of the copy, empty if there was none.
+    """
+
+    complete: bool
+    peer: str = ""
+
+
+class WarmupCopy:
+    """Starting side: copies from one peer after the other until one is complete.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this instance.
+    boot : int
+        Boot number of this process.
+    timeout_ms : int
+        Longest duration of the whole copy, in milliseconds.
+    """
+
+    def __init__(self, instance: str, boot: int, timeout_ms: int):
+        self._instance = instance
+        self._boot = boot
+        self._timeout_ms = timeout_ms
+        self._peers: list[str] = []
+        self._cursor = ""
+        self._pages = 0
+        self._ends_ms = 0
+        self._is_running = False
+
+    def start(self, peers: Sequence[str], now_ms: int) -> list[Any]:
+        """Ask the first peer; without peers the copy ends at once."""
+        self._is_running = True
+        self._peers = list(peers)
+        self._ends_ms = now_ms + self._timeout_ms
+        return self._ask(now_ms)
+
+    def receive(self, sender: str, reply: WarmupReply, now_ms: int) -> list[Any]:
+        """Take a page; replies of peers that are not asked now are ignored."""
+        if not self._is_running or not self._peers or sender != self._peers[0]:
+            return []
+        if not reply.accepted:
+            return self._wait_for_next_peer(now_ms)
+        try:
+            page = msgspec.msgpack.decode(reply.page, type=WarmupPage)
+        except msgspec.DecodeError:
+            return self._wait_for_next_peer(now_ms)
+        self._pages += 1
+        if not reply.cursor or self._pages >= MAX_PAGES:
+            return [PageReceived(page), *self._end(not reply.cursor)]
+        self._cursor = reply.cursor
+        return [PageReceived(page), *self._ask(now_ms)]
+
+    def tick(self, now_ms: int) -> list[Any]:
+        """Ask the next peer after a silence, or give up after the time allowed."""
+        if not self._is_running:
+            return []
+        self._rotate()
+        return self._ask(now_ms)
+
+    def _ask(self, now_ms: int) -> list[Any]:
+        if not self._peers or now_ms >= self._ends_ms:
+            return self._end(False)
+        request = WarmupRequest(self._instance, self._boot, self._cursor)
+        wake_up_ms = min(now_ms + PAGE_TIMEOUT_MS, self._ends_ms)
+        return [Send(self._peers[0], request), SetTimer(TIMER, wake_up_ms)]
+
+    def _wait_for_next_peer(self, now_ms: int) -> list[Any]:
+        """Leave time between refusals, when all peers are busy."""
+        return [SetTimer(TIMER, min(now_ms + BUSY_RETRY_MS, self._ends_ms))]
+
+    def _rotate(self) -> None:
+        self._peers = [*self._peers[1:], *self._peers[:1]]
+        self._cursor = ""
+
+    def _end(self, complete: bool) -> list[Any]:
+        self._is_running = False
+        peer = self._peers[0] if complete else ""
+        return [CancelTimer(TIMER), WarmupEnded(complete, peer)]
+
+
+def _is_cursor(text: str) -> bool:
+    return not text or (text.isascii() and text.isdigit() and len(text) <= 18)
