--- a/papayacrank/entry/_authentication.py
+++ b/papayacrank/entry/_authentication.py
@@ -1,6 +1,5 @@
 """Authentication of callers by key."""
 
-import hashlib
 import re
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -8,12 +7,12 @@
 
 from expression import Error, Ok, Result
 
+from papayacrank.control import digest_key
 from papayacrank.kernel import Failure, Verdict
 from papayacrank.messages import KeyEntry
 
 from ._request_parser import CallerRequest
 
-KEY_DIGEST_BYTES = 32
 MAX_KEY_CHARACTERS = 512
 _JSON_ESCAPE = re.compile(rb"\\(?:u00([2-7][0-9a-fA-F])|/)")
 _BEARER = re.compile(r"[Bb]earer +([\x21-\x7e]+)")
@@ -42,19 +41,12 @@
     key_id: str
 
 
-def digest_key(key: str) -> str:
-    """Return the hexadecimal BLAKE2b-256 digest of a key."""
-    return hashlib.blake2b(key.encode(), digest_size=KEY_DIGEST_BYTES).hexdigest()
-
-
 def has_key(request: CallerRequest) -> bool:
     """Return whether the request carries credentials."""
     return "authorization" in request.headers
 
 
-def authenticate(
-    request: CallerRequest, keys: KeyDirectory
-) -> Result[Caller, Failure]:
+def authenticate(request: CallerRequest, keys: KeyDirectory) -> Result[Caller, Failure]:
     """Find out whose key a request carries.
 
     Parameters
--- a/papayacrank/entry/_completion_flow.py
+++ b/papayacrank/entry/_completion_flow.py
@@ -12,12 +12,13 @@
     TargetRequest,
     TargetTimeouts,
     TargetUsage,
+    pad_tokens,
 )
 
 from ._answers import JSON_TYPE, Headers
 from ._authentication import Caller
 from ._completion_answer import CompletionAnswer
-from ._completion_request import CompletionRequest, encode_tokens
+from ._completion_request import CompletionRequest
 from ._context import EntryContext
 from ._engine_body import EngineFields, encode_engine_body
 from ._exchange import Exchange
@@ -70,7 +71,7 @@
         self._completion = completion
         self._assistant = assistant
         self._weight = workspace.weight
-        tokens = encode_tokens(completion.text)
+        tokens = pad_tokens(completion.text)
         self._prompt_tokens = len(tokens) // TOKEN_BYTES
         self._max_output = (
             completion.wanted_output_tokens or assistant.default_max_output_tokens
--- a/papayacrank/entry/_completion_request.py
+++ b/papayacrank/entry/_completion_request.py
@@ -8,9 +8,9 @@
 
 from papayacrank.config import Assistant, EntryLimits, Service
 from papayacrank.kernel import Failure, Verdict
+from papayacrank.targets import render_prompt
 
 MAX_OUTPUT_TOKENS = 1_000_000
-TOKEN_BYTES = 4
 # Fields by which the system talks to engines. A caller who could set the salt of the
 # cache would reach the cache entries of another workspace.
 INTERNAL_FIELDS = (
@@ -50,7 +50,8 @@
     Parameters
     ----------
     document : dict
-        Body to pass to an engine, without the system's own fields.
+        Body to pass to an engine, without the system's own fields, and with the
+        text parts of a message joined.
     model : str
         Model that the caller asks for.
     text : str
@@ -94,11 +95,15 @@
         return Error(_refuse("invalid_body", text))
     passed = {k: v for k, v in document.items() if k not in INTERNAL_FIELDS}
     passed.pop("assistant", None)
+    passed["messages"] = [
+        message | {"content": _read_text(checked)}
+        for message, checked in zip(document["messages"], fields.messages, strict=True)
+    ]
     return Ok(
         CompletionRequest(
             passed,
             fields.model,
-            "".join(_read_text(message) for message in fields.messages),
+            render_prompt(passed["messages"]),
             bool(fields.stream),
             wanted,
             fields.assistant,
@@ -106,12 +111,6 @@
     )
 
 
-def encode_tokens(text: str) -> bytes:
-    """Return the prompt as tokens of 4 bytes; the last one is padded with NUL."""
-    raw = text.encode("utf-8", "replace")
-    return raw + b"\0" * (-len(raw) % TOKEN_BYTES)
-
-
 def check_size(
     prompt_tokens: int, limits: EntryLimits, burst_tokens: int, output_tokens: int
 ) -> Failure | None:
--- a/papayacrank/entry/_dispatcher.py
+++ b/papayacrank/entry/_dispatcher.py
@@ -273,9 +273,7 @@
         if key.is_error():
             return key
         return Ok(
-            ActionFlow(
-                self._context, exchange, caller, service, target_path, key.ok
-            )
+            ActionFlow(self._context, exchange, caller, service, target_path, key.ok)
         )
 
     # Access
