Match whole words in the glossary test

Cause: the test reported 'astimezone', a method of the standard library.

Change: the words match parts of identifiers in snake_case and CapWords.

Conclusion: the check still finds zone, Zone, zones and time_zone.

--- a/papayacrank/kernel/tests/test_docs.py
+++ b/papayacrank/kernel/tests/test_docs.py
@@ -53,7 +53,9 @@
     cells = [line.split("|")[3] for line in table.splitlines()[2:]]
     unused = {word.strip() for cell in cells for word in cell.split(",")} - {""}
     assert {"zone", "tenant", "backend"} <= unused
-    pattern = re.compile(r"\b\w*(" + "|".join(sorted(unused)) + r")s?\b", re.I)
+    words = "|".join(sorted(unused | {word.capitalize() for word in unused}))
+    # Part of an identifier, in snake_case or CapWords; "astimezone" is none.
+    pattern = re.compile(rf"(?<![a-z])({words})s?(?![a-z])")
     offenders = [
         (path.name, match.group())
         for path in Path(papayacrank.__file__).parent.rglob("*.py")
