--- a/papayacrank/testing/__init__.py
+++ b/papayacrank/testing/__init__.py
@@ -1,6 +1,7 @@
 """Support for tests, demo and proofs: builders of test data and stand-ins."""
 
 from ._builders import build_questionnaire
+from ._deployment import Deployment, DeploymentError, DeploymentSize
 from ._engine import StandInEngine
 from ._engine_model import EngineSpeed, expected_output
 from ._fleet import Fleet, FleetError, FleetProcess, HttpAnswer
@@ -8,6 +9,9 @@
 from ._service import StandInService
 
 __all__ = [
+    "Deployment",
+    "DeploymentError",
+    "DeploymentSize",
     "Direction",
     "Fleet",
     "FleetError",
