--- a/papayacrank/consensus/_store.py
+++ b/papayacrank/consensus/_store.py
@@ -214,6 +214,7 @@
         entries = self._entries_after(snapshot)
         if not self._segments:
             self._start_segment(1)
+        self._finish_snapshot(snapshot)
         self._remove_leftovers(names, snapshot)
         self._failed = False
         return StoreState(
@@ -328,18 +329,30 @@
             del self._entries[max(0, keep) :]
 
     def _entries_after(self, snapshot: Snapshot | None) -> list[Entry]:
-        entries, self._entries = self._entries, []
-        base = snapshot.index if snapshot else 0
-        at_base = next((e for e in entries if e.index == base), None)
-        if at_base and snapshot and at_base.term != snapshot.term:
-            # The process stopped between saving the leader's snapshot and
-            # removing its own log, which belongs to another history.
+        if snapshot and self._is_other_history(snapshot):
             return []
-        after = [entry for entry in entries if entry.index > base]
+        base = snapshot.index if snapshot else 0
+        after = [entry for entry in self._entries if entry.index > base]
         if after and after[0].index != base + 1:
             raise self._damage(f"entry {base + 1} is missing")
         return after
 
+    def _is_other_history(self, snapshot: Snapshot) -> bool:
+        """Whether the log ends before the snapshot or contradicts it."""
+        if not self._entries or self._entries[0].index > snapshot.index:
+            return False
+        at_base = next((e for e in self._entries if e.index == snapshot.index), None)
+        return at_base is None or at_base.term != snapshot.term
+
+    def _finish_snapshot(self, snapshot: Snapshot | None) -> None:
+        """Discard the old log if the process stopped after saving a leader's snapshot.
+
+        Entries after the snapshot would otherwise follow the old ones with a gap.
+        """
+        if snapshot and self._is_other_history(snapshot):
+            self._write_batch([TruncateSuffix(0)])
+        self._entries = []
+
     def _remove_leftovers(self, names: list[str], snapshot: Snapshot | None) -> None:
         """Remove unfinished files, old snapshots and old generations.
 
--- a/papayacrank/consensus/tests/_simulation.py
+++ b/papayacrank/consensus/tests/_simulation.py
@@ -259,9 +259,7 @@
         if host is None or host.node is None or (sender, to) in self.blocked:
             return
         if host.paused_until_ms > self.now_ms:
-            self.at(
-                host.paused_until_ms, host, host.call, "receive", sender, message
-            )
+            self.at(host.paused_until_ms, host, host.call, "receive", sender, message)
             return
         host.call("receive", sender, message)
 
@@ -295,6 +293,8 @@
 
     def write(self) -> None:
         for host in self.leaders():
+            if host.paused_until_ms > self.now_ms:
+                continue
             self._write += 1
             host.propose(b"%d" % self._write)
 
@@ -330,7 +330,8 @@
 
     def pause(self, host: Host, duration_ms: float) -> None:
         """Stop a process for a while without it noticing."""
-        host.paused_until_ms = self.now_ms + duration_ms
+        until_ms = self.now_ms + duration_ms
+        host.paused_until_ms = max(host.paused_until_ms, until_ms)
 
     def restart(self, host: Host, down_ms: float) -> None:
         host.crash(self.random.random() < 0.5)
@@ -350,7 +351,6 @@
         self.loss = self.duplication = 0
         for host in self.hosts.values():
             host.files.crash_at_sync = None
-            host.paused_until_ms = 0
             self.restart(host, 10)
         self.run(20)
         self.write_and_wait(30_000)
