Prove the consensus core and the log store with fault tests

Seeded schedules of loss, duplication, reordering, delay, crashes at syncs, partitions, pauses, clock drift, member changes, lost and old folders check the history of operations.

--- a/papayacrank/consensus/_core.py
+++ b/papayacrank/consensus/_core.py
@@ -203,11 +203,16 @@
             self._set_term(term)
         if self._role is Role.LEADER:
             self._notice(LEADER_STEPPED_DOWN, term=term, reason=reason)
+            self._arm_election()
         self._role = Role.FOLLOWER
         self._leader = leader
         self._votes = set()
         self._progress = {}
 
+    def _arm_election(self) -> None:
+        """Draw a new election timeout and count it from now."""
+        raise NotImplementedError
+
     def _heard_from_leader(self) -> bool:
         """Whether this member has promised not to vote."""
         if self._role is Role.LEADER:
--- a/papayacrank/consensus/_recovery.py
+++ b/papayacrank/consensus/_recovery.py
@@ -220,9 +220,14 @@
 
         If this folder is an old copy and nobody remembers its acknowledgements, an
         entry that it helped to commit is in the log of one of the others. Voting for
-        a shorter log could lose it.
+        a shorter log could lose it. Learners do not count: one with the longest log
+        would block every election, because it cannot be elected itself.
         """
         self._term_floor = max(self._term_floor, reply.term)
+        voters = self._newest_membership().voters
+        if not any(reply.identity == member.identity for member in voters):
+            self._floors.pop(sender, None)
+            return
         last = Position(reply.last_term, reply.last_index)
         self._floors[sender] = (last, self._now_ms)
 
--- a/papayacrank/consensus/_replication.py
+++ b/papayacrank/consensus/_replication.py
@@ -189,8 +189,10 @@
         own = PeerRecord(self._identity, self._term, self._durable_index)
         self._note_record(own)
         index = self._majority_value(self._match_of)
+        # Entries of earlier terms are committed only together with one of this term:
+        # a majority that holds them does not keep them from being replaced.
         own_term = self._log.term_at(index) == self._term
-        if index > self._commit_index and (own_term or not self._protections.no_op):
+        if index > self._commit_index and own_term:
             self._advance_commit(index)
             self._on_committed_membership()
 
@@ -250,7 +252,6 @@
         lost = silent_ms > self._settings.election_timeout_ms
         if lost and self._protections.check_quorum:
             self._become_follower(self._term, "", "no contact to a majority")
-            self._arm_election()
             return
         self._send_heartbeats()
         self._manage_members()
--- a/papayacrank/consensus/_settings.py
+++ b/papayacrank/consensus/_settings.py
@@ -20,7 +20,7 @@
     check_quorum : bool
         Step down without contact to a majority.
     no_op : bool
-        Commit, read and change members only after an entry of the own term.
+        Start a term with an entry; read and change members only once it is committed.
     one_change : bool
         Change one member at a time.
     sync_before_reply : bool
--- a/papayacrank/consensus/_store.py
+++ b/papayacrank/consensus/_store.py
@@ -215,7 +215,7 @@
         if not self._segments:
             self._start_segment(1)
         self._finish_snapshot(snapshot)
-        self._remove_leftovers(names, snapshot)
+        self._remove_leftovers(snapshot)
         self._failed = False
         return StoreState(
             self._identity.identity, self._hard_state, snapshot, tuple(entries)
@@ -353,12 +353,13 @@
             self._write_batch([TruncateSuffix(0)])
         self._entries = []
 
-    def _remove_leftovers(self, names: list[str], snapshot: Snapshot | None) -> None:
+    def _remove_leftovers(self, snapshot: Snapshot | None) -> None:
         """Remove unfinished files, old snapshots and old generations.
 
         The generation before the current one is kept for an examination by hand.
         """
         current = self._snapshot_name(snapshot.index) if snapshot else ""
+        names = self._files.names()
         for name in names:
             old_snapshot = name in self._own(names, SNAPSHOT_PREFIX) and name != current
             generation = _generation_of(name)
--- a/papayacrank/consensus/tests/_simulation.py
+++ b/papayacrank/consensus/tests/_simulation.py
@@ -12,8 +12,10 @@
     InstallState,
     LogStore,
     Persist,
+    Promote,
     RaftNode,
     RaftSettings,
+    Remove,
 )
 from papayacrank.consensus.tests._disk import SimulatedCrashError, SimulatedFiles
 from papayacrank.kernel import Send, SetTimer
@@ -84,6 +86,11 @@
     def now_ms(self) -> int:
         return int(self.offset_ms + self.cluster.now_ms * self.rate)
 
+    def set_rate(self, rate: float) -> None:
+        """Change the rate of the clock without a jump."""
+        self.offset_ms += self.cluster.now_ms * (self.rate - rate)
+        self.rate = rate
+
     @property
     def has_lease(self) -> bool:
         return self.node is not None and self.node.has_lease(self.now_ms)
@@ -303,9 +310,10 @@
         before = len(self.history.acknowledged)
 
         def acknowledged():
-            if self.leading():
+            done = len(self.history.acknowledged) > before
+            if self.leading() and not done:
                 self.write()
-            return len(self.history.acknowledged) > before
+            return done
 
         self.run_until(acknowledged, limit_ms)
 
@@ -378,6 +386,7 @@
                 partial(cluster.restart, leader, random.uniform(10, 1_500)),
                 partial(cluster.pause, leader, random.uniform(100, 1_500)),
                 partial(crash_at_sync, random.choice((host, leader)), random),
+                partial(change_members, cluster),
             )
         )
         fault()
@@ -387,3 +396,15 @@
 def crash_at_sync(host: Host, random: Random) -> None:
     """Stop a host at one of its next syncs."""
     host.files.crash_at_sync = host.files.syncs + random.randint(1, 8)
+
+
+def change_members(cluster: Cluster) -> None:
+    """Ask every leader for a random change, without waiting for the result."""
+    random = cluster.random
+    names = sorted(cluster.hosts)
+    for host in cluster.leaders():
+        change = random.choice(
+            (Remove(random.choice(names)), Promote(random.choice(names)))
+        )
+        host.node.change_member(change, host.now_ms)
+        host.call("flush")
--- /dev/null
+++ b/papayacrank/consensus/tests/test_faults.py
@@ -0,0 +1,133 @@
+"""Random schedules of faults; each checks the history of the clients' operations."""
+
+import pytest
+
+from papayacrank.consensus import Replace, _replication
+from papayacrank.consensus.tests._simulation import (
+    Cluster,
+    ViolationError,
+    random_faults,
+)
+
+SCHEDULES_PER_TEST = 100
+
+
+@pytest.fixture(autouse=True)
+def small_chunks(monkeypatch):
+    monkeypatch.setattr(_replication, "SNAPSHOT_CHUNK_BYTES", 150)
+
+
+@pytest.mark.parametrize("block", range(5))
+@pytest.mark.parametrize(("size", "voters"), [(3, 3), (5, 5), (5, 3), (4, 3)])
+def test_no_schedule_breaks_a_promise(size, voters, block):
+    """Loss, duplication, reordering, crashes, partitions, pauses, member changes.
+
+    Guards against lost or changed committed entries, two members that serve reads at
+    the same time, stale reads, and a group that does not recover.
+    """
+    first = block * SCHEDULES_PER_TEST
+    for seed in range(first, first + SCHEDULES_PER_TEST):
+        cluster = Cluster(seed, size, voters).start()
+        try:
+            random_faults(cluster, steps=8)
+            cluster.finish()
+        except Exception as error:
+            error.add_note(f"seed {seed}, {size} members, {voters} voters")
+            raise
+
+
+@pytest.mark.parametrize("rolled_back", [False, True])
+@pytest.mark.parametrize("block", range(2))
+def test_lost_and_old_folders_lose_no_entry(rolled_back, block):
+    """Guards against votes and acknowledgements from a folder that forgot some."""
+    for seed in range(block * 150, block * 150 + 150):
+        cluster = Cluster(seed, size=5, voters=5).start()
+        host = cluster.random.choice(list(cluster.hosts.values()))
+        cluster.clients(cluster.random.uniform(0, 500))
+        copy = host.files.copy() if rolled_back else None
+        random_faults(cluster, steps=2)
+        cluster.heal()
+        cluster.run(1_500)
+        cluster.clients(cluster.random.uniform(100, 800))
+        cluster.lose_disk(host, copy)
+        cluster.clients(cluster.random.uniform(1_200, 2_000))
+        random_faults(cluster, steps=3)
+        try:
+            cluster.finish()
+        except Exception as error:
+            error.add_note(f"seed {seed}, rolled back: {rolled_back}")
+            raise
+
+
+def test_two_lost_disks_in_turn_are_repaired():
+    """Guards against a group that stays short of voters after a repair."""
+    cluster = Cluster(1, size=6, voters=5).start()
+    for _ in range(2):
+        cluster.lose_disk(cluster.leading())
+        cluster.clients(8_000, every_ms=100)
+        assert len(cluster.voters()) == 5
+    cluster.finish()
+
+
+def test_silent_voter_is_replaced_from_the_emptiest_domain():
+    """Guards against voters that gather in one failure domain."""
+    cluster = Cluster(2, size=6, voters=3).start()
+    cluster.run_until(lambda: len(cluster.voters()) == 5, 5_000)
+    victim = next(h for h in cluster.hosts.values() if h is not cluster.leading())
+    victim.crash()
+    cluster.run_until(lambda: victim.name not in cluster.voters(), 10_000)
+    cluster.run_until(lambda: len(cluster.voters()) == 5, 10_000)
+    domains = [cluster.hosts[name].settings.failure_domain for name in cluster.voters()]
+    assert sorted(domains.count(d) for d in set(domains)) == [1, 2, 2]
+    cluster.finish()
+
+
+def test_group_survives_losses_in_turn_down_to_one_domain_each():
+    """Guards against keeping dead voters in the quorum until it is lost."""
+    cluster = Cluster(3, size=5, voters=5).start()
+    for _ in range(3):
+        cluster.leading().crash()
+        cluster.run_until(cluster.leading, 5_000)
+        cluster.clients(6_000, every_ms=200)
+    cluster.write_and_wait()
+    cluster.finish()
+
+
+def test_replace_promotes_the_named_learner():
+    """Guards against a replacement that picks another learner than ordered."""
+    cluster = Cluster(4, size=7, voters=5).start()
+    cluster.run(2_000)
+    leader = cluster.leading()
+    voters = set(cluster.voters())
+    old = sorted(voters - {leader.name})[0]
+    new = sorted(set(cluster.hosts) - voters)[-1]
+    assert leader.node.change_member(Replace(old, new), leader.now_ms).is_ok()
+    leader.call("flush")
+    cluster.run_until(lambda: new in cluster.voters(), 5_000)
+    assert old not in cluster.voters()
+
+
+def test_no_second_group_while_a_member_knows_a_log():
+    """Guards against an empty group that replaces a reachable or a hidden log."""
+    cluster = Cluster(5, size=3, voters=3).start()
+    cluster.write_and_wait()
+    survivor = cluster.hosts["n2"]
+    cluster.partition({survivor.name})
+    for name in ("n0", "n1"):
+        cluster.lose_disk(cluster.hosts[name])
+    for _ in range(2):
+        with pytest.raises(ViolationError):
+            cluster.run_until(cluster.leading, 10_000)
+        cluster.heal()
+
+
+def test_restart_of_all_members_keeps_everything():
+    """Guards against a group that needs a member that is not coming back."""
+    cluster = Cluster(6, size=3, voters=3).start()
+    cluster.clients(500)
+    for host in cluster.hosts.values():
+        host.crash()
+    for name in ("n0", "n2"):
+        cluster.hosts[name].start()
+    cluster.write_and_wait(5_000)
+    cluster.history.check_final(cluster.leading())
