Test the target client against injected faults

Change: each stand-in has a channel of its own; tests cover crash, stop, stall, freeze, swapped, late, silent, refused, half-written and paused exchanges.

Conclusion: no test delivers a token or an answer to another request.

--- a/papayacrank/consensus/tests/_simulation.py
+++ b/papayacrank/consensus/tests/_simulation.py
@@ -259,9 +259,7 @@
         if host is None or host.node is None or (sender, to) in self.blocked:
             return
         if host.paused_until_ms > self.now_ms:
-            self.at(
-                host.paused_until_ms, host, host.call, "receive", sender, message
-            )
+            self.at(host.paused_until_ms, host, host.call, "receive", sender, message)
             return
         host.call("receive", sender, message)
 
--- /dev/null
+++ b/papayacrank/targets/tests/test_faults.py
@@ -0,0 +1,484 @@
+"""Tests of the client against stand-ins with injected faults."""
+
+import json
+import socket
+import time
+
+import pytest
+
+from papayacrank.targets import (
+    Delivery,
+    ResumeStep,
+    StreamAssembler,
+    TargetTimeouts,
+)
+from papayacrank.targets.tests._bench import MESSAGES, plain_request, stream_request
+from papayacrank.targets.tests._scripted import ScriptedServer
+from papayacrank.testing import EngineSpeed, Relay, expected_output
+
+SHORT = TargetTimeouts(
+    connect_ms=200, first_byte_ms=200, first_token_ms=200, progress_ms=200
+)
+OUTPUT, _ = expected_output(MESSAGES, typical_tokens=20)
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+
+
+def run_stream(bench, engines):
+    """Run a stream to its end as the entry process does, over several attempts."""
+    assembler = StreamAssembler(max_output_tokens=512)
+    outcomes = []
+    engine = 0
+    while True:
+        attempt_id = f"r1#{len(outcomes)}"
+        point = assembler.resume_point
+        request = stream_request(
+            engines[engine].address,
+            attempt_id,
+            {"resume_from": point.offset},
+            first_offset=point.offset,
+            timeouts=SHORT,
+        )
+        outcome = bench.run_request(request)
+        outcomes.append(getattr(outcome, "code", "finished"))
+        for offset, text in bench.recorder.tokens.get(attempt_id, ()):
+            assert assembler.accept(offset, text) is Delivery.DELIVER
+        if outcomes[-1] == "finished":
+            assert assembler.finish(outcome.completion_tokens) is Delivery.DELIVER
+            return outcomes, assembler.resume_point.text
+        step = assembler.next_step(f"engine-{engine}", engine_usable=True)
+        assert step is not ResumeStep.END_WITH_ERROR
+        if step is ResumeStep.OTHER_ENGINE:
+            engine = (engine + 1) % len(engines)
+
+
+@pytest.mark.parametrize(
+    ("how", "code"),
+    [
+        ("reset", "truncated_answer"),
+        ("close", "truncated_answer"),
+        ("end", "truncated_answer"),
+        ("stall", "progress_timeout"),
+    ],
+)
+def test_stream_stopped_in_the_middle_is_resumed(bench, how, code):
+    """Guards against tokens lost or repeated when a stream stops or stalls."""
+    engine = bench.open_engine()
+    engine.inject({"kind": "stop_mid_stream", "how": how, "after": 4})
+    outcomes, text = run_stream(bench, [engine])
+    assert outcomes == [code, "finished"]
+    assert text == "".join(OUTPUT)
+
+
+def test_stream_continues_on_another_engine(bench):
+    """Guards against a stream that ends although another engine could go on."""
+    first, second = bench.open_engine(), bench.open_engine()
+    first.inject({"kind": "stop_mid_stream", "after": 4, "count": 2})
+    outcomes, text = run_stream(bench, [first, second])
+    assert outcomes == ["truncated_answer", "truncated_answer", "finished"]
+    assert text == "".join(OUTPUT)
+
+
+def test_crashed_engine_fails_its_streams_and_serves_again(bench):
+    """Guards against a stream that hangs when its engine crashes."""
+    engine = bench.open_engine()
+    bench.recorder.on_token = lambda request_id, offset: (
+        engine.inject({"kind": "crash"})
+        if (request_id, offset) == ("r1#0", 3)
+        else None
+    )
+    outcomes, text = run_stream(bench, [engine])
+    assert outcomes == ["truncated_answer", "finished"]
+    assert text == "".join(OUTPUT)
+
+
+@pytest.mark.parametrize("kind", ["skip_token", "repeat_token"])
+def test_skipped_and_repeated_tokens_fail_the_attempt(bench, kind):
+    """Guards against an output with a gap or a repetition."""
+    engine = bench.open_engine()
+    engine.inject({"kind": kind, "at": 3})
+    outcomes, text = run_stream(bench, [engine])
+    assert outcomes == ["offset_gap", "finished"]
+    assert text == "".join(OUTPUT)
+
+
+def test_swapped_stream_is_not_delivered(bench):
+    """Guards against the output of another request."""
+    engine = bench.open_engine()
+    engine.inject({"kind": "swap_answers"})
+    failure = bench.run_request(stream_request(engine.address))
+    assert failure.code == "wrong_answer"
+    assert failure.bytes_written
+    assert "r1" not in bench.recorder.tokens
+
+
+def test_swapped_plain_answer_is_not_delivered(bench):
+    """Guards against the answer to another caller."""
+    service = bench.open_service()
+    bench.run_request(plain_request(service.address, "r1"))
+    service.inject({"kind": "swap_answers"})
+    failure = bench.run_request(plain_request(service.address, "r2"))
+    assert failure.code == "wrong_answer"
+    assert "r2" not in bench.recorder.heads
+    assert "r2" not in bench.recorder.data
+    assert bench.client.open_connections == 0
+
+
+def test_answer_without_an_id_is_refused_where_it_is_required(bench):
+    """Guards against an unmarked answer from a service that may swap answers."""
+    with ScriptedServer(["read", HEAD + b"hello", "hold"]) as server:
+        request = plain_request(server.address, require_echo=True)
+        assert bench.run_request(request).code == "wrong_answer"
+
+
+def test_late_answer_never_reaches_the_next_request(bench):
+    """Guards against an abandoned answer that is read by a later request."""
+    service = bench.open_service()
+    service.inject({"kind": "delay", "ms": 300})
+    request = plain_request(service.address, "r1", timeouts=SHORT)
+    assert bench.run_request(request).code == "first_byte_timeout"
+    assert bench.run_request(plain_request(service.address, "r2")) is None
+    bench.run_ms(200)
+    assert b'"request_id": "r2"' in bench.recorder.data["r2"]
+    assert "r1" not in bench.recorder.data
+    assert [entry.request_id for entry in service.journal] == ["r2", "r1"]
+
+
+def test_cancelled_attempt_fires_nothing_more(bench):
+    """Guards against an answer to a request that was given up."""
+    service = bench.open_service()
+    service.inject({"kind": "delay", "ms": 50})
+    bench.client.submit(plain_request(service.address, "r1"))
+    bench.run_ms(20)
+    bench.client.cancel("r1")
+    bench.run_ms(100)
+    assert bench.recorder.outcomes == {}
+    assert bench.client.active == 0
+    assert bench.client.open_connections == 0
+
+
+def test_cancel_reaches_the_engine(bench):
+    """Guards against an engine that goes on computing for nobody."""
+    engine = bench.open_engine(EngineSpeed(decode_tokens_per_s=20, output_tokens=100))
+    request = stream_request(engine.address)
+    bench.client.submit(request)
+    bench.run_until(lambda: "r1" in bench.recorder.tokens)
+    bench.client.cancel("r1")
+    bench.run_until(lambda: not engine.active_)
+    record = engine.records[0]
+    assert record.cancelled
+    assert not record.finished
+    bench.run_until(lambda: engine.cancel_requests_ == ["r1"])
+
+
+def test_refused_connection_wrote_nothing(bench):
+    """Guards against "may have run" for a request that never left."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+    failure = bench.run_request(plain_request(address))
+    assert (failure.code, failure.bytes_written) == ("connect_failed", False)
+
+
+def test_unanswered_connection_attempt_wrote_nothing(bench):
+    """Guards against a request that waits for ever for a lost host."""
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as sock:
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(sock.getsockname())
+        time.sleep(0.05)
+        failure = bench.run_request(plain_request(address, timeouts=SHORT))
+        for filler in fillers:
+            filler.close()
+    assert (failure.code, failure.bytes_written) == ("connect_timeout", False)
+
+
+def test_half_written_request_is_reported_and_does_not_run(bench):
+    """Guards against a request counted as not sent after a part of it was."""
+    service = bench.open_service()
+    with Relay(service.address) as relay:
+        body = b"x" * 30_000_000
+        request = plain_request(relay.address, method="POST", body=body)
+        bench.client.submit(request)
+        bench.run_until(lambda: relay.connection_count == 1)
+        bench.run_ms(5)
+        relay.cut()
+        bench.run_until(lambda: "r1" in bench.recorder.outcomes)
+    failure = bench.recorder.outcomes["r1"]
+    assert failure.bytes_written
+    assert failure.code in ("write_failed", "connection_lost")
+    assert service.journal == []
+
+
+def test_target_that_does_not_read_is_given_up(bench):
+    """Guards against a request that hangs while it is written."""
+    with ScriptedServer(["hold"]) as server:
+        request = plain_request(
+            server.address, method="POST", body=b"x" * 30_000_000, timeouts=SHORT
+        )
+        failure = bench.run_request(request)
+    assert (failure.code, failure.bytes_written) == ("progress_timeout", True)
+
+
+def test_early_refusal_is_delivered_although_the_body_was_not_read(bench):
+    """Guards against a lost refusal of a body that is too large."""
+    refusal = b"HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nbig"
+    with ScriptedServer(["read", refusal, 0.2]) as server:
+        request = plain_request(server.address, method="POST", body=b"x" * 30_000_000)
+        assert bench.run_request(request) is None
+    assert bench.recorder.heads["r1"][0] == 413
+    assert bench.client.open_connections == 0
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_silent_kept_connection_is_not_used(bench, idempotent):
+    """Guards against a request lost on a connection that went silent when idle."""
+    bench.client.close()
+    bench.open_client(probe_after_idle_ms=20, probe_timeout_ms=100)
+    service = bench.open_service()
+    for request_id in ("r1", "r2"):
+        bench.client.submit(plain_request(service.address, request_id))
+    bench.run_until(lambda: bench.client.idle_connections(service.address) == 2)
+    service.inject({"kind": "silent_connections"})
+    bench.run_ms(50)
+    request = plain_request(
+        service.address,
+        "r3",
+        path="/claims",
+        method="POST",
+        idempotent=idempotent,
+        probe_path="/health",
+        timeouts=SHORT,
+    )
+    assert bench.run_request(request) is None
+    claims = [entry for entry in service.journal if entry.path == "/claims"]
+    assert len(claims) == 1
+
+
+def test_probed_connection_is_reused(bench):
+    """Guards against a probe that costs a connection although it was answered."""
+    bench.client.close()
+    bench.open_client(probe_after_idle_ms=20)
+    service = bench.open_service()
+    for request_id in ("r1", "r2"):
+        request = plain_request(service.address, request_id, probe_path="/health")
+        assert bench.run_request(request) is None
+        bench.run_ms(50)
+    assert service.connections_accepted_ == 1
+
+
+def test_non_idempotent_request_uses_a_new_connection(bench):
+    """Guards against an action lost on a connection that the target just closed."""
+    service = bench.open_service()
+    for request_id in ("r1", "r2"):
+        request = plain_request(service.address, request_id, idempotent=False)
+        assert bench.run_request(request) is None
+    assert service.connections_accepted_ == 2
+
+
+def test_stale_connection_is_replaced_for_idempotent_requests(bench):
+    """Guards against failures when the target closes idle connections."""
+    with ScriptedServer(
+        ["read", HEAD + b"first", "read"], ["read", HEAD + b"again", "hold"]
+    ) as server:
+        assert bench.run_request(plain_request(server.address, "r1")) is None
+        assert bench.run_request(plain_request(server.address, "r2")) is None
+    assert bench.recorder.data["r2"] == b"again"
+
+
+def test_connection_with_surplus_bytes_is_not_reused(bench):
+    """Guards against a second answer that is read by the next request."""
+    with ScriptedServer(
+        ["read", HEAD + b"first" + HEAD + b"wrong", "hold"],
+        ["read", HEAD + b"right", "hold"],
+    ) as server:
+        assert bench.run_request(plain_request(server.address, "r1")) is None
+        assert bench.run_request(plain_request(server.address, "r2")) is None
+    assert bench.recorder.data["r2"] == b"right"
+
+
+@pytest.mark.parametrize(
+    ("script", "code"),
+    [
+        (["read", "hold"], "first_byte_timeout"),
+        (["read", HEAD + b"he", "hold"], "progress_timeout"),
+        (["read", HEAD + b"he"], "truncated_answer"),
+        (["read"], "connection_lost"),
+        (["read", b"garbage\r\n\r\n", "hold"], "malformed_answer"),
+        (["read", HEAD.replace(b"5", b"9999") + b"x" * 9999], "answer_too_large"),
+    ],
+)
+def test_faulty_answers_fail_with_their_code(bench, script, code):
+    """Guards against incomplete answers that look complete, and against hanging."""
+    with ScriptedServer(script) as server:
+        request = plain_request(
+            server.address, timeouts=SHORT, max_body_bytes=5_000, idempotent=False
+        )
+        failure = bench.run_request(request)
+    assert (failure.code, failure.bytes_written) == (code, True)
+    assert bench.client.open_connections == 0
+
+
+def test_stream_without_first_token_is_given_up(bench):
+    """Guards against an engine that accepts a request and never starts it."""
+    engine = bench.open_engine(EngineSpeed(prefill_tokens_per_s=1))
+    request = stream_request(engine.address, timeouts=SHORT)
+    assert bench.run_request(request).code == "first_token_timeout"
+
+
+def test_refused_stream_shows_status_and_body(bench):
+    """Guards against a refusal by an engine that is taken for a broken stream."""
+    engine = bench.open_engine()
+    engine.inject({"kind": "refuse", "status": 503})
+    failure = bench.run_request(stream_request(engine.address))
+    assert (failure.code, failure.status) == ("target_status", 503)
+    assert json.loads(failure.body) == {"error": "refused"}
+
+
+@pytest.mark.parametrize("streaming", [True, False])
+def test_frozen_link_fails_and_drops_kept_connections(bench, streaming):
+    """Guards against requests that pile up on connections that went silent."""
+    stand_in = bench.open_engine() if streaming else bench.open_service()
+    build = stream_request if streaming else plain_request
+    with Relay(stand_in.address) as relay:
+        for request_id in ("r1", "r2"):
+            bench.client.submit(build(relay.address, request_id))
+        bench.run_until(lambda: bench.client.idle_connections(relay.address) == 2)
+        relay.freeze_open()
+        failure = bench.run_request(build(relay.address, "r3", timeouts=SHORT))
+        assert failure.code == "first_byte_timeout"
+        assert bench.client.idle_connections(relay.address) == 0
+        outcome = bench.run_request(build(relay.address, "r4", timeouts=SHORT))
+        assert outcome is None or outcome.finish_reason == "stop"
+
+
+def test_answer_that_arrived_during_a_pause_of_this_process_counts(bench):
+    """Guards against false timeouts after the process itself was stopped."""
+    with ScriptedServer(["read", 0.05, HEAD + b"hello", "hold"]) as server:
+        bench.client.submit(plain_request(server.address, timeouts=SHORT))
+        bench.run_ms(20)
+        time.sleep(0.4)
+        bench.run_until(lambda: "r1" in bench.recorder.outcomes)
+    assert bench.recorder.outcomes["r1"] is None
+
+
+def test_slow_reader_pauses_the_target(bench):
+    """Guards against unbounded memory for a caller that does not read."""
+    body = b"x" * 8_000_000
+    head = HEAD.replace(b"5", str(len(body)).encode())
+    with ScriptedServer(["read", head + body, "hold"]) as server:
+        request = plain_request(server.address, timeouts=SHORT)
+        bench.client.submit(request)
+        bench.run_until(lambda: "r1" in bench.recorder.data)
+        bench.client.pause("r1")
+        bench.run_ms(20)
+        held = len(bench.recorder.data["r1"])
+        bench.run_ms(300)
+        assert len(bench.recorder.data["r1"]) == held
+        assert held < 1_000_000
+        bench.client.resume("r1")
+        bench.run_until(lambda: "r1" in bench.recorder.outcomes)
+    assert bench.recorder.outcomes["r1"] is None
+    assert bench.recorder.data["r1"] == body
+
+
+def test_end_of_a_paused_answer_is_not_lost(bench):
+    """Guards against bytes dropped when the target closes while reading is paused."""
+    body = b"x" * 300_000
+    head = HEAD.replace(b"5", str(len(body)).encode())
+    with ScriptedServer(["read", head + body]) as server:
+        bench.client.submit(plain_request(server.address))
+        bench.run_until(lambda: "r1" in bench.recorder.data)
+        bench.client.pause("r1")
+        bench.run_ms(100)
+        bench.client.resume("r1")
+        bench.run_until(lambda: "r1" in bench.recorder.outcomes)
+    assert bench.recorder.outcomes["r1"] is None
+    assert bench.recorder.data["r1"] == body
+
+
+def test_requests_beyond_the_limit_are_refused_unwritten(bench):
+    """Guards against an unbounded number of requests to targets."""
+    bench.client.close()
+    bench.open_client(max_active=1)
+    with ScriptedServer(["hold"]) as server:
+        bench.client.submit(plain_request(server.address, "r1"))
+        failure = bench.run_request(plain_request(server.address, "r2"))
+    assert (failure.code, failure.bytes_written) == ("overloaded", False)
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"path": "/a b"},
+        {"path": "/a\r\nX: y"},
+        {"path": "http://other/"},
+        {"method": "GET /x"},
+        {"headers": (("X", "a\nb"),)},
+        {"headers": (("X", "\u4e16"),)},
+        {"echo_id": "a\r\nb"},
+    ],
+)
+def test_invalid_requests_are_refused_unwritten(bench, fault):
+    """Guards against requests that smuggle a second one, and against a raise."""
+    failure = bench.run_request(plain_request("127.0.0.1:9", **fault))
+    assert (failure.code, failure.bytes_written) == ("invalid_request", False)
+
+
+def test_callers_key_does_not_reach_the_target(bench):
+    """Guards against a caller's key in the journal of a target."""
+    service = bench.open_service()
+    headers = (
+        ("Authorization", "Bearer k"),
+        ("Idempotency-Key", "i"),
+        ("X-Request-Id", "other"),
+    )
+    request = plain_request(
+        service.address, headers=headers, pass_headers=frozenset({"idempotency-key"})
+    )
+    assert bench.run_request(request) is None
+    received = service.journal[0].headers
+    assert "authorization" not in received
+    assert received["idempotency-key"] == "i"
+    assert received["x-request-id"] == "r1"
+
+
+def test_idle_connections_are_bounded_and_expire(bench):
+    """Guards against descriptors that are never given back."""
+    bench.client.close()
+    bench.open_client(max_idle_per_target=2, idle_ms=100)
+    service = bench.open_service()
+    for i in range(6):
+        bench.client.submit(plain_request(service.address, f"r{i}"))
+    bench.run_until(lambda: len(bench.recorder.outcomes) == 6)
+    bench.run_ms(10)
+    assert bench.client.idle_connections(service.address) == 2
+    bench.run_ms(150)
+    assert bench.client.open_connections == 0
+
+
+def test_many_requests_with_random_faults_end_once_and_with_their_own_answer(bench):
+    """Guards against answers that cross when faults of several kinds meet."""
+    service = bench.open_service()
+    for kind in ("drop_before", "drop_after", "swap_answers", "silent"):
+        service.inject({"kind": kind, "count": 10})
+    service.inject({"kind": "delay", "ms": 250, "count": 10})
+    ids = [f"r{i}" for i in range(120)]
+    for request_id in ids:
+        bench.client.submit(plain_request(service.address, request_id, timeouts=SHORT))
+    bench.run_until(lambda: len(bench.recorder.outcomes) == len(ids), 10_000)
+    finished = [i for i in ids if bench.recorder.outcomes[i] is None]
+    for request_id in finished:
+        document = json.loads(bench.recorder.data[request_id])
+        assert document["request_id"] == request_id
+    ran = {entry.request_id for entry in service.journal}
+    unwritten = {
+        i
+        for i in ids
+        if bench.recorder.outcomes[i] not in (None,)
+        and not bench.recorder.outcomes[i].bytes_written
+    }
+    assert not ran & unwritten
+    assert set(finished) <= ran
+    assert len(finished) >= 60
--- a/papayacrank/testing/_engine.py
+++ b/papayacrank/testing/_engine.py
@@ -114,6 +114,7 @@
         self._loading_until_ms = 0
         self._streams: dict[Job, _Stream] = {}
         self._records: list[EngineRecord] = []
+        self.cancel_requests_: list[str] = []
         self._seen_ids: set[str] = set()
         self._cancelled_ids: OrderedDict[str, None] = OrderedDict()
         self._tick_set = False
@@ -129,6 +130,16 @@
         """Address for replays of cache events."""
         return self._publisher.replay_address
 
+    @property
+    def records(self) -> list[EngineRecord]:
+        """What the engine did for each request, in the order of arrival."""
+        return list(self._records)
+
+    @property
+    def active_(self) -> int:
+        """Requests that are queued or run."""
+        return len(self._streams)
+
     def inject(self, document: dict[str, Any]) -> None:
         """Plan a fault, or carry it out if it does not wait for a request."""
         super().inject(document)
@@ -222,6 +233,7 @@
 
     def _cancel(self, req, res):
         request_id = str(read_json(req)["request_id"])
+        self.cancel_requests_.append(request_id)
         if request_id not in self._seen_ids:
             # The request itself may still be on its way on another connection.
             self._cancelled_ids[request_id] = None
@@ -483,6 +495,7 @@
         document = {
             "incarnation": self._incarnation,
             "requests": [asdict(record) for record in self._records],
+            "cancel_requests": self.cancel_requests_,
             "active": len(self._streams),
             "cached_blocks": len(self._model.cache),
             "sequence": self._publisher.sequence,
--- a/papayacrank/testing/_http_server.py
+++ b/papayacrank/testing/_http_server.py
@@ -1,5 +1,6 @@
 """HTTP server that the stand-ins share."""
 
+import itertools
 import json
 import socket
 import struct
@@ -35,6 +36,9 @@
 )
 
 
+_numbers = itertools.count(1)
+
+
 class StreamHeaders(Headers):
     """Headers of a chunked answer.
 
@@ -67,15 +71,17 @@
         Faults of the subclass in addition to the common ones.
     """
 
-    channel = "web"
-
     def __init__(self, clock: Clock, timers: Timers, port: int, faults: frozenset[str]):
-        super().__init__()
+        # Each stand-in has a channel of its own, so that several fit in one process.
+        super().__init__(channel=f"stand-in-{next(_numbers)}")
         self._clock = clock
         self._timers = timers
         self._faults = FaultPlan(COMMON_FAULTS | faults)
         self._server = BaseServer(
-            (LOOPBACK, port), display_banner=False, bufsize=RECEIVE_BYTES
+            (LOOPBACK, port),
+            channel=self.channel,
+            display_banner=False,
+            bufsize=RECEIVE_BYTES,
         ).register(self)
         self._sockets: set[socket.socket] = set()
         self._delays = 0
@@ -162,7 +168,7 @@
     def _respond(self, res) -> None:
         """Send an answer that was not returned by the handler."""
         if self._is_open(res.request.sock):
-            self.fire(response(res), "web")
+            self.fire(response(res), self.channel)
 
     def _start_stream(self, res, headers: dict) -> None:
         res.headers = StreamHeaders()
@@ -177,14 +183,14 @@
     def _send_piece(self, res, data: bytes | None) -> None:
         """Send part of a stream, or its end if `data` is None."""
         if self._is_open(res.request.sock):
-            self.fire(stream(res, data), "web")
+            self.fire(stream(res, data), self.channel)
 
     def _drop(self, sock, fault: Fault) -> None:
         """Close a connection, by default with a reset."""
         if fault.arguments.get("how", "reset") == "reset" and self._is_open(sock):
             linger = struct.pack("ii", 1, 0)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        self.fire(close(sock), "web")
+        self.fire(close(sock), self.channel)
 
     def _is_open(self, sock) -> bool:
         return sock in self._sockets
