--- a/papayacrank/admin/__main__.py
+++ b/papayacrank/admin/__main__.py
@@ -2,11 +2,14 @@
 
 import fire
 
+from papayacrank.kernel import configure_logging
+
 from ._commands import AdminCommands
 
 
 def main() -> None:
     """Run the command line."""
+    configure_logging("admin", "warning")
     fire.Fire(AdminCommands, name="papayacrank-admin")
 
 
--- a/papayacrank/admin/_commands.py
+++ b/papayacrank/admin/_commands.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any
 
-from fire.decorators import SetParseFn
+from fire.decorators import SetParseFn, SetParseFns
 
 from papayacrank.config import (
     Configuration,
@@ -40,6 +40,7 @@
 KEY_PREFIX = "ppk_"
 
 
+@SetParseFns(control=str, settings=str, operator=str, request_id=str)
 class AdminCommands:
     """Command line for operators of papayacrank.
 
@@ -326,25 +327,19 @@
         settings = self._find_settings()
         exchange = ControlExchange(settings.control, int(self._timeout_ms))
         try:
-            return exchange.run_command(command, str(wanted) if wanted else None)
+            return exchange.run_command(command, wanted)
         finally:
             exchange.close()
 
     def _find_settings(self) -> AdminSettings:
         try:
-            return find_control(self._control_text(), self._settings)
+            return find_control(self._control, self._settings)
         except SettingsError as error:
             self._output.fail("invalid_settings", str(error), EXIT_INVALID)
 
-    def _control_text(self) -> str | None:
-        """Return the addresses; fire turns a list with commas into a tuple."""
-        if isinstance(self._control, tuple | list):
-            return ",".join(str(item) for item in self._control)
-        return self._control
-
     def _operator_name(self) -> str:
         if self._operator is not None:
-            return str(self._operator)
+            return self._operator
         return self._find_settings().operator or getpass.getuser()
 
     def _generate(self, questionnaire: str) -> Configuration:
