--- a/papayacrank/admin/_exchange.py
+++ b/papayacrank/admin/_exchange.py
@@ -5,7 +5,7 @@
 from functools import partial
 from typing import Any
 
-from circuits import BaseComponent, handler
+from circuits import BaseComponent, Event, handler
 from expression import Result
 
 from papayacrank.config import PeerAddress
@@ -24,6 +24,10 @@
 TICK_SECONDS = 0.05
 
 
+class command_finished(Event):  # noqa: N801 - circuits events are lower case
+    """An outcome arrived; queued so that the event loop does not wait any more."""
+
+
 class ControlExchange(BaseComponent):
     """Runs a `ControlClient` in the foreground.
 
@@ -99,3 +103,4 @@
                     self._timers.cancel(name)
                 case RequestFinished(request_id, outcome):
                     self._outcomes[request_id] = outcome
+                    self.fire(command_finished(), self.channel)
--- a/papayacrank/control/__main__.py
+++ b/papayacrank/control/__main__.py
@@ -6,6 +6,7 @@
 
 from papayacrank.config import ControlSettings, SettingsError, load_settings
 from papayacrank.consensus import LogStoreError
+from papayacrank.kernel import configure_logging
 from papayacrank.transport import run_process
 
 from ._process import ControlProcess
@@ -28,6 +29,7 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_INVALID)
+    configure_logging(checked.instance, checked.log_level)
     try:
         process = ControlProcess(checked)
     except LogStoreError as error:
