--- a/papayacrank/admin/__main__.py
+++ b/papayacrank/admin/__main__.py
@@ -7,10 +7,16 @@
 from ._commands import AdminCommands
 
 
-def main() -> None:
-    """Run the command line."""
+def main(command: list[str] | None = None) -> None:
+    """Run the command line.
+
+    Parameters
+    ----------
+    command : list of str, optional
+        Arguments; default: those of the process.
+    """
     configure_logging("admin", "warning")
-    fire.Fire(AdminCommands, name="papayacrank-admin")
+    fire.Fire(AdminCommands, command=command, name="papayacrank-admin")
 
 
 if __name__ == "__main__":
--- a/papayacrank/admin/_commands.py
+++ b/papayacrank/admin/_commands.py
@@ -19,6 +19,7 @@
     parse_configuration,
 )
 from papayacrank.control import digest_key
+from papayacrank.kernel import Failure
 from papayacrank.messages import (
     FileConfiguration,
     GrantKey,
@@ -123,8 +124,12 @@
         command = FileConfiguration(
             int(expected_version), canonical_json(new), self._operator_name()
         )
-        request_id, result = self._run(command)
-        self._output.show({"version": result.version, "request_id": request_id})
+        request_id, outcome = self._exchange(command)
+        if outcome.is_error():
+            self._explain_conflict(outcome.error, new)
+            self._output.fail_with(outcome.error, request_id)
+        version = outcome.ok.version
+        self._output.show({"version": version, "request_id": request_id})
 
     @SetParseFn(str)
     def grant(self, workspace, key_id=None):
@@ -282,6 +287,14 @@
             self._output.fail("unknown_request", message, EXIT_FAILED)
         self._output.show(record)
 
+    @staticmethod
+    def _explain_conflict(failure: Failure, new: Configuration) -> None:
+        """Add what filing would change in the configuration that won."""
+        document = failure.details.get("document")
+        if document:
+            changes = diff_configurations(parse_configuration(document), new)
+            failure.details["changes"] = [str(change) for change in changes]
+
     def _set_state(self, instance: str, state: str) -> None:
         command = SetInstanceState(instance, state, self._operator_name())
         request_id, _ = self._run(command)
--- a/papayacrank/admin/_output.py
+++ b/papayacrank/admin/_output.py
@@ -38,26 +38,46 @@
         else:
             print(text if text is not None else format_listing(document))
 
-    def fail(self, code: str, message: str, exit_code: int, **fields) -> NoReturn:
-        """Print an error and exit."""
+    def fail(
+        self,
+        code: str,
+        message: str,
+        exit_code: int,
+        details: dict[str, Any] | None = None,
+        **fields,
+    ) -> NoReturn:
+        """Print an error and exit.
+
+        Parameters
+        ----------
+        code, message : str
+            Kind of the error and explanation.
+        exit_code : int
+            Code to exit with.
+        details : dict, optional
+            Further facts; long texts are printed as JSON only.
+        **fields : Any
+            Verdict and request id of a command.
+        """
+        details = details or {}
         if self._as_json:
-            error = {"code": code, "message": message} | fields
+            error = {"code": code, "message": message, "details": details} | fields
             print(json.dumps({"error": error}, sort_keys=True))
         else:
-            details = "".join(f"\n  {k}: {v}" for k, v in fields.items())
-            print(f"{code}: {message}{details}", file=sys.stderr)
+            shown = fields | {k: v for k, v in details.items() if k != "document"}
+            lines = [f"  {key}: {_format_value(value)}" for key, value in shown.items()]
+            print("\n".join([f"{code}: {message}", *lines]), file=sys.stderr)
         sys.exit(exit_code)
 
     def fail_with(self, failure: Failure, request_id: str) -> NoReturn:
         """Print the failure of a command and exit with the code of its kind."""
-        exit_code = _EXIT_BY_CODE.get(failure.code, EXIT_FAILED)
         self.fail(
             failure.code,
             failure.message,
-            exit_code,
+            _EXIT_BY_CODE.get(failure.code, EXIT_FAILED),
+            failure.details,
             verdict=failure.verdict.value,
             request_id=request_id,
-            **failure.details,
         )
 
 
--- /dev/null
+++ b/papayacrank/admin/tests/test_admin.py
@@ -0,0 +1,165 @@
+"""Tests of the command line against a control process on loopback."""
+
+import http.server
+import json
+import threading
+
+import pytest
+import structlog
+
+from papayacrank.admin import _commands as commands_module
+from papayacrank.admin.__main__ import main
+from papayacrank.control import digest_key
+from papayacrank.control.tests.group import ControlGroup
+from papayacrank.testing import build_questionnaire
+
+
+@pytest.fixture(scope="module")
+def group(tmp_path_factory):
+    """One control process."""
+    with ControlGroup(tmp_path_factory.mktemp("group"), size=1) as started:
+        started.start_members()
+        started.wait_ready()
+        yield started
+
+
+@pytest.fixture
+def admin(group, capsys):
+    """Function that runs a command and returns exit code and JSON output."""
+
+    def run(*arguments, control=group.control):
+        command = [*arguments, "--json", f"--control={control}", "--operator=ann"]
+        code = 0
+        try:
+            main(command)
+        except SystemExit as stop:
+            code = stop.code
+        return code, json.loads(capsys.readouterr().out)
+
+    yield run
+    structlog.reset_defaults()
+
+
+@pytest.fixture
+def questionnaire(tmp_path):
+    """Path of a questionnaire."""
+    path = tmp_path / "questionnaire.json"
+    answers = build_questionnaire().model_dump_json()
+    path.write_text(f"// answers\n{answers}")
+    return str(path)
+
+
+def test_generate_diff_and_file_under_the_version_that_was_shown(
+    admin, questionnaire, tmp_path
+):
+    """Guards against filing over a version that the operator has not seen."""
+    path = str(tmp_path / "configuration.json")
+    assert admin("generate", questionnaire, f"--out={path}")[0] == 0
+    _, shown = admin("diff", f"--configuration={path}")
+    version = str(shown["expected_version"])
+    assert shown["changes"]
+    code, filed = admin("file", version, f"--questionnaire={questionnaire}")
+    assert (code, filed["version"]) == (0, int(version) + 1)
+    assert admin("diff", f"--configuration={path}")[1]["changes"] == []
+    code, conflict = admin("file", version, f"--configuration={path}")
+    assert code == 3
+    details = conflict["error"]["details"]
+    assert (details["operator"], details["changes"]) == ("ann", [])
+    assert details["request_id"] == filed["request_id"]
+    code, resent = admin(
+        "file",
+        version,
+        f"--configuration={path}",
+        f"--request-id={filed['request_id']}",
+    )
+    assert (code, resent["version"]) == (0, filed["version"])
+    assert admin("configuration")[1]["version"] == filed["version"]
+
+
+def test_key_is_shown_once_and_only_its_digest_is_stored(admin, group):
+    """Guards against a key that can be read from the state or from a resend."""
+    code, granted = admin("grant", "team-a", "--key-id=1e5")
+    assert (code, granted["key_id"]) == (0, "1e5")
+    _, resent = admin("grant", "team-a", f"--request-id={granted['request_id']}")
+    assert resent["key_id"] == "1e5" and "key" not in resent
+    listed = json.dumps(admin("keys")[1])
+    assert granted["key"] not in listed and digest_key(granted["key"]) not in listed
+    assert admin("withdraw", "1e5")[0] == 0
+    state = next(k["state"] for k in admin("keys")[1] if k["key_id"] == "1e5")
+    assert state == "withdrawn"
+    assert admin("withdraw", "none")[0] == 1
+
+
+def test_views_and_operator_states(admin):
+    """Guards against a view that cannot be printed."""
+    for what in ("status", "fleet", "targets", "budgets", "actions", "orders"):
+        assert admin(what)[0] == 0
+    assert admin("members")[1][0]["role"] == "voter"
+    assert admin("usage")[1] == []
+    assert admin("drain", "i1")[0] == 0
+    assert admin("status")[1]["draining"] == ["i1"]
+    assert admin("undrain", "i1")[0] == 0
+    assert admin("status")[1]["draining"] == []
+
+
+def test_orders_are_accepted_once_per_request_id(admin):
+    """Guards against a second load because the answer to the first was lost."""
+    _, placed = admin("order", "sample-llm-9", "load_weights", "2")
+    again = f"--request-id={placed['request_id']}"
+    assert admin("order", "sample-llm-9", "load_weights", "2", again)[1] == placed
+    assert admin("order", "sample-llm-9", "paint", "blue")[0] == 2
+
+
+def test_invalid_arguments_exit_with_2(admin, tmp_path, capsys):
+    """Guards against a script that takes a mistyped call for a success."""
+    assert admin("file", "one", "--configuration=x")[0] == 2
+    assert admin("diff")[0] == 2
+    assert admin("generate", str(tmp_path / "missing"))[0] == 2
+    assert admin("status", control="localhost")[0] == 2
+
+
+def test_no_leader_exits_with_4_and_keeps_the_key(admin, group):
+    """Guards against an unknown outcome that is reported as a refusal, and against
+    a granted key that nobody has seen."""
+    address = group.free_address()
+    code, answer = admin("grant", "team-a", "--timeout-ms=400", control=address)
+    assert code == 4
+    error = answer["error"]
+    assert (error["code"], error["verdict"]) == ("control_timeout", "may-have-run")
+    assert error["details"]["key_if_granted"].startswith("ppk_")
+    assert error["request_id"]
+
+
+def test_explain_asks_entry_processes(admin, group):
+    """Guards against a request id that is taken for another path."""
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+        """Knows one request."""
+
+        def do_GET(self):  # noqa: N802 - name given by the base class
+            known = self.path == "/v1/explain/a%2Fb"
+            self.send_response(200 if known else 404)
+            self.end_headers()
+            if known:
+                self.wfile.write(b'{"target": "sample-llm-1"}')
+
+        def log_message(self, *args):
+            """Write nothing."""
+
+    server = http.server.HTTPServer(("127.0.0.1", 0), Handler)
+    thread = threading.Thread(target=server.serve_forever)
+    thread.start()
+    entry = f"--entry=127.0.0.1:{server.server_port}"
+    assert admin("explain", "a/b", entry) == (0, {"target": "sample-llm-1"})
+    assert admin("explain", "c", entry)[0] == 1
+    server.shutdown()
+    thread.join()
+    server.server_close()
+    assert admin("explain", "c", f"--entry={group.free_address()}")[0] == 4
+
+
+def test_text_output_lists_rows_as_a_table(capsys):
+    """Guards against text that hides a column."""
+    output = commands_module.Output(as_json=False)
+    output.show([{"a": 1, "b": [1, 2]}, {"a": 22, "b": {"c": 3}}])
+    assert capsys.readouterr().out == "a   b\n1   1, 2\n22  c=3\n"
