Test streams and actions under failures with real processes

Stands in for lost engines, connections, keys and entry processes. A provably unsent attempt is no longer charged to the retry budget: after the loss of an engine, requests that it refused were failed although no target had any work from them.

--- a/papayacrank/entry/_action_flow.py
+++ b/papayacrank/entry/_action_flow.py
@@ -12,6 +12,7 @@
     BeginAction,
     FinishAction,
 )
+from papayacrank.targets import TargetFailure
 
 from ._answers import VERDICT_HEADER
 from ._authentication import Caller
@@ -206,8 +207,8 @@
     def _give_up(self, failure: Failure) -> None:
         self._finish_with(failure)
 
-    def _may_retry(self) -> bool:
-        return not self._is_detached and super()._may_retry()
+    def _may_retry(self, failure: TargetFailure) -> bool:
+        return not self._is_detached and super()._may_retry(failure)
 
     def _finish_with(self, failure: Failure) -> None:
         """End a request of which no attempt is under way."""
--- a/papayacrank/entry/_completion_flow.py
+++ b/papayacrank/entry/_completion_flow.py
@@ -100,6 +100,11 @@
         """Limit of the output."""
         return self._max_output
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the engine is held back for a slow reader."""
+        return self._is_paused
+
     @property
     def _admission(self) -> AdmissionPolicy:
         return self._context.engine_admission
@@ -217,7 +222,7 @@
             self.fail(self._life.fail("refused_by_target", text, 400))
         elif self._assembler.next_offset:
             self._resume(target, failure)
-        elif self._may_retry():
+        elif self._may_retry(failure):
             self._retry_elsewhere(target)
         else:
             self._fail_after(target, failure)
--- a/papayacrank/entry/_flow.py
+++ b/papayacrank/entry/_flow.py
@@ -85,6 +85,11 @@
         """Whether nothing remains to be done."""
         return self._ended
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the answer is held back for a slow reader."""
+        return False
+
     # Steps that the subclasses fill in
 
     @property
@@ -258,10 +263,16 @@
         self._context.flows.remove_attempt(self._attempt_id)
         self._attempt_id = None
 
-    def _may_retry(self) -> bool:
-        """Ask for a further attempt, within the bounds of safety and budget."""
+    def _may_retry(self, failure: TargetFailure) -> bool:
+        """Ask for a further attempt, within the bounds of safety and budget.
+
+        The budget bounds the load that retries put on targets. An attempt of which
+        no byte was written put no load on any, so it is not charged.
+        """
         if not self._life.may_repeat or self._life.attempts >= MAX_ATTEMPTS:
             return False
+        if not failure.bytes_written:
+            return True
         return self._context.retries.may_retry(self._now_ms())
 
     def _retry_elsewhere(self, target: str, kind: str = "retry") -> None:
--- a/papayacrank/entry/_flow_table.py
+++ b/papayacrank/entry/_flow_table.py
@@ -45,6 +45,11 @@
     def __len__(self) -> int:
         return len(self._flows)
 
+    @property
+    def paused_streams(self) -> int:
+        """Number of streams held back for slow readers."""
+        return sum(1 for flow in self._flows.values() if flow.is_paused)
+
     def add(self, flow: RequestFlow) -> None:
         """Add a flow."""
         self._flows[flow.request_id] = flow
--- a/papayacrank/entry/_process.py
+++ b/papayacrank/entry/_process.py
@@ -241,6 +241,7 @@
         gauges = {
             "connections": ("Open connections", lambda: self._connections()),
             "requests_in_progress": ("Requests", lambda: len(self._flows)),
+            "streams_paused": ("Held back", lambda: self._flows.paused_streams),
             "target_attempts": ("Attempts", lambda: self._context.targets.active),
             "control_contact": ("1 with contact", lambda: int(self._had_contact)),
             "feed_version": ("Feed copy", lambda: self._contact.feed_version),
--- a/papayacrank/entry/_service_flow.py
+++ b/papayacrank/entry/_service_flow.py
@@ -149,7 +149,7 @@
         self._context.router.on_finished(self._attempt_id, False, self._now_ms())
         self._forget_attempt()
         self._note(f"{target} answered with status {self._status}")
-        if self._may_retry():
+        if self._may_retry(TargetFailure("unavailable", True)):
             self._retry_elsewhere(target)
         else:
             self._answer()
@@ -160,7 +160,7 @@
         self._end("served", None)
 
     def _on_attempt_lost(self, target: str, failure: TargetFailure) -> None:
-        if self._may_retry():
+        if self._may_retry(failure):
             self._retry_elsewhere(target)
         else:
             self._fail_after(target, failure)
--- /dev/null
+++ b/papayacrank/entry/tests/test_actions.py
@@ -0,0 +1,241 @@
+"""Non-idempotent actions under failures, with real processes."""
+
+import http.client
+import json
+import threading
+import time
+
+import pytest
+
+from .support import wait_until
+from .system import Answer, inject_fault, running_system
+
+WORK_MS = 400
+HEADERS = {"Idempotency-Key": "claim-1"}
+
+
+@pytest.fixture
+def system(tmp_path):
+    options = {"engines": 0, "service_args": ("--work_ms", str(WORK_MS))}
+    with running_system(tmp_path, **options) as running:
+        yield running
+
+
+def start_claim(system, key="key-a") -> http.client.HTTPConnection:
+    """Send a claim and wait until the service runs it."""
+    connection = system.open(
+        "POST", "/v1/services/shop-app/claims", b"roll-7", key, HEADERS
+    )
+    wait_until(lambda: system.read_journal(), "claim runs")
+    return connection
+
+
+def read_action_state(system) -> str:
+    """Return the state of the only action."""
+    counts = system.read("actions")["counts"]
+    return "".join(name for name, count in counts.items() if count == 1)
+
+
+def test_generated_key_is_returned_and_replays(system):
+    """Guards against a caller without key who cannot ask for the outcome."""
+    first = system.claim()
+    key = first.headers["idempotency-key"]
+    second = system.claim(headers={"Idempotency-Key": key})
+    assert second.body == first.body
+    assert len(system.read_journal()) == 1
+
+
+def test_generated_keys_differ(system):
+    """Guards against mixing up two actions without key."""
+    keys = {system.claim().headers["idempotency-key"] for _ in range(2)}
+    assert len(keys) == 2
+    assert len(system.read_journal()) == 2
+
+
+def test_same_key_with_other_content_is_a_conflict(system):
+    """Guards against answering an action with the outcome of another one."""
+    assert system.claim(headers=HEADERS).status == 200
+    other = system.claim(body=b"roll-8", headers=HEADERS)
+    assert (other.status, other.error["code"]) == (409, "idempotency_conflict")
+    assert len(system.read_journal()) == 1
+
+
+def test_workspaces_have_separate_keys(system):
+    """Guards against showing a workspace the answer of another one."""
+    first = system.claim(headers=HEADERS)
+    second = system.claim(headers=HEADERS, key="key-b")
+    assert first.json["sequence"] != second.json["sequence"]
+
+
+def test_concurrent_repeats_run_once(system):
+    """Guards against a race between equal requests."""
+    answers = []
+
+    def claim() -> None:
+        answers.append(system.claim(headers=HEADERS))
+
+    threads = [threading.Thread(target=claim) for _ in range(8)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert len(system.read_journal()) == 1
+    assert sorted({answer.status for answer in answers}) == [200, 409]
+    refused = [answer.error for answer in answers if answer.status == 409]
+    assert {error["verdict"] for error in refused} == {"may-have-run"}
+
+
+def test_entry_killed_while_the_action_runs(system):
+    """Guards against running an action again after the loss of its owner."""
+    connection = start_claim(system)
+    system.entries["entry-1"].kill()
+    with pytest.raises((OSError, http.client.HTTPException)):
+        connection.getresponse()
+    system.start_entry()
+    repeat = system.claim(headers=HEADERS)
+    assert (repeat.status, repeat.error["verdict"]) == (409, "may-have-run")
+    assert len(system.read_journal()) == 1
+
+
+def test_entry_killed_after_the_answer(system):
+    """Guards against losing the recorded answer with the entry process."""
+    first = system.claim(headers=HEADERS)
+    system.entries["entry-1"].kill()
+    system.start_entry()
+    second = system.claim(headers=HEADERS)
+    assert second.body == first.body
+    assert len(system.read_journal()) == 1
+
+
+@pytest.mark.parametrize("after_ms", [0, 2, 5, 10, 50])
+def test_entry_killed_at_any_time(system, after_ms):
+    """Guards against a second run, wherever the entry process is lost."""
+    connection = system.open(
+        "POST", "/v1/services/shop-app/claims", b"roll-7", "key-a", HEADERS
+    )
+    time.sleep(after_ms / 1_000)
+    system.entries["entry-1"].kill()
+    connection.close()
+    system.start_entry()
+    repeat = system.claim(headers=HEADERS)
+    ran = len(system.read_journal())
+    assert ran <= 1
+    if repeat.status == 200:
+        assert ran == 1
+    else:
+        assert (repeat.status, repeat.error["verdict"]) == (409, "may-have-run")
+
+
+def test_answer_lost_on_the_way_is_not_repeated(system):
+    """Guards against repeating an action that the service has run."""
+    inject_fault(system.service_addresses[0], kind="drop_after", path="/claims")
+    lost = system.claim(headers=HEADERS)
+    assert (lost.status, lost.error["verdict"]) == (502, "may-have-run")
+    repeat = system.claim(headers=HEADERS)
+    assert (repeat.status, repeat.error["verdict"]) == (409, "may-have-run")
+    assert repeat.error["state"] == "unknown"
+    assert len(system.read_journal()) == 1
+
+
+def test_swapped_answer_is_not_delivered(system):
+    """Guards against recording the answer of another action."""
+    inject_fault(system.service_addresses[0], kind="swap_answers", path="/claims")
+    answer = system.claim(headers=HEADERS)
+    assert (answer.status, answer.error["verdict"]) == (502, "may-have-run")
+
+
+def test_unreachable_service_is_not_run_and_may_be_tried_again(tmp_path):
+    """Guards against a record that blocks an action that provably never ran."""
+    with running_system(tmp_path, engines=0) as system:
+        system.services[0].kill()
+        refused = system.claim(headers=HEADERS)
+        assert (refused.status, refused.error["verdict"]) == (502, "not-run")
+        system.services.clear()
+        system.service_addresses.clear()
+        system.start_service()
+        system.configure(expected_version=1)
+        wait_until(
+            lambda: system.claim(headers=HEADERS).status == 200, "claim runs again"
+        )
+        assert len(system.read_journal()) == 1
+
+
+def test_second_server_is_used_when_the_first_refuses_connections(tmp_path):
+    """Guards against a failure where a provably unsent action can be retried."""
+    with running_system(tmp_path, engines=0, services=2) as system:
+        system.services[0].kill()
+        system.service_addresses.pop(0)
+        for number in range(6):
+            headers = {"Idempotency-Key": f"claim-{number}"}
+            assert system.claim(headers=headers).status == 200
+        assert len(system.read_journal()) == 6
+
+
+def test_withdrawn_key_gets_no_answer_but_the_action_is_recorded(system):
+    """Guards against cancelling an action whose outcome would become unknown."""
+    connection = start_claim(system)
+    system.withdraw("key-a")
+    answer = Answer(connection.getresponse())
+    assert (answer.status, answer.error["verdict"]) == (401, "may-have-run")
+    wait_until(lambda: read_action_state(system) == "finished", "recorded")
+    system.grant("key-c", "team-a")
+    wait_until(lambda: system.claim(headers=HEADERS, key="key-c").status == 200, "c")
+    assert len(system.read_journal()) == 1
+
+
+def test_action_is_recorded_when_the_caller_leaves(system):
+    """Guards against losing the outcome with the caller's connection."""
+    start_claim(system).close()
+    wait_until(lambda: read_action_state(system) == "finished", "recorded")
+    assert system.claim(headers=HEADERS).status == 200
+    assert len(system.read_journal()) == 1
+
+
+def test_action_is_refused_without_the_control_group(system):
+    """Guards against running an action without a record."""
+    system.control.kill()
+    answer = system.claim(headers=HEADERS)
+    assert answer.status == 503
+    assert answer.error["verdict"] == "not-run"
+    assert system.read_journal() == []
+
+
+def test_large_answer_is_not_replayed_as_an_empty_one(tmp_path):
+    """Guards against a repeat that gets an incomplete answer."""
+    with running_system(tmp_path, engines=0) as system:
+        body = b"x" * 100_000
+        first = system.claim(body=body, headers=HEADERS)
+        assert (first.status, len(first.body) > 100_000) == (200, True)
+        repeat = system.claim(body=body, headers=HEADERS)
+        assert (repeat.status, repeat.error["code"]) == (409, "answer_not_kept")
+        assert repeat.error["verdict"] == "ran"
+
+
+def test_lookups_are_repeated_on_another_server(tmp_path):
+    """Guards against a failed lookup where another server can answer."""
+    with running_system(tmp_path, engines=0, services=2) as system:
+        for address in system.service_addresses:
+            inject_fault(address, kind="drop_before", path="/lookups")
+        path = "/v1/services/shop-app/lookups?q=1"
+        answers = [system.get(path, "key-a") for _ in range(2)]
+        assert 200 in {answer.status for answer in answers}
+        assert system.get(path, "key-a").json["path"] == "/lookups?q=1"
+
+
+def test_public_path_needs_no_key(tmp_path):
+    """Guards the public paths, and the others against callers without key."""
+    with running_system(tmp_path, engines=0) as system:
+        assert system.claim("/public/a", key=None).status == 200
+        answer = system.claim("/claims", key=None)
+        assert (answer.status, answer.error["verdict"]) == (401, "not-run")
+        assert system.claim("/public/../claims", key=None).status == 400
+
+
+def test_usage_counts_actions(system):
+    """Guards the report against actions that it does not show."""
+    assert system.claim(headers=HEADERS).status == 200
+
+    def is_reported() -> bool:
+        return '"actions_finished": 1' in json.dumps(system.read("usage"))
+
+    wait_until(is_reported, "usage", 10)
--- /dev/null
+++ b/papayacrank/entry/tests/test_streams.py
@@ -0,0 +1,220 @@
+"""Streams under failures, with real processes."""
+
+import http.client
+import json
+import threading
+import time
+
+import pytest
+
+from papayacrank.testing import expected_output
+
+from .support import wait_until
+from .system import inject_fault, read_sse, running_system
+
+MAX_TOKENS = 100
+ENGINE_ARGS = ("--decode_tokens_per_s", "200", "--output_tokens", "100")
+
+
+@pytest.fixture
+def system(tmp_path):
+    with running_system(tmp_path, engines=2, engine_args=ENGINE_ARGS) as running:
+        yield running
+
+
+def assert_complete(events: list, prompt: str, max_tokens: int = MAX_TOKENS) -> None:
+    """Check that a stream has each token once, in order, and its end."""
+    messages = [{"role": "user", "content": prompt}]
+    tokens, reason = expected_output(messages, max_tokens, 100)
+    assert events[-1] == "[DONE]"
+    assert events[-2]["choices"][0]["finish_reason"] == reason
+    found = [event["choices"][0]["delta"]["content"] for event in events[:-2]]
+    assert found == tokens
+
+
+def find_busy_engine(system) -> int:
+    """Return the number of the engine that streams."""
+    stats = [system.read_stats(i) for i in range(len(system.engines))]
+    return next(i for i, stat in enumerate(stats) if stat["active"])
+
+
+def test_stream_continues_on_another_engine_when_its_engine_is_killed(system):
+    """Guards against a stream that ends early, repeats or skips after a crash."""
+    response = system.open_stream(prompt="kill", max_tokens=MAX_TOKENS)
+    head = b"".join(response.readline() for _ in range(10))
+    system.engines[find_busy_engine(system)].kill()
+    assert_complete(read_sse(head + response.read()), "kill")
+
+
+@pytest.mark.parametrize("how", ["reset", "end"])
+def test_stream_is_resumed_on_the_same_engine(system, how):
+    """Guards against a needless move when only the connection was lost."""
+    for engine in system.engine_addresses:
+        inject_fault(engine["address"], kind="stop_mid_stream", after=5, how=how)
+    events = read_sse(system.open_stream(max_tokens=MAX_TOKENS).read())
+    assert_complete(events, "hello")
+    stats = [system.read_stats(i)["requests"] for i in range(2)]
+    offsets = [[r["first_offset"] for r in requests] for requests in stats]
+    assert sorted(offsets) == [[], [0, 5]]
+
+
+@pytest.mark.parametrize("kind", ["skip_token", "repeat_token"])
+def test_faulty_offsets_reach_no_caller(system, kind):
+    """Guards against delivering a stream with missing or doubled tokens."""
+    for engine in system.engine_addresses:
+        inject_fault(engine["address"], kind=kind)
+    events = read_sse(system.open_stream(max_tokens=MAX_TOKENS).read())
+    assert_complete(events, "hello")
+
+
+def test_swapped_answers_reach_no_caller(system):
+    """Guards against the answer of another request."""
+    inject_fault(system.engine_addresses[0]["address"], kind="swap_answers")
+    tokens, _ = expected_output([{"role": "user", "content": "hello"}], MAX_TOKENS, 100)
+    for _ in range(6):
+        answer = system.complete(max_tokens=MAX_TOKENS)
+        assert answer.json["choices"][0]["message"]["content"] == "".join(tokens)
+    assert "wrong_answer" in system.entries["entry-1"].log
+
+
+def test_stream_ends_with_an_explicit_error_when_no_engine_is_left(system):
+    """Guards against a stream that just stops."""
+    response = system.open_stream(max_tokens=MAX_TOKENS)
+    response.readline()
+    for engine in system.engines:
+        engine.kill()
+    body = response.read()
+    assert b"[DONE]" not in body
+    assert body.count(b"event: error") == 1
+    error = read_sse(body)[-1]["error"]
+    assert error["verdict"] == "may-have-run"
+    refused = system.complete()
+    assert (refused.status, refused.error["verdict"]) == (502, "not-run")
+
+
+def test_work_is_cancelled_when_the_caller_leaves(system):
+    """Guards against engines that work for callers who are gone."""
+    connection = system.open(
+        "POST",
+        "/v1/chat/completions",
+        json.dumps(
+            {
+                "model": "sample",
+                "stream": True,
+                "max_tokens": MAX_TOKENS,
+                "messages": [{"role": "user", "content": "leave"}],
+            }
+        ),
+        "key-a",
+    )
+    connection.getresponse().readline()
+    busy = find_busy_engine(system)
+    connection.close()
+    wait_until(lambda: system.read_stats(busy)["active"] == 0, "cancelled")
+    assert system.read_stats(busy)["requests"][-1]["cancelled"]
+
+
+def test_withdrawn_key_ends_its_stream_and_no_other(system):
+    """Guards against a withdrawn key that goes on on an open connection."""
+    withdrawn = system.open_stream("key-a", max_tokens=MAX_TOKENS)
+    other = system.open_stream("key-b", prompt="other", max_tokens=MAX_TOKENS)
+    withdrawn.readline()
+    started = time.monotonic()
+    system.withdraw("key-a")
+    body = withdrawn.read()
+    assert time.monotonic() - started < 1.0
+    assert read_sse(body)[-1]["error"]["code"] == "key_withdrawn"
+    assert b"[DONE]" not in body
+    assert_complete(read_sse(other.read()), "other")
+    answer = system.complete("key-a")
+    assert (answer.status, answer.error["verdict"]) == (401, "not-run")
+
+
+def test_withdrawn_key_stops_working_on_a_kept_connection(system):
+    """Guards against authenticating a connection instead of each request."""
+    connection = http.client.HTTPConnection(system.entry_addresses["entry-1"])
+    headers = {"Authorization": "Bearer key-a"}
+    path = "/v1/services/shop-app/lookups"
+    connection.request("GET", path, headers=headers)
+    response = connection.getresponse()
+    assert (response.status, bool(response.read())) == (200, True)
+    system.withdraw("key-a")
+    wait_until(lambda: system.complete("key-a").status == 401, "withdrawn")
+    connection.request("GET", path, headers=headers)
+    assert connection.getresponse().status == 401
+
+
+def test_key_reaches_no_target(system):
+    """Guards against a key that is visible to a target."""
+    assert system.complete(max_tokens=2).status == 200
+    path = "/v1/services/shop-app/lookups"
+    system.request("GET", path, key="key-a", headers={"Cookie": "a=b"})
+    system.request("GET", "/v1/services/shop-app/public", key="key-a")
+    seen = json.dumps([system.read_stats(i) for i in range(2)])
+    seen += json.dumps(system.read_journal())
+    assert "key-a" not in seen
+    assert "authorization" not in seen.lower()
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "headers"),
+    [
+        ("/lookups?k=key-a", b"", {}),
+        ("/lookups?k=%6bey-a", b"", {}),
+        ("/lookups", b"my key-a", {}),
+        ("/lookups", b'"\\u006bey-a"', {}),
+        ("/lookups", b"", {"X-Api-Key": "key-a"}),
+        ("/public?k=key-a", b"", {}),
+    ],
+)
+def test_requests_that_would_show_the_key_are_refused(tmp_path, path, body, headers):
+    """Guards against a key that a caller puts where targets see it."""
+    with running_system(tmp_path, engines=0) as running:
+        answer = running.claim(path, body, headers=headers)
+        assert (answer.status, answer.error["code"]) == (400, "key_exposed")
+        assert running.read_journal() == []
+
+
+def test_slow_reader_holds_its_engine_back(tmp_path):
+    """Guards against reading a stream into memory for a caller who does not read."""
+    arguments = ("--decode_tokens_per_s", "20000", "--output_tokens", "100000")
+    limits = {"limits": {"max_stream_buffer_bytes": 4096}}
+    options = {"engine_args": arguments, "entry": limits, "services": 0}
+    with running_system(tmp_path, engines=1, **options) as running:
+        response = running.open_stream("key-a", max_tokens=80_000)
+        wait_until(lambda: stalls(running), "engine held back", 30)
+        assert running.request("GET", "/health").status == 200
+        events = read_sse(response.read())
+        assert events[-1] == "[DONE]" or "error" in events[-1]
+        offsets = [event["offset"] for event in events if "offset" in event]
+        assert offsets[:-1] == list(range(len(offsets) - 1))
+
+
+def stalls(system) -> bool:
+    """Return whether the entry process holds the engine's stream back."""
+    text = system.get("/metrics").body.decode()
+    return "papayacrank_streams_paused 1.0" in text
+
+
+def test_many_streams_survive_the_loss_of_an_engine(system):
+    """Guards against mixed up or lost streams when many move at once."""
+    results = {}
+
+    def read(number: int) -> None:
+        prompt = f"stream {number}"
+        response = system.open_stream(prompt=prompt, max_tokens=MAX_TOKENS)
+        body = response.read()
+        assert response.status == 200, body
+        results[number] = read_sse(body)
+
+    threads = [threading.Thread(target=read, args=(n,)) for n in range(12)]
+    for thread in threads:
+        thread.start()
+    wait_until(lambda: system.read_stats(0)["active"] > 2, "both engines busy")
+    time.sleep(0.1)
+    system.engines[0].kill()
+    for thread in threads:
+        thread.join()
+    assert len(results) == len(threads)
+    for number, events in results.items():
+        assert_complete(events, f"stream {number}")
