Hold attempts back until an earlier cancel has reached the engine

Cause: a cancel travels on its own connection; when it arrived after a resumed attempt with the same id, the engine ended that attempt.

Change: CancelBarrier holds such attempts back. The checks of answers move from the client to _answer.py. The stand-in engine pads its last token, so that its block hashes equal hash_prompt.

Conclusion: a requester may reuse an id for the next attempt after cancel.

--- /dev/null
+++ b/papayacrank/targets/_answer.py
@@ -0,0 +1,74 @@
+"""Checks of an answer, and the events that its bytes cause."""
+
+from circuits import Event
+
+from ._exchange import EVENT_STREAM, ID_HEADER, MAX_REFUSAL_BODY_BYTES, Attempt
+from ._headers import filter_answer_headers
+from ._notifications import target_data, target_headers, target_token
+from ._stream import StreamError
+
+OK = 200
+
+
+def take_answer(attempt: Attempt, data: bytes) -> list[Event]:
+    """Take received bytes and return the events to fire for them.
+
+    Parameters
+    ----------
+    attempt : Attempt
+        Attempt that the bytes answer; its progress is updated.
+    data : bytes
+        Received bytes.
+
+    Raises
+    ------
+    StreamError, MalformedAnswerError
+        If the answer is faulty; none of the bytes is delivered then.
+    """
+    attempt.answered = True
+    had_head = attempt.reader.head is not None
+    body = attempt.reader.feed(data)
+    events = []
+    if not had_head and attempt.reader.head is not None:
+        events += _take_head(attempt)
+    if body:
+        events += _take_body(attempt, body)
+    return events
+
+
+def _take_head(attempt: Attempt) -> list[Event]:
+    request, head = attempt.request, attempt.reader.head
+    _check_echo(attempt)
+    if attempt.stream is not None and head.status != OK:
+        attempt.refused = True
+        return []
+    content_type = head.find("content-type") or ""
+    if attempt.stream is not None and not content_type.startswith(EVENT_STREAM):
+        raise StreamError("malformed_answer", "the answer is no event stream")
+    headers = filter_answer_headers(head.headers)
+    return [target_headers(request.request_id, head.status, headers)]
+
+
+def _check_echo(attempt: Attempt) -> None:
+    request = attempt.request
+    echo = attempt.reader.head.find(ID_HEADER)
+    if echo is None and request.require_echo:
+        raise StreamError("wrong_answer", "the answer carries no request id")
+    if request.check_echo and echo not in (None, request.expected_id):
+        raise StreamError("wrong_answer", "the answer carries another request id")
+
+
+def _take_body(attempt: Attempt, body: bytes) -> list[Event]:
+    request_id = attempt.request.request_id
+    attempt.body_bytes += len(body)
+    if attempt.body_bytes > attempt.request.max_body_bytes:
+        raise StreamError("answer_too_large", "the answer exceeds its limit")
+    if attempt.refused:
+        room = MAX_REFUSAL_BODY_BYTES - len(attempt.refusal_body)
+        attempt.refusal_body += body[:room]
+        return []
+    if attempt.stream is None:
+        return [target_data(request_id, body)]
+    tokens = attempt.stream.feed(body)
+    attempt.got_token = attempt.got_token or bool(tokens)
+    return [target_token(request_id, offset, text) for offset, text in tokens]
--- a/papayacrank/targets/_client.py
+++ b/papayacrank/targets/_client.py
@@ -10,6 +10,8 @@
 from papayacrank.kernel import Clock, log_event
 from papayacrank.transport import Timers
 
+from ._answer import take_answer
+from ._cancels import CANCEL_CHANNEL, CancelBarrier
 from ._connection import Connection, ConnectionState, IdlePool
 from ._events import (
     CANCEL_FAILED,
@@ -17,37 +19,14 @@
     TARGET_ATTEMPT_FAILED,
     WRONG_ANSWER,
 )
-from ._exchange import (
-    EVENT_STREAM,
-    ID_HEADER,
-    MAX_REFUSAL_BODY_BYTES,
-    Attempt,
-    Probe,
-    encode_cancel,
-    encode_probe,
-)
-from ._headers import filter_answer_headers
-from ._notifications import (
-    target_data,
-    target_failed,
-    target_finished,
-    target_headers,
-    target_token,
-)
-from ._request import (
-    TargetClientLimits,
-    TargetFailure,
-    TargetRequest,
-    TargetTimeouts,
-)
+from ._exchange import Attempt, Probe, encode_probe
+from ._notifications import target_failed, target_finished
+from ._request import TargetClientLimits, TargetFailure, TargetRequest
 from ._response import AnswerReader, MalformedAnswerError
 from ._stream import StreamError
 
-CANCEL_CHANNEL = "target-cancels"
-CANCEL_TIMEOUT_MS = 1_000
 # The last chunk of a stream's transfer encoding usually arrives with its end.
 STREAM_END_TIMEOUT_MS = 500
-MAX_PROBE_BODY_BYTES = 65_536
 # After one of these, other open connections to the address may be silent as well.
 _SUSPECT_CODES = frozenset(
     {"connect_timeout", "first_byte_timeout", "first_token_timeout", "progress_timeout"}
@@ -83,6 +62,7 @@
         self._poller: BasePoller | None = None
         self._attempts: dict[str, Attempt] = {}
         self._connections: dict[object, Connection] = {}
+        self._cancels = CancelBarrier()
         self._pool = IdlePool(self._limits.max_idle_per_target)
         self._numbers = itertools.count(1)
 
@@ -129,7 +109,8 @@
         if self._poller is None:
             self._poller = findcmp(self.root, BasePoller)
         self._attempts[request.request_id] = attempt
-        self._find_connection(attempt)
+        if not self._cancels.hold(attempt):
+            self._find_connection(attempt)
 
     def pause(self, request_id: str) -> None:
         """Stop reading the answer; unknown ids are ignored.
@@ -315,20 +296,8 @@
         self._open(attempt)
 
     def _send_cancel(self, request: TargetRequest) -> None:
-        timeouts = TargetTimeouts(
-            CANCEL_TIMEOUT_MS, CANCEL_TIMEOUT_MS, CANCEL_TIMEOUT_MS, CANCEL_TIMEOUT_MS
-        )
-        cancel = TargetRequest(
-            f"cancel-{next(self._numbers)}-{request.request_id}",
-            CANCEL_CHANNEL,
-            request.address,
-            "POST",
-            request.cancel_path,
-            headers=(("Content-Type", "application/json"),),
-            body=encode_cancel(request),
-            timeouts=timeouts,
-        )
-        self.submit(cancel)
+        cancel_id = f"cancel-{next(self._numbers)}-{request.request_id}"
+        self.submit(self._cancels.begin(cancel_id, request))
 
     # Reading
 
@@ -374,24 +343,19 @@
 
     def _on_answer(self, connection: Connection, data: bytes) -> None:
         attempt = connection.exchange
-        attempt.answered = True
-        had_head = attempt.reader.head is not None
         try:
-            body = attempt.reader.feed(data)
-            if not had_head and attempt.reader.head is not None:
-                self._on_head(attempt)
-            if body:
-                self._on_body(attempt, body)
+            events = take_answer(attempt, data)
         except MalformedAnswerError as error:
             self._fail(attempt, "malformed_answer", str(error))
-        except StreamError as fault:
-            self._fail(attempt, fault.code, str(fault))
-        else:
-            self._after_answer(connection, attempt)
+            return
+        except StreamError as error:
+            self._fail(attempt, error.code, str(error))
+            return
+        for event in events:
+            self.fire(event, attempt.request.channel)
+        self._after_answer(connection, attempt)
 
     def _after_answer(self, connection: Connection, attempt: Attempt) -> None:
-        if attempt.connection is not connection:
-            return
         if attempt.reader.complete:
             self._on_complete(connection, attempt)
         elif attempt.stream is not None and attempt.stream.ended:
@@ -412,38 +376,6 @@
             return timeouts.progress_ms
         return timeouts.first_token_ms
 
-    def _on_head(self, attempt: Attempt) -> None:
-        head = attempt.reader.head
-        echo = head.find(ID_HEADER)
-        if not attempt.request.check_echo:
-            echo = attempt.request.expected_id
-        if echo is not None and echo != attempt.request.expected_id:
-            raise StreamError("wrong_answer", "the answer carries another request id")
-        if attempt.stream is None:
-            if echo is None and attempt.request.require_echo:
-                raise StreamError("wrong_answer", "the answer carries no request id")
-        elif head.status != 200:
-            attempt.refused = True
-            return
-        elif not (head.find("content-type") or "").startswith(EVENT_STREAM):
-            raise StreamError("malformed_answer", "the answer is no event stream")
-        headers = filter_answer_headers(head.headers)
-        self._notify(attempt, target_headers, head.status, headers)
-
-    def _on_body(self, attempt: Attempt, body: bytes) -> None:
-        attempt.body_bytes += len(body)
-        if attempt.body_bytes > attempt.request.max_body_bytes:
-            raise StreamError("answer_too_large", "the answer exceeds its limit")
-        if attempt.refused:
-            room = MAX_REFUSAL_BODY_BYTES - len(attempt.refusal_body)
-            attempt.refusal_body += body[:room]
-        elif attempt.stream is None:
-            self._notify(attempt, target_data, body)
-        else:
-            for offset, text in attempt.stream.feed(body):
-                attempt.got_token = True
-                self._notify(attempt, target_token, offset, text)
-
     def _on_complete(self, connection: Connection, attempt: Attempt) -> None:
         if attempt.refused:
             self._fail(attempt, "target_status", "the target refused the request")
@@ -622,9 +554,13 @@
         else:
             self._read(connection)
 
-    @handler("target_failed", channel=CANCEL_CHANNEL)
-    def _on_cancel_failed(self, request_id, failure):
-        log_event(CANCEL_FAILED, request_id=request_id, code=failure.code)
+    @handler("target_finished", "target_failed", channel=CANCEL_CHANNEL)
+    def _on_cancel_ended(self, request_id, outcome):
+        if isinstance(outcome, TargetFailure):
+            log_event(CANCEL_FAILED, request_id=request_id, code=outcome.code)
+        for attempt in self._cancels.end(request_id):
+            if self._attempts.get(attempt.request.request_id) is attempt:
+                self._find_connection(attempt)
 
     @handler("stopped", channel="*")
     def _on_stopped(self, *_):
--- a/papayacrank/targets/tests/test_faults.py
+++ b/papayacrank/targets/tests/test_faults.py
@@ -170,6 +170,21 @@
     bench.run_until(lambda: engine.cancel_requests_ == ["r1"])
 
 
+def test_cancel_does_not_hit_the_next_attempt_with_the_same_id(bench):
+    """Guards against a resumed stream that an earlier attempt's cancel ends."""
+    engine = bench.open_engine()
+    engine.inject({"kind": "delay", "ms": 100, "path": "/v1/cancel"})
+    document = {"request_id": "r1"}
+    first = stream_request(engine.address, "r1#0", document, echo_id="r1")
+    bench.client.submit(first)
+    bench.run_until(lambda: engine.active_)
+    bench.client.cancel("r1#0")
+    request = stream_request(engine.address, "r1#1", document, echo_id="r1")
+    usage = bench.run_request(request)
+    assert usage.completion_tokens == len(OUTPUT)
+    assert len(engine.cancel_requests_) == 1
+
+
 def test_refused_connection_wrote_nothing(bench):
     """Guards against "may have run" for a request that never left."""
     with socket.socket() as sock:
--- a/papayacrank/testing/_engine.py
+++ b/papayacrank/testing/_engine.py
@@ -130,6 +130,11 @@
         """Address for replays of cache events."""
         return self._publisher.replay_address
 
+    @property
+    def incarnation(self) -> int:
+        """Number that grows with each start and crash."""
+        return self._incarnation
+
     @property
     def records(self) -> list[EngineRecord]:
         """What the engine did for each request, in the order of arrival."""
@@ -206,6 +211,9 @@
         first_offset = int(document.get("resume_from", 0))
         if not 0 <= first_offset <= len(output):
             raise ValueError("resume_from is outside of the output")
+        resumed = document.get("resume_text")
+        if resumed is not None and resumed != "".join(output[:first_offset]):
+            raise ValueError("resume_text is not the output before resume_from")
         return Job(
             str(document["request_id"]),
             render_prompt(messages),
--- a/papayacrank/testing/_engine_model.py
+++ b/papayacrank/testing/_engine_model.py
@@ -7,7 +7,7 @@
 import msgspec
 import xxhash
 
-from papayacrank.targets import render_prompt
+from papayacrank.targets import pad_tokens, render_prompt
 
 from ._blocks import chain_blocks
 
@@ -277,7 +277,7 @@
             first = hashes.index(stored[0])
             parent = hashes[first - 1] if first else None
             size = self.speed.block_tokens * 4
-            data = job.prompt.encode()
+            data = pad_tokens(job.prompt)
             tokens = data[first * size : (first + len(stored)) * size]
             changes.append(CacheChange(tuple(stored), parent, tokens, job.salt))
         return changes
@@ -298,7 +298,7 @@
             job.salt,
             self.model,
             self.weights_version,
-            job.prompt.encode(),
+            pad_tokens(job.prompt),
             self.speed.block_tokens,
         )
 
