--- a/papayacrank/state/tests/test_machine.py
+++ b/papayacrank/state/tests/test_machine.py
@@ -4,7 +4,7 @@
 
 import msgspec
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from papayacrank.config import canonical_json, generate_configuration
@@ -221,16 +221,36 @@
     assert (record.state, record.status, record.body) == ("finished", 200, b"")
 
 
-STEPS = ("begin", "send", "finish", "abandon", "crash", "expire", "resend")
+# Weighted so that attempts are often abandoned, repeated and overtaken.
+STEPS = (
+    *["begin", "resend"] * 4,
+    *["send", "abandon"] * 3,
+    *["finish", "crash", "expire"],
+)
+
+# The second attempt runs when a repeat of the abandonment of the first arrives.
+LATE_ABANDON = [
+    ("begin", 0, 0),
+    ("abandon", 0, 0),
+    ("begin", 0, 0),
+    ("send", 0, 0),
+    ("resend", 0, 1),
+    ("begin", 0, 0),
+    ("send", 0, 0),
+]
 
 
 @settings(max_examples=1_000, deadline=None)
 @given(
     st.lists(
-        st.tuples(st.sampled_from(STEPS), st.integers(0, 1), st.integers(0, 3)),
-        max_size=25,
+        st.tuples(
+            st.sampled_from(STEPS), st.sampled_from([0, 0, 0, 1]), st.integers(0, 3)
+        ),
+        min_size=8,
+        max_size=20,
     )
 )
+@example(LATE_ABANDON)
 def test_at_most_one_run_over_any_history_with_crashes(steps):
     """Guards against a second run: owners crash between any two steps, their
     messages are repeated late, and outcomes are evicted at once."""
