--- a/papayacrank/entry/_process.py
+++ b/papayacrank/entry/_process.py
@@ -33,6 +33,7 @@
 from ._control_port import ControlPort
 from ._dispatcher import DEFAULT_KEEP_MS, Dispatcher
 from ._drain import Drain, DrainState
+from ._engine_watch import EngineWatch
 from ._events import (
     ANNOUNCED,
     CONFIGURATION_APPLIED,
@@ -111,6 +112,7 @@
         self._boot = boot
         self._random_state = random_state
         self._start_state = StartState.WAITING_FOR_CONTACT
+        self._start_by_ms = 0
         self._had_contact = False
         self._drain = Drain(LEASE_MS)
         self._stop_by_ms: int | None = None
@@ -190,8 +192,19 @@
             flows=self._flows,
         )
         self._dispatcher = Dispatcher(self._context).register(self)
+        self._watcher = EngineWatch(
+            self._context.targets,
+            self._router,
+            self._engine_admission,
+            clock,
+            timers,
+            self._random_state,
+            settings.timings.load_poll_interval_ms,
+        ).register(self)
         self._sync = TargetSync(self._contact, self._router, clock)
-        self._source = WarmupSource(self._router.index.export_page, dict)
+        self._source = WarmupSource(
+            self._router.index.export_page, lambda: self._watcher.loads
+        )
         self._copy = WarmupCopy(
             settings.instance, self._boot, settings.timings.warmup_timeout_ms
         )
@@ -285,6 +298,7 @@
     def _on_feed(self, change: FeedChanged) -> None:
         if change.configuration or change.targets:
             self._sync.update()
+            self._watcher.update_targets(self._sync.list_engines())
         if change.configuration:
             log_event(
                 CONFIGURATION_APPLIED, version=self._contact.configuration_version
@@ -342,8 +356,13 @@
         ready = self._had_contact and self._contact.configuration is not None
         if self._start_state is StartState.WAITING_FOR_CONTACT and ready:
             self._start_state = StartState.COPYING
+            self._start_by_ms = now_ms + self._settings.timings.warmup_timeout_ms
             self._carry_out(self._copy.start(self._list_serving_peers(), now_ms))
         elif self._start_state is StartState.LISTING and ready:
+            self._announce_when_listed(now_ms)
+
+    def _announce_when_listed(self, now_ms: int) -> None:
+        if self._watcher.is_complete or now_ms >= self._start_by_ms:
             self._announce()
 
     def _list_serving_peers(self) -> list[str]:
@@ -370,7 +389,10 @@
                 self._import_page(effect)
             elif isinstance(effect, WarmupEnded):
                 log_event(WARMUP_FINISHED, complete=effect.complete, peer=effect.peer)
+                # Without a copy, the listings of the engines are waited for.
                 self._start_state = StartState.LISTING
+                if effect.complete:
+                    self._announce()
             else:
                 self._run_warmup_effect(effect)
 
--- a/papayacrank/entry/_target_sync.py
+++ b/papayacrank/entry/_target_sync.py
@@ -1,10 +1,12 @@
 """Passes the targets of the feed on to the router."""
 
-from papayacrank.config import Configuration, Service
+from papayacrank.config import Configuration, Service, ServiceKind, TargetAddress
 from papayacrank.control import ControlContact
 from papayacrank.kernel import Clock, create
 from papayacrank.routing import LIVE, Router, RoutingPolicy, TargetView
 
+GONE = "gone"
+
 
 class TargetSync:
     """Keeps the router in line with configuration and platform list.
@@ -45,6 +47,19 @@
         serving = [i for i in self._contact.instances if i.status == "serving"]
         self._router.set_instances(len(serving))
 
+    def list_engines(self) -> list[TargetAddress]:
+        """Return all engines of the configuration that are not gone."""
+        configuration = self._contact.configuration
+        if configuration is None:
+            return []
+        return [
+            target
+            for service in configuration.services
+            if service.kind is ServiceKind.ENGINE
+            for target in service.targets
+            if self._contact.targets.get(target.name, LIVE) != GONE
+        ]
+
     def _apply_policy(self, configuration: Configuration) -> None:
         self._router.goals = configuration.goals
         if configuration.routing_policy != self._policy:
