Add proofs over whole deployments

Cause: the promises to callers must hold over all processes together, under kills, freezes and silent partitions.

--- /dev/null
+++ b/proofs/conftest.py
@@ -0,0 +1,18 @@
+"""Fixtures of the failure proofs."""
+
+import pytest
+
+from papayacrank.testing import Deployment, Fleet
+
+
+@pytest.fixture
+def start_deployment(tmp_path):
+    """Return a function that starts a deployment, which ends with the test."""
+    with Fleet(tmp_path) as fleet:
+
+        def start(questionnaire=None, **options) -> Deployment:
+            deployment = Deployment(fleet, **options)
+            deployment.start(**(questionnaire or {}))
+            return deployment
+
+        yield start
--- /dev/null
+++ b/proofs/test_keys.py
@@ -0,0 +1,67 @@
+"""Proof: a withdrawn key stops working within seconds, on every instance."""
+
+import http.client
+import time
+
+import pytest
+
+pytestmark = pytest.mark.prove
+
+WITHDRAWAL_BOUND_S = 4.5
+
+
+def wait_for_refusal(deployment, address: str, since: float) -> tuple[float, dict]:
+    """Return after how many seconds the key of team-a was refused, and the error."""
+    while True:
+        answer = deployment.complete(address, "team-a", "hello", 2)
+        elapsed = time.monotonic() - since
+        if answer.status != 200:
+            return elapsed, answer.json()["error"]
+        assert elapsed < WITHDRAWAL_BOUND_S, "the withdrawn key still works"
+        time.sleep(0.02)
+
+
+def test_withdrawal_reaches_an_instance_cut_off_silently(start_deployment):
+    """Guards against a key that works on behind a partition that closes nothing."""
+    deployment = start_deployment(relayed_entries=1)
+    cut_off, connected = deployment.entry_addresses[:2]
+    assert deployment.complete(cut_off, "team-a", "hello", 2).status == 200
+    for relay in deployment.relays_["e1"]:
+        relay.freeze()
+    deployment.withdraw_key("team-a")
+    withdrawn = time.monotonic()
+    elapsed, error = wait_for_refusal(deployment, connected, withdrawn)
+    assert elapsed < 1.0
+    assert error["verdict"] == "not-run"
+    elapsed, error = wait_for_refusal(deployment, cut_off, withdrawn)
+    assert elapsed < WITHDRAWAL_BOUND_S
+    assert error["verdict"] == "not-run"
+    for relay in deployment.relays_["e1"]:
+        relay.restore()
+    deployment.fleet.wait_healthy(cut_off)
+    assert deployment.complete(cut_off, "team-a", "hello", 2).status == 401
+    assert deployment.complete(cut_off, "team-b", "hello", 2).status == 200
+
+
+def test_withdrawal_reaches_a_running_stream(start_deployment):
+    """Guards against a long stream that outlives the key it was started with."""
+    deployment = start_deployment(engine_options={"decode_tokens_per_s": 20.0})
+    address = deployment.entry_addresses[0]
+    host, port = address.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=20)
+    body = (
+        '{"model": "sample", "stream": true, "max_tokens": 400,'
+        ' "messages": [{"role": "user", "content": "hello"}]}'
+    )
+    connection.request(
+        "POST", "/v1/chat/completions", body, deployment.headers("team-a")
+    )
+    response = connection.getresponse()
+    assert response.status == 200
+    response.read1(100)
+    deployment.withdraw_key("team-a")
+    withdrawn = time.monotonic()
+    rest = response.read().decode()
+    assert time.monotonic() - withdrawn < WITHDRAWAL_BOUND_S
+    assert "error" in rest
+    assert "[DONE]" not in rest.split("error")[0]
