Do not refuse as over the rate while the ledger is silent

Cause: during an election no grants arrive, and requests of a workspace within its rate were refused with 429 after 1 s; a test of the entry process had to raise budget_wait_ms to 3 s to pass.

Change: "over rate" is said only after the ledger has answered a report sent during the wait; without an answer the request waits up to 4 s and is then refused with 503 budget_unavailable, "not run". The test runs with the default again.

Conclusion: refusals inside the rate no longer follow from an election of under 4 s.

--- a/papayacrank/admission/_queue.py
+++ b/papayacrank/admission/_queue.py
@@ -15,6 +15,7 @@
 
 RETRY_SPREAD_MS = 2_000
 MIN_RETRY_MS = 250
+LEDGER_WAIT_MS = 4_000  # covers the longest expected election of the control group
 SERVICE_RATE_SMOOTHING = 0.1
 
 
@@ -190,11 +191,14 @@
 
     def _refuse_over_rate(self, now_ms: int) -> list[Admitted | Refused]:
         over = [q for q in self._queued.values() if now_ms >= self._gives_up_ms(q)]
-        message = "the workspace is over its rate"
-        return [
-            self._refuse(queued, self._refusal("over_rate", message, 429))
-            for queued in over
-        ]
+        return [self._refuse(queued, self._explain_wait(queued)) for queued in over]
+
+    def _explain_wait(self, queued: QueuedRequest) -> Failure:
+        if self._ledger_answered(queued):
+            message = "the workspace is over its rate"
+            return self._refusal("over_rate", message, 429)
+        message = "the control group did not answer a request for tokens"
+        return self._refusal("budget_unavailable", message, 503)
 
     def _refuse(self, queued: QueuedRequest, failure: Failure) -> Refused:
         self._remove(queued)
@@ -203,14 +207,29 @@
     def _gives_up_ms(self, queued: QueuedRequest) -> int:
         """Return when the wait ends; waiting for tokens counts from its beginning.
 
-        All requests behind the one that waits for tokens wait for tokens too.
+        All requests behind the one that waits for tokens wait for tokens too. Without
+        an answer of the ledger it is not known whether the workspace is over its
+        rate, so the wait is longer.
         """
         deadline_ms = queued.request.deadline_ms
+        since_ms = self._waiting_since_ms(queued)
+        if since_ms is None:
+            return deadline_ms
+        answered = self._ledger_answered(queued)
+        wait_ms = self.budget_wait_ms if answered else LEDGER_WAIT_MS
+        return min(deadline_ms, since_ms + max(wait_ms, self.budget_wait_ms))
+
+    def _waiting_since_ms(self, queued: QueuedRequest) -> int | None:
+        """Return since when the request waits for tokens, None if it does not."""
         blocked_ms = self._blocked_since_ms.get(queued.request.workspace)
         if blocked_ms is None or queued.request.tokens == 0:
-            return deadline_ms
-        waiting_since_ms = max(blocked_ms, queued.arrived_ms)
-        return min(deadline_ms, waiting_since_ms + self.budget_wait_ms)
+            return None
+        return max(blocked_ms, queued.arrived_ms)
+
+    def _ledger_answered(self, queued: QueuedRequest) -> bool:
+        """Whether the ledger has answered a report sent during the wait."""
+        since_ms = self._waiting_since_ms(queued)
+        return since_ms is not None and self.shares.answered_sent_ms >= since_ms
 
     def _refusal(
         self, code: str, message: str, status: int, wait_ms: int = 0
--- a/papayacrank/admission/_shares.py
+++ b/papayacrank/admission/_shares.py
@@ -51,6 +51,7 @@
         self._shares: dict[str, _Share] = {}
         self._reservations: dict[str, _Reservation] = {}
         self._lease_until_ms = 0
+        self._answered_sent_ms = -1
         self._reported_ms = -MIN_REPORT_INTERVAL_MS
 
     @property
@@ -58,6 +59,11 @@
         """Time until which shares may be spent, in milliseconds."""
         return self._lease_until_ms
 
+    @property
+    def answered_sent_ms(self) -> int:
+        """When the last report that the ledger has answered was sent, or -1."""
+        return self._answered_sent_ms
+
     def needs_report(self, now_ms: int) -> bool:
         """Whether queued requests wait for a grant that was not asked for yet."""
         waiting = any(share.queued > share.held for share in self._shares.values())
@@ -78,6 +84,7 @@
             Duration of the lease from `sent_ms`.
         """
         self._lease_until_ms = max(self._lease_until_ms, sent_ms + lease_ms)
+        self._answered_sent_ms = max(self._answered_sent_ms, sent_ms)
         for grant in grants:
             share = self._shares.setdefault(grant.workspace, _Share())
             increase = max(0, grant.granted_tokens - share.granted)
--- a/papayacrank/admission/tests/test_queue.py
+++ b/papayacrank/admission/tests/test_queue.py
@@ -87,6 +87,7 @@
     policy.submit(build_request(1), 0)
     assert policy.poll(0) == []
     assert policy.poll(499) == []
+    policy.shares.apply_grants([], 10, 10**9)
     assert policy.next_wakeup_ms(0) == 500
     (refused,) = policy.poll(500)
     assert isinstance(refused, Refused)
@@ -95,6 +96,18 @@
     assert refused.failure.retry_after_ms > 0
 
 
+def test_silent_ledger_is_no_proof_of_excess():
+    """Guards against "over rate" for a workspace within it, during an election."""
+    policy = build_policy(tokens=0, budget_wait_ms=500)
+    policy.submit(build_request(1), 1)
+    assert policy.poll(1) == []
+    assert policy.poll(3_900) == []
+    (refused,) = policy.poll(4_001)
+    assert refused.failure.code == "budget_unavailable"
+    assert refused.failure.status == 503
+    assert refused.failure.verdict is Verdict.NOT_RUN
+
+
 def test_wait_for_a_slot_is_not_a_wait_for_tokens():
     """Guards against "over rate" for requests that only waited for a free slot."""
     policy = build_policy(budget_wait_ms=500)
--- a/papayacrank/entry/tests/test_lifecycle.py
+++ b/papayacrank/entry/tests/test_lifecycle.py
@@ -56,8 +56,7 @@
 
 def test_short_loss_of_the_control_process_is_not_noticed(tmp_path):
     """Guards against failures during an election or a restart."""
-    timings = {"timings": {"budget_wait_ms": 3_000}}
-    with running_system(tmp_path, entry=timings) as system:
+    with running_system(tmp_path) as system:
         system.control.kill()
         system.restart_control()
         for _ in range(20):
