Import cache blocks from another engine in the stand-in

Cause: the entry process sends kv_source, which the stand-in engine ignored, and the speed model, orders and fencing of the stand-in were untested.

--- a/papayacrank/testing/_engine.py
+++ b/papayacrank/testing/_engine.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from papayacrank.kernel import Clock
-from papayacrank.targets import render_prompt
+from papayacrank.targets import TargetClient, render_prompt
 from papayacrank.transport import Timers
 
 from ._cache_publisher import CachePublisher, encode_change
@@ -19,7 +19,8 @@
     expected_output,
 )
 from ._faults import Fault
-from ._http_server import StandInServer, read_json
+from ._http_server import MS_PER_SECOND, StandInServer, read_json
+from ._kv_import import KvImporter
 
 TICK_MS = 2
 MAX_RECORDS = 20_000
@@ -105,6 +106,8 @@
         super().__init__(clock, timers, port, ENGINE_FAULTS)
         self._model = EngineModel(speed or EngineSpeed(), model, weights_version)
         self._publisher = CachePublisher(events_port, replay_port).register(self)
+        self._client = TargetClient(clock, timers).register(self)
+        self._importer = KvImporter(self._client).register(self)
         self._checks_fencing = checks_fencing
         self._role = role
         self._adapters: list[str] = []
@@ -118,7 +121,12 @@
         self._seen_ids: set[str] = set()
         self._cancelled_ids: OrderedDict[str, None] = OrderedDict()
         self._tick_set = False
-        self._counts = {"tokens_sent": 0, "computed_tokens": 0, "cached_tokens": 0}
+        self._counts = {
+            "tokens_sent": 0,
+            "computed_tokens": 0,
+            "cached_tokens": 0,
+            "imported_tokens": 0,
+        }
 
     @property
     def events_address(self) -> str:
@@ -196,12 +204,40 @@
         stream = _Stream(job, res, record, bool(document.get("stream")), job.request_id)
         self._plan_stream_faults(stream)
         self._streams[job] = stream
-        self._model.submit(job, now_ms)
         if stream.streamed:
             self._start_stream(res, self._stream_headers(stream))
-        self._schedule()
+        if document.get("kv_source"):
+            self._import_for(job, str(document["kv_source"]))
+        else:
+            self._enqueue(job)
         return True
 
+    def _enqueue(self, job: Job) -> None:
+        if job in self._streams:
+            self._model.submit(job, self._clock.now_ms())
+            self._schedule()
+
+    def _import_for(self, job: Job, source: str) -> None:
+        """Import the prompt's blocks from another engine, then queue the request."""
+        hashes = self._model.hash_job(job)
+        version = self._model.weights_version
+
+        def on_fetched(imported: tuple[bytes, ...]) -> None:
+            count = len(imported)
+            usable = imported == hashes[:count]
+            tokens = count * self._block_tokens if usable else 0
+            self._counts["imported_tokens"] += tokens
+            import_ms = tokens * MS_PER_SECOND / self._model.speed.import_tokens_per_s
+            self._after(int(import_ms), lambda: on_copied(imported if usable else ()))
+
+        def on_copied(imported: tuple[bytes, ...]) -> None:
+            if imported and self._model.weights_version == version:
+                changes = self._model.store_chain(imported, job)
+                self._publish([encode_change(c, self._block_tokens) for c in changes])
+            self._enqueue(job)
+
+        self._importer.fetch(source, hashes, version, on_fetched)
+
     def _build_job(self, document: dict) -> Job:
         messages = document["messages"]
         limit = int(document.get("max_tokens", 512))
--- a/papayacrank/testing/_engine_model.py
+++ b/papayacrank/testing/_engine_model.py
@@ -34,6 +34,8 @@
         Typical length of an output.
     load_weights_ms : int
         Time to load weights, in milliseconds.
+    import_tokens_per_s : float
+        Tokens per second whose cache blocks are imported from another engine.
     """
 
     prefill_tokens_per_s: float = 50_000.0
@@ -44,6 +46,7 @@
     block_tokens: int = 2_048
     output_tokens: int = 64
     load_weights_ms: int = 600
+    import_tokens_per_s: float = 500_000.0
 
 
 @dataclass(slots=True, eq=False)
--- a/papayacrank/testing/engine.py
+++ b/papayacrank/testing/engine.py
@@ -23,6 +23,7 @@
     block_tokens: int = 2_048,
     output_tokens: int = 64,
     load_weights_ms: int = 600,
+    import_tokens_per_s: float = 500_000.0,
 ) -> None:
     """Run a stand-in engine on loopback.
 
@@ -44,6 +45,7 @@
         block_tokens: Size of a block, in tokens.
         output_tokens: Typical length of an output, in tokens.
         load_weights_ms: Time to load weights, in milliseconds.
+        import_tokens_per_s: Tokens imported per second from another engine.
     """
     speed = EngineSpeed(
         prefill_tokens_per_s,
@@ -54,6 +56,7 @@
         block_tokens,
         output_tokens,
         load_weights_ms,
+        import_tokens_per_s,
     )
 
     def build(clock, timers):
