Count weight loads by order, and read a target before it is sent an order

With five orders and a leader killed during the first three loads, the next leader left the last two orders waiting: attempts that had proposed a confirmation still counted as loads. It also loaded the same weights a second time, because it sent again what the old leader had already brought about. Attempts now record what they proposed, and a target is read first. A load that a newer order replaces keeps its place until the target has ended it.

--- a/papayacrank/control/_client.py
+++ b/papayacrank/control/_client.py
@@ -14,7 +14,9 @@
 
 from ._leader import LeaderHint
 
-RESEND_INTERVAL_MS = 200
+# The first sending often meets a connection that is not open yet and is dropped.
+FIRST_RESEND_MS = 50
+RESEND_INTERVAL_MS = 400
 REQUEST_TIMEOUT_MS = 5_000
 MAX_PENDING_REQUESTS = 4_096
 TIMER_PREFIX = "control-client:"
@@ -41,6 +43,7 @@
 class _Pending:
     request: ControlRequest
     deadline_ms: int
+    resend_ms: int = FIRST_RESEND_MS
 
 
 class ControlClient:
@@ -160,8 +163,9 @@
         return self._send(pending, now_ms)
 
     def _send(self, pending: _Pending, now_ms: int) -> list[Effect]:
-        jitter_ms = self._random_state.randrange(RESEND_INTERVAL_MS // 2)
-        wake_up_ms = min(now_ms + RESEND_INTERVAL_MS + jitter_ms, pending.deadline_ms)
+        jitter_ms = self._random_state.randrange(pending.resend_ms // 2)
+        wake_up_ms = min(now_ms + pending.resend_ms + jitter_ms, pending.deadline_ms)
+        pending.resend_ms = min(2 * pending.resend_ms, RESEND_INTERVAL_MS)
         timer = SetTimer(TIMER_PREFIX + pending.request.request_id, wake_up_ms)
         return [*self._leader.address(pending.request), timer]
 
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -44,7 +44,8 @@
     PLATFORM_LIST_FAILED,
 )
 from ._leases import EntryLease, EntryLeases
-from ._orders import HTTP_TIMEOUT_MS, OrderRunner, ProposeOrder
+from ._order_calls import HTTP_TIMEOUT_MS
+from ._orders import OrderRunner, ProposeOrder
 from ._platform import PLATFORM_KEY, PlatformList
 from ._publisher import FeedPublisher
 from ._requests import RequestDesk
@@ -202,7 +203,7 @@
             for item in entry.instances:
                 self._leases.forget(item.instance, item.boot)
         elif isinstance(entry, OrderEntry):
-            self._orders.issued(entry)
+            self._orders.applied(entry)
         return []
 
     def _follow_role(self, now_ms: int) -> list[Any]:
@@ -274,13 +275,13 @@
 
     def _submit_internally(
         self, command: ObserveTargets | ConfirmOrder, now_ms: int
-    ) -> None:
-        """Propose a command of this process itself."""
+    ) -> bool:
+        """Propose a command of this process itself; return whether it is in the log."""
         self._internal_requests += 1
         name = self._settings.instance
         request_id = f"{name}/{self._raft.term}/{self._internal_requests}"
         request = ControlRequest(request_id, name, self._raft.term, command)
-        self._propose(CommandEntry(*self._times(now_ms), request), now_ms)
+        return self._propose(CommandEntry(*self._times(now_ms), request), now_ms)
 
     # Heartbeats and feed
 
@@ -381,7 +382,8 @@
             if isinstance(decision, HttpCall):
                 effects.append(decision)
             elif isinstance(decision, ConfirmOrder):
-                self._submit_internally(decision, now_ms)
+                if not self._submit_internally(decision, now_ms):
+                    self._orders.lost(decision.order_id)
                 fields = {"order_id": decision.order_id, "observed": decision.observed}
                 effects.append(Notice(ORDER_CONFIRMED, fields))
             else:
@@ -391,7 +393,8 @@
     def _propose_order(self, decision: ProposeOrder, now_ms: int) -> Notice:
         times = self._times(now_ms)
         entry = OrderEntry(*times, decision.order_id, decision.issue, decision.observed)
-        self._propose(entry, now_ms)
+        if not self._propose(entry, now_ms):
+            self._orders.lost(decision.order_id)
         fields = {"order_id": decision.order_id, "observed": decision.observed}
         if not decision.issue:
             return Notice(ORDER_RELEASED, fields | {"reason": decision.reason})
--- a/papayacrank/control/_orders.py
+++ b/papayacrank/control/_orders.py
@@ -1,14 +1,20 @@
 """Sends orders to targets and confirms them by reading back."""
 
-import json
 from dataclasses import dataclass
-from typing import Any
 
 from papayacrank.config import TargetAddress, parse_configuration
 from papayacrank.messages import ConfirmOrder
 from papayacrank.state import MAX_WEIGHT_LOADS, OrderEntry, OrderRow, StateMachine
 
 from ._effects import HttpCall, HttpResult
+from ._order_calls import (
+    KEY_PREFIX,
+    build_read,
+    build_send,
+    is_running,
+    read_state,
+    read_status,
+)
 
 READ_BACK_INTERVAL_MS = 200
 # An attempt without confirmation ends after this time. Loading takes 0.6 s, so a
@@ -19,25 +25,40 @@
 # leaders and restarts with an older state.
 VERIFY_INTERVAL_MS = 2_000
 MAX_CALLS = 16
-HTTP_TIMEOUT_MS = 1_000
-KEY_PREFIX = "order "
-STATUS_OK = 200
 STATUS_CONFLICT = 409
 LOAD_WEIGHTS = "load_weights"
+WAITING = "waiting"
+ISSUED = "issued"
+CONFIRMED = "confirmed"
 DONE = "done"
+ISSUE = "issue"
+RELEASE = "release"
+CONFIRM = "confirm"
 
 
 @dataclass(slots=True)
 class _Attempt:
-    """Work of this leader on one order; `token` is 0 before it was issued."""
+    """Work of this leader on one order.
 
+    Attributes
+    ----------
+    checked : bool
+        Whether the target was seen without the ordered state, and not working on it.
+    token : int
+        Fencing token that this leader got for the order; 0 before.
+    proposed : str
+        Kind of the entry that was proposed and is not applied yet.
+    accepted : bool
+        Whether the target has accepted the order.
+    """
+
+    checked: bool = False
     token: int = 0
-    proposed: bool = False
-    sent: bool = False
+    proposed: str = ""
     accepted: bool = False
+    calling: bool = False
     started_ms: int = 0
     next_ms: int = 0
-    calling: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,13 +71,18 @@
     reason: str = ""
 
 
+Decision = HttpCall | ProposeOrder | ConfirmOrder
+
+
 class OrderRunner:
     """The leader's work on orders.
 
-    An order gets a new fencing token through the log before each sending, so the
-    orders of an earlier leader have lower tokens. To targets that ignore tokens, a new
-    leader sends nothing before `settle_ms` have passed: by then the lease of its
-    predecessor has expired, and its calls have ended.
+    Before an order is sent, the target is read, because it may have the ordered state
+    already or be about to reach it through an earlier leader. The order then gets a new
+    fencing token through the log before each sending, so the orders of earlier leaders
+    have lower tokens. To targets that ignore tokens, a new leader sends nothing before
+    `settle_ms` have passed: by then the lease of its predecessor has expired, and its
+    calls have ended.
 
     Parameters
     ----------
@@ -83,145 +109,165 @@
         self._attempts.clear()
         self._verify_ms.clear()
 
-    def poll(self, now_ms: int) -> list[HttpCall | ProposeOrder]:
-        """Return the calls and proposals that are due."""
+    def poll(self, now_ms: int) -> list[Decision]:
+        """Return what is due."""
         self._read_targets()
         self._forget_closed()
-        effects: list[HttpCall | ProposeOrder] = []
+        decisions: list[Decision] = []
         for row in self._machine.orders.open:
-            effects += self._advance(row, now_ms)
-        return effects + self._verify(now_ms)
+            decisions += self._advance(row, now_ms)
+        return decisions + self._verify(now_ms)
 
-    def issued(self, entry: OrderEntry) -> None:
+    def applied(self, entry: OrderEntry) -> None:
         """Take notice of an applied entry."""
         attempt = self._attempts.get(entry.order_id)
-        if attempt is None:
-            return
-        attempt.proposed = False
         row = self._machine.orders.find(entry.order_id)
-        if entry.issue and row is not None and row.state == "issued":
-            attempt.token = row.fencing_token
-            attempt.sent = attempt.accepted = False
-        else:
-            attempt.token = 0
-
-    def handle(
-        self, result: HttpResult, now_ms: int
-    ) -> list[ConfirmOrder | ProposeOrder]:
+        if attempt is None or row is None:
+            return
+        attempt.proposed = ""
+        attempt.accepted = False
+        issued = entry.issue and row.state == ISSUED
+        attempt.token = row.fencing_token if issued else 0
+        attempt.checked = issued
+
+    def lost(self, order_id: str) -> None:
+        """Take notice that a proposal was refused by the log; it is made again."""
+        attempt = self._attempts.get(order_id)
+        if attempt is not None:
+            attempt.proposed = ""
+
+    def handle(self, result: HttpResult, now_ms: int) -> list[Decision]:
         """Handle the answer to a call."""
         kind, order_id = result.key.removeprefix(KEY_PREFIX).split(" ", 1)
-        if kind == "verify":
-            return self._on_verified(order_id, result)
-        attempt = self._attempts.get(order_id)
         row = self._machine.orders.find(order_id)
+        if row is not None and kind == "verify":
+            return self._on_verified(row, result)
+        attempt = self._attempts.get(order_id)
         if attempt is None or row is None:
             return []
         attempt.calling = False
+        if row.state not in (WAITING, ISSUED):
+            return []
         if kind == "send":
             return self._on_sent(row, attempt, result, now_ms)
-        return self._on_read_back(row, attempt, result, now_ms)
+        return self._on_read(row, attempt, result, now_ms)
 
-    def _advance(self, row: OrderRow, now_ms: int) -> list[HttpCall | ProposeOrder]:
+    def _advance(self, row: OrderRow, now_ms: int) -> list[Decision]:
         attempt = self._attempts.setdefault(row.order_id, _Attempt())
         target = self._targets.get(row.target)
         busy = attempt.proposed or attempt.calling or now_ms < attempt.next_ms
         if target is None or busy or self._calls >= MAX_CALLS:
             return []
+        if not attempt.checked:
+            attempt.calling = True
+            return [build_read("read", row, target)]
         if not target.checks_fencing and now_ms < self._settled_ms:
             return []
         if not attempt.token:
             return self._propose_issue(row, attempt, now_ms)
         if now_ms - attempt.started_ms >= ATTEMPT_TIMEOUT_MS:
-            return self._give_up(row, attempt, now_ms)
+            return self._release(row, attempt, "not confirmed", now_ms)
         attempt.calling = True
-        if not attempt.accepted:
-            attempt.sent = True
-            return [_send_call(row, target, self._term)]
-        return [_read_call("read", row, target)]
-
-    def _propose_issue(self, row: OrderRow, attempt: _Attempt, now_ms: int) -> list:
-        proposed_loads = sum(
-            other.proposed and order_id != row.order_id
-            for order_id, other in self._attempts.items()
-        )
-        if row.kind == LOAD_WEIGHTS and row.state != "issued":
-            loads = self._machine.orders.weight_loads + proposed_loads
-            if loads >= MAX_WEIGHT_LOADS:
-                return []
-        attempt.proposed = True
+        if attempt.accepted:
+            return [build_read("read", row, target)]
+        return [build_send(row, target, self._term)]
+
+    def _propose_issue(
+        self, row: OrderRow, attempt: _Attempt, now_ms: int
+    ) -> list[Decision]:
+        is_new_load = row.kind == LOAD_WEIGHTS and row.state == WAITING
+        if is_new_load and self._loads >= MAX_WEIGHT_LOADS:
+            return []
+        attempt.proposed = ISSUE
         attempt.started_ms = now_ms
         return [ProposeOrder(row.order_id, issue=True)]
 
-    def _give_up(self, row: OrderRow, attempt: _Attempt, now_ms: int) -> list:
-        attempt.proposed = True
+    def _release(
+        self, row: OrderRow, attempt: _Attempt, reason: str, now_ms: int
+    ) -> list[Decision]:
+        attempt.proposed = RELEASE
         attempt.next_ms = now_ms + RETRY_DELAY_MS
-        return [ProposeOrder(row.order_id, False, row.observed, "not confirmed")]
+        return [ProposeOrder(row.order_id, False, row.observed, reason)]
 
     def _on_sent(
         self, row: OrderRow, attempt: _Attempt, result: HttpResult, now_ms: int
-    ) -> list:
+    ) -> list[Decision]:
         if 200 <= result.status < 300:
             attempt.accepted = True
-            attempt.next_ms = now_ms
             return []
         attempt.next_ms = now_ms + RETRY_DELAY_MS
         if result.status != STATUS_CONFLICT:
             return []
-        # The target has seen a higher token, so the order needs a new one.
-        attempt.proposed = True
-        return [ProposeOrder(row.order_id, False, row.observed, "old token")]
+        return self._release(row, attempt, "old token", now_ms)
 
-    def _on_read_back(
+    def _on_read(
         self, row: OrderRow, attempt: _Attempt, result: HttpResult, now_ms: int
-    ) -> list:
+    ) -> list[Decision]:
         attempt.next_ms = now_ms + READ_BACK_INTERVAL_MS
-        observed = _read_state(row, result)
+        observed = read_state(row, result)
         if observed is None:
+            attempt.next_ms = now_ms + RETRY_DELAY_MS
+            return []
+        if observed == row.argument:
+            attempt.proposed = CONFIRM
+            return [ConfirmOrder(row.order_id, observed)]
+        if is_running(row, result):
+            return []
+        if not attempt.checked:
+            attempt.checked = True
+            attempt.next_ms = now_ms
             return []
-        if observed != row.argument:
-            return self._on_other_state(row, attempt, observed, result)
-        attempt.proposed = True
-        return [ConfirmOrder(row.order_id, observed)]
+        return self._on_other_state(row, attempt, observed, result)
 
     @staticmethod
     def _on_other_state(
         row: OrderRow, attempt: _Attempt, observed: str, result: HttpResult
-    ) -> list:
+    ) -> list[Decision]:
         """Repeat an order that the target lost or that another one has replaced."""
-        status = _order_status(row, result)
+        status = read_status(row, result)
         if status == "":
             attempt.accepted = False
         if status != DONE:
             return []
-        attempt.proposed = True
+        attempt.proposed = ISSUE
         return [ProposeOrder(row.order_id, True, observed, "overwritten")]
 
-    def _verify(self, now_ms: int) -> list[HttpCall]:
+    def _verify(self, now_ms: int) -> list[Decision]:
         """Read back confirmed orders, a few at a time."""
-        calls = []
+        calls: list[Decision] = []
         for row in self._machine.orders.wanted():
             target = self._targets.get(row.target)
             due = now_ms >= self._verify_ms.get(row.order_id, 0)
             if target is None or not due or len(calls) + self._calls >= MAX_CALLS:
                 continue
             self._verify_ms[row.order_id] = now_ms + VERIFY_INTERVAL_MS
-            calls.append(_read_call("verify", row, target))
+            calls.append(build_read("verify", row, target))
         return calls
 
-    def _on_verified(self, order_id: str, result: HttpResult) -> list[ProposeOrder]:
-        row = self._machine.orders.find(order_id)
-        if row is None or row.state != "confirmed":
-            return []
-        observed = _read_state(row, result)
-        if observed is None or observed == row.argument:
+    def _on_verified(self, row: OrderRow, result: HttpResult) -> list[Decision]:
+        observed = read_state(row, result)
+        lost = observed is not None and observed != row.argument
+        if row.state != CONFIRMED or not lost or is_running(row, result):
             return []
-        self._attempts[order_id] = _Attempt(proposed=True)
-        return [ProposeOrder(order_id, True, observed, "overwritten")]
+        self._attempts[row.order_id] = _Attempt(proposed=ISSUE)
+        return [ProposeOrder(row.order_id, True, observed or "", "overwritten")]
 
     @property
     def _calls(self) -> int:
         return sum(attempt.calling for attempt in self._attempts.values())
 
+    @property
+    def _loads(self) -> int:
+        """Weight loads that may be running, and those about to be issued."""
+        proposed = sum(
+            row.kind == LOAD_WEIGHTS
+            and row.state == WAITING
+            and self._attempts[row.order_id].proposed == ISSUE
+            for row in self._machine.orders.open
+            if row.order_id in self._attempts
+        )
+        return self._machine.orders.weight_loads + proposed
+
     def _read_targets(self) -> None:
         configuration = self._machine.configuration
         if configuration.version in (0, self._targets_version):
@@ -231,68 +277,13 @@
         self._targets_version = configuration.version
 
     def _forget_closed(self) -> None:
-        known = {row.order_id for row in self._machine.orders.open}
-        for order_id in [k for k in self._attempts if k not in known]:
-            if not self._attempts[order_id].proposed:
-                del self._attempts[order_id]
+        """Drop what concerns closed orders, except those about to be opened again."""
+        open_ids = {row.order_id for row in self._machine.orders.open}
         wanted = {row.order_id for row in self._machine.orders.wanted()}
+        self._attempts = {
+            order_id: attempt
+            for order_id, attempt in self._attempts.items()
+            if order_id in open_ids
+            or (order_id in wanted and attempt.proposed == ISSUE)
+        }
         self._verify_ms = {k: v for k, v in self._verify_ms.items() if k in wanted}
-
-
-def _wire_id(row: OrderRow) -> str:
-    """Return the identifier of one attempt; targets carry out an identifier once."""
-    return f"{row.order_id}/{row.fencing_token}"
-
-
-def _send_call(row: OrderRow, target: TargetAddress, term: int) -> HttpCall:
-    body = {
-        "order_id": _wire_id(row),
-        "fencing_token": [term, row.fencing_token],
-        "kind": row.kind,
-        "arguments": {_ARGUMENT_NAMES[row.kind]: row.argument},
-    }
-    url = f"http://{target.address}/v1/orders"
-    key = f"{KEY_PREFIX}send {row.order_id}"
-    return HttpCall(key, "POST", url, json.dumps(body).encode(), HTTP_TIMEOUT_MS)
-
-
-def _read_call(kind: str, row: OrderRow, target: TargetAddress) -> HttpCall:
-    url = f"http://{target.address}/v1/orders/state"
-    key = f"{KEY_PREFIX}{kind} {row.order_id}"
-    return HttpCall(key, "GET", url, b"", HTTP_TIMEOUT_MS)
-
-
-_ARGUMENT_NAMES = {
-    "load_weights": "weights_version",
-    "load_adapter": "adapter",
-    "change_role": "role",
-}
-
-
-def _decode(body: bytes) -> dict[str, Any]:
-    try:
-        state = json.loads(body)
-    except ValueError:
-        return {}
-    return state if isinstance(state, dict) else {}
-
-
-def _order_status(row: OrderRow, result: HttpResult) -> str:
-    """Return the target's status of the last attempt, empty if it knows none."""
-    orders = _decode(result.body).get("orders")
-    for item in orders if isinstance(orders, list) else []:
-        if isinstance(item, dict) and item.get("order_id") == _wire_id(row):
-            return str(item.get("status"))
-    return ""
-
-
-def _read_state(row: OrderRow, result: HttpResult) -> str | None:
-    """Return the part of a target's state that an order sets, None if unreadable."""
-    if result.status != STATUS_OK:
-        return None
-    state = _decode(result.body)
-    if row.kind == "load_adapter" and isinstance(state.get("adapters"), list):
-        loaded = row.argument in state["adapters"]
-        return row.argument if loaded else ""
-    value = state.get(_ARGUMENT_NAMES[row.kind])
-    return value if isinstance(value, str) else None
--- a/papayacrank/state/_orders.py
+++ b/papayacrank/state/_orders.py
@@ -98,14 +98,14 @@
             return refuse("invalid_order", f"no such kind: {command.kind}", 400)
         if len(self._open) >= MAX_OPEN_ORDERS:
             return refuse("table_full", f"{MAX_OPEN_ORDERS} orders are open", 503)
-        self._supersede(command.target, command.kind)
+        running = self._supersede(command.target, command.kind)
         self._open[order_id] = OrderRow(
             order_id,
             command.target,
             command.kind,
             command.argument,
             command.operator,
-            WAITING,
+            ISSUED if running else WAITING,
             token,
         )
         return OrderPlaced(order_id, token)
@@ -160,11 +160,21 @@
         self._open = {row.order_id: row for row in dumped.open}
         self._closed = {row.order_id: row for row in dumped.closed}
 
-    def _supersede(self, target: str, kind: str) -> None:
-        rows = [*self._open.values(), *self.wanted()]
-        for row in rows:
+    def _supersede(self, target: str, kind: str) -> bool:
+        """Close the last order of a target and kind.
+
+        Returns
+        -------
+        bool
+            Whether it may still be running. The new order then counts as issued from
+            the start, so that the limit on weight loads includes the old one.
+        """
+        running = False
+        for row in [*self._open.values(), *self.wanted()]:
             if (row.target, row.kind) == (target, kind):
+                running = running or row.state == ISSUED
                 self._close(row, SUPERSEDED)
+        return running
 
     def _close(self, row: OrderRow, state: str) -> None:
         self._open.pop(row.order_id, None)
