--- /dev/null
+++ b/benchmarks/control_changes.py
@@ -0,0 +1,326 @@
+"""Measures the control group with real processes on loopback.
+
+Run ``python benchmarks/control_changes.py [--members 3] [--subscribers 20]``. Each
+line is one JSON object:
+
+- committed changes/s with one and with 32 commands in flight;
+- time from the submission of a change or withdrawal until it is in force at the
+  subscribers, which are control contacts as entry processes have them;
+- CPU and bytes/s of each control process and of one subscriber while nothing changes.
+"""
+
+import json
+import os
+import random
+import subprocess
+import tempfile
+import time
+from functools import partial
+from pathlib import Path
+
+import fire
+from circuits import BaseComponent, handler
+
+from papayacrank.config import canonical_json, generate_configuration
+from papayacrank.control import (
+    ContactSettings,
+    ControlClient,
+    ControlContact,
+    FeedChanged,
+    LeaderHint,
+    RequestFinished,
+    digest_key,
+)
+from papayacrank.control.tests.group import ControlGroup
+from papayacrank.kernel import (
+    CancelTimer,
+    MonotonicClock,
+    Send,
+    SetTimer,
+    configure_logging,
+)
+from papayacrank.messages import (
+    CONTROL_MESSAGES,
+    ConfigurationFiled,
+    FileConfiguration,
+    GrantKey,
+    WithdrawKey,
+)
+from papayacrank.testing import build_questionnaire
+from papayacrank.transport import (
+    Link,
+    LinkSettings,
+    MessageCodec,
+    Timers,
+    install_process_handlers,
+)
+
+TICK_S = 0.002
+CHANGES = 150
+THROUGHPUT_SECONDS = 5.0
+IDLE_SECONDS = 10.0
+COMMANDS_IN_FLIGHT = 32
+WAIT_S = 20.0
+DIGEST = digest_key("key")
+
+
+class Subscriber(BaseComponent):
+    """Contact of one entry process, and a client.
+
+    Parameters
+    ----------
+    root : BaseComponent
+        Root with poller and timers.
+    name : str
+        Name of the instance.
+    peers : dict of str to str
+        Addresses of the control processes.
+    """
+
+    def __init__(self, root: BaseComponent, name: str, peers: dict[str, str]):
+        self.channel = f"subscriber-{name}"
+        super().__init__(channel=self.channel)
+        self._clock = MonotonicClock()
+        self._timers = root.timers
+        self._name = name
+        hint = LeaderHint(peers)
+        settings = ContactSettings(name, time.time_ns(), "east", "127.0.0.1:1")
+        self.contact = ControlContact(settings, hint)
+        self.client = ControlClient(f"entry/{name}", 1, hint, random.Random(), 20_000)
+        self.outcomes = {}
+        self.reached: dict[tuple[str, int], float] = {}
+        link = Link(
+            LinkSettings(f"entry/{name}", None, peers), MessageCodec(CONTROL_MESSAGES)
+        )
+        link.channel = f"link-{name}"
+        self.link = link.register(root)
+        self.register(root)
+        self.addHandler(self._make_handler())
+
+    def _make_handler(self):
+        @handler("received", channel=f"link-{self._name}")
+        def on_received(component, sender, message):
+            now_ms = component._clock.now_ms()
+            component.run(component.contact.receive(sender, message, now_ms))
+            component.run(component.client.receive(sender, message, now_ms))
+
+        return on_received
+
+    def begin(self) -> None:
+        """Send the first heartbeat."""
+        self.run(self.contact.start(self._clock.now_ms()))
+        self.run(self.contact.set_status("serving", self._clock.now_ms()))
+
+    def submit(self, command) -> str:
+        """Submit a command and return its request id."""
+        request_id, effects = self.client.submit(command, self._clock.now_ms())
+        self.run(effects)
+        return request_id
+
+    def run(self, effects) -> None:
+        """Carry out effects."""
+        for effect in effects:
+            match effect:
+                case Send(to, message):
+                    self.link.send(to, message)
+                case SetTimer(name, at_ms):
+                    callback = partial(self._on_timer, name)
+                    self._timers.set(f"{self._name}/{name}", at_ms, callback)
+                case CancelTimer(name):
+                    self._timers.cancel(f"{self._name}/{name}")
+                case RequestFinished(request_id, outcome):
+                    self.outcomes[request_id] = outcome
+                case FeedChanged(version=version):
+                    now = time.monotonic()
+                    in_force = self.contact.configuration_version
+                    self.reached.setdefault(("feed", version), now)
+                    self.reached.setdefault(("configuration", in_force), now)
+
+    def _on_timer(self, name: str) -> None:
+        now_ms = self._clock.now_ms()
+        self.run(self.contact.tick(name, now_ms))
+        self.run(self.client.tick(name, now_ms))
+
+
+class Root(BaseComponent):
+    """Event loop of all subscribers."""
+
+    def __init__(self):
+        super().__init__()
+        install_process_handlers(self)
+        self.timers = Timers(MonotonicClock()).register(self)
+        self._running = True
+
+    def wait_until(self, condition) -> None:
+        """Run until the condition holds."""
+        deadline = time.monotonic() + WAIT_S
+        while not condition():
+            if time.monotonic() > deadline:
+                raise TimeoutError("the condition did not hold in time")
+            self.tick(TICK_S)
+
+    def run_for(self, seconds: float) -> None:
+        """Run for a time."""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            self.tick(TICK_S)
+
+
+def measure_rate(root: Root, subscriber: Subscriber, in_flight: int) -> dict:
+    """Measure committed changes/s with grants of keys."""
+    done, number, waiting = 0, 0, []
+    start = time.monotonic()
+    while time.monotonic() - start < THROUGHPUT_SECONDS:
+        while len(waiting) < in_flight:
+            key_id = f"rate-{in_flight}-{number}"
+            waiting.append(
+                subscriber.submit(GrantKey(key_id, "team-a", DIGEST, "bench"))
+            )
+            number += 1
+        root.tick(TICK_S)
+        finished = [item for item in waiting if item in subscriber.outcomes]
+        for request_id in finished:
+            assert subscriber.outcomes.pop(request_id).is_ok()
+            waiting.remove(request_id)
+        done += len(finished)
+    elapsed = time.monotonic() - start
+    root.wait_until(lambda: all(item in subscriber.outcomes for item in waiting))
+    return {"in_flight": in_flight, "changes_per_s": round(done / elapsed, 1)}
+
+
+def measure_delay(root: Root, subscribers: list[Subscriber], commands) -> dict:
+    """Measure the time until each change is in force at each subscriber."""
+    delays = []
+    for command in commands:
+        start = time.monotonic()
+        request_id = subscribers[0].submit(command)
+        root.wait_until(lambda wanted=request_id: wanted in subscribers[0].outcomes)
+        result = subscribers[0].outcomes.pop(request_id).ok
+        if isinstance(result, ConfigurationFiled):
+            wanted = ("configuration", result.version)
+        else:
+            wanted = ("feed", result.feed_version)
+        root.wait_until(lambda w=wanted: all(w in s.reached for s in subscribers))
+        delays += [s.reached[wanted] - start for s in subscribers]
+    return summarize_ms(delays)
+
+
+def summarize_ms(seconds: list[float]) -> dict:
+    """Return median, 99th percentile and maximum in milliseconds."""
+    ordered = sorted(seconds)
+    last = len(ordered) - 1
+    return {
+        "samples": len(ordered),
+        "median_ms": round(ordered[last // 2] * 1000, 2),
+        "p99_ms": round(ordered[int(last * 0.99)] * 1000, 2),
+        "max_ms": round(ordered[last] * 1000, 2),
+    }
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the CPU time of a process."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1_000_000
+
+
+def tcp_bytes(pid: int) -> int:
+    """Return the bytes sent and received on the open TCP connections of a process."""
+    command = ["ss", "-tinpHO"]
+    lines = subprocess.run(command, capture_output=True, text=True, check=True).stdout
+    total = 0
+    for line in lines.splitlines():
+        if f"pid={pid}," not in line:
+            continue
+        for word in line.split():
+            name, _, value = word.partition(":")
+            if name in ("bytes_sent", "bytes_received"):
+                total += int(value)
+    return total
+
+
+def measure_idle(root: Root, group: ControlGroup, subscribers: int) -> list[dict]:
+    """Measure CPU and bytes/s while nothing changes."""
+    pids = {n: p.pid for n, p in group.processes.items() if p.is_running}
+    root.run_for(2.0)
+    before = {name: (cpu_seconds(pid), tcp_bytes(pid)) for name, pid in pids.items()}
+    start = time.monotonic()
+    root.run_for(IDLE_SECONDS)
+    elapsed = time.monotonic() - start
+    leader = f"control-{group.wait_ready()}"
+    rows = []
+    for name, pid in pids.items():
+        cpu, data = before[name]
+        rows.append(
+            {
+                "process": name,
+                "leads": name == leader,
+                "subscribers": subscribers,
+                "cpu_percent": round((cpu_seconds(pid) - cpu) / elapsed * 100, 2),
+                "bytes_per_s": round((tcp_bytes(pid) - data) / elapsed),
+                "resident_mb": round(resident_mb(pid), 1),
+            }
+        )
+    return rows
+
+
+def run_benchmark(members: int = 3, subscribers: int = 20) -> None:
+    """Run all measurements.
+
+    Args:
+        members: Number of control processes.
+        subscribers: Number of control contacts.
+    """
+    configure_logging("benchmark", "warning")
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        ControlGroup(Path(folder), size=members) as group,
+    ):
+        group.start_members()
+        group.wait_ready()
+        root = Root()
+        peers = {peer.name: peer.address for peer in group.peers}
+        started = [Subscriber(root, f"i{n}", peers) for n in range(subscribers)]
+        for subscriber in started:
+            subscriber.begin()
+        clock = MonotonicClock()
+        root.wait_until(
+            lambda: all(s.contact.has_contact(clock.now_ms()) for s in started)
+        )
+        show = partial(print_result, members=members, subscribers=subscribers)
+        for row in measure_idle(root, group, subscribers):
+            show("idle", row)
+        filings = [
+            FileConfiguration(n, build_document(1_000 + n), "bench")
+            for n in range(CHANGES)
+        ]
+        show("configuration in force", measure_delay(root, started, filings))
+        keys = [f"key-{n}" for n in range(CHANGES)]
+        grants = [GrantKey(k, "team-a", DIGEST, "bench") for k in keys]
+        show("key granted", measure_delay(root, started, grants))
+        withdrawals = [WithdrawKey(k, "bench") for k in keys]
+        show("key withdrawn", measure_delay(root, started, withdrawals))
+        for in_flight in (1, COMMANDS_IN_FLIGHT):
+            show("committed changes", measure_rate(root, started[0], in_flight))
+        for subscriber in started:
+            subscriber.link.close()
+
+
+def build_document(keep_route_ms: int) -> str:
+    """Return a configuration that differs in one number."""
+    answers = build_questionnaire(keep_route_ms=keep_route_ms)
+    return canonical_json(generate_configuration(answers))
+
+
+def print_result(measurement: str, result: dict, **fields) -> None:
+    """Print one line."""
+    print(json.dumps({"measurement": measurement} | fields | result), flush=True)
+
+
+if __name__ == "__main__":
+    fire.Fire(run_benchmark)
