Send what arrives together with one system call

Each token cost a system call, and each recorded token gap built two histograms that were thrown away (UsageRecorder._of; two lines in the shared package accounting). Tests with killed processes now carry the marker prove.

--- a/papayacrank/accounting/_usage.py
+++ b/papayacrank/accounting/_usage.py
@@ -175,7 +175,9 @@
         self._pending = deque(r for r in self._pending if r.sequence != sequence)
 
     def _of(self, workspace: str) -> _Counters:
-        return self._counters.setdefault(workspace, _Counters())
+        if workspace not in self._counters:
+            self._counters[workspace] = _Counters()
+        return self._counters[workspace]
 
     @staticmethod
     def _add_tokens(
--- a/papayacrank/entry/_front_end.py
+++ b/papayacrank/entry/_front_end.py
@@ -48,7 +48,9 @@
     is_blocked: bool = False
     closes: bool = False
     discard_until_ms: int | None = None
-    began_ms: int | None = field(default=None)
+    began_ms: int | None = None
+    unsent: list[bytes] = field(default_factory=list)
+    unsent_bytes: int = 0
 
 
 class FrontEnd(BaseComponent):
@@ -82,6 +84,7 @@
         self._numbers = count(1)
         self._connections: dict[Any, _Connection] = {}
         self._closing_all = False
+        self._unsent: list = []
         host, port = settings.listen.split(":")
         refusal = _encode_whole_failure(_too_many_connections())
         self._listener = CallerServer(
@@ -109,9 +112,11 @@
         connection = self._connections.get(sock)
         if connection is None:
             return False
-        held = self._listener.held_bytes(sock)
-        if held > self._limits.max_stream_buffer_bytes:
-            connection.is_blocked = True
+        held = self._listener.held_bytes(sock) + connection.unsent_bytes
+        if held > self._limits.max_stream_buffer_bytes and not connection.is_blocked:
+            self._flush(sock)
+            held = self._listener.held_bytes(sock)
+            connection.is_blocked = held > self._limits.max_stream_buffer_bytes
         return connection.is_blocked
 
     def keeps_connection(self, exchange: Exchange) -> bool:
@@ -122,13 +127,17 @@
         return exchange.request.keep_alive
 
     def send(self, exchange: Exchange, data: bytes) -> None:
-        """Send bytes of an answer."""
+        """Send bytes of an answer at the end of this turn of the event loop.
+
+        Tokens that arrive together are sent with one system call.
+        """
         connection = self._connections.get(exchange.sock)
         if connection is None or connection.exchange is not exchange:
             return
-        if not self._listener.held_bytes(exchange.sock):
-            connection.active_ms = self._clock.now_ms()
-        self._listener.send(exchange.sock, data)
+        if not connection.unsent:
+            self._unsent.append(exchange.sock)
+        connection.unsent.append(data)
+        connection.unsent_bytes += len(data)
 
     def finish(self, exchange: Exchange) -> None:
         """End an exchange and go on with the next request of the connection."""
@@ -137,6 +146,7 @@
         if connection is None or connection.exchange is not exchange:
             return
         keeps = self.keeps_connection(exchange)
+        self._flush(sock)
         connection.exchange = None
         connection.active_ms = self._clock.now_ms()
         if not keeps:
@@ -160,6 +170,24 @@
             if connection.exchange is None:
                 self._listener.end(sock)
 
+    @handler("generate_events", channel="*")
+    def _on_turn_ended(self, event):
+        if self._unsent:
+            socks, self._unsent = self._unsent, []
+            for sock in socks:
+                self._flush(sock)
+
+    def _flush(self, sock) -> None:
+        connection = self._connections.get(sock)
+        if connection is None or not connection.unsent:
+            return
+        data = b"".join(connection.unsent)
+        connection.unsent.clear()
+        connection.unsent_bytes = 0
+        if not self._listener.held_bytes(sock):
+            connection.active_ms = self._clock.now_ms()
+        self._listener.send(sock, data)
+
     @handler("connect")
     def _on_connect(self, sock, host, port):
         limits = self._limits
--- a/papayacrank/entry/tests/test_actions.py
+++ b/papayacrank/entry/tests/test_actions.py
@@ -10,6 +10,8 @@
 from .support import wait_until
 from .system import Answer, inject_fault, running_system
 
+pytestmark = pytest.mark.prove
+
 WORK_MS = 400
 HEADERS = {"Idempotency-Key": "claim-1"}
 
--- a/papayacrank/entry/tests/test_lifecycle.py
+++ b/papayacrank/entry/tests/test_lifecycle.py
@@ -11,6 +11,8 @@
 from .support import wait_until
 from .system import completion_body, read_sse, running_system
 
+pytestmark = pytest.mark.prove
+
 CONTACT_S = 3.0
 STOP_S = 20.0
 SLOW_ENGINE = ("--decode_tokens_per_s", "20", "--output_tokens", "80")
