--- a/papayacrank/testing/__init__.py
+++ b/papayacrank/testing/__init__.py
@@ -5,6 +5,7 @@
 from ._engine import StandInEngine
 from ._engine_model import EngineSpeed, expected_output
 from ._fleet import Fleet, FleetError, FleetProcess, HttpAnswer
+from ._platform import StandInPlatform
 from ._relay import Direction, Relay
 from ._service import StandInService
 
@@ -20,6 +21,7 @@
     "Relay",
     "EngineSpeed",
     "StandInEngine",
+    "StandInPlatform",
     "StandInService",
     "build_questionnaire",
     "expected_output",
