Check idle connections before reuse and quiet engines for lost batches

Cause: a refusal that a target sends before it closes an idle connection could be read as the answer to the next request; a lost last cache batch went unnoticed until the engine published again; a request paused before its answer timed out.

Change: a kept connection on which anything was received is closed; a quiet engine is asked for later batches after 5 s; no timeout runs while a request is paused. The bytes of an answered request are freed.

Conclusion: only the answer to a request can reach its requester.

--- a/papayacrank/targets/_answer.py
+++ b/papayacrank/targets/_answer.py
@@ -26,6 +26,8 @@
         If the answer is faulty; none of the bytes is delivered then.
     """
     attempt.answered = True
+    # An answered request is not sent again, so its bytes need not be kept.
+    attempt.wire = b""
     had_head = attempt.reader.head is not None
     body = attempt.reader.feed(data)
     events = []
--- a/papayacrank/targets/_cache_events.py
+++ b/papayacrank/targets/_cache_events.py
@@ -27,6 +27,8 @@
 LISTING_PATH = "/v1/kv/blocks"
 REPLAY_TIMEOUT_MS = 500
 LISTING_TIMEOUT_MS = 2_000
+# A lost batch shows as a gap only when a later one arrives, which may take long.
+QUIET_CHECK_MS = 5_000
 # At 130 million blocks on 3,300 engines a listing has about 40,000 hashes of 36 bytes.
 MAX_LISTING_BYTES = 16 * 1024 * 1024
 HIGH_WATER_MARK_MESSAGES = 1_000
@@ -66,6 +68,7 @@
 
     target: str
     socket: zmq.Socket
+    announced: bool
 
 
 class CacheEventSubscriber(BaseComponent):
@@ -88,6 +91,8 @@
         Channel that receives the events.
     replay_timeout_ms : int
         Longest time between two messages of a replay.
+    quiet_check_ms : int
+        Time without a batch after which the engine is asked for later ones.
     """
 
     channel = SUBSCRIBER_CHANNEL
@@ -99,6 +104,7 @@
         timers: Timers,
         requester: str,
         replay_timeout_ms: int = REPLAY_TIMEOUT_MS,
+        quiet_check_ms: int = QUIET_CHECK_MS,
     ):
         super().__init__()
         self._client = client
@@ -106,6 +112,8 @@
         self._timers = timers
         self._requester = requester
         self._replay_timeout_ms = replay_timeout_ms
+        self._quiet_check_ms = quiet_check_ms
+        self._last_sequence: dict[str, int] = {}
         self._context = zmq.Context(io_threads=1)
         self._poller: BasePoller | None = None
         self._sources: dict[str, CacheEventSource] = {}
@@ -140,8 +148,11 @@
         if source.replay_address is None:
             self._notify(cache_replay_ended(target, False))
             return
-        socket = self._open(zmq.DEALER, source.replay_address)
-        replay = _Replay(target, socket)
+        self._start_replay(target, first, announced=True)
+
+    def _start_replay(self, target: str, first: int, announced: bool) -> None:
+        socket = self._open(zmq.DEALER, self._sources[target].replay_address)
+        replay = _Replay(target, socket, announced)
         self._replays[target] = replay
         self._extend(replay)
         socket.send_multipart([b"", first.to_bytes(SEQUENCE_BYTES, "big")])
@@ -182,6 +193,7 @@
         socket.setsockopt(zmq.SUBSCRIBE, b"")
         self._subscriptions[target] = socket
         self._watch(target, socket)
+        self._set_quiet_timer(target)
 
     def _open(self, kind: int, address: str) -> zmq.Socket:
         socket = self._context.socket(kind)
@@ -213,6 +225,8 @@
     def _forget(self, target: str) -> None:
         del self._sources[target]
         self._drop_replay(target)
+        self._last_sequence.pop(target, None)
+        self._timers.cancel(_quiet_timer_name(target))
         self._close_socket(self._subscriptions.pop(target))
         for listing_id in [i for i, (t, _) in self._listings.items() if t == target]:
             del self._listings[listing_id]
@@ -227,8 +241,24 @@
             self._close_socket(replay.socket)
 
     def _end_replay(self, target: str, complete: bool) -> None:
+        announced = self._replays[target].announced
         self._drop_replay(target)
-        self._notify(cache_replay_ended(target, complete))
+        if announced:
+            self._notify(cache_replay_ended(target, complete))
+
+    def _set_quiet_timer(self, target: str) -> None:
+        at_ms = self._clock.now_ms() + self._quiet_check_ms
+        self._timers.set(
+            _quiet_timer_name(target), at_ms, lambda: self._check_quiet(target)
+        )
+
+    def _check_quiet(self, target: str) -> None:
+        """Ask a quiet engine for the batches after the last one that arrived."""
+        self._set_quiet_timer(target)
+        last = self._last_sequence.get(target)
+        can_replay = self._sources[target].replay_address is not None
+        if last is not None and can_replay and target not in self._replays:
+            self._start_replay(target, last + 1, announced=False)
 
     def _extend(self, replay: _Replay) -> None:
         target = replay.target
@@ -263,6 +293,8 @@
                 return
             self._extend(replay)
         sequence = int.from_bytes(frames[1], "big")
+        self._last_sequence[target] = sequence
+        self._set_quiet_timer(target)
         self._notify(cache_batch(target, sequence, frames[2]))
 
     def _notify(self, event: Event) -> None:
@@ -301,3 +333,7 @@
 
 def _timer_name(target: str) -> str:
     return f"cache-replay/{target}"
+
+
+def _quiet_timer_name(target: str) -> str:
+    return f"cache-quiet/{target}"
--- a/papayacrank/targets/_client.py
+++ b/papayacrank/targets/_client.py
@@ -1,6 +1,5 @@
 """HTTP client for engines and plain services."""
 
-import errno
 import itertools
 
 from circuits import BaseComponent, handler
@@ -175,6 +174,9 @@
             connection = self._pool.take(request.address)
             if connection is None:
                 break
+            if not connection.is_quiet():
+                self._close(connection)
+                continue
             idle_ms = self._clock.now_ms() - connection.idle_since_ms
             if idle_ms < self._limits.probe_after_idle_ms:
                 self._send(connection, attempt)
@@ -261,7 +263,10 @@
             return
         if self._poller.isWriting(connection.sock):
             self._poller.removeWriter(connection.sock)
-        self._arm(connection, attempt.request.timeouts.first_byte_ms)
+        if attempt.paused:
+            connection.deadline_ms = None
+        else:
+            self._arm(connection, attempt.request.timeouts.first_byte_ms)
 
     def _on_write_error(self, connection: Connection, error: OSError) -> None:
         """Look for an early answer, for example a refusal, before failing."""
@@ -545,9 +550,7 @@
         if connection is None:
             return
         if connection.state is ConnectionState.CONNECTING:
-            code = sock.getsockopt(1, 4) or errno.ECONNREFUSED
-            message = errno.errorcode.get(code, "connect failed")
-            self._fail(connection.exchange, "connect_failed", message)
+            self._fail(connection.exchange, "connect_failed", connection.error_name())
         elif connection.state is ConnectionState.BUSY and connection.exchange.paused:
             # The poller dropped the socket; `resume` reads what is left.
             return
--- a/papayacrank/targets/_connection.py
+++ b/papayacrank/targets/_connection.py
@@ -80,6 +80,25 @@
         if self.sock.getsockname() == self.sock.getpeername():
             raise OSError(errno.ECONNREFUSED, "connected to itself")
 
+    def error_name(self) -> str:
+        """Return the name of the error for which the connection failed."""
+        code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return errno.errorcode.get(code or errno.ECONNREFUSED, "connect failed")
+
+    def is_quiet(self) -> bool:
+        """Return whether nothing was received on an idle connection.
+
+        Anything received, such as a late refusal or the end of the connection, would
+        be taken for the answer to the next request.
+        """
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def queue(self, data: bytes) -> None:
         """Set the bytes to write."""
         self._unsent = memoryview(data)
--- a/papayacrank/targets/tests/test_faults.py
+++ b/papayacrank/targets/tests/test_faults.py
@@ -12,6 +12,7 @@
     StreamAssembler,
     TargetTimeouts,
 )
+from papayacrank.targets._connection import Connection
 from papayacrank.targets.tests._bench import MESSAGES, plain_request, stream_request
 from papayacrank.targets.tests._scripted import ScriptedServer
 from papayacrank.testing import EngineSpeed, Relay, expected_output
@@ -313,6 +314,43 @@
     assert bench.recorder.data["r2"] == b"right"
 
 
+def test_refusal_on_an_idle_connection_is_not_the_next_answer(bench):
+    """Guards against a time-out page that is delivered as an answer."""
+    refusal = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n"
+    with ScriptedServer(
+        ["read", HEAD + b"first", 0.05, refusal, "hold"],
+        ["read", HEAD + b"right", "hold"],
+    ) as server:
+        assert bench.run_request(plain_request(server.address, "r1")) is None
+        time.sleep(0.1)
+        assert bench.run_request(plain_request(server.address, "r2")) is None
+    assert bench.recorder.heads["r2"][0] == 200
+    assert bench.recorder.data["r2"] == b"right"
+
+
+def test_connection_to_itself_is_not_a_target():
+    """Guards against a request that is its own answer on a free local port."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        sock.connect(sock.getsockname())
+        connection = Connection(1, "127.0.0.1:1")
+        connection.sock = sock
+        with pytest.raises(OSError, match="itself"):
+            connection.check_connected()
+
+
+def test_request_paused_from_the_start_does_not_time_out(bench):
+    """Guards against a failure of a caller who has not begun to read."""
+    service = bench.open_service()
+    bench.client.submit(plain_request(service.address, timeouts=SHORT))
+    bench.client.pause("r1")
+    bench.run_ms(300)
+    assert bench.recorder.outcomes == {}
+    bench.client.resume("r1")
+    bench.run_until(lambda: "r1" in bench.recorder.outcomes)
+    assert bench.recorder.outcomes["r1"] is None
+
+
 @pytest.mark.parametrize(
     ("script", "code"),
     [
--- a/papayacrank/targets/tests/test_observers.py
+++ b/papayacrank/targets/tests/test_observers.py
@@ -86,7 +86,12 @@
 def subscriber(bench, observer):
     """Subscriber with a short timeout for replays."""
     subscriber = CacheEventSubscriber(
-        bench.client, bench.clock, bench.timers, CHANNEL, replay_timeout_ms=200
+        bench.client,
+        bench.clock,
+        bench.timers,
+        CHANNEL,
+        replay_timeout_ms=200,
+        quiet_check_ms=300,
     )
     return subscriber.register(bench.root)
 
@@ -223,6 +228,16 @@
     assert len(listing.block_hashes) > 0
 
 
+def test_lost_last_batch_is_noticed_on_a_quiet_engine(bench, observer, subscriber):
+    """Guards against a loss that lasts until the engine publishes again."""
+    engine = bench.open_engine(SPEED)
+    last = subscribe(bench, subscriber, engine)
+    engine.inject({"kind": "lose_events"})
+    run_prompt(bench, engine, "lost at the end")
+    bench.run_until(lambda: observer.batches[-1][1] == last + 1)
+    assert observer.replays == []
+
+
 def test_unanswered_replay_ends_incomplete(bench, observer, subscriber):
     """Guards against a repair that waits for ever."""
     engine = bench.open_engine(SPEED)
