Move the deadlines of connections into a module of their own

Cause: the client mixed exchanges with the handling of timers; two branches were not covered by any test.

Change: Deadlines owns the timers; tests cover a write error before an early refusal and a burst of cache batches.

--- a/papayacrank/targets/_client.py
+++ b/papayacrank/targets/_client.py
@@ -12,6 +12,7 @@
 from ._answer import take_answer
 from ._cancels import CANCEL_CHANNEL, CancelBarrier
 from ._connection import Connection, ConnectionState, IdlePool
+from ._deadlines import Deadlines
 from ._events import (
     CANCEL_FAILED,
     IDLE_CONNECTION_SILENT,
@@ -56,7 +57,7 @@
     ):
         super().__init__()
         self._clock = clock
-        self._timers = timers
+        self._deadlines = Deadlines(clock, timers, self._on_due)
         self._limits = limits or TargetClientLimits()
         self._poller: BasePoller | None = None
         self._attempts: dict[str, Attempt] = {}
@@ -125,7 +126,7 @@
         if connection is not None and connection.state is ConnectionState.BUSY:
             self._poller.removeReader(connection.sock)
             if not connection.has_unsent:
-                connection.deadline_ms = None
+                self._deadlines.suspend(connection)
 
     def resume(self, request_id: str) -> None:
         """Go on reading the answer; unknown ids are ignored."""
@@ -136,7 +137,7 @@
         connection = attempt.connection
         if connection is not None and connection.state is ConnectionState.BUSY:
             self._poller.addReader(self, connection.sock)
-            self._arm(connection, attempt.request.timeouts.progress_ms)
+            self._deadlines.set(connection, attempt.request.timeouts.progress_ms)
 
     def cancel(self, request_id: str) -> None:
         """Abandon an attempt; unknown ids are ignored.
@@ -199,7 +200,7 @@
             return
         self._connections[connection.sock] = connection
         self._poller.addWriter(self, connection.sock)
-        self._arm(connection, attempt.request.timeouts.connect_ms)
+        self._deadlines.set(connection, attempt.request.timeouts.connect_ms)
 
     def _on_connected(self, connection: Connection) -> None:
         try:
@@ -211,7 +212,7 @@
         self._send(connection, connection.exchange)
 
     def _close(self, connection: Connection) -> None:
-        self._timers.cancel(_timer_name(connection))
+        self._deadlines.forget(connection)
         if connection.state is ConnectionState.IDLE:
             self._pool.remove(connection)
         if connection.sock is not None:
@@ -229,7 +230,7 @@
         connection.idle_since_ms = self._clock.now_ms()
         if not self._poller.isReading(connection.sock):
             self._poller.addReader(self, connection.sock)
-        self._arm(connection, self._limits.idle_ms)
+        self._deadlines.set(connection, self._limits.idle_ms)
         surplus = self._pool.put(connection)
         if surplus is not None:
             self._close(surplus)
@@ -259,14 +260,14 @@
             if not self._poller.isWriting(connection.sock):
                 self._poller.addWriter(self, connection.sock)
             if sent:
-                self._arm(connection, attempt.request.timeouts.progress_ms)
+                self._deadlines.set(connection, attempt.request.timeouts.progress_ms)
             return
         if self._poller.isWriting(connection.sock):
             self._poller.removeWriter(connection.sock)
         if attempt.paused:
-            connection.deadline_ms = None
+            self._deadlines.suspend(connection)
         else:
-            self._arm(connection, attempt.request.timeouts.first_byte_ms)
+            self._deadlines.set(connection, attempt.request.timeouts.first_byte_ms)
 
     def _on_write_error(self, connection: Connection, error: OSError) -> None:
         """Look for an early answer, for example a refusal, before failing."""
@@ -290,7 +291,7 @@
         if connection.has_unsent or not probe:
             self._on_probe_failed(connection)
             return
-        self._arm(connection, self._limits.probe_timeout_ms)
+        self._deadlines.set(connection, self._limits.probe_timeout_ms)
 
     def _on_probe_failed(self, connection: Connection) -> None:
         """Open a new connection; nothing of the request was written."""
@@ -369,9 +370,9 @@
             connection.exchange = attempt
             if not self._poller.isReading(connection.sock):
                 self._poller.addReader(self, connection.sock)
-            self._arm(connection, STREAM_END_TIMEOUT_MS)
+            self._deadlines.set(connection, STREAM_END_TIMEOUT_MS)
         elif not attempt.paused and not connection.has_unsent:
-            self._arm(connection, self._wait_ms(attempt))
+            self._deadlines.set(connection, self._wait_ms(attempt))
 
     def _wait_ms(self, attempt: Attempt) -> int:
         timeouts = attempt.request.timeouts
@@ -434,37 +435,12 @@
 
     # Timeouts
 
-    def _arm(self, connection: Connection, after_ms: int) -> None:
-        """Set the deadline; a timer that is due earlier is left to move itself."""
-        connection.deadline_ms = self._clock.now_ms() + after_ms
-        timer_at_ms = connection.timer_at_ms
-        if timer_at_ms is None or timer_at_ms > connection.deadline_ms:
-            self._set_timer(connection)
-
-    def _set_timer(self, connection: Connection) -> None:
-        connection.timer_at_ms = connection.deadline_ms
-        self._timers.set(
-            _timer_name(connection),
-            connection.deadline_ms,
-            lambda: self._on_timer(connection),
-        )
-
-    def _on_timer(self, connection: Connection) -> None:
-        connection.timer_at_ms = None
-        if connection.deadline_ms is None:
-            return
-        if self._clock.now_ms() >= connection.deadline_ms and self._may_read(
-            connection
-        ):
+    def _on_due(self, connection: Connection) -> None:
+        if self._may_read(connection):
             # After a pause of this process, the bytes may already be here.
             self._read(connection)
-        if connection.deadline_ms is None:
-            return
-        if self._clock.now_ms() < connection.deadline_ms:
-            if connection.timer_at_ms is None:
-                self._set_timer(connection)
-            return
-        self._on_timeout(connection)
+        if self._deadlines.has_passed(connection):
+            self._on_timeout(connection)
 
     def _may_read(self, connection: Connection) -> bool:
         if connection.state is ConnectionState.BUSY:
@@ -568,7 +544,3 @@
     @handler("stopped", channel="*")
     def _on_stopped(self, *_):
         self.close()
-
-
-def _timer_name(connection: Connection) -> str:
-    return f"targets/{connection.number}"
--- a/papayacrank/targets/_connection.py
+++ b/papayacrank/targets/_connection.py
@@ -141,7 +141,6 @@
     def close(self) -> None:
         """Close the socket."""
         self.state = ConnectionState.CLOSED
-        self.deadline_ms = None
         if self.sock is not None:
             self.sock.close()
 
--- a/papayacrank/targets/tests/test_faults.py
+++ b/papayacrank/targets/tests/test_faults.py
@@ -247,6 +247,27 @@
     assert bench.client.open_connections == 0
 
 
+def test_early_refusal_is_found_when_writing_fails_first(bench, monkeypatch):
+    """Guards against a refusal that is lost because the write error came first."""
+    refusal = b"HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nbig"
+    with ScriptedServer(["read", refusal, "hold"]) as server:
+        request = plain_request(server.address, method="POST", body=b"x" * 30_000_000)
+        bench.client.submit(request)
+        bench.run_until(lambda: server.received)
+        time.sleep(0.05)
+
+        def fail(connection):
+            raise BrokenPipeError
+
+        monkeypatch.setattr(Connection, "send", fail)
+        for sock in list(bench.client._connections):
+            bench.client._on_writable(sock)
+        bench.run_until(lambda: "r1" in bench.recorder.outcomes)
+    assert bench.recorder.outcomes["r1"] is None
+    assert bench.recorder.heads["r1"][0] == 413
+    assert bench.client.open_connections == 0
+
+
 @pytest.mark.parametrize("idempotent", [True, False])
 def test_silent_kept_connection_is_not_used(bench, idempotent):
     """Guards against a request lost on a connection that went silent when idle."""
--- a/papayacrank/targets/tests/test_observers.py
+++ b/papayacrank/targets/tests/test_observers.py
@@ -294,6 +294,17 @@
         bench.run_until(lambda: observer.batches[-1][1] == last + 2)
 
 
+def test_burst_is_read_to_its_end(bench, observer, subscriber):
+    """Guards against batches that wait for the next one, and against starvation."""
+    engine = bench.open_engine(SPEED)
+    last = subscribe(bench, subscriber, engine)
+    for _ in range(300):
+        engine._publisher.publish(engine.incarnation, [["AllBlocksCleared"]])
+    bench.run_until(lambda: observer.batches[-1][1] == last + 300, 200)
+    sequences = [batch[1] for batch in observer.batches]
+    assert sequences == list(range(sequences[0], last + 301))
+
+
 def test_removed_engine_is_not_subscribed(bench, observer, subscriber):
     """Guards against events of an engine that is no longer configured."""
     engine = bench.open_engine(SPEED)
