--- a/papayacrank/consensus/_election.py
+++ b/papayacrank/consensus/_election.py
@@ -32,9 +32,13 @@
         self._set_timer(ELECTION_TIMER, next_ms)
 
     def _may_campaign(self) -> bool:
-        return (
-            self._is_voter and self._is_verified and self._meets_floor(self._log.last)
-        )
+        """Whether this member may stand for election.
+
+        A leader that logged its own removal may have the longest log. Until the
+        removal is committed it must be electable, or nobody may be.
+        """
+        is_voter = self._log.is_voter_since(self._commit_index, self._identity)
+        return is_voter and self._is_verified and self._meets_floor(self._log.last)
 
     def _campaign(self) -> None:
         self._leader = ""
--- a/papayacrank/consensus/_log.py
+++ b/papayacrank/consensus/_log.py
@@ -63,6 +63,16 @@
         known = [m for m in self._memberships if m.index <= index]
         return known[-1] if known else self._memberships[0]
 
+    def is_voter_since(self, index: int, identity: str) -> bool:
+        """Whether a membership in force at `index` or later has this voter."""
+        first = self.membership_at(index).index
+        return any(
+            voter.identity == identity
+            for membership in self._memberships
+            if membership.index >= first
+            for voter in membership.voters
+        )
+
     def term_at(self, index: int) -> int | None:
         """Return the term of an entry; None if it is not in memory."""
         if index == self._base.index:
--- a/papayacrank/consensus/_messages.py
+++ b/papayacrank/consensus/_messages.py
@@ -1,5 +1,6 @@
 """Log entries, members, durable records and messages between the members."""
 
+from base64 import urlsafe_b64encode
 from typing import NamedTuple
 
 import msgspec
@@ -9,6 +10,14 @@
 KIND_MEMBERSHIP = 2
 
 
+IDENTITY_BYTES = 6
+
+
+def identity_text(random_bytes: bytes) -> str:
+    """Return the text form of an identity; it is part of every heartbeat."""
+    return urlsafe_b64encode(random_bytes).decode().rstrip("=")
+
+
 class Position(NamedTuple):
     """Position in a log; logs are compared by term first."""
 
@@ -240,9 +249,9 @@
     group: str
     term: int
     identity: str
-    accepted: bool
     match_index: int
     sent_ms: int
+    accepted: bool = True
     snapshot_offset: int = -1
 
 
--- a/papayacrank/consensus/_recovery.py
+++ b/papayacrank/consensus/_recovery.py
@@ -15,6 +15,7 @@
 )
 from ._log import encode_membership
 from ._messages import (
+    IDENTITY_BYTES,
     KIND_MEMBERSHIP,
     ChangeIdentity,
     Entry,
@@ -25,13 +26,13 @@
     Position,
     StatusQuery,
     StatusReply,
+    identity_text,
 )
 
 FIRST_QUERY_INTERVAL_MS = 100
 MAX_QUERY_INTERVAL_MS = 1_000
 UNKNOWN_GROUP_INTERVAL_MS = 20
 WAITING_NOTICE_INTERVAL_MS = 5_000
-IDENTITY_BITS = 48
 
 
 class Recovery(NodeCore):
@@ -158,7 +159,7 @@
     def _discard_identity(self, reason: str) -> None:
         old = self._identity
         self._become_follower(self._term, "", reason)
-        self._identity = f"{self._random.getrandbits(IDENTITY_BITS):012x}"
+        self._identity = self._new_identity()
         self._notice(
             IDENTITY_DISCARDED, reason=reason, old=old, identity=self._identity
         )
@@ -175,6 +176,9 @@
         self._contact_ms = self._now_ms
         self._start_recovery()
 
+    def _new_identity(self) -> str:
+        return identity_text(self._random.randbytes(IDENTITY_BYTES))
+
     def _check_start(self) -> None:
         """End the check once enough members have answered."""
         if self._is_verified:
@@ -277,7 +281,7 @@
             return
         if any(reply.group for reply in self._answers.values()):
             return
-        self._group = f"{self._random.getrandbits(IDENTITY_BITS):012x}"
+        self._group = self._new_identity()
         self._set_term(1, self._identity)
         members = tuple(self._initial_member(name) for name in voters)
         payload = encode_membership(Membership(1, members))
--- a/papayacrank/consensus/_store.py
+++ b/papayacrank/consensus/_store.py
@@ -24,6 +24,7 @@
     seed_of,
 )
 from ._messages import (
+    IDENTITY_BYTES,
     AppendEntry,
     ChangeIdentity,
     Entry,
@@ -33,6 +34,7 @@
     Snapshot,
     StoreState,
     TruncateSuffix,
+    identity_text,
 )
 
 SEGMENT_BYTES = 4 * 1024 * 1024
@@ -40,7 +42,6 @@
 # do not create a file each.
 ROTATE_AT_SNAPSHOT_BYTES = 256 * 1024
 IDENTITY_FILE = "identity"
-IDENTITY_BYTES = 6
 LOG_PREFIX = "log-"
 SNAPSHOT_PREFIX = "snapshot-"
 TEMPORARY_SUFFIX = ".tmp"
@@ -224,7 +225,7 @@
     def _create_folder_content(self, names: list[str]) -> None:
         if any(name.startswith((LOG_PREFIX, SNAPSHOT_PREFIX)) for name in names):
             raise self._damage("log files without an identity file")
-        identity = _Identity(secrets.token_hex(IDENTITY_BYTES), 1)
+        identity = _Identity(identity_text(secrets.token_bytes(IDENTITY_BYTES)), 1)
         self._write_identity(identity)
         log_event(IDENTITY_CREATED, identity=identity.identity)
 
--- a/papayacrank/consensus/tests/test_faults.py
+++ b/papayacrank/consensus/tests/test_faults.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from papayacrank.consensus import Replace, _replication
+from papayacrank.consensus import Remove, Replace, _replication
 from papayacrank.consensus.tests._simulation import (
     Cluster,
     ViolationError,
@@ -131,3 +131,18 @@
         cluster.hosts[name].start()
     cluster.write_and_wait(5_000)
     cluster.history.check_final(cluster.leading())
+
+
+def test_leader_that_logged_its_own_removal_is_electable():
+    """Guards against a group in which nobody may lead.
+
+    Only the leader has its removal in the log, so that the other member, the only
+    voter by that entry, needs the leader's vote and has the shorter log.
+    """
+    cluster = Cluster(7, size=2, voters=2).start()
+    leader = cluster.leading()
+    cluster.partition({leader.name})
+    assert leader.node.change_member(Remove(leader.name), leader.now_ms).is_ok()
+    leader.call("flush")
+    cluster.run(100)
+    cluster.finish()
