--- a/papayacrank/control/_leases.py
+++ b/papayacrank/control/_leases.py
@@ -16,7 +16,8 @@
     Parameters
     ----------
     sender : str
-        Link name, to which acknowledgements and feed updates go.
+        Link name, to which acknowledgements and feed updates go; empty after the
+        lease has expired.
     heard_ms : int
         When its last heartbeat arrived.
     sent_version, pushed_ms : int
@@ -103,10 +104,16 @@
             expired.append(InstanceRef(row.instance, row.boot))
         return expired
 
-    def forget(self, instance: str, boot: int) -> None:
-        """Forget a process; its next heartbeat counts as its first."""
-        if self.find(instance, boot) is not None:
-            del self._leases[instance]
+    def end(self, instance: str, boot: int) -> None:
+        """Take notice that an expiry is applied; a later heartbeat starts anew.
+
+        The sequence number is kept, so that a delayed copy of an earlier heartbeat
+        does not bring a dead process back.
+        """
+        lease = self.find(instance, boot)
+        if lease is not None:
+            lease.expiring = False
+            lease.sender = ""
 
     def _add(self, sender: str, heartbeat: Heartbeat, now_ms: int):
         self._drop_silent(now_ms)
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -201,7 +201,7 @@
             return self._acknowledge_all(entry, now_ms)
         if isinstance(entry, ExpireEntry):
             for item in entry.instances:
-                self._leases.forget(item.instance, item.boot)
+                self._leases.end(item.instance, item.boot)
         elif isinstance(entry, OrderEntry):
             self._orders.applied(entry)
         return []
