Bound actions, conflicts and views by their size

A recorded conflict held the whole configuration, of which 5,000 may be kept; views could exceed the largest message; actions were bounded per workspace only.

--- a/papayacrank/state/_actions.py
+++ b/papayacrank/state/_actions.py
@@ -1,5 +1,7 @@
 """Records of non-idempotent actions."""
 
+from sys import intern
+
 import msgspec
 
 from papayacrank.messages import (
@@ -16,6 +18,7 @@
     MAX_ACTION_ATTEMPTS,
     MAX_ACTION_BODIES_BYTES,
     MAX_ACTION_BODY_BYTES,
+    MAX_ACTIONS,
     MAX_ACTIONS_PER_WORKSPACE,
 )
 
@@ -30,9 +33,9 @@
 
     Attributes
     ----------
-    attempts : list of str
-        Request ids of all commands that began or abandoned the action. A late
-        duplicate of one of them must not change the state again.
+    attempts : tuple of str
+        Request ids of all commands that began or abandoned the action, until it
+        is finished. A late duplicate of one of them must not change the state again.
     expires_ms : int
         Group time at which the record may be removed.
     """
@@ -45,7 +48,7 @@
     owner_boot: int
     state: str
     expires_ms: int
-    attempts: list[str]
+    attempts: tuple[str, ...]
     status: int = 0
     content_type: str = ""
     body: bytes = b""
@@ -109,7 +112,7 @@
             return row.describe()
         if len(row.attempts) >= MAX_ACTION_ATTEMPTS:
             return refuse("too_many_attempts", "the action was abandoned too often")
-        row.attempts.append(request_id)
+        row.attempts += (request_id,)
         row.owner = command.owner
         row.owner_boot = command.owner_boot
         self._set_state(row, STARTED)
@@ -138,7 +141,7 @@
             return row
         if row.state in (ABANDONED, FINISHED) or request_id in row.attempts:
             return row.describe(body=False)
-        row.attempts.append(request_id)
+        row.attempts += (request_id,)
         self._set_state(row, ABANDONED)
         return row.describe()
 
@@ -182,6 +185,8 @@
     ) -> ActionRecord | FailureRecord:
         if self._counts.get(command.workspace, 0) >= MAX_ACTIONS_PER_WORKSPACE:
             return refuse("table_full", "the workspace has too many actions", 503)
+        if len(self._rows) >= MAX_ACTIONS:
+            return refuse("table_full", f"there are {MAX_ACTIONS} actions", 503)
         row = ActionRow(
             command.workspace,
             command.idempotency_key,
@@ -191,7 +196,7 @@
             command.owner_boot,
             STARTED,
             now_ms + ACTION_RETENTION_MS,
-            [request_id],
+            (request_id,),
         )
         self._add(row)
         return row.describe(started_now=True)
@@ -207,8 +212,9 @@
         return row
 
     def _record_answer(self, row: ActionRow, command: FinishAction) -> ActionRecord:
-        """Record an answer; a body beyond the limits is left out, not the outcome."""
+        """Record an answer for good; a body beyond the limits is left out."""
         self._set_state(row, FINISHED)
+        row.attempts = ()
         row.status = command.status
         row.content_type = command.content_type
         size = len(command.body)
@@ -231,6 +237,9 @@
             self._open.pop(owner, None)
 
     def _add(self, row: ActionRow) -> None:
+        row.workspace = intern(row.workspace)
+        row.service = intern(row.service)
+        row.owner = intern(row.owner)
         self._rows[(row.workspace, row.idempotency_key)] = row
         self._counts[row.workspace] = self._counts.get(row.workspace, 0) + 1
         self._body_bytes += len(row.body)
--- a/papayacrank/state/_machine.py
+++ b/papayacrank/state/_machine.py
@@ -56,6 +56,8 @@
 from ._views import read_view
 
 SNAPSHOT_FORMAT = 1
+# Messages between processes have at most 8 MiB.
+MAX_VIEW_BYTES = 7 * 1024 * 1024
 _OPERATOR_COMMANDS = (
     FileConfiguration,
     GrantKey,
@@ -234,7 +236,10 @@
         view = read_view(self, what)
         if view is None:
             return refuse("invalid_command", f"no such part of the state: {what}", 400)
-        return StateView(what, json.dumps(view, sort_keys=True))
+        document = json.dumps(view, sort_keys=True)
+        if len(document) > MAX_VIEW_BYTES:
+            return refuse("view_too_large", f"{what} has {len(document)} bytes", 500)
+        return StateView(what, document)
 
     def snapshot(self) -> bytes:
         """Return the whole state."""
--- a/papayacrank/state/_outcomes.py
+++ b/papayacrank/state/_outcomes.py
@@ -31,7 +31,11 @@
         return self._operator.get(request_id) or self._process.get(request_id)
 
     def record(self, reply: ControlReply, by_operator: bool) -> None:
-        """Record an outcome and evict the oldest ones beyond the limit."""
+        """Record an outcome and evict the oldest ones beyond the limit.
+
+        The document in the details of a conflict is left out: it may have megabytes.
+        """
+        reply = _without_document(reply)
         if by_operator:
             self._operator[reply.request_id] = reply
             evict_oldest(self._operator, MAX_OPERATOR_OUTCOMES)
@@ -47,3 +51,12 @@
         """Restore the content of a snapshot."""
         self._operator = {reply.request_id: reply for reply in dumped.operator}
         self._process = {reply.request_id: reply for reply in dumped.process}
+
+
+def _without_document(reply: ControlReply) -> ControlReply:
+    failure = reply.failure
+    if failure is None or "document" not in failure.details:
+        return reply
+    details = {k: v for k, v in failure.details.items() if k != "document"}
+    failure = msgspec.structs.replace(failure, details=details)
+    return msgspec.structs.replace(reply, failure=failure)
--- a/papayacrank/state/_views.py
+++ b/papayacrank/state/_views.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ._limits import MAX_VIEW_HISTOGRAM_BYTES
+
 if TYPE_CHECKING:
     from ._machine import StateMachine
 
@@ -75,17 +77,18 @@
 
 
 def _usage(state: "StateMachine") -> list[dict]:
-    return [
-        {"minute": row.minute, "minutes": row.minutes} | _usage_fields(row.usage)
-        for row in state.usage.rows
-    ]
-
-
-def _usage_fields(usage) -> dict:
-    fields = msgspec.structs.asdict(usage)
-    for name in ("ttft_histogram", "token_gap_histogram"):
-        fields[name] = fields[name].decode("ascii")
-    return fields
+    """Return all rows; beyond a size, the histograms of the oldest are left out."""
+    rows = []
+    left_bytes = MAX_VIEW_HISTOGRAM_BYTES
+    for row in reversed(state.usage.rows):
+        fields = {"minute": row.minute, "minutes": row.minutes}
+        fields |= msgspec.structs.asdict(row.usage)
+        left_bytes -= len(row.usage.ttft_histogram)
+        left_bytes -= len(row.usage.token_gap_histogram)
+        for name in ("ttft_histogram", "token_gap_histogram"):
+            fields[name] = fields[name].decode("ascii") if left_bytes >= 0 else ""
+        rows.append(fields)
+    return rows[::-1]
 
 
 def _status(state: "StateMachine") -> dict:
