--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -103,6 +103,7 @@
         self._published_version = 0
         self._internal_requests = 0
         self._batch: dict[str, Heartbeat] = {}
+        self._snapshot_index = 0
         self._stopping = False
 
     @property
@@ -163,10 +164,7 @@
     def flush(self, now_ms: int) -> list[Any]:
         """Replicate what was proposed, and take a snapshot if one is due."""
         effects = self._digest(self._raft.flush(now_ms), now_ms)
-        if self._raft.wants_snapshot:
-            index, data = self._machine.applied_index, self._machine.snapshot()
-            effects += self._digest(self._raft.compact(index, data, now_ms), now_ms)
-        return effects
+        return effects + self._take_snapshot(now_ms)
 
     def http_finished(self, result: HttpResult, now_ms: int) -> list[Any]:
         """Handle the result of an `HttpCall`."""
@@ -254,6 +252,15 @@
         drift = 1 + self._settings.clock_drift
         return int(self._settings.leader_lease_ms * drift) + HTTP_TIMEOUT_MS
 
+    def _take_snapshot(self, now_ms: int) -> list[Any]:
+        """Hand the state to the log if it asks for it and the state has changed."""
+        index = self._machine.applied_index
+        if not self._raft.wants_snapshot or index <= self._snapshot_index:
+            return []
+        self._snapshot_index = index
+        data = self._machine.snapshot()
+        return self._digest(self._raft.compact(index, data, now_ms), now_ms)
+
     # Requests
 
     def _on_request(
--- a/papayacrank/control/_process.py
+++ b/papayacrank/control/_process.py
@@ -32,6 +32,7 @@
 from ._events import HANDING_OVER, STORE_FAILED
 from ._http import HttpCaller
 from ._node import ControlNode
+from ._writer import StoreWriter
 
 MS_PER_SECOND = 1000
 HAND_OVER_TIMEOUT_MS = 2_000
@@ -65,6 +66,7 @@
         self._timers = Timers(self._clock).register(self)
         self._http = HttpCaller(self._clock, self._timers).register(self)
         self._store = LogStore(settings.data_folder)
+        self._writer = StoreWriter(self._store).register(self)
         self._node = self._build_node()
         codec = MessageCodec(CONTROL_MESSAGES + CONSENSUS_MESSAGES)
         self._link = Link(self._link_settings(), codec).register(self)
@@ -133,18 +135,29 @@
             case HttpCall():
                 self._http.submit(effect)
 
+    @handler("records_written", channel="store-writer")
+    def _on_records_written(self, token, error):
+        if error is not None:
+            self._fail(error)
+        self._run(self._node.persisted(token, self._clock.now_ms()))
+
     def _persist(self, token: int, records) -> None:
-        """Write records; after a failed write, acknowledge nothing and stop."""
+        """Write records; small ones at once, snapshots in the background."""
         if self._failed:
             return
         try:
-            self._store.append(records)
+            written = self._writer.write(token, records)
         except LogStoreError as error:
-            self._failed = True
-            log_event(STORE_FAILED, error=str(error))
-            self.root.stop()
+            self._fail(error)
             return
-        self._run(self._node.persisted(token, self._clock.now_ms()))
+        if written:
+            self._run(self._node.persisted(token, self._clock.now_ms()))
+
+    def _fail(self, error: LogStoreError) -> None:
+        """Acknowledge nothing more after a failed write, and stop."""
+        self._failed = True
+        log_event(STORE_FAILED, error=str(error))
+        self.root.stop()
 
     def _continue_stop(self) -> None:
         now_ms = self._clock.now_ms()
