--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -48,7 +48,7 @@
 from ._orders import OrderRunner, ProposeOrder
 from ._platform import PLATFORM_KEY, PlatformList
 from ._publisher import FeedPublisher
-from ._requests import RequestDesk
+from ._requests import RequestDesk, describe_change
 
 RAFT_TIMER_PREFIX = "raft."
 DUTY_TIMER = "control.duty"
@@ -192,9 +192,12 @@
         reply = self._machine.apply(committed.index, committed.data)
         if not self.is_active:
             return []
-        if reply is not None:
-            return self._desk.answer(reply)
         entry = decode_entry(committed.data)
+        if isinstance(entry, CommandEntry):
+            if reply is None:
+                return []
+            notices = describe_change(entry.request.command, reply)
+            return [*self._desk.answer(reply), *notices]
         if isinstance(entry, HeartbeatEntry):
             return self._acknowledge_all(entry, now_ms)
         if isinstance(entry, ExpireEntry):
--- a/papayacrank/control/_requests.py
+++ b/papayacrank/control/_requests.py
@@ -2,20 +2,26 @@
 
 import json
 
-from papayacrank.consensus import RaftNode, Replace
+from papayacrank.consensus import Notice, RaftNode, Replace
 from papayacrank.kernel import Send, Verdict
 from papayacrank.messages import (
+    ConfigurationFiled,
     ControlReply,
     ControlRequest,
     Done,
     FailureRecord,
+    GrantKey,
+    KeyChanged,
     NotLeader,
     ReadState,
     ReplaceMember,
     StateView,
 )
+from papayacrank.messages._commands import Command
 from papayacrank.state import StateMachine, check_command
 
+from ._events import CONFIGURATION_ACCEPTED, KEY_CHANGED
+
 MAX_WAITING_REQUESTS = 2_000
 MAX_REPLACEMENTS = 16
 MAX_SENDERS = 4
@@ -152,6 +158,18 @@
         return command.new in voters and command.old not in voters
 
 
+def describe_change(command: Command, reply: ControlReply) -> list[Notice]:
+    """Return the log lines of an operator's change that took effect."""
+    if isinstance(reply.result, ConfigurationFiled):
+        fields = {"version": reply.result.version, "operator": command.operator}
+        return [Notice(CONFIGURATION_ACCEPTED, fields)]
+    if isinstance(reply.result, KeyChanged):
+        change = "granted" if isinstance(command, GrantKey) else "withdrawn"
+        fields = {"key_id": command.key_id, "operator": command.operator}
+        return [Notice(KEY_CHANGED, fields | {"change": change})]
+    return []
+
+
 def _add_sender(senders: list[str], sender: str) -> None:
     if sender not in senders and len(senders) < MAX_SENDERS:
         senders.append(sender)
