Prove that a withdrawal reaches an entry process behind an isolated leader

The isolated leader keeps its connection to the entry process but stops acknowledging with its lease; the key is out of use within 4.5 s of the committed withdrawal.

--- a/benchmarks/control_changes.py
+++ b/benchmarks/control_changes.py
@@ -11,7 +11,6 @@
 
 import json
 import os
-import random
 import subprocess
 import tempfile
 import time
@@ -19,154 +18,28 @@
 from pathlib import Path
 
 import fire
-from circuits import BaseComponent, handler
 
 from papayacrank.config import canonical_json, generate_configuration
-from papayacrank.control import (
-    ContactSettings,
-    ControlClient,
-    ControlContact,
-    FeedChanged,
-    LeaderHint,
-    RequestFinished,
-    digest_key,
-)
+from papayacrank.control import digest_key
 from papayacrank.control.tests.group import ControlGroup
-from papayacrank.kernel import (
-    CancelTimer,
-    MonotonicClock,
-    Send,
-    SetTimer,
-    configure_logging,
-)
+from papayacrank.control.tests.subscriber import TICK_S, EventLoop, Subscriber
+from papayacrank.kernel import MonotonicClock, configure_logging
 from papayacrank.messages import (
-    CONTROL_MESSAGES,
     ConfigurationFiled,
     FileConfiguration,
     GrantKey,
     WithdrawKey,
 )
 from papayacrank.testing import build_questionnaire
-from papayacrank.transport import (
-    Link,
-    LinkSettings,
-    MessageCodec,
-    Timers,
-    install_process_handlers,
-)
 
-TICK_S = 0.002
 CHANGES = 150
 THROUGHPUT_SECONDS = 5.0
 IDLE_SECONDS = 10.0
 COMMANDS_IN_FLIGHT = 32
-WAIT_S = 20.0
 DIGEST = digest_key("key")
 
 
-class Subscriber(BaseComponent):
-    """Contact of one entry process, and a client.
-
-    Parameters
-    ----------
-    root : BaseComponent
-        Root with poller and timers.
-    name : str
-        Name of the instance.
-    peers : dict of str to str
-        Addresses of the control processes.
-    """
-
-    def __init__(self, root: BaseComponent, name: str, peers: dict[str, str]):
-        self.channel = f"subscriber-{name}"
-        super().__init__(channel=self.channel)
-        self._clock = MonotonicClock()
-        self._timers = root.timers
-        self._name = name
-        hint = LeaderHint(peers)
-        settings = ContactSettings(name, time.time_ns(), "east", "127.0.0.1:1")
-        self.contact = ControlContact(settings, hint)
-        self.client = ControlClient(f"entry/{name}", 1, hint, random.Random(), 20_000)
-        self.outcomes = {}
-        self.reached: dict[tuple[str, int], float] = {}
-        link = Link(
-            LinkSettings(f"entry/{name}", None, peers), MessageCodec(CONTROL_MESSAGES)
-        )
-        link.channel = f"link-{name}"
-        self.link = link.register(root)
-        self.register(root)
-        self.addHandler(self._make_handler())
-
-    def _make_handler(self):
-        @handler("received", channel=f"link-{self._name}")
-        def on_received(component, sender, message):
-            now_ms = component._clock.now_ms()
-            component.run(component.contact.receive(sender, message, now_ms))
-            component.run(component.client.receive(sender, message, now_ms))
-
-        return on_received
-
-    def begin(self) -> None:
-        """Send the first heartbeat."""
-        self.run(self.contact.start(self._clock.now_ms()))
-        self.run(self.contact.set_status("serving", self._clock.now_ms()))
-
-    def submit(self, command) -> str:
-        """Submit a command and return its request id."""
-        request_id, effects = self.client.submit(command, self._clock.now_ms())
-        self.run(effects)
-        return request_id
-
-    def run(self, effects) -> None:
-        """Carry out effects."""
-        for effect in effects:
-            match effect:
-                case Send(to, message):
-                    self.link.send(to, message)
-                case SetTimer(name, at_ms):
-                    callback = partial(self._on_timer, name)
-                    self._timers.set(f"{self._name}/{name}", at_ms, callback)
-                case CancelTimer(name):
-                    self._timers.cancel(f"{self._name}/{name}")
-                case RequestFinished(request_id, outcome):
-                    self.outcomes[request_id] = outcome
-                case FeedChanged(version=version):
-                    now = time.monotonic()
-                    in_force = self.contact.configuration_version
-                    self.reached.setdefault(("feed", version), now)
-                    self.reached.setdefault(("configuration", in_force), now)
-
-    def _on_timer(self, name: str) -> None:
-        now_ms = self._clock.now_ms()
-        self.run(self.contact.tick(name, now_ms))
-        self.run(self.client.tick(name, now_ms))
-
-
-class Root(BaseComponent):
-    """Event loop of all subscribers."""
-
-    def __init__(self):
-        super().__init__()
-        install_process_handlers(self)
-        self.timers = Timers(MonotonicClock()).register(self)
-        self._running = True
-
-    def wait_until(self, condition) -> None:
-        """Run until the condition holds."""
-        deadline = time.monotonic() + WAIT_S
-        while not condition():
-            if time.monotonic() > deadline:
-                raise TimeoutError("the condition did not hold in time")
-            self.tick(TICK_S)
-
-    def run_for(self, seconds: float) -> None:
-        """Run for a time."""
-        deadline = time.monotonic() + seconds
-        while time.monotonic() < deadline:
-            self.tick(TICK_S)
-
-
-def measure_rate(root: Root, subscriber: Subscriber, in_flight: int) -> dict:
+def measure_rate(root: EventLoop, subscriber: Subscriber, in_flight: int) -> dict:
     """Measure committed changes/s with grants of keys."""
     done, number, waiting = 0, 0, []
     start = time.monotonic()
@@ -188,7 +61,7 @@
     return {"in_flight": in_flight, "changes_per_s": round(done / elapsed, 1)}
 
 
-def measure_delay(root: Root, subscribers: list[Subscriber], commands) -> dict:
+def measure_delay(root: EventLoop, subscribers: list[Subscriber], commands) -> dict:
     """Measure the time until each change is in force at each subscriber."""
     delays = []
     for command in commands:
@@ -244,7 +117,7 @@
     return total
 
 
-def measure_idle(root: Root, group: ControlGroup, subscribers: int) -> list[dict]:
+def measure_idle(root: EventLoop, group: ControlGroup, subscribers: int) -> list[dict]:
     """Measure CPU and bytes/s while nothing changes."""
     pids = {n: p.pid for n, p in group.processes.items() if p.is_running}
     root.run_for(2.0)
@@ -283,7 +156,7 @@
     ):
         group.start_members()
         group.wait_ready()
-        root = Root()
+        root = EventLoop()
         peers = {peer.name: peer.address for peer in group.peers}
         started = [Subscriber(root, f"i{n}", peers) for n in range(subscribers)]
         for subscriber in started:
--- a/papayacrank/control/tests/group.py
+++ b/papayacrank/control/tests/group.py
@@ -9,7 +9,7 @@
 from papayacrank.config import ControlSettings, PeerAddress
 from papayacrank.messages import ReadState
 from papayacrank.messages._commands import Command
-from papayacrank.testing import Fleet
+from papayacrank.testing import Fleet, Relay
 
 DOMAINS = ("east", "west", "north")
 READY_TIMEOUT_S = 20.0
@@ -25,12 +25,16 @@
         Holds settings, logs and data.
     size : int
         Number of members.
+    relayed : bool
+        Whether the members reach each other through relays.
     **settings : Any
         Further fields of the settings of all members.
     """
 
-    def __init__(self, folder: Path, size: int = 3, **settings):
+    def __init__(self, folder: Path, size: int = 3, relayed: bool = False, **settings):
         super().__init__(folder, random.Random())
+        self._relayed = relayed
+        self._links: dict[tuple[str, str], Relay] = {}
         self._settings = settings
         self.members = [f"c{number}" for number in range(1, size + 1)]
         self.peers = [
@@ -55,6 +59,12 @@
         """Kill a member."""
         self.kill(f"control-{name}")
 
+    def isolate(self, name: str) -> None:
+        """Cut a member off from the others silently; clients still reach it."""
+        for ends, relay in self._links.items():
+            if name in ends:
+                relay.freeze()
+
     def describe(self, name: str) -> ControlSettings:
         """Return the settings of a member."""
         index = self.members.index(name)
@@ -63,11 +73,21 @@
             "failure_domain": DOMAINS[index % len(DOMAINS)],
             "link": self.peers[index].address,
             "data_folder": str(self.data_folder(name)),
-            "peers": [peer for peer in self.peers if peer.name != name],
+            "peers": [
+                self._reach(name, peer) for peer in self.peers if peer.name != name
+            ],
             "initial_voters": self.members,
         }
         return ControlSettings(**(fields | self._settings))
 
+    def _reach(self, name: str, peer: PeerAddress) -> PeerAddress:
+        """Return the address under which a member reaches another one."""
+        if not self._relayed:
+            return peer
+        relay = self.start_relay(peer.address)
+        self._links[name, peer.name] = relay
+        return PeerAddress(name=peer.name, address=relay.address)
+
     def exchange(
         self, timeout_ms: int = COMMAND_TIMEOUT_MS, only: str | None = None
     ) -> ControlExchange:
--- a/papayacrank/control/tests/test_group.py
+++ b/papayacrank/control/tests/test_group.py
@@ -8,11 +8,19 @@
 from papayacrank.config import canonical_json, generate_configuration
 from papayacrank.control import digest_key
 from papayacrank.control.tests.group import ControlGroup
-from papayacrank.messages import FileConfiguration, GrantKey, ReadState
+from papayacrank.control.tests.subscriber import EventLoop, Subscriber
+from papayacrank.kernel import MonotonicClock
+from papayacrank.messages import (
+    FileConfiguration,
+    GrantKey,
+    ReadState,
+    WithdrawKey,
+)
 from papayacrank.testing import build_questionnaire
 
 pytestmark = pytest.mark.prove
 DIGEST = digest_key("key")
+WITHDRAWAL_LIMIT_MS = 4_500
 
 
 @pytest.fixture
@@ -120,3 +128,37 @@
     old = group.wait_ready()
     assert group.terminate(f"control-{old}") == 0
     assert group.wait_ready(other_than=old) != old
+
+
+def test_withdrawal_ends_the_use_of_a_key_behind_an_isolated_leader(tmp_path):
+    """Guards against a key that works on at an entry process whose only contact is
+    a leader that a silent partition has cut off from the others."""
+    with ControlGroup(tmp_path, relayed=True) as group:
+        group.start_members()
+        old = group.wait_ready()
+        assert group.run(GrantKey("k0", "team-a", DIGEST, "ann")).is_ok()
+        loop, clock = EventLoop(), MonotonicClock()
+        addresses = {peer.name: peer.address for peer in group.peers}
+        free = Subscriber(loop, "i1", addresses)
+        trapped = Subscriber(loop, "i2", {old: addresses[old]})
+
+        def uses_key(subscriber):
+            contact = subscriber.contact
+            in_contact = contact.has_contact(clock.now_ms())
+            return in_contact and contact.find_key(DIGEST) is not None
+
+        for subscriber in (free, trapped):
+            subscriber.begin()
+        loop.wait_until(lambda: uses_key(free) and uses_key(trapped))
+        group.isolate(old)
+        request_id = free.submit(WithdrawKey("k0", "ann"))
+        loop.wait_until(lambda: request_id in free.outcomes)
+        assert free.outcomes[request_id].is_ok()
+        withdrawn_ms = clock.now_ms()
+        loop.wait_until(lambda: not uses_key(free) and not uses_key(trapped))
+        assert clock.now_ms() - withdrawn_ms <= WITHDRAWAL_LIMIT_MS
+        loop.run_for(1.0)
+        assert not uses_key(free) and not uses_key(trapped)
+        assert free.contact.has_contact(clock.now_ms())
+        for subscriber in (free, trapped):
+            subscriber.link.close()
