--- a/papayacrank/entry/_caller_server.py
+++ b/papayacrank/entry/_caller_server.py
@@ -8,6 +8,9 @@
 
 READ_BYTES = 65_536
 ACCEPTS_PER_WAKEUP = 64
+# Answers that callers have not taken, over all connections. Beyond it, the caller
+# who holds most is cut, so that slow readers cannot exhaust the memory.
+MAX_TOTAL_HELD_BYTES = 256 * 1024 * 1024
 
 
 class caller_progress(Event):  # noqa: N801 - circuits events are lower case
@@ -29,15 +32,25 @@
         Further connections get `refusal` and are closed.
     refusal : bytes
         Whole HTTP answer for a connection too many.
+    max_total_held_bytes : int
+        Bound on the data that callers have not taken, over all connections.
     """
 
     channel = "web"
 
-    def __init__(self, bind: tuple[str, int], max_connections: int, refusal: bytes):
+    def __init__(
+        self,
+        bind: tuple[str, int],
+        max_connections: int,
+        refusal: bytes,
+        max_total_held_bytes: int = MAX_TOTAL_HELD_BYTES,
+    ):
         super().__init__(bind, channel=self.channel, bufsize=READ_BYTES)
         self._max_connections = max_connections
         self._refusal = refusal
+        self._max_total_held_bytes = max_total_held_bytes
         self._held_bytes: dict = {}
+        self._total_held_bytes = 0
 
     @property
     def connection_count(self) -> int:
@@ -55,10 +68,7 @@
         if not self._held_bytes[sock]:
             data = data[self._send_now(sock, data) :]
         if data and sock in self._held_bytes:
-            self._buffers[sock].append(data)
-            self._held_bytes[sock] += len(data)
-            if not self._poller.isWriting(sock):
-                self._poller.addWriter(self, sock)
+            self._hold(sock, data)
 
     def end(self, sock) -> None:
         """Close a connection after everything was sent."""
@@ -83,6 +93,18 @@
             self._sock.close()
             self._sock = None
 
+    def _hold(self, sock, data: bytes) -> None:
+        self._buffers[sock].append(data)
+        self._held_bytes[sock] += len(data)
+        self._total_held_bytes += len(data)
+        if not self._poller.isWriting(sock):
+            self._poller.addWriter(self, sock)
+        self._bound_total()
+
+    def _bound_total(self) -> None:
+        while self._total_held_bytes > self._max_total_held_bytes:
+            self._close(max(self._held_bytes, key=self._held_bytes.get))
+
     def _send_now(self, sock, data: bytes) -> int:
         try:
             return sock.send(data)
@@ -109,8 +131,10 @@
             self._close(sock)
 
     def _close(self, sock) -> None:
-        if sock is None or self._held_bytes.pop(sock, None) is None:
+        held = self._held_bytes.pop(sock, None)
+        if held is None:
             return
+        self._total_held_bytes -= held
         self._poller.discard(sock)
         self._buffers.pop(sock, None)
         self._clients.remove(sock)
@@ -143,6 +167,7 @@
             if sock not in self._held_bytes:
                 return
             self._held_bytes[sock] -= sent
+            self._total_held_bytes -= sent
             if sent < len(data):
                 buffer.appendleft(data[sent:])
                 break
--- a/papayacrank/entry/_completion_flow.py
+++ b/papayacrank/entry/_completion_flow.py
@@ -29,6 +29,10 @@
 LOAD_PATH = "/v1/load"
 TOKEN_BYTES = 4
 CACHED_TOKEN_COST = 0.1
+RESUME_REASON = "resume"
+# An engine that still knows a stream goes on at once; a frozen one must not use up
+# the whole time for a first token before the stream moves to another engine.
+RESUME_TIMEOUT_MS = 2_000
 # After these, the engine is reachable and may still know the request.
 _ENGINE_USABLE_AFTER = frozenset(
     {"connection_lost", "truncated_answer", "progress_timeout", "offset_gap"}
@@ -138,7 +142,6 @@
         )
 
     def _build_attempt(self, attempt_id: str, choice: Choice) -> TargetRequest:
-        timings = self._context.settings.timings
         point = self._assembler.resume_point
         fields = EngineFields(
             request_id=self.request_id,
@@ -164,12 +167,19 @@
             echo_id=self.request_id,
             cancel_path=CANCEL_PATH,
             probe_path=LOAD_PATH,
-            timeouts=TargetTimeouts(
-                connect_ms=timings.target_connect_timeout_ms,
-                first_byte_ms=timings.first_token_timeout_ms,
-                first_token_ms=timings.first_token_timeout_ms,
-                progress_ms=timings.progress_timeout_ms,
-            ),
+            timeouts=self._timeouts(choice.reason == RESUME_REASON),
+        )
+
+    def _timeouts(self, is_resume: bool) -> TargetTimeouts:
+        timings = self._context.settings.timings
+        first_token_ms = timings.first_token_timeout_ms
+        if is_resume:
+            first_token_ms = min(first_token_ms, RESUME_TIMEOUT_MS)
+        return TargetTimeouts(
+            connect_ms=timings.target_connect_timeout_ms,
+            first_byte_ms=first_token_ms,
+            first_token_ms=first_token_ms,
+            progress_ms=timings.progress_timeout_ms,
         )
 
     def on_headers(self, status: int, headers: Headers) -> None:
@@ -237,7 +247,7 @@
         step = self._assembler.next_step(target, usable)
         if step is ResumeStep.SAME_ENGINE:
             self._context.metrics.on_repeated(self._service.name, "resume")
-            choice = Choice(target, 0, 0.0, None, "resume")
+            choice = Choice(target, 0, 0.0, None, RESUME_REASON)
             self._send_attempt(self._build_routing(), choice)
         elif step is ResumeStep.OTHER_ENGINE:
             self._retry_elsewhere(target, "move")
--- a/papayacrank/entry/_dispatcher.py
+++ b/papayacrank/entry/_dispatcher.py
@@ -64,10 +64,14 @@
     @handler("caller_request", channel="web")
     def _on_caller_request(self, exchange):
         try:
-            self._dispatch(exchange)
+            flow = self._dispatch(exchange)
         except Exception as error:
-            self._on_error(exchange.request_id, error)
-            exchange.respond_failure(_internal_error(Verdict.NOT_RUN))
+            text = f"{type(error).__name__}: {error}"
+            log_event(FLOW_FAILED, request_id=exchange.request_id, error=text)
+            exchange.respond_failure(_internal_error())
+            return
+        if flow is not None:
+            self._context.flows.call(flow, "begin")
 
     @handler("caller_left", channel="web")
     def _on_caller_left(self, exchange):
@@ -102,35 +106,30 @@
     def _call(self, request_id: str, method: str, *args) -> None:
         flow = self._context.flows.find(request_id)
         if flow is not None:
-            self._run_safely(flow, method, *args)
+            self._context.flows.call(flow, method, *args)
 
     def _call_attempt(self, attempt_id: str, method: str, *args) -> None:
         flow = self._context.flows.find_attempt(attempt_id)
         if flow is not None:
-            self._run_safely(flow, method, *args)
-
-    def _run_safely(self, flow: RequestFlow, method: str, *args) -> None:
-        """Call a flow; an internal error ends this request only."""
-        try:
-            getattr(flow, method)(*args)
-        except Exception as error:
-            self._on_error(flow.request_id, error)
-            flow.abort(_internal_error(Verdict.MAY_HAVE_RUN))
-
-    def _on_error(self, request_id: str, error: Exception) -> None:
-        text = f"{type(error).__name__}: {error}"
-        log_event(FLOW_FAILED, request_id=request_id, error=text)
+            self._context.flows.call(flow, method, *args)
 
     # Paths
 
-    def _dispatch(self, exchange: Exchange) -> None:
+    def _dispatch(self, exchange: Exchange) -> RequestFlow | None:
+        """Answer a request, or return the flow that does; nothing is sent yet."""
         request = exchange.request
         path = request.path
         if path.startswith(SERVICES_PREFIX):
-            self._start_service(exchange)
-        elif path == COMPLETIONS_PATH and request.method == "POST":
-            self._start_completion(exchange)
-        elif request.method not in ("GET", "HEAD"):
+            return self._prepare(exchange, self._prepare_service)
+        if path == COMPLETIONS_PATH and request.method == "POST":
+            return self._prepare(exchange, self._prepare_completion)
+        self._answer_own_path(exchange)
+        return None
+
+    def _answer_own_path(self, exchange: Exchange) -> None:
+        request = exchange.request
+        path = request.path
+        if request.method not in ("GET", "HEAD"):
             exchange.respond_failure(_unknown_path())
         elif path == "/v1/route":
             self._answer_route(exchange)
@@ -189,12 +188,13 @@
         }
         _respond_json(exchange, 200, document)
 
-    def _start_completion(self, exchange: Exchange) -> None:
-        prepared = self._prepare_completion(exchange)
+    @staticmethod
+    def _prepare(exchange: Exchange, prepare) -> RequestFlow | None:
+        prepared = prepare(exchange)
         if prepared.is_error():
             exchange.respond_failure(prepared.error)
-        else:
-            prepared.ok.begin()
+            return None
+        return prepared.ok
 
     def _prepare_completion(
         self, exchange: Exchange
@@ -233,13 +233,6 @@
         )
         return Ok(flow) if too_large is None else Error(too_large)
 
-    def _start_service(self, exchange: Exchange) -> None:
-        prepared = self._prepare_service(exchange)
-        if prepared.is_error():
-            exchange.respond_failure(prepared.error)
-        else:
-            prepared.ok.begin()
-
     def _prepare_service(self, exchange: Exchange) -> Result[ServiceFlow, Failure]:
         request = exchange.request
         name, path = _split_service_path(request.path)
@@ -358,5 +351,5 @@
     return _refuse("no_access", f"the workspace may not use {service}", 403)
 
 
-def _internal_error(verdict: Verdict) -> Failure:
-    return Failure("internal_error", verdict, "internal error", 500)
+def _internal_error() -> Failure:
+    return Failure("internal_error", Verdict.NOT_RUN, "internal error", 500)
--- a/papayacrank/entry/_exchange.py
+++ b/papayacrank/entry/_exchange.py
@@ -17,6 +17,7 @@
 from ._request_parser import CallerRequest
 
 REQUEST_ID_HEADER = "X-Request-Id"
+BODILESS_STATUSES = (204, 304)
 
 
 @dataclass(eq=False)
@@ -60,8 +61,10 @@
         if not self.is_open:
             return
         self.status = status
-        length = ("Content-Length", str(len(body)))
-        head = encode_head(status, [*self._common_headers(), *headers, length])
+        framing = [("Content-Length", str(len(body)))]
+        if status in BODILESS_STATUSES:
+            framing, body = [], b""
+        head = encode_head(status, [*self._common_headers(), *headers, *framing])
         if self.request.method == "HEAD":
             body = b""
         self.front_end.send(self, head + body)
@@ -85,6 +88,9 @@
         framing = [("Content-Type", SSE_TYPE), ("Cache-Control", "no-store")]
         if self.request.chunked_answers:
             framing.append(("Transfer-Encoding", "chunked"))
+        else:
+            # Only the end of the connection marks the end of the answer.
+            self.front_end.close_after(self)
         all_headers = [*self._common_headers(), *headers, *framing]
         self.front_end.send(self, encode_head(200, all_headers))
 
--- a/papayacrank/entry/_flow.py
+++ b/papayacrank/entry/_flow.py
@@ -193,8 +193,9 @@
         self._exchange.respond_failure(failure)
         self._end(failure.code, failure)
 
-    def abort(self, failure: Failure) -> None:
+    def abort(self) -> None:
         """End the request after an internal error, whatever its state."""
+        failure = self._life.fail("internal_error", "internal error", 500)
         self._exchange.respond_failure(failure)
         if not self._ended:
             self._cancel_attempt()
--- a/papayacrank/entry/_flow_table.py
+++ b/papayacrank/entry/_flow_table.py
@@ -1,9 +1,10 @@
 """Table of the request flows in progress."""
 
 from papayacrank.admission import AdmissionPolicy, Admitted
-from papayacrank.kernel import Clock
+from papayacrank.kernel import Clock, log_event
 from papayacrank.transport import Timers
 
+from ._events import FLOW_FAILED
 from ._flow import RequestFlow
 
 ADMISSION_TIMER = "entry/admission"
@@ -83,6 +84,15 @@
         """Return the flows that depend on a key."""
         return [flow for flow in self._flows.values() if flow.caller is not None]
 
+    def call(self, flow: RequestFlow, method: str, *args) -> None:
+        """Call a method of a flow; an internal error ends that request only."""
+        try:
+            getattr(flow, method)(*args)
+        except Exception as error:
+            text = f"{type(error).__name__}: {error}"
+            log_event(FLOW_FAILED, request_id=flow.request_id, error=text)
+            flow.abort()
+
     def poll_admission(self) -> None:
         """Admit or refuse queued requests; calls during a poll repeat it."""
         self._poll_again = True
@@ -106,9 +116,9 @@
                 if flow is None:
                     continue
                 if isinstance(decision, Admitted):
-                    flow.on_admitted()
+                    self.call(flow, "on_admitted")
                 else:
-                    flow.fail(decision.failure)
+                    self.call(flow, "fail", decision.failure)
 
     def _schedule(self) -> None:
         now_ms = self._clock.now_ms()
--- a/papayacrank/entry/_front_end.py
+++ b/papayacrank/entry/_front_end.py
@@ -22,6 +22,10 @@
 # input resets the connection, and the caller may lose the answer.
 DISCARD_MS = 2_000
 RETRY_WHEN_FULL_MS = 1_000
+# Bodies of the largest size that are kept at a time, over all connections.
+MAX_BODIES = 64
+# A body may arrive slowly, but not without end.
+MAX_BODY_TIMEOUTS = 6
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 
@@ -51,6 +55,7 @@
     began_ms: int | None = None
     unsent: list[bytes] = field(default_factory=list)
     unsent_bytes: int = 0
+    reserved_bytes: int = 0
 
 
 class FrontEnd(BaseComponent):
@@ -85,6 +90,7 @@
         self._connections: dict[Any, _Connection] = {}
         self._closing_all = False
         self._unsent: list = []
+        self._reserved_bytes = 0
         host, port = settings.listen.split(":")
         refusal = _encode_whole_failure(_too_many_connections())
         self._listener = CallerServer(
@@ -148,6 +154,7 @@
         keeps = self.keeps_connection(exchange)
         self._flush(sock)
         connection.exchange = None
+        self._release(connection)
         connection.active_ms = self._clock.now_ms()
         if not keeps:
             self._close_softly(sock, connection)
@@ -158,6 +165,12 @@
         """Cut the connection of an exchange."""
         self._listener.abort(exchange.sock)
 
+    def close_after(self, exchange: Exchange) -> None:
+        """Close the connection of an exchange after its answer."""
+        connection = self._connections.get(exchange.sock)
+        if connection is not None:
+            connection.closes = True
+
     def close_after_answers(self) -> None:
         """Close each connection after its next answer."""
         self._closing_all = True
@@ -197,7 +210,10 @@
     @handler("disconnect")
     def _on_disconnect(self, sock):
         connection = self._connections.pop(sock, None)
-        if connection is None or connection.exchange is None:
+        if connection is None:
+            return
+        self._release(connection)
+        if connection.exchange is None:
             return
         exchange = connection.exchange
         exchange.is_open = False
@@ -209,6 +225,7 @@
         if connection is None or connection.discard_until_ms is not None:
             return
         connection.parser.feed(data)
+        connection.active_ms = self._clock.now_ms()
         if connection.exchange is None:
             self._read_requests(sock, connection)
         elif connection.parser.buffered_bytes > self._limits.max_header_bytes:
@@ -232,6 +249,8 @@
         if connection.began_ms is None:
             connection.began_ms = self._clock.now_ms()
         found = parser.next_request()
+        if not self._reserve(connection, parser.body_bytes):
+            found = _body_memory_full()
         if isinstance(found, CallerRequest):
             connection.began_ms = None
             connection.continue_sent = False
@@ -245,6 +264,21 @@
         elif not parser.is_within_request:
             connection.began_ms = None
 
+    def _reserve(self, connection: _Connection, body_bytes: int) -> bool:
+        """Count the body of a request, which is kept until its answer is complete."""
+        added = body_bytes - connection.reserved_bytes
+        if added <= 0:
+            return True
+        if self._reserved_bytes + added > MAX_BODIES * self._limits.max_body_bytes:
+            return False
+        connection.reserved_bytes += added
+        self._reserved_bytes += added
+        return True
+
+    def _release(self, connection: _Connection) -> None:
+        self._reserved_bytes -= connection.reserved_bytes
+        connection.reserved_bytes = 0
+
     def _open_exchange(self, sock, connection: _Connection, request) -> Exchange:
         request_id = f"{self._settings.instance}-{self._boot:x}-{next(self._numbers)}"
         wanted = request.headers.get(REQUEST_ID_HEADER, "")
@@ -285,7 +319,9 @@
         elif connection.exchange is not None:
             return
         elif connection.began_ms is not None:
-            if now_ms - connection.began_ms > timings.body_timeout_ms:
+            limit_ms = timings.body_timeout_ms
+            took_ms = now_ms - connection.began_ms
+            if quiet_ms > limit_ms or took_ms > MAX_BODY_TIMEOUTS * limit_ms:
                 self._refuse_input(sock, connection, _stalled_request())
         elif quiet_ms > IDLE_CONNECTION_MS:
             self._listener.end(sock)
@@ -301,6 +337,11 @@
     return Failure("overloaded", Verdict.NOT_RUN, text, 503, RETRY_WHEN_FULL_MS)
 
 
+def _body_memory_full() -> Failure:
+    text = "too many large requests at this instance"
+    return Failure("overloaded", Verdict.NOT_RUN, text, 503, RETRY_WHEN_FULL_MS)
+
+
 def _encode_whole_failure(failure: Failure) -> bytes:
     """Encode the answer to input that is no request, so without request id."""
     body = describe_failure(failure, "")
--- a/papayacrank/entry/_request_parser.py
+++ b/papayacrank/entry/_request_parser.py
@@ -82,6 +82,11 @@
         """Whether a request has begun and is not complete."""
         return self._head is not None or bool(self._buffer)
 
+    @property
+    def body_bytes(self) -> int:
+        """Size of the body of the request in progress or just returned."""
+        return self._body_bytes
+
     @property
     def expects_continue(self) -> bool:
         """Whether the caller waits for ``100 Continue`` before it sends the body."""
@@ -171,7 +176,6 @@
         body = bytes(self._buffer[: self._body_bytes])
         del self._buffer[: self._body_bytes]
         self._head = None
-        self._body_bytes = 0
         return replace(head, body=body)
 
 
--- a/papayacrank/entry/tests/test_front_end.py
+++ b/papayacrank/entry/tests/test_front_end.py
@@ -2,10 +2,12 @@
 
 import socket
 import time
+from contextlib import suppress
 
 import pytest
 from circuits import BaseComponent, handler
 
+from papayacrank.entry._caller_server import CallerServer
 from papayacrank.entry._front_end import FrontEnd
 
 from .support import connect, exchange, make_settings, receive_all, running, wait_until
@@ -182,6 +184,98 @@
         wait_until(lambda: echo.left, "connection cut")
 
 
+def test_bodies_of_all_connections_together_are_bounded(served, monkeypatch):
+    """Guards against many large bodies that exhaust the memory."""
+    front_end, _ = served
+    monkeypatch.setattr("papayacrank.entry._front_end.MAX_BODIES", 1)
+    head = b"POST /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+    large = head + b"Content-Length: 4000\r\n\r\n"
+    with connect(front_end.address) as sock:
+        sock.sendall(large)
+        wait_until(lambda: front_end.connection_count == 1, "connected")
+        time.sleep(0.05)
+        assert exchange(front_end.address, large).startswith(b"HTTP/1.1 503 ")
+        sock.sendall(b"x" * 4_000)
+        assert receive_all(sock).startswith(b"HTTP/1.1 200 ")
+    body = large + b"x" * 4_000
+    assert exchange(front_end.address, body).startswith(b"HTTP/1.1 200 ")
+
+
+def test_trickled_body_is_refused_in_the_end(served):
+    """Guards against a caller who keeps a request open with single bytes."""
+    front_end, _ = served
+    with connect(front_end.address) as sock:
+        sock.sendall(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4000\r\n\r\n")
+        started = time.monotonic()
+        sock.settimeout(0.1)
+        answer = b""
+        while not answer and time.monotonic() < started + 10:
+            sock.sendall(b"x")
+            with suppress(TimeoutError):
+                answer = sock.recv(1_000)
+        assert answer.startswith(b"HTTP/1.1 408 ")
+        assert 1.5 < time.monotonic() - started < 4
+
+
+def test_old_callers_get_streams_that_end_with_the_connection(served):
+    """Guards against a chunked answer to HTTP/1.0, or one without an end."""
+    front_end, echo = served
+    with connect(front_end.address) as sock:
+        sock.sendall(b"GET /hold HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
+        wait_until(lambda: echo.held, "request arrived")
+        echo.held[0].start_stream()
+        echo.held[0].write(b"data")
+        echo.held[0].end_stream()
+        answer = receive_all(sock)
+    assert answer.endswith(b"\r\n\r\ndata")
+    assert b"chunked" not in answer and b"Connection: close" in answer
+
+
+def test_held_answers_of_all_callers_together_are_bounded():
+    """Guards against many slow readers that exhaust the memory."""
+    held = {}
+
+    def build(root, clock, timers):
+        server = CallerServer(("127.0.0.1", 0), 10, b"", 8_000_000).register(root)
+        Collector(held).register(root)
+        return server
+
+    with running(build) as server:
+        address = f"127.0.0.1:{server.port}"
+        first, second = connect(address), connect(address)
+        wait_until(lambda: len(held) == 2, "connected")
+        socks = [held[s.getsockname()] for s in (first, second)]
+        server.send(socks[0], b"x" * 12_000_000)
+        server.send(socks[1], b"y" * 5_000_000)
+        assert len(receive_until_closed(second)) == 5_000_000
+        first.close()
+        second.close()
+
+
+class Collector(BaseComponent):
+    """Keeps the sockets of callers by their address."""
+
+    channel = "web"
+
+    def __init__(self, held: dict):
+        super().__init__()
+        self._held = held
+
+    @handler("connect")
+    def _on_connect(self, sock, host, port):
+        self._held[(host, port)] = sock
+
+
+def receive_until_closed(sock) -> bytes:
+    """Read what arrives within a moment."""
+    sock.settimeout(0.5)
+    data = b""
+    with suppress(TimeoutError):
+        while piece := sock.recv(1_000_000):
+            data += piece
+    return data
+
+
 def test_quiet_connection_costs_no_processor_time(served):
     """Guards against polling a half-closed connection in a loop."""
     front_end, echo = served
--- a/papayacrank/entry/tests/test_streams.py
+++ b/papayacrank/entry/tests/test_streams.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import signal
 import threading
 import time
 
@@ -204,6 +205,18 @@
     return "papayacrank_streams_paused 1.0" in text
 
 
+def test_stream_moves_away_from_a_frozen_engine(system):
+    """Guards against a stream that waits for an engine that does nothing."""
+    response = system.open_stream(prompt="freeze", max_tokens=MAX_TOKENS)
+    head = b"".join(response.readline() for _ in range(10))
+    busy = find_busy_engine(system)
+    system.engines[busy].process.send_signal(signal.SIGSTOP)
+    started = time.monotonic()
+    assert_complete(read_sse(head + response.read()), "freeze")
+    assert time.monotonic() - started < 9.0
+    system.engines[busy].process.send_signal(signal.SIGCONT)
+
+
 def test_many_streams_survive_the_loss_of_an_engine(system):
     """Guards against mixed up or lost streams when many move at once."""
     results = {}
