--- a/papayacrank/targets/tests/test_observers.py
+++ b/papayacrank/targets/tests/test_observers.py
@@ -254,8 +254,12 @@
     engine.inject({"kind": "crash"})
     bench.run_until(lambda: engine.incarnation > before)
     run_prompt(bench, engine, "after the crash")
-    bench.run_until(lambda: observer.batches[-1][1] == 1)
-    assert decode_batch(observer.batches[-1][2]).incarnation == engine.incarnation
+
+    def last_incarnation():
+        return decode_batch(observer.batches[-1][2]).incarnation
+
+    bench.run_until(lambda: last_incarnation() == engine.incarnation)
+    assert observer.batches[-1][1] == 1
     subscriber.request_listing("engine-1")
     bench.run_until(lambda: observer.listings)
     assert observer.listings[0][1].incarnation == engine.incarnation
