--- a/papayacrank/replay/_engine.py
+++ b/papayacrank/replay/_engine.py
@@ -35,6 +35,7 @@
     cached_blocks: int = 0
     imported_blocks: int = 0
     lost: bool = False
+    was_refused: bool = False
 
 
 class EngineModel:
@@ -84,7 +85,7 @@
     def submit(self, job: Job) -> None:
         """Take a request; it is lost at once if the engine is down."""
         if not self.is_up:
-            job.lost = True
+            job.was_refused = True
             job.on_lost(job)
             return
         self._queue.append(job)
--- a/papayacrank/replay/_entry.py
+++ b/papayacrank/replay/_entry.py
@@ -255,7 +255,7 @@
             ),
             on_finished=lambda job: self._later(choice.target, self._finish, record),
             on_lost=lambda job: self.schedule.after(
-                BROKEN_CONNECTION_MS, self._lose, record, choice.target
+                BROKEN_CONNECTION_MS, self._lose, record, choice.target, job.was_refused
             ),
         )
         self._later(choice.target, self.engines[choice.target].submit, job)
@@ -279,10 +279,11 @@
         self.router.on_finished(record.arrival.request_id, True, self.now_ms)
         self._end(record, None)
 
-    def _lose(self, record: Record, target: str) -> None:
+    def _lose(self, record: Record, target: str, was_refused: bool) -> None:
         self.router.on_finished(record.arrival.request_id, False, self.now_ms)
         record.excluded |= {target}
-        may_retry = record.arrival.idempotent and record.tries < MAX_TRIES
+        is_safe = was_refused or record.arrival.idempotent
+        may_retry = is_safe and record.tries < MAX_TRIES
         if may_retry and self.retries.may_retry(self.now_ms):
             self._send(record)
         else:
--- a/papayacrank/routing/_router.py
+++ b/papayacrank/routing/_router.py
@@ -104,8 +104,10 @@
         if service is None:
             return
         table = self._tables[service]
-        if not self.index.set_incarnation(target, report.incarnation):
-            return
+        if report.incarnation != self.index.incarnation(target):
+            if not self.index.set_incarnation(target, report.incarnation):
+                return
+            table.ejector.on_new_incarnation(target, now_ms)
         previous = table.states[target].report
         if previous and previous.weights_version != report.weights_version:
             self.index.clear(target)
@@ -127,7 +129,7 @@
             ``no_target`` with verdict "not run" if no target may receive it.
         """
         table = self._tables.get(request.service)
-        targets = self._eligible(table, request) if table else []
+        targets = self._eligible(table, request, now_ms) if table else []
         if not targets:
             return Error(_no_target(request.service))
         situation = Situation(
@@ -164,6 +166,7 @@
         )
         self.index.store(choice.target, incarnation, request.blocks)
         state.add(attempt)
+        table.ejector.on_sent(choice.target, request.request_id)
         self._attempts[request.request_id] = state
 
     def on_first_token(self, request_id: str, now_ms: int) -> None:
@@ -175,9 +178,17 @@
         if attempt.has_first_token:
             return
         state.mark_first_token(attempt)
-        table = self._tables.get(attempt.request.service)
-        if table:
-            table.learn_speed(attempt, now_ms - attempt.sent_ms)
+        table = self._tables[attempt.request.service]
+        ttft_ms = now_ms - attempt.sent_ms
+        table.learn_speed(attempt, ttft_ms)
+        table.ejector.observe(
+            state.name,
+            request_id,
+            attempt.choice.expected_ttft_ms,
+            ttft_ms,
+            len(table.states),
+            now_ms,
+        )
 
     def on_finished(self, request_id: str, ok: bool, now_ms: int) -> None:
         """Stop counting a request, whether it succeeded, failed or was cancelled."""
@@ -185,9 +196,13 @@
         if state is None:
             return
         attempt = state.attempts[request_id]
+        table = self._tables[attempt.request.service]
+        target = attempt.choice.target
         if not ok and not attempt.has_first_token:
-            target = attempt.choice.target
+            count = len(table.states)
+            table.ejector.observe_failure(target, request_id, count, now_ms)
             self.index.remove(target, attempt.incarnation, attempt.new_blocks)
+        table.ejector.on_ended(target, request_id)
         state.discard(attempt)
 
     def export_page(self, cursor: str = "") -> tuple[bytes, str]:
@@ -240,11 +255,15 @@
         }
 
     def _eligible(
-        self, table: TargetTable, request: RoutingRequest
+        self, table: TargetTable, request: RoutingRequest, now_ms: int
     ) -> list[TargetState]:
-        if not request.excluded:
-            return table.current
-        return [s for s in table.current if s.name not in request.excluded]
+        targets = table.current
+        if request.excluded:
+            targets = [s for s in targets if s.name not in request.excluded]
+        if not table.ejector.ejected:
+            return targets
+        healthy = [s for s in targets if table.ejector.may_receive(s.name, now_ms)]
+        return healthy or targets
 
     def _find_state(self, target: str) -> TargetState | None:
         service = self._services.get(target)
--- a/papayacrank/routing/_targets.py
+++ b/papayacrank/routing/_targets.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from ._ejection import Ejector
 from ._types import LIVE, Choice, LoadReport, RoutingRequest, TargetView
 
 # Age of a load report when it arrives: engine sampling plus the poll itself.
@@ -33,7 +34,6 @@
     new_blocks: tuple[int, ...] = ()
     incarnation: int = 0
     has_first_token: bool = False
-    is_trial: bool = False
 
 
 @dataclass(slots=True)
@@ -117,6 +117,7 @@
 
     def __init__(self):
         self.states: dict[str, TargetState] = {}
+        self.ejector = Ejector()
         self.ms_per_token_ = DEFAULT_PREFILL_MS_PER_TOKEN
         self._current: list[TargetState] | None = None
 
@@ -133,6 +134,7 @@
         gone = [name for name in self.states if name not in names]
         for name in gone:
             del self.states[name]
+            self.ejector.forget(name)
         for view in views:
             state = self.states.setdefault(view.name, TargetState(view))
             state.view = view
