Do not count cancelled requests against targets; copy through the router

A caller who left before the first token counted as a failure of the engine, and twelve of them could eject a healthy one. Router.on_finished takes None for a cancelled request (three lines in the shared package routing). The copy of routing state uses Router.export_page and import_page.

--- a/papayacrank/entry/_completion_flow.py
+++ b/papayacrank/entry/_completion_flow.py
@@ -22,7 +22,7 @@
 from ._context import EntryContext
 from ._engine_body import EngineFields, encode_engine_body
 from ._exchange import Exchange
-from ._flow import FLOW_CHANNEL, RequestFlow
+from ._flow import CALLER_FAULT_STATUSES, FLOW_CHANNEL, RequestFlow
 
 COMPLETIONS_PATH = "/v1/chat/completions"
 CANCEL_PATH = "/v1/cancel"
@@ -37,7 +37,6 @@
 _ENGINE_USABLE_AFTER = frozenset(
     {"connection_lost", "truncated_answer", "progress_timeout", "offset_gap"}
 )
-_CALLER_FAULT_STATUSES = frozenset({400, 413, 422})
 
 
 class CompletionFlow(RequestFlow):
@@ -227,7 +226,7 @@
 
     def _on_attempt_lost(self, target: str, failure: TargetFailure) -> None:
         self._is_paused = False
-        if failure.status in _CALLER_FAULT_STATUSES:
+        if failure.status in CALLER_FAULT_STATUSES:
             text = f"the engine refused the request with status {failure.status}"
             self.fail(self._life.fail("refused_by_target", text, 400))
         elif self._assembler.next_offset:
--- a/papayacrank/entry/_events.py
+++ b/papayacrank/entry/_events.py
@@ -50,6 +50,13 @@
 CONFIGURATION_APPLIED = LogEvent(
     2010, "configuration_applied", "info", "A new configuration is in force here."
 )
+WARMUP_PAGE_REFUSED = LogEvent(
+    2011,
+    "warmup_page_refused",
+    "warning",
+    "A page of a peer's routing state could not be decoded.",
+    "Check that all instances run compatible versions.",
+)
 
 declare_events(
     CONTACT_LOST,
@@ -62,4 +69,5 @@
     DRAIN_FINISHED,
     FLOW_FAILED,
     CONFIGURATION_APPLIED,
+    WARMUP_PAGE_REFUSED,
 )
--- a/papayacrank/entry/_process.py
+++ b/papayacrank/entry/_process.py
@@ -4,6 +4,7 @@
 import time
 from enum import Enum
 
+import msgspec
 from circuits import BaseComponent
 
 from papayacrank.accounting import RequestRecords, UsageRecorder
@@ -43,6 +44,7 @@
     DRAIN_STARTED,
     KEY_WITHDRAWN,
     WARMUP_FINISHED,
+    WARMUP_PAGE_REFUSED,
 )
 from ._flow_table import FlowTable
 from ._front_end import FrontEnd
@@ -202,9 +204,7 @@
             settings.timings.load_poll_interval_ms,
         ).register(self)
         self._sync = TargetSync(self._contact, self._router, clock)
-        self._source = WarmupSource(
-            self._router.index.export_page, lambda: self._watcher.loads
-        )
+        self._source = WarmupSource(self._router.export_page)
         self._copy = WarmupCopy(
             settings.instance, self._boot, settings.timings.warmup_timeout_ms
         )
@@ -407,11 +407,11 @@
         self._carry_out(self._copy.tick(self._clock.now_ms()))
 
     def _import_page(self, received: PageReceived) -> None:
-        if received.page.index:
-            self._router.index.import_page(received.page.index)
-        now_ms = self._clock.now_ms()
-        for load in received.page.loads:
-            self._router.observe_load(load.target, load.to_report(), now_ms)
+        try:
+            self._router.import_page(received.page, self._clock.now_ms())
+        except (msgspec.DecodeError, ValueError) as error:
+            # The listings of the engines replace what a page of another version had.
+            log_event(WARMUP_PAGE_REFUSED, error=str(error))
 
     def _on_message(self, sender: str, message) -> None:
         now_ms = self._clock.now_ms()
--- a/papayacrank/entry/_warmup.py
+++ b/papayacrank/entry/_warmup.py
@@ -4,11 +4,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-import msgspec
-
 from papayacrank.kernel import CancelTimer, Effect, Send, SetTimer
 from papayacrank.messages import WarmupReply, WarmupRequest
-from papayacrank.routing import LoadReport
 
 MAX_COPIES = 3
 COPY_SILENCE_MS = 2_000
@@ -18,67 +15,24 @@
 TIMER = "warmup"
 
 
-class LoadCopy(msgspec.Struct, frozen=True):
-    """Load report of a target in a copy."""
-
-    target: str
-    incarnation: int
-    weights_version: str
-    running: int
-    waiting: int
-    queued_prefill_tokens: int
-
-    @classmethod
-    def of(cls, target: str, report: LoadReport) -> "LoadCopy":
-        """Convert a report."""
-        return cls(
-            target,
-            report.incarnation,
-            report.weights_version,
-            report.running,
-            report.waiting,
-            report.queued_prefill_tokens,
-        )
-
-    def to_report(self) -> LoadReport:
-        """Convert back."""
-        return LoadReport(
-            self.incarnation,
-            self.weights_version,
-            self.running,
-            self.waiting,
-            self.queued_prefill_tokens,
-        )
-
-
-class WarmupPage(msgspec.Struct, frozen=True):
-    """Content of `WarmupReply.page`."""
-
-    index: bytes = b""
-    loads: list[LoadCopy] = []
-
-
 class WarmupSource:
     """Serving side: hands out the routing state in pages.
 
     Parameters
     ----------
     export_page : Callable
-        ``export_page(cursor) -> (page, next_cursor or None)`` of the prefix index.
-    list_loads : Callable
-        Returns the latest load reports by target.
+        ``export_page(cursor) -> (page, next_cursor)`` of the router; both cursors
+        are text, empty for the first page and at the end.
     max_copies : int
         Instances that may copy at a time.
     """
 
     def __init__(
         self,
-        export_page: Callable[[int], tuple[bytes, int | None]],
-        list_loads: Callable[[], dict[str, LoadReport]],
+        export_page: Callable[[str], tuple[bytes, str]],
         max_copies: int = MAX_COPIES,
     ):
         self._export_page = export_page
-        self._list_loads = list_loads
         self._max_copies = max_copies
         self._last_seen_ms: dict[str, int] = {}
 
@@ -98,16 +52,10 @@
         if not may_serve or full or not _is_cursor(request.cursor):
             return [Send(sender, WarmupReply(accepted=False))]
         self._last_seen_ms[request.instance] = now_ms
-        page, following = self._export_page(int(request.cursor or 0))
-        loads = [] if request.cursor else self._copy_loads()
-        content = msgspec.msgpack.encode(WarmupPage(page, loads))
-        if following is None:
+        page, following = self._export_page(request.cursor)
+        if not following:
             self._last_seen_ms.pop(request.instance, None)
-        cursor = "" if following is None else str(following)
-        return [Send(sender, WarmupReply(True, cursor, content))]
-
-    def _copy_loads(self) -> list[LoadCopy]:
-        return [LoadCopy.of(name, load) for name, load in self._list_loads().items()]
+        return [Send(sender, WarmupReply(True, following, page))]
 
     def _forget_silent(self, now_ms: int) -> None:
         oldest_ms = now_ms - COPY_SILENCE_MS
@@ -120,7 +68,7 @@
 class PageReceived:
     """Effect: a page to import."""
 
-    page: WarmupPage
+    page: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,15 +123,11 @@
             return []
         if not reply.accepted:
             return self._wait_for_next_peer(now_ms)
-        try:
-            page = msgspec.msgpack.decode(reply.page, type=WarmupPage)
-        except msgspec.DecodeError:
-            return self._wait_for_next_peer(now_ms)
         self._pages += 1
         if not reply.cursor or self._pages >= MAX_PAGES:
-            return [PageReceived(page), *self._end(not reply.cursor)]
+            return [PageReceived(reply.page), *self._end(not reply.cursor)]
         self._cursor = reply.cursor
-        return [PageReceived(page), *self._ask(now_ms)]
+        return [PageReceived(reply.page), *self._ask(now_ms)]
 
     def tick(self, now_ms: int) -> list[Any]:
         """Ask the next peer after a silence, or give up after the time allowed."""
--- a/papayacrank/entry/tests/test_actions.py
+++ b/papayacrank/entry/tests/test_actions.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import signal
 import threading
 import time
 
@@ -202,6 +203,40 @@
     assert system.read_journal() == []
 
 
+def test_action_is_recorded_when_contact_is_back(tmp_path):
+    """Guards against losing an outcome that could not be recorded at once."""
+    options = {"engines": 0, "service_args": ("--work_ms", "500")}
+    with running_system(tmp_path, **options) as system:
+        connection = start_claim(system)
+        system.control.process.send_signal(signal.SIGSTOP)
+        answer = Answer(connection.getresponse())
+        assert (answer.status, answer.json["sequence"]) == (200, 1)
+        time.sleep(4.0)
+        system.control.process.send_signal(signal.SIGCONT)
+        wait_until(lambda: system.is_serving(), "contact", 10)
+        wait_until(lambda: read_action_state(system) == "finished", "recorded", 10)
+        repeat = system.claim(headers=HEADERS)
+        assert repeat.body == answer.body
+        assert len(system.read_journal()) == 1
+
+
+def test_frozen_entry_sends_nothing_for_an_old_key(tmp_path):
+    """Guards against an action that is sent after its key could be withdrawn."""
+    with running_system(tmp_path, engines=0) as system:
+        entry = system.entries["entry-1"].process
+        entry.send_signal(signal.SIGSTOP)
+        connection = system.open(
+            "POST", "/v1/services/shop-app/claims", b"roll-7", "key-a", HEADERS
+        )
+        system.withdraw("key-a")
+        time.sleep(3.5)
+        entry.send_signal(signal.SIGCONT)
+        answer = Answer(connection.getresponse())
+        assert answer.status in (401, 503)
+        assert answer.error["verdict"] == "not-run"
+        assert system.read_journal() == []
+
+
 def test_large_answer_is_not_replayed_as_an_empty_one(tmp_path):
     """Guards against a repeat that gets an incomplete answer."""
     with running_system(tmp_path, engines=0) as system:
--- a/papayacrank/entry/tests/test_streams.py
+++ b/papayacrank/entry/tests/test_streams.py
@@ -11,7 +11,7 @@
 from papayacrank.testing import expected_output
 
 from .support import wait_until
-from .system import inject_fault, read_sse, running_system
+from .system import completion_body, inject_fault, read_sse, running_system
 
 pytestmark = pytest.mark.prove
 
@@ -117,6 +117,24 @@
     assert system.read_stats(busy)["requests"][-1]["cancelled"]
 
 
+def test_callers_who_leave_do_not_eject_an_engine(tmp_path):
+    """Guards against counting a cancelled request as a failure of its engine."""
+    arguments = ("--prefill_tokens_per_s", "100")
+    with running_system(tmp_path, engines=3, engine_args=arguments) as running:
+        body = completion_body(prompt="x" * 1_000)
+        for _ in range(12):
+            connection = running.open("POST", "/v1/chat/completions", body, "key-a")
+            wait_until(lambda: any_active(running), "sent")
+            connection.close()
+            wait_until(lambda: not any_active(running), "cancelled")
+        assert "target_ejected" not in running.entries["entry-1"].log
+
+
+def any_active(system) -> bool:
+    """Return whether an engine works."""
+    return any(system.read_stats(i)["active"] for i in range(len(system.engines)))
+
+
 def test_withdrawn_key_ends_its_stream_and_no_other(system):
     """Guards against a withdrawn key that goes on on an open connection."""
     withdrawn = system.open_stream("key-a", max_tokens=MAX_TOKENS)
--- a/papayacrank/routing/_router.py
+++ b/papayacrank/routing/_router.py
@@ -190,8 +190,8 @@
             now_ms,
         )
 
-    def on_finished(self, request_id: str, ok: bool, now_ms: int) -> None:
-        """Stop counting a request, whether it succeeded, failed or was cancelled."""
+    def on_finished(self, request_id: str, ok: bool | None, now_ms: int) -> None:
+        """Stop counting a request that succeeded, failed or was cancelled (None)."""
         state = self._attempts.pop(request_id, None)
         if state is None:
             return
@@ -199,8 +199,9 @@
         table = self._tables[attempt.request.service]
         target = attempt.choice.target
         if not ok and not attempt.has_first_token:
-            count = len(table.states)
-            table.ejector.observe_failure(target, request_id, count, now_ms)
+            if ok is not None:
+                count = len(table.states)
+                table.ejector.observe_failure(target, request_id, count, now_ms)
             self.index.remove(target, attempt.incarnation, attempt.new_blocks)
         table.ejector.on_ended(target, request_id)
         state.discard(attempt)
