--- a/papayacrank/routing/_base.py
+++ b/papayacrank/routing/_base.py
@@ -4,7 +4,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
-from papayacrank.cache import PrefixIndex, iterate_bits
+from papayacrank.cache import PrefixIndex
 from papayacrank.config import Goals
 
 from ._targets import TargetState, TargetTable
@@ -38,10 +38,11 @@
     def depths(self) -> dict[str, int]:
         """Return the usable matched blocks of each target that has any."""
         found = {}
-        for depth, mask in self.levels:
-            for slot in iterate_bits(mask):
-                name = self.index.target_at(slot)
-                found[name] = self.index.usable_depth(slot, depth)
+        for state in self.targets:
+            slot = self.index.slot(state.name)
+            depth = find_depth(self.levels, slot)
+            if depth:
+                found[state.name] = self.index.usable_depth(slot, depth)
         return found
 
     def expected_ttft_ms(
@@ -74,6 +75,16 @@
         """
 
 
+def find_depth(levels: list[tuple[int, int]], slot: int | None) -> int:
+    """Return the matched blocks of the target with a bit number."""
+    if slot is None:
+        return 0
+    for depth, mask in levels:
+        if mask >> slot & 1:
+            return depth
+    return 0
+
+
 def missing_tokens(request: RoutingRequest, matched_blocks: int) -> int:
     """Return the prompt tokens beyond the matched blocks, assuming equal blocks."""
     if not request.blocks or not matched_blocks:
--- a/papayacrank/routing/_router.py
+++ b/papayacrank/routing/_router.py
@@ -6,16 +6,19 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from papayacrank.cache import PrefixIndex
+from papayacrank.cache import PrefixIndex, iterate_bits
 from papayacrank.config import Goals
 from papayacrank.kernel import Failure, Verdict, create
 
-from ._base import RoutingPolicy, Situation, missing_tokens
+from ._base import RoutingPolicy, Situation, find_depth, missing_tokens
 from ._targets import Attempt, TargetState, TargetTable
 from ._types import Choice, LoadReport, RoutingRequest, TargetView
 
 DEFAULT_MAX_BLOCKS = 4_000_000
 MAX_ATTEMPTS = 100_000
+MAX_COMPARED_TARGETS = 64
+SAMPLED_HOLDERS = 16
+SAMPLED_TARGETS = 16
 NO_TARGET_RETRY_MS = 1_000
 
 
@@ -129,13 +132,17 @@
             ``no_target`` with verdict "not run" if no target may receive it.
         """
         table = self._tables.get(request.service)
-        targets = self._eligible(table, request, now_ms) if table else []
+        levels = self.index.match_levels(request.blocks)
+        targets = []
+        if table is not None:
+            candidates = self._candidates(table, levels)
+            targets = self._eligible(table, candidates, request, now_ms)
         if not targets:
             return Error(_no_target(request.service))
         situation = Situation(
             targets=targets,
             table=table,
-            levels=self.index.match_levels(request.blocks),
+            levels=levels,
             index=self.index,
             goals=self.goals,
             failure_domain=self.failure_domain,
@@ -154,7 +161,8 @@
         self._forget_oldest_attempt()
         table = self._tables[request.service]
         incarnation = self.index.incarnation(choice.target) or 0
-        held = self.index.match(request.blocks).get(choice.target, 0)
+        levels = self.index.match_levels(request.blocks)
+        held = find_depth(levels, self.index.slot(choice.target))
         attempt = Attempt(
             request=request,
             choice=choice,
@@ -254,10 +262,58 @@
             if state.report is not None
         }
 
+    def _candidates(
+        self, table: TargetTable, levels: list[tuple[int, int]]
+    ) -> list[TargetState]:
+        """Return the targets to compare: all of a small service, else a sample.
+
+        The sample has the deepest matches, and random targets of the own failure
+        domain and of all.
+        """
+        current = table.current
+        if len(current) <= MAX_COMPARED_TARGETS:
+            return current
+        sample = {}
+        for state in self._deepest_holders(table, levels):
+            sample[state.name] = state
+        for pool in (table.current_in_domain(self.failure_domain), current):
+            for state in self._draw(pool, SAMPLED_TARGETS):
+                sample[state.name] = state
+        return list(sample.values())
+
+    def _deepest_holders(
+        self, table: TargetTable, levels: list[tuple[int, int]]
+    ) -> Iterator[TargetState]:
+        left = SAMPLED_HOLDERS
+        for _, mask in levels:
+            for slot in iterate_bits(self._rotate(mask)):
+                state = table.states.get(self.index.target_at(slot))
+                if state is not None and state.is_current:
+                    yield state
+                left -= 1
+                if left == 0:
+                    return
+
+    def _rotate(self, mask: int) -> int:
+        """Keep a random window of a mask with many holders."""
+        if mask.bit_count() <= SAMPLED_HOLDERS:
+            return mask
+        start = self.random_state.randrange(mask.bit_length())
+        upper = mask >> start << start
+        return upper or mask
+
+    def _draw(self, pool: list[TargetState], count: int) -> list[TargetState]:
+        if len(pool) <= count:
+            return pool
+        return self.random_state.sample(pool, count)
+
     def _eligible(
-        self, table: TargetTable, request: RoutingRequest, now_ms: int
+        self,
+        table: TargetTable,
+        targets: list[TargetState],
+        request: RoutingRequest,
+        now_ms: int,
     ) -> list[TargetState]:
-        targets = table.current
         if request.excluded:
             targets = [s for s in targets if s.name not in request.excluded]
         if not table.ejector.ejected:
--- a/papayacrank/routing/_targets.py
+++ b/papayacrank/routing/_targets.py
@@ -1,5 +1,6 @@
 """What an instance knows about the targets of one service."""
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from ._ejection import Ejector
@@ -8,7 +9,7 @@
 # Age of a load report when it arrives: engine sampling plus the poll itself.
 REPORT_LAG_MS = 200
 DEFAULT_PREFILL_MS_PER_TOKEN = 0.05
-SPEED_SMOOTHING = 0.05
+SPEED_SAMPLES = 32
 MIN_SPEED_SAMPLE_TOKENS = 1_024
 
 
@@ -65,7 +66,7 @@
         """Return the expected number of queued prompt tokens."""
         if self.report is None:
             return self.unreported_tokens
-        drained = (now_ms - self.reported_ms) / ms_per_token
+        drained = (now_ms - self.reported_ms + REPORT_LAG_MS) / ms_per_token
         left = max(0.0, self.report.queued_prefill_tokens - drained)
         return left + self.unreported_tokens
 
@@ -119,15 +120,25 @@
         self.states: dict[str, TargetState] = {}
         self.ejector = Ejector()
         self.ms_per_token_ = DEFAULT_PREFILL_MS_PER_TOKEN
+        self._speeds: deque[float] = deque(maxlen=SPEED_SAMPLES)
         self._current: list[TargetState] | None = None
+        self._by_domain: dict[str, list[TargetState]] = {}
 
     @property
     def current(self) -> list[TargetState]:
         """Targets that may receive new work, before ejection."""
         if self._current is None:
             self._current = [s for s in self.states.values() if s.is_current]
+            self._by_domain = {}
+            for state in self._current:
+                domain = self._by_domain.setdefault(state.view.failure_domain, [])
+                domain.append(state)
         return self._current
 
+    def current_in_domain(self, failure_domain: str) -> list[TargetState]:
+        """Return the targets of one failure domain that may receive new work."""
+        return self._by_domain.get(failure_domain, []) if self.current else []
+
     def update(self, views: list[TargetView]) -> list[str]:
         """Take the list of targets and return the names of those that are gone."""
         names = {view.name for view in views}
@@ -150,9 +161,16 @@
             self._current = None
 
     def learn_speed(self, attempt: Attempt, ttft_ms: float) -> None:
-        """Adjust the prefill time per token to an observed time to first token."""
+        """Adjust the prefill time per token to an observed time to first token.
+
+        The lower quartile is used, because work of other instances that was not
+        reported yet makes some samples too long.
+        """
         tokens = attempt.work_tokens
+        if attempt.choice.kv_source is not None:
+            return
         if tokens < MIN_SPEED_SAMPLE_TOKENS or attempt.queue_tokens > tokens:
             return
-        sample = ttft_ms / (tokens + attempt.queue_tokens)
-        self.ms_per_token_ += SPEED_SMOOTHING * (sample - self.ms_per_token_)
+        self._speeds.append(ttft_ms / (tokens + attempt.queue_tokens))
+        ordered = sorted(self._speeds)
+        self.ms_per_token_ = ordered[len(ordered) // 4]
