Ignore queued read events after a link was closed

Cause: benchmarks/consensus_commit.py logged handler_failed (ZMQError on a closed socket) when a process stopped, because a read event was still queued.

Change: closing forgets the descriptors.

Figures: the new test failed with ZMQError before and passes after.

Conclusion: a planned stop logs no error.

--- a/papayacrank/transport/_link.py
+++ b/papayacrank/transport/_link.py
@@ -141,6 +141,8 @@
                 self._poller.discard(self._server.FD)
             self._server.close()
             self._server = None
+        # Read events that are still queued must not touch closed sockets.
+        self._sender_by_fd.clear()
         self._context.term()
 
     @handler("registered", channel="*")
--- a/papayacrank/transport/tests/test_transport.py
+++ b/papayacrank/transport/tests/test_transport.py
@@ -67,6 +67,15 @@
         node.link.close()
 
 
+def test_queued_read_after_close_is_ignored():
+    """Guards against a handler that fails while the process stops."""
+    server = Node("control-1", "127.0.0.1:0")
+    fd = next(iter(server.link._sender_by_fd))
+    server.link.close()
+    server.link._on_read(fd)
+    assert server.link.listen_address is None
+
+
 def test_send_to_unknown_process_is_reported():
     """Guards against a silent loss when nobody is connected under a name."""
     server = Node("control-1", "127.0.0.1:0")
