--- a/papayacrank/routing/_policy.py
+++ b/papayacrank/routing/_policy.py
@@ -1,6 +1,6 @@
 """The shipped routing policy."""
 
-import math
+import heapq
 from dataclasses import dataclass
 
 from papayacrank.config import Goals
@@ -18,15 +18,19 @@
 # The report is an upper estimate of the queue, as others finish meanwhile.
 QUEUE_WEIGHT = 0.7
 # A running request delays the prefill of others and occupies a place in the batch.
-LOAD_MS_PER_REQUEST = 20.0
+LOAD_MS_PER_REQUEST = 10.0
 # Share of the recomputation by which the home engine of an uncached prefix may be
 # slower. Instances that cannot see each other's work yet thus compute it only once.
 HOME_DISCOUNT = 0.7
 # Rate per copy at which another copy costs half as much.
 HOT_REQUESTS_PER_S = 4.0
 # Below this difference, lagged reports do not tell which target is better.
-TIE_MS = 50.0
+TIE_MS = 5.0
+# A copy costs at least its own recomputation, as it evicts as many blocks. Goals
+# that favour the cache raise the price.
+MIN_COPY_WEIGHT = 1.0
 MAX_COPY_WEIGHT = 4.0
+COPY_WEIGHT_PER_GOAL = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,9 +98,7 @@
         depths = situation.depths()
         options = self._options(request, situation, depths)
         self._demand.count(request.blocks, situation.now_ms)
-        least = min(option.cost for option in options)
-        near = [o for o in options if o.cost <= least + self.tie_ms]
-        option = situation.random_state.choice(near)
+        option = self._pick(options, situation)
         return Choice(
             target=option.state.name,
             matched_blocks=option.matched_blocks,
@@ -105,6 +107,13 @@
             reason=_explain(option, depths, len(situation.targets)),
         )
 
+    def _pick(self, options: list[Option], situation: Situation) -> Option:
+        """Return the cheapest option, or at random one of the best two if close."""
+        best = heapq.nsmallest(2, options, key=lambda option: option.cost)
+        if len(best) == 2 and best[1].cost - best[0].cost <= self.tie_ms:
+            return situation.random_state.choice(best)
+        return best[0]
+
     def _options(
         self, request: RoutingRequest, situation: Situation, depths: dict[str, int]
     ) -> list[Option]:
@@ -192,7 +201,8 @@
         time_goals = goals.tail + goals.fairness
         if time_goals == 0:
             return MAX_COPY_WEIGHT
-        return min(MAX_COPY_WEIGHT, math.sqrt(cache_goals / time_goals))
+        weight = COPY_WEIGHT_PER_GOAL * cache_goals / time_goals
+        return min(MAX_COPY_WEIGHT, max(MIN_COPY_WEIGHT, weight))
 
 
 def _explain(option: Option, depths: dict[str, int], total: int) -> str:
