Fix herding on equal costs and add cache and routing tests

Cause: the best two of several equal targets were always the first two of the list, so all instances chose among the same two; found by the herding test. Failures that hit a majority of the targets did not stand out against a median of the peers.

--- a/papayacrank/routing/_ejection.py
+++ b/papayacrank/routing/_ejection.py
@@ -144,15 +144,18 @@
         health.ejected_until_ms = now_ms + health.ejection_ms
 
     def _peer_ratio(self, target: str, now_ms: int) -> float:
-        """Return the median over the peers' medians, at least 1."""
-        ratios = [
+        """Return the lower quartile of the peers' medians, at least 1.
+
+        With a median, targets that fail together in a majority would not stand out.
+        """
+        ratios = sorted(
             median(recent)
             for name, health in self._health.items()
             if name != target
             and health.ejected_until_ms is None
             and (recent := self._recent(health, now_ms))
-        ]
-        return max(1.0, median(ratios)) if ratios else 1.0
+        )
+        return max(1.0, ratios[len(ratios) // 4]) if ratios else 1.0
 
     @staticmethod
     def _recent(health: _Health, now_ms: int) -> list[float]:
--- a/papayacrank/routing/_policy.py
+++ b/papayacrank/routing/_policy.py
@@ -1,6 +1,5 @@
 """The shipped routing policy."""
 
-import heapq
 from dataclasses import dataclass
 
 from papayacrank.config import Goals
@@ -108,11 +107,10 @@
         )
 
     def _pick(self, options: list[Option], situation: Situation) -> Option:
-        """Return the cheapest option, or at random one of the best two if close."""
-        best = heapq.nsmallest(2, options, key=lambda option: option.cost)
-        if len(best) == 2 and best[1].cost - best[0].cost <= self.tie_ms:
-            return situation.random_state.choice(best)
-        return best[0]
+        """Return the cheapest option, at random among those that are as cheap."""
+        least = min(option.cost for option in options)
+        near = [o for o in options if o.cost <= least + self.tie_ms]
+        return situation.random_state.choice(near)
 
     def _options(
         self, request: RoutingRequest, situation: Situation, depths: dict[str, int]
--- /dev/null
+++ b/papayacrank/routing/tests/test_routing.py
@@ -0,0 +1,357 @@
+"""Tests of the router, its policies, ejection and retries."""
+
+import random
+from collections import Counter
+
+from papayacrank.cache import hash_prompt
+from papayacrank.config import Goals
+from papayacrank.kernel import Verdict, available, create
+from papayacrank.routing import (
+    LEAVING,
+    LoadReport,
+    RetryPolicy,
+    Router,
+    RoutingPolicy,
+    RoutingRequest,
+    TargetView,
+)
+
+SERVICE = "llm"
+BLOCK_TOKENS = 2_048
+DOMAINS = ("east", "west", "north")
+
+
+def views(count=9, version="1", states=None):
+    return [
+        TargetView(
+            name=f"e{i}",
+            address=f"127.0.0.1:{9_000 + i}",
+            failure_domain=DOMAINS[i % 3],
+            state=(states or {}).get(f"e{i}", "live"),
+            weights_version=version,
+        )
+        for i in range(count)
+    ]
+
+
+def report(incarnation=1, version="1", running=0, waiting=0, queued=0):
+    return LoadReport(incarnation, version, running, waiting, queued)
+
+
+def build_router(policy="papayacrank", count=9, seed=1, name="i1", instances=9):
+    router = Router(policy, Goals(), name, "east", random.Random(seed))
+    router.set_instances(instances)
+    router.update_targets(SERVICE, views(count), 0)
+    for i in range(count):
+        router.observe_load(f"e{i}", report(), 0)
+    return router
+
+
+def prompt(label="p", blocks=10):
+    tokens = b"".join(f"{label}-{i}".encode().ljust(16)[:16] for i in range(blocks))
+    return hash_prompt("team-a", "m", "1", tokens, 4)
+
+
+def request(number=0, blocks=(), excluded=(), service=SERVICE):
+    return RoutingRequest(
+        request_id=f"r{number}",
+        service=service,
+        workspace="team-a",
+        blocks=tuple(blocks),
+        prompt_tokens=len(blocks) * BLOCK_TOKENS + 100 if blocks else 0,
+        excluded=frozenset(excluded),
+    )
+
+
+def send(router, sample, now_ms):
+    choice = router.choose(sample, now_ms).ok
+    router.on_sent(sample, choice, now_ms)
+    return choice
+
+
+def serve(router, sample, now_ms, ttft_ms):
+    choice = send(router, sample, now_ms)
+    router.on_first_token(sample.request_id, now_ms + ttft_ms)
+    router.on_finished(sample.request_id, True, now_ms + ttft_ms)
+    return choice
+
+
+def test_all_policies_are_registered_and_choose_live_targets():
+    """Guards against a policy that picks leaving or excluded targets."""
+    names = available(RoutingPolicy)
+    assert names == sorted(
+        [
+            "papayacrank",
+            "random",
+            "round_robin",
+            "least_loaded",
+            "consistent_hash",
+            "longest_match",
+        ]
+    )
+    for name in names:
+        router = build_router(name, count=3)
+        router.update_targets(SERVICE, views(3, states={"e0": LEAVING}), 1)
+        for i in range(20):
+            sample = request(i, prompt(f"{name}{i}"), excluded=["e1"])
+            assert router.choose(sample, 1).ok.target == "e2"
+
+
+def test_no_target_is_a_refusal_that_did_not_run():
+    """Guards against a refusal that lets the caller think it may have run."""
+    router = build_router(count=1)
+    for sample in (request(1, excluded=["e0"]), request(2, service="unknown")):
+        failure = router.choose(sample, 0).error
+        assert failure.verdict is Verdict.NOT_RUN
+        assert failure.status == 503
+
+
+def test_prefix_returns_to_its_engine():
+    """Guards against recomputation of a prefix that an idle engine holds."""
+    router = build_router()
+    first = serve(router, request(1, prompt()), 0, 500)
+    again = router.choose(request(2, prompt()), 1_000).ok
+    assert (again.target, again.matched_blocks) == (first.target, 10)
+    assert again.reason == "match"
+
+
+def test_blocks_of_a_restarted_engine_do_not_count():
+    """Guards against a match with a stale incarnation, found by a load report."""
+    router = build_router()
+    first = serve(router, request(1, prompt()), 0, 500)
+    router.observe_load(first.target, report(incarnation=2), 600)
+    assert router.index.match(prompt()) == {}
+    router.index.store(first.target, 1, prompt())
+    assert router.choose(request(2, prompt()), 700).ok.matched_blocks == 0
+    router.observe_load(first.target, report(incarnation=1, waiting=9), 800)
+    assert router._tables[SERVICE].states[first.target].report.waiting == 0
+
+
+def test_older_weights_neither_match_nor_serve():
+    """Guards against answers from older weights while engines load new ones."""
+    router = build_router(count=3)
+    serve(router, request(1, prompt()), 0, 500)
+    router.update_targets(SERVICE, views(3, version="2"), 1_000)
+    assert router.choose(request(2, prompt()), 1_000).is_error()
+    router.observe_load("e2", report(version="2"), 1_100)
+    choice = router.choose(request(2, prompt()), 1_100).ok
+    assert choice.target == "e2"
+    for i in range(2):
+        router.observe_load(f"e{i}", report(version="2"), 1_200)
+    assert router.index.match(prompt()) == {}
+
+
+def test_foreign_workspace_does_not_match():
+    """Guards against routing by another workspace's cache."""
+    router = build_router()
+    serve(router, request(1, prompt()), 0, 500)
+    foreign = hash_prompt("team-b", "m", "1", b"p-0".ljust(16), 4)
+    assert router.index.match(foreign) == {}
+
+
+def test_failed_attempt_takes_its_blocks_back():
+    """Guards against a match on blocks that were never computed."""
+    router = build_router()
+    choice = send(router, request(1, prompt()), 0)
+    assert router.index.match(prompt()) == {choice.target: 10}
+    router.on_finished("r1", False, 10)
+    assert router.index.match(prompt()) == {}
+    assert len(router.index) == 0
+
+
+def test_own_work_counts_before_the_next_report():
+    """Guards against a burst that one instance sends to a single engine."""
+    router = build_router(count=3)
+    targets = [
+        send(router, request(i, prompt(f"burst{i}", 40)), 10).target for i in range(6)
+    ]
+    assert set(Counter(targets).values()) == {2}
+
+
+def test_reported_work_is_not_counted_twice():
+    """Guards against engines that look busier after each load report."""
+    router = build_router(count=1)
+    send(router, request(1, prompt(blocks=40)), 0)
+    state = router._tables[SERVICE].states["e0"]
+    assert state.unreported_tokens == 40 * BLOCK_TOKENS + 100
+    router.observe_load("e0", report(running=1, queued=80_000), 500)
+    assert state.unreported_tokens == 0
+    assert state.load() == 1
+    router.on_first_token("r1", 600)
+    router.on_finished("r1", True, 700)
+    assert state.unreported_tokens == 0
+    assert state.attempts == {}
+
+
+def test_instances_with_the_same_reports_do_not_herd():
+    """Guards against many instances that pick one engine from one lagged report."""
+    chosen = Counter()
+    for number in range(60):
+        router = build_router(seed=number, name=f"i{number}", instances=60)
+        router.observe_load("e4", report(running=3, waiting=1), 100)
+        chosen[router.choose(request(1), 110).ok.target] += 1
+    assert max(chosen.values()) <= 60 // 3
+    assert chosen["e4"] == 0
+
+
+def test_uncached_prefix_has_one_home_for_all_instances():
+    """Guards against several instances that compute one new prefix at a time."""
+    for label in ("a", "b", "c"):
+        homes = {
+            build_router(seed=number, name=f"i{number}")
+            .choose(request(1, prompt(label, 30)), 10)
+            .ok.target
+            for number in range(12)
+        }
+        assert len(homes) == 1
+
+
+def test_prefix_moves_when_its_engine_has_a_queue():
+    """Guards against a queue in front of the only engine that holds a prefix."""
+    router = build_router()
+    first = serve(router, request(1, prompt(blocks=20)), 0, 500)
+    router.observe_load(first.target, report(queued=400_000), 1_000)
+    choice = router.choose(request(2, prompt(blocks=20)), 1_000).ok
+    assert choice.target != first.target
+    assert (choice.kv_source, choice.reason) == (first.target, "import")
+
+
+def test_no_import_from_an_engine_with_a_gap_in_its_events():
+    """Guards against an import of blocks that may have been evicted."""
+    router = build_router()
+    first = serve(router, request(1, prompt(blocks=20)), 0, 500)
+    router.index.set_uncertain(first.target, True)
+    router.observe_load(first.target, report(queued=400_000), 1_000)
+    assert router.choose(request(2, prompt(blocks=20)), 1_000).ok.kv_source is None
+
+
+def test_hot_prefix_spreads_and_the_former_one_does_not():
+    """Guards against queues after the hot prefix has shifted to another one."""
+    router = build_router(instances=9)
+
+    def run(label, from_ms, interval_ms, count):
+        """Send requests that each run for 2 s; return the engines used last."""
+        targets = []
+        running = []
+        for number in range(count):
+            now_ms = from_ms + number * interval_ms
+            for ended in [r for r in running if r[0] <= now_ms]:
+                router.on_finished(ended[1], True, now_ms)
+                running.remove(ended)
+            sample = request(f"{label}{from_ms}-{number}", prompt(label, 12))
+            targets.append(send(router, sample, now_ms).target)
+            router.on_first_token(sample.request_id, now_ms + 20)
+            running.append((now_ms + 2_000, sample.request_id))
+        for ended in running:
+            router.on_finished(ended[1], True, now_ms + 2_000)
+        return set(targets[-count // 2 :])
+
+    cold = run("cold", 0, 2_500, 20)
+    hot = run("hot", 60_000, 20, 400)
+    later = run("hot", 120_000, 2_500, 20)
+    shifted = run("next", 200_000, 20, 400)
+    assert len(cold) == 1
+    assert len(hot) >= 3
+    assert len(shifted) >= 3
+    assert later <= hot
+
+
+def test_slow_target_is_ejected_and_readmitted_by_trial():
+    """Guards against a slow engine that keeps its requests, or never gets any."""
+    router = build_router(count=6)
+
+    def drive(from_ms, slow_ms):
+        chosen = Counter()
+        for number in range(60):
+            sample = request(f"{from_ms}-{number}")
+            now_ms = from_ms + number * 50
+            choice = router.choose(sample, now_ms).ok
+            ttft_ms = slow_ms if choice.target == "e2" else 40
+            router.on_sent(sample, choice, now_ms)
+            router.on_first_token(sample.request_id, now_ms + ttft_ms)
+            router.on_finished(sample.request_id, True, now_ms + ttft_ms)
+            chosen[choice.target] += 1
+        return chosen
+
+    drive(0, 5_000)
+    ejector = router._tables[SERVICE].ejector
+    assert ejector.ejected == ["e2"]
+    assert drive(3_000, 5_000)["e2"] <= 1
+    assert ejector.ejected == ["e2"]
+    drive(60_000, 40)
+    assert ejector.ejected == []
+    assert drive(70_000, 40)["e2"] > 3
+
+
+def test_at_most_a_third_is_ejected():
+    """Guards against ejections that overload what is left."""
+    router = build_router(count=9)
+    for number in range(400):
+        sample = request(number)
+        choice = router.choose(sample, number * 10).ok
+        slow = int(choice.target[1:]) < 6
+        router.on_sent(sample, choice, number * 10)
+        if slow:
+            router.on_finished(sample.request_id, False, number * 10 + 5)
+        else:
+            router.on_first_token(sample.request_id, number * 10 + 20)
+            router.on_finished(sample.request_id, True, number * 10 + 20)
+    assert len(router._tables[SERVICE].ejector.ejected) == 3
+
+
+def test_restarted_instance_copies_index_and_load_of_a_peer():
+    """Guards against a cold start after a restart."""
+    peer = build_router()
+    first = serve(peer, request(1, prompt()), 0, 500)
+    busy = "e5" if first.target != "e5" else "e6"
+    peer.observe_load(busy, report(running=8, queued=90_000), 600)
+    fresh = Router("papayacrank", Goals(), "i2", "west", random.Random(2))
+    fresh.update_targets(SERVICE, views(), 1_000)
+    for page in peer.export_pages():
+        fresh.import_page(page, 1_000)
+    assert fresh.choose(request(2, prompt()), 1_001).ok.target == first.target
+    assert fresh._tables[SERVICE].states[busy].load() == 8
+
+
+def test_large_fleet_is_sampled_but_holders_are_found():
+    """Guards against a decision time that grows with the fleet."""
+    router = build_router(count=500)
+    first = serve(router, request(1, prompt()), 0, 300)
+    assert router.choose(request(2, prompt()), 400).ok.target == first.target
+    targets = {router.choose(request(i), 400).ok.target for i in range(200)}
+    assert len(targets) > 60
+
+
+def test_target_that_left_is_forgotten():
+    """Guards against memory that grows as targets come and go."""
+    router = build_router(count=3)
+    serve(router, request(1, prompt()), 0, 300)
+    router.update_targets(SERVICE, [], 400)
+    assert router.index.match(prompt()) == {}
+    assert router.choose(request(2, prompt()), 500).is_error()
+    router.update_targets(SERVICE, views(3), 600)
+    assert router.choose(request(2, prompt()), 700).is_ok()
+
+
+def test_target_may_leave_while_a_request_runs():
+    """Guards against a crash at the end of a request whose target left."""
+    router = build_router(count=2)
+    choice = send(router, request(1, prompt()), 0)
+    router.update_targets(SERVICE, [], 10)
+    router.on_first_token("r1", 20)
+    router.on_finished("r1", True, 30)
+    assert choice.target.startswith("e")
+
+
+def test_retries_are_a_tenth_of_requests_plus_a_constant():
+    """Guards against retries that multiply the load after a large failure."""
+    policy = create(RetryPolicy, "budgeted")
+    allowed = 0
+    for number in range(1_000):
+        policy.on_request(number * 10)
+        allowed += policy.may_retry(number * 10)
+    assert 100 <= allowed <= 100 + 0.5 * 10 + 2
+    for _ in range(1_000):
+        policy.on_request(10_000)
+    burst = sum(policy.may_retry(10_000) for _ in range(100))
+    assert burst == 20
