Count refusals of known workspaces; look for any granted key in passed data

Refusals before a request was queued (403, 404, 413) were missing in the usage reports. A request may now not carry any key in force outside of the Authorization header, so a key in a public request or of another workspace reaches no target either. A target that is newer than a running request is found in the configuration in force. Test ports are taken below the range of the system: a port in that range was taken by another socket before the entry process listened, in 1 of 68 proofs of one run.

--- a/papayacrank/entry/_authentication.py
+++ b/papayacrank/entry/_authentication.py
@@ -3,7 +3,7 @@
 import re
 from dataclasses import dataclass
 from typing import Any, Protocol
-from urllib.parse import unquote
+from urllib.parse import unquote_to_bytes
 
 from expression import Error, Ok, Result
 
@@ -15,6 +15,7 @@
 
 MAX_KEY_CHARACTERS = 512
 _JSON_ESCAPE = re.compile(rb"\\(?:u00([2-7][0-9a-fA-F])|/)")
+_GRANTED_KEY = re.compile(rb"ppk_[0-9a-f]{64}")
 _BEARER = re.compile(r"[Bb]earer +([\x21-\x7e]+)")
 
 
@@ -41,9 +42,25 @@
     key_id: str
 
 
-def has_key(request: CallerRequest) -> bool:
-    """Return whether the request carries credentials."""
-    return "authorization" in request.headers
+def find_exposed_key(request: CallerRequest, keys: KeyDirectory) -> Failure | None:
+    """Refuse a request that would show a target a key.
+
+    The ``Authorization`` header is not passed on, so a key is allowed there. Its value
+    must not appear elsewhere, and neither may any key in force that has the form in
+    which `papayacrank.admin` grants keys.
+    """
+    key = _read_key(request.headers)
+    if key is not None and _appears_elsewhere(key, request):
+        return _exposed()
+    for text in _GRANTED_KEY.findall(_passed_text(request)):
+        if keys.find_key(digest_key(text.decode())) is not None:
+            return _exposed()
+    return None
+
+
+def _exposed() -> Failure:
+    text = "the key must appear in the Authorization header only"
+    return Failure("key_exposed", Verdict.NOT_RUN, text, 400)
 
 
 def authenticate(request: CallerRequest, keys: KeyDirectory) -> Result[Caller, Failure]:
@@ -68,9 +85,9 @@
     entry = keys.find_key(digest_key(key))
     if entry is None:
         return Error(_refuse("key_unknown", "the key is unknown or was withdrawn"))
-    if _appears_elsewhere(key, request):
-        text = "the key must appear in the Authorization header only"
-        return Error(Failure("key_exposed", Verdict.NOT_RUN, text, 400))
+    exposed = find_exposed_key(request, keys)
+    if exposed is not None:
+        return Error(exposed)
     return Ok(Caller(entry.workspace, entry.key_id))
 
 
@@ -82,17 +99,21 @@
 
 
 def _appears_elsewhere(key: str, request: CallerRequest) -> bool:
-    """Tell whether a target would see the key although the header is removed."""
-    if key in request.target or key in unquote(request.target):
-        return True
-    body = request.body
-    if key.encode() in body or key.encode() in _JSON_ESCAPE.sub(_unescape, body):
-        return True
-    return any(
-        key in value
+    return key.encode() in _passed_text(request)
+
+
+def _passed_text(request: CallerRequest) -> bytes:
+    """Return everything that a target would receive, also with escapes removed."""
+    parts = [request.target.encode(), unquote_to_bytes(request.target)]
+    parts += [
+        value.encode("latin-1", "replace")
         for name, value in request.headers.items()
         if name.lower() != "authorization"
-    )
+    ]
+    parts.append(request.body)
+    if b"\\" in request.body:
+        parts.append(_JSON_ESCAPE.sub(_unescape, request.body))
+    return b"\n".join(parts)
 
 
 def _unescape(found: re.Match) -> bytes:
--- a/papayacrank/entry/_dispatcher.py
+++ b/papayacrank/entry/_dispatcher.py
@@ -11,7 +11,7 @@
 
 from ._action_flow import ActionFlow
 from ._answers import JSON_TYPE
-from ._authentication import Caller, authenticate, has_key
+from ._authentication import Caller, authenticate, find_exposed_key
 from ._completion_flow import COMPLETIONS_PATH, CompletionFlow
 from ._completion_request import (
     CompletionRequest,
@@ -22,7 +22,7 @@
 from ._context import EntryContext
 from ._events import FLOW_FAILED
 from ._exchange import Exchange
-from ._flow import FLOW_CHANNEL, RequestFlow
+from ._flow import FLOW_CHANNEL, RequestFlow, is_own_refusal
 from ._idempotency_key import HEADER, read_key
 from ._route_answer import build_route, list_other_addresses, list_serving
 from ._service_flow import ServiceFlow
@@ -188,14 +188,21 @@
         }
         _respond_json(exchange, 200, document)
 
-    @staticmethod
-    def _prepare(exchange: Exchange, prepare) -> RequestFlow | None:
+    def _prepare(self, exchange: Exchange, prepare) -> RequestFlow | None:
         prepared = prepare(exchange)
         if prepared.is_error():
+            self._count_refusal(exchange, prepared.error)
             exchange.respond_failure(prepared.error)
             return None
         return prepared.ok
 
+    def _count_refusal(self, exchange: Exchange, failure: Failure) -> None:
+        """Count a request of a known workspace that never became a flow."""
+        if exchange.workspace is not None:
+            usage = self._context.usage
+            usage.on_asked(exchange.workspace)
+            usage.on_refused(exchange.workspace, failure, is_own_refusal(failure))
+
     def _prepare_completion(
         self, exchange: Exchange
     ) -> Result[CompletionFlow, Failure]:
@@ -280,17 +287,17 @@
         unavailable = self._find_unavailability(needs_contact=False)
         if unavailable is not None:
             return Error(unavailable)
-        if has_key(exchange.request):
-            checked = authenticate(exchange.request, self._context.contact)
-            if checked.is_error() and checked.error.code == "key_exposed":
-                return checked
-        return Ok(None)
+        exposed = find_exposed_key(exchange.request, self._context.contact)
+        return Ok(None) if exposed is None else Error(exposed)
 
     def _authenticate(self, exchange: Exchange) -> Result[Caller, Failure]:
         unavailable = self._find_unavailability(needs_contact=True)
         if unavailable is not None:
             return Error(unavailable)
-        return authenticate(exchange.request, self._context.contact)
+        caller = authenticate(exchange.request, self._context.contact)
+        if caller.is_ok():
+            exchange.workspace = caller.ok.workspace
+        return caller
 
     def _find_unavailability(self, needs_contact: bool) -> Failure | None:
         if self._status == "starting":
--- a/papayacrank/entry/_exchange.py
+++ b/papayacrank/entry/_exchange.py
@@ -38,6 +38,8 @@
         Connection.
     front_end : FrontEnd
         Component that owns the connection.
+    workspace : str or None
+        Workspace of the caller, once authenticated.
     """
 
     request: CallerRequest
@@ -46,6 +48,7 @@
     peer: str
     sock: Any
     front_end: Any
+    workspace: str | None = None
     extra_headers: Headers = field(default_factory=list)
     status: int = 0
     is_open: bool = True
--- a/papayacrank/entry/_flow.py
+++ b/papayacrank/entry/_flow.py
@@ -23,6 +23,11 @@
 CALLER_FAULT_STATUSES = frozenset({400, 413, 422})
 
 
+def is_own_refusal(failure: Failure) -> bool:
+    """Tell whether the system, not the caller, is the reason of a refusal."""
+    return failure.status >= 500
+
+
 class RequestFlow(ABC):
     """Flow of one request from admission to its answer.
 
@@ -254,7 +259,11 @@
         return f"{self.request_id}.{self._life.attempts + 1}"
 
     def _address_of(self, target: str) -> str:
-        return next(t.address for t in self._service.targets if t.name == target)
+        """Return the address of a target, which may be newer than the request."""
+        configuration = self._context.contact.configuration
+        current = configuration.find_service(self._service.name) or self._service
+        known = (*current.targets, *self._service.targets)
+        return next(t.address for t in known if t.name == target)
 
     def _finish_attempt(self) -> None:
         """Book an attempt that delivered its answer."""
@@ -354,8 +363,7 @@
             left = Failure("caller_left", self._life.verdict, text, 499)
             usage.on_failed(self.workspace, left, *tokens)
         elif failure.verdict is Verdict.NOT_RUN:
-            within_rate = failure.code != "over_rate"
-            usage.on_refused(self.workspace, failure, within_rate)
+            usage.on_refused(self.workspace, failure, is_own_refusal(failure))
         else:
             usage.on_failed(self.workspace, failure, *tokens)
 
--- a/papayacrank/entry/_request_parser.py
+++ b/papayacrank/entry/_request_parser.py
@@ -116,6 +116,7 @@
         return self._take_request()
 
     def _read_head(self) -> Failure | None:
+        self._body_bytes = 0
         while self._buffer.startswith(b"\r\n"):
             del self._buffer[:2]  # empty lines before a request are allowed
         end = self._buffer.find(_HEAD_END, 0, self._max_header_bytes)
--- a/papayacrank/entry/tests/system.py
+++ b/papayacrank/entry/tests/system.py
@@ -3,11 +3,12 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
-from contextlib import ExitStack, contextmanager
+from contextlib import ExitStack, contextmanager, suppress
 from pathlib import Path
 
 from papayacrank.admin._exchange import ControlExchange
@@ -19,15 +20,21 @@
 from .support import wait_until
 
 START_S = 15.0
+FIRST_PORT, LAST_PORT = 20_000, 32_000
 CONTROL = "control-1"
 KEEP_ROUTE_MS = 300
 
 
 def find_free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a free port outside of the range that the system hands out.
+
+    A port of that range can be taken by another process before it is used.
+    """
+    while True:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
 
 
 class Answer:
--- a/papayacrank/entry/tests/test_decisions.py
+++ b/papayacrank/entry/tests/test_decisions.py
@@ -5,7 +5,7 @@
 import pytest
 
 from papayacrank.control import digest_key
-from papayacrank.entry._authentication import authenticate
+from papayacrank.entry._authentication import authenticate, find_exposed_key
 from papayacrank.entry._drain import FEED_DELAY_MS, Drain, DrainState
 from papayacrank.entry._idempotency_key import generate_key, read_key
 from papayacrank.entry._request_parser import CallerRequest
@@ -173,11 +173,14 @@
 
     def find_key(self, digest: str) -> KeyEntry | None:
         """Return the key of a digest."""
-        if digest == digest_key("secret-1"):
+        if digest in (digest_key("secret-1"), digest_key(GRANTED)):
             return KeyEntry("key-1", "team-a", digest)
         return None
 
 
+GRANTED = "ppk_" + "0a" * 32
+
+
 def make_request(authorization: str | None, body: bytes = b"") -> CallerRequest:
     headers = {} if authorization is None else {"authorization": authorization}
     return CallerRequest("POST", "/a", "/a", headers, body, True)
@@ -203,3 +206,12 @@
     """Guards against passing a key on to a target."""
     result = authenticate(make_request("Bearer secret-1", body), Keys())
     assert result.error.code == "key_exposed"
+
+
+@pytest.mark.parametrize("authorization", [None, "Bearer secret-1"])
+def test_another_key_in_force_is_refused_too(authorization):
+    """Guards against a key in the body of a public request, or of another workspace."""
+    request = make_request(authorization, b"token=" + GRANTED.encode())
+    assert find_exposed_key(request, Keys()).code == "key_exposed"
+    withdrawn = make_request(authorization, b"token=ppk_" + b"00" * 32)
+    assert find_exposed_key(withdrawn, Keys()) is None
--- a/papayacrank/entry/tests/test_lifecycle.py
+++ b/papayacrank/entry/tests/test_lifecycle.py
@@ -235,8 +235,14 @@
         assert {answer.error["code"] for answer in refused} == {"over_rate"}
         assert all(answer.error["verdict"] == "not-run" for answer in refused)
         assert system.complete("key-b", max_tokens=300).status == 200
+
+        def is_counted() -> bool:
+            usage = json.dumps(system.read("usage"))
+            return '"over_rate"' in usage and '"request_exceeds_burst"' in usage
+
         too_large = system.complete(max_tokens=5_000)
         assert (too_large.status, too_large.error["verdict"]) == (413, "not-run")
+        wait_until(is_counted, "refusals reported", 10)
 
 
 @pytest.mark.parametrize(
