Stop on faults of the log, and survive faults of single commands

If the log raised an error, what it had asked for was lost and the process went on. It now stops with exit code 1. A committed command whose code raises is refused with internal_error instead, because the same entry would stop every member in turn. Keys for workspaces that are not configured are refused.

--- a/papayacrank/control/__main__.py
+++ b/papayacrank/control/__main__.py
@@ -18,8 +18,8 @@
 def run_control(settings: str) -> None:
     """Run a control process until SIGTERM or SIGINT.
 
-    Exit codes: 0 after a planned stop, 1 if the data folder is damaged or cannot be
-    written, 2 if the settings are invalid.
+    Exit codes: 0 after a planned stop, 1 after a fault, for example if the data folder
+    is damaged or cannot be written, 2 if the settings are invalid.
 
     Args:
         settings: Path of the settings file (JSON with comments).
--- a/papayacrank/control/_events.py
+++ b/papayacrank/control/_events.py
@@ -65,6 +65,23 @@
     3012, "handing_over", "info", "The leader hands over before it stops."
 )
 
+NODE_FAILED = LogEvent(
+    3013,
+    "node_failed",
+    "error",
+    "The log or the state could not take over an input; the process stops.",
+    "Report the traceback. If the process runs an older release than the leader,"
+    " update it.",
+)
+COMMAND_FAILED = LogEvent(
+    3014,
+    "command_failed",
+    "error",
+    "A committed command raised an error while it was applied; it may have taken"
+    " effect in part, alike in all members.",
+    "Report the command and the error.",
+)
+
 declare_events(
     LEADER_ACTIVE,
     LEADER_INACTIVE,
@@ -78,4 +95,6 @@
     ORDER_OVERWRITTEN,
     STORE_FAILED,
     HANDING_OVER,
+    NODE_FAILED,
+    COMMAND_FAILED,
 )
--- a/papayacrank/control/_http.py
+++ b/papayacrank/control/_http.py
@@ -1,6 +1,7 @@
 """Small HTTP client for the platform's list and for orders."""
 
 import errno
+import ipaddress
 import os
 import socket
 from dataclasses import dataclass
@@ -64,10 +65,14 @@
             self._report(HttpResult(call.key, 0, error="too many calls"))
             return
         parts = urlsplit(call.url)
+        if parts.scheme != "http" or not _is_address(parts.hostname):
+            error = "the URL must be http://<IP address>[:<port>]/..."
+            self._report(HttpResult(call.key, 0, error=error))
+            return
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         try:
-            status = sock.connect_ex((parts.hostname or "", parts.port or 80))
+            status = sock.connect_ex((parts.hostname, parts.port or 80))
         except OSError as error:
             sock.close()
             self._report(HttpResult(call.key, 0, error=str(error)))
@@ -186,6 +191,15 @@
         return self._poller
 
 
+def _is_address(hostname: str | None) -> bool:
+    """Return whether no name needs to be resolved, which would block the loop."""
+    try:
+        ipaddress.IPv4Address(hostname or "")
+    except ValueError:
+        return False
+    return True
+
+
 def _timer(call: _Call) -> str:
     return f"http-caller {call.sock.fileno()}"
 
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -19,6 +19,7 @@
     HeartbeatAck,
     NotLeader,
     ObserveTargets,
+    ReplaceMember,
 )
 from papayacrank.state import (
     CommandEntry,
@@ -61,6 +62,14 @@
 MAX_QUEUED_HEARTBEATS = 2_000
 
 
+class NodeError(Exception):
+    """The log or the state could not take over an input; the process must stop.
+
+    What the log had asked for is lost, so going on could acknowledge entries that were
+    never written.
+    """
+
+
 class ControlNode:
     """One member of the control group: log, state, and the duties of the leader.
 
@@ -104,6 +113,7 @@
         self._internal_requests = 0
         self._batch: dict[str, Heartbeat] = {}
         self._snapshot_index = 0
+        self._proposed = False
         self._stopping = False
 
     @property
@@ -111,6 +121,11 @@
         """Whether this member leads and has applied all earlier entries."""
         return self._active_term is not None
 
+    @property
+    def wants_flush(self) -> bool:
+        """Whether `flush` has something to do."""
+        return self._proposed or self._snapshot_is_due
+
     @property
     def raft(self) -> RaftNode:
         """Replicated log."""
@@ -123,7 +138,7 @@
 
     def start(self, now_ms: int) -> list[Any]:
         """Start; call once."""
-        effects = self._digest(self._raft.start(now_ms), now_ms)
+        effects = self._advance(self._raft.start, now_ms=now_ms)
         return [*effects, SetTimer(DUTY_TIMER, now_ms + DUTY_INTERVAL_MS)]
 
     def stop(self) -> None:
@@ -133,12 +148,12 @@
     def hand_over(self, now_ms: int) -> list[Any]:
         """Hand leadership over to another voter, if the log offers it."""
         transfer = getattr(self._raft, "transfer_leadership", None)
-        return [] if transfer is None else self._digest(transfer(now_ms), now_ms)
+        return [] if transfer is None else self._advance(transfer, now_ms=now_ms)
 
     def receive(self, sender: str, message: Any, now_ms: int) -> list[Any]:
         """Handle a message."""
         if isinstance(message, CONSENSUS_MESSAGES):
-            return self._digest(self._raft.receive(sender, message, now_ms), now_ms)
+            return self._advance(self._raft.receive, sender, message, now_ms=now_ms)
         if isinstance(message, ControlRequest):
             return self._on_request(sender, message, now_ms)
         if isinstance(message, Heartbeat):
@@ -148,7 +163,7 @@
     def tick(self, timer_name: str, now_ms: int) -> list[Any]:
         """Handle a timer."""
         if timer_name.startswith(RAFT_TIMER_PREFIX):
-            return self._digest(self._raft.tick(timer_name, now_ms), now_ms)
+            return self._advance(self._raft.tick, timer_name, now_ms=now_ms)
         if timer_name == BATCH_TIMER:
             self._propose_batch(now_ms)
             return []
@@ -159,11 +174,12 @@
 
     def persisted(self, token: int, now_ms: int) -> list[Any]:
         """Handle the completion of a `Persist` effect."""
-        return self._digest(self._raft.persisted(token, now_ms), now_ms)
+        return self._advance(self._raft.persisted, token, now_ms=now_ms)
 
     def flush(self, now_ms: int) -> list[Any]:
         """Replicate what was proposed, and take a snapshot if one is due."""
-        effects = self._digest(self._raft.flush(now_ms), now_ms)
+        self._proposed = False
+        effects = self._advance(self._raft.flush, now_ms=now_ms)
         return effects + self._take_snapshot(now_ms)
 
     def http_finished(self, result: HttpResult, now_ms: int) -> list[Any]:
@@ -176,6 +192,13 @@
 
     # Replicated log
 
+    def _advance(self, step: Callable, *arguments: Any, now_ms: int) -> list[Any]:
+        """Let the log take a step and carry out what concerns the state."""
+        try:
+            return self._digest(step(*arguments, now_ms), now_ms)
+        except Exception as error:
+            raise NodeError(f"{type(error).__name__}: {error}") from error
+
     def _digest(self, raw: list[Any], now_ms: int) -> list[Any]:
         """Apply what was committed and pass the other effects on."""
         effects = []
@@ -241,6 +264,7 @@
         return [*self._desk.redirect_all(leader), Notice(LEADER_INACTIVE, {})]
 
     def _propose(self, entry: Entry, now_ms: int) -> bool:
+        self._proposed = True
         return self._raft.propose(encode_entry(entry), now_ms).is_ok()
 
     def _times(self, now_ms: int) -> tuple[int, int]:
@@ -255,14 +279,19 @@
         drift = 1 + self._settings.clock_drift
         return int(self._settings.leader_lease_ms * drift) + HTTP_TIMEOUT_MS
 
+    @property
+    def _snapshot_is_due(self) -> bool:
+        """Whether the log asks for a snapshot and the state has changed."""
+        has_changed = self._machine.applied_index > self._snapshot_index
+        return has_changed and self._raft.wants_snapshot
+
     def _take_snapshot(self, now_ms: int) -> list[Any]:
-        """Hand the state to the log if it asks for it and the state has changed."""
-        index = self._machine.applied_index
-        if not self._raft.wants_snapshot or index <= self._snapshot_index:
+        if not self._snapshot_is_due:
             return []
+        index = self._machine.applied_index
         self._snapshot_index = index
         data = self._machine.snapshot()
-        return self._digest(self._raft.compact(index, data, now_ms), now_ms)
+        return self._advance(self._raft.compact, index, data, now_ms=now_ms)
 
     # Requests
 
@@ -272,6 +301,7 @@
         if not self._may_answer(now_ms):
             return [Send(sender, NotLeader(request.request_id, self._known_leader()))]
         answers = self._desk.accept(sender, request, now_ms)
+        self._proposed |= isinstance(request.command, ReplaceMember)
         if answers is not None:
             return answers
         entry = CommandEntry(*self._times(now_ms), request)
--- a/papayacrank/control/_process.py
+++ b/papayacrank/control/_process.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -17,7 +18,14 @@
     RaftNode,
     RaftSettings,
 )
-from papayacrank.kernel import CancelTimer, MonotonicClock, Send, SetTimer, log_event
+from papayacrank.kernel import (
+    CancelTimer,
+    LogEvent,
+    MonotonicClock,
+    Send,
+    SetTimer,
+    log_event,
+)
 from papayacrank.messages import CONTROL_MESSAGES
 from papayacrank.state import StateMachine
 from papayacrank.transport import (
@@ -29,9 +37,9 @@
 )
 
 from ._effects import HttpCall
-from ._events import HANDING_OVER, STORE_FAILED
+from ._events import HANDING_OVER, NODE_FAILED, STORE_FAILED
 from ._http import HttpCaller
-from ._node import ControlNode
+from ._node import ControlNode, NodeError
 from ._writer import StoreWriter
 
 MS_PER_SECOND = 1000
@@ -78,7 +86,7 @@
 
     @property
     def failed(self) -> bool:
-        """Whether the process stops because of its data folder."""
+        """Whether the process stops because of a fault."""
         return self._failed
 
     def begin_stop(self) -> None:
@@ -88,35 +96,38 @@
         transfer = getattr(self._node.raft, "transfer_leadership", None)
         if self._node.raft.is_leader and transfer is not None:
             log_event(HANDING_OVER)
-            self._run(self._node.hand_over(self._clock.now_ms()))
+            self._drive(self._node.hand_over)
         self._continue_stop()
 
     @handler("started", channel="*")
     def _on_started(self, *_):
-        self._run(self._node.start(self._clock.now_ms()))
+        self._drive(self._node.start)
 
     @handler("received", channel="link")
     def _on_received(self, sender, message):
-        self._run(self._node.receive(sender, message, self._clock.now_ms()))
+        self._drive(self._node.receive, sender, message)
 
     @handler("http_finished", channel="http-caller")
     def _on_http_finished(self, result):
-        self._run(self._node.http_finished(result, self._clock.now_ms()))
+        self._drive(self._node.http_finished, result)
 
     @handler("flush")
     def _on_flush(self):
         self._flush_pending = False
-        self._run(self._node.flush(self._clock.now_ms()), flushes=False)
-
-    def _on_timer(self, name: str) -> None:
-        self._run(self._node.tick(name, self._clock.now_ms()))
+        self._drive(self._node.flush)
 
-    def _run(self, effects: list[Any], flushes: bool = True) -> None:
+    def _drive(self, step: Callable, *arguments: Any) -> None:
+        """Let the node take a step and carry out its effects."""
         if self._failed:
             return
+        try:
+            effects = step(*arguments, self._clock.now_ms())
+        except NodeError as error:
+            self._fail(NODE_FAILED, error)
+            raise
         for effect in effects:
             self._carry_out(effect)
-        if flushes and not self._flush_pending:
+        if self._node.wants_flush and not self._flush_pending:
             self._flush_pending = True
             self.fire(flush(), self.channel)
 
@@ -125,7 +136,8 @@
             case Send(to, message):
                 self._link.send(to, message)
             case SetTimer(name, at_ms):
-                self._timers.set(name, at_ms, partial(self._on_timer, name))
+                callback = partial(self._drive, self._node.tick, name)
+                self._timers.set(name, at_ms, callback)
             case CancelTimer(name):
                 self._timers.cancel(name)
             case Persist(token, records):
@@ -138,8 +150,8 @@
     @handler("records_written", channel="store-writer")
     def _on_records_written(self, token, error):
         if error is not None:
-            self._fail(error)
-        self._run(self._node.persisted(token, self._clock.now_ms()))
+            self._fail(STORE_FAILED, error)
+        self._drive(self._node.persisted, token)
 
     def _persist(self, token: int, records) -> None:
         """Write records; small ones at once, snapshots in the background."""
@@ -148,15 +160,15 @@
         try:
             written = self._writer.write(token, records)
         except LogStoreError as error:
-            self._fail(error)
+            self._fail(STORE_FAILED, error)
             return
         if written:
-            self._run(self._node.persisted(token, self._clock.now_ms()))
+            self._drive(self._node.persisted, token)
 
-    def _fail(self, error: LogStoreError) -> None:
-        """Acknowledge nothing more after a failed write, and stop."""
+    def _fail(self, event: LogEvent, error: Exception) -> None:
+        """Acknowledge nothing more, and stop."""
         self._failed = True
-        log_event(STORE_FAILED, error=str(error))
+        log_event(event, error=str(error))
         self.root.stop()
 
     def _continue_stop(self) -> None:
--- a/papayacrank/control/_requests.py
+++ b/papayacrank/control/_requests.py
@@ -20,7 +20,7 @@
 from papayacrank.messages._commands import Command
 from papayacrank.state import StateMachine, check_command
 
-from ._events import CONFIGURATION_ACCEPTED, KEY_CHANGED
+from ._events import COMMAND_FAILED, CONFIGURATION_ACCEPTED, KEY_CHANGED
 
 MAX_WAITING_REQUESTS = 2_000
 MAX_REPLACEMENTS = 16
@@ -159,7 +159,10 @@
 
 
 def describe_change(command: Command, reply: ControlReply) -> list[Notice]:
-    """Return the log lines of an operator's change that took effect."""
+    """Return the log lines of an operator's change, or of a command that failed."""
+    if reply.failure is not None and reply.failure.code == "internal_error":
+        fields = {"command": type(command).__name__, "error": reply.failure.message}
+        return [Notice(COMMAND_FAILED, fields)]
     if isinstance(reply.result, ConfigurationFiled):
         fields = {"version": reply.result.version, "operator": command.operator}
         return [Notice(CONFIGURATION_ACCEPTED, fields)]
--- a/papayacrank/control/tests/test_node.py
+++ b/papayacrank/control/tests/test_node.py
@@ -7,7 +7,7 @@
 from papayacrank.config import ControlSettings
 from papayacrank.consensus import Committed, Member, Notice
 from papayacrank.control import _requests as requests_module
-from papayacrank.control._node import ControlNode
+from papayacrank.control._node import ControlNode, NodeError
 from papayacrank.kernel import Failure, Send, Verdict
 from papayacrank.messages import (
     BeginAction,
@@ -301,3 +301,9 @@
     """Guards against work that is accepted during a planned stop."""
     bench.node.stop()
     assert bench.receive("a", request(GRANT)) == [("a", NotLeader("r1"))]
+
+
+def test_entry_that_cannot_be_read_stops_the_process(bench):
+    """Guards against a member of an older release that skips an entry and diverges."""
+    with pytest.raises(NodeError):
+        bench.node._advance(lambda now_ms: [Committed(99, 1, b"?")], now_ms=0)
--- a/papayacrank/state/_configuration.py
+++ b/papayacrank/state/_configuration.py
@@ -1,5 +1,7 @@
 """The configuration and the history of its changes."""
 
+import json
+
 import msgspec
 
 from papayacrank.messages import (
@@ -43,6 +45,7 @@
         self._version = 0
         self._document = ""
         self._history: list[ConfigurationRecord] = []
+        self._workspaces: frozenset[str] = frozenset()
 
     @property
     def version(self) -> int:
@@ -59,6 +62,10 @@
         """Last accepted changes, oldest first."""
         return list(self._history)
 
+    def knows_workspace(self, name: str) -> bool:
+        """Return whether a workspace exists; before a configuration, any may."""
+        return self._version == 0 or name in self._workspaces
+
     def change(self) -> ConfigurationChange:
         """Return the configuration in its feed form."""
         return ConfigurationChange(self._version, self._document)
@@ -71,6 +78,7 @@
             return self._conflict(command)
         self._version += 1
         self._document = command.document
+        self._workspaces = _read_workspaces(command.document)
         record = ConfigurationRecord(
             self._version, command.operator, request_id, wall_ms
         )
@@ -85,6 +93,7 @@
         """Restore the content of a snapshot."""
         self._version = dumped.version
         self._document = dumped.document
+        self._workspaces = _read_workspaces(dumped.document)
         self._history = list(dumped.history)
 
     def _conflict(self, command: FileConfiguration) -> FailureRecord:
@@ -103,3 +112,9 @@
             f"{self._version} is in force",
             details=details,
         )
+
+
+def _read_workspaces(document: str) -> frozenset[str]:
+    if not document:
+        return frozenset()
+    return frozenset(item["name"] for item in json.loads(document)["workspaces"])
--- a/papayacrank/state/_machine.py
+++ b/papayacrank/state/_machine.py
@@ -6,6 +6,7 @@
 
 from papayacrank.admission import BudgetLedger, WorkspaceBudget
 from papayacrank.config import parse_configuration
+from papayacrank.kernel import Verdict
 from papayacrank.messages import (
     AbandonAction,
     ActionRecord,
@@ -293,7 +294,7 @@
         if known is not None:
             return known
         self._actions.expire(self._now_ms)
-        outcome = self._run(request, wall_ms)
+        outcome = self._run_safely(request, wall_ms)
         if isinstance(outcome, FailureRecord):
             reply = ControlReply(request.request_id, failure=outcome)
         else:
@@ -316,6 +317,20 @@
             return outcome.state != "finished"
         return not isinstance(request.command, ReportUsage)
 
+    def _run_safely(self, request: ControlRequest, wall_ms: int):
+        """Run a command; an error in its code must not stop all members in turn.
+
+        The same code fails in the same way in each member, so the states stay equal.
+        """
+        try:
+            return self._run(request, wall_ms)
+        except MemoryError:
+            raise
+        except Exception as error:
+            verdict = Verdict.MAY_HAVE_RUN.value
+            message = f"{type(error).__name__}: {error}"
+            return FailureRecord("internal_error", verdict, message, 500)
+
     def _run(self, request: ControlRequest, wall_ms: int):
         command = request.command
         match command:
@@ -362,6 +377,8 @@
         self._ledger.configure(budgets, self._now_ms)
 
     def _grant_key(self, command: GrantKey, wall_ms: int) -> KeyChanged | FailureRecord:
+        if not self._configuration.knows_workspace(command.workspace):
+            return refuse("unknown_workspace", f"no workspace {command.workspace}", 404)
         before = len(self._keys)
         outcome = self._keys.grant(command, wall_ms)
         if isinstance(outcome, FailureRecord):
--- a/papayacrank/state/tests/test_machine.py
+++ b/papayacrank/state/tests/test_machine.py
@@ -137,6 +137,28 @@
     assert (group.machine.feed_version, group.machine.read("orders")) == before
 
 
+def test_key_for_an_unknown_workspace_is_refused():
+    """Guards against a mistyped workspace that is noticed only by the caller."""
+    group = Group()
+    group.run("r1", FileConfiguration(0, DOCUMENT, "ann"))
+    copy = Group()
+    copy.machine.restore(group.machine.snapshot())
+    copy.index = group.index
+    for each in (group, copy):
+        lost = each.run("r2", GrantKey("key", "team-x", DIGEST, "ann"))
+        assert lost.failure.code == "unknown_workspace"
+        assert each.run("r3", GrantKey("key", "team-a", DIGEST, "ann")).failure is None
+
+
+def test_command_that_raises_does_not_stop_the_members(monkeypatch):
+    """Guards against one committed entry that ends every member that applies it."""
+    group = Group()
+    monkeypatch.setattr(group.machine, "_grant_key", lambda *_: 1 / 0)
+    failure = group.run("r1", GrantKey("key", "team-a", DIGEST, "ann")).failure
+    assert (failure.code, failure.verdict) == ("internal_error", "may-have-run")
+    assert group.run("r2", WithdrawKey("key", "ann")).failure.code == "unknown_key"
+
+
 def test_withdrawn_key_is_not_brought_back_by_a_late_grant(monkeypatch):
     """Guards against a resent grant that arrives after outcomes were evicted."""
     monkeypatch.setattr(outcomes_module, "MAX_OPERATOR_OUTCOMES", 1)
