--- a/papayacrank/routing/_router.py
+++ b/papayacrank/routing/_router.py
@@ -6,16 +6,19 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from papayacrank.cache import PrefixIndex
+from papayacrank.cache import PrefixIndex, iterate_bits
 from papayacrank.config import Goals
 from papayacrank.kernel import Failure, Verdict, create
 
-from ._base import RoutingPolicy, Situation, missing_tokens
+from ._base import RoutingPolicy, Situation, find_depth, missing_tokens
 from ._targets import Attempt, TargetState, TargetTable
 from ._types import Choice, LoadReport, RoutingRequest, TargetView
 
 DEFAULT_MAX_BLOCKS = 4_000_000
 MAX_ATTEMPTS = 100_000
+MAX_COMPARED_TARGETS = 64
+SAMPLED_HOLDERS = 16
+SAMPLED_TARGETS = 16
 NO_TARGET_RETRY_MS = 1_000
 
 
@@ -104,8 +107,10 @@
         if service is None:
             return
         table = self._tables[service]
-        if not self.index.set_incarnation(target, report.incarnation):
-            return
+        if report.incarnation != self.index.incarnation(target):
+            if not self.index.set_incarnation(target, report.incarnation):
+                return
+            table.ejector.on_new_incarnation(target, now_ms)
         previous = table.states[target].report
         if previous and previous.weights_version != report.weights_version:
             self.index.clear(target)
@@ -127,13 +132,17 @@
             ``no_target`` with verdict "not run" if no target may receive it.
         """
         table = self._tables.get(request.service)
-        targets = self._eligible(table, request) if table else []
+        levels = self.index.match_levels(request.blocks)
+        targets = []
+        if table is not None:
+            candidates = self._candidates(table, levels)
+            targets = self._eligible(table, candidates, request, now_ms)
         if not targets:
             return Error(_no_target(request.service))
         situation = Situation(
             targets=targets,
             table=table,
-            levels=self.index.match_levels(request.blocks),
+            levels=levels,
             index=self.index,
             goals=self.goals,
             failure_domain=self.failure_domain,
@@ -152,7 +161,8 @@
         self._forget_oldest_attempt()
         table = self._tables[request.service]
         incarnation = self.index.incarnation(choice.target) or 0
-        held = self.index.match(request.blocks).get(choice.target, 0)
+        levels = self.index.match_levels(request.blocks)
+        held = find_depth(levels, self.index.slot(choice.target))
         attempt = Attempt(
             request=request,
             choice=choice,
@@ -164,6 +174,7 @@
         )
         self.index.store(choice.target, incarnation, request.blocks)
         state.add(attempt)
+        table.ejector.on_sent(choice.target, request.request_id)
         self._attempts[request.request_id] = state
 
     def on_first_token(self, request_id: str, now_ms: int) -> None:
@@ -175,19 +186,32 @@
         if attempt.has_first_token:
             return
         state.mark_first_token(attempt)
-        table = self._tables.get(attempt.request.service)
-        if table:
-            table.learn_speed(attempt, now_ms - attempt.sent_ms)
+        table = self._tables[attempt.request.service]
+        ttft_ms = now_ms - attempt.sent_ms
+        table.learn_speed(attempt, ttft_ms)
+        table.ejector.observe(
+            state.name,
+            request_id,
+            attempt.choice.expected_ttft_ms,
+            ttft_ms,
+            len(table.states),
+            now_ms,
+        )
 
-    def on_finished(self, request_id: str, ok: bool, now_ms: int) -> None:
-        """Stop counting a request, whether it succeeded, failed or was cancelled."""
+    def on_finished(self, request_id: str, ok: bool | None, now_ms: int) -> None:
+        """Stop counting a request that succeeded, failed or was cancelled (None)."""
         state = self._attempts.pop(request_id, None)
         if state is None:
             return
         attempt = state.attempts[request_id]
+        table = self._tables[attempt.request.service]
+        target = attempt.choice.target
         if not ok and not attempt.has_first_token:
-            target = attempt.choice.target
+            if ok is not None:
+                count = len(table.states)
+                table.ejector.observe_failure(target, request_id, count, now_ms)
             self.index.remove(target, attempt.incarnation, attempt.new_blocks)
+        table.ejector.on_ended(target, request_id)
         state.discard(attempt)
 
     def export_page(self, cursor: str = "") -> tuple[bytes, str]:
@@ -239,12 +263,64 @@
             if state.report is not None
         }
 
+    def _candidates(
+        self, table: TargetTable, levels: list[tuple[int, int]]
+    ) -> list[TargetState]:
+        """Return the targets to compare: all of a small service, else a sample.
+
+        The sample has the deepest matches, and random targets of the own failure
+        domain and of all.
+        """
+        current = table.current
+        if len(current) <= MAX_COMPARED_TARGETS:
+            return current
+        sample = {}
+        for state in self._deepest_holders(table, levels):
+            sample[state.name] = state
+        for pool in (table.current_in_domain(self.failure_domain), current):
+            for state in self._draw(pool, SAMPLED_TARGETS):
+                sample[state.name] = state
+        return list(sample.values())
+
+    def _deepest_holders(
+        self, table: TargetTable, levels: list[tuple[int, int]]
+    ) -> Iterator[TargetState]:
+        left = SAMPLED_HOLDERS
+        for _, mask in levels:
+            for slot in iterate_bits(self._rotate(mask)):
+                state = table.states.get(self.index.target_at(slot))
+                if state is not None and state.is_current:
+                    yield state
+                left -= 1
+                if left == 0:
+                    return
+
+    def _rotate(self, mask: int) -> int:
+        """Keep a random window of a mask with many holders."""
+        if mask.bit_count() <= SAMPLED_HOLDERS:
+            return mask
+        start = self.random_state.randrange(mask.bit_length())
+        upper = mask >> start << start
+        return upper or mask
+
+    def _draw(self, pool: list[TargetState], count: int) -> list[TargetState]:
+        if len(pool) <= count:
+            return pool
+        return self.random_state.sample(pool, count)
+
     def _eligible(
-        self, table: TargetTable, request: RoutingRequest
+        self,
+        table: TargetTable,
+        targets: list[TargetState],
+        request: RoutingRequest,
+        now_ms: int,
     ) -> list[TargetState]:
-        if not request.excluded:
-            return table.current
-        return [s for s in table.current if s.name not in request.excluded]
+        if request.excluded:
+            targets = [s for s in targets if s.name not in request.excluded]
+        if not table.ejector.ejected:
+            return targets
+        healthy = [s for s in targets if table.ejector.may_receive(s.name, now_ms)]
+        return healthy or targets
 
     def _find_state(self, target: str) -> TargetState | None:
         service = self._services.get(target)
