--- a/papayacrank/admission/_queue.py
+++ b/papayacrank/admission/_queue.py
@@ -55,7 +55,7 @@
         shares: LocalShares,
         limiter: ConcurrencyLimiter | None = None,
         max_queued: int = 1_000,
-        budget_wait_ms: int = 1_000,
+        budget_wait_ms: int = 500,
         random_state: int | random.Random = 0,
     ):
         self.shares = shares
--- a/papayacrank/admission/_shares.py
+++ b/papayacrank/admission/_shares.py
@@ -4,8 +4,8 @@
 
 from papayacrank.messages import ShareGrant, ShareReport
 
-DEMAND_HORIZON_MS = 1_500
-IDLE_RETURN_MS = 1_000
+DEMAND_HORIZON_MS = 2_500
+IDLE_RETURN_MS = 2_000
 MIN_REPORT_INTERVAL_MS = 20
 IDLE_REPORTS = 10  # an idle share is reported this often, since reports can be lost
 MS_PER_SECOND = 1000
@@ -33,10 +33,14 @@
 
 @dataclass(slots=True)
 class _Reservation:
-    """Tokens of one request; `forfeited` once they were counted as spent."""
+    """Tokens of one request that are not spent yet.
+
+    `forfeited` is set once they were counted as spent by an expired lease.
+    """
 
     workspace: str
     tokens: int
+    spent: int = 0
     forfeited: bool = False
 
 
@@ -123,6 +127,34 @@
         self._observe_demand(share, tokens, now_ms)
         return True
 
+    def spend(self, request_id: str, tokens: int, now_ms: int) -> None:
+        """Count reserved tokens as spent while the request still runs.
+
+        What is reserved counts against the burst, so tokens that were consumed must
+        leave the reservation early, or a workspace with long requests is held below
+        its rate.
+
+        Parameters
+        ----------
+        request_id : str
+            Request; unknown requests are ignored.
+        tokens : int
+            Tokens consumed since the last call; what exceeds the reservation is left
+            to `settle`.
+        now_ms : int
+            Current time in milliseconds.
+        """
+        self._expire(now_ms)
+        reservation = self._reservations.get(request_id)
+        if reservation is None or reservation.forfeited:
+            return
+        moved = min(tokens, reservation.tokens)
+        reservation.tokens -= moved
+        reservation.spent += moved
+        share = self._shares[reservation.workspace]
+        share.reserved -= moved
+        share.spent += moved
+
     def settle(self, request_id: str, used_tokens: int, now_ms: int) -> None:
         """End a reservation; unused tokens return to the share.
 
@@ -131,7 +163,8 @@
         request_id : str
             Request; unknown requests are ignored.
         used_tokens : int
-            Tokens that the request consumed, 0 if it did not run.
+            Tokens that the request consumed in all, 0 if it did not run. Tokens that
+            `spend` has counted stay spent.
         now_ms : int
             Current time in milliseconds.
         """
@@ -140,9 +173,10 @@
         if reservation is None or reservation.forfeited:
             return
         share = self._shares[reservation.workspace]
+        rest = max(0, used_tokens - reservation.spent)
         share.reserved -= reservation.tokens
-        share.spent += used_tokens
-        share.held += reservation.tokens - used_tokens
+        share.spent += rest
+        share.held += reservation.tokens - rest
 
     def set_queued(self, workspace: str, tokens: int) -> None:
         """State how many tokens the queued requests of a workspace need."""
--- a/papayacrank/admission/tests/test_budget.py
+++ b/papayacrank/admission/tests/test_budget.py
@@ -5,6 +5,7 @@
 import pytest
 
 from papayacrank.admission import BudgetLedger, LocalShares, WorkspaceBudget
+from papayacrank.admission._shares import DEMAND_HORIZON_MS, IDLE_RETURN_MS
 
 RATE_TOKENS_PER_S = 1_000
 BURST_TOKENS = 5_000
@@ -91,6 +92,7 @@
         if shares.try_reserve(request_id, "w", tokens, self.now_ms):
             used = self.random.choice([tokens, self.random.randrange(tokens + 1)])
             end_ms = self.now_ms + self.random.randrange(1_000)
+            shares.spend(request_id, self.random.randrange(used + 1), self.now_ms)
             self.in_flight[request_id] = (end_ms, shares, used)
             self.admitted.append((self.now_ms, used))
 
@@ -276,9 +278,43 @@
     shares.set_queued("w", 0)
     assert shares.try_reserve("r", "w", 100, 10)
     shares.settle("r", 100, 20)
-    sent = [shares.reports(2_000 + step) for step in range(12)]
+    idle_ms = 10 + max(IDLE_RETURN_MS, DEMAND_HORIZON_MS)
+    assert idle_ms + 12 < LEASE_MS
+    sent = [shares.reports(idle_ms + step) for step in range(12)]
     assert [len(reports) for reports in sent] == [1] * 10 + [0, 0]
-    ledger.apply_reports("a", 1, sent[0], 2_000)
+    ledger.apply_reports("a", 1, sent[0], idle_ms)
     assert ledger.view()[0]["outstanding_tokens"] == 0
     shares.set_queued("w", 50)
     assert shares.reports(3_000)[0].wanted_tokens == 50
+
+
+def serve_long_requests(spend_early: bool) -> int:
+    """Return the tokens served in 60 s by requests of 6 s that use 1,500 tokens."""
+    ledger, shares = BudgetLedger(), LocalShares()
+    ledger.configure([WorkspaceBudget("w", RATE_TOKENS_PER_S, BURST_TOKENS)], 0)
+    running: dict[str, int] = {}
+    served = 0
+    for now_ms in range(0, 60_000, 100):
+        for request_id in [r for r, end_ms in running.items() if end_ms <= now_ms]:
+            shares.settle(request_id, 1_500, now_ms)
+            del running[request_id]
+        shares.set_queued("w", 1_500)
+        grants = ledger.apply_reports("a", 1, shares.reports(now_ms), now_ms)
+        shares.apply_grants(grants, now_ms, LEASE_MS)
+        request_id = f"r{now_ms}"
+        if shares.try_reserve(request_id, "w", 1_500, now_ms):
+            running[request_id] = now_ms + 6_000
+            served += 1_500
+            if spend_early:
+                shares.spend(request_id, 1_500, now_ms)
+    return served
+
+
+def test_long_requests_reach_the_rate():
+    """Guards against long requests that hold a workspace below its rate.
+
+    Without early spending, 6 s times the rate must fit into the burst of 5 s.
+    """
+    full = BURST_TOKENS + RATE_TOKENS_PER_S * 60
+    assert serve_long_requests(spend_early=True) > 0.95 * full
+    assert serve_long_requests(spend_early=False) < 0.75 * full
--- a/papayacrank/config/_settings.py
+++ b/papayacrank/config/_settings.py
@@ -37,7 +37,7 @@
     idle_connection_ms: int = Field(default=15_000, ge=100)
     load_poll_interval_ms: int = Field(default=500, ge=10)
     warmup_timeout_ms: int = Field(default=5_000, ge=0)
-    budget_wait_ms: int = Field(default=1_000, ge=0)
+    budget_wait_ms: int = Field(default=500, ge=0)
 
 
 class EntrySettings(StrictModel):
--- a/papayacrank/entry/_completion_flow.py
+++ b/papayacrank/entry/_completion_flow.py
@@ -263,7 +263,9 @@
 
     def _observe_token(self) -> None:
         now_ms = self._now_ms()
+        spent = 1
         if self._first_token_ms is None:
+            spent += self._prompt_tokens
             self._first_token_ms = now_ms
             self._context.router.on_first_token(self._attempt_id, now_ms)
             ttft_ms = now_ms - self._arrived_ms
@@ -273,6 +275,7 @@
             gap_ms = now_ms - self._last_token_ms
             self._context.usage.on_token_gap(self.workspace, gap_ms)
         self._last_token_ms = now_ms
+        self._context.shares.spend(self.request_id, spent, now_ms)
 
     def _pause_if_blocked(self) -> None:
         if self._exchange.is_blocked and not self._is_paused:
--- a/papayacrank/replay/_entry.py
+++ b/papayacrank/replay/_entry.py
@@ -273,6 +273,8 @@
     def _first_token(self, record: Record) -> None:
         if record.ttft_ms is None:
             record.ttft_ms = self.schedule.now_ms - record.arrival.at_ms
+            prompt_tokens = record.arrival.prompt_tokens
+            self.shares.spend(record.arrival.request_id, prompt_tokens, self.now_ms)
         self.router.on_first_token(record.arrival.request_id, self.now_ms)
 
     def _finish(self, record: Record) -> None:
