Answer heartbeats while the disk of a follower stalls

A heartbeat without entries is now answered at once if term and vote are synced, with the synced part of the log only. It helps processes that run Persist in another thread. Resends to a member that does not progress back off by doubling, up to 32 times.

Entries that are replaced before their sync no longer count as durable when the sync of the old ones completes.

--- a/papayacrank/consensus/_core.py
+++ b/papayacrank/consensus/_core.py
@@ -49,6 +49,7 @@
 
     token: int
     last_index: int
+    has_hard_state: bool
     deferred: list[tuple[int, Callable[[], None]]]
 
 
@@ -122,10 +123,13 @@
         while self._deferred and not self._protections.sync_before_reply:
             self._durable_index = self._log.last_index
             self._run_deferred(self._take_deferred())
+        changed = self._hard_state_changed
         records = self._take_records()
         if records:
             self._token += 1
-            pending = _Pending(self._token, self._log.last_index, self._take_deferred())
+            last_index = self._log.last_index
+            deferred = self._take_deferred()
+            pending = _Pending(self._token, last_index, changed, deferred)
             self._pending.append(pending)
             self._effects.append(Persist(self._token, records))
         elif self._pending:
@@ -157,9 +161,21 @@
     def _on_synced(self, token: int) -> None:
         while self._pending and self._pending[0].token <= token:
             pending = self._pending.popleft()
-            self._durable_index = min(pending.last_index, self._log.last_index)
+            self._durable_index = pending.last_index
             self._run_deferred(pending.deferred)
 
+    @property
+    def _is_term_synced(self) -> bool:
+        """Whether term and vote are durable, so that a promise outlives a crash."""
+        waiting = any(pending.has_hard_state for pending in self._pending)
+        return not waiting and not self._hard_state_changed
+
+    def _note_cut(self, index: int) -> None:
+        """Count nothing above `index` as durable until it is written again."""
+        self._durable_index = min(self._durable_index, index)
+        for pending in self._pending:
+            pending.last_index = min(pending.last_index, index)
+
     # Log
 
     def _append_entry(self, entry: Entry) -> None:
--- a/papayacrank/consensus/_election.py
+++ b/papayacrank/consensus/_election.py
@@ -95,7 +95,10 @@
             return
         if request.pre_vote:
             granted = request.term > self._term and self._accepts(request)
-            term = request.term if granted else self._term
+            # Without the floor in the answer, a candidate below it would be refused
+            # for ever.
+            refused_term = max(self._term, self._term_floor)
+            term = request.term if granted else refused_term
             self._send(sender, self._vote_reply(term, True, granted))
             return
         if request.term > self._term:
--- a/papayacrank/consensus/_progress.py
+++ b/papayacrank/consensus/_progress.py
@@ -30,6 +30,8 @@
         Latest time of sending that a reply refers to; the lease counts from it.
     progress_ms : int
         When `match_index` last grew, or sending resumed.
+    resends : int
+        Resends since `match_index` last grew; each doubles the time to the next one.
     """
 
     member: Member
@@ -41,6 +43,7 @@
     progress_ms: int = NEVER_MS
     records_sent_ms: int = NEVER_MS
     in_flight: deque[int] = field(default_factory=deque)
+    resends: int = 0
     snapshot: Snapshot | None = None
     snapshot_offset: int = 0
 
@@ -57,6 +60,8 @@
         """Note an acknowledged prefix."""
         if match_index > self.match_index or self.probing:
             self.progress_ms = now_ms
+        if match_index > self.match_index:
+            self.resends = 0
         self.match_index = max(self.match_index, match_index)
         self.next_index = max(self.next_index, self.match_index + 1)
         self.probing = False
--- a/papayacrank/consensus/_recovery.py
+++ b/papayacrank/consensus/_recovery.py
@@ -171,7 +171,7 @@
         self._set_term(0)
         self._log.reset(None)
         self._commit_index = 0
-        self._durable_index = 0
+        self._note_cut(0)
         self._effects.append(InstallState(b"", 0))
         self._contact_ms = self._now_ms
         self._start_recovery()
--- a/papayacrank/consensus/_replication.py
+++ b/papayacrank/consensus/_replication.py
@@ -25,6 +25,7 @@
 # Learners neither vote nor support the lease, so that they need fewer heartbeats.
 LEARNER_HEARTBEAT_FACTOR = 5
 RESEND_FACTOR = 3
+MAX_RESEND_DOUBLINGS = 5
 # Idle members learn what the others acknowledged within this time. Sending it with
 # every heartbeat would more than double the idle traffic.
 RECORDS_INTERVAL_MS = 1_000
@@ -75,6 +76,7 @@
         self._heartbeat_count += 1
         for progress in self._progress.values():
             if self._resend_is_due(progress):
+                progress.resends += 1
                 progress.back_off(progress.match_index + 1)
             if progress.member.voter or self._learner_heartbeat_is_due():
                 self._send_heartbeat(progress)
@@ -86,6 +88,7 @@
 
     def _resend_is_due(self, progress: Progress) -> bool:
         limit_ms = RESEND_FACTOR * self._settings.heartbeat_interval_ms
+        limit_ms *= 2 ** min(progress.resends, MAX_RESEND_DOUBLINGS)
         waiting = bool(progress.in_flight) and not progress.probing
         return waiting and self._now_ms - progress.progress_ms > limit_ms
 
@@ -273,7 +276,12 @@
         self._take_entries(request.entries)
         match = request.previous_index + len(request.entries)
         self._advance_commit(min(request.commit_index, match))
-        self._reply(sender, request, True, match)
+        if not request.entries and self._is_term_synced:
+            # A slow disk must not look like a lost member.
+            durable = min(match, self._durable_index)
+            self._send(sender, self._append_reply(request, True, durable))
+        else:
+            self._reply(sender, request, True, match)
 
     def _follow(self, sender: str, request: AppendRequest | SnapshotChunk) -> bool:
         """Accept the sender as leader of its term; False if it is not."""
@@ -329,7 +337,7 @@
         if index < self._commit_index:
             raise RuntimeError(f"committed entry {index + 1} contradicts the leader")
         self._log.truncate(index)
-        self._durable_index = min(self._durable_index, index)
+        self._note_cut(index)
 
     def _reply(
         self,
@@ -339,7 +347,17 @@
         match_index: int,
         snapshot_offset: int = -1,
     ) -> None:
-        reply = AppendReply(
+        reply = self._append_reply(request, accepted, match_index, snapshot_offset)
+        self._after_sync(lambda: self._send(sender, reply))
+
+    def _append_reply(
+        self,
+        request: AppendRequest | SnapshotChunk,
+        accepted: bool,
+        match_index: int,
+        snapshot_offset: int = -1,
+    ) -> AppendReply:
+        return AppendReply(
             group=self._group,
             term=self._term,
             identity=self._identity,
@@ -348,7 +366,6 @@
             sent_ms=request.sent_ms,
             snapshot_offset=snapshot_offset,
         )
-        self._after_sync(lambda: self._send(sender, reply))
 
     # Snapshot transfer
 
@@ -433,7 +450,7 @@
             self._log.compact(snapshot, 0, 0)
         else:
             self._log.reset(snapshot)
-            self._durable_index = 0
+            self._note_cut(0)
         self._commit_index = snapshot.index
         self._effects.append(InstallState(data, snapshot.index))
         self._notice(SNAPSHOT_INSTALLED, index=snapshot.index, bytes=len(data))
--- a/papayacrank/consensus/tests/_simulation.py
+++ b/papayacrank/consensus/tests/_simulation.py
@@ -1,6 +1,7 @@
 """Several members with simulated messages, disks and clocks, driven by one seed."""
 
 import heapq
+from collections import deque
 from dataclasses import replace
 from functools import partial
 from random import Random
@@ -103,6 +104,7 @@
         self.applied_index = 0
         self.proposed: dict[tuple[int, int], bytes] = {}
         self.timers: dict[str, int] = {}
+        self.disk_queue: deque[Persist] = deque()
         self.store = LogStore("", self.files, SEGMENT_BYTES)
         try:
             loaded = self.store.load()
@@ -155,11 +157,13 @@
                     self.disk_free_ms = max(
                         self.cluster.now_ms + delay_ms, self.disk_free_ms + 0.01
                     )
-                    self.cluster.at(self.disk_free_ms, self, self._persist, effect)
+                    self.disk_queue.append(effect)
+                    self.cluster.at(self.disk_free_ms, self, self._persist)
 
     disk_free_ms = 0.0
 
-    def _persist(self, effect: Persist) -> None:
+    def _persist(self) -> None:
+        effect = self.disk_queue.popleft()
         try:
             self.store.append(effect.records)
         except SimulatedCrashError:
@@ -357,6 +361,7 @@
         """End all faults, restart everything and check the whole history."""
         self.heal()
         self.loss = self.duplication = 0
+        self.disk_ms = 4
         for host in self.hosts.values():
             host.files.crash_at_sync = None
             self.restart(host, 10)
@@ -387,6 +392,7 @@
                 partial(cluster.pause, leader, random.uniform(100, 1_500)),
                 partial(crash_at_sync, random.choice((host, leader)), random),
                 partial(change_members, cluster),
+                partial(setattr, cluster, "disk_ms", random.choice((4, 40, 800))),
             )
         )
         fault()
--- a/papayacrank/consensus/tests/test_faults.py
+++ b/papayacrank/consensus/tests/test_faults.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from papayacrank.consensus import Remove, Replace, _replication
+from papayacrank.consensus import HardState, Remove, Replace, _replication
 from papayacrank.consensus.tests._simulation import (
     Cluster,
     ViolationError,
@@ -146,3 +146,46 @@
     leader.call("flush")
     cluster.run(100)
     cluster.finish()
+
+
+def test_slow_disks_cost_no_election():
+    """Guards against a disk stall of all followers that looks like their loss."""
+    cluster = Cluster(8, size=3, voters=3).start()
+    leader, term = cluster.leading(), cluster.leading().node.term
+    cluster.disk_ms = 3_000
+    for _ in range(100):
+        cluster.clients(50)
+        assert leader.has_lease
+    assert leader.node.term == term
+    cluster.finish()
+
+
+def test_rejoined_member_with_the_same_folder_keeps_its_identity():
+    """Guards against replacing intact folders after a plain restart."""
+    cluster = Cluster(9, size=5, voters=5).start()
+    before = {name: host.store.identity for name, host in cluster.hosts.items()}
+    for _ in range(3):
+        for host in cluster.hosts.values():
+            cluster.clients(300)
+            cluster.restart(host, 50)
+    cluster.finish()
+    assert before == {n: host.store.identity for n, host in cluster.hosts.items()}
+
+
+def test_term_floor_does_not_block_elections():
+    """Guards against a group whose members all refuse the next term.
+
+    One member has a higher term than the others, who learn so in their start check.
+    """
+    cluster = Cluster(10, size=5, voters=5).start()
+    odd, *others = cluster.hosts.values()
+    for host in cluster.hosts.values():
+        host.crash()
+    state = odd.store.load()
+    odd.store.append([HardState(50, "", state.hard_state.group)])
+    for host in others:
+        host.start()
+    odd.start()
+    cluster.run(30)
+    cluster.partition({odd.name})
+    cluster.write_and_wait()
