Keep old folders away from the state machine and document operations

An old copy of a data folder was passed to the state machine as InstallState before the start check and had to be taken back with empty data, which state.StateMachine.restore refuses. Empty data remains for one rare case (loss noticed later), stated in the docstrings; the control process must handle it.

--- a/papayacrank/consensus/__init__.py
+++ b/papayacrank/consensus/__init__.py
@@ -40,6 +40,7 @@
   `Committed` that was applied.
 - Reads and feed answers are allowed while ``node.has_lease(now_ms)``, after all
   effects have been run. It is true only once an entry of the term is committed.
+- `InstallState` with empty data means the initial state of a new state machine.
 - `LogStoreError` from the store means that the folder is damaged or cannot be
   written: stop the process. After a failed sync nothing may be acknowledged.
 """
--- a/papayacrank/consensus/_effects.py
+++ b/papayacrank/consensus/_effects.py
@@ -52,7 +52,8 @@
     Parameters
     ----------
     data : bytes
-        State as passed to `RaftNode.compact`.
+        State as passed to `RaftNode.compact`. Empty for the initial state, when a
+        member has to discard its folder after it has applied entries.
     index : int
         Log index of the last entry that the state includes.
     """
--- a/papayacrank/consensus/_node.py
+++ b/papayacrank/consensus/_node.py
@@ -8,7 +8,6 @@
 from papayacrank.kernel import Failure
 
 from ._core import ELECTION_TIMER, HEARTBEAT_TIMER, QUERY_TIMER, Role
-from ._effects import InstallState
 from ._election import Election
 from ._membership import MemberChange, MembershipControl, refuse
 from ._messages import (
@@ -93,9 +92,9 @@
     def wants_snapshot(self) -> bool:
         """Whether `compact` should be called with the state at `commit_index`."""
         entries = self._commit_index - self._log.snapshot_index
-        return (
-            entries >= self._settings.snapshot_every_entries
-            or self._log.bytes_since_snapshot >= MAX_LOG_BYTES_BEFORE_SNAPSHOT
+        large = self._log.bytes_since_snapshot >= MAX_LOG_BYTES_BEFORE_SNAPSHOT
+        return entries >= self._settings.snapshot_every_entries or (
+            large and entries > 0
         )
 
     def has_lease(self, now_ms: int) -> bool:
@@ -132,9 +131,6 @@
         # A vote given right after a restart could break the lease of a leader that
         # the process had answered before.
         self._contact_ms = now_ms
-        if self._log.snapshot is not None:
-            snapshot = self._log.snapshot
-            self._effects.append(InstallState(snapshot.data, snapshot.index))
         self._arm_election()
         self._set_timer(ELECTION_TIMER, self._election_deadline_ms)
         self._start_recovery()
--- a/papayacrank/consensus/_recovery.py
+++ b/papayacrank/consensus/_recovery.py
@@ -53,7 +53,9 @@
         self._answers: dict[str, StatusReply] = {}
         self._floors: dict[str, tuple[Position, int]] = {}
         self._nonce = self._random.getrandbits(62)
-        self._is_verified = not self._protections.identity and bool(self._group)
+        self._is_verified = False
+        if not self._protections.identity and self._group:
+            self._end_check()
         self._query_interval_ms = FIRST_QUERY_INTERVAL_MS
         self._query_all()
         self._check_start()
@@ -172,7 +174,8 @@
         self._log.reset(None)
         self._commit_index = 0
         self._note_cut(0)
-        self._effects.append(InstallState(b"", 0))
+        if self._is_verified:
+            self._effects.append(InstallState(b"", 0))
         self._contact_ms = self._now_ms
         self._start_recovery()
 
@@ -204,8 +207,18 @@
         known = [reply.membership for reply in self._answers.values()]
         return max([self._log.membership, *known], key=lambda m: m.index)
 
-    def _finish_check(self) -> None:
+    def _end_check(self) -> None:
+        """Take part from now on, starting from the own snapshot.
+
+        An old copy that is discarded never reaches the state machine.
+        """
         self._is_verified = True
+        snapshot = self._log.snapshot
+        if snapshot is not None:
+            self._effects.append(InstallState(snapshot.data, snapshot.index))
+
+    def _finish_check(self) -> None:
+        self._end_check()
         for sender, reply in self._answers.items():
             self._raise_floor(sender, reply)
         self._adopt_group()
