Spread the votes over the failure domains

Voters gathered in one failure domain when instances of other domains were away for a while, and stayed there, so that the loss of that domain could cost the majority. The leader now promotes a caught-up learner of a domain with at least 2 voters fewer and then removes a voter of the fullest domain. The number of voters never falls below the target meanwhile (asserted by the test).

--- a/papayacrank/consensus/_membership.py
+++ b/papayacrank/consensus/_membership.py
@@ -63,6 +63,7 @@
     """Part of the decision code that changes the members."""
 
     _planned_voter = ""
+    _is_balancing = False
 
     def _change_member(self, change: MemberChange) -> Result[int, Failure]:
         if self._role is not Role.LEADER:
@@ -162,18 +163,62 @@
         """Make at most one change towards the intended members."""
         if not self._may_change_members() or not self._holds_lease():
             return
-        silent = self._find_silent()
-        learner = self._find_promotable()
-        if silent is not None:
+        if (silent := self._find_silent()) is not None:
             progress = self._progress[silent.identity]
             silent_ms = self._now_ms - progress.heard_ms
             self._notice(VOTER_SILENT, member=silent.name, silent_ms=silent_ms)
             self._remove(silent)
-        elif learner is not None:
+        elif (learner := self._find_promotable()) is not None:
             self._planned_voter = ""
             self._promote(learner)
         elif self._joiners:
             self._add_joiner()
+        elif self._all_voters_answer():
+            self._balance_domains()
+
+    def _balance_domains(self) -> None:
+        """Move a vote from the domain with most voters to one with at least 2 fewer.
+
+        The learner is promoted before the voter is removed, so that the group
+        survives as many losses as before at every step.
+        """
+        excess = len(self._voters) - self._intended_voters()
+        if self._is_balancing and excess <= 0:
+            self._is_balancing = False
+        if len(self._voters) > self._settings.target_voters or self._is_balancing:
+            self._remove(self._voter_to_spare())
+            self._is_balancing = False
+        elif excess == 0 and (learner := self._find_balancing()) is not None:
+            self._is_balancing = True
+            self._promote(learner)
+
+    def _find_balancing(self) -> Member | None:
+        """Return a learner whose domain has at least 2 voters fewer than another."""
+        voters = Counter(m.failure_domain for m in self._voters)
+        most = max(voters.values(), default=0)
+        learners = self._caught_up_learners()
+        fitting = [m for m in learners if voters[m.failure_domain] + 2 <= most]
+        return min(
+            fitting, key=lambda m: (voters[m.failure_domain], m.name), default=None
+        )
+
+    def _voter_to_spare(self) -> Member:
+        """Return a voter of the domain with most voters, rather not the leader."""
+        voters = Counter(m.failure_domain for m in self._voters)
+        return max(
+            self._voters,
+            key=lambda m: (
+                voters[m.failure_domain],
+                m.identity != self._identity,
+                m.name,
+            ),
+        )
+
+    def _all_voters_answer(self) -> bool:
+        return all(
+            self._now_ms - self._heard_ms_of(voter) <= LEARNER_CONTACT_MS
+            for voter in self._voters
+        )
 
     def _find_silent(self) -> Member | None:
         """Return a silent member that may be removed, learners first.
--- a/papayacrank/consensus/tests/_simulation.py
+++ b/papayacrank/consensus/tests/_simulation.py
@@ -210,14 +210,13 @@
         drift = SETTINGS.clock_drift
         self.hosts: dict[str, Host] = {}
         for i, name in enumerate(names):
-            settings = replace(
-                SETTINGS,
-                name=name,
-                failure_domain=DOMAINS[i % len(DOMAINS)],
-                peers=tuple(n for n in names if n != name),
-                initial_voters=names[:voters],
-                **overrides,
-            )
+            own = {
+                "name": name,
+                "failure_domain": DOMAINS[i % len(DOMAINS)],
+                "peers": tuple(n for n in names if n != name),
+                "initial_voters": names[:voters],
+            }
+            settings = replace(SETTINGS, **(own | overrides))
             rate = self.random.choice((1 - drift, 1.0, 1 + drift))
             self.hosts[name] = Host(self, settings, rate)
 
--- a/papayacrank/consensus/tests/test_faults.py
+++ b/papayacrank/consensus/tests/test_faults.py
@@ -189,3 +189,47 @@
     cluster.run(30)
     cluster.partition({odd.name})
     cluster.write_and_wait()
+
+
+@pytest.mark.parametrize("target", [3, 5])
+def test_votes_spread_over_the_failure_domains(target):
+    """Guards against a majority of voters in one failure domain.
+
+    Voters gather there when instances of the other domains are away for a while.
+    """
+    crowded = ("n0", "n3", "n6", "n1", "n4")[:target]
+    cluster = Cluster(12, 9, initial_voters=crowded, target_voters=target).start()
+    lowest = [len(cluster.voters())]
+
+    def is_spread():
+        voters = cluster.voters()
+        lowest.append(len(voters) or lowest[-1])
+        domains = [cluster.hosts[name].settings.failure_domain for name in voters]
+        counts = [domains.count(d) for d in ("east", "west", "north")]
+        return len(voters) == target and max(counts) - min(counts) <= 1
+
+    cluster.run_until(is_spread, 10_000)
+    assert min(lowest) == target
+    settled = cluster.voters()
+    cluster.run(3_000)
+    assert cluster.voters() == settled
+    cluster.finish()
+
+
+def test_old_folder_that_is_noticed_late_is_discarded():
+    """Guards against a member that is stuck, or whose state is applied twice."""
+    cluster = Cluster(13).start()
+    leader = cluster.leading()
+    lagging, host = (h for h in cluster.hosts.values() if h is not leader)
+    cluster.clients(200)
+    copy, old = host.files.copy(), host.store.identity
+    cluster.partition({lagging.name})
+    cluster.write_and_wait()
+    cluster.lose_disk(host, copy)
+    cluster.partition({leader.name})
+    cluster.run(430)
+    assert host.store.identity == old
+    cluster.heal()
+    cluster.clients(2_000)
+    assert host.node.identity != old
+    cluster.finish()
