Refuse orders that cost the majority, and bound proposals

A removal ordered by an operator while two of five voters were down left no majority for good; it is now refused (too_few_voters).

Every starting member, not only the founder, reports whom it waits for.

--- a/papayacrank/consensus/_membership.py
+++ b/papayacrank/consensus/_membership.py
@@ -109,6 +109,8 @@
         member = max(named, key=lambda m: m.voter)
         if member.voter and len(self._voters) == 1:
             return refuse("last_voter", "the last voter cannot be removed")
+        if member.voter and not self._survives_without(member):
+            return refuse("too_few_voters", f"without {name}, no majority answers")
         return Ok(self._remove(member))
 
     def _replace(self, old: str, new: str) -> Result[int, Failure]:
@@ -214,6 +216,15 @@
             ),
         )
 
+    def _survives_without(self, member: Member) -> bool:
+        """Whether a majority of the other voters answers now."""
+        others = [m for m in self._voters if m.identity != member.identity]
+        limit_ms = self._settings.election_timeout_ms
+        answering = [
+            m for m in others if self._now_ms - self._heard_ms_of(m) <= limit_ms
+        ]
+        return len(answering) > len(others) // 2
+
     def _all_voters_answer(self) -> bool:
         return all(
             self._now_ms - self._heard_ms_of(voter) <= LEARNER_CONTACT_MS
--- a/papayacrank/consensus/_node.py
+++ b/papayacrank/consensus/_node.py
@@ -31,8 +31,9 @@
 from ._settings import RaftSettings
 
 MAX_ENTRY_BYTES = 1024 * 1024
-MAX_UNCOMMITTED_ENTRIES = 4_096
+MAX_UNSETTLED_ENTRIES = 4_096
 MAX_LOG_BYTES_BEFORE_SNAPSHOT = 16 * 1024 * 1024
+MAX_LOG_BYTES = 48 * 1024 * 1024
 TRAILING_BYTES = 4 * 1024 * 1024
 
 
@@ -244,8 +245,11 @@
             return refuse("not_leader", f"the leader is {self._leader!r}", 503)
         if len(data) > MAX_ENTRY_BYTES:
             return refuse("too_large", f"the limit is {MAX_ENTRY_BYTES} bytes", 413)
-        if self._log.last_index - self._commit_index >= MAX_UNCOMMITTED_ENTRIES:
-            return refuse("overloaded", "too many uncommitted entries", 503)
+        settled_index = min(self._commit_index, self._durable_index)
+        if self._log.last_index - settled_index >= MAX_UNSETTLED_ENTRIES:
+            return refuse("overloaded", "too many entries wait for a sync", 503)
+        if self._log.bytes_since_snapshot >= MAX_LOG_BYTES:
+            return refuse("overloaded", "the log waits for a snapshot", 503)
         index = self._log.last_index + 1
         self._append_own_entry(Entry(index, self._term, KIND_DATA, data))
         return Ok(index)
--- a/papayacrank/consensus/_recovery.py
+++ b/papayacrank/consensus/_recovery.py
@@ -285,14 +285,15 @@
         members that are merely unreachable.
         """
         voters = self._settings.initial_voters
-        if self._group or not voters or self._settings.name != min(voters):
+        if self._group or not voters:
             return
         expected = {*self._others, *voters} - {self._settings.name}
         missing = sorted(expected - self._answers.keys())
         if missing:
             self._notice_waiting(missing)
             return
-        if any(reply.group for reply in self._answers.values()):
+        is_founder = self._settings.name == min(voters)
+        if not is_founder or any(reply.group for reply in self._answers.values()):
             return
         self._group = self._new_identity()
         self._set_term(1, self._identity)
--- a/papayacrank/consensus/tests/_simulation.py
+++ b/papayacrank/consensus/tests/_simulation.py
@@ -371,7 +371,7 @@
         self.history.check_final(self.leading() or self.leaders()[0])
 
 
-def random_faults(cluster: Cluster, steps: int) -> None:
+def random_faults(cluster: Cluster, steps: int, orders: bool = True) -> None:
     """Run random faults that a group of this size must survive, with clients."""
     random = cluster.random
     cluster.loss = random.choice((0, 0.02, 0.2))
@@ -390,7 +390,7 @@
                 partial(cluster.restart, leader, random.uniform(10, 1_500)),
                 partial(cluster.pause, leader, random.uniform(100, 1_500)),
                 partial(crash_at_sync, random.choice((host, leader)), random),
-                partial(change_members, cluster),
+                partial(change_members, cluster) if orders else cluster.heal,
                 partial(setattr, cluster, "disk_ms", random.choice((4, 40, 800))),
             )
         )
--- a/papayacrank/consensus/tests/test_faults.py
+++ b/papayacrank/consensus/tests/test_faults.py
@@ -59,6 +59,24 @@
             raise
 
 
+def test_two_disks_lost_at_once_lose_no_entry():
+    """Guards against a group that forgets what only one remaining voter has."""
+    for seed in range(100):
+        cluster = Cluster(seed, size=5, voters=5).start()
+        random_faults(cluster, steps=2, orders=False)
+        cluster.heal()
+        cluster.run(1_500)
+        cluster.clients(cluster.random.uniform(100, 800))
+        for host in cluster.random.sample(list(cluster.hosts.values()), 2):
+            cluster.lose_disk(host)
+        random_faults(cluster, steps=4, orders=False)
+        try:
+            cluster.finish()
+        except Exception as error:
+            error.add_note(f"seed {seed}")
+            raise
+
+
 def test_two_lost_disks_in_turn_are_repaired():
     """Guards against a group that stays short of voters after a repair."""
     cluster = Cluster(1, size=6, voters=5).start()
@@ -233,3 +251,44 @@
     cluster.clients(2_000)
     assert host.node.identity != old
     cluster.finish()
+
+
+@pytest.mark.parametrize("sync", range(1, 12))
+def test_founder_that_crashes_while_founding(sync):
+    """Guards against two groups, or none, after a crash at any sync of the start."""
+    cluster = Cluster(sync)
+    founder = cluster.hosts["n0"]
+    founder.files.crash_at_sync = sync
+    for host in cluster.hosts.values():
+        host.start()
+    cluster.run(50)
+    founder.start()
+    cluster.run_until(cluster.leading, 5_000)
+    cluster.clients(500)
+    cluster.finish()
+
+
+def test_proposals_are_bounded():
+    """Guards against memory that grows without limit while nothing is committed."""
+    cluster = Cluster(14).start()
+    leader = cluster.leading()
+    cluster.partition({leader.name})
+    results = [leader.node.propose(b"x", leader.now_ms) for _ in range(5_000)]
+    codes = {result.error.code for result in results if result.is_error()}
+    assert codes == {"overloaded"}
+    assert leader.node.propose(bytes(2**21), leader.now_ms).error.code == "too_large"
+    large = [leader.node.propose(bytes(2**20), leader.now_ms) for _ in range(60)]
+    assert large[-1].error.code == "overloaded"
+
+
+def test_order_that_would_cost_the_majority_is_refused():
+    """Guards against an operator's removal that leaves too few live voters."""
+    cluster = Cluster(15, size=5, voters=5).start()
+    leader = cluster.leading()
+    names = [name for name in cluster.hosts if name != leader.name]
+    for name in names[:2]:
+        cluster.hosts[name].crash()
+    cluster.run(1_000)
+    result = leader.node.change_member(Remove(names[2]), leader.now_ms)
+    assert result.error.code == "too_few_voters"
+    assert leader.node.change_member(Remove(names[0]), leader.now_ms).is_ok()
