--- a/papayacrank/consensus/_recovery.py
+++ b/papayacrank/consensus/_recovery.py
@@ -53,7 +53,9 @@
         self._answers: dict[str, StatusReply] = {}
         self._floors: dict[str, tuple[Position, int]] = {}
         self._nonce = self._random.getrandbits(62)
-        self._is_verified = not self._protections.identity and bool(self._group)
+        self._is_verified = False
+        if not self._protections.identity and self._group:
+            self._end_check()
         self._query_interval_ms = FIRST_QUERY_INTERVAL_MS
         self._query_all()
         self._check_start()
@@ -171,8 +173,9 @@
         self._set_term(0)
         self._log.reset(None)
         self._commit_index = 0
-        self._durable_index = 0
-        self._effects.append(InstallState(b"", 0))
+        self._note_cut(0)
+        if self._is_verified:
+            self._effects.append(InstallState(b"", 0))
         self._contact_ms = self._now_ms
         self._start_recovery()
 
@@ -204,8 +207,18 @@
         known = [reply.membership for reply in self._answers.values()]
         return max([self._log.membership, *known], key=lambda m: m.index)
 
-    def _finish_check(self) -> None:
+    def _end_check(self) -> None:
+        """Take part from now on, starting from the own snapshot.
+
+        An old copy that is discarded never reaches the state machine.
+        """
         self._is_verified = True
+        snapshot = self._log.snapshot
+        if snapshot is not None:
+            self._effects.append(InstallState(snapshot.data, snapshot.index))
+
+    def _finish_check(self) -> None:
+        self._end_check()
         for sender, reply in self._answers.items():
             self._raise_floor(sender, reply)
         self._adopt_group()
@@ -272,14 +285,15 @@
         members that are merely unreachable.
         """
         voters = self._settings.initial_voters
-        if self._group or not voters or self._settings.name != min(voters):
+        if self._group or not voters:
             return
         expected = {*self._others, *voters} - {self._settings.name}
         missing = sorted(expected - self._answers.keys())
         if missing:
             self._notice_waiting(missing)
             return
-        if any(reply.group for reply in self._answers.values()):
+        is_founder = self._settings.name == min(voters)
+        if not is_founder or any(reply.group for reply in self._answers.values()):
             return
         self._group = self._new_identity()
         self._set_term(1, self._identity)
