Reserve the ports that a fleet hands out

Cause: two test runs side by side could choose the same free port, because it was only checked at the time of choosing.

Change: the fleet keeps each port bound until it is closed.

Conclusion: workers may run fleets in parallel.

--- a/papayacrank/testing/_fleet.py
+++ b/papayacrank/testing/_fleet.py
@@ -103,7 +103,7 @@
         self._random = random_state or random.Random()
         self._processes: dict[str, FleetProcess] = {}
         self._relays: list[Relay] = []
-        self._ports: set[int] = set()
+        self._reserved: list[socket.socket] = []
 
     @property
     def processes(self) -> Mapping[str, FleetProcess]:
@@ -119,11 +119,12 @@
     # Addresses and settings
 
     def free_address(self) -> str:
-        """Return an unused address that this fleet has not handed out before."""
+        """Return an unused address, reserved for this fleet until it is closed."""
         for _ in range(LAST_PORT - FIRST_PORT):
             port = self._random.randrange(FIRST_PORT, LAST_PORT)
-            if port not in self._ports and _is_free(port):
-                self._ports.add(port)
+            reserved = _reserve(port)
+            if reserved is not None:
+                self._reserved.append(reserved)
                 return f"{LOOPBACK}:{port}"
         raise FleetError("no free port")
 
@@ -247,6 +248,9 @@
         for relay in self._relays:
             relay.close()
         self._relays.clear()
+        for sock in self._reserved:
+            sock.close()
+        self._reserved.clear()
 
     # Observation
 
@@ -425,11 +429,17 @@
     ]
 
 
-def _is_free(port: int) -> bool:
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            sock.bind((LOOPBACK, port))
-        except OSError:
-            return False
-        return True
+def _reserve(port: int) -> socket.socket | None:
+    """Return a socket that keeps the port from other fleets, or None if it is taken.
+
+    The port is bound exclusively first. Once the address may be reused, a process of
+    this fleet can listen on it, while another fleet still cannot bind it exclusively.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.bind((LOOPBACK, port))
+    except OSError:
+        sock.close()
+        return None
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return sock
--- a/papayacrank/testing/tests/test_fleet.py
+++ b/papayacrank/testing/tests/test_fleet.py
@@ -1,6 +1,7 @@
 """Tests of the fleet, the relay and the stand-in programs."""
 
 import http.client
+import random
 import socket
 import time
 
@@ -65,6 +66,21 @@
     assert entries[0]["request_id"] == "r7"
 
 
+def test_addresses_of_fleets_that_run_side_by_side_differ(fleet, tmp_path):
+    """Guards against two test runs whose processes take each other's ports."""
+    first = Fleet(tmp_path, random.Random(1))
+    second = Fleet(tmp_path, random.Random(1))
+    addresses = [f.free_address() for f in (first, second) for _ in range(20)]
+    assert len(set(addresses)) == len(addresses)
+    port = addresses[0].rsplit(":", 1)[1]
+    assert fleet.start_service("service-1", port=port).address == addresses[0]
+    events = addresses[1].rsplit(":", 1)[1]
+    engine = fleet.start_engine("engine-1", events_port=events)
+    assert engine.addresses["events_address"] == addresses[1]
+    first.close()
+    second.close()
+
+
 def test_only_own_processes_can_be_ended(fleet):
     """Guards against signals to processes that the fleet did not start."""
     with pytest.raises(FleetError):
