End the processes of a fleet when its run is terminated

Cause: a run of the proofs that timeout ended after 280 s left 3 processes behind, because SIGTERM ends Python without leaving the fleet's context.

Change: an open fleet turns SIGTERM into KeyboardInterrupt.

Conclusion: make prove leaves no process when its time is over.

--- a/papayacrank/testing/_fleet.py
+++ b/papayacrank/testing/_fleet.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -103,6 +104,7 @@
         self._random = random_state or random.Random()
         self._processes: dict[str, FleetProcess] = {}
         self._relays: list[Relay] = []
+        self._changed_sigterm = False
         self._reserved: list[socket.socket] = []
 
     @property
@@ -111,6 +113,7 @@
         return dict(self._processes)
 
     def __enter__(self) -> "Fleet":
+        self._interrupt_on_sigterm()
         return self
 
     def __exit__(self, *_) -> None:
@@ -251,6 +254,9 @@
         for sock in self._reserved:
             sock.close()
         self._reserved.clear()
+        if self._changed_sigterm:
+            signal.signal(signal.SIGTERM, signal.SIG_DFL)
+            self._changed_sigterm = False
 
     # Observation
 
@@ -344,6 +350,16 @@
 
     # Internals
 
+    def _interrupt_on_sigterm(self) -> None:
+        """Turn SIGTERM into KeyboardInterrupt, so that it does not leave processes.
+
+        By default, a test run that `timeout` ends would not close its fleets.
+        """
+        is_main = threading.current_thread() is threading.main_thread()
+        if is_main and signal.getsignal(signal.SIGTERM) is signal.SIG_DFL:
+            signal.signal(signal.SIGTERM, signal.default_int_handler)
+            self._changed_sigterm = True
+
     def _start_stand_in(self, name: str, module: str, options: dict) -> FleetProcess:
         arguments = [f"--{key}={value}" for key, value in options.items()]
         return self.start(name, module, *arguments, stand_in=True)
--- a/papayacrank/testing/tests/test_fleet.py
+++ b/papayacrank/testing/tests/test_fleet.py
@@ -1,12 +1,17 @@
 """Tests of the fleet, the relay and the stand-in programs."""
 
 import http.client
+import os
 import random
 import socket
+import subprocess
+import sys
 import time
+from pathlib import Path
 
 import pytest
 
+import papayacrank
 from papayacrank.testing import Direction, Fleet, FleetError, Relay, expected_output
 
 MESSAGES = [{"role": "user", "content": "Which remnants are left? " * 40}]
@@ -81,6 +86,35 @@
     second.close()
 
 
+TERMINATED_RUN = """
+import time
+from pathlib import Path
+from papayacrank.testing import Fleet
+with Fleet(Path(".")) as fleet:
+    service = fleet.start_service("service-1")
+    print(service.address, flush=True)
+    time.sleep(60)
+"""
+
+
+def test_terminated_run_leaves_no_process(tmp_path):
+    """Guards against processes that go on after `timeout` ended a test run."""
+    project = str(Path(papayacrank.__file__).parent.parent)
+    with subprocess.Popen(
+        [sys.executable, "-c", TERMINATED_RUN],
+        cwd=tmp_path,
+        env=os.environ | {"PYTHONPATH": project},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+    ) as run:
+        host, port = run.stdout.readline().strip().split(":")
+        run.terminate()
+        run.wait(10)
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection((host, int(port)), timeout=1)
+
+
 def test_only_own_processes_can_be_ended(fleet):
     """Guards against signals to processes that the fleet did not start."""
     with pytest.raises(FleetError):
