Let the load reports of the stand-in engine lag

Cause: the platform's engines report load with a lag; the stand-in did not.

Change: option load_lag_ms of the stand-in engine, 0 by default.

Conclusion: routing can be tested on old reports.

--- a/papayacrank/testing/_engine.py
+++ b/papayacrank/testing/_engine.py
@@ -88,6 +88,8 @@
         What the engine serves at the start.
     checks_fencing : bool
         Whether orders with an old fencing token are refused.
+    load_lag_ms : int
+        Age up to which a load report is given out again.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         weights_version: str = "1",
         role: str = "both",
         checks_fencing: bool = True,
+        load_lag_ms: int = 0,
     ):
         super().__init__(clock, timers, port, ENGINE_FAULTS)
         self._model = EngineModel(speed or EngineSpeed(), model, weights_version)
@@ -109,6 +112,9 @@
         self._client = TargetClient(clock, timers).register(self)
         self._importer = KvImporter(self._client).register(self)
         self._checks_fencing = checks_fencing
+        self._load_lag_ms = load_lag_ms
+        self._load_report: dict[str, Any] = {}
+        self._load_report_ms = 0
         self._role = role
         self._adapters: list[str] = []
         self._orders: OrderedDict[str, dict] = OrderedDict()
@@ -467,7 +473,16 @@
     # Load, orders, statistics
 
     def _report_load(self, req, res):
-        document = {
+        now_ms = self._clock.now_ms()
+        is_old = now_ms - self._load_report_ms >= self._load_lag_ms
+        is_other = self._load_report.get("incarnation") != self._incarnation
+        if is_old or is_other:
+            self._load_report = self._build_load_report()
+            self._load_report_ms = now_ms
+        return self._answer(res, 200, self._load_report)
+
+    def _build_load_report(self) -> dict[str, Any]:
+        return {
             "incarnation": self._incarnation,
             "weights_version": self._model.weights_version,
             "running": self._model.running,
@@ -475,7 +490,6 @@
             "queued_prefill_tokens": self._model.queued_prefill_tokens,
             "role": self._role,
         }
-        return self._answer(res, 200, document)
 
     def _take_order(self, req, res):
         document = read_json(req)
--- a/papayacrank/testing/engine.py
+++ b/papayacrank/testing/engine.py
@@ -24,6 +24,7 @@
     output_tokens: int = 64,
     load_weights_ms: int = 600,
     import_tokens_per_s: float = 500_000.0,
+    load_lag_ms: int = 0,
 ) -> None:
     """Run a stand-in engine on loopback.
 
@@ -46,6 +47,7 @@
         output_tokens: Typical length of an output, in tokens.
         load_weights_ms: Time to load weights, in milliseconds.
         import_tokens_per_s: Tokens imported per second from another engine.
+        load_lag_ms: Age up to which a load report is given out again.
     """
     speed = EngineSpeed(
         prefill_tokens_per_s,
@@ -71,6 +73,7 @@
             str(weights_version),
             role,
             checks_fencing,
+            load_lag_ms,
         )
 
     names = ("address", "events_address", "replay_address")
--- a/papayacrank/testing/tests/test_stand_ins.py
+++ b/papayacrank/testing/tests/test_stand_ins.py
@@ -173,6 +173,24 @@
     assert usage.cached_tokens == 0
 
 
+def test_load_report_lags(bench):
+    """Guards against a stand-in whose load is always known exactly."""
+    engine = bench.open_engine(
+        EngineSpeed(prefill_tokens_per_s=1), load_lag_ms=150, role="prefill"
+    )
+
+    def report(request_id):
+        bench.run_request(plain_request(engine.address, request_id, "/v1/load"))
+        return json.loads(bench.recorder.data[request_id])
+
+    assert (report("r1")["running"], report("r2")["role"]) == (0, "prefill")
+    bench.client.submit(stream_request(engine.address, "r3"))
+    bench.run_until(lambda: engine.active_)
+    assert report("r4")["running"] == 0
+    bench.run_ms(200)
+    assert report("r5")["running"] == 1
+
+
 def test_malformed_requests_are_refused(bench):
     """Guards against a stand-in that stops at the first bad request."""
     engine = bench.open_engine()
