Confine internal errors to the request that they occur in

An exception while the streams of a withdrawn key were ended would have left the remaining ones running, and one in a reply of the control group would have left a request open that a planned stop waits for.

--- a/papayacrank/entry/_action_flow.py
+++ b/papayacrank/entry/_action_flow.py
@@ -117,9 +117,11 @@
             owner=self._context.settings.instance,
             owner_boot=self._context.boot,
         )
-        self._context.submit_command(command, self._on_begun, BEGIN_TIMEOUT_MS)
+        callback = self._safely("on_begun")
+        self._context.submit_command(command, callback, BEGIN_TIMEOUT_MS)
 
-    def _on_begun(self, result: Result[ActionRecord, Failure]) -> None:
+    def on_begun(self, result: Result[ActionRecord, Failure]) -> None:
+        """The control group has answered whether the action may start."""
         if result.is_error():
             self._on_begin_failed(result.error)
         elif not result.ok.started_now:
@@ -170,7 +172,7 @@
     def _answer(self) -> None:
         """Record the answer, and pass it on once that is confirmed."""
         self._is_closing = True
-        self._set_timer("record", self._now_ms() + RECORD_WAIT_MS, self._pass_on)
+        self._set_timer("record", self._now_ms() + RECORD_WAIT_MS, "pass_on")
         kept = bytes(self._body) if len(self._body) <= MAX_RECORDED_BYTES else b""
         self._context.records_closer.close(
             FinishAction(
@@ -182,7 +184,7 @@
                 content_type=self._content_type() if self._body else "",
                 body=kept,
             ),
-            self._on_recorded,
+            self._safely("on_recorded"),
         )
 
     def _content_type(self) -> str:
@@ -190,14 +192,15 @@
         types = [v for n, v in self._headers if n.lower() == "content-type"]
         return types[0] if types else DEFAULT_TYPE
 
-    def _on_recorded(self, recorded: bool) -> None:
+    def on_recorded(self, recorded: bool) -> None:
+        """The control group has recorded the answer, or refused to."""
         self._note("answer recorded" if recorded else "answer could not be recorded")
         if self._caller is not None:
             self._context.usage.on_action(self.workspace, finished=recorded)
-        self._pass_on()
+        self.pass_on()
         self._end("served", None)
 
-    def _pass_on(self) -> None:
+    def pass_on(self) -> None:
         """Pass the answer to the caller, unless it is withheld or nobody waits."""
         if self._is_detached or not self._exchange.is_open:
             return
--- a/papayacrank/entry/_flow.py
+++ b/papayacrank/entry/_flow.py
@@ -1,6 +1,7 @@
 """Common part of the flows of requests to targets."""
 
 from abc import ABC, abstractmethod
+from functools import partial
 
 from papayacrank.admission import AdmissionPolicy, AdmissionRequest
 from papayacrank.config import Service
@@ -147,7 +148,7 @@
     def begin(self) -> None:
         """Ask for admission."""
         self._context.flows.add(self)
-        self._set_timer("deadline", self._deadline_at_ms, self._on_deadline)
+        self._set_timer("deadline", self._deadline_at_ms, "on_deadline")
         if self._caller is not None:
             self._context.usage.on_asked(self.workspace)
         self._life.on_queued()
@@ -315,7 +316,8 @@
             text = f"{text}: {failure.message[:MAX_MESSAGE_CHARACTERS]}"
         self._give_up(self._life.fail("target_failed", text, 502))
 
-    def _on_deadline(self) -> None:
+    def on_deadline(self) -> None:
+        """The time allowed for the request is over."""
         text = "the request did not end within its deadline"
         self.fail(self._life.fail(DEADLINE_CODE, text, 504))
 
@@ -379,8 +381,13 @@
     def _note(self, text: str) -> None:
         self._record.add_step(self._now_ms(), text)
 
-    def _set_timer(self, name: str, at_ms: int, callback) -> None:
-        self._context.timers.set(f"flow/{self.request_id}/{name}", at_ms, callback)
+    def _set_timer(self, name: str, at_ms: int, method: str) -> None:
+        timer = f"flow/{self.request_id}/{name}"
+        self._context.timers.set(timer, at_ms, self._safely(method))
+
+    def _safely(self, method: str):
+        """Return a callback whose internal errors end this request only."""
+        return partial(self._context.flows.call, self, method)
 
     def _cancel_timer(self, name: str) -> None:
         self._context.timers.cancel(f"flow/{self.request_id}/{name}")
--- a/papayacrank/entry/_flow_table.py
+++ b/papayacrank/entry/_flow_table.py
@@ -91,7 +91,16 @@
         except Exception as error:
             text = f"{type(error).__name__}: {error}"
             log_event(FLOW_FAILED, request_id=flow.request_id, error=text)
+            self._abort(flow)
+
+    def _abort(self, flow: RequestFlow) -> None:
+        try:
             flow.abort()
+        except Exception as error:
+            # Nothing of the flow can be relied on; it must not keep a stop waiting.
+            text = f"{type(error).__name__}: {error}"
+            log_event(FLOW_FAILED, request_id=flow.request_id, error=text)
+            self._flows.pop(flow.request_id, None)
 
     def poll_admission(self) -> None:
         """Admit or refuse queued requests; calls during a poll repeat it."""
--- a/papayacrank/entry/_process.py
+++ b/papayacrank/entry/_process.py
@@ -291,7 +291,7 @@
         log_event(CONTACT_LOST)
         addresses = self._dispatcher.list_other_addresses()
         for flow in self._flows.with_any_key():
-            flow.on_contact_lost(addresses)
+            self._flows.call(flow, "on_contact_lost", addresses)
 
     # Control
 
@@ -309,7 +309,7 @@
             flows = self._flows.with_key(entry.key_id)
             log_event(KEY_WITHDRAWN, key_id=entry.key_id, requests=len(flows))
             for flow in flows:
-                flow.on_key_withdrawn()
+                self._flows.call(flow, "on_key_withdrawn")
 
     def _on_grants(self, received: GrantsReceived) -> None:
         self._shares.apply_grants(
