--- a/papayacrank/entry/tests/test_lifecycle.py
+++ b/papayacrank/entry/tests/test_lifecycle.py
@@ -281,3 +281,21 @@
     with running_system(folder, services=0) as running:
         yield running
         assert "request_flow_failed" not in running.entries["entry-1"].log
+
+
+def test_all_processes_restart_at_once(tmp_path):
+    """Guards against a start that needs a serving peer, and against cold routing."""
+    prompt = "word " * 20_000
+    with running_system(tmp_path, engines=2, entries=3) as system:
+        assert system.complete(prompt=prompt, max_tokens=2).status == 200
+        for program in (system.control, *system.entries.values()):
+            program.kill()
+        system.restart_control()
+        for name in list(system.entries):
+            system.start_entry(name, wait=False)
+        for name in system.entries:
+            wait_until(lambda name=name: system.is_serving(name), name, 10)
+        answer = system.complete(prompt=prompt, max_tokens=2, name="entry-3")
+        assert answer.status == 200, answer.body
+        details = answer.json["usage"]["prompt_tokens_details"]
+        assert details["cached_tokens"] > 20_000
