--- a/papayacrank/routing/_policy.py
+++ b/papayacrank/routing/_policy.py
@@ -29,7 +29,7 @@
 # that favour the cache raise the price.
 MIN_COPY_WEIGHT = 1.0
 MAX_COPY_WEIGHT = 4.0
-COPY_WEIGHT_PER_GOAL = 1.5
+COPY_WEIGHT_PER_GOAL = 2.0
 
 
 @dataclass(frozen=True, slots=True)
