--- a/papayacrank/admission/_shares.py
+++ b/papayacrank/admission/_shares.py
@@ -7,6 +7,7 @@
 DEMAND_HORIZON_MS = 1_500
 IDLE_RETURN_MS = 1_000
 MIN_REPORT_INTERVAL_MS = 20
+IDLE_REPORTS = 10  # an idle share is reported this often, since reports can be lost
 MS_PER_SECOND = 1000
 
 
@@ -22,6 +23,12 @@
     demand_per_s: float = 0.0
     demand_at_ms: int = 0
     used_at_ms: int = 0
+    idle_reports: int = 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is held, reserved or wanted."""
+        return not (self.held or self.reserved or self.queued or self.demand_per_s)
 
 
 @dataclass(slots=True)
@@ -44,6 +51,7 @@
         self._shares: dict[str, _Share] = {}
         self._reservations: dict[str, _Reservation] = {}
         self._lease_until_ms = 0
+        self._answered_sent_ms = -1
         self._reported_ms = -MIN_REPORT_INTERVAL_MS
 
     @property
@@ -51,6 +59,11 @@
         """Time until which shares may be spent, in milliseconds."""
         return self._lease_until_ms
 
+    @property
+    def answered_sent_ms(self) -> int:
+        """When the last report that the ledger has answered was sent, or -1."""
+        return self._answered_sent_ms
+
     def needs_report(self, now_ms: int) -> bool:
         """Whether queued requests wait for a grant that was not asked for yet."""
         waiting = any(share.queued > share.held for share in self._shares.values())
@@ -71,6 +84,7 @@
             Duration of the lease from `sent_ms`.
         """
         self._lease_until_ms = max(self._lease_until_ms, sent_ms + lease_ms)
+        self._answered_sent_ms = max(self._answered_sent_ms, sent_ms)
         for grant in grants:
             share = self._shares.setdefault(grant.workspace, _Share())
             increase = max(0, grant.granted_tokens - share.granted)
@@ -138,10 +152,11 @@
         """Return the reports for the next heartbeat and give back idle tokens."""
         self._expire(now_ms)
         self._reported_ms = now_ms
-        return [
-            self._report(workspace, share, now_ms)
-            for workspace, share in sorted(self._shares.items())
-        ]
+        reports = []
+        for workspace, share in sorted(self._shares.items()):
+            if share.idle_reports < IDLE_REPORTS or not share.idle:
+                reports.append(self._report(workspace, share, now_ms))
+        return reports
 
     def surrender(self, now_ms: int) -> list[ShareReport]:
         """Give back everything that is not reserved, before a planned stop."""
@@ -155,6 +170,9 @@
         wanted = share.queued + self._predict_demand(share, now_ms)
         if now_ms - share.used_at_ms >= IDLE_RETURN_MS:
             share.held = min(share.held, wanted)
+        if wanted == 0:
+            share.demand_per_s = 0.0
+        share.idle_reports = share.idle_reports + 1 if share.idle else 0
         return ShareReport(
             workspace=workspace,
             held_tokens=share.held,
--- /dev/null
+++ b/papayacrank/entry/_authentication.py
@@ -0,0 +1,125 @@
+"""Authentication of callers by key."""
+
+import re
+from dataclasses import dataclass
+from typing import Any, Protocol
+from urllib.parse import unquote_to_bytes
+
+from expression import Error, Ok, Result
+
+from papayacrank.control import digest_key
+from papayacrank.kernel import Failure, Verdict
+from papayacrank.messages import KeyEntry
+
+from ._request_parser import CallerRequest
+
+MAX_KEY_CHARACTERS = 512
+_JSON_ESCAPE = re.compile(rb"\\(?:u00([2-7][0-9a-fA-F])|/)")
+_GRANTED_KEY = re.compile(rb"ppk_[0-9a-f]{64}")
+_BEARER = re.compile(r"[Bb]earer +([\x21-\x7e]+)")
+
+
+class KeyDirectory(Protocol):
+    """Source of the keys in force, such as `papayacrank.control.ControlContact`."""
+
+    def find_key(self, digest: str) -> KeyEntry | None:
+        """Return the key of a digest, compared in constant time."""
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """Who sent a request.
+
+    Parameters
+    ----------
+    workspace : str
+        The only workspace that the key opens.
+    key_id : str
+        Public identifier of the key.
+    """
+
+    workspace: str
+    key_id: str
+
+
+def find_exposed_key(request: CallerRequest, keys: KeyDirectory) -> Failure | None:
+    """Refuse a request that would show a target a key.
+
+    The ``Authorization`` header is not passed on, so a key is allowed there. Its value
+    must not appear elsewhere, and neither may any key in force that has the form in
+    which `papayacrank.admin` grants keys.
+    """
+    key = _read_key(request.headers)
+    if key is not None and _appears_elsewhere(key, request):
+        return _exposed()
+    for text in _GRANTED_KEY.findall(_passed_text(request)):
+        if keys.find_key(digest_key(text.decode())) is not None:
+            return _exposed()
+    return None
+
+
+def _exposed() -> Failure:
+    text = "the key must appear in the Authorization header only"
+    return Failure("key_exposed", Verdict.NOT_RUN, text, 400)
+
+
+def authenticate(request: CallerRequest, keys: KeyDirectory) -> Result[Caller, Failure]:
+    """Find out whose key a request carries.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        Request of a caller.
+    keys : KeyDirectory
+        Keys in force.
+
+    Returns
+    -------
+    Result
+        Error side: 401 if the key is missing, unknown or withdrawn; 400 if the key
+        also appears where it would be passed to a target.
+    """
+    key = _read_key(request.headers)
+    if key is None:
+        return Error(_refuse("key_missing", "a key is needed: Authorization: Bearer"))
+    entry = keys.find_key(digest_key(key))
+    if entry is None:
+        return Error(_refuse("key_unknown", "the key is unknown or was withdrawn"))
+    exposed = find_exposed_key(request, keys)
+    if exposed is not None:
+        return Error(exposed)
+    return Ok(Caller(entry.workspace, entry.key_id))
+
+
+def _read_key(headers: Any) -> str | None:
+    found = _BEARER.fullmatch(headers.get("authorization", ""))
+    if found is None or len(found.group(1)) > MAX_KEY_CHARACTERS:
+        return None
+    return found.group(1)
+
+
+def _appears_elsewhere(key: str, request: CallerRequest) -> bool:
+    return key.encode() in _passed_text(request)
+
+
+def _passed_text(request: CallerRequest) -> bytes:
+    """Return everything that a target would receive, also with escapes removed."""
+    parts = [request.target.encode(), unquote_to_bytes(request.target)]
+    parts += [
+        value.encode("latin-1", "replace")
+        for name, value in request.headers.items()
+        if name.lower() != "authorization"
+    ]
+    parts.append(request.body)
+    if b"\\" in request.body:
+        parts.append(_JSON_ESCAPE.sub(_unescape, request.body))
+    return b"\n".join(parts)
+
+
+def _unescape(found: re.Match) -> bytes:
+    """Return the ASCII character of a JSON escape sequence."""
+    return bytes([int(found.group(1), 16)]) if found.group(1) else b"/"
+
+
+def _refuse(code: str, message: str) -> Failure:
+    return Failure(code, Verdict.NOT_RUN, message, 401)
