Leave free tokens for other instances, and end path prefixes at segments

And a rule for /public also opened /publicity to all.

Change: reports tell what queued requests need; needs are granted in full in the order of the reports, and an instance may hold at most half of the free tokens for expected demand. Prefix rules match whole path segments.

--- a/papayacrank/admission/_ledger.py
+++ b/papayacrank/admission/_ledger.py
@@ -5,6 +5,9 @@
 from papayacrank.messages import ShareGrant, ShareReport
 
 MILLITOKENS_PER_TOKEN = 1000
+# An instance may hold at most this part of the free tokens for expected demand, so
+# that it does not empty the bucket for requests that arrive elsewhere.
+EXPECTED_DEMAND_PART = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +34,6 @@
     granted: int = 0
     spent: int = 0
     outstanding: int = 0
-    deficit: int = 0
 
 
 @dataclass(slots=True)
@@ -48,29 +50,19 @@
     refilled_ms: int
     accounts: dict[str, _Account] = field(default_factory=dict)
 
-    # Sums over the accounts, kept so that a report does not visit all of them.
+    # Sum over the accounts, kept so that a report does not visit all of them.
     outstanding: int = 0
-    deficit: int = 0
-
-    def add_account(self, key: str, account: _Account) -> None:
-        """Add an account and count it in the sums."""
-        self.accounts[key] = account
-        self.outstanding += account.outstanding
-        self.deficit += account.deficit
 
     def remove_account(self, key: str) -> None:
-        """Remove an account from the sums; unknown keys are ignored."""
+        """Remove an account from the sum; unknown keys are ignored."""
         account = self.accounts.pop(key, None)
         if account is not None:
             self.outstanding -= account.outstanding
-            self.deficit -= account.deficit
 
-    def set_account(self, account: _Account, outstanding: int, deficit: int) -> None:
-        """Change an account and the sums."""
+    def set_outstanding(self, account: _Account, outstanding: int) -> None:
+        """Change an account and the sum."""
         self.outstanding += outstanding - account.outstanding
-        self.deficit += deficit - account.deficit
         account.outstanding = outstanding
-        account.deficit = deficit
 
     def refill(self, now_ms: int) -> None:
         """Add the refill since the last call; a clock that went back adds none."""
@@ -143,7 +135,7 @@
                 continue
             bucket.refill(now_ms)
             account = self._book(bucket, _account_key(instance, boot), report)
-            self._grant(bucket, account)
+            self._grant(bucket, account, report)
             grants.append(ShareGrant(report.workspace, account.granted))
         return grants
 
@@ -212,7 +204,7 @@
         account = bucket.accounts.get(key)
         if account is None:
             account = _Account(report.granted_tokens, report.spent_tokens)
-            bucket.add_account(key, account)
+            bucket.accounts[key] = account
         if report.spent_tokens < account.spent:
             return account
         undelivered = max(0, account.granted - report.granted_tokens)
@@ -221,23 +213,28 @@
         returned = account.outstanding - spent - outstanding
         bucket.level_millitokens += returned * MILLITOKENS_PER_TOKEN
         account.spent = report.spent_tokens
-        wanted = report.wanted_tokens - report.held_tokens - undelivered
-        bucket.set_account(account, outstanding, max(0, wanted))
+        bucket.set_outstanding(account, outstanding)
         bucket.cap()
         return account
 
     @staticmethod
-    def _grant(bucket: _Bucket, account: _Account) -> None:
-        """Grant the deficit, or its part of what is available."""
+    def _grant(bucket: _Bucket, account: _Account, report: ShareReport) -> None:
+        """Grant what queued requests need, then a part of the expected demand.
+
+        Needs are met in the order of the reports. Dividing scarce tokens among the
+        instances would leave each with less than one request needs.
+        """
         available = max(0, bucket.level_millitokens // MILLITOKENS_PER_TOKEN)
-        total = bucket.deficit
-        if total == 0:
-            return
-        part = account.deficit
-        if total > available:
-            part = available * account.deficit // total
+        undelivered = max(0, account.granted - report.granted_tokens)
+        present = report.held_tokens + undelivered
+        needed = min(available, max(0, report.queued_tokens - present))
+        wanted = max(0, report.wanted_tokens - present - needed)
+        unneeded = max(0, present - report.queued_tokens)
+        free = available - needed + unneeded
+        expected = min(wanted, max(0, free // EXPECTED_DEMAND_PART - unneeded))
+        part = needed + expected
         account.granted += part
-        bucket.set_account(account, account.outstanding + part, account.deficit - part)
+        bucket.set_outstanding(account, account.outstanding + part)
         bucket.level_millitokens -= part * MILLITOKENS_PER_TOKEN
 
 
--- a/papayacrank/admission/_shares.py
+++ b/papayacrank/admission/_shares.py
@@ -214,6 +214,7 @@
             spent_tokens=share.spent,
             wanted_tokens=wanted,
             granted_tokens=share.granted,
+            queued_tokens=share.queued,
         )
 
     def _expire(self, now_ms: int) -> None:
--- a/papayacrank/config/_configuration.py
+++ b/papayacrank/config/_configuration.py
@@ -52,7 +52,7 @@
 
 
 class PathRule(StrictModel):
-    """Rule for the requests of a plain service whose path starts with `prefix`.
+    """Rule for the requests of a plain service whose path is `prefix` or below it.
 
     Attributes
     ----------
@@ -69,6 +69,13 @@
     idempotent: bool = False
     public: bool = False
 
+    def covers(self, method: str, path: str) -> bool:
+        """Whether the rule applies; a prefix ends at a segment of the path."""
+        if self.methods and method not in self.methods:
+            return False
+        prefix = self.prefix.rstrip("/")
+        return path == prefix or path.startswith(prefix + "/")
+
 
 class Service(StrictModel):
     """A service and its targets.
@@ -102,12 +109,7 @@
 
     def find_rule(self, method: str, path: str) -> PathRule:
         """Return the rule for a request."""
-        matching = [
-            rule
-            for rule in self.rules
-            if path.startswith(rule.prefix)
-            and (not rule.methods or method in rule.methods)
-        ]
+        matching = [rule for rule in self.rules if rule.covers(method, path)]
         if not matching:
             return PathRule(prefix="/")
         return max(matching, key=lambda rule: len(rule.prefix))
--- a/papayacrank/config/tests/test_config.py
+++ b/papayacrank/config/tests/test_config.py
@@ -31,6 +31,15 @@
     assert not service.find_rule("POST", "/claims").idempotent
     assert not service.find_rule("POST", "/other").idempotent
     assert service.find_rule("GET", "/public/map").public
+    assert service.find_rule("GET", "/public").public
+
+
+@pytest.mark.parametrize("path", ["/publicity", "/public-accounts/7", "/"])
+def test_prefix_ends_at_a_segment(path):
+    """Guards against a path that is open to all because of how its name begins."""
+    configuration = generate_configuration(build_questionnaire())
+    service = configuration.find_service("shop-app")
+    assert not service.find_rule("GET", path).public
 
 
 def test_diff_names_changed_values_only():
--- a/papayacrank/messages/_requests.py
+++ b/papayacrank/messages/_requests.py
@@ -98,6 +98,9 @@
         Tokens that the instance wants to hold.
     granted_tokens : int
         Total tokens granted since the process started, as received.
+    queued_tokens : int
+        Part of `wanted_tokens` that queued requests need; the rest is expected
+        demand.
     """
 
     workspace: str
@@ -106,6 +109,7 @@
     spent_tokens: int
     wanted_tokens: int
     granted_tokens: int
+    queued_tokens: int = 0
 
 
 class ShareGrant(msgspec.Struct, frozen=True):
