Correct the bound in the test of expected demand

Change: the test asks for half of the tokens that are really free.

Conclusion: the bound is the stated one, half of the free tokens.

--- a/papayacrank/admission/tests/test_budget.py
+++ b/papayacrank/admission/tests/test_budget.py
@@ -248,10 +248,10 @@
         grants = ledger.apply_reports("a", 1, busy.reports(now_ms), now_ms)
         busy.apply_grants(grants, now_ms, LEASE_MS)
         assert busy.try_reserve(f"r{now_ms}", "w", 250, now_ms)
-    unreserved = BURST_TOKENS - 10 * 250
-    other.set_queued("w", unreserved // 2)
+    free = BURST_TOKENS - 10 * 250 - 500
+    other.set_queued("w", free // 2)
     grants = ledger.apply_reports("b", 1, other.reports(500), 500)
-    assert grants[0].granted_tokens == unreserved // 2
+    assert grants[0].granted_tokens == free // 2
 
 
 def test_returned_tokens_are_granted_elsewhere():
