Bound the idle connections to all targets together

Cause: with 3,300 targets, 32 idle connections for each are over 100,000 descriptors. Tables of the stand-in engine grew without a limit.

Change: at most 1,000 idle connections, the oldest is closed first; bounded tables in the stand-in.

--- a/papayacrank/targets/_client.py
+++ b/papayacrank/targets/_client.py
@@ -63,7 +63,7 @@
         self._attempts: dict[str, Attempt] = {}
         self._connections: dict[object, Connection] = {}
         self._cancels = CancelBarrier()
-        self._pool = IdlePool(self._limits.max_idle_per_target)
+        self._pool = IdlePool(self._limits.max_idle_per_target, self._limits.max_idle)
         self._numbers = itertools.count(1)
 
     @property
--- a/papayacrank/targets/_connection.py
+++ b/papayacrank/targets/_connection.py
@@ -2,7 +2,7 @@
 
 import errno
 import socket
-from collections import deque
+from collections import OrderedDict, deque
 from enum import Enum
 
 RECEIVE_BYTES = 65_536
@@ -150,43 +150,55 @@
 
     Parameters
     ----------
-    max_per_address : int
-        Connections kept for each address.
+    max_per_address, max_total : int
+        Connections kept for each address, and for all together.
     """
 
-    def __init__(self, max_per_address: int):
+    def __init__(self, max_per_address: int, max_total: int):
         self._max_per_address = max_per_address
+        self._max_total = max_total
         self._idle: dict[str, deque[Connection]] = {}
+        self._by_age: OrderedDict[Connection, None] = OrderedDict()
 
     def put(self, connection: Connection) -> Connection | None:
         """Keep a connection; return the one that no longer fits, if any."""
         idle = self._idle.setdefault(connection.address, deque())
         idle.append(connection)
+        self._by_age[connection] = None
+        surplus = None
         if len(idle) > self._max_per_address:
-            return idle.popleft()
-        return None
+            surplus = idle[0]
+        elif len(self._by_age) > self._max_total:
+            surplus = next(iter(self._by_age))
+        if surplus is not None:
+            self.remove(surplus)
+        return surplus
 
     def take(self, address: str) -> Connection | None:
         """Take the most recently used connection out, if there is one."""
         idle = self._idle.get(address)
         if not idle:
             return None
-        connection = idle.pop()
-        if not idle:
-            del self._idle[address]
+        connection = idle[-1]
+        self.remove(connection)
         return connection
 
     def remove(self, connection: Connection) -> None:
         """Take a given connection out; unknown ones are ignored."""
-        idle = self._idle.get(connection.address)
-        if idle and connection in idle:
-            idle.remove(connection)
-        if idle is not None and not idle:
+        if connection not in self._by_age:
+            return
+        del self._by_age[connection]
+        idle = self._idle[connection.address]
+        idle.remove(connection)
+        if not idle:
             del self._idle[connection.address]
 
     def take_all(self, address: str) -> list[Connection]:
         """Take all connections to an address out."""
-        return list(self._idle.pop(address, ()))
+        idle = list(self._idle.get(address, ()))
+        for connection in idle:
+            self.remove(connection)
+        return idle
 
     def count(self, address: str) -> int:
         """Return the number of idle connections to an address."""
--- a/papayacrank/targets/_request.py
+++ b/papayacrank/targets/_request.py
@@ -11,6 +11,7 @@
 PROBE_TIMEOUT_MS = 300
 PROBE_AFTER_IDLE_MS = 1_000
 MAX_IDLE_PER_TARGET = 32
+MAX_IDLE = 1_000
 MAX_ACTIVE_REQUESTS = 4_000
 MAX_ANSWER_HEADER_BYTES = 65_536
 MAX_ANSWER_BODY_BYTES = 16 * 1024 * 1024
@@ -180,8 +181,8 @@
     ----------
     max_active : int
         Requests at once; further ones fail as ``"overloaded"``.
-    max_idle_per_target : int
-        Idle connections kept for each address.
+    max_idle_per_target, max_idle : int
+        Idle connections kept for each address, and for all together.
     idle_ms : int
         Longest time that a connection is kept idle.
     probe_after_idle_ms : int
@@ -192,6 +193,7 @@
 
     max_active: int = MAX_ACTIVE_REQUESTS
     max_idle_per_target: int = MAX_IDLE_PER_TARGET
+    max_idle: int = MAX_IDLE
     idle_ms: int = IDLE_CONNECTION_MS
     probe_after_idle_ms: int = PROBE_AFTER_IDLE_MS
     probe_timeout_ms: int = PROBE_TIMEOUT_MS
--- a/papayacrank/targets/tests/test_faults.py
+++ b/papayacrank/targets/tests/test_faults.py
@@ -168,7 +168,7 @@
     record = engine.records[0]
     assert record.cancelled
     assert not record.finished
-    bench.run_until(lambda: engine.cancel_requests_ == ["r1"])
+    bench.run_until(lambda: list(engine.cancel_requests_) == ["r1"])
 
 
 def test_cancel_does_not_hit_the_next_attempt_with_the_same_id(bench):
@@ -532,6 +532,18 @@
     assert bench.client.open_connections == 0
 
 
+def test_idle_connections_to_all_targets_are_bounded(bench):
+    """Guards against one descriptor for each of thousands of targets."""
+    bench.client.close()
+    bench.open_client(max_idle=2)
+    services = [bench.open_service() for _ in range(3)]
+    for i, service in enumerate(services):
+        assert bench.run_request(plain_request(service.address, f"r{i}")) is None
+    idle = [bench.client.idle_connections(s.address) for s in services]
+    assert idle == [0, 1, 1]
+    assert bench.client.open_connections == 2
+
+
 def test_many_requests_with_random_faults_end_once_and_with_their_own_answer(bench):
     """Guards against answers that cross when faults of several kinds meet."""
     service = bench.open_service()
--- a/papayacrank/testing/_engine.py
+++ b/papayacrank/testing/_engine.py
@@ -2,7 +2,7 @@
 
 import json
 import time
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
@@ -25,6 +25,7 @@
 TICK_MS = 2
 MAX_RECORDS = 20_000
 MAX_CANCELLED_IDS = 1_000
+MAX_ORDERS = 1_000
 BYTES_PER_TOKEN = 4
 END_OF_STREAM = b"data: [DONE]\n\n"
 ENGINE_FAULTS = frozenset(
@@ -123,8 +124,8 @@
         self._loading_until_ms = 0
         self._streams: dict[Job, _Stream] = {}
         self._records: list[EngineRecord] = []
-        self.cancel_requests_: list[str] = []
-        self._seen_ids: set[str] = set()
+        self.cancel_requests_: deque[str] = deque(maxlen=MAX_CANCELLED_IDS)
+        self._seen_ids: OrderedDict[str, None] = OrderedDict()
         self._cancelled_ids: OrderedDict[str, None] = OrderedDict()
         self._tick_set = False
         self._counts = {
@@ -203,7 +204,9 @@
         headers = {name.lower(): value for name, value in req.headers.items()}
         record = EngineRecord(job.request_id, headers, first_offset=job.first_offset)
         self._remember(record)
-        self._seen_ids.add(job.request_id)
+        self._seen_ids[job.request_id] = None
+        if len(self._seen_ids) > MAX_RECORDS:
+            self._seen_ids.popitem(last=False)
         if self._cancelled_ids.pop(job.request_id, self) is None:
             record.cancelled = True
             return self._answer(res, 499, {"error": "cancelled"})
@@ -510,6 +513,8 @@
             "status": "running",
         }
         self._orders[order_id] = order
+        if len(self._orders) > MAX_ORDERS:
+            self._orders.popitem(last=False)
         self._carry_out(order, dict(document.get("arguments") or {}))
         return self._answer(res, 202, order)
 
@@ -553,7 +558,7 @@
         document = {
             "incarnation": self._incarnation,
             "requests": [asdict(record) for record in self._records],
-            "cancel_requests": self.cancel_requests_,
+            "cancel_requests": list(self.cancel_requests_),
             "active": len(self._streams),
             "cached_blocks": len(self._model.cache),
             "sequence": self._publisher.sequence,
