--- a/papayacrank/consensus/tests/test_faults.py
+++ b/papayacrank/consensus/tests/test_faults.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from papayacrank.consensus import Remove, Replace, _replication
+from papayacrank.consensus import HardState, Remove, Replace, _replication
 from papayacrank.consensus.tests._simulation import (
     Cluster,
     ViolationError,
@@ -59,6 +59,24 @@
             raise
 
 
+def test_two_disks_lost_at_once_lose_no_entry():
+    """Guards against a group that forgets what only one remaining voter has."""
+    for seed in range(100):
+        cluster = Cluster(seed, size=5, voters=5).start()
+        random_faults(cluster, steps=2, orders=False)
+        cluster.heal()
+        cluster.run(1_500)
+        cluster.clients(cluster.random.uniform(100, 800))
+        for host in cluster.random.sample(list(cluster.hosts.values()), 2):
+            cluster.lose_disk(host)
+        random_faults(cluster, steps=4, orders=False)
+        try:
+            cluster.finish()
+        except Exception as error:
+            error.add_note(f"seed {seed}")
+            raise
+
+
 def test_two_lost_disks_in_turn_are_repaired():
     """Guards against a group that stays short of voters after a repair."""
     cluster = Cluster(1, size=6, voters=5).start()
@@ -146,3 +164,131 @@
     leader.call("flush")
     cluster.run(100)
     cluster.finish()
+
+
+def test_slow_disks_cost_no_election():
+    """Guards against a disk stall of all followers that looks like their loss."""
+    cluster = Cluster(8, size=3, voters=3).start()
+    leader, term = cluster.leading(), cluster.leading().node.term
+    cluster.disk_ms = 3_000
+    for _ in range(100):
+        cluster.clients(50)
+        assert leader.has_lease
+    assert leader.node.term == term
+    cluster.finish()
+
+
+def test_rejoined_member_with_the_same_folder_keeps_its_identity():
+    """Guards against replacing intact folders after a plain restart."""
+    cluster = Cluster(9, size=5, voters=5).start()
+    before = {name: host.store.identity for name, host in cluster.hosts.items()}
+    for _ in range(3):
+        for host in cluster.hosts.values():
+            cluster.clients(300)
+            cluster.restart(host, 50)
+    cluster.finish()
+    assert before == {n: host.store.identity for n, host in cluster.hosts.items()}
+
+
+def test_term_floor_does_not_block_elections():
+    """Guards against a group whose members all refuse the next term.
+
+    One member has a higher term than the others, who learn so in their start check.
+    """
+    cluster = Cluster(10, size=5, voters=5).start()
+    odd, *others = cluster.hosts.values()
+    for host in cluster.hosts.values():
+        host.crash()
+    state = odd.store.load()
+    odd.store.append([HardState(50, "", state.hard_state.group)])
+    for host in others:
+        host.start()
+    odd.start()
+    cluster.run(30)
+    cluster.partition({odd.name})
+    cluster.write_and_wait()
+
+
+@pytest.mark.parametrize("target", [3, 5])
+def test_votes_spread_over_the_failure_domains(target):
+    """Guards against a majority of voters in one failure domain.
+
+    Voters gather there when instances of the other domains are away for a while.
+    """
+    crowded = ("n0", "n3", "n6", "n1", "n4")[:target]
+    cluster = Cluster(12, 9, initial_voters=crowded, target_voters=target).start()
+    lowest = [len(cluster.voters())]
+
+    def is_spread():
+        voters = cluster.voters()
+        lowest.append(len(voters) or lowest[-1])
+        domains = [cluster.hosts[name].settings.failure_domain for name in voters]
+        counts = [domains.count(d) for d in ("east", "west", "north")]
+        return len(voters) == target and max(counts) - min(counts) <= 1
+
+    cluster.run_until(is_spread, 10_000)
+    assert min(lowest) == target
+    settled = cluster.voters()
+    cluster.run(3_000)
+    assert cluster.voters() == settled
+    cluster.finish()
+
+
+def test_old_folder_that_is_noticed_late_is_discarded():
+    """Guards against a member that is stuck, or whose state is applied twice."""
+    cluster = Cluster(13).start()
+    leader = cluster.leading()
+    lagging, host = (h for h in cluster.hosts.values() if h is not leader)
+    cluster.clients(200)
+    copy, old = host.files.copy(), host.store.identity
+    cluster.partition({lagging.name})
+    cluster.write_and_wait()
+    cluster.lose_disk(host, copy)
+    cluster.partition({leader.name})
+    cluster.run(430)
+    assert host.store.identity == old
+    cluster.heal()
+    cluster.clients(2_000)
+    assert host.node.identity != old
+    cluster.finish()
+
+
+@pytest.mark.parametrize("sync", range(1, 12))
+def test_founder_that_crashes_while_founding(sync):
+    """Guards against two groups, or none, after a crash at any sync of the start."""
+    cluster = Cluster(sync)
+    founder = cluster.hosts["n0"]
+    founder.files.crash_at_sync = sync
+    for host in cluster.hosts.values():
+        host.start()
+    cluster.run(50)
+    founder.start()
+    cluster.run_until(cluster.leading, 5_000)
+    cluster.clients(500)
+    cluster.finish()
+
+
+def test_proposals_are_bounded():
+    """Guards against memory that grows without limit while nothing is committed."""
+    cluster = Cluster(14).start()
+    leader = cluster.leading()
+    cluster.partition({leader.name})
+    results = [leader.node.propose(b"x", leader.now_ms) for _ in range(5_000)]
+    codes = {result.error.code for result in results if result.is_error()}
+    assert codes == {"overloaded"}
+    assert leader.node.propose(bytes(2**21), leader.now_ms).error.code == "too_large"
+    large = [leader.node.propose(bytes(2**20), leader.now_ms) for _ in range(60)]
+    assert large[-1].error.code == "overloaded"
+
+
+def test_order_that_would_cost_the_majority_is_refused():
+    """Guards against an operator's removal that leaves too few live voters."""
+    cluster = Cluster(15, size=5, voters=5).start()
+    leader = cluster.leading()
+    names = [name for name in cluster.hosts if name != leader.name]
+    for name in names[:2]:
+        cluster.hosts[name].crash()
+    cluster.run(1_000)
+    result = leader.node.change_member(Remove(names[2]), leader.now_ms)
+    assert result.error.code == "too_few_voters"
+    assert leader.node.change_member(Remove(names[0]), leader.now_ms).is_ok()
