--- a/papayacrank/state/_check.py
+++ b/papayacrank/state/_check.py
@@ -6,6 +6,7 @@
 from hdrh.histogram import HdrHistogram
 from pydantic import ValidationError
 
+from papayacrank.accounting import new_histogram
 from papayacrank.config import parse_configuration
 from papayacrank.messages import (
     AbandonAction,
@@ -110,17 +111,27 @@
         if len(delta.refused_by_code) > MAX_REFUSAL_CODES:
             return _invalid("too many refusal codes")
         for histogram in (delta.ttft_histogram, delta.token_gap_histogram):
-            if histogram and not _decodes(histogram):
-                return _invalid(f"histogram of {delta.workspace} cannot be decoded")
+            if histogram and not _is_histogram(histogram):
+                return _invalid(
+                    f"histogram of {delta.workspace} is damaged or has other bounds"
+                )
     return None
 
 
-def _decodes(histogram: bytes) -> bool:
+def _is_histogram(encoded: bytes) -> bool:
+    """Return whether a histogram can be decoded and has the bounds of all others.
+
+    The library adds histograms of different bounds value by value, in Python.
+    """
     try:
-        HdrHistogram.decode(histogram)
+        histogram = HdrHistogram.decode(encoded)
     except Exception:  # the library raises many types on damaged input
         return False
-    return True
+    expected = new_histogram()
+    return (histogram.bucket_count, histogram.sub_bucket_count) == (
+        expected.bucket_count,
+        expected.sub_bucket_count,
+    )
 
 
 _CHECKS: dict[type, Callable] = {
--- a/papayacrank/state/_usage.py
+++ b/papayacrank/state/_usage.py
@@ -3,10 +3,12 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
+from papayacrank.accounting import decode_histogram
 from papayacrank.messages import Done, FailureRecord, ReportUsage, UsageDelta
 
 from ._base import Table, refuse
 from ._limits import (
+    MAX_DECODED_HISTOGRAMS,
     MAX_MINUTE_SKEW,
     MAX_REFUSAL_CODES,
     MAX_USAGE_GAP,
@@ -15,9 +17,7 @@
 )
 
 MINUTE_MS = 60_000
-HISTOGRAM_LOWEST_MS = 1
-HISTOGRAM_HIGHEST_MS = 3_600_000
-HISTOGRAM_DIGITS = 2
+HOUR_MINUTES = 60
 OTHER_CODES = "other"
 
 _COUNTERS = tuple(
@@ -56,25 +56,30 @@
 
     rows: list[UsageRow]
     senders: list[SenderRow]
-    dropped_before_minute: int
+    folded_before_minute: int
 
 
 class UsageTable(Table):
     """Totals in which every report counts once.
 
     When the table is full, the oldest minute is folded into the totals of its hour;
-    when only hours are left, the oldest hours are folded into the one after them.
+    when only hours are left, the second oldest hour is folded into the oldest.
     No counted request is lost, only the resolution of old totals.
+
+    Histograms that grow are kept decoded, because encoding takes most of the time of
+    adding a report.
     """
 
     def __init__(self):
         self._rows: dict[tuple[int, str], UsageRow] = {}
         self._senders: dict[tuple[str, int], SenderRow] = {}
         self._folded_before = 0
+        self._decoded: dict[tuple[int, str, str], HdrHistogram] = {}
 
     @property
     def rows(self) -> list[UsageRow]:
         """All totals, sorted by minute and workspace."""
+        self._encode_all()
         return [self._rows[key] for key in sorted(self._rows)]
 
     def add(self, command: ReportUsage, wall_ms: int) -> Done | FailureRecord:
@@ -100,7 +105,8 @@
         """Restore the content of a snapshot."""
         self._rows = {(row.minute, row.usage.workspace): row for row in dumped.rows}
         self._senders = {(row.instance, row.boot): row for row in dumped.senders}
-        self._folded_before = dumped.dropped_before_minute
+        self._folded_before = dumped.folded_before_minute
+        self._decoded.clear()
 
     def _find_sender(self, command: ReportUsage) -> SenderRow:
         key = (command.instance, command.boot)
@@ -128,39 +134,72 @@
 
     def _book(self, minute: int, minutes: int, delta: UsageDelta) -> None:
         if minute < self._folded_before and minutes == 1:
-            minute, minutes = minute - minute % 60, 60
-        row = self._rows.get((minute, delta.workspace))
-        if row is not None:
-            delta = merge_usage(row.usage, delta)
-            minutes = max(minutes, row.minutes)
-        else:
-            delta = merge_usage(UsageDelta(delta.workspace), delta)
-        self._rows[(minute, delta.workspace)] = UsageRow(minute, minutes, delta)
+            minute, minutes = minute - minute % HOUR_MINUTES, HOUR_MINUTES
+        key = (minute, delta.workspace)
+        row = self._rows.get(key)
+        if row is None:
+            usage = merge_usage(UsageDelta(delta.workspace), delta)
+            self._rows[key] = UsageRow(minute, minutes, usage)
+            return
+        histograms = {name: getattr(row.usage, name) for name in _HISTOGRAMS}
+        for name in _HISTOGRAMS:
+            added = getattr(delta, name)
+            if added and not histograms[name]:
+                histograms[name] = added
+            elif added:
+                self._add_histogram(key, name, histograms[name], added)
+        usage = _add_counts(row.usage, delta, histograms)
+        self._rows[key] = UsageRow(minute, max(minutes, row.minutes), usage)
+
+    def _add_histogram(
+        self, row_key: tuple[int, str], name: str, total: bytes, added: bytes
+    ) -> None:
+        """Add to the decoded form of a total; the oldest ones are encoded again."""
+        key = (*row_key, name)
+        histogram = self._decoded.pop(key, None)
+        if histogram is None:
+            histogram = decode_histogram(total)
+        histogram.decode_and_add(added)
+        self._decoded[key] = histogram
+        if len(self._decoded) > MAX_DECODED_HISTOGRAMS:
+            self._encode(next(iter(self._decoded)))
+
+    def _encode(self, key: tuple[int, str, str]) -> None:
+        minute, workspace, name = key
+        row = self._rows[minute, workspace]
+        encoded = self._decoded.pop(key).encode()
+        usage = msgspec.structs.replace(row.usage, **{name: encoded})
+        self._rows[minute, workspace] = msgspec.structs.replace(row, usage=usage)
+
+    def _encode_all(self) -> None:
+        for key in list(self._decoded):
+            self._encode(key)
 
     def _fold(self) -> None:
         while len(self._rows) > MAX_USAGE_ROWS:
-            minutes = sorted(
-                {key[0] for key, row in self._rows.items() if row.minutes == 1}
-            )
+            self._encode_all()
+            minutes = [key[0] for key, row in self._rows.items() if row.minutes == 1]
             if minutes:
-                self._fold_minute(minutes[0])
+                self._fold_minute(min(minutes))
             else:
-                self._fold_oldest_span()
+                self._fold_second_span()
 
     def _fold_minute(self, minute: int) -> None:
-        hour_end = minute - minute % 60 + 60
-        self._folded_before = max(self._folded_before, hour_end)
-        keys = [
-            key
-            for key, row in self._rows.items()
-            if row.minutes == 1 and key[0] < hour_end
-        ]
-        for row in [self._rows.pop(key) for key in sorted(keys)]:
-            self._book(row.minute, 1, row.usage)
-
-    def _fold_oldest_span(self) -> None:
-        starts = sorted({key[0] for key in self._rows})
-        first, second = starts[0], starts[1]
+        """Fold one minute at a time, so that applying an entry stays short.
+
+        Minutes are folded in order, so the totals of an hour never meet those of its
+        first minute, which have the same key.
+        """
+        self._folded_before = max(self._folded_before, minute + 1)
+        keys = sorted(key for key in self._rows if key[0] == minute)
+        rows = [self._rows[key] for key in keys if self._rows[key].minutes == 1]
+        for row in rows:
+            del self._rows[minute, row.usage.workspace]
+        for row in rows:
+            self._book(minute, 1, row.usage)
+
+    def _fold_second_span(self) -> None:
+        first, second = sorted({key[0] for key in self._rows})[:2]
         keys = sorted(key for key in self._rows if key[0] == second)
         for row in [self._rows.pop(key) for key in keys]:
             self._book(first, second - first + row.minutes, row.usage)
@@ -168,22 +207,29 @@
 
 def merge_usage(total: UsageDelta, delta: UsageDelta) -> UsageDelta:
     """Add two usages of one workspace."""
-    merged = {name: getattr(total, name) + getattr(delta, name) for name in _COUNTERS}
-    for name in _HISTOGRAMS:
-        merged[name] = merge_histograms(getattr(total, name), getattr(delta, name))
-    codes = dict(total.refused_by_code)
-    for code, count in delta.refused_by_code.items():
-        known = code in codes or len(codes) < MAX_REFUSAL_CODES
-        name = code if known else OTHER_CODES
-        codes[name] = codes.get(name, 0) + count
-    return UsageDelta(total.workspace, refused_by_code=codes, **merged)
+    histograms = {
+        name: merge_histograms(getattr(total, name), getattr(delta, name))
+        for name in _HISTOGRAMS
+    }
+    return _add_counts(total, delta, histograms)
 
 
 def merge_histograms(first: bytes, second: bytes) -> bytes:
     """Add two encoded HDR histograms in milliseconds; empty bytes mean no values."""
     if not first or not second:
         return first or second
-    merged = HdrHistogram(HISTOGRAM_LOWEST_MS, HISTOGRAM_HIGHEST_MS, HISTOGRAM_DIGITS)
-    merged.decode_and_add(first)
+    merged = decode_histogram(first)
     merged.decode_and_add(second)
     return merged.encode()
+
+
+def _add_counts(
+    total: UsageDelta, delta: UsageDelta, histograms: dict[str, bytes]
+) -> UsageDelta:
+    counts = {name: getattr(total, name) + getattr(delta, name) for name in _COUNTERS}
+    codes = dict(total.refused_by_code)
+    for code, count in delta.refused_by_code.items():
+        known = code in codes or len(codes) < MAX_REFUSAL_CODES
+        name = code if known else OTHER_CODES
+        codes[name] = codes.get(name, 0) + count
+    return UsageDelta(total.workspace, refused_by_code=codes, **counts, **histograms)
--- a/papayacrank/state/tests/test_machine.py
+++ b/papayacrank/state/tests/test_machine.py
@@ -4,9 +4,11 @@
 
 import msgspec
 import pytest
+from hdrh.histogram import HdrHistogram
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from papayacrank.accounting import decode_histogram, new_histogram
 from papayacrank.config import canonical_json, generate_configuration
 from papayacrank.messages import (
     AbandonAction,
@@ -247,7 +249,7 @@
     """Guards against a view that does not fit into one message."""
     monkeypatch.setattr(views_module, "MAX_VIEW_HISTOGRAM_BYTES", 100)
     group = Group()
-    histogram = usage_module.HdrHistogram(1, 600_000, 2)
+    histogram = new_histogram()
     histogram.record_value(7)
     for sequence in (1, 2):
         fields = {"ttft_histogram": histogram.encode()}
@@ -472,11 +474,11 @@
     """Guards against percentiles of only one process."""
     group = Group()
     for sequence, value in ((1, 10), (2, 1_000)):
-        histogram = usage_module.HdrHistogram(1, 3_600_000, 2)
+        histogram = new_histogram()
         histogram.record_value(value)
         group.run(f"u{sequence}", report(sequence, ttft_histogram=histogram.encode()))
     merged = group.machine.usage.rows[0].usage.ttft_histogram
-    decoded = usage_module.HdrHistogram.decode(merged)
+    decoded = decode_histogram(merged)
     assert decoded.get_total_count() == 2
     assert decoded.get_max_value() >= 1_000
 
@@ -517,6 +519,7 @@
         msgspec.structs.replace(begin(), idempotency_key=""),
         FinishAction("team-a", "k1", "i1", 1, 200, "", b"x" * 70_000),
         report(1, ttft_histogram=b"damaged"),
+        report(1, ttft_histogram=HdrHistogram(1, 1_000, 3).encode()),
     ],
 )
 def test_invalid_commands_do_not_enter_the_log(command):
