Read back all confirmed orders in turn

Verification took confirmed orders in the order of their age, so beyond about 320 engines the later ones were never read back, and the record of confirmed orders was bounded at 1,000 together with superseded ones.

--- a/papayacrank/control/_orders.py
+++ b/papayacrank/control/_orders.py
@@ -233,16 +233,19 @@
         return [ProposeOrder(row.order_id, True, observed, "overwritten")]
 
     def _verify(self, now_ms: int) -> list[Decision]:
-        """Read back confirmed orders, a few at a time."""
-        calls: list[Decision] = []
-        for row in self._machine.orders.wanted():
-            target = self._targets.get(row.target)
-            due = now_ms >= self._verify_ms.get(row.order_id, 0)
-            if target is None or not due or len(calls) + self._calls >= MAX_CALLS:
-                continue
+        """Read back confirmed orders, those that have waited longest first."""
+        room = MAX_CALLS - self._calls
+        due = [
+            row
+            for row in self._machine.orders.wanted()
+            if row.target in self._targets
+            and now_ms >= self._verify_ms.get(row.order_id, 0)
+        ]
+        due.sort(key=lambda row: self._verify_ms.get(row.order_id, 0))
+        chosen = due[: max(0, room)]
+        for row in chosen:
             self._verify_ms[row.order_id] = now_ms + VERIFY_INTERVAL_MS
-            calls.append(build_read("verify", row, target))
-        return calls
+        return [build_read("verify", row, self._targets[row.target]) for row in chosen]
 
     def _on_verified(self, row: OrderRow, result: HttpResult) -> list[Decision]:
         observed = read_state(row, result)
--- a/papayacrank/state/_orders.py
+++ b/papayacrank/state/_orders.py
@@ -11,7 +11,7 @@
 )
 
 from ._base import Table, evict_oldest, refuse
-from ._limits import MAX_CLOSED_ORDERS, MAX_OPEN_ORDERS
+from ._limits import MAX_OPEN_ORDERS, MAX_SUPERSEDED_ORDERS, MAX_WANTED_ORDERS
 
 LOAD_WEIGHTS = "load_weights"
 LOAD_ADAPTER = "load_adapter"
@@ -63,7 +63,8 @@
 
     def __init__(self):
         self._open: dict[str, OrderRow] = {}
-        self._closed: dict[str, OrderRow] = {}
+        self._wanted: dict[str, OrderRow] = {}
+        self._superseded: dict[str, OrderRow] = {}
 
     @property
     def open(self) -> list[OrderRow]:
@@ -72,8 +73,8 @@
 
     @property
     def closed(self) -> list[OrderRow]:
-        """Confirmed and superseded orders, oldest first."""
-        return list(self._closed.values())
+        """Superseded orders, then confirmed ones, oldest first."""
+        return [*self._superseded.values(), *self._wanted.values()]
 
     @property
     def weight_loads(self) -> int:
@@ -85,7 +86,8 @@
 
     def find(self, order_id: str) -> OrderRow | None:
         """Return an order that is still known."""
-        return self._open.get(order_id) or self._closed.get(order_id)
+        tables = (self._open, self._wanted, self._superseded)
+        return next((t[order_id] for t in tables if order_id in t), None)
 
     def place(
         self, command: PlaceOrder, order_id: str, token: int
@@ -149,7 +151,7 @@
 
     def wanted(self) -> list[OrderRow]:
         """Return the confirmed orders that still describe the wanted state."""
-        return [row for row in self._closed.values() if row.state == CONFIRMED]
+        return list(self._wanted.values())
 
     def dump(self) -> OrdersDump:
         """Return the content for a snapshot."""
@@ -158,7 +160,10 @@
     def load(self, dumped: OrdersDump) -> None:
         """Restore the content of a snapshot."""
         self._open = {row.order_id: row for row in dumped.open}
-        self._closed = {row.order_id: row for row in dumped.closed}
+        self._wanted = {}
+        self._superseded = {}
+        for row in dumped.closed:
+            self._closed_table(row.state)[row.order_id] = row
 
     def _supersede(self, target: str, kind: str) -> bool:
         """Close the last order of a target and kind.
@@ -178,17 +183,21 @@
 
     def _close(self, row: OrderRow, state: str) -> None:
         self._open.pop(row.order_id, None)
-        self._closed.pop(row.order_id, None)
+        self._wanted.pop(row.order_id, None)
         row.state = state
-        self._closed[row.order_id] = row
-        evict_oldest(self._closed, MAX_CLOSED_ORDERS)
+        self._closed_table(state)[row.order_id] = row
+        evict_oldest(self._wanted, MAX_WANTED_ORDERS)
+        evict_oldest(self._superseded, MAX_SUPERSEDED_ORDERS)
+
+    def _closed_table(self, state: str) -> dict[str, OrderRow]:
+        return self._wanted if state == CONFIRMED else self._superseded
 
     def _reopen(self, order_id: str) -> OrderRow | None:
         """Open a confirmed order again whose effect was overwritten."""
-        row = self._closed.get(order_id)
-        if row is None or row.state != CONFIRMED or len(self._open) >= MAX_OPEN_ORDERS:
+        row = self._wanted.get(order_id)
+        if row is None or len(self._open) >= MAX_OPEN_ORDERS:
             return None
-        del self._closed[order_id]
+        del self._wanted[order_id]
         row.state = WAITING
         self._open[order_id] = row
         return row
--- a/papayacrank/state/tests/test_machine.py
+++ b/papayacrank/state/tests/test_machine.py
@@ -45,6 +45,7 @@
 from papayacrank.state import _actions as actions_module
 from papayacrank.state import _feed as feed_module
 from papayacrank.state import _machine as machine_module
+from papayacrank.state import _orders as orders_module
 from papayacrank.state import _outcomes as outcomes_module
 from papayacrank.state import _usage as usage_module
 from papayacrank.state import _views as views_module
@@ -451,6 +452,21 @@
     assert group.run("c3", ConfirmOrder("o2", "3")).failure is None
 
 
+def test_wanted_orders_outlast_superseded_ones(monkeypatch):
+    """Guards against an engine that is no longer watched after many other orders."""
+    monkeypatch.setattr(orders_module, "MAX_SUPERSEDED_ORDERS", 2)
+    group = Group()
+    group.run("kept", PlaceOrder("t0", "load_weights", "2", "ann"))
+    group.run("c", ConfirmOrder("kept", "2"))
+    for number in range(6):
+        group.run(f"o{number}", PlaceOrder("t1", "load_weights", str(number), "ann"))
+    copy = StateMachine()
+    copy.restore(group.machine.snapshot())
+    for machine in (group.machine, copy):
+        assert [row.order_id for row in machine.orders.closed] == ["o3", "o4", "kept"]
+        assert [row.order_id for row in machine.orders.wanted()] == ["kept"]
+
+
 def report(sequence, minute=MINUTE, boot=1, **fields):
     delta = UsageDelta("team-a", asked=1, **fields)
     return ReportUsage("i1", boot, sequence, minute, [delta])
