--- a/papayacrank/consensus/_core.py
+++ b/papayacrank/consensus/_core.py
@@ -83,6 +83,8 @@
         self._deferred: list[tuple[int, Callable[[], None]]] = []
         self._pending: deque[_Pending] = deque()
         self._token = 0
+        self._incoming_key: tuple[str, int, int, int] | None = None
+        self._incoming = bytearray()
 
     # Members
 
--- a/papayacrank/consensus/_log.py
+++ b/papayacrank/consensus/_log.py
@@ -20,6 +20,9 @@
     """
 
     def __init__(self, snapshot: Snapshot | None, entries: tuple[Entry, ...]):
+        self._fill(snapshot, entries)
+
+    def _fill(self, snapshot: Snapshot | None, entries: tuple[Entry, ...]) -> None:
         self.snapshot = snapshot
         self._entries = list(entries)
         self._base = Position(0, 0)
@@ -95,7 +98,7 @@
     def batch(self, first: int, max_entries: int, max_bytes: int) -> tuple[Entry, ...]:
         """Return entries from `first` on, at least one if there is any."""
         start = first - self._base.index - 1
-        chosen = []
+        chosen: list[Entry] = []
         size = 0
         for entry in self._entries[start : start + max_entries]:
             size += len(entry.data)
@@ -135,7 +138,7 @@
 
     def reset(self, snapshot: Snapshot | None) -> None:
         """Replace the whole log by a snapshot."""
-        self.__init__(snapshot, ())
+        self._fill(snapshot, ())
 
     def _kept_from(self, index: int, max_entries: int, max_bytes: int) -> int:
         size = 0
--- a/papayacrank/consensus/_replication.py
+++ b/papayacrank/consensus/_replication.py
@@ -37,8 +37,6 @@
     _heartbeat_due_ms = 0
     _heartbeat_count = 0
     _quorum_grace_ms = 0
-    _incoming_key: tuple | None = None
-    _incoming = bytearray()
 
     # Leader
 
