State needs in the shares of the state machine's tests

Cause: two tests expected that wanted tokens are granted in full; since needs and expected demand are told apart, only needs are.

Change: the builder of shares states what is wanted as needed.

Conclusion: the tests check the same amounts as before.

--- a/papayacrank/state/tests/test_machine.py
+++ b/papayacrank/state/tests/test_machine.py
@@ -101,6 +101,7 @@
 
 
 def share(**fields):
+    fields.setdefault("queued_tokens", fields.get("wanted_tokens", 0))
     base = ShareReport("team-a", 0, 0, 0, 0, 0)
     return msgspec.structs.replace(base, **fields)
 
