Raise the least price of copies; do not eject targets whose callers leave

Cause: an end with ok=None (caller left) counted as a failure of the target and could eject it. Change: only ok=False is a failure, also after the first token; the price is at least 1.5.

--- a/papayacrank/routing/_policy.py
+++ b/papayacrank/routing/_policy.py
@@ -25,9 +25,9 @@
 HOT_REQUESTS_PER_S = 4.0
 # Below this difference, lagged reports do not tell which target is better.
 TIE_MS = 5.0
-# A copy costs at least its own recomputation, as it evicts as many blocks. Goals
+# A copy evicts as many blocks, of which some are recomputed and copied again. Goals
 # that favour the cache raise the price.
-MIN_COPY_WEIGHT = 1.0
+MIN_COPY_WEIGHT = 1.5
 MAX_COPY_WEIGHT = 4.0
 COPY_WEIGHT_PER_GOAL = 2.0
 
--- a/papayacrank/routing/_router.py
+++ b/papayacrank/routing/_router.py
@@ -157,7 +157,7 @@
         state = self._find_state(choice.target)
         if state is None:
             return
-        self.on_finished(request.request_id, False, now_ms)
+        self.on_finished(request.request_id, None, now_ms)
         self._forget_oldest_attempt()
         table = self._tables[request.service]
         incarnation = self.index.incarnation(choice.target) or 0
@@ -199,7 +199,18 @@
         )
 
     def on_finished(self, request_id: str, ok: bool | None, now_ms: int) -> None:
-        """Stop counting a request that succeeded, failed or was cancelled (None)."""
+        """Stop counting a request that ended.
+
+        Parameters
+        ----------
+        request_id : str
+            Request; unknown requests are ignored.
+        ok : bool or None
+            False if the target failed, None if the end says nothing about the target,
+            for example because the caller left.
+        now_ms : int
+            Current time.
+        """
         state = self._attempts.pop(request_id, None)
         if state is None:
             return
@@ -207,10 +218,10 @@
         table = self._tables[attempt.request.service]
         target = attempt.choice.target
         if not ok and not attempt.has_first_token:
-            if ok is not None:
-                count = len(table.states)
-                table.ejector.observe_failure(target, request_id, count, now_ms)
             self.index.remove(target, attempt.incarnation, attempt.new_blocks)
+        if ok is False:
+            count = len(table.states)
+            table.ejector.observe_failure(target, request_id, count, now_ms)
         table.ejector.on_ended(target, request_id)
         state.discard(attempt)
 
--- a/papayacrank/routing/tests/test_routing.py
+++ b/papayacrank/routing/tests/test_routing.py
@@ -299,6 +299,16 @@
     assert len(router._tables[SERVICE].ejector.ejected) == 3
 
 
+def test_callers_that_leave_do_not_eject_a_target():
+    """Guards against a healthy target that is ejected because callers cancel."""
+    router = build_router(count=3)
+    for number in range(60):
+        send(router, request(number, prompt(f"left{number}")), number * 10)
+        router.on_finished(f"r{number}", None, number * 10 + 5)
+    assert router._tables[SERVICE].ejector.ejected == []
+    assert len(router.index) == 0
+
+
 def test_restarted_instance_copies_index_and_load_of_a_peer():
     """Guards against a cold start after a restart."""
     peer = build_router()
