--- a/papayacrank/consensus/_node.py
+++ b/papayacrank/consensus/_node.py
@@ -8,7 +8,6 @@
 from papayacrank.kernel import Failure
 
 from ._core import ELECTION_TIMER, HEARTBEAT_TIMER, QUERY_TIMER, Role
-from ._effects import InstallState
 from ._election import Election
 from ._membership import MemberChange, MembershipControl, refuse
 from ._messages import (
@@ -32,8 +31,9 @@
 from ._settings import RaftSettings
 
 MAX_ENTRY_BYTES = 1024 * 1024
-MAX_UNCOMMITTED_ENTRIES = 4_096
+MAX_UNSETTLED_ENTRIES = 4_096
 MAX_LOG_BYTES_BEFORE_SNAPSHOT = 16 * 1024 * 1024
+MAX_LOG_BYTES = 48 * 1024 * 1024
 TRAILING_BYTES = 4 * 1024 * 1024
 
 
@@ -93,9 +93,9 @@
     def wants_snapshot(self) -> bool:
         """Whether `compact` should be called with the state at `commit_index`."""
         entries = self._commit_index - self._log.snapshot_index
-        return (
-            entries >= self._settings.snapshot_every_entries
-            or self._log.bytes_since_snapshot >= MAX_LOG_BYTES_BEFORE_SNAPSHOT
+        large = self._log.bytes_since_snapshot >= MAX_LOG_BYTES_BEFORE_SNAPSHOT
+        return entries >= self._settings.snapshot_every_entries or (
+            large and entries > 0
         )
 
     def has_lease(self, now_ms: int) -> bool:
@@ -132,9 +132,6 @@
         # A vote given right after a restart could break the lease of a leader that
         # the process had answered before.
         self._contact_ms = now_ms
-        if self._log.snapshot is not None:
-            snapshot = self._log.snapshot
-            self._effects.append(InstallState(snapshot.data, snapshot.index))
         self._arm_election()
         self._set_timer(ELECTION_TIMER, self._election_deadline_ms)
         self._start_recovery()
@@ -248,8 +245,11 @@
             return refuse("not_leader", f"the leader is {self._leader!r}", 503)
         if len(data) > MAX_ENTRY_BYTES:
             return refuse("too_large", f"the limit is {MAX_ENTRY_BYTES} bytes", 413)
-        if self._log.last_index - self._commit_index >= MAX_UNCOMMITTED_ENTRIES:
-            return refuse("overloaded", "too many uncommitted entries", 503)
+        settled_index = min(self._commit_index, self._durable_index)
+        if self._log.last_index - settled_index >= MAX_UNSETTLED_ENTRIES:
+            return refuse("overloaded", "too many entries wait for a sync", 503)
+        if self._log.bytes_since_snapshot >= MAX_LOG_BYTES:
+            return refuse("overloaded", "the log waits for a snapshot", 503)
         index = self._log.last_index + 1
         self._append_own_entry(Entry(index, self._term, KIND_DATA, data))
         return Ok(index)
--- a/papayacrank/testing/tests/test_fleet.py
+++ b/papayacrank/testing/tests/test_fleet.py
@@ -1,11 +1,17 @@
 """Tests of the fleet, the relay and the stand-in programs."""
 
 import http.client
+import os
+import random
 import socket
+import subprocess
+import sys
 import time
+from pathlib import Path
 
 import pytest
 
+import papayacrank
 from papayacrank.testing import Direction, Fleet, FleetError, Relay, expected_output
 
 MESSAGES = [{"role": "user", "content": "Which remnants are left? " * 40}]
@@ -65,6 +71,50 @@
     assert entries[0]["request_id"] == "r7"
 
 
+def test_addresses_of_fleets_that_run_side_by_side_differ(fleet, tmp_path):
+    """Guards against two test runs whose processes take each other's ports."""
+    first = Fleet(tmp_path, random.Random(1))
+    second = Fleet(tmp_path, random.Random(1))
+    addresses = [f.free_address() for f in (first, second) for _ in range(20)]
+    assert len(set(addresses)) == len(addresses)
+    port = addresses[0].rsplit(":", 1)[1]
+    assert fleet.start_service("service-1", port=port).address == addresses[0]
+    events = addresses[1].rsplit(":", 1)[1]
+    engine = fleet.start_engine("engine-1", events_port=events)
+    assert engine.addresses["events_address"] == addresses[1]
+    first.close()
+    second.close()
+
+
+TERMINATED_RUN = """
+import time
+from pathlib import Path
+from papayacrank.testing import Fleet
+with Fleet(Path(".")) as fleet:
+    service = fleet.start_service("service-1")
+    print(service.address, flush=True)
+    time.sleep(60)
+"""
+
+
+def test_terminated_run_leaves_no_process(tmp_path):
+    """Guards against processes that go on after `timeout` ended a test run."""
+    project = str(Path(papayacrank.__file__).parent.parent)
+    with subprocess.Popen(
+        [sys.executable, "-c", TERMINATED_RUN],
+        cwd=tmp_path,
+        env=os.environ | {"PYTHONPATH": project},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+    ) as run:
+        host, port = run.stdout.readline().strip().split(":")
+        run.terminate()
+        run.wait(10)
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection((host, int(port)), timeout=1)
+
+
 def test_only_own_processes_can_be_ended(fleet):
     """Guards against signals to processes that the fleet did not start."""
     with pytest.raises(FleetError):
