--- a/papayacrank/state/tests/test_machine.py
+++ b/papayacrank/state/tests/test_machine.py
@@ -4,9 +4,11 @@
 
 import msgspec
 import pytest
+from hdrh.histogram import HdrHistogram
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from papayacrank.accounting import decode_histogram, new_histogram
 from papayacrank.config import canonical_json, generate_configuration
 from papayacrank.messages import (
     AbandonAction,
@@ -43,6 +45,7 @@
 from papayacrank.state import _actions as actions_module
 from papayacrank.state import _feed as feed_module
 from papayacrank.state import _machine as machine_module
+from papayacrank.state import _orders as orders_module
 from papayacrank.state import _outcomes as outcomes_module
 from papayacrank.state import _usage as usage_module
 from papayacrank.state import _views as views_module
@@ -247,7 +250,7 @@
     """Guards against a view that does not fit into one message."""
     monkeypatch.setattr(views_module, "MAX_VIEW_HISTOGRAM_BYTES", 100)
     group = Group()
-    histogram = usage_module.HdrHistogram(1, 600_000, 2)
+    histogram = new_histogram()
     histogram.record_value(7)
     for sequence in (1, 2):
         fields = {"ttft_histogram": histogram.encode()}
@@ -449,6 +452,21 @@
     assert group.run("c3", ConfirmOrder("o2", "3")).failure is None
 
 
+def test_wanted_orders_outlast_superseded_ones(monkeypatch):
+    """Guards against an engine that is no longer watched after many other orders."""
+    monkeypatch.setattr(orders_module, "MAX_SUPERSEDED_ORDERS", 2)
+    group = Group()
+    group.run("kept", PlaceOrder("t0", "load_weights", "2", "ann"))
+    group.run("c", ConfirmOrder("kept", "2"))
+    for number in range(6):
+        group.run(f"o{number}", PlaceOrder("t1", "load_weights", str(number), "ann"))
+    copy = StateMachine()
+    copy.restore(group.machine.snapshot())
+    for machine in (group.machine, copy):
+        assert [row.order_id for row in machine.orders.closed] == ["o3", "o4", "kept"]
+        assert [row.order_id for row in machine.orders.wanted()] == ["kept"]
+
+
 def report(sequence, minute=MINUTE, boot=1, **fields):
     delta = UsageDelta("team-a", asked=1, **fields)
     return ReportUsage("i1", boot, sequence, minute, [delta])
@@ -472,11 +490,11 @@
     """Guards against percentiles of only one process."""
     group = Group()
     for sequence, value in ((1, 10), (2, 1_000)):
-        histogram = usage_module.HdrHistogram(1, 3_600_000, 2)
+        histogram = new_histogram()
         histogram.record_value(value)
         group.run(f"u{sequence}", report(sequence, ttft_histogram=histogram.encode()))
     merged = group.machine.usage.rows[0].usage.ttft_histogram
-    decoded = usage_module.HdrHistogram.decode(merged)
+    decoded = decode_histogram(merged)
     assert decoded.get_total_count() == 2
     assert decoded.get_max_value() >= 1_000
 
@@ -517,6 +535,7 @@
         msgspec.structs.replace(begin(), idempotency_key=""),
         FinishAction("team-a", "k1", "i1", 1, 200, "", b"x" * 70_000),
         report(1, ttft_histogram=b"damaged"),
+        report(1, ttft_histogram=HdrHistogram(1, 1_000, 3).encode()),
     ],
 )
 def test_invalid_commands_do_not_enter_the_log(command):
