--- a/papayacrank/routing/_retry.py
+++ b/papayacrank/routing/_retry.py
@@ -31,7 +31,8 @@
     constant_per_s : float
         Retries per second that are allowed in addition.
     max_saved : float
-        Largest number of retries saved up.
+        Largest number of retries saved up, and the number at the start: an engine
+        may fail soon after this process started.
     """
 
     def __init__(
@@ -40,7 +41,7 @@
         self.ratio = ratio
         self.constant_per_s = constant_per_s
         self.max_saved = max_saved
-        self._saved = min(1.0, max_saved)
+        self._saved = max_saved
         self._refilled_ms: int | None = None
 
     def on_request(self, now_ms: int) -> None:
