--- a/papayacrank/admin/_commands.py
+++ b/papayacrank/admin/_commands.py
@@ -270,16 +270,21 @@
         self._output.show({"old": old, "new": new, "request_id": request_id})
 
     @SetParseFn(str)
-    def explain(self, caller_request_id, entry=None):
+    def explain(self, caller_request_id, entry=None, key_file=None):
         """Show what happened to a request of a caller.
 
         Args:
             caller_request_id: Request id that the caller received.
             entry: Address of the entry process, as ip:port; default: all live ones.
+            key_file: Path of a file with a key of the request's workspace; needed
+                unless the entry process is reached through 127.x.
         """
+        key = self._read_key(key_file) if key_file else None
         addresses = [entry] if entry else self._entry_addresses()
         try:
-            record = explain_request(addresses, caller_request_id, self._timeout_ms)
+            record = explain_request(
+                addresses, caller_request_id, self._timeout_ms, key
+            )
         except ExplainError as error:
             self._output.fail("no_entry_answer", str(error), EXIT_UNKNOWN)
         if record is None:
@@ -315,6 +320,12 @@
             document["note"] = "outcome of the first call; its key is not shown again"
         self._output.show(document)
 
+    def _read_key(self, path: str) -> str:
+        try:
+            return Path(path).read_text(encoding="ascii").strip()
+        except (OSError, ValueError) as error:
+            self._output.fail("invalid_key_file", str(error), EXIT_INVALID)
+
     def _entry_addresses(self) -> list[str]:
         return [item["address"] for item in self._read("instances")]
 
--- a/papayacrank/admin/_explain.py
+++ b/papayacrank/admin/_explain.py
@@ -6,6 +6,7 @@
 
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 STATUS_OK = 200
+STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
 
 
@@ -14,7 +15,7 @@
 
 
 def explain_request(
-    addresses: list[str], request_id: str, timeout_ms: int
+    addresses: list[str], request_id: str, timeout_ms: int, key: str | None = None
 ) -> dict | None:
     """Return the record of a request.
 
@@ -26,6 +27,9 @@
         Identifier that the caller received.
     timeout_ms : int
         Limit for each process.
+    key : str, optional
+        Key of the workspace of the request. Entry processes require it except from
+        127.x.
 
     Returns
     -------
@@ -40,7 +44,7 @@
     errors = []
     for address in addresses:
         try:
-            record = _ask(address, request_id, timeout_ms)
+            record = _ask(address, request_id, timeout_ms, key)
         except (OSError, http.client.HTTPException, ValueError) as error:
             errors.append(f"{address}: {error}")
             continue
@@ -51,16 +55,22 @@
     return None
 
 
-def _ask(address: str, request_id: str, timeout_ms: int) -> dict | None:
+def _ask(
+    address: str, request_id: str, timeout_ms: int, key: str | None
+) -> dict | None:
+    headers = {"Authorization": f"Bearer {key}"} if key else {}
     connection = http.client.HTTPConnection(address, timeout=timeout_ms / 1000)
     try:
-        connection.request("GET", f"/v1/explain/{quote(request_id, safe='')}")
+        path = f"/v1/explain/{quote(request_id, safe='')}"
+        connection.request("GET", path, headers=headers)
         response = connection.getresponse()
         body = response.read(MAX_ANSWER_BYTES)
     finally:
         connection.close()
     if response.status == STATUS_NOT_FOUND:
         return None
+    if response.status == STATUS_UNAUTHORIZED:
+        raise ValueError("status 401; give --key-file with a key of the workspace")
     if response.status != STATUS_OK:
         raise ValueError(f"status {response.status}")
     return json.loads(body)
--- a/papayacrank/admin/tests/test_admin.py
+++ b/papayacrank/admin/tests/test_admin.py
@@ -158,6 +158,40 @@
     assert admin("explain", "c", f"--entry={group.free_address()}")[0] == 4
 
 
+def test_explain_sends_the_key_of_the_workspace(admin, tmp_path):
+    """Guards against requests that can be explained from 127.x only."""
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+        """Explains to one key, as an entry process does to other machines."""
+
+        def do_GET(self):  # noqa: N802 - name given by the base class
+            allowed = self.headers["Authorization"] == "Bearer ppk_1"
+            self.send_response(200 if allowed else 401)
+            self.end_headers()
+            if allowed:
+                self.wfile.write(b'{"target": "sample-llm-1"}')
+
+        def log_message(self, *args):
+            """Write nothing."""
+
+    key_file = tmp_path / "key.txt"
+    key_file.write_text("ppk_1\n", encoding="ascii")
+    server = http.server.HTTPServer(("127.0.0.1", 0), Handler)
+    thread = threading.Thread(target=server.serve_forever)
+    thread.start()
+    entry = f"--entry=127.0.0.1:{server.server_port}"
+    explained = admin("explain", "a", entry, f"--key-file={key_file}")
+    refused, document = admin("explain", "a", entry)
+    server.shutdown()
+    thread.join()
+    server.server_close()
+    assert explained == (0, {"target": "sample-llm-1"})
+    assert refused == 4
+    assert "--key-file" in document["error"]["message"]
+    missing = f"--key-file={tmp_path / 'missing'}"
+    assert admin("explain", "a", entry, missing)[0] == 2
+
+
 def test_text_output_lists_rows_as_a_table(capsys):
     """Guards against text that hides a column."""
     output = commands_module.Output(as_json=False)
