Reclaim tokens that are needed elsewhere

A trace showed a refusal 0.64 s into the wait, just between the return of the tokens and their grant.

Change: answers to heartbeats say whether tokens are scarce and whether others are about to return some; an instance returns unused tokens after 0.3 s when they are scarce; a request waits up to 0.9 s while tokens are being returned, and 0.3 s longer than the return itself.

--- a/papayacrank/admission/_ledger.py
+++ b/papayacrank/admission/_ledger.py
@@ -8,6 +8,7 @@
 # An instance may hold at most this part of the free tokens for expected demand, so
 # that it does not empty the bucket for requests that arrive elsewhere.
 EXPECTED_DEMAND_PART = 2
+SCARCE_MS = 1_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +35,7 @@
     granted: int = 0
     spent: int = 0
     outstanding: int = 0
+    unneeded: int = 0
 
 
 @dataclass(slots=True)
@@ -50,20 +52,28 @@
     refilled_ms: int
     accounts: dict[str, _Account] = field(default_factory=dict)
 
-    # Sum over the accounts, kept so that a report does not visit all of them.
+    # Sums over the accounts, kept so that a report does not visit all of them.
     outstanding: int = 0
+    unneeded: int = 0
+    scarce_until_ms: int = 0
 
     def remove_account(self, key: str) -> None:
-        """Remove an account from the sum; unknown keys are ignored."""
+        """Remove an account from the sums; unknown keys are ignored."""
         account = self.accounts.pop(key, None)
         if account is not None:
             self.outstanding -= account.outstanding
+            self.unneeded -= account.unneeded
 
     def set_outstanding(self, account: _Account, outstanding: int) -> None:
-        """Change an account and the sum."""
+        """Change what an account holds or has reserved."""
         self.outstanding += outstanding - account.outstanding
         account.outstanding = outstanding
 
+    def set_unneeded(self, account: _Account, unneeded: int) -> None:
+        """Change what an account holds beyond the need of its queued requests."""
+        self.unneeded += unneeded - account.unneeded
+        account.unneeded = unneeded
+
     def refill(self, now_ms: int) -> None:
         """Add the refill since the last call; a clock that went back adds none."""
         elapsed_ms = max(0, now_ms - self.refilled_ms)
@@ -135,10 +145,34 @@
                 continue
             bucket.refill(now_ms)
             account = self._book(bucket, _account_key(instance, boot), report)
-            self._grant(bucket, account, report)
+            self._grant(bucket, account, report, now_ms)
             grants.append(ShareGrant(report.workspace, account.granted))
         return grants
 
+    def mark_scarcity(
+        self, instance: str, boot: int, grants: list[ShareGrant], now_ms: int
+    ) -> list[ShareGrant]:
+        """Return the grants with the present scarcity of their workspaces.
+
+        An instance learns in every answer, also one that changes no state, whether it
+        must return what it does not need.
+        """
+        key = _account_key(instance, boot)
+        return [self._mark_one(key, grant, now_ms) for grant in grants]
+
+    def _mark_one(self, key: str, grant: ShareGrant, now_ms: int) -> ShareGrant:
+        bucket = self._buckets.get(grant.workspace)
+        if bucket is None or now_ms >= bucket.scarce_until_ms:
+            return grant
+        account = bucket.accounts.get(key)
+        own = account.unneeded if account is not None else 0
+        return ShareGrant(
+            grant.workspace,
+            grant.granted_tokens,
+            scarce=True,
+            reclaiming=bucket.unneeded > own,
+        )
+
     def expire(self, instance: str, boot: int, now_ms: int) -> None:
         """Drop the shares of a boot whose lease has expired.
 
@@ -218,7 +252,9 @@
         return account
 
     @staticmethod
-    def _grant(bucket: _Bucket, account: _Account, report: ShareReport) -> None:
+    def _grant(
+        bucket: _Bucket, account: _Account, report: ShareReport, now_ms: int
+    ) -> None:
         """Grant what queued requests need, then a part of the expected demand.
 
         Needs are met in the order of the reports. Dividing scarce tokens among the
@@ -227,11 +263,15 @@
         available = max(0, bucket.level_millitokens // MILLITOKENS_PER_TOKEN)
         undelivered = max(0, account.granted - report.granted_tokens)
         present = report.held_tokens + undelivered
-        needed = min(available, max(0, report.queued_tokens - present))
+        deficit = max(0, report.queued_tokens - present)
+        needed = min(available, deficit)
+        if needed < deficit:
+            bucket.scarce_until_ms = now_ms + SCARCE_MS
         wanted = max(0, report.wanted_tokens - present - needed)
         unneeded = max(0, present - report.queued_tokens)
         free = available - needed + unneeded
         expected = min(wanted, max(0, free // EXPECTED_DEMAND_PART - unneeded))
+        bucket.set_unneeded(account, unneeded + expected)
         part = needed + expected
         account.granted += part
         bucket.set_outstanding(account, account.outstanding + part)
--- a/papayacrank/admission/_queue.py
+++ b/papayacrank/admission/_queue.py
@@ -16,6 +16,7 @@
 RETRY_SPREAD_MS = 2_000
 MIN_RETRY_MS = 250
 LEDGER_WAIT_MS = 4_000  # covers the longest expected election of the control group
+RECLAIM_WAIT_MS = 900  # a heartbeat of the instance that returns tokens, and a grant
 SERVICE_RATE_SMOOTHING = 0.1
 
 
@@ -139,7 +140,7 @@
 
     def next_wakeup_ms(self, now_ms: int) -> int | None:
         """Return when `poll` must be called again, if nothing else happens."""
-        times = [self._gives_up_ms(queued) for queued in self._queued.values()]
+        times = [self._gives_up_ms(queued, now_ms) for queued in self._queued.values()]
         return min(times, default=None)
 
     @abstractmethod
@@ -190,7 +191,9 @@
         ]
 
     def _refuse_over_rate(self, now_ms: int) -> list[Admitted | Refused]:
-        over = [q for q in self._queued.values() if now_ms >= self._gives_up_ms(q)]
+        over = [
+            q for q in self._queued.values() if now_ms >= self._gives_up_ms(q, now_ms)
+        ]
         return [self._refuse(queued, self._explain_wait(queued)) for queued in over]
 
     def _explain_wait(self, queued: QueuedRequest) -> Failure:
@@ -204,7 +207,7 @@
         self._remove(queued)
         return Refused(queued.request, failure)
 
-    def _gives_up_ms(self, queued: QueuedRequest) -> int:
+    def _gives_up_ms(self, queued: QueuedRequest, now_ms: int) -> int:
         """Return when the wait ends; waiting for tokens counts from its beginning.
 
         All requests behind the one that waits for tokens wait for tokens too. Without
@@ -215,9 +218,12 @@
         since_ms = self._waiting_since_ms(queued)
         if since_ms is None:
             return deadline_ms
-        answered = self._ledger_answered(queued)
-        wait_ms = self.budget_wait_ms if answered else LEDGER_WAIT_MS
-        return min(deadline_ms, since_ms + max(wait_ms, self.budget_wait_ms))
+        wait_ms = self.budget_wait_ms
+        if not self._ledger_answered(queued):
+            wait_ms = max(wait_ms, LEDGER_WAIT_MS)
+        elif self.shares.is_reclaiming(queued.request.workspace, now_ms):
+            wait_ms = max(wait_ms, RECLAIM_WAIT_MS)
+        return min(deadline_ms, since_ms + wait_ms)
 
     def _waiting_since_ms(self, queued: QueuedRequest) -> int | None:
         """Return since when the request waits for tokens, None if it does not."""
--- a/papayacrank/admission/_shares.py
+++ b/papayacrank/admission/_shares.py
@@ -6,6 +6,10 @@
 
 DEMAND_HORIZON_MS = 2_500
 IDLE_RETURN_MS = 2_000
+SCARCE_RETURN_MS = 300
+# Returned tokens still have to be granted; without this time a request was refused
+# between the return and the grant.
+RECLAIM_GRACE_MS = 300
 MIN_REPORT_INTERVAL_MS = 20
 IDLE_REPORTS = 10  # an idle share is reported this often, since reports can be lost
 MS_PER_SECOND = 1000
@@ -24,6 +28,18 @@
     demand_at_ms: int = 0
     used_at_ms: int = 0
     idle_reports: int = 0
+    scarce: bool = False
+    reclaiming_until_ms: int = 0
+
+    @property
+    def surplus(self) -> int:
+        """Tokens held beyond the need of the queued requests."""
+        return max(0, self.held - self.queued)
+
+    def must_return(self, now_ms: int) -> bool:
+        """Whether tokens that are not used here are needed elsewhere."""
+        unused = now_ms - self.used_at_ms >= SCARCE_RETURN_MS
+        return self.scarce and unused and self.surplus > 0
 
     @property
     def idle(self) -> bool:
@@ -69,8 +85,11 @@
         return self._answered_sent_ms
 
     def needs_report(self, now_ms: int) -> bool:
-        """Whether queued requests wait for a grant that was not asked for yet."""
-        waiting = any(share.queued > share.held for share in self._shares.values())
+        """Whether queued requests need a grant, or others need what is held here."""
+        waiting = any(
+            share.queued > share.held or share.must_return(now_ms)
+            for share in self._shares.values()
+        )
         return waiting and now_ms - self._reported_ms >= MIN_REPORT_INTERVAL_MS
 
     def apply_grants(
@@ -94,6 +113,14 @@
             increase = max(0, grant.granted_tokens - share.granted)
             share.granted += increase
             share.held += increase
+            share.scarce = grant.scarce
+            if grant.reclaiming:
+                share.reclaiming_until_ms = sent_ms + RECLAIM_GRACE_MS
+
+    def is_reclaiming(self, workspace: str, now_ms: int) -> bool:
+        """Whether other instances return tokens, or have just returned them."""
+        share = self._shares.get(workspace)
+        return share is not None and now_ms < share.reclaiming_until_ms
 
     def try_reserve(
         self, request_id: str, workspace: str, tokens: int, now_ms: int
@@ -202,6 +229,9 @@
 
     def _report(self, workspace: str, share: _Share, now_ms: int) -> ShareReport:
         wanted = share.queued + self._predict_demand(share, now_ms)
+        if share.must_return(now_ms):
+            share.held -= share.surplus
+            wanted = share.queued
         if now_ms - share.used_at_ms >= IDLE_RETURN_MS:
             share.held = min(share.held, wanted)
         if wanted == 0:
--- a/papayacrank/admission/tests/test_budget.py
+++ b/papayacrank/admission/tests/test_budget.py
@@ -69,8 +69,11 @@
 
         def arrive():
             self.last_applied[(instance, boot)] = self.now_ms
-            grants = self.ledger.apply_reports(
-                str(instance), boot, reports, self.now_ms
+            grants = self.ledger.mark_scarcity(
+                str(instance),
+                boot,
+                self.ledger.apply_reports(str(instance), boot, reports, self.now_ms),
+                self.now_ms,
             )
 
             def acknowledge():
@@ -220,6 +223,7 @@
         bucket = fleet.ledger._buckets["w"]
         accounts = bucket.accounts.values()
         assert bucket.outstanding == sum(a.outstanding for a in accounts)
+        assert bucket.unneeded == sum(a.unneeded for a in accounts)
 
 
 def test_new_leader_clock_gives_no_refill():
@@ -254,6 +258,34 @@
     assert grants[0].granted_tokens == free // 2
 
 
+def test_tokens_held_elsewhere_are_returned_when_scarce():
+    """Guards against "over rate" while another instance holds tokens it needs not."""
+    ledger, holder, waiting = BudgetLedger(), LocalShares(), LocalShares()
+    ledger.configure([WorkspaceBudget("w", 1, BURST_TOKENS)], 0)
+
+    def exchange(name, shares, now_ms):
+        grants = ledger.apply_reports(name, 1, shares.reports(now_ms), now_ms)
+        grants = ledger.mark_scarcity(name, 1, grants, now_ms)
+        shares.apply_grants(grants, now_ms, LEASE_MS)
+        return grants[0]
+
+    holder.set_queued("w", BURST_TOKENS)
+    exchange("a", holder, 0)
+    holder.set_queued("w", 0)
+    exchange("a", holder, 100)
+    waiting.set_queued("w", 1_000)
+    grant = exchange("b", waiting, 200)
+    assert (grant.scarce, grant.reclaiming) == (True, True)
+    assert waiting.is_reclaiming("w", 210)
+    exchange("a", holder, 300)
+    assert holder.needs_report(320)
+    exchange("a", holder, 320)
+    # Between the return and the grant nothing is held elsewhere any more.
+    assert waiting.is_reclaiming("w", 330)
+    assert exchange("b", waiting, 340).granted_tokens == 1_000
+    assert waiting.try_reserve("r", "w", 1_000, 350)
+
+
 def test_returned_tokens_are_granted_elsewhere():
     """Guards against tokens that stay with an instance that needs them no more."""
     ledger = BudgetLedger()
--- a/papayacrank/messages/_requests.py
+++ b/papayacrank/messages/_requests.py
@@ -116,10 +116,19 @@
     """Total tokens granted to an instance since its process started.
 
     Totals instead of increments make a repeated or lost message harmless.
+
+    Attributes
+    ----------
+    scarce : bool
+        Requests elsewhere need tokens, so what is not needed must be returned.
+    reclaiming : bool
+        Other instances hold tokens that they do not need and will return.
     """
 
     workspace: str
     granted_tokens: int
+    scarce: bool = False
+    reclaiming: bool = False
 
 
 class Heartbeat(msgspec.Struct, tag=True, frozen=True):
--- a/papayacrank/replay/_entry.py
+++ b/papayacrank/replay/_entry.py
@@ -194,7 +194,9 @@
     def _report_shares(self) -> None:
         sent_ms = self.now_ms
         reports = self.shares.reports(sent_ms)
-        grants = self.ledger.apply_reports(self.place.name, 1, reports, sent_ms)
+        name = self.place.name
+        grants = self.ledger.apply_reports(name, 1, reports, sent_ms)
+        grants = self.ledger.mark_scarcity(name, 1, grants, sent_ms)
         self.schedule.after(CONTROL_ROUND_TRIP_MS, self._apply_grants, grants, sent_ms)
 
     def _apply_grants(self, grants: list, sent_ms: int) -> None:
--- a/papayacrank/state/_machine.py
+++ b/papayacrank/state/_machine.py
@@ -205,7 +205,9 @@
     def grants(self, instance: str, boot: int) -> list[ShareGrant]:
         """Return the totals granted to a process."""
         row = self._instances.find(instance, boot)
-        return list(row.grants) if row is not None else []
+        if row is None:
+            return []
+        return self._ledger.mark_scarcity(instance, boot, row.grants, self._now_ms)
 
     def needs_entry(self, heartbeat: Heartbeat) -> bool:
         """Return whether a heartbeat would change the state."""
