--- a/papayacrank/state/_machine.py
+++ b/papayacrank/state/_machine.py
@@ -261,11 +261,19 @@
     def restore(self, data: bytes) -> None:
         """Replace the state by a snapshot.
 
+        Parameters
+        ----------
+        data : bytes
+            Result of `snapshot`; empty for the initial state, which a member gets
+            whose log was discarded before any snapshot.
+
         Raises
         ------
         SnapshotError
             If the bytes are no snapshot of this format.
         """
+        if not data:
+            data = StateMachine().snapshot()
         try:
             snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
         except msgspec.DecodeError as error:
--- a/papayacrank/state/tests/test_machine.py
+++ b/papayacrank/state/tests/test_machine.py
@@ -413,6 +413,14 @@
     assert group.machine.grants("i2", 1)[0].granted_tokens == 0
 
 
+def test_empty_snapshot_restores_the_initial_state():
+    """Guards against a member that stops because its log was discarded early."""
+    group = Group()
+    group.run("r1", FileConfiguration(0, DOCUMENT, "ann"))
+    group.machine.restore(b"")
+    assert group.machine.snapshot() == StateMachine().snapshot()
+
+
 def test_new_leader_does_not_refill_budgets_for_the_gap():
     """Guards against tokens beyond the rate when group time continues late."""
     group = Group()
