Keep one implementation of usage sums

Cause: state and accounting each had their own sums, rows and bounds of refusal codes; duplicates listed them.

Change: accounting adds counts, histograms and codes; the state machine uses it.

Conclusion: a new counter of UsageDelta is summed everywhere without a further change.

--- a/papayacrank/accounting/_usage.py
+++ b/papayacrank/accounting/_usage.py
@@ -18,19 +18,10 @@
 )
 
 MAX_PENDING_REPORTS = 60
-SUMMED_FIELDS = (
-    "asked",
-    "served",
-    "refused",
-    "failed",
-    "may_have_run",
-    "prompt_tokens",
-    "cached_tokens",
-    "output_tokens",
-    "charged_tokens",
-    "refused_within_rate",
-    "actions_finished",
-    "actions_unknown",
+MAX_REFUSAL_CODES = 64
+OTHER_CODES = "other"
+SUMMED_FIELDS = tuple(
+    field.name for field in msgspec.structs.fields(UsageDelta) if field.type is int
 )
 HISTOGRAM_FIELDS = ("ttft_histogram", "token_gap_histogram")
 
@@ -261,20 +252,15 @@
     ValueError
         If the workspaces differ.
     """
-    if first.workspace != second.workspace:
-        raise ValueError(f"{first.workspace} and {second.workspace} cannot be added")
-    sums = {n: getattr(first, n) + getattr(second, n) for n in SUMMED_FIELDS}
     histograms = {
-        n: _merge_encoded(getattr(first, n), getattr(second, n))
-        for n in HISTOGRAM_FIELDS
+        name: merge_histograms(getattr(first, name), getattr(second, name))
+        for name in HISTOGRAM_FIELDS
     }
-    codes = dict(first.refused_by_code)
-    for code, count in second.refused_by_code.items():
-        codes[code] = codes.get(code, 0) + count
-    return msgspec.structs.replace(first, refused_by_code=codes, **sums, **histograms)
+    return add_counts(first, second, histograms)
 
 
-def _merge_encoded(first: bytes, second: bytes) -> bytes:
+def merge_histograms(first: bytes, second: bytes) -> bytes:
+    """Add two encoded HDR histograms in milliseconds; empty bytes mean no values."""
     if not first or not second:
         return first or second
     merged = decode_histogram(first)
@@ -282,5 +268,38 @@
     return encode_histogram(merged)
 
 
+def add_counts(
+    first: UsageDelta, second: UsageDelta, histograms: dict[str, bytes]
+) -> UsageDelta:
+    """Add counts and refusals, and take the given histograms.
+
+    Parameters
+    ----------
+    first, second : UsageDelta
+        Usage of the same workspace.
+    histograms : dict of str to bytes
+        Merged histogram of each name in `HISTOGRAM_FIELDS`.
+
+    Returns
+    -------
+    UsageDelta
+        The sum, with at most `MAX_REFUSAL_CODES` codes and ``"other"``.
+
+    Raises
+    ------
+    ValueError
+        If the workspaces differ.
+    """
+    if first.workspace != second.workspace:
+        raise ValueError(f"{first.workspace} and {second.workspace} cannot be added")
+    sums = {n: getattr(first, n) + getattr(second, n) for n in SUMMED_FIELDS}
+    codes = dict(first.refused_by_code)
+    for code, count in second.refused_by_code.items():
+        known = code in codes or len(codes) < MAX_REFUSAL_CODES
+        name = code if known else OTHER_CODES
+        codes[name] = codes.get(name, 0) + count
+    return UsageDelta(first.workspace, refused_by_code=codes, **sums, **histograms)
+
+
 def _clamp(value_ms: int) -> int:
     return min(max(value_ms, LOWEST_MS), HIGHEST_MS)
--- a/papayacrank/state/__init__.py
+++ b/papayacrank/state/__init__.py
@@ -14,7 +14,6 @@
 )
 from ._machine import SnapshotError, StateMachine
 from ._orders import MAX_WEIGHT_LOADS, OrderRow
-from ._usage import UsageRow, merge_histograms, merge_usage
 
 __all__ = [
     "MAX_WEIGHT_LOADS",
@@ -28,10 +27,7 @@
     "OrderRow",
     "SnapshotError",
     "StateMachine",
-    "UsageRow",
     "check_command",
     "decode_entry",
     "encode_entry",
-    "merge_histograms",
-    "merge_usage",
 ]
--- a/papayacrank/state/_check.py
+++ b/papayacrank/state/_check.py
@@ -6,7 +6,7 @@
 from hdrh.histogram import HdrHistogram
 from pydantic import ValidationError
 
-from papayacrank.accounting import new_histogram
+from papayacrank.accounting import MAX_REFUSAL_CODES, new_histogram
 from papayacrank.config import parse_configuration
 from papayacrank.messages import (
     AbandonAction,
@@ -25,7 +25,6 @@
     MAX_DIGEST_CHARACTERS,
     MAX_DOCUMENT_BYTES,
     MAX_NAME_CHARACTERS,
-    MAX_REFUSAL_CODES,
 )
 
 MIN_DIGEST_CHARACTERS = 64
--- a/papayacrank/state/_limits.py
+++ b/papayacrank/state/_limits.py
@@ -30,7 +30,6 @@
 MAX_DECODED_HISTOGRAMS = 1_024
 MAX_USAGE_SENDERS = 4_096
 MAX_USAGE_GAP = 256
-MAX_REFUSAL_CODES = 64
 MAX_MINUTE_SKEW = 15
 # Histograms of older rows are left out of the view beyond this size, so that it fits
 # into one message.
--- a/papayacrank/state/_usage.py
+++ b/papayacrank/state/_usage.py
@@ -3,14 +3,19 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from papayacrank.accounting import decode_histogram
+from papayacrank.accounting import (
+    HISTOGRAM_FIELDS,
+    UsageRow,
+    add_counts,
+    decode_histogram,
+    merge_usage,
+)
 from papayacrank.messages import Done, FailureRecord, ReportUsage, UsageDelta
 
 from ._base import Table, refuse
 from ._limits import (
     MAX_DECODED_HISTOGRAMS,
     MAX_MINUTE_SKEW,
-    MAX_REFUSAL_CODES,
     MAX_USAGE_GAP,
     MAX_USAGE_ROWS,
     MAX_USAGE_SENDERS,
@@ -18,20 +23,6 @@
 
 MINUTE_MS = 60_000
 HOUR_MINUTES = 60
-OTHER_CODES = "other"
-
-_COUNTERS = tuple(
-    field.name for field in msgspec.structs.fields(UsageDelta) if field.type is int
-)
-_HISTOGRAMS = ("ttft_histogram", "token_gap_histogram")
-
-
-class UsageRow(msgspec.Struct, frozen=True):
-    """Totals of one workspace over a span of minutes."""
-
-    minute: int
-    minutes: int
-    usage: UsageDelta
 
 
 class SenderRow(msgspec.Struct):
@@ -139,17 +130,17 @@
         row = self._rows.get(key)
         if row is None:
             usage = merge_usage(UsageDelta(delta.workspace), delta)
-            self._rows[key] = UsageRow(minute, minutes, usage)
+            self._rows[key] = UsageRow(minute, usage, minutes)
             return
-        histograms = {name: getattr(row.usage, name) for name in _HISTOGRAMS}
-        for name in _HISTOGRAMS:
+        histograms = {name: getattr(row.usage, name) for name in HISTOGRAM_FIELDS}
+        for name in HISTOGRAM_FIELDS:
             added = getattr(delta, name)
             if added and not histograms[name]:
                 histograms[name] = added
             elif added:
                 self._add_histogram(key, name, histograms[name], added)
-        usage = _add_counts(row.usage, delta, histograms)
-        self._rows[key] = UsageRow(minute, max(minutes, row.minutes), usage)
+        usage = add_counts(row.usage, delta, histograms)
+        self._rows[key] = UsageRow(minute, usage, max(minutes, row.minutes))
 
     def _add_histogram(
         self, row_key: tuple[int, str], name: str, total: bytes, added: bytes
@@ -203,33 +194,3 @@
         keys = sorted(key for key in self._rows if key[0] == second)
         for row in [self._rows.pop(key) for key in keys]:
             self._book(first, second - first + row.minutes, row.usage)
-
-
-def merge_usage(total: UsageDelta, delta: UsageDelta) -> UsageDelta:
-    """Add two usages of one workspace."""
-    histograms = {
-        name: merge_histograms(getattr(total, name), getattr(delta, name))
-        for name in _HISTOGRAMS
-    }
-    return _add_counts(total, delta, histograms)
-
-
-def merge_histograms(first: bytes, second: bytes) -> bytes:
-    """Add two encoded HDR histograms in milliseconds; empty bytes mean no values."""
-    if not first or not second:
-        return first or second
-    merged = decode_histogram(first)
-    merged.decode_and_add(second)
-    return merged.encode()
-
-
-def _add_counts(
-    total: UsageDelta, delta: UsageDelta, histograms: dict[str, bytes]
-) -> UsageDelta:
-    counts = {name: getattr(total, name) + getattr(delta, name) for name in _COUNTERS}
-    codes = dict(total.refused_by_code)
-    for code, count in delta.refused_by_code.items():
-        known = code in codes or len(codes) < MAX_REFUSAL_CODES
-        name = code if known else OTHER_CODES
-        codes[name] = codes.get(name, 0) + count
-    return UsageDelta(total.workspace, refused_by_code=codes, **counts, **histograms)
