--- a/papayacrank/admin/_commands.py
+++ b/papayacrank/admin/_commands.py
@@ -21,6 +21,7 @@
 from papayacrank.control import digest_key
 from papayacrank.kernel import Failure
 from papayacrank.messages import (
+    Command,
     FileConfiguration,
     GrantKey,
     PlaceOrder,
@@ -29,7 +30,6 @@
     SetInstanceState,
     WithdrawKey,
 )
-from papayacrank.messages._commands import Command
 
 from ._exchange import ControlExchange
 from ._explain import ExplainError, explain_request
--- a/papayacrank/admin/_exchange.py
+++ b/papayacrank/admin/_exchange.py
@@ -11,8 +11,7 @@
 from papayacrank.config import PeerAddress
 from papayacrank.control import ControlClient, LeaderHint, RequestFinished
 from papayacrank.kernel import CancelTimer, Failure, MonotonicClock, Send, SetTimer
-from papayacrank.messages import CONTROL_MESSAGES
-from papayacrank.messages._commands import Command
+from papayacrank.messages import CONTROL_MESSAGES, Command
 from papayacrank.transport import (
     Link,
     LinkSettings,
--- a/papayacrank/admin/_output.py
+++ b/papayacrank/admin/_output.py
@@ -102,7 +102,9 @@
         return "\n".join(str(row) for row in rows)
     columns = list(rows[0])
     cells = [[_format_value(row.get(column, "")) for column in columns] for row in rows]
-    widths = [max(len(text) for text in texts) for texts in zip(columns, *cells)]  # noqa: B905 - equal lengths
+    widths = [
+        max(len(text) for text in texts) for texts in zip(columns, *cells, strict=True)
+    ]
     lines = [columns, *cells]
     return "\n".join(
         "  ".join(t.ljust(w) for t, w in zip(line, widths, strict=True)).rstrip()
--- a/papayacrank/consensus/__init__.py
+++ b/papayacrank/consensus/__init__.py
@@ -54,6 +54,7 @@
     Member,
     Membership,
     Record,
+    SaveSnapshot,
     Snapshot,
     StoreState,
 )
@@ -80,6 +81,7 @@
     "RaftNode",
     "RaftSettings",
     "Record",
+    "SaveSnapshot",
     "Remove",
     "Replace",
     "Snapshot",
--- a/papayacrank/control/_client.py
+++ b/papayacrank/control/_client.py
@@ -9,8 +9,7 @@
 from expression import Result as Outcome
 
 from papayacrank.kernel import CancelTimer, Effect, Failure, SetTimer, Verdict
-from papayacrank.messages import ControlReply, ControlRequest, NotLeader
-from papayacrank.messages._commands import Command
+from papayacrank.messages import Command, ControlReply, ControlRequest, NotLeader
 
 from ._leader import LeaderHint
 
--- a/papayacrank/control/_process.py
+++ b/papayacrank/control/_process.py
@@ -48,6 +48,11 @@
 STOP_TIMER = "control.stop"
 
 
+def read_wall_clock_ms() -> int:
+    """Return the wall clock in milliseconds since the epoch, for records only."""
+    return int(time.time() * MS_PER_SECOND)
+
+
 class flush(Event):  # noqa: N801 - circuits events are lower case
     """All messages that had arrived are handled: send what they proposed."""
 
@@ -188,8 +193,7 @@
             self._store.load(),
             random.Random(),
         )
-        wall_clock_ms = lambda: int(time.time() * MS_PER_SECOND)  # noqa: E731
-        return ControlNode(self._settings, raft, StateMachine(), wall_clock_ms)
+        return ControlNode(self._settings, raft, StateMachine(), read_wall_clock_ms)
 
     def _link_settings(self) -> LinkSettings:
         peers = {peer.name: peer.address for peer in self._settings.peers}
--- a/papayacrank/control/_requests.py
+++ b/papayacrank/control/_requests.py
@@ -5,6 +5,7 @@
 from papayacrank.consensus import Notice, RaftNode, Replace
 from papayacrank.kernel import Send, Verdict
 from papayacrank.messages import (
+    Command,
     ConfigurationFiled,
     ControlReply,
     ControlRequest,
@@ -17,7 +18,6 @@
     ReplaceMember,
     StateView,
 )
-from papayacrank.messages._commands import Command
 from papayacrank.state import StateMachine, check_command
 
 from ._events import COMMAND_FAILED, CONFIGURATION_ACCEPTED, KEY_CHANGED
--- a/papayacrank/control/_writer.py
+++ b/papayacrank/control/_writer.py
@@ -5,8 +5,7 @@
 
 from circuits import BaseComponent, Event, handler
 
-from papayacrank.consensus import LogStore, Record
-from papayacrank.consensus._messages import SaveSnapshot
+from papayacrank.consensus import LogStore, Record, SaveSnapshot
 
 
 class records_written(Event):  # noqa: N801 - circuits events are lower case
--- a/papayacrank/replay/__main__.py
+++ b/papayacrank/replay/__main__.py
@@ -2,7 +2,7 @@
 
 import fire
 
-from papayacrank.replay._cli import ReplayCommands
+from ._cli import ReplayCommands
 
 
 def main() -> None:
--- a/papayacrank/state/_check.py
+++ b/papayacrank/state/_check.py
@@ -11,13 +11,13 @@
 from papayacrank.messages import (
     AbandonAction,
     BeginAction,
+    Command,
     FailureRecord,
     FileConfiguration,
     FinishAction,
     GrantKey,
     ReportUsage,
 )
-from papayacrank.messages._commands import Command
 
 from ._base import refuse
 from ._limits import (
