Refuse a configuration with an unknown routing policy

Cause: found while reading: an unknown policy was accepted, raised KeyError in every entry process, and kept the rest of the change from being applied.

Change: the leader checks the name when a configuration is filed.

Figures: the new test fails without the check; 88 tests of state and control pass.

Conclusion: an accepted configuration can be applied by every entry process.

--- a/papayacrank/state/_check.py
+++ b/papayacrank/state/_check.py
@@ -8,6 +8,7 @@
 
 from papayacrank.accounting import MAX_REFUSAL_CODES, new_histogram
 from papayacrank.config import parse_configuration
+from papayacrank.kernel import available
 from papayacrank.messages import (
     AbandonAction,
     BeginAction,
@@ -18,6 +19,7 @@
     GrantKey,
     ReportUsage,
 )
+from papayacrank.routing import RoutingPolicy
 
 from ._base import refuse
 from ._limits import (
@@ -72,11 +74,15 @@
     if len(command.document.encode()) > MAX_DOCUMENT_BYTES:
         return _invalid(f"document is larger than {MAX_DOCUMENT_BYTES} bytes")
     try:
-        parse_configuration(command.document)
+        configuration = parse_configuration(command.document)
     except ValidationError as error:
         first = error.errors()[0]
         where = ".".join(str(part) for part in first["loc"]) or "(top level)"
         return _invalid(f"document: {where}: {first['msg']}")
+    # An entry process that does not know the policy could not apply the rest either.
+    known = available(RoutingPolicy)
+    if configuration.routing_policy not in known:
+        return _invalid(f"document: routing_policy: expected one of {', '.join(known)}")
     return None
 
 
--- a/papayacrank/state/tests/test_machine.py
+++ b/papayacrank/state/tests/test_machine.py
@@ -413,6 +413,15 @@
     assert group.machine.grants("i2", 1)[0].granted_tokens == 0
 
 
+def test_configuration_with_unknown_policy_is_refused():
+    """Guards against an accepted configuration that entry processes cannot apply."""
+    document = DOCUMENT.replace('"papayacrank"', '"misspelt"')
+    assert document != DOCUMENT
+    refusal = check_command(FileConfiguration(0, document, "ann"))
+    assert (refusal.code, refusal.verdict) == ("invalid_command", "not-run")
+    assert "longest_match" in refusal.message
+
+
 def test_empty_snapshot_restores_the_initial_state():
     """Guards against a member that stops because its log was discarded early."""
     group = Group()
