Stop the replay with exit code 2 for unusable names

Cause: an unknown policy or trace ended in a traceback.

Change: names are checked before the run; the error lists what is known.

--- a/papayacrank/replay/_cli.py
+++ b/papayacrank/replay/_cli.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+import msgspec
+
 from papayacrank.kernel import available, configure_logging
 from papayacrank.routing import RoutingPolicy
 
@@ -17,6 +19,10 @@
 SHIPPED_POLICY = "papayacrank"
 
 
+class ReplayInputError(ValueError):
+    """A trace or policy that was named cannot be used."""
+
+
 class ReplayCommands:
     """Replay traces through the routing and admission code in virtual time."""
 
@@ -33,9 +39,9 @@
             Seed of delays, losses and random choices.
         """
         configure_logging("replay", "error")
-        for name in _split(traces) or TRACE_NAMES:
+        for trace in _load_traces(traces):
             done = []
-            for run in _replay(load_trace(name), _split(policies), seed):
+            for run in _replay(trace, _split_policies(policies), seed):
                 done.append(measure(run))
             for measures in done:
                 print(json.dumps(_describe(measures, done)), flush=True)
@@ -61,8 +67,8 @@
         from ._plot import plot_runs
 
         configure_logging("replay", "error")
-        for name in _split(traces) or TRACE_NAMES:
-            runs = list(_replay(load_trace(name), _split(policies), seed))
+        for trace in _load_traces(traces):
+            runs = list(_replay(trace, _split_policies(policies), seed))
             for path in plot_runs(runs, [measure(r) for r in runs], Path(folder)):
                 print(path)
 
@@ -88,6 +94,26 @@
     return [name for name in names.split(",") if name]
 
 
+def _split_policies(policies: str | tuple) -> list[str]:
+    names, known = _split(policies), available(RoutingPolicy)
+    unknown = sorted(set(names) - set(known))
+    if unknown:
+        raise ReplayInputError(
+            f"--policies: got {', '.join(unknown)}; expected some of {', '.join(known)}"
+        )
+    return names
+
+
+def _load_traces(traces: str | tuple) -> list[Trace]:
+    loaded = []
+    for name in _split(traces) or TRACE_NAMES:
+        try:
+            loaded.append(load_trace(name))
+        except (OSError, ValueError, msgspec.MsgspecError) as error:
+            raise ReplayInputError(f"--traces: {name}: {error}") from error
+    return loaded
+
+
 def _replay(trace: Trace, policies: list[str], seed: int) -> Iterator[Run]:
     for policy in policies or available(RoutingPolicy):
         yield Runner(trace, policy, seed).run()
--- a/papayacrank/replay/tests/test_replay.py
+++ b/papayacrank/replay/tests/test_replay.py
@@ -15,6 +15,7 @@
     run_bound,
     write_trace,
 )
+from papayacrank.replay.__main__ import main
 from papayacrank.replay._cli import ReplayCommands
 from papayacrank.replay._engine import EngineModel, Job
 from papayacrank.replay._schedule import Schedule
@@ -184,3 +185,22 @@
     """Guards against plots that fail on a run without faults or refusals."""
     ReplayCommands().plot(str(tmp_path), "catalogue", "papayacrank")
     assert len(list(tmp_path.glob("*.png"))) == 3
+
+
+@pytest.mark.parametrize(
+    ("arguments", "expected"),
+    [
+        (["--policies", "misspelt"], "longest_match"),
+        (["--traces", "/no/such/trace.jsonl"], "/no/such/trace.jsonl"),
+    ],
+)
+def test_unusable_arguments_stop_with_exit_code_2(arguments, expected, capsys):
+    """Guards against a traceback, or a run of something else, for a wrong name."""
+    with (
+        pytest.raises(SystemExit) as stopped,
+        pytest.MonkeyPatch.context() as patch,
+    ):
+        patch.setattr("sys.argv", ["papayacrank-replay", "bench", *arguments])
+        main()
+    assert stopped.value.code == 2
+    assert expected in capsys.readouterr().err
