--- a/papayacrank/entry/tests/test_front_end.py
+++ b/papayacrank/entry/tests/test_front_end.py
@@ -160,7 +160,9 @@
         wait_until(lambda: echo.stalled, "stalled")
         left_bytes = echo.written_bytes + len(STREAM_PIECE)
         while left_bytes > 0:
-            left_bytes -= len(sock.recv(65_536))
+            piece = sock.recv(65_536)
+            assert piece, "the connection was closed early"
+            left_bytes -= len(piece)
         wait_until(lambda: echo.stalled > 1, "continued")
     wait_until(lambda: echo.left, "caller left")
 
