Keep two in three engines of a service serving while weights load

Cause: found while reading: three loads at once take all engines of a service with three engines out of service.

Change: the leader starts a load only while at most one in three targets of the service, rounded up, is loading; the limit of three in all stays.

--- a/papayacrank/control/_orders.py
+++ b/papayacrank/control/_orders.py
@@ -1,5 +1,6 @@
 """Sends orders to targets and confirms them by reading back."""
 
+import math
 from dataclasses import dataclass
 
 from papayacrank.config import TargetAddress, parse_configuration
@@ -27,6 +28,7 @@
 MAX_CALLS = 16
 STATUS_CONFLICT = 409
 LOAD_WEIGHTS = "load_weights"
+LOADING_PART = 3  # at most one target in three of a service loads at a time
 WAITING = "waiting"
 ISSUED = "issued"
 CONFIRMED = "confirmed"
@@ -100,6 +102,7 @@
         self._attempts: dict[str, _Attempt] = {}
         self._verify_ms: dict[str, int] = {}
         self._targets: dict[str, TargetAddress] = {}
+        self._peers: dict[str, frozenset[str]] = {}
         self._targets_version = -1
 
     def reset(self, term: int, now_ms: int) -> None:
@@ -176,7 +179,7 @@
         self, row: OrderRow, attempt: _Attempt, now_ms: int
     ) -> list[Decision]:
         is_new_load = row.kind == LOAD_WEIGHTS and row.state == WAITING
-        if is_new_load and self._loads >= MAX_WEIGHT_LOADS:
+        if is_new_load and not self._may_load(row.target):
             return []
         attempt.proposed = ISSUE
         attempt.started_ms = now_ms
@@ -259,17 +262,26 @@
     def _calls(self) -> int:
         return sum(attempt.calling for attempt in self._attempts.values())
 
-    @property
-    def _loads(self) -> int:
-        """Weight loads that may be running, and those about to be issued."""
-        proposed = sum(
-            row.kind == LOAD_WEIGHTS
-            and row.state == WAITING
-            and self._attempts[row.order_id].proposed == ISSUE
+    def _may_load(self, target: str) -> bool:
+        """Whether a load may start now, with enough of the service still serving."""
+        loading = self._loading_targets()
+        peers = self._peers[target]
+        loading_peers = sum(name in peers for name in loading)
+        most = math.ceil(len(peers) / LOADING_PART)
+        return len(loading) < MAX_WEIGHT_LOADS and loading_peers < most
+
+    def _loading_targets(self) -> list[str]:
+        """Targets that may be loading weights, or are about to be told to."""
+        return [
+            row.target
             for row in self._machine.orders.open
-            if row.order_id in self._attempts
-        )
-        return self._machine.orders.weight_loads + proposed
+            if row.kind == LOAD_WEIGHTS
+            and (row.state != WAITING or self._is_issue_proposed(row))
+        ]
+
+    def _is_issue_proposed(self, row: OrderRow) -> bool:
+        attempt = self._attempts.get(row.order_id)
+        return attempt is not None and attempt.proposed == ISSUE
 
     def _read_targets(self) -> None:
         configuration = self._machine.configuration
@@ -277,6 +289,11 @@
             return
         services = parse_configuration(configuration.document).services
         self._targets = {t.name: t for s in services for t in s.targets}
+        self._peers = {
+            target.name: frozenset(peer.name for peer in service.targets)
+            for service in services
+            for target in service.targets
+        }
         self._targets_version = configuration.version
 
     def _forget_closed(self) -> None:
--- a/papayacrank/control/tests/test_orders.py
+++ b/papayacrank/control/tests/test_orders.py
@@ -127,6 +127,22 @@
     assert leader.machine.orders.weight_loads == 1
 
 
+@pytest.mark.parametrize(
+    ("engines", "loads"), [(2, 1), (3, 1), (6, 2), (9, 3), (12, 3)]
+)
+def test_most_engines_of_a_service_go_on_serving(engines, loads):
+    """Guards against loads that take all engines of a small service at once."""
+    leader = Leader(engines)
+    for number in range(1, engines + 1):
+        leader.place(number)
+    for step in range(5):
+        now_ms = 2_000 + 100 * step
+        for call in leader.poll(now_ms):
+            if call.method == "GET":
+                leader.answer(call, now_ms)
+    assert leader.machine.orders.weight_loads == loads
+
+
 def test_attempt_ends_after_its_time_and_frees_its_place(leader):
     """Guards against a load that never ends and holds its place for ever."""
     leader.place(1)
