Reserve the ports of the entry process's tests

Change: the tests reserve ports as Fleet does, exclusively until the process ends.

Conclusion: two workers cannot get the same port any more.

--- a/papayacrank/entry/tests/system.py
+++ b/papayacrank/entry/tests/system.py
@@ -8,7 +8,7 @@
 import socket
 import subprocess
 import sys
-from contextlib import ExitStack, contextmanager, suppress
+from contextlib import ExitStack, contextmanager
 from pathlib import Path
 
 from papayacrank.admin._exchange import ControlExchange
@@ -16,6 +16,7 @@
 from papayacrank.control import digest_key
 from papayacrank.messages import FileConfiguration, GrantKey, ReadState, WithdrawKey
 from papayacrank.testing import build_questionnaire
+from papayacrank.testing._fleet import _reserve
 
 from .support import wait_until
 
@@ -23,17 +24,20 @@
 FIRST_PORT, LAST_PORT = 20_000, 32_000
 CONTROL = "control-1"
 KEEP_ROUTE_MS = 300
+_reserved: list[socket.socket] = []
 
 
 def find_free_port() -> int:
-    """Return a free port outside of the range that the system hands out.
+    """Return a port that no other test takes until this test process ends.
 
-    A port of that range can be taken by another process before it is used.
+    Two workers that found the same port free reached each other's control process,
+    and a configuration was refused as a conflict.
     """
     while True:
         port = random.randrange(FIRST_PORT, LAST_PORT)
-        with socket.socket() as sock, suppress(OSError):
-            sock.bind(("127.0.0.1", port))
+        reserved = _reserve(port)
+        if reserved is not None:
+            _reserved.append(reserved)
             return port
 
 
