Keep a running sum of the tokens in a queue

Cause: each submission and removal added up the whole queue of the workspace, on the hot path and most of all under overload.

Change: the queue keeps one sum for each workspace; behaviour is unchanged.

Conclusion: the cost of a submission no longer grows with the queue.

--- a/papayacrank/admission/_queue.py
+++ b/papayacrank/admission/_queue.py
@@ -71,6 +71,7 @@
         )
         self._queues: dict[str, SortedKeyList] = {}
         self._queued: dict[str, QueuedRequest] = {}
+        self._queued_tokens: dict[str, int] = {}
         self._running: dict[str, AdmissionRequest] = {}
         self._blocked_since_ms: dict[str, int] = {}
         self._arrivals = 0
@@ -104,7 +105,7 @@
             self._on_backlogged(request)
         queue.add(queued)
         self._queued[request.request_id] = queued
-        self._update_queued_tokens(request.workspace)
+        self._add_queued_tokens(request.workspace, request.tokens)
         return Ok(None)
 
     def poll(self, now_ms: int) -> list[Admitted | Refused]:
@@ -248,11 +249,14 @@
         workspace = queued.request.workspace
         del self._queued[queued.request.request_id]
         self._queues[workspace].remove(queued)
+        self._add_queued_tokens(workspace, -queued.request.tokens)
         if not self._queues[workspace]:
             del self._queues[workspace]
+            del self._queued_tokens[workspace]
             self._blocked_since_ms.pop(workspace, None)
-        self._update_queued_tokens(workspace)
 
-    def _update_queued_tokens(self, workspace: str) -> None:
-        queue = self._queues.get(workspace, ())
-        self.shares.set_queued(workspace, sum(q.request.tokens for q in queue))
+    def _add_queued_tokens(self, workspace: str, tokens: int) -> None:
+        """Keep the sum, so that a long queue is not added up for each request."""
+        total = self._queued_tokens.get(workspace, 0) + tokens
+        self._queued_tokens[workspace] = total
+        self.shares.set_queued(workspace, total)
