Roll weights out oldest first, running requests continue; spend tokens at the answer

Tokens stayed reserved until the end of a request.

Change: the order lets running requests continue; engines with the oldest weights go first; tokens count as spent from the head of the answer. Ends of requests log their cost, and a new configuration its rates.

--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -57,7 +57,7 @@
     def __init__(self, protocol: TargetProtocol, holder: str, order_delay_ms: int = 0):
         self._protocol = protocol
         self._order_delay_ms = order_delay_ms
-        self._rollout = WeightsRollout(protocol, holder, RunPolicy.FINISH)
+        self._rollout = WeightsRollout(protocol, holder, RunPolicy.CONTINUE)
         self._term = 0
         self._sequence = 0
         self._targets: dict[str, ListedTarget] = {}
--- a/papayacrank/control/_rollout.py
+++ b/papayacrank/control/_rollout.py
@@ -174,7 +174,7 @@
     def _start_loads(
         self, wanted: dict[str, int], loads: dict[str, TargetLoad], now_ms: int
     ) -> None:
-        """Take engines out of service, the least loaded first."""
+        """Take engines out of service, the oldest weights first."""
         by_service: dict[str, list[_Engine]] = {}
         for engine in self._engines.values():
             by_service.setdefault(engine.target.service, []).append(engine)
@@ -182,7 +182,7 @@
             out = sum(e.phase is not Phase.IDLE for e in engines)
             room = math.ceil(len(engines) / LOADING_PART) - out
             behind = [e for e in engines if self._is_behind(e, wanted)]
-            behind.sort(key=lambda e: _work(loads, e.target.name))
+            behind.sort(key=lambda e: (self._oldest(e), _work(loads, e.target.name)))
             for engine in behind[: max(0, room)]:
                 engine.enter(Phase.LEAVING, now_ms, LEAVE_MS)
 
@@ -192,6 +192,10 @@
         weights = self.weights(engine.target)
         return any(weights[m] < wanted.get(m, 0) for m in weights)
 
+    def _oldest(self, engine: _Engine) -> int:
+        """Return the version that an engine runs, so that none stays behind."""
+        return min(self.weights(engine.target).values())
+
     def _next_call(
         self, engine: _Engine, model: str, version: int, now_ms: int
     ) -> HttpCall:
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -187,6 +187,10 @@
             ROUTING_APPLIED,
             version=configuration.version,
             routes=len(configuration.routes),
+            rates={
+                item.name: [item.rate_per_s, item.burst]
+                for item in configuration.workspaces
+            },
         )
 
     def apply_weights(self, versions: dict[str, int]) -> None:
@@ -518,6 +522,9 @@
         attempt = call.state.attempt
         attempt.status = status
         attempt.headers = headers
+        if call.state.workspace is not None and 200 <= status < 300:
+            job, now_ms = call.state, self._clock.now_ms()
+            self._quota.spend(_quota_id(job), job.cost, now_ms)
         if attempt.is_stream and not 200 <= status < 300:
             attempt.is_stream = False
 
@@ -728,6 +735,7 @@
             "status": status,
             "took_ms": now_ms - job.arrived_ms,
             "tries": job.tries,
+            "cost": job.cost,
         }
         if job.last_failure:
             fields["last_failure"] = job.last_failure
