--- a/docs/generate.py
+++ b/docs/generate.py
@@ -15,9 +15,16 @@
 from papayacrank.config import Configuration, ControlSettings, EntrySettings
 from papayacrank.config import Questionnaire as QuestionnaireModel
 from papayacrank.kernel import declared_events
+from papayacrank.platform import PlatformSettings
 
 DOCS = Path(__file__).parent
-MODELS = (EntrySettings, ControlSettings, QuestionnaireModel, Configuration)
+MODELS = (
+    EntrySettings,
+    ControlSettings,
+    QuestionnaireModel,
+    Configuration,
+    PlatformSettings,
+)
 
 
 def import_event_modules() -> None:
@@ -88,6 +95,7 @@
         text = text.replace(prefix, "")
     text = text.replace("papayacrank.config._questionnaire.", "")
     text = text.replace("papayacrank.config._settings.", "")
+    text = text.replace("papayacrank.platform._settings.", "")
     text = text.split(", FieldInfo")[0].replace("Annotated[", "")
     return "`" + text.replace("|", "or") + "`"
 
--- a/papayacrank/forwarding/_placement.py
+++ b/papayacrank/forwarding/_placement.py
@@ -240,9 +240,9 @@
         engine = request.service.engine
         penalty_ms = 0.0
         version = target.weights.get(request.model, 0)
-        if version < request.newest_version:
-            if request.newest_age_ms > OLD_WEIGHTS_FREE_MS:
-                penalty_ms += OLD_WEIGHTS_PENALTY_MS
+        is_old = version < request.newest_version
+        if is_old and request.newest_age_ms > OLD_WEIGHTS_FREE_MS:
+            penalty_ms += OLD_WEIGHTS_PENALTY_MS
         if engine is not None:
             room = engine.memory_tokens * MEMORY_PART - load.memory_tokens
             if request.tokens > room:
