--- a/papayacrank/control/_contact.py
+++ b/papayacrank/control/_contact.py
@@ -30,6 +30,8 @@
 from ._leader import LeaderHint
 
 HEARTBEAT_TIMER = "control-contact:heartbeat"
+# Without an acknowledgement, the leader is looked for at this interval.
+SEARCH_INTERVAL_MS = 150
 DIGEST_PREFIX_CHARACTERS = 16
 
 
@@ -256,8 +258,7 @@
         """Handle the heartbeat timer; other names are ignored."""
         if timer_name != HEARTBEAT_TIMER:
             return []
-        interval_ms = self._settings.heartbeat_interval_ms
-        if self._last_ack_ms is None or now_ms - self._last_ack_ms > 1.5 * interval_ms:
+        if self._is_searching(now_ms):
             self._leader.forget()
         return self._beat(now_ms)
 
@@ -290,9 +291,17 @@
             shares,
             *self._fleet_position,
         )
-        next_ms = now_ms + self._settings.heartbeat_interval_ms
+        interval_ms = self._settings.heartbeat_interval_ms
+        if self._is_searching(now_ms):
+            interval_ms = min(interval_ms, SEARCH_INTERVAL_MS)
+        next_ms = now_ms + interval_ms
         return [*self._leader.address(heartbeat), SetTimer(HEARTBEAT_TIMER, next_ms)]
 
+    def _is_searching(self, now_ms: int) -> bool:
+        """Whether the leader does not answer."""
+        limit_ms = 1.5 * self._settings.heartbeat_interval_ms
+        return self._last_ack_ms is None or now_ms - self._last_ack_ms > limit_ms
+
     def _on_ack(self, sender: str, ack: HeartbeatAck, now_ms: int) -> list:
         if ack.boot != self._settings.boot or ack.sent_ms > now_ms:
             return []
--- a/papayacrank/forwarding/_base.py
+++ b/papayacrank/forwarding/_base.py
@@ -123,6 +123,8 @@
         Whether another target has the address, or other weights are in force.
     is_whole : bool
         Whether the head is one that a target gives; a spoiled answer is none.
+    target_name : str or None
+        Target that answered, if stated.
     weights_version : int or None
         Version of the weights, if stated.
     """
@@ -131,6 +133,7 @@
     not_run: bool = False
     wrong_target: bool = False
     is_whole: bool = True
+    target_name: str | None = None
     weights_version: int | None = None
 
 
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -48,7 +48,9 @@
 # Final answers leave this long before the caller stops waiting.
 ANSWER_MARGIN_MS = 15
 RETRY_WHEN_FULL_MS = 400
-RETRY_WHEN_STARTING_MS = 500
+# A process serves about this long after its start.
+EXPECTED_START_MS = 1_500
+MIN_RETRY_MS = 300
 # An idempotent request goes to another target if the first is silent for this many
 # times the objective.
 SILENCE_FACTOR = 2.0
@@ -152,6 +154,7 @@
         self._weights: dict[str, int] = {}
         self._weights_since_ms: dict[str, int] = {}
         self._instances = 1
+        self._started_ms = clock.now_ms()
         self._numbers = itertools.count(1)
         self._jobs: dict[int, Job] = {}
         self._waiting: dict[str, Job] = {}
@@ -227,7 +230,7 @@
             return
         if not self.is_ready:
             text = "this instance has no configuration yet"
-            failure = _refusal("starting", text, 503, RETRY_WHEN_STARTING_MS)
+            failure = _refusal("starting", text, 503, self._time_to_start_ms())
             self._refuse(exchange, failure, request.request_id)
             return
         found = self._find_route(request)
@@ -236,6 +239,10 @@
             return
         self._admit(exchange, request, *found)
 
+    def _time_to_start_ms(self) -> int:
+        elapsed_ms = self._clock.now_ms() - self._started_ms
+        return max(MIN_RETRY_MS, EXPECTED_START_MS - elapsed_ms)
+
     def _find_route(
         self, request: ForwardRequest
     ) -> tuple[Route, WorkspaceProfile | None] | Failure:
@@ -522,12 +529,27 @@
         attempt = call.state.attempt
         attempt.status = status
         attempt.headers = headers
+        self._observe_weights(call.state, attempt)
         if call.state.workspace is not None and 200 <= status < 300:
             job, now_ms = call.state, self._clock.now_ms()
             self._quota.spend(_quota_id(job), job.cost, now_ms)
         if attempt.is_stream and not 200 <= status < 300:
             attempt.is_stream = False
 
+    def _observe_weights(self, job: Job, attempt: Attempt) -> bool:
+        """Take over the version that an answer shows; return whether it is newer."""
+        facts = self._protocol.read_answer(attempt.status, attempt.headers)
+        model, name = job.request.model, attempt.target.name
+        if model is None or facts.target_name not in (None, name):
+            return False
+        version = facts.weights_version
+        if version is None and facts.wrong_target and facts.target_name == name:
+            # The engine refuses the version that it was believed to run.
+            version = self._weights.get(model)
+        if version is None:
+            return False
+        return self._table.observe_weights(name, model, version)
+
     def on_data(self, call: TargetCall, data: bytes) -> None:
         """Take a piece of an answer's body."""
         job: Job = call.state
@@ -587,6 +609,10 @@
         """Try another target, since this one has certainly not run the request."""
         code = "wrong_target" if facts.wrong_target else f"refused_{attempt.status}"
         self._end_attempt(job, attempt, code, sent=True)
+        known = self._table.find(attempt.target.name)
+        if facts.wrong_target and known is not None and known != attempt.target:
+            # The same engine can take it under the version that it really runs.
+            job.excluded.discard(attempt.target.name)
         if job.tries < MAX_TRIES and self._count_repeat(job):
             self._dispatch(job)
             return
--- a/papayacrank/forwarding/_quota.py
+++ b/papayacrank/forwarding/_quota.py
@@ -14,6 +14,8 @@
 # Requests wait this long for a grant. A grant takes about 30 ms; a wait beyond it means
 # that the workspace is over its rate.
 GRANT_WAIT_MS = 250
+# Reports are answered every 500 ms; beyond this time the leader is being replaced.
+STALE_CONTACT_MS = 750
 
 
 @dataclass(slots=True)
@@ -91,11 +93,11 @@
         profile = self._profiles.get(workspace)
         if profile is None or profile.rate_per_s <= 0:
             return QuotaDecision(request_id, True)
-        if now_ms >= self._shares.lease_until_ms:
-            admitted = self._spend_fallback(profile, cost, now_ms)
-            return self._decide(request_id, profile, cost, admitted)
         if self._shares.try_reserve(request_id, workspace, cost, now_ms):
             return QuotaDecision(request_id, True)
+        if self._is_stale(now_ms):
+            admitted = self._spend_fallback(profile, cost, now_ms)
+            return self._decide(request_id, profile, cost, admitted)
         if cost > profile.burst or len(self._waiting) >= MAX_WAITING:
             return self._decide(request_id, profile, cost, False)
         waiting = _Waiting(request_id, workspace, cost, now_ms + GRANT_WAIT_MS)
@@ -142,10 +144,17 @@
             item.request_id, item.workspace, item.cost, now_ms
         ):
             return QuotaDecision(item.request_id, True)
+        if now_ms >= item.until_ms and self._is_stale(now_ms):
+            admitted = self._spend_fallback(profile, item.cost, now_ms)
+            return self._decide(item.request_id, profile, item.cost, admitted)
         if now_ms >= item.until_ms:
             return self._decide(item.request_id, profile, item.cost, False)
         return None
 
+    def _is_stale(self, now_ms: int) -> bool:
+        """Whether no grant can be expected now."""
+        return now_ms - self._shares.answered_sent_ms > STALE_CONTACT_MS
+
     @staticmethod
     def _decide(
         request_id: str, profile: WorkspaceProfile, cost: int, admitted: bool
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -3,6 +3,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
+import msgspec
+
 from papayacrank.messages import (
     EntryLoad,
     FleetLoad,
@@ -47,7 +49,7 @@
         self._last_loads: dict[str, TargetLoad] | None = None
         self._silent: frozenset[str] = frozenset()
         self._newly_silent: set[str] = set()
-        self._observed_weights: dict[str, int] = {}
+        self._observed: dict[tuple[str, str], int] = {}
 
     @property
     def position(self) -> tuple[int, int]:
@@ -87,18 +89,43 @@
             if all(name != item.name for item in view.targets)
         ]
         self._term, self._sequence = view.term, view.sequence
-        self._targets = {target.name: target for target in view.targets}
-        self._by_service = {}
-        for target in view.targets:
-            self._by_service.setdefault(target.service, []).append(target)
+        self._targets = {t.name: self._correct(t) for t in view.targets}
+        self._group_by_service()
+        self._observed = {
+            k: v for k, v in self._observed.items() if k[0] in self._targets
+        }
         self._own = {
             n: o for n, o in self._own.items() if o.running or n in self._targets
         }
         return gone
 
-    def weights_version(self, target: FleetTarget, model: str) -> int | None:
-        """Return the version that a target runs, None if it serves another model."""
-        return target.weights.get(model)
+    def observe_weights(self, name: str, model: str, version: int) -> bool:
+        """Take the version that an answer shows; return whether it is newer.
+
+        An answer is ahead of the view while the leader is being replaced. Versions
+        only grow.
+        """
+        target = self._targets.get(name)
+        if target is None or target.weights.get(model, version) >= version:
+            return False
+        self._observed[(name, model)] = version
+        self._targets[name] = self._correct(target)
+        self._group_by_service()
+        return True
+
+    def _correct(self, target: FleetTarget) -> FleetTarget:
+        weights = {
+            model: max(version, self._observed.get((target.name, model), 0))
+            for model, version in target.weights.items()
+        }
+        if weights == target.weights:
+            return target
+        return msgspec.structs.replace(target, weights=weights)
+
+    def _group_by_service(self) -> None:
+        self._by_service = {}
+        for target in self._targets.values():
+            self._by_service.setdefault(target.service, []).append(target)
 
     # Load
 
--- a/papayacrank/platform/_caller_protocol.py
+++ b/papayacrank/platform/_caller_protocol.py
@@ -30,6 +30,8 @@
 WEIGHT_VERSIONS = b"papayacrank-weight-versions"
 TENANT = b"papayacrank-tenant"
 EXPECT_INSTANCE = b"papayacrank-expect-instance"
+# Id of the server that answers.
+INSTANCE_ID = b"papayacrank-instance-id"
 EXPECT_VERSION = b"papayacrank-expect-version"
 URGENCY = b"papayacrank-request-urgency"
 CACHE_SALT = b"papayacrank-cache-salt"
@@ -132,6 +134,8 @@
             not_run=NOT_EXECUTED in known,
             wrong_target=status == MISDIRECTED,
             is_whole=CONTENT_ENCODING not in known and (identified or not succeeded),
+            target_name=known.get(INSTANCE_ID),
+            weights_version=_read_number(known.get(WEIGHT_VERSIONS)),
         )
 
     def build_failure(self, failure: Failure, request_id: str) -> CallerAnswer:
--- a/papayacrank/platform/_settings.py
+++ b/papayacrank/platform/_settings.py
@@ -19,6 +19,10 @@
 # A voter is replaced by a caught-up learner before the platform stops counting the
 # loss, 4 s after a successor has started.
 VOTER_SILENCE_MS = 3_000
+# The time without a leader is time without new weights and grants. Pauses of a
+# process under load stay well below 400 ms.
+ELECTION_TIMEOUT_MS = 400
+LEADER_LEASE_MS = 320
 
 
 class _Model(BaseModel):
@@ -117,6 +121,8 @@
             initial_voters=list(self.control_names) if self.bootstrap else [],
             target_voters=MAX_VOTERS,
             voter_silence_ms=VOTER_SILENCE_MS,
+            election_timeout_ms=ELECTION_TIMEOUT_MS,
+            leader_lease_ms=LEADER_LEASE_MS,
             entry_lease_ms=self.bounds.contact_ms,
         )
 
