Use engines as soon as a load is due, and skip those that are gone

Cause: reports lag by up to 200 ms, so a load of 600 ms kept an engine out for 840 ms; an engine that another process had replaced kept one of three places of the roll-out; a control process that started beside one that was still dark waited 1.5 s for the repetition of its opening packet.

Change: an engine is in service after the published time of a load and is confirmed by a later report; 421 and silence free the place; links try to connect for 200 ms.

--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -218,7 +218,7 @@
                 target.address,
                 target.service,
                 target.failure_domain,
-                target.leaving,
+                target.leaving or self._rollout.is_gone(target.name),
                 self._rollout.is_loading(target.name),
                 target.slots,
                 target.born_ms,
--- a/papayacrank/control/_rollout.py
+++ b/papayacrank/control/_rollout.py
@@ -23,11 +23,13 @@
 # Entry processes stop sending to an engine before it gets the order: one push of the
 # view takes a few milliseconds.
 LEAVE_MS = 15
-# The platform's sheet gives 570 to 600 ms for loading weights.
-EXPECTED_LOAD_MS = 560
+# The published times to load weights are 570 and 600 ms. Reports lag, so an engine is
+# used from then on and checked when its report can show the load.
+EXPECTED_LOAD_MS = 620
+REPORT_LAG_MS = 300
 STATUS_INTERVAL_MS = 60
-ORDER_TIMEOUT_MS = 250
-RETRY_MS = 150
+# An engine that does not answer is tried again after this time.
+BLOCKED_MS = 400
 # Beyond this time without progress, the order is sent again.
 ATTEMPT_TIMEOUT_MS = 6_000
 # One engine in three may be out of service at a time.
@@ -43,6 +45,10 @@
     LEAVING = "leaving"
     CHECKING = "checking"
     LOADING = "loading"
+    CONFIRMING = "confirming"
+
+
+IN_SERVICE = (Phase.IDLE, Phase.CONFIRMING)
 
 
 @dataclass(slots=True)
@@ -56,6 +62,8 @@
     weights: dict[str, int] | None = None
     observed_ms: int = 0
     wanted: int = 0
+    blocked_until_ms: int = 0
+    is_gone: bool = False
 
     def enter(self, phase: Phase, now_ms: int, delay_ms: int = 0) -> None:
         """Take the next step after a delay."""
@@ -122,7 +130,12 @@
     def is_loading(self, name: str) -> bool:
         """Whether an engine must not get new requests."""
         engine = self._engines.get(name)
-        return engine is not None and engine.phase is not Phase.IDLE
+        return engine is not None and engine.phase not in IN_SERVICE
+
+    def is_gone(self, name: str) -> bool:
+        """Whether another process has taken the address of an engine."""
+        engine = self._engines.get(name)
+        return engine is not None and engine.is_gone
 
     def weights(self, target: ListedTarget) -> dict[str, int]:
         """Return the versions that a target runs, as last observed."""
@@ -142,6 +155,9 @@
         for engine in self._engines.values():
             if engine.calling or engine.phase is Phase.IDLE or now_ms < engine.next_ms:
                 continue
+            if engine.phase is Phase.LOADING:
+                self._expect_loaded(engine, now_ms)
+                continue
             model = next(m for m in engine.target.weights if m in wanted)
             calls.append(self._next_call(engine, model, wanted[model], now_ms))
         return calls
@@ -179,16 +195,18 @@
         for engine in self._engines.values():
             by_service.setdefault(engine.target.service, []).append(engine)
         for engines in by_service.values():
-            out = sum(e.phase is not Phase.IDLE for e in engines)
+            out = sum(e.phase not in IN_SERVICE for e in engines)
             room = math.ceil(len(engines) / LOADING_PART) - out
-            behind = [e for e in engines if self._is_behind(e, wanted)]
+            behind = [e for e in engines if self._is_behind(e, wanted, now_ms)]
             behind.sort(key=lambda e: (self._oldest(e), _work(loads, e.target.name)))
             for engine in behind[: max(0, room)]:
                 engine.enter(Phase.LEAVING, now_ms, LEAVE_MS)
 
-    def _is_behind(self, engine: _Engine, wanted: dict[str, int]) -> bool:
+    def _is_behind(self, engine: _Engine, wanted: dict[str, int], now_ms: int) -> bool:
         if engine.phase is not Phase.IDLE or engine.target.leaving:
             return False
+        if engine.is_gone or now_ms < engine.blocked_until_ms:
+            return False
         weights = self.weights(engine.target)
         return any(weights[m] < wanted.get(m, 0) for m in weights)
 
@@ -237,39 +255,50 @@
         if outcome is OrderOutcome.FENCED:
             self._fenced = True
         if outcome is OrderOutcome.WRONG_TARGET:
-            engine.enter(Phase.LEAVING, now_ms, RETRY_MS)
+            engine.is_gone = True
+            engine.enter(Phase.IDLE, now_ms)
             return
         engine.enter(Phase.CHECKING, now_ms, 0)
 
+    @staticmethod
+    def _expect_loaded(engine: _Engine, now_ms: int) -> None:
+        """Use an engine again before its report can show the load.
+
+        Requests that come too early are refused without having run.
+        """
+        known = engine.weights if engine.weights is not None else engine.target.weights
+        engine.weights = {m: max(v, engine.wanted) for m, v in known.items()}
+        engine.observed_ms = now_ms
+        engine.enter(Phase.CONFIRMING, now_ms, REPORT_LAG_MS)
+
     def _on_status(self, engine: _Engine, status: EngineStatus, now_ms: int) -> None:
-        accepted = engine.orders is not None and status.orders > engine.orders
+        before = engine.orders
         engine.orders = status.orders
         engine.weights = dict(status.weights)
         engine.observed_ms = now_ms
-        running = max(status.weights.values(), default=0)
+        running = min(status.weights.values(), default=0)
         if engine.wanted and running >= engine.wanted and not status.busy:
             self._on_loaded(engine, now_ms)
-        elif status.busy or accepted:
-            self._wait(engine, now_ms)
-        elif engine.phase is Phase.LOADING:
-            # The report lags: right after the order it may still show the old state.
+        elif status.busy or (before is not None and status.orders > before):
             self._wait(engine, now_ms)
         else:
-            engine.enter(Phase.LEAVING, now_ms, 0)
+            engine.enter(Phase.LEAVING, now_ms)
 
-    def _wait(self, engine: _Engine, now_ms: int) -> None:
-        if engine.phase is not Phase.LOADING:
-            engine.enter(Phase.LOADING, now_ms)
-        if now_ms - engine.since_ms > ATTEMPT_TIMEOUT_MS:
+    @staticmethod
+    def _wait(engine: _Engine, now_ms: int) -> None:
+        """Read the engine again until its order is carried out."""
+        if engine.phase is not Phase.CHECKING:
             engine.enter(Phase.CHECKING, now_ms)
+        if now_ms - engine.since_ms > ATTEMPT_TIMEOUT_MS:
+            engine.enter(Phase.LEAVING, now_ms)
         engine.next_ms = now_ms + STATUS_INTERVAL_MS
 
-    def _on_silent(self, engine: _Engine, now_ms: int) -> None:
-        """Give an engine up that does not answer; it is tried again later."""
-        engine.next_ms = now_ms + RETRY_MS
-        if now_ms - engine.since_ms > ATTEMPT_TIMEOUT_MS:
-            engine.enter(Phase.LEAVING, now_ms, RETRY_MS)
-            engine.orders = None
+    @staticmethod
+    def _on_silent(engine: _Engine, now_ms: int) -> None:
+        """Make room for others while an engine does not answer."""
+        engine.orders = None
+        engine.blocked_until_ms = now_ms + BLOCKED_MS
+        engine.enter(Phase.IDLE, now_ms)
 
     def _on_loaded(self, engine: _Engine, now_ms: int) -> None:
         known = engine.weights if engine.weights is not None else engine.target.weights
--- a/papayacrank/transport/_link.py
+++ b/papayacrank/transport/_link.py
@@ -18,7 +18,10 @@
 HEARTBEAT_INTERVAL_MS = 500
 HEARTBEAT_TIMEOUT_MS = 2_000
 RECONNECT_INTERVAL_MS = 50
-RECONNECT_MAX_INTERVAL_MS = 1_000
+RECONNECT_MAX_INTERVAL_MS = 200
+# The operating system repeats the opening packet to a machine that was down only after
+# seconds.
+CONNECT_TIMEOUT_MS = 200
 
 
 class received(Event):  # noqa: N801 - circuits events are lower case
@@ -219,6 +222,7 @@
         socket.setsockopt(zmq.IMMEDIATE, 1)
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_INTERVAL_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_INTERVAL_MS)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
         self._set_limits(socket)
         socket.connect(f"tcp://{address}")
         return socket
