Place requests by expected loss, and tell instances where prompt parts are

Change: losses in parts of a request's value (late, old weights, read again, memory, slots); where parts were read travels with the load reports; every engine fetches from and saves to the store; an engine leaves service 150 ms before its order; members may name a leader that was not configured.

--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -8,6 +8,7 @@
     FleetLoad,
     FleetTarget,
     FleetView,
+    PartPlace,
     TargetLoad,
 )
 
@@ -29,6 +30,8 @@
 LOAD_LIFETIME_MS = 2_000
 SILENT_LIFETIME_MS = 1_500
 MAX_PAGES = 200
+# New parts that are passed on in one message; more are dropped and learned later.
+MAX_NEW_PARTS = 500
 
 
 @dataclass(slots=True)
@@ -70,6 +73,7 @@
         self._silent: dict[str, int] = {}
         self._totals: dict[str, TargetLoad] = {}
         self._sent: dict[str, tuple] = {}
+        self._new_parts: list[PartPlace] = []
 
     @property
     def sequence(self) -> int:
@@ -91,6 +95,7 @@
         self._listing = False
         self._next_list_ms = now_ms
         self._reports.clear()
+        self._new_parts = []
         self._silent.clear()
         self._totals = {}
         self._sent.clear()
@@ -149,6 +154,8 @@
         if known is not None and known.load.sequence >= report.sequence > 1:
             return
         self._reports[report.instance] = _Report(report, now_ms)
+        room = MAX_NEW_PARTS - len(self._new_parts)
+        self._new_parts += report.parts[: max(0, room)]
         for name in report.silent:
             if name not in self._silent:
                 log_event(TARGET_SILENT, target=name, reported_by=report.instance)
@@ -165,15 +172,16 @@
         self._sum_loads(now_ms)
         silent = sorted(name for name, until in self._silent.items() if until > now_ms)
         self._silent = {n: u for n, u in self._silent.items() if u > now_ms}
+        parts, self._new_parts = self._new_parts, []
         sends = []
         for instance, sender in receivers.items():
             report = self._reports.get(instance)
             reported = report.load.sequence if report is not None else 0
             content = (reported, self._totals, silent)
-            if self._sent.get(instance) == content:
+            if self._sent.get(instance) == content and not parts:
                 continue
             self._sent[instance] = content
-            sends.append(Send(sender, FleetLoad(reported, self._totals, silent)))
+            sends.append(Send(sender, FleetLoad(reported, self._totals, silent, parts)))
         return sends
 
     def _sum_loads(self, now_ms: int) -> None:
--- a/papayacrank/control/_leader.py
+++ b/papayacrank/control/_leader.py
@@ -13,10 +13,14 @@
     ----------
     members : iterable of str
         Link names of the control processes.
+    accepts_new : bool
+        Whether a member may name a leader that is not known yet, because the group
+        has changed since the names were configured.
     """
 
-    def __init__(self, members: Iterable[str]):
+    def __init__(self, members: Iterable[str], accepts_new: bool = False):
         self._members = tuple(members)
+        self._accepts_new = accepts_new
         self._leader: str | None = None
 
     @property
@@ -37,6 +41,8 @@
         bool
             Whether a different known member is now believed to lead.
         """
+        if leader and self._accepts_new:
+            self.extend([leader])
         if not leader or leader not in self._members or leader == self._leader:
             return False
         self._leader = leader
--- a/papayacrank/control/_local.py
+++ b/papayacrank/control/_local.py
@@ -22,7 +22,7 @@
     """
 
     def __init__(self, name: str):
-        self._hint = LeaderHint([name])
+        self._hint = LeaderHint([name], accepts_new=True)
         boot = uuid.uuid4().int >> 66
         self._client = ControlClient(name, boot, self._hint, random.Random())
         self._callbacks: dict[str, Callable] = {}
--- a/papayacrank/control/_rollout.py
+++ b/papayacrank/control/_rollout.py
@@ -20,9 +20,9 @@
 
 STATUS_KEY = "rollout-status "
 ORDER_KEY = "rollout-order "
-# Entry processes stop sending to an engine before it gets the order: one push of the
-# view takes a few milliseconds.
-LEAVE_MS = 15
+# Entry processes stop sending to an engine before it gets the order, so that most of its
+# queue has started; requests that have not are refused by the engine.
+LEAVE_MS = 150
 # The published times to load weights are 570 and 600 ms. Reports lag, so an engine is
 # used from then on and checked when its report can show the load.
 EXPECTED_LOAD_MS = 620
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -8,7 +8,9 @@
 from papayacrank.control import digest_key
 from papayacrank.kernel import Clock, Failure, Verdict, create, log_event
 from papayacrank.messages import (
+    FleetLoad,
     FleetView,
+    PartPlace,
     RequestKind,
     Route,
     RoutingConfiguration,
@@ -148,7 +150,7 @@
             "failure_domain": settings.failure_domain,
             "random_state": random_state,
         }
-        self._engine_placement = create(Placement, "expected_wait", **common)
+        self._engine_placement = create(Placement, "expected_loss", **common)
         self._plain_placement = create(Placement, "least_running", **common)
         self._index: RouteIndex | None = None
         self._weights: dict[str, int] = {}
@@ -369,6 +371,8 @@
             newest,
             now_ms - since_ms,
             self._settings.max_old_weights_ms,
+            job.route.objective_ms,
+            now_ms - job.arrived_ms,
         )
 
     def _send(self, job: Job, choice: Choice, now_ms: int, left_ms: int) -> None:
@@ -413,14 +417,6 @@
         version = target.weights.get(request.model, 0)
         salt = salt_for(_salt_base(job), version)
         store = self._index.store.address if self._index.store else None
-        fetch, save = store, store
-        if request.shared_parts and store is not None:
-            last = request.shared_parts[-1].name
-            now_ms = self._clock.now_ms()
-            if choice.knows_parts:
-                fetch = None
-            if self._parts.has(STORE, salt, last, now_ms):
-                save = None
         dispatch = Dispatch(
             target.name,
             left_ms,
@@ -428,8 +424,8 @@
             _urgency(job),
             salt,
             version,
-            fetch,
-            save,
+            store,
+            store,
             job.last_event_id,
         )
         return dispatch, salt
@@ -673,15 +669,37 @@
         attempt.has_first_event = True
         self._table.end_prefill(attempt.target.name, attempt.prefill_tokens)
         self._health.on_success(attempt.target.name)
-        for part in job.request.shared_parts:
-            self._parts.note(attempt.target.name, attempt.salt, part.name, now_ms)
-            if attempt.saves:
-                self._parts.note(STORE, attempt.salt, part.name, now_ms)
+        self._note_parts(job, attempt, now_ms)
         if job.first_event_ms is None:
             job.first_event_ms = now_ms
             ttft_ms = now_ms - job.arrived_ms
             self._metrics.on_first_event(job.service.name, ttft_ms)
 
+    def _note_parts(self, job: Job, attempt: Attempt, now_ms: int) -> None:
+        """Remember where the shared parts of a prompt are now, and tell the others.
+
+        A part is only found after all parts before it, so the last one stands for
+        all.
+        """
+        if not job.request.shared_parts:
+            return
+        name, last = attempt.target.name, job.request.shared_parts[-1].name
+        is_news = self._parts.note(name, attempt.salt, last, now_ms)
+        if attempt.saves:
+            is_news |= self._parts.note(STORE, attempt.salt, last, now_ms)
+        if is_news:
+            place = PartPlace(name, attempt.salt, last, attempt.saves)
+            self._table.note_part(place)
+
+    def take_load(self, load: FleetLoad) -> None:
+        """Take over the load and the prompt parts that the leader reports."""
+        self._table.take_load(load)
+        now_ms = self._clock.now_ms()
+        for place in load.parts:
+            self._parts.note(place.target, place.salt, place.part, now_ms)
+            if place.saved:
+                self._parts.note(STORE, place.salt, place.part, now_ms)
+
     def _end_stream(self, job: Job, attempt: Attempt) -> None:
         if attempt.splitter.has_partial or not attempt.has_first_event:
             self._on_broken(job, attempt, "truncated_stream")
@@ -771,6 +789,7 @@
                 "target": attempt.target.name,
                 "expected_ms": round(choice.expected_ms),
                 "missing_tokens": choice.missing_tokens,
+                "parts_at": choice.parts_at.value,
                 "target_running": choice.load.running,
                 "target_prefill": choice.load.prefill_tokens,
                 "weights": attempt.target.weights.get(job.request.model or "", 0),
--- a/papayacrank/forwarding/_placement.py
+++ b/papayacrank/forwarding/_placement.py
@@ -1,8 +1,10 @@
 """Choice of the target that runs a request."""
 
+import math
 from abc import ABC, abstractmethod
 from collections import OrderedDict
 from dataclasses import dataclass
+from enum import Enum
 from random import Random
 
 import xxhash
@@ -19,21 +21,44 @@
 # failure domains.
 FETCH_TOKENS_PER_MS = 200.0
 FETCH_SETUP_MS = 5.0
-# Chance that the preferred engine of a part has it, if this instance does not know.
-PREFERRED_HIT_CHANCE = 0.7
-# Requests on replaced weights lose a part of their value from 1,500 ms after the
+# Time for scheduling and the first step of an engine.
+FIRST_STEP_MS = 25.0
+# Losses are parts of the value of one request.
+LATE_LOSS = 0.6
+LATE_SPREAD = 0.15
+LATE_MARGIN = 0.85
+WAIT_LOSS_PER_MS = 0.0002
+# Requests on replaced weights lose a fifth of their value from 1,500 ms after the
 # naming of newer ones.
 OLD_WEIGHTS_FREE_MS = 1_200
-OLD_WEIGHTS_PENALTY_MS = 400.0
+OLD_WEIGHTS_LOSS = 0.2
+# Reading 1,000 shared tokens again, which another engine has, is priced at a fifth of a
+# request.
+READ_AGAIN_LOSS_PER_TOKEN = 0.0002
+# Chance that another engine has a part that this instance knows nothing about.
+READ_ELSEWHERE_CHANCE = 0.5
 MEMORY_PART = 0.95
-FULL_MEMORY_PENALTY_MS = 300.0
-FULL_SLOTS_PENALTY_MS = 500.0
-OTHER_DOMAIN_PENALTY_MS = 2.0
+FULL_MEMORY_LOSS = 0.3
+FULL_SLOTS_LOSS = 0.5
+OTHER_DOMAIN_LOSS = 0.004
+OTHER_DOMAIN_MS = 2.0
 # Instances that see the same loads should not all choose the same target.
+JITTER_LOSS = 0.001
 JITTER_MS = 3.0
 PLAIN_WORK_MS = 45.0
 MAX_KNOWN_PARTS = 50_000
-KNOWN_PART_LIFETIME_MS = 15_000
+# Engines evict parts within seconds on heavy days; a store keeps them much longer.
+ENGINE_PART_LIFETIME_MS = 8_000
+STORE_PART_LIFETIME_MS = 60_000
+STORE = "store"
+
+
+class PartsAt(Enum):
+    """Where the shared parts of a prompt are, as far as known."""
+
+    TARGET = "target"
+    STORE = "store"
+    UNKNOWN = "unknown"
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +77,10 @@
         Time since that version became known.
     max_old_age_ms : int
         Age from which older weights must not be used.
+    objective_ms : int
+        Time from the arrival to a first event that is on time.
+    elapsed_ms : int
+        Time since the arrival.
     """
 
     service: ServiceProfile
@@ -63,6 +92,8 @@
     newest_version: int = 0
     newest_age_ms: int = 0
     max_old_age_ms: int = 1 << 60
+    objective_ms: int = 500
+    elapsed_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,14 +106,14 @@
         Expected time to the first event or the answer.
     missing_tokens : int
         Prompt tokens that the target is expected to read.
-    knows_parts : bool
-        Whether the shared parts are known to be at the target.
+    parts_at : PartsAt
+        Where the shared parts of the prompt are.
     """
 
     target: FleetTarget
     expected_ms: float
     missing_tokens: int = 0
-    knows_parts: bool = False
+    parts_at: PartsAt = PartsAt.UNKNOWN
     load: TargetLoad = TargetLoad()
 
 
@@ -92,18 +123,24 @@
     def __init__(self):
         self._seen: OrderedDict[tuple[str, str, str], int] = OrderedDict()
 
-    def note(self, place: str, salt: str, part: str, now_ms: int) -> None:
-        """Note that a part is at a place."""
+    def note(self, place: str, salt: str, part: str, now_ms: int) -> bool:
+        """Note that a part is at a place; return whether that is news."""
         key = (place, salt, part)
+        is_news = not self.has(place, salt, part, now_ms)
         self._seen[key] = now_ms
         self._seen.move_to_end(key)
         while len(self._seen) > MAX_KNOWN_PARTS:
             self._seen.popitem(last=False)
+        return is_news
 
     def has(self, place: str, salt: str, part: str, now_ms: int) -> bool:
         """Whether a part was at a place lately."""
         seen_ms = self._seen.get((place, salt, part))
-        return seen_ms is not None and now_ms - seen_ms < KNOWN_PART_LIFETIME_MS
+        if seen_ms is None:
+            return False
+        in_store = place == STORE
+        lifetime_ms = STORE_PART_LIFETIME_MS if in_store else ENGINE_PART_LIFETIME_MS
+        return now_ms - seen_ms < lifetime_ms
 
     def forget_place(self, place: str) -> None:
         """Forget everything at a place that lost its memory."""
@@ -145,36 +182,34 @@
         """Return the choice among targets that may be used, None if there is none."""
 
 
-@register(Placement, "expected_wait")
-class ExpectedWaitPlacement(Placement):
-    """Least expected time to the first event of an engine.
+@register(Placement, "expected_loss")
+class ExpectedLossPlacement(Placement):
+    """Least expected loss for the caller and for others.
 
-    Answers heavy days and hot prompt parts: each shared part has a preferred engine by
-    rendezvous hashing, so that instances place it alike without messages. Another
-    engine is taken as soon as the queue of the preferred one costs more than fetching
-    or reading the part again.
+    Answers heavy days, roll-outs of weights and hot prompt parts. A loss is a late
+    first event, an answer from replaced weights, or reading what another engine has
+    read. Each shared part has a preferred engine by rendezvous hashing, so that
+    instances place it alike without messages; another engine is taken as soon as the
+    queue of the preferred one costs more.
     """
 
     def choose(
         self, request: PlacementRequest, targets: list[FleetTarget], now_ms: int
     ) -> Choice | None:
-        """Return the engine with the least expected time."""
+        """Return the engine with the least expected loss."""
         usable = [t for t in targets if self._may_run(t, request)]
         if not usable:
             return None
         preferred = self._find_preferred(request, usable)
-        choices = [
-            self._estimate(target, request, target is preferred, now_ms)
-            for target in usable
-        ]
-        return min(
-            choices,
-            key=lambda c: (
-                c.expected_ms
-                + self._penalty_ms(c, request)
-                + self.random_state.uniform(0, JITTER_MS)
-            ),
-        )
+        best: tuple[float, Choice] | None = None
+        for target in usable:
+            choice, read_loss = self._estimate(
+                target, request, target is preferred, now_ms
+            )
+            loss = read_loss + self._loss(choice, request)
+            if best is None or loss < best[0]:
+                best = (loss, choice)
+        return best[1]
 
     @staticmethod
     def _may_run(target: FleetTarget, request: PlacementRequest) -> bool:
@@ -190,8 +225,10 @@
         if not request.shared:
             return None
         key = f"{request.salt}/{request.shared[-1].name}/"
+        newest = max(t.weights[request.model] for t in targets)
         return max(
-            targets, key=lambda t: xxhash.xxh3_64_intdigest((key + t.name).encode())
+            (t for t in targets if t.weights[request.model] == newest),
+            key=lambda t: xxhash.xxh3_64_intdigest((key + t.name).encode()),
         )
 
     def _estimate(
@@ -200,58 +237,63 @@
         request: PlacementRequest,
         is_preferred: bool,
         now_ms: int,
-    ) -> Choice:
+    ) -> tuple[Choice, float]:
+        """Return a choice, and the loss by reading shared parts again."""
         load = self.table.load(target.name)
-        own_tokens = request.prompt_tokens - sum(p.tokens for p in request.shared)
-        missing_ms, missing, knows = self._missing(
-            target, request, is_preferred, now_ms
-        )
-        wait_ms = load.prefill_tokens / PREFILL_TOKENS_PER_MS
-        own_ms = own_tokens / PREFILL_TOKENS_PER_MS
-        expected_ms = wait_ms + missing_ms + own_ms
-        return Choice(target, expected_ms, own_tokens + missing, knows, load)
-
-    def _missing(
-        self,
-        target: FleetTarget,
-        request: PlacementRequest,
-        is_preferred: bool,
-        now_ms: int,
-    ) -> tuple[float, int, bool]:
-        """Return time and tokens for the shared parts, and whether they are known."""
         shared = sum(part.tokens for part in request.shared)
-        if not shared:
-            return 0.0, 0, True
+        own = max(0, request.prompt_tokens - shared)
+        place = self._find_parts(target, request, now_ms)
+        shared_ms, shared_tokens, read_loss = 0.0, 0, 0.0
+        if place is PartsAt.STORE:
+            shared_ms = FETCH_SETUP_MS + shared / FETCH_TOKENS_PER_MS
+        elif place is PartsAt.UNKNOWN and shared:
+            shared_ms, shared_tokens = shared / PREFILL_TOKENS_PER_MS, shared
+            if not is_preferred:
+                chance = READ_ELSEWHERE_CHANCE
+                read_loss = chance * shared * READ_AGAIN_LOSS_PER_TOKEN
+        wait_ms = load.prefill_tokens / PREFILL_TOKENS_PER_MS
+        own_ms = own / PREFILL_TOKENS_PER_MS
+        expected_ms = FIRST_STEP_MS + wait_ms + own_ms + shared_ms
+        choice = Choice(target, expected_ms, own + shared_tokens, place, load)
+        return choice, read_loss
+
+    def _find_parts(
+        self, target: FleetTarget, request: PlacementRequest, now_ms: int
+    ) -> "PartsAt":
+        if not request.shared:
+            return PartsAt.TARGET
         salt = salt_for(request.salt, target.weights.get(request.model, 0))
         last = request.shared[-1].name
         if self.parts.has(target.name, salt, last, now_ms):
-            return 0.0, 0, True
-        read_ms = shared / PREFILL_TOKENS_PER_MS
+            return PartsAt.TARGET
         if self.parts.has(STORE, salt, last, now_ms):
-            fetch_ms = FETCH_SETUP_MS + shared / FETCH_TOKENS_PER_MS
-            return min(fetch_ms, read_ms), 0, False
-        if is_preferred:
-            miss = 1 - PREFERRED_HIT_CHANCE
-            return miss * read_ms, int(miss * shared), False
-        return read_ms, shared, False
-
-    def _penalty_ms(self, choice: Choice, request: PlacementRequest) -> float:
+            return PartsAt.STORE
+        return PartsAt.UNKNOWN
+
+    def _loss(self, choice: Choice, request: PlacementRequest) -> float:
         target, load = choice.target, choice.load
         engine = request.service.engine
-        penalty_ms = 0.0
+        loss = WAIT_LOSS_PER_MS * choice.expected_ms
+        loss += LATE_LOSS * self._late_chance(choice, request)
         version = target.weights.get(request.model, 0)
         is_old = version < request.newest_version
         if is_old and request.newest_age_ms > OLD_WEIGHTS_FREE_MS:
-            penalty_ms += OLD_WEIGHTS_PENALTY_MS
+            loss += OLD_WEIGHTS_LOSS
         if engine is not None:
             room = engine.memory_tokens * MEMORY_PART - load.memory_tokens
-            if request.tokens > room:
-                penalty_ms += FULL_MEMORY_PENALTY_MS
-            if load.running >= engine.slots:
-                penalty_ms += FULL_SLOTS_PENALTY_MS
+            loss += FULL_MEMORY_LOSS if request.tokens > room else 0.0
+            loss += FULL_SLOTS_LOSS if load.running >= engine.slots else 0.0
         if target.failure_domain != self.failure_domain:
-            penalty_ms += OTHER_DOMAIN_PENALTY_MS
-        return penalty_ms
+            loss += OTHER_DOMAIN_LOSS
+        return loss + self.random_state.uniform(0, JITTER_LOSS)
+
+    @staticmethod
+    def _late_chance(choice: Choice, request: PlacementRequest) -> float:
+        """Return the chance that the first event is late, by a logistic curve."""
+        at_ms = request.elapsed_ms + choice.expected_ms
+        limit_ms = LATE_MARGIN * request.objective_ms
+        distance = (at_ms - limit_ms) / (LATE_SPREAD * request.objective_ms)
+        return 1.0 / (1.0 + math.exp(-max(-30.0, min(30.0, distance))))
 
 
 @register(Placement, "least_running")
@@ -282,10 +324,7 @@
 
     def _distance_ms(self, target: FleetTarget) -> float:
         same = target.failure_domain == self.failure_domain
-        return 0.0 if same else OTHER_DOMAIN_PENALTY_MS
-
-
-STORE = "store"
+        return 0.0 if same else OTHER_DOMAIN_MS
 
 
 def salt_for(base: str, version: int) -> str:
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -217,7 +217,7 @@
     def _build_control(self) -> None:
         settings = self._settings
         node = settings.forwarding
-        self._hint = LeaderHint(settings.control)
+        self._hint = LeaderHint(settings.control, accepts_new=True)
         name = f"entry-{node.instance}"
         link = LinkSettings(name, None, {}, settings.resolve)
         self._link = Link(link, MessageCodec(CONTROL_MESSAGES)).register(self)
@@ -308,7 +308,7 @@
         if isinstance(message, FleetView):
             self._on_fleet(message)
         elif isinstance(message, FleetLoad):
-            self._forwarder.table.take_load(message)
+            self._forwarder.take_load(message)
 
     def _on_fleet(self, view: FleetView) -> None:
         if not self._forwarder.apply_fleet(view):
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -10,11 +10,13 @@
     FleetLoad,
     FleetTarget,
     FleetView,
+    PartPlace,
     TargetLoad,
 )
 
 # Reports that the leader has not answered yet; at 10 a second this is 6 s.
 MAX_PENDING_REPORTS = 64
+MAX_NEW_PARTS = 200
 NO_LOAD = TargetLoad()
 
 
@@ -49,6 +51,7 @@
         self._last_loads: dict[str, TargetLoad] | None = None
         self._silent: frozenset[str] = frozenset()
         self._newly_silent: set[str] = set()
+        self._new_parts: list[PartPlace] = []
         self._observed: dict[tuple[str, str], int] = {}
 
     @property
@@ -185,10 +188,16 @@
         """Tell the other entry processes that a target does not answer."""
         self._newly_silent.add(name)
 
+    def note_part(self, place: PartPlace) -> None:
+        """Tell the other entry processes where a prompt part is."""
+        if len(self._new_parts) < MAX_NEW_PARTS:
+            self._new_parts.append(place)
+
     def report(self, instance: str) -> EntryLoad | None:
         """Return the next report, None if nothing has changed."""
         loads = {n: own.freeze() for n, own in self._own.items() if own.running > 0}
-        if loads == self._last_loads and not self._newly_silent:
+        is_news = self._newly_silent or self._new_parts
+        if loads == self._last_loads and not is_news:
             return None
         self._last_loads = loads
         return self._build_report(instance, loads)
@@ -204,4 +213,5 @@
             self._sent.popitem(last=False)
         silent = sorted(self._newly_silent)
         self._newly_silent.clear()
-        return EntryLoad(instance, self._report_sequence, loads, silent)
+        parts, self._new_parts = self._new_parts, []
+        return EntryLoad(instance, self._report_sequence, loads, silent, parts)
--- a/papayacrank/messages/__init__.py
+++ b/papayacrank/messages/__init__.py
@@ -33,7 +33,14 @@
     TargetsChange,
     WeightsChange,
 )
-from ._fleet import EntryLoad, FleetLoad, FleetTarget, FleetView, TargetLoad
+from ._fleet import (
+    EntryLoad,
+    FleetLoad,
+    FleetTarget,
+    FleetView,
+    PartPlace,
+    TargetLoad,
+)
 from ._requests import (
     ControlReply,
     ControlRequest,
@@ -115,6 +122,7 @@
     "KeyChanged",
     "KeyEntry",
     "NameWeights",
+    "PartPlace",
     "NotLeader",
     "ObserveTargets",
     "OrderPlaced",
--- a/papayacrank/messages/_fleet.py
+++ b/papayacrank/messages/_fleet.py
@@ -62,6 +62,23 @@
     memory_tokens: int = 0
 
 
+class PartPlace(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt part that an engine has read, or saved to the store.
+
+    Attributes
+    ----------
+    salt : str
+        Separates the caches of versions and isolated workspaces.
+    saved : bool
+        Whether the store has it, too.
+    """
+
+    target: str
+    salt: str
+    part: str
+    saved: bool
+
+
 class EntryLoad(msgspec.Struct, tag=True, frozen=True):
     """Load that one entry process puts on the targets.
 
@@ -69,12 +86,15 @@
     ----------
     silent : list of str
         Targets that did not answer a connection attempt since the last message.
+    parts : list of PartPlace
+        Parts seen at a place for the first time since the last message.
     """
 
     instance: str
     sequence: int
     loads: dict[str, TargetLoad]
     silent: list[str] = []
+    parts: list[PartPlace] = []
 
 
 class FleetLoad(msgspec.Struct, tag=True, frozen=True):
@@ -85,9 +105,12 @@
     reported : int
         Sequence of the receiver's last `EntryLoad` that is contained.
     silent : list of str
-        Targets that do not answer connection attempts of several processes.
+        Targets that do not answer connection attempts.
+    parts : list of PartPlace
+        Parts that entry processes saw since the last message.
     """
 
     reported: int
     loads: dict[str, TargetLoad]
     silent: list[str] = []
+    parts: list[PartPlace] = []
