Place requests by the first shared part that is not known to be read

Cause: after new weights, all engines read the few first parts of prompts at the same time: about 90,000 of the tokens read again for each version.

Change: shared parts are tracked one by one; the engine preferred by the first part that is not known anywhere gets the request.

--- a/papayacrank/control/_rollout.py
+++ b/papayacrank/control/_rollout.py
@@ -20,8 +20,8 @@
 
 STATUS_KEY = "rollout-status "
 ORDER_KEY = "rollout-order "
-# Entry processes stop sending to an engine before it gets the order, so that most of its
-# queue has started; requests that have not are refused by the engine.
+# Entry processes stop sending to an engine before it gets the order, so that most of
+# its queue has started; requests that have not are refused by the engine.
 LEAVE_MS = 150
 # The published times to load weights are 570 and 600 ms. Reports lag, so an engine is
 # used from then on and checked when its report can show the load.
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -676,20 +676,15 @@
             self._metrics.on_first_event(job.service.name, ttft_ms)
 
     def _note_parts(self, job: Job, attempt: Attempt, now_ms: int) -> None:
-        """Remember where the shared parts of a prompt are now, and tell the others.
-
-        A part is only found after all parts before it, so the last one stands for
-        all.
-        """
-        if not job.request.shared_parts:
-            return
-        name, last = attempt.target.name, job.request.shared_parts[-1].name
-        is_news = self._parts.note(name, attempt.salt, last, now_ms)
-        if attempt.saves:
-            is_news |= self._parts.note(STORE, attempt.salt, last, now_ms)
-        if is_news:
-            place = PartPlace(name, attempt.salt, last, attempt.saves)
-            self._table.note_part(place)
+        """Remember where the shared parts of a prompt are now, and tell the others."""
+        name = attempt.target.name
+        for part in job.request.shared_parts:
+            is_news = self._parts.note(name, attempt.salt, part.name, now_ms)
+            if attempt.saves:
+                is_news |= self._parts.note(STORE, attempt.salt, part.name, now_ms)
+            if is_news:
+                place = PartPlace(name, attempt.salt, part.name, attempt.saves)
+                self._table.note_part(place)
 
     def take_load(self, load: FleetLoad) -> None:
         """Take over the load and the prompt parts that the leader reports."""
--- a/papayacrank/forwarding/_placement.py
+++ b/papayacrank/forwarding/_placement.py
@@ -203,9 +203,7 @@
         preferred = self._find_preferred(request, usable)
         best: tuple[float, Choice] | None = None
         for target in usable:
-            choice, read_loss = self._estimate(
-                target, request, target is preferred, now_ms
-            )
+            choice, read_loss = self._estimate(target, request, preferred, now_ms)
             loss = read_loss + self._loss(choice, request)
             if best is None or loss < best[0]:
                 best = (loss, choice)
@@ -219,56 +217,68 @@
         is_old = version < request.newest_version
         return not is_old or request.newest_age_ms < request.max_old_age_ms
 
+    @staticmethod
     def _find_preferred(
-        self, request: PlacementRequest, targets: list[FleetTarget]
-    ) -> FleetTarget | None:
-        if not request.shared:
-            return None
-        key = f"{request.salt}/{request.shared[-1].name}/"
+        request: PlacementRequest, targets: list[FleetTarget]
+    ) -> dict[str, str]:
+        """Return the preferred engine of each shared part, by rendezvous hashing."""
         newest = max(t.weights[request.model] for t in targets)
-        return max(
-            (t for t in targets if t.weights[request.model] == newest),
-            key=lambda t: xxhash.xxh3_64_intdigest((key + t.name).encode()),
-        )
+        names = [t.name for t in targets if t.weights[request.model] == newest]
+        preferred = {}
+        for part in request.shared:
+            key = f"{request.salt}/{part.name}/"
+            preferred[part.name] = max(
+                names, key=lambda n: xxhash.xxh3_64_intdigest((key + n).encode())
+            )
+        return preferred
 
     def _estimate(
         self,
         target: FleetTarget,
         request: PlacementRequest,
-        is_preferred: bool,
+        preferred: dict[str, str],
         now_ms: int,
     ) -> tuple[Choice, float]:
         """Return a choice, and the loss by reading shared parts again."""
         load = self.table.load(target.name)
         shared = sum(part.tokens for part in request.shared)
         own = max(0, request.prompt_tokens - shared)
-        place = self._find_parts(target, request, now_ms)
-        shared_ms, shared_tokens, read_loss = 0.0, 0, 0.0
-        if place is PartsAt.STORE:
-            shared_ms = FETCH_SETUP_MS + shared / FETCH_TOKENS_PER_MS
-        elif place is PartsAt.UNKNOWN and shared:
-            shared_ms, shared_tokens = shared / PREFILL_TOKENS_PER_MS, shared
-            if not is_preferred:
-                chance = READ_ELSEWHERE_CHANCE
-                read_loss = chance * shared * READ_AGAIN_LOSS_PER_TOKEN
-        wait_ms = load.prefill_tokens / PREFILL_TOKENS_PER_MS
-        own_ms = own / PREFILL_TOKENS_PER_MS
-        expected_ms = FIRST_STEP_MS + wait_ms + own_ms + shared_ms
-        choice = Choice(target, expected_ms, own + shared_tokens, place, load)
+        fetched, unknown = self._find_parts(target, request, now_ms)
+        fetch_tokens = sum(part.tokens for part in fetched)
+        read_tokens = sum(part.tokens for part in unknown)
+        fetch_ms = FETCH_SETUP_MS + fetch_tokens / FETCH_TOKENS_PER_MS if fetched else 0
+        read_ms = (load.prefill_tokens + own + read_tokens) / PREFILL_TOKENS_PER_MS
+        read_loss = 0.0
+        if unknown and preferred[unknown[0].name] != target.name:
+            # Parts after an unknown one have most likely not been read anywhere.
+            again = READ_ELSEWHERE_CHANCE * unknown[0].tokens
+            read_loss = again * READ_AGAIN_LOSS_PER_TOKEN
+        place = PartsAt.STORE if fetched else PartsAt.TARGET
+        choice = Choice(
+            target,
+            FIRST_STEP_MS + fetch_ms + read_ms,
+            own + read_tokens,
+            PartsAt.UNKNOWN if unknown else place,
+            load,
+        )
         return choice, read_loss
 
     def _find_parts(
         self, target: FleetTarget, request: PlacementRequest, now_ms: int
-    ) -> "PartsAt":
-        if not request.shared:
-            return PartsAt.TARGET
+    ) -> tuple[list[PromptPart], list[PromptPart]]:
+        """Return the shared parts that are fetched, and those that are read.
+
+        A part is only of use after all parts before it.
+        """
         salt = salt_for(request.salt, target.weights.get(request.model, 0))
-        last = request.shared[-1].name
-        if self.parts.has(target.name, salt, last, now_ms):
-            return PartsAt.TARGET
-        if self.parts.has(STORE, salt, last, now_ms):
-            return PartsAt.STORE
-        return PartsAt.UNKNOWN
+        fetched: list[PromptPart] = []
+        for number, part in enumerate(request.shared):
+            if self.parts.has(target.name, salt, part.name, now_ms):
+                continue
+            if not self.parts.has(STORE, salt, part.name, now_ms):
+                return fetched, list(request.shared[number:])
+            fetched.append(part)
+        return fetched, []
 
     def _loss(self, choice: Choice, request: PlacementRequest) -> float:
         target, load = choice.target, choice.load
