Take no request late in a planned stop

Change: addresses are kept for 1 s, so that the slowest callers have left after 3 s; then the process stops to listen and has 4.4 s for what is open.

--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -48,11 +48,12 @@
 REPEAT_LOAD_TICKS = 8
 SWEEP_TICKS = 10
 QUOTA_POLL_MS = 25
-KEEP_ADDRESS_MS = 2_000
-# Callers keep an answer up to three times as long as they are told.
-CALLERS_GONE_MS = 6_200
+KEEP_ADDRESS_MS = 1_000
+# Callers keep an answer up to three times as long as they are told. From then on, no
+# request is taken, so that the longest answers are complete before the stop.
+CALLERS_GONE_MS = 3_200
 # Connections are closed after their answers from here on.
-CLOSE_AFTER_MS = 2_500
+CLOSE_AFTER_MS = 1_100
 STOP_POLL_MS = 50
 
 
