--- a/papayacrank/consensus/tests/test_faults.py
+++ b/papayacrank/consensus/tests/test_faults.py
@@ -297,3 +297,21 @@
     result = leader.node.change_member(Remove(names[2]), leader.now_ms)
     assert result.error.code == "too_few_voters"
     assert leader.node.change_member(Remove(names[0]), leader.now_ms).is_ok()
+
+
+def test_voter_whose_folder_was_lost_is_replaced_by_its_successor():
+    """Guards against a group that tolerates no loss until the silence limit ends."""
+    cluster = Cluster(15, voter_silence_ms=60_000).start()
+    leader = cluster.leading()
+    host = next(h for h in cluster.hosts.values() if h is not leader)
+    cluster.write_and_wait()
+    old = host.store.identity
+    cluster.lose_disk(host)
+
+    def is_replaced():
+        voters = {m.identity for m in leader.node.members if m.voter}
+        return len(voters) == 3 and old not in voters
+
+    cluster.run_until(is_replaced, 3_000)
+    cluster.write_and_wait()
+    cluster.finish()
--- a/papayacrank/control/tests/test_client.py
+++ b/papayacrank/control/tests/test_client.py
@@ -76,3 +76,14 @@
     record = FailureRecord("conflict", "not-run", "taken", 409)
     effects = client.receive("c1", ControlReply(request_id, failure=record), 1)
     assert finished(effects)[0].outcome.error.code == "conflict"
+
+
+def test_leader_that_was_not_configured_is_reached():
+    """Guards against a process that knows only members which no longer lead."""
+    closed = LeaderHint(["c1"])
+    assert not closed.learn("c4")
+    hint = LeaderHint(["c1"], accepts_new=True)
+    assert hint.learn("c4")
+    assert [send.to for send in hint.address("x")] == ["c4"]
+    hint.forget()
+    assert [send.to for send in hint.address("x")] == ["c1", "c4"]
--- /dev/null
+++ b/papayacrank/control/tests/test_rollout.py
@@ -0,0 +1,319 @@
+"""Tests of the roll-out of weights and of the leader's view of the targets."""
+
+from papayacrank.control import (
+    EngineStatus,
+    FleetBoard,
+    HttpCall,
+    HttpResult,
+    ListedTarget,
+    ListingPage,
+    OrderOutcome,
+    TargetProtocol,
+)
+from papayacrank.messages import EntryLoad, PartPlace, TargetLoad
+
+MODEL = "m"
+LOAD_MS = 600
+
+
+class Engine:
+    """Engine that loads weights in simulated time."""
+
+    def __init__(self, name, version=1):
+        self.name = name
+        self.versions = {MODEL: version}
+        self.orders = 0
+        self.token = 0
+        self.loading = None
+        self.is_down = False
+        self.is_replaced = False
+        self.mute_orders = 0
+
+    def advance(self, now_ms):
+        """Finish a load that is due."""
+        if self.loading is not None and now_ms >= self.loading[0]:
+            self.versions = {MODEL: self.loading[1]}
+            self.loading = None
+
+    def take(self, order, now_ms):
+        """Answer an order."""
+        if order.fencing_token < self.token:
+            return OrderOutcome.FENCED
+        if self.versions[MODEL] == order.version:
+            return OrderOutcome.HOLDS
+        if self.loading or order.expected_orders != self.orders:
+            return OrderOutcome.CONFLICT
+        self.token = order.fencing_token
+        self.orders += 1
+        self.loading = (now_ms + LOAD_MS, order.version)
+        return OrderOutcome.ACCEPTED
+
+
+class Protocol(TargetProtocol):
+    """Calls whose URL names what is asked; orders are kept aside."""
+
+    def __init__(self, engines):
+        self.engines = engines
+        self.orders = {}
+        self.leaving = set()
+        self.fails = False
+
+    def build_listing(self, key, page):
+        """Return the call for a page."""
+        return HttpCall(key, "GET", f"list {page or ''}")
+
+    def read_listing(self, result):
+        """Return the engines in two pages."""
+        if result.status != 200:
+            return "down"
+        listed = tuple(
+            ListedTarget(
+                e.name,
+                f"{e.name}:80",
+                "s",
+                "east",
+                e.name in self.leaving,
+                64,
+                1,
+                dict(e.versions),
+            )
+            for e in self.engines.values()
+        )
+        half = len(listed) // 2
+        if result.body == b"first":
+            return ListingPage(listed[:half], "second")
+        return ListingPage(listed[half:])
+
+    def build_status(self, key, target, address):
+        """Return the call for a status."""
+        return HttpCall(key, "GET", f"status {target}")
+
+    def read_status(self, result):
+        """Return the status."""
+        if result.status != 200:
+            return "down"
+        engine = self.engines[result.body.decode()]
+        busy = engine.loading is not None
+        return EngineStatus(busy, engine.orders, dict(engine.versions))
+
+    def build_load(self, key, order):
+        """Return the call for an order."""
+        self.orders[key] = order
+        return HttpCall(key, "POST", f"order {order.target}")
+
+    def read_load(self, result):
+        """Return the outcome."""
+        return (
+            OrderOutcome(result.body.decode()) if result.body else OrderOutcome.UNKNOWN
+        )
+
+
+class Bench:
+    """Board with engines whose calls take 5 ms."""
+
+    def __init__(self, count=9, delay_ms=0):
+        self.engines = {f"e{n}": Engine(f"e{n}") for n in range(count)}
+        self.protocol = Protocol(self.engines)
+        self.board = FleetBoard(self.protocol, "leader", delay_ms)
+        self.now_ms = 10_000
+        self.board.reset(1, self.now_ms)
+        self.wanted = {}
+        self.most_out = 0
+        self.pending = []
+        self.log = []
+
+    def run(self, ms):
+        """Let time pass in steps of 5 ms."""
+        for _ in range(0, ms, 5):
+            self.now_ms += 5
+            for engine in self.engines.values():
+                engine.advance(self.now_ms)
+            calls = self.board.poll(self.wanted, self.now_ms)
+            ready, self.pending = self.pending, []
+            for call in ready:
+                result = self.answer(call)
+                calls += self.board.handle(result, self.now_ms)
+            self.pending += calls
+            out = sum(target.loading for target in self.board.targets)
+            self.most_out = max(self.most_out, out)
+
+    def answer(self, call):
+        """Let the platform or an engine answer."""
+        kind, _, name = call.url.partition(" ")
+        if kind == "list":
+            status = 500 if self.protocol.fails else 200
+            return HttpResult(call.key, status, b"second" if name else b"first")
+        engine = self.engines[name]
+        if engine.is_down:
+            return HttpResult(call.key, 0, error="refused")
+        if kind == "status":
+            return HttpResult(call.key, 200, name.encode())
+        order = self.protocol.orders[call.key]
+        if engine.is_replaced:
+            return HttpResult(call.key, 421, OrderOutcome.WRONG_TARGET.value.encode())
+        outcome = engine.take(order, self.now_ms)
+        self.log.append((self.now_ms, name, order.version, outcome))
+        if engine.mute_orders:
+            engine.mute_orders -= 1
+            return HttpResult(call.key, 0, error="timeout")
+        return HttpResult(call.key, 200, outcome.value.encode())
+
+    def versions(self):
+        """Return the versions that the engines run."""
+        return [engine.versions[MODEL] for engine in self.engines.values()]
+
+
+def test_all_engines_get_new_weights_a_third_at_a_time():
+    """Guards against a service without capacity during a roll-out."""
+    bench = Bench()
+    bench.run(100)
+    bench.wanted = {MODEL: 2}
+    bench.run(3_000)
+    assert bench.versions() == [2] * 9
+    assert bench.most_out == 3
+    assert [e.orders for e in bench.engines.values()] == [1] * 9
+
+
+def test_no_engine_stays_behind_when_versions_follow_quickly():
+    """Guards against VERSION: an engine that every newer version passes over."""
+    bench = Bench()
+    bench.run(100)
+    for version in (2, 3, 4, 5):
+        bench.wanted = {MODEL: version}
+        bench.run(3_200)
+        assert min(bench.versions()) >= version - 1
+    bench.run(1_000)
+    assert bench.versions() == [5] * 9
+
+
+def test_idle_engines_go_first():
+    """Guards against running requests that new weights change needlessly."""
+    bench = Bench()
+    bench.run(100)
+    loads = {f"e{n}": TargetLoad(5, 0, 100) for n in range(6)}
+    bench.board.observe_load(EntryLoad("i1", 1, loads), bench.now_ms)
+    bench.board.push_load({"i1": "x"}, bench.now_ms)
+    bench.wanted = {MODEL: 2}
+    bench.run(200)
+    out = {target.name for target in bench.board.targets if target.loading}
+    assert out == {"e6", "e7", "e8"}
+
+
+def test_view_shows_an_engine_in_service_when_its_load_is_due():
+    """Guards against engines that idle until a lagging report shows their load."""
+    bench = Bench(3)
+    bench.run(100)
+    bench.wanted = {MODEL: 2}
+    bench.run(150 + 10 + 620 + 20)
+    first = next(t for t in bench.board.targets if t.weights == {MODEL: 2})
+    assert not first.loading
+
+
+def test_order_without_answer_is_carried_out_once():
+    """Guards against a second load by the copy of an order that was accepted."""
+    bench = Bench(3)
+    bench.engines["e0"].mute_orders = 1
+    bench.run(100)
+    bench.wanted = {MODEL: 2}
+    bench.run(5_000)
+    assert bench.versions() == [2] * 3
+    assert [e.orders for e in bench.engines.values()] == [1] * 3
+
+
+def test_engine_that_is_down_does_not_hold_the_others_up():
+    """Guards against a crashed engine that keeps a place of the roll-out."""
+    bench = Bench()
+    for name in ("e0", "e1", "e2"):
+        bench.engines[name].is_down = True
+    bench.run(100)
+    bench.wanted = {MODEL: 2}
+    bench.run(4_500)
+    assert [bench.engines[f"e{n}"].versions[MODEL] for n in range(3, 9)] == [2] * 6
+    for name in ("e0", "e1", "e2"):
+        bench.engines[name].is_down = False
+    bench.run(2_500)
+    assert bench.versions() == [2] * 9
+
+
+def test_replaced_engine_is_shown_as_leaving():
+    """Guards against requests and orders for a process that is gone."""
+    bench = Bench()
+    bench.run(100)
+    bench.engines["e0"].is_replaced = True
+    bench.wanted = {MODEL: 2}
+    bench.run(4_000)
+    view = {target.name: target for target in bench.board.targets}
+    assert view["e0"].leaving
+    assert bench.versions()[1:] == [2] * 8
+
+
+def test_fenced_leader_sends_no_more_orders():
+    """Guards against orders of a leader that another one has replaced."""
+    bench = Bench(3)
+    bench.run(100)
+    for engine in bench.engines.values():
+        engine.token = 9
+    bench.wanted = {MODEL: 2}
+    bench.run(5_000)
+    assert {outcome for _, _, _, outcome in bench.log} == {OrderOutcome.FENCED}
+    assert len(bench.log) <= 3
+
+
+def test_new_leader_waits_for_targets_that_check_no_fence():
+    """Guards against two leaders that give orders in turn."""
+    bench = Bench(3, delay_ms=3_000)
+    bench.wanted = {MODEL: 2}
+    bench.run(2_900)
+    assert bench.log == []
+    bench.run(3_000)
+    assert bench.versions() == [2] * 3
+
+
+def test_new_leader_goes_on_where_the_last_one_stopped():
+    """Guards against a second load of engines that are loading."""
+    bench = Bench(6)
+    bench.run(100)
+    bench.wanted = {MODEL: 2}
+    bench.run(400)
+    bench.board.reset(2, bench.now_ms)
+    bench.pending.clear()
+    bench.run(5_000)
+    assert bench.versions() == [2] * 6
+    assert [e.orders for e in bench.engines.values()] == [1] * 6
+
+
+def test_list_that_cannot_be_read_changes_nothing():
+    """Guards against a fleet that vanishes with the platform's list."""
+    bench = Bench()
+    bench.run(100)
+    bench.protocol.fails = True
+    bench.run(3_000)
+    assert len(bench.board.targets) == 9
+
+
+def test_leaving_target_changes_the_view():
+    """Guards against new work for a target that drains."""
+    bench = Bench()
+    bench.run(100)
+    before = bench.board.sequence
+    bench.protocol.leaving = {"e3"}
+    bench.run(1_300)
+    assert bench.board.sequence > before
+    assert [t.name for t in bench.board.targets if t.leaving] == ["e3"]
+
+
+def test_loads_are_summed_and_sent_only_when_they_change():
+    """Guards against traffic without news, and against loads of lost processes."""
+    bench = Bench()
+    receivers = {"i1": "a", "i2": "b"}
+    place = PartPlace("e1", "1", "p", True)
+    load = {"e1": TargetLoad(2, 10, 20)}
+    bench.board.observe_load(EntryLoad("i1", 1, load, ["e5"], [place]), 0)
+    bench.board.observe_load(EntryLoad("i2", 1, load), 0)
+    first = bench.board.push_load(receivers, 10)
+    assert {send.to for send in first} == {"a", "b"}
+    assert first[0].message.loads == {"e1": TargetLoad(4, 20, 40)}
+    assert (first[0].message.silent, first[0].message.parts) == (["e5"], [place])
+    assert bench.board.push_load(receivers, 210) == []
+    late = bench.board.push_load(receivers, 5_000)
+    assert late[0].message.loads == {}
--- /dev/null
+++ b/papayacrank/forwarding/tests/builders.py
@@ -0,0 +1,322 @@
+"""Builders of test data and fakes at the interfaces of the forwarding."""
+
+import random
+
+from papayacrank.admission import LocalShares
+from papayacrank.control import digest_key
+from papayacrank.forwarding import (
+    AnswerFacts,
+    CallerAnswer,
+    CallerProtocol,
+    Forwarder,
+    ForwardingSettings,
+    ForwardRequest,
+    PromptPart,
+)
+from papayacrank.forwarding._quota import QuotaDesk
+from papayacrank.kernel import ManualClock
+from papayacrank.messages import (
+    EngineProfile,
+    FleetTarget,
+    FleetView,
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    ServiceProfile,
+    ServiceShare,
+    ShareGrant,
+    StoreProfile,
+    WorkspaceProfile,
+)
+from papayacrank.transport import CallerHead, HttpExchange
+
+KEY = "secret-1"
+MODEL = "model-1"
+STORE_ADDRESS = "10.0.9.9:80"
+
+
+def build_route(name="lookup", kind=RequestKind.IDEMPOTENT, service="plain", **fields):
+    """Return a route of host ``h`` whose prefix is its name."""
+    shares = (ServiceShare(service, 1),)
+    route = Route(name, "h", f"/{name}/", kind, shares, 5_000, 500)
+    return _replace(route, **fields)
+
+
+def build_configuration(version=1, **fields):
+    """Return a configuration with a route of each kind and two workspaces."""
+    stream = RequestKind.STREAM
+    routes = (
+        build_route(max_attempts=2),
+        build_route("claim", RequestKind.NON_IDEMPOTENT),
+        build_route("reply", stream, "engines", resumable=True, max_attempts=2),
+        build_route("appraise", stream, "engines"),
+        build_route("open", public=True, max_attempts=2),
+    )
+    services = (
+        ServiceProfile("plain", max_connections=60),
+        ServiceProfile("engines", engine=EngineProfile(64, 100_000, models=(MODEL,))),
+        ServiceProfile("store", store=StoreProfile(STORE_ADDRESS, "east")),
+    )
+    workspaces = (
+        WorkspaceProfile("w1", (digest_key(KEY),)),
+        WorkspaceProfile("w2", (digest_key("secret-2"),), isolated=True, priority=1),
+    )
+    configuration = RoutingConfiguration(version, routes, services, workspaces)
+    return _replace(configuration, **fields)
+
+
+def build_target(name, service="plain", domain="east", version=1, **fields):
+    """Return a target; engines serve the model in the given version."""
+    weights = {MODEL: version} if service == "engines" else {}
+    target = FleetTarget(
+        name, f"10.0.0.{ord(name[-1])}:80", service, domain, slots=6, weights=weights
+    )
+    return _replace(target, **fields)
+
+
+def build_view(*targets, term=1, sequence=1):
+    """Return a view of the targets."""
+    return FleetView(term, sequence, list(targets))
+
+
+def build_head(path="/lookup/x", method="GET", **headers):
+    """Return the head of a request as `StubProtocol` reads it."""
+    fields = {"id": "r1", "host": "h", "key": KEY} | headers
+    pairs = [(k.encode(), str(v).encode()) for k, v in fields.items() if v is not None]
+    return CallerHead(method, path, pairs)
+
+
+class StubProtocol(CallerProtocol):
+    """Wire form with plain header names."""
+
+    def __init__(self):
+        self.dispatches = []
+
+    def read_request(self, head):
+        """Read ``id``, ``key``, ``deadline``, ``tokens``, ``parts`` and ``after``."""
+        known = {n.decode(): v.decode() for n, v in head.headers}
+        tokens = known.get("tokens")
+        parts = [p.split(":") for p in known.get("parts", "").split(",") if p]
+        return ForwardRequest(
+            known["id"],
+            head.method,
+            head.target,
+            known["host"],
+            head.target.split("?")[0],
+            [(b"id", known["id"].encode())],
+            int(known["deadline"]) if "deadline" in known else None,
+            known.get("key"),
+            MODEL if "tokens" in known else None,
+            int(tokens) if tokens else None,
+            0 if tokens else None,
+            tuple(PromptPart(name, int(count)) for name, count in parts),
+            known.get("after"),
+        )
+
+    def target_headers(self, request, dispatch):
+        """Remember what is added."""
+        self.dispatches.append(dispatch)
+        return list(request.headers)
+
+    def read_answer(self, status, headers):
+        """Read ``id``, ``not-run``, ``server``, ``weights`` and ``spoiled``."""
+        known = {n.decode(): v.decode() for n, v in headers}
+        weights = known.get("weights")
+        return AnswerFacts(
+            known.get("id"),
+            "not-run" in known,
+            status == 421,
+            "spoiled" not in known,
+            known.get("server"),
+            int(weights) if weights else None,
+        )
+
+    def build_failure(self, failure, request_id):
+        """Return code, verdict and time to come back as headers."""
+        headers = [
+            (b"code", failure.code.encode()),
+            (b"verdict", failure.verdict.value.encode()),
+            (b"retry-after-ms", str(failure.retry_after_ms).encode()),
+        ]
+        return CallerAnswer(failure.status, headers)
+
+    def build_addresses(self, addresses, keep_ms):
+        """Return the addresses as body."""
+        return CallerAnswer(200, [], ",".join(addresses).encode())
+
+    def read_whereabouts(self, head):
+        """Return the whole target."""
+        return head.target
+
+
+class FakePort:
+    """Port that collects calls; the test answers them."""
+
+    def __init__(self):
+        self.calls = []
+        self.cancelled = []
+        self.dropped = []
+
+    def submit(self, call):
+        """Take a call."""
+        self.calls.append(call)
+
+    def cancel(self, call):
+        """Note a cancellation."""
+        call.is_open = False
+        self.cancelled.append(call)
+
+    def drop_idle(self, address):
+        """Note an address whose connections are no longer trusted."""
+        self.dropped.append(address)
+
+
+class FakeTimers:
+    """Timers that the test fires."""
+
+    def __init__(self):
+        self.set_timers = {}
+
+    def set(self, name, at_ms, callback):
+        """Remember a timer."""
+        self.set_timers[name] = (at_ms, callback)
+
+    def cancel(self, name):
+        """Forget a timer."""
+        self.set_timers.pop(name, None)
+
+
+class FakeCaller:
+    """Caller's side of an exchange that collects the answer."""
+
+    def __init__(self):
+        self.status = None
+        self.headers = {}
+        self.pieces = []
+        self.ended = False
+        self.aborted = False
+
+    @property
+    def body(self):
+        """Whole body so far."""
+        return b"".join(self.pieces)
+
+    def begin_answer(self, exchange, status, headers):
+        """Take the head."""
+        self.status = status
+        self.headers = {n.decode(): v.decode() for n, v in headers}
+
+    def send_piece(self, exchange, data):
+        """Take a piece."""
+        self.pieces.append(data)
+
+    def end_answer(self, exchange):
+        """Take the end."""
+        exchange.is_open = False
+        self.ended = True
+
+    def abort(self, exchange):
+        """Take a cut."""
+        exchange.is_open = False
+        self.aborted = True
+
+
+class Bench:
+    """Forwarder with fakes at its interfaces."""
+
+    def __init__(self, *targets, configuration=None, weights=None):
+        self.clock = ManualClock(1_000_000)
+        self.timers = FakeTimers()
+        self.port = FakePort()
+        self.protocol = StubProtocol()
+        self.shares = LocalShares()
+        self.quota = QuotaDesk(self.shares)
+        self.forwarder = Forwarder(
+            ForwardingSettings("i1", "east"),
+            self.protocol,
+            self.port,
+            self.quota,
+            self.clock,
+            self.timers,
+            random.Random(1),
+        )
+        if targets:
+            self.forwarder.apply_routing(configuration or build_configuration())
+            self.forwarder.apply_fleet(build_view(*targets))
+            self.forwarder.apply_weights(weights or {MODEL: 1})
+
+    @property
+    def call(self):
+        """The last call."""
+        return self.port.calls[-1]
+
+    def send(self, path="/lookup/x", body=b"", **headers):
+        """Send a request; return the caller's side."""
+        caller = FakeCaller()
+        head = build_head(path, **headers)
+        exchange = HttpExchange(caller, None, head, body, self.clock.now_ms())
+        caller.exchange = exchange
+        self.forwarder.on_exchange(exchange)
+        return caller
+
+    def target_of(self, call):
+        """Return the name of the target of a call."""
+        return call.state.attempt.target.name
+
+    def answer(self, status=200, body=b"ok", call=None, **headers):
+        """Let a target answer completely."""
+        call = call or self.call
+        self.begin(status, call, **headers)
+        if body:
+            self.forwarder.on_data(call, body)
+        self.end(call)
+
+    def begin(self, status=200, call=None, **headers):
+        """Let a target send the head of an answer."""
+        call = call or self.call
+        call.bytes_written = True
+        fields = {"id": call.state.request.request_id} | headers
+        pairs = [
+            (k.replace("_", "-").encode(), str(v).encode()) for k, v in fields.items()
+        ]
+        self.forwarder.on_answer(call, status, pairs)
+
+    def event(self, number, call=None, text="x"):
+        """Let a target send an event."""
+        data = f"id: {number}\ndata: {text}{number}\n\n".encode()
+        self.forwarder.on_data(call or self.call, data)
+
+    def end(self, call=None):
+        """Let a target end its answer."""
+        call = call or self.call
+        call.is_open = False
+        self.forwarder.on_ended(call)
+
+    def fail(self, code="connection_lost", sent=True, message="", call=None):
+        """Let a call fail."""
+        from papayacrank.forwarding._target_port import CallFailure
+
+        call = call or self.call
+        call.bytes_written = sent
+        call.is_open = False
+        self.forwarder.on_failed(call, CallFailure(code, sent, message))
+
+    def advance(self, ms):
+        """Let time pass and fire the timers that are due."""
+        self.clock.advance(ms)
+        for name, (at_ms, callback) in list(self.timers.set_timers.items()):
+            if at_ms <= self.clock.now_ms():
+                self.timers.set_timers.pop(name, None)
+                callback()
+
+    def grant(self, workspace, tokens):
+        """Grant tokens under a lease of 3 s from now."""
+        grant = ShareGrant(workspace, tokens)
+        self.shares.apply_grants([grant], self.clock.now_ms(), 3_000)
+        self.forwarder.poll_quota()
+
+
+def _replace(value, **fields):
+    import msgspec
+
+    return msgspec.structs.replace(value, **fields) if fields else value
--- /dev/null
+++ b/papayacrank/forwarding/tests/test_parts.py
@@ -0,0 +1,197 @@
+"""Tests of routes, quota, repeats, health, load, directory and event streams."""
+
+import pytest
+
+from papayacrank.admission import LocalShares
+from papayacrank.forwarding._directory import choose_addresses
+from papayacrank.forwarding._event_stream import EventSplitter, EventStreamError
+from papayacrank.forwarding._health import TargetHealth
+from papayacrank.forwarding._quota import QuotaDesk
+from papayacrank.forwarding._repeats import RepeatBudget
+from papayacrank.forwarding._routes import RouteIndex
+from papayacrank.forwarding._targets import TargetTable
+from papayacrank.messages import (
+    EntryAddress,
+    FleetLoad,
+    RoutingConfiguration,
+    ShareGrant,
+    TargetLoad,
+    WorkspaceProfile,
+)
+
+from .builders import MODEL, build_configuration, build_route, build_target, build_view
+
+
+def test_longest_prefix_of_the_host_wins():
+    """Guards against a request that runs at the service of another route."""
+    routes = (
+        build_route("a", prefix="/a/"),
+        build_route("b", prefix="/a/b/"),
+        build_route("c", prefix="/", host="other"),
+    )
+    index = RouteIndex(build_configuration(routes=routes))
+    assert index.find_route("h", "/a/b/x").name == "b"
+    assert index.find_route("h", "/a/c").name == "a"
+    assert index.find_route("h", "/x") is None
+    assert index.find_route("other", "/x").name == "c"
+
+
+@pytest.mark.parametrize("cut", range(1, 30))
+def test_events_are_split_at_any_cut(cut):
+    """Guards against events that are torn by the segments they arrive in."""
+    stream = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+    splitter = EventSplitter()
+    events = splitter.feed(stream[:cut]) + splitter.feed(stream[cut:])
+    assert [event.event_id for event in events] == ["1", "2"]
+    assert b"".join(event.data for event in events) == stream
+    assert not splitter.has_partial
+
+
+def test_endless_event_is_refused():
+    """Guards against a target that fills the memory with one event."""
+    with pytest.raises(EventStreamError):
+        EventSplitter().feed(b"x" * 300_000)
+
+
+def test_repeats_are_bounded_in_every_window():
+    """Guards against more repeats than the ratio and the instance's part."""
+    budget = RepeatBudget(0.2, 10_000, 50)
+    for number in range(100):
+        budget.on_request("s", number * 10)
+    allowed = sum(budget.may_repeat("s", 10, 1_000) for _ in range(100))
+    assert allowed == int(0.8 * (0.2 * 100 + 50 / 10))
+    assert not budget.may_repeat("s", 10, 5_000)
+    assert budget.may_repeat("s", 10, 30_000)
+
+
+def test_unreachable_target_is_avoided_longer_each_time():
+    """Guards against requests that all meet the same dead target."""
+    health = TargetHealth()
+    health.on_unreachable("t", 0)
+    assert health.is_avoided("t", 399)
+    assert not health.is_avoided("t", 400)
+    health.on_unreachable("t", 400)
+    assert health.is_avoided("t", 1_199)
+    health.on_success("t")
+    assert not health.is_avoided("t", 1_199)
+
+
+def test_failing_target_is_avoided_by_comparison_with_its_peers():
+    """Guards against a grey target, and against avoiding all where all fail."""
+    health = TargetHealth()
+    peers = ["a", "b", "c", "d"]
+    for _ in range(5):
+        health.on_failure("a", peers, 0)
+    assert health.is_avoided("a", 1)
+    alike = TargetHealth()
+    for _ in range(20):
+        for peer in peers:
+            alike.on_failure(peer, peers, 0)
+    assert sum(alike.is_avoided(peer, 1) for peer in peers) <= 2
+
+
+def test_own_load_is_not_counted_twice():
+    """Guards against a load that includes this process twice or not at all."""
+    table = TargetTable()
+    table.update(build_view(build_target("e1", "engines")))
+    table.begin("e1", 100, 500)
+    report = table.report("i1")
+    table.begin("e1", 10, 50)
+    others = TargetLoad(3, 1_100, 5_500)
+    table.take_load(FleetLoad(report.sequence, {"e1": others}))
+    assert table.load("e1") == TargetLoad(4, 1_010 + 100, 5_050 + 500)
+    assert table.report("i1").loads["e1"] == TargetLoad(2, 110, 550)
+    assert table.report("i1") is None
+
+
+def test_older_view_is_ignored():
+    """Guards against a view of a replaced leader that arrives late."""
+    table = TargetTable()
+    table.update(build_view(build_target("p1"), term=2))
+    assert table.update(build_view(build_target("p2"), term=1, sequence=9)) is None
+    assert table.find("p1") is not None
+    gone = table.update(build_view(build_target("p3"), term=2, sequence=2))
+    assert [target.name for target in gone] == ["p1"]
+
+
+def test_weights_of_an_answer_correct_the_view():
+    """Guards against requests under weights that an engine no longer runs."""
+    table = TargetTable()
+    table.update(build_view(build_target("e1", "engines", version=1)))
+    assert table.observe_weights("e1", MODEL, 2)
+    assert not table.observe_weights("e1", MODEL, 1)
+    table.update(build_view(build_target("e1", "engines", version=1), sequence=2))
+    assert table.find("e1").weights == {MODEL: 2}
+    assert table.of_service("engines")[0].weights == {MODEL: 2}
+
+
+def entry(name, domain, status="serving", address=None):
+    """Return a live entry process."""
+    return EntryAddress(name, 1, domain, address or f"{name}:80", status)
+
+
+def test_directory_names_serving_instances_of_the_caller_first():
+    """Guards against callers at a stopping instance, or all at one."""
+    instances = (
+        entry("a", "east"),
+        entry("b", "east"),
+        entry("c", "west"),
+        entry("d", "west", "draining"),
+    )
+    assert choose_addresses(instances, "east") == ["a:80", "b:80"]
+    assert choose_addresses(instances, "west") == ["a:80", "b:80", "c:80"]
+
+
+class QuotaBench:
+    """Quota of one workspace."""
+
+    def __init__(self, rate=1_000, burst=2_000):
+        self.shares = LocalShares()
+        self.desk = QuotaDesk(self.shares)
+        profile = WorkspaceProfile("w", (), rate_per_s=rate, burst=burst)
+        self.desk.configure(RoutingConfiguration(1, workspaces=(profile,)))
+        self.desk.set_instances(10)
+        self.granted = 0
+
+    def grant(self, tokens, now_ms):
+        """Grant further tokens under a lease of 3 s."""
+        self.granted += tokens
+        grant = ShareGrant("w", self.granted)
+        self.shares.apply_grants([grant], now_ms, 3_000)
+
+
+def test_quota_without_contact_stays_below_an_equal_share():
+    """Guards against a workspace above its rate while instances are cut off."""
+    bench = QuotaBench()
+    admitted = 0
+    for now_ms in range(0, 100_000, 50):
+        decision = bench.desk.admit(f"r{now_ms}", "w", 20, 10_000 + now_ms)
+        admitted += 20 if decision is not None and decision.admitted else 0
+    assert 0.4 * 100 * 100 <= admitted <= 0.5 * 100 * 100 + 200
+
+
+def test_request_larger_than_the_burst_is_refused_at_once():
+    """Guards against a request that waits for what can never be granted."""
+    bench = QuotaBench()
+    bench.grant(100, 10_000)
+    decision = bench.desk.admit("r", "w", 3_000, 10_000)
+    assert not decision.admitted
+    assert decision.retry_after_ms >= 3_000
+
+
+def test_waiting_requests_are_admitted_in_order():
+    """Guards against a large request that small ones overtake for ever."""
+    bench = QuotaBench()
+    bench.grant(0, 10_000)
+    assert bench.desk.admit("large", "w", 500, 10_000) is None
+    assert bench.desk.admit("small", "w", 10, 10_000) is None
+    bench.grant(100, 10_050)
+    assert bench.desk.poll(10_050) == []
+    bench.grant(450, 10_100)
+    assert [d.request_id for d in bench.desk.poll(10_100)] == ["large", "small"]
+
+
+def test_workspace_without_a_rate_is_not_limited():
+    """Guards against refusals where the configuration sets no limit."""
+    bench = QuotaBench(rate=0)
+    assert bench.desk.admit("r", "w", 10**9, 0).admitted
--- /dev/null
+++ b/papayacrank/forwarding/tests/test_target_port.py
@@ -0,0 +1,287 @@
+"""Tests of the connections to targets against a scripted server."""
+
+import queue
+import socket
+import struct
+import threading
+import time
+
+import pytest
+from circuits import BaseComponent, Event, handler
+
+from papayacrank.forwarding._target_port import CallListener, TargetCall, TargetPort
+from papayacrank.kernel import MonotonicClock
+from papayacrank.transport import Timers, install_process_handlers
+
+OK = b"HTTP/1.1 200 OK\r\nid: %s\r\nContent-Length: 2\r\n\r\nok"
+RESET = struct.pack("ii", 1, 0)
+
+
+class ScriptedTarget:
+    """Server that answers the requests of its connections by a script.
+
+    Parameters
+    ----------
+    script : Callable
+        Gets the socket, the request bytes and the number of the request.
+    """
+
+    def __init__(self, script):
+        self._script = script
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.connections = 0
+        self._numbers = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self):
+        """Address of the server."""
+        host, port = self._listener.getsockname()
+        return f"{host}:{port}"
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        try:
+            while data := sock.recv(65_536):
+                self._numbers += 1
+                self._script(sock, data, self._numbers)
+        except OSError:
+            return
+
+    def close(self):
+        """Stop to accept."""
+        self._listener.close()
+
+
+class Collector(CallListener):
+    """Collects how calls end; answers must carry the id of the call."""
+
+    def __init__(self):
+        self.outcomes = queue.Queue()
+        self.bodies = {}
+
+    def is_answer(self, call, status, headers):
+        """Compare the ids."""
+        known = dict(headers).get(b"id")
+        return known is None or known.decode() == call.state
+
+    def on_answer(self, call, status, headers):
+        """Begin a body."""
+        self.bodies[call.state] = b""
+
+    def on_data(self, call, data):
+        """Collect a piece."""
+        self.bodies[call.state] += data
+
+    def on_ended(self, call):
+        """Note a complete answer."""
+        self.outcomes.put((call.state, "ended", True))
+
+    def on_failed(self, call, failure):
+        """Note a failure."""
+        self.outcomes.put((call.state, failure.code, failure.may_have_run))
+
+
+class submit_call(Event):  # noqa: N801 - circuits events are lower case
+    """Send a request, within the loop: ``submit_call(call)``."""
+
+
+class Submitter(BaseComponent):
+    """Hands calls of the test's thread to the port."""
+
+    channel = "submitter"
+
+    def __init__(self, port):
+        super().__init__()
+        self._port = port
+
+    @handler("submit_call")
+    def _on_submit_call(self, call):
+        self._port.submit(call)
+
+
+class Bench:
+    """Port in a thread of its own."""
+
+    def __init__(self):
+        self.root = BaseComponent()
+        install_process_handlers(self.root)
+        clock = MonotonicClock()
+        self.timers = Timers(clock).register(self.root)
+        self.port = TargetPort(clock, self.timers).register(self.root)
+        self.submitter = Submitter(self.port).register(self.root)
+        self.collector = Collector()
+        self.clock = clock
+        self.thread = threading.Thread(target=self.root.run, daemon=True)
+        self.thread.start()
+        time.sleep(0.2)
+
+    def run(self, address, request_id, body=b"", method="POST"):
+        """Send a request and return how it ended."""
+        call = TargetCall(
+            address,
+            method,
+            "/x",
+            [(b"host", b"h"), (b"id", request_id.encode())],
+            body,
+            self.collector,
+            state=request_id,
+        )
+        self.submitter.fire(submit_call(call), "submitter")
+        return self.collector.outcomes.get(timeout=10)
+
+    def stop(self):
+        """Stop the thread."""
+        self.root.stop()
+        self.thread.join(5)
+
+
+@pytest.fixture
+def bench():
+    """Return a running port."""
+    running = Bench()
+    yield running
+    running.stop()
+
+
+def request_id_of(data):
+    """Return the id of a request."""
+    return data.split(b"id: ")[1].split(b"\r\n")[0]
+
+
+def test_connection_is_reused_after_a_whole_answer(bench):
+    """Guards against a new connection for each request."""
+    target = ScriptedTarget(
+        lambda sock, data, n: sock.sendall(OK % request_id_of(data))
+    )
+    for name in ("a", "b", "c"):
+        assert bench.run(target.address, name) == (name, "ended", True)
+    assert target.connections == 1
+
+
+def test_late_answer_to_an_earlier_request_is_skipped(bench):
+    """Guards against crossed answers on a kept connection."""
+
+    def script(sock, data, number):
+        if number == 2:
+            sock.sendall(OK % b"a")
+            time.sleep(0.05)
+        sock.sendall(OK % request_id_of(data))
+
+    target = ScriptedTarget(script)
+    bench.run(target.address, "a")
+    assert bench.run(target.address, "b") == ("b", "ended", True)
+    assert bench.collector.bodies["b"] == b"ok"
+
+
+def test_connection_with_extra_bytes_is_not_reused(bench):
+    """Guards against extra bytes that are taken for the next answer."""
+
+    def script(sock, data, number):
+        sock.sendall(OK % request_id_of(data) + OK % request_id_of(data))
+
+    target = ScriptedTarget(script)
+    for name in ("a", "b"):
+        assert bench.run(target.address, name) == (name, "ended", True)
+    assert target.connections == 2
+
+
+def test_answer_without_length_ends_with_its_connection(bench):
+    """Guards against an unframed answer that is lost or waits for ever."""
+
+    def script(sock, data, number):
+        sock.sendall(b"HTTP/1.1 200 OK\r\nid: a\r\n\r\nwhole")
+        sock.close()
+
+    target = ScriptedTarget(script)
+    assert bench.run(target.address, "a") == ("a", "ended", True)
+    assert bench.collector.bodies["a"] == b"whole"
+
+
+def test_answer_without_length_that_is_reset_is_not_complete(bench):
+    """Guards against a cut answer that is passed on as whole."""
+
+    def script(sock, data, number):
+        sock.sendall(b"HTTP/1.1 200 OK\r\nid: a\r\n\r\npart")
+        time.sleep(0.05)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        sock.close()
+
+    target = ScriptedTarget(script)
+    assert bench.run(target.address, "a") == ("a", "connection_lost", True)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 50\r\n\r\npart",
+        b"HTTP/1.1 200 OK\r\nid: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+        b"no answer at all\r\n\r\n",
+    ],
+)
+def test_truncated_and_malformed_answers_fail(bench, answer):
+    """Guards against spoiled answers that reach a caller."""
+
+    def script(sock, data, number):
+        sock.sendall(answer)
+        sock.close()
+
+    target = ScriptedTarget(script)
+    name, code, may_have_run = bench.run(target.address, "a")
+    assert code in ("malformed_answer", "connection_lost")
+    assert may_have_run
+
+
+def test_early_answer_ends_the_connection(bench):
+    """Guards against the rest of a body that is read as the next request."""
+
+    def script(sock, data, number):
+        sock.sendall(OK % b"a" if number == 1 else b"")
+
+    target = ScriptedTarget(script)
+    body = b"x" * 8_000_000
+    assert bench.run(target.address, "a", body) == ("a", "ended", True)
+    assert bench.port.open_connections == 0
+
+
+def test_refused_connection_has_certainly_not_run(bench):
+    """Guards against an action that counts as possibly run without being sent."""
+    target = ScriptedTarget(lambda *_: None)
+    address = target.address
+    target.close()
+    assert bench.run(address, "a") == ("a", "connect_failed", False)
+
+
+def test_connection_that_the_target_closed_is_not_used_again(bench):
+    """Guards against a request that is lost on a connection at its end."""
+
+    def script(sock, data, number):
+        sock.sendall(OK % request_id_of(data))
+        sock.close()
+
+    target = ScriptedTarget(script)
+    assert bench.run(target.address, "a")[1] == "ended"
+    time.sleep(0.1)
+    assert bench.run(target.address, "b") == ("b", "ended", True)
+
+
+def test_announced_idle_time_is_kept(bench):
+    """Guards against requests on a connection that the target is about to close."""
+
+    def script(sock, data, number):
+        head = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nid: %s\r\n"
+        sock.sendall(head % request_id_of(data) + b"Content-Length: 0\r\n\r\n")
+
+    target = ScriptedTarget(script)
+    bench.run(target.address, "a")
+    time.sleep(0.7)
+    bench.run(target.address, "b")
+    assert target.connections == 2
--- /dev/null
+++ b/papayacrank/platform/tests/test_adapter.py
@@ -0,0 +1,420 @@
+"""Tests of the translation between the platform's names and the product's types."""
+
+import copy
+import json
+
+import pytest
+from expression import Error, Ok
+
+from papayacrank.config import SettingsError
+from papayacrank.control import (
+    HttpResult,
+    LoadOrder,
+    OrderOutcome,
+    RunPolicy,
+    digest_key,
+)
+from papayacrank.forwarding import Dispatch
+from papayacrank.kernel import Failure, Verdict
+from papayacrank.messages import (
+    FileRouting,
+    NameWeights,
+    RequestKind,
+    RoutingFiled,
+    StateView,
+)
+from papayacrank.platform._caller_protocol import PlatformCallerProtocol
+from papayacrank.platform._configuration import ConfigurationError, read_configuration
+from papayacrank.platform._control_api import ControlApi
+from papayacrank.platform._settings import load_platform_settings
+from papayacrank.platform._target_protocol import PlatformTargetProtocol
+from papayacrank.transport import CallerHead
+
+from .builders import KEY, build_document, build_settings, encode
+
+# Settings
+
+
+def write(tmp_path, text):
+    """Write a settings file."""
+    path = tmp_path / "local.toml"
+    path.write_text(text)
+    return path
+
+
+def test_settings_of_the_platform_become_those_of_the_product(tmp_path):
+    """Guards against a process with the identity or addresses of another."""
+    settings = load_platform_settings(write(tmp_path, build_settings()))
+    control = settings.control_settings()
+    assert (control.instance, control.link) == ("127.0.0.1", "127.0.0.1:7600")
+    assert control.initial_voters == ["127.0.0.1", "127.0.0.2", "127.0.0.3"]
+    assert [peer.address for peer in control.peers] == [
+        "127.0.0.2:7600",
+        "127.0.0.3:7600",
+    ]
+    assert settings.resolve_control("10.1.2.3") == "10.1.2.3:7600"
+    assert settings.resolve_control("entry-front-1") is None
+
+
+def test_process_with_a_lost_disk_founds_no_group(tmp_path):
+    """Guards against a second group beside the first one."""
+    text = build_settings(bootstrap="false")
+    settings = load_platform_settings(write(tmp_path, text))
+    assert settings.control_settings().initial_voters == []
+
+
+@pytest.mark.parametrize(
+    ("text", "message"),
+    [
+        ("node_name = 1", "node_name"),
+        (build_settings(internal='"x"'), "internal_ports.0"),
+        ("not toml", "cannot be read"),
+    ],
+)
+def test_unusable_settings_name_the_field(tmp_path, text, message):
+    """Guards against a process that starts with half of its settings."""
+    with pytest.raises(SettingsError, match=message):
+        load_platform_settings(write(tmp_path, text))
+
+
+# Configuration
+
+
+def test_document_becomes_a_routing_configuration():
+    """Guards against fields that are taken for others."""
+    configuration = read_configuration(encode(build_document(7)))
+    lookup, reply, claim, split = configuration.routes
+    assert configuration.version == 7
+    assert (lookup.kind, lookup.timeout_ms, lookup.objective_ms) == (
+        RequestKind.IDEMPOTENT,
+        1_200,
+        150,
+    )
+    assert (reply.kind, reply.resumable, reply.max_gap_ms) == (
+        RequestKind.STREAM,
+        True,
+        300,
+    )
+    assert claim.kind is RequestKind.NON_IDEMPOTENT
+    assert [share.service for share in split.shares] == ["plain"]
+    workspace = configuration.workspaces[0]
+    assert workspace.key_digests == (digest_key(KEY),)
+    assert (workspace.rate_per_s, workspace.burst) == (134_616, 134_616)
+    assert (workspace.default_cost, workspace.isolated) == (200, True)
+    services = {service.name: service for service in configuration.services}
+    assert services["llm"].engine.models == ("m1",)
+    assert services["store"].store.address == "172.20.0.2:8604"
+
+
+def broken(change):
+    """Return a document after a change."""
+    document = copy.deepcopy(build_document())
+    change(document)
+    return encode(document)
+
+
+@pytest.mark.parametrize(
+    "source",
+    [
+        encode(build_document())[:-20],
+        broken(lambda d: d["routes"][0].update(service="nowhere")),
+        broken(lambda d: d["routes"].append(dict(d["routes"][0], name="again"))),
+        broken(lambda d: d["routes"][3]["traffic_split"][0].update(weight=0)),
+        broken(lambda d: d["routes"][0].update(timeout_ms=0)),
+        broken(lambda d: d["routes"][0].update(kind="other")),
+        broken(lambda d: d["tenants"].append(dict(d["tenants"][0], name="t2"))),
+        broken(lambda d: d.update(version=0)),
+        broken(lambda d: d.pop("version")),
+        b"\xff\xfe",
+        b"[]",
+    ],
+)
+def test_invalid_configuration_is_refused(source):
+    """Guards against an invalid configuration in force."""
+    with pytest.raises(ConfigurationError, match=r".+: .+"):
+        read_configuration(source)
+
+
+# Requests and answers
+
+
+def read(*headers, target="/reply/x?q=1", method="POST"):
+    """Read a request with further headers."""
+    base = [
+        (b"host", b"H.example:80"),
+        (b"papayacrank-request-id", b"id-1"),
+        (b"x-api-key", KEY.encode()),
+    ]
+    head = CallerHead(method, target, [*base, *headers])
+    return PlatformCallerProtocol().read_request(head)
+
+
+def test_request_is_decoded():
+    """Guards against sizes and parts that are lost."""
+    request = read(
+        (b"papayacrank-model", b"m1"),
+        (b"papayacrank-token-count", b"1460,80"),
+        (b"papayacrank-prompt-prefix", b"5c:800,91:410,e4:250"),
+        (b"papayacrank-deadline-ms", b"6000"),
+        (b"last-event-id", b"4"),
+    )
+    assert (request.host, request.path, request.target) == (
+        "h.example",
+        "/reply/x",
+        "/reply/x?q=1",
+    )
+    assert (request.prompt_tokens, request.output_tokens) == (1_460, 80)
+    assert [(p.name, p.tokens) for p in request.shared_parts] == [
+        ("5c", 800),
+        ("91", 410),
+    ]
+    assert (request.deadline_ms, request.key) == (6_000, KEY)
+    assert request.resume_after == "4"
+
+
+FORGED = [
+    "papayacrank-tenant",
+    "papayacrank-expect-instance",
+    "papayacrank-expect-version",
+    "papayacrank-request-urgency",
+    "papayacrank-cache-salt",
+    "papayacrank-kv-fetch",
+    "papayacrank-kv-save",
+    "papayacrank-kv-hold",
+    "papayacrank-kv-backup",
+    "papayacrank-pin-ms",
+    "kv-from",
+    "x-api-key",
+    "connection",
+    "transfer-encoding",
+]
+
+
+@pytest.mark.parametrize("name", FORGED)
+def test_headers_of_the_system_are_not_taken_from_callers(name):
+    """Guards against forged headers, and against keys that reach a server."""
+    request = read((name.encode(), b"forged"))
+    sent = PlatformCallerProtocol().target_headers(request, Dispatch("i-1", 900))
+    assert b"forged" not in [value for _, value in sent]
+    assert KEY.encode() not in [value for _, value in sent]
+
+
+def test_headers_named_by_connection_are_dropped():
+    """Guards against headers that concern only the caller's connection."""
+    request = read((b"connection", b"close, X-Hop"), (b"x-hop", b"1"), (b"x-on", b"2"))
+    names = [name for name, _ in request.headers]
+    assert b"x-hop" not in names
+    assert b"x-on" in names
+
+
+def test_headers_for_a_server():
+    """Guards against a server that gets the wrong time, name or weights."""
+    request = read((b"papayacrank-deadline-ms", b"6000"))
+    dispatch = Dispatch("i-1", 900, "t1", 4, "t1/3", 3, "s:1", "s:2", "7")
+    sent = PlatformCallerProtocol().target_headers(request, dispatch)
+    values = {name.decode(): value.decode() for name, value in sent}
+    assert len(values) == len(sent)
+    assert values["papayacrank-deadline-ms"] == "900"
+    assert values["papayacrank-expect-instance"] == "i-1"
+    assert values["papayacrank-tenant"] == "t1"
+    assert values["papayacrank-request-urgency"] == "4"
+    assert values["papayacrank-cache-salt"] == "t1/3"
+    assert values["papayacrank-expect-version"] == "3"
+    assert values["papayacrank-kv-fetch"] == "s:1"
+    assert values["papayacrank-kv-save"] == "s:2"
+    assert values["last-event-id"] == "7"
+    assert values["papayacrank-request-id"] == "id-1"
+
+
+def test_request_id_given_twice_is_refused():
+    """Guards against a request that counts under two ids."""
+    assert read((b"papayacrank-request-id", b"id-2")).status == 400
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "facts"),
+    [
+        (200, ["request-id", "server-seal"], (False, False, True)),
+        (200, ["request-id"], (False, False, False)),
+        (200, ["server-seal"], (False, False, False)),
+        (503, ["not-executed"], (True, False, True)),
+        (421, ["instance-id"], (False, True, True)),
+        (500, ["request-id"], (False, False, True)),
+    ],
+)
+def test_answers_of_servers_are_classified(status, headers, facts):
+    """Guards against unsigned successes and lost statements that nothing ran."""
+    pairs = [(f"papayacrank-{name}".encode(), b"1") for name in headers]
+    read_facts = PlatformCallerProtocol().read_answer(status, pairs)
+    assert (read_facts.not_run, read_facts.wrong_target, read_facts.is_whole) == facts
+
+
+def test_failure_states_verdict_and_time_to_come_back():
+    """Guards against refusals that do not say when to come back."""
+    failure = Failure("over_rate", Verdict.NOT_RUN, "over", 429, 1_250)
+    answer = PlatformCallerProtocol().build_failure(failure, "id-1")
+    assert dict(answer.headers)[b"retry-after"] == b"1.250"
+    assert json.loads(answer.body)["not_run"] is True
+
+
+# List, reports and orders
+
+PROTOCOL = PlatformTargetProtocol("10.0.0.1:8601")
+ENTRY = {
+    "id": "i-1",
+    "service": "llm",
+    "address": "10.1.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "models": [{"name": "m1", "version": 3, "adapters": []}],
+    "born": 17,
+}
+
+
+def read_list(entries, **fields):
+    """Read a page of the list."""
+    body = json.dumps({"instances": entries, "next": None} | fields).encode()
+    return PROTOCOL.read_listing(HttpResult("k", 200, body))
+
+
+def test_entries_of_other_writers_name_no_server():
+    """Guards against one unreadable entry that hides the others."""
+    strange = [
+        ENTRY | {"id": 7},
+        ENTRY | {"state": "sleeping"},
+        {k: v for k, v in ENTRY.items() if k != "address"},
+        ENTRY | {"slots": "64"},
+        "text",
+        None,
+    ]
+    page = read_list([*strange, ENTRY, ENTRY | {"id": "i-2", "state": "draining"}])
+    assert [(t.name, t.leaving, t.weights) for t in page.targets] == [
+        ("i-1", False, {"m1": 3}),
+        ("i-2", True, {"m1": 3}),
+    ]
+
+
+def test_pages_of_the_list_are_followed():
+    """Guards against targets beyond the first page."""
+    assert read_list([], next="p-50").next_page == "p-50"
+    assert PROTOCOL.build_listing("k", "p 50").url.endswith("?page_token=p%2050")
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{}", b'{"instances": 1}', b"\xff{"])
+def test_unreadable_list_is_an_error(body):
+    """Guards against an empty fleet because of one unreadable answer."""
+    assert isinstance(PROTOCOL.read_listing(HttpResult("k", 200, body)), str)
+
+
+def test_order_and_answers():
+    """Guards against orders without fence or with the wrong strategy."""
+    order = LoadOrder("i-1", "a:1", "m1", 4, RunPolicy.CONTINUE, "n1", 41, 2)
+    call = PROTOCOL.build_load("k", order)
+    assert json.loads(call.body) == {
+        "operation": "version",
+        "model": "m1",
+        "version": 4,
+        "strategy": "continue",
+        "holder": "n1",
+        "fencing_token": 41,
+        "if_revision": 2,
+    }
+    assert call.headers == (("Papayacrank-Expect-Instance", "i-1"),)
+    outcomes = [PROTOCOL.read_load(HttpResult("k", s)) for s in (202, 412, 0)]
+    assert outcomes == [
+        OrderOutcome.ACCEPTED,
+        OrderOutcome.FENCED,
+        OrderOutcome.UNKNOWN,
+    ]
+
+
+def test_report_of_an_engine():
+    """Guards against the number of orders that is taken for another field."""
+    report = {"busy": True, "sequence": 2, "models": ENTRY["models"], "queued": 1}
+    status = PROTOCOL.read_status(HttpResult("k", 200, encode(report)))
+    assert (status.busy, status.orders, status.weights) == (True, 2, {"m1": 3})
+    assert isinstance(PROTOCOL.read_status(HttpResult("k", 200, b"{}")), str)
+
+
+# Operators
+
+
+class FakeExchange:
+    """Exchange of an operator."""
+
+    def __init__(self, method, target, body=b""):
+        self.head = CallerHead(method, target, [])
+        self.body = body
+        self.status = None
+        self.answer = None
+
+    def respond(self, status, headers, body=b""):
+        """Take the answer."""
+        self.status, self.answer = status, body
+
+
+class Group:
+    """Control group that answers commands with a given outcome."""
+
+    def __init__(self, outcome):
+        self.outcome = outcome
+        self.commands = []
+
+    def submit(self, command, callback, timeout_ms):
+        """Answer at once."""
+        self.commands.append(command)
+        callback(self.outcome)
+
+
+TIMED_OUT = Error(Failure("control_timeout", Verdict.MAY_HAVE_RUN, "late", 504))
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status"), [(Ok(RoutingFiled(7)), 200), (TIMED_OUT, 503)]
+)
+def test_configuration_is_acknowledged_only_once_it_is_decided(outcome, status):
+    """Guards against an acknowledgement of what may be lost."""
+    group = Group(outcome)
+    source = encode(build_document(7))
+    exchange = FakeExchange("POST", "/v1/configuration/put", source)
+    ControlApi(group.submit).on_exchange(exchange)
+    assert exchange.status == status
+    assert isinstance(group.commands[0], FileRouting)
+    assert group.commands[0].source == source
+
+
+def test_invalid_configuration_reaches_no_command():
+    """Guards against invalid configurations in the log."""
+    group = Group(Ok(RoutingFiled(7)))
+    exchange = FakeExchange("POST", "/v1/configuration/put", b"{}")
+    ControlApi(group.submit).on_exchange(exchange)
+    assert (exchange.status, group.commands) == (400, [])
+
+
+@pytest.mark.parametrize(
+    ("view", "status", "body"),
+    [
+        ({"version": 7, "source": "as sent"}, 200, b"as sent"),
+        ({"version": 0, "source": ""}, 503, None),
+    ],
+)
+def test_configuration_is_read_back_as_it_was_sent(view, status, body):
+    """Guards against a configuration that reads differently than it was sent."""
+    group = Group(Ok(StateView("routing", json.dumps(view))))
+    exchange = FakeExchange("GET", "/v1/configuration/get")
+    ControlApi(group.submit).on_exchange(exchange)
+    assert exchange.status == status
+    assert body is None or exchange.answer == body
+
+
+def test_named_weights_become_a_command():
+    """Guards against weights that are named under a configuration's version."""
+    group = Group(Ok(None))
+    body = encode({"model": "m1", "version": 2})
+    ControlApi(group.submit).on_exchange(FakeExchange("POST", "/v1/version-put", body))
+    assert group.commands == [NameWeights("m1", 2)]
+    bad = FakeExchange("POST", "/v1/version-put", b'{"model": "m1"}')
+    ControlApi(group.submit).on_exchange(bad)
+    assert bad.status == 400
--- /dev/null
+++ b/papayacrank/transport/tests/test_http_port.py
@@ -0,0 +1,197 @@
+"""Tests of the HTTP server over real sockets."""
+
+import socket
+import threading
+import time
+
+import pytest
+from circuits import BaseComponent
+
+from papayacrank.kernel import MonotonicClock
+from papayacrank.transport import (
+    ExchangeListener,
+    HttpLimits,
+    HttpPort,
+    Timers,
+    install_process_handlers,
+)
+
+LIMITS = HttpLimits(
+    max_header_bytes=2_000,
+    max_body_bytes=5_000,
+    header_timeout_ms=300,
+    body_timeout_ms=300,
+    idle_timeout_ms=600,
+)
+
+
+class Echo(ExchangeListener):
+    """Answers with method, target and body; holds ``/hold``; streams ``/stream``."""
+
+    def __init__(self):
+        self.left = []
+        self.held = []
+
+    def on_exchange(self, exchange):
+        """Answer a request."""
+        head = exchange.head
+        if head.target == "/hold":
+            self.held.append(exchange)
+        elif head.target == "/stream":
+            exchange.begin(200, [])
+            exchange.send(b"one")
+            exchange.send(b"two")
+            exchange.end()
+        elif head.target == "/cut":
+            exchange.begin(200, [])
+            exchange.send(b"one")
+            exchange.abort()
+        else:
+            text = f"{head.method} {head.target} ".encode() + exchange.body
+            exchange.respond(200, [(b"x-echo", b"1")], text)
+
+    def on_caller_left(self, exchange):
+        """Remember who left."""
+        self.left.append(exchange)
+
+
+class Server:
+    """Port in a thread of its own."""
+
+    def __init__(self):
+        self.root = BaseComponent()
+        install_process_handlers(self.root)
+        clock = MonotonicClock()
+        timers = Timers(clock).register(self.root)
+        self.echo = Echo()
+        self.port = HttpPort(
+            "127.0.0.1:0", "test", self.echo, clock, timers, LIMITS
+        ).register(self.root)
+        self.thread = threading.Thread(target=self.root.run, daemon=True)
+        self.thread.start()
+        time.sleep(0.2)
+
+    def connect(self):
+        """Open a connection."""
+        host, port = self.port.address.split(":")
+        sock = socket.create_connection((host, int(port)), timeout=5)
+        sock.settimeout(5)
+        return sock
+
+    def stop(self):
+        """Stop the thread."""
+        self.root.stop()
+        self.thread.join(5)
+
+
+@pytest.fixture
+def server():
+    """Return a running server."""
+    running = Server()
+    yield running
+    running.stop()
+
+
+def receive_until_closed(sock):
+    """Return everything until the end of the connection."""
+    data = b""
+    try:
+        while piece := sock.recv(65_536):
+            data += piece
+    except (TimeoutError, ConnectionResetError):
+        pass
+    return data
+
+
+def ask(sock, data, end=b"\r\n\r\n"):
+    """Send bytes and return what arrives until `end`."""
+    sock.sendall(data)
+    received = b""
+    while end not in received:
+        piece = sock.recv(65_536)
+        if not piece:
+            break
+        received += piece
+    return received
+
+
+def test_chunked_body_in_small_pieces(server):
+    """Guards against bodies that are cut where their segments end."""
+    sock = server.connect()
+    data = (
+        b"POST /a?b=c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"
+    )
+    for start in range(0, len(data), 7):
+        sock.sendall(data[start : start + 7])
+    assert b"POST /a?b=c hello world" in ask(sock, b"", b"world")
+
+
+def test_connection_serves_requests_one_after_the_other(server):
+    """Guards against answers that are mixed up on one connection."""
+    sock = server.connect()
+    first = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+    second = b"GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    sock.sendall(first + second)
+    answers = receive_until_closed(sock)
+    assert answers.index(b"GET /1") < answers.index(b"GET /2")
+
+
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9999\r\n\r\n", b"413"),
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n",
+            b"400",
+        ),
+        (b"GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", b"400"),
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 3_000, b"431"),
+    ],
+)
+def test_unacceptable_input_gets_a_clear_answer(server, head, status):
+    """Guards against smuggled requests and input without a bound."""
+    sock = server.connect()
+    sock.sendall(head)
+    answer = receive_until_closed(sock)
+    assert answer.split(b" ", 2)[1] == status
+    assert b"connection: close" in answer.lower()
+
+
+def test_stalled_request_is_ended(server):
+    """Guards against connections that wait for ever for the rest of a request."""
+    sock = server.connect()
+    sock.sendall(b"GET / HTTP/1.1\r\nHo")
+    assert receive_until_closed(sock).startswith(b"HTTP/1.1 408")
+
+
+def test_idle_connection_is_closed(server):
+    """Guards against idle connections without end."""
+    sock = server.connect()
+    began = time.monotonic()
+    assert receive_until_closed(sock) == b""
+    assert time.monotonic() - began < 3
+
+
+def test_stream_is_chunked_and_a_cut_does_not_look_complete(server):
+    """Guards against a cut answer that looks whole."""
+    get = b"GET %s HTTP/1.1\r\nHost: h\r\n\r\n"
+    assert ask(server.connect(), get % b"/stream", b"0\r\n\r\n").endswith(b"0\r\n\r\n")
+    cut = server.connect()
+    cut.sendall(get % b"/cut")
+    assert not receive_until_closed(cut).endswith(b"0\r\n\r\n")
+
+
+def test_caller_that_leaves_is_reported_once(server):
+    """Guards against work that goes on for a caller who is gone."""
+    sock = server.connect()
+    sock.sendall(b"GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
+    time.sleep(0.2)
+    sock.close()
+    time.sleep(0.3)
+    assert len(server.echo.held) == 1
+    assert server.echo.left == server.echo.held
+    assert server.port.open_exchanges == 0
