Test the real processes before a stand-in of the platform

Change: a stand-in of list, engine, plain servers and operators; three machines with entry and control processes serve all kinds of requests, take new weights, keep an acknowledged configuration through a kill of all, and stop without cutting answers.

--- a/papayacrank/forwarding/tests/test_target_port.py
+++ b/papayacrank/forwarding/tests/test_target_port.py
@@ -56,10 +56,6 @@
         except OSError:
             return
 
-    def close(self):
-        """Stop to accept."""
-        self._listener.close()
-
 
 class Collector(CallListener):
     """Collects how calls end; answers must carry the id of the call."""
@@ -244,7 +240,9 @@
     """Guards against the rest of a body that is read as the next request."""
 
     def script(sock, data, number):
-        sock.sendall(OK % b"a" if number == 1 else b"")
+        if number == 1:
+            sock.sendall(OK % b"a")
+            time.sleep(1)
 
     target = ScriptedTarget(script)
     body = b"x" * 8_000_000
@@ -254,10 +252,11 @@
 
 def test_refused_connection_has_certainly_not_run(bench):
     """Guards against an action that counts as possibly run without being sent."""
-    target = ScriptedTarget(lambda *_: None)
-    address = target.address
-    target.close()
-    assert bench.run(address, "a") == ("a", "connect_failed", False)
+    with socket.socket() as bound:
+        bound.bind(("127.0.0.1", 0))
+        host, port = bound.getsockname()
+        outcome = bench.run(f"{host}:{port}", "a")
+    assert outcome == ("a", "connect_failed", False)
 
 
 def test_connection_that_the_target_closed_is_not_used_again(bench):
--- /dev/null
+++ b/papayacrank/platform/tests/stand_in.py
@@ -0,0 +1,304 @@
+"""Stand-in of the platform: list, an engine, plain servers, settings and operators."""
+
+import http.client
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+
+import papayacrank
+
+from .builders import KEY, build_document, build_settings, encode
+
+ROOT = Path(papayacrank.__file__).parents[1]
+SEAL = "seal"
+IPS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
+PORTS = 40
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        """Write no access log."""
+
+    def read_body(self):
+        """Return the body of the request."""
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def reply(self, status, body, **headers):
+        """Send a whole answer."""
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), str(value))
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class Server:
+    """HTTP server in threads of its own.
+
+    Parameters
+    ----------
+    name : str
+        Id on the platform's list.
+    service : str
+        Service on the platform's list; empty for the list itself.
+    """
+
+    def __init__(self, name, service=""):
+        self.name = name
+        self.service = service
+        self.runs = []
+        self.headers = []
+        self.version = 1
+        self.orders = 0
+        self.delay_s = 0.0
+        outer = self
+
+        class Handler(_Handler):
+            def do_GET(self):
+                outer.handle(self)
+
+            def do_POST(self):
+                outer.handle(self)
+
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self._server.daemon_threads = True
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    @property
+    def address(self):
+        """Address of the server."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def entry(self):
+        """Return the entry of the list."""
+        models = [{"name": "m1", "version": self.version}]
+        return {
+            "id": self.name,
+            "service": self.service,
+            "address": self.address,
+            "zone": "a",
+            "slots": 6,
+            "state": "ready",
+            "models": models if self.service == "llm" else [],
+        }
+
+    def handle(self, handler):
+        """Answer as a plain server."""
+        handler.read_body()
+        request_id = handler.headers["Papayacrank-Request-Id"]
+        if handler.headers["Papayacrank-Expect-Instance"] != self.name:
+            handler.reply(421, b"", Papayacrank_Instance_Id=self.name)
+            return
+        self.runs.append(request_id)
+        self.headers.append(dict(handler.headers))
+        time.sleep(self.delay_s)
+        headers = {
+            "Papayacrank_Request_Id": request_id,
+            "Papayacrank_Server_Seal": SEAL,
+        }
+        handler.reply(200, f"served {request_id}".encode(), **headers)
+
+    def close(self):
+        """Stop the server."""
+        self._server.shutdown()
+        self._server.server_close()
+
+
+class Engine(Server):
+    """Engine that streams three events and takes new weights at once."""
+
+    def handle(self, handler):
+        """Answer a report, an order or a stream."""
+        if handler.path == "/v1/report":
+            models = [{"name": "m1", "version": self.version}]
+            report = {"busy": False, "sequence": self.orders, "models": models}
+            handler.reply(200, encode(report))
+        elif handler.path == "/v1/order":
+            order = json.loads(handler.read_body())
+            self.orders += 1
+            self.version = order["version"]
+            handler.reply(202, b"")
+        else:
+            self._stream(handler)
+
+    def _stream(self, handler):
+        handler.read_body()
+        if handler.headers["Papayacrank-Expect-Version"] != str(self.version):
+            handler.reply(421, b"", Papayacrank_Instance_Id=self.name)
+            return
+        self.headers.append(dict(handler.headers))
+        handler.send_response(200)
+        handler.send_header("Content-Type", "text/event-stream")
+        request_id = handler.headers["Papayacrank-Request-Id"]
+        handler.send_header("Papayacrank-Request-Id", request_id)
+        handler.send_header("Papayacrank-Server-Seal", SEAL)
+        handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+        for number in (1, 2, 3):
+            event = f"id: {number}\ndata: t{number}\n\n".encode()
+            handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            handler.wfile.flush()
+            time.sleep(0.02 + self.delay_s)
+        handler.wfile.write(b"0\r\n\r\n")
+
+
+class Cloud(Server):
+    """The platform's list."""
+
+    def __init__(self):
+        super().__init__("cloud")
+        self.servers = []
+
+    def handle(self, handler):
+        """Answer with the list."""
+        entries = [server.entry() for server in self.servers]
+        handler.reply(200, encode({"instances": entries, "next": None}))
+
+
+class Platform:
+    """Three machines with entry and control processes, before stand-in servers."""
+
+    def __init__(self, folder):
+        self._folder = folder
+        self._base = _find_ports()
+        self.cloud = Cloud()
+        self.plain = [Server("p-1", "plain"), Server("p-2", "plain")]
+        self.engine = Engine("e-1", "llm")
+        self.cloud.servers = [*self.plain, self.engine]
+        self.processes = {}
+
+    def start(self, bootstrap="true"):
+        """Start all processes."""
+        for ip in IPS:
+            for role in ("control", "entry"):
+                self.start_process(role, ip, bootstrap)
+
+    def start_process(self, role, ip, bootstrap="false"):
+        """Start one process; its log goes to a file."""
+        base = self._base
+        data = self._folder / f"data-{ip}"
+        data.mkdir(exist_ok=True)
+        text = build_settings(
+            ip=ip,
+            internal=base,
+            last=base + 9,
+            front=base + 10,
+            ready=base + 11,
+            control=base + 12,
+            directory=base + 13,
+            seeds=json.dumps([f"{peer}:{base + 12}" for peer in IPS]),
+            bootstrap=bootstrap,
+            data=data,
+            cloud=self.cloud.address,
+        ).replace("front-a-1", f"front-{ip}")
+        path = self._folder / f"{role}-{ip}.toml"
+        path.write_text(text)
+        log = (self._folder / f"{role}-{ip}.log").open("ab")
+        command = [sys.executable, "-m", "papayacrank.platform", role]
+        environment = os.environ | {"PAPAYACRANK_CONFIG": str(path)}
+        process = subprocess.Popen(
+            command, cwd=ROOT, env=environment, stdout=log, stderr=log
+        )
+        self.processes[(role, ip)] = process
+
+    def kill(self, role, number=signal.SIGKILL):
+        """Send a signal to all processes of a role and wait for their end."""
+        chosen = [p for (r, _), p in self.processes.items() if r == role]
+        for process in chosen:
+            process.send_signal(number)
+        for process in chosen:
+            process.wait(15)
+
+    def stop(self):
+        """End everything that was started."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait(10)
+        for server in (self.cloud, *self.plain, self.engine):
+            server.close()
+
+    def log(self, role, ip):
+        """Return the log lines of a process."""
+        lines = (self._folder / f"{role}-{ip}.log").read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def call(self, offset, method, path, body=b"", headers=None, ip=IPS[0]):
+        """Call a process; return status, headers and body."""
+        connection = http.client.HTTPConnection(ip, self._base + offset, timeout=5)
+        try:
+            connection.request(method, path, body, headers or {})
+            response = connection.getresponse()
+            return response.status, dict(response.getheaders()), response.read()
+        finally:
+            connection.close()
+
+    def operate(self, method, path, document=None, ip=IPS[0]):
+        """Call the operators' interface."""
+        body = b"" if document is None else encode(document)
+        return self.call(12, method, path, body, ip=ip)
+
+    def configure(self, version=1, **fields):
+        """File a configuration at any control process until it is accepted."""
+        document = build_document(version, **fields)
+        self.wait(
+            lambda: self.operate("POST", "/v1/configuration/put", document)[0] == 200
+        )
+        return document
+
+    def request(self, path, request_id="r1", ip=IPS[0], method="POST", **headers):
+        """Send a request of a caller."""
+        base = {
+            "Host": "h.example",
+            "X-Api-Key": KEY,
+            "Papayacrank-Request-Id": request_id,
+            "Papayacrank-Deadline-Ms": "4000",
+        }
+        extra = {name.replace("_", "-"): value for name, value in headers.items()}
+        return self.call(10, method, path, b"body", base | extra, ip)
+
+    def is_ready(self, ip=IPS[0]):
+        """Tell whether an entry process says that it is ready."""
+        return self.call(11, "GET", "/v1/readiness", ip=ip)[0] == 200
+
+    @staticmethod
+    def wait(condition, limit_s=15):
+        """Wait until a condition holds; errors of connections count as no."""
+        deadline = time.monotonic() + limit_s
+        while time.monotonic() < deadline:
+            try:
+                if condition():
+                    return
+            except (OSError, http.client.HTTPException):
+                pass
+            time.sleep(0.05)
+        raise AssertionError("the condition did not come true in time")
+
+
+def _find_ports():
+    """Return the start of a range of ports that are free on all addresses."""
+    for _ in range(100):
+        base = random.randrange(20_000, 30_000, PORTS)
+        if all(_is_free(ip, base + n) for ip in IPS for n in (0, 1, 10, 11, 12, 13)):
+            return base
+    raise RuntimeError("no free range of ports")
+
+
+def _is_free(ip, port):
+    with socket.socket() as sock:
+        try:
+            sock.bind((ip, port))
+        except OSError:
+            return False
+    return True
--- /dev/null
+++ b/papayacrank/platform/tests/test_processes.py
@@ -0,0 +1,136 @@
+"""Tests of the real processes before a stand-in of the platform."""
+
+import signal
+import threading
+import time
+
+import pytest
+
+from .builders import encode
+from .stand_in import IPS, SEAL, Platform
+
+STREAM = {
+    "Papayacrank_Model": "m1",
+    "Papayacrank_Token_Count": "100,20",
+    "Papayacrank_Prompt_Prefix": "a1:60,b2:40",
+}
+
+
+@pytest.fixture(scope="module")
+def platform(tmp_path_factory):
+    """Return a running deployment with a configuration."""
+    running = Platform(tmp_path_factory.mktemp("platform"))
+    try:
+        running.start()
+        running.configure()
+        for ip in IPS:
+            running.wait(lambda ip=ip: running.is_ready(ip))
+        yield running
+    finally:
+        running.stop()
+
+
+def test_requests_of_all_kinds_are_served(platform):
+    """Guards against a path from callers to servers that is not whole."""
+    status, headers, body = platform.request("/lookup/x", "r-safe", method="GET")
+    assert (status, body) == (200, b"served r-safe")
+    assert headers["Papayacrank-Server-Seal".lower()] == SEAL
+    assert platform.request("/claim/x", "r-unsafe")[0] == 200
+    status, _, body = platform.request("/reply/x", "r-stream", **STREAM)
+    assert status == 200
+    assert body == b"id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n"
+    seen = platform.engine.headers[-1]
+    assert seen["papayacrank-tenant"] == "t1"
+    assert "x-api-key" not in {name.lower() for name in seen}
+
+
+def test_callers_are_told_serving_instances(platform):
+    """Guards against callers without an address, or with that of a dead process."""
+    status, _, body = platform.call(13, "GET", "/v1/resolve?name=h&zone=a")
+    assert status == 200
+    assert b'"ttl_s"' in body
+    assert all(ip.encode() in body for ip in IPS)
+
+
+def test_refusals_tell_what_is_wrong(platform):
+    """Guards against requests that run without a key or route."""
+    assert platform.request("/lookup/x", X_Api_Key="unknown")[0] == 401
+    assert platform.request("/nowhere/x")[0] == 404
+    bad = platform.operate(
+        "POST", "/v1/configuration/put", {"version": 9, "routes": [{"host": "h"}]}
+    )
+    assert bad[0] == 400
+
+
+def test_named_weights_reach_the_engine(platform):
+    """Guards against engines that stay on old weights."""
+    body = {"model": "m1", "version": 2}
+    platform.wait(lambda: platform.operate("POST", "/v1/version-put", body)[0] == 200)
+    platform.wait(lambda: platform.engine.version == 2)
+    platform.wait(lambda: platform.request("/reply/x", "r-2", **STREAM)[0] == 200)
+    assert platform.engine.orders == 1
+
+
+def test_each_log_line_names_request_and_decision(platform):
+    """Guards against failures that cannot be explained afterwards."""
+    platform.request("/lookup/x", "r-logged", method="GET")
+    time.sleep(0.2)
+    ended = [
+        line
+        for line in platform.log("entry", IPS[0])
+        if line.get("request_id") == "r-logged" and line["event"] == "request_ended"
+    ]
+    assert ended[0]["code"] == "served"
+    assert ended[0]["target"] in ("p-1", "p-2")
+    assert {"took_ms", "routing_version", "target_running"} <= ended[0].keys()
+
+
+@pytest.mark.prove
+def test_acknowledged_configuration_survives_a_kill_of_all(tmp_path):
+    """Guards against an acknowledged configuration that is gone or not in force."""
+    running = Platform(tmp_path)
+    try:
+        running.start()
+        running.configure(1)
+        document = running.configure(5)
+        running.kill("control")
+        running.kill("entry")
+        running.start("false")
+        running.wait(
+            lambda: (
+                running.operate("GET", "/v1/configuration/get")[2] == encode(document)
+            )
+        )
+        running.wait(lambda: running.request("/lookup/x", "again")[0] == 200)
+    finally:
+        running.stop()
+
+
+@pytest.mark.prove
+def test_planned_stop_cuts_no_answer(tmp_path):
+    """Guards against requests that a planned stop interrupts."""
+    running = Platform(tmp_path)
+    outcomes = []
+
+    def ask(number):
+        outcomes.append(running.request("/claim/x", f"r{number}")[0])
+
+    try:
+        running.start()
+        running.configure()
+        running.wait(lambda: running.is_ready(IPS[0]))
+        for server in running.plain:
+            server.delay_s = 0.8
+        threads = [threading.Thread(target=ask, args=(n,)) for n in range(4)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.3)
+        process = running.processes[("entry", IPS[0])]
+        process.send_signal(signal.SIGTERM)
+        for thread in threads:
+            thread.join(10)
+        assert outcomes == [200] * 4
+        assert not running.is_ready(IPS[0])
+        assert process.wait(9) == 0
+    finally:
+        running.stop()
