--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -425,11 +425,19 @@
             salt,
             version,
             store,
-            store,
+            None if self._is_stored(request, salt) else store,
             job.last_event_id,
         )
         return dispatch, salt
 
+    def _is_stored(self, request: ForwardRequest, salt: str) -> bool:
+        """Whether the store has all shared parts; saving them again takes its link."""
+        now_ms = self._clock.now_ms()
+        return all(
+            self._parts.has(STORE, salt, part.name, now_ms)
+            for part in request.shared_parts
+        )
+
     def _connection_limit(self, job: Job) -> int:
         limit = job.service.max_connections
         return max(2, limit // (self._instances + 1)) if limit else 64
--- a/papayacrank/forwarding/_placement.py
+++ b/papayacrank/forwarding/_placement.py
@@ -47,9 +47,10 @@
 JITTER_MS = 3.0
 PLAIN_WORK_MS = 45.0
 MAX_KNOWN_PARTS = 50_000
-# Engines evict parts within seconds on heavy days; a store keeps them much longer.
+# Engines evict parts within seconds on heavy days; a store keeps them longer. A store
+# that restarts is empty, so parts are saved again after their lifetime.
 ENGINE_PART_LIFETIME_MS = 8_000
-STORE_PART_LIFETIME_MS = 60_000
+STORE_PART_LIFETIME_MS = 20_000
 STORE = "store"
 
 
@@ -127,6 +128,8 @@
         """Note that a part is at a place; return whether that is news."""
         key = (place, salt, part)
         is_news = not self.has(place, salt, part, now_ms)
+        if not is_news and place == STORE:
+            return False
         self._seen[key] = now_ms
         self._seen.move_to_end(key)
         while len(self._seen) > MAX_KNOWN_PARTS:
--- a/papayacrank/forwarding/tests/test_forwarder.py
+++ b/papayacrank/forwarding/tests/test_forwarder.py
@@ -359,3 +359,20 @@
     for target in ENGINES:
         load = bench.forwarder.table.load(target.name)
         assert (load.running, load.prefill_tokens, load.memory_tokens) == (0, 0, 0)
+
+
+def test_parts_that_the_store_has_are_not_saved_again():
+    """Guards against a store whose link is busy with what it already has."""
+    bench = Bench(build_target("e1", "engines"))
+    for number in range(2):
+        bench.send("/appraise/x", tokens=100, id=f"r{number}", parts="a:40,b:40,own:20")
+        bench.begin()
+        bench.event(1)
+        bench.end()
+    first, second = bench.protocol.dispatches
+    assert first.save_to is not None
+    assert second.save_to is None
+    assert second.fetch_from is not None
+    bench.advance(21_000)
+    bench.send("/appraise/x", tokens=100, id="later", parts="a:40,b:40,own:20")
+    assert bench.protocol.dispatches[-1].save_to is not None
--- a/papayacrank/platform/__main__.py
+++ b/papayacrank/platform/__main__.py
@@ -93,9 +93,12 @@
     from ._caller_protocol import PlatformCallerProtocol
 
     bounds = settings.bounds
+    # The wall clock may be set back between two starts, so the boot number need not
+    # grow. Each start is an instance of its own; the lease of the last one expires.
+    boot = int(time.time() * MS_PER_SECOND)
     node = ForwardingProcessSettings(
         ForwardingSettings(
-            settings.node_name,
+            f"{settings.node_name}@{boot}",
             settings.zone,
             bounds.retry_budget_ratio,
             int(bounds.budget_window_s * MS_PER_SECOND),
@@ -108,7 +111,7 @@
         settings.internal_address(ENTRY_METRICS_PORT),
         settings.control_names,
         settings.resolve_control,
-        int(time.time() * MS_PER_SECOND),
+        boot,
         bounds.contact_ms,
         int(bounds.grace_s * MS_PER_SECOND) - STOP_MARGIN_MS,
     )
