--- a/papayacrank/state/_instances.py
+++ b/papayacrank/state/_instances.py
@@ -87,6 +87,16 @@
         """Return the live process of an instance."""
         return self._rows.get(instance)
 
+    def predecessors(self, heartbeat: Heartbeat) -> list[InstanceRow]:
+        """Return earlier processes that had the callers' address of a new one."""
+        return [
+            row
+            for row in self.rows
+            if row.address == heartbeat.address
+            and row.instance != heartbeat.instance
+            and row.boot < heartbeat.boot
+        ]
+
     def addresses(self) -> list[EntryAddress]:
         """Return the feed form of the live processes."""
         return [
--- a/papayacrank/state/_machine.py
+++ b/papayacrank/state/_machine.py
@@ -484,6 +484,10 @@
         known = self._instances.current(heartbeat.instance)
         if known is not None and known.boot < heartbeat.boot:
             self._lose_instance(known.instance, known.boot)
+        if known is None:
+            # Two processes cannot listen on one address, so the earlier one has ended.
+            for earlier in self._instances.predecessors(heartbeat):
+                self._lose_instance(earlier.instance, earlier.boot)
         row = self._instances.register(heartbeat)
         if row is None:
             return False
--- a/papayacrank/state/tests/test_routing.py
+++ b/papayacrank/state/tests/test_routing.py
@@ -8,11 +8,18 @@
     ControlRequest,
     FeedSnapshot,
     FileRouting,
+    Heartbeat,
     NameWeights,
     RoutingConfiguration,
+    ShareReport,
     WorkspaceProfile,
 )
-from papayacrank.state import CommandEntry, StateMachine, encode_entry
+from papayacrank.state import (
+    CommandEntry,
+    HeartbeatEntry,
+    StateMachine,
+    encode_entry,
+)
 
 
 class Machine:
@@ -97,3 +104,30 @@
     update = machine.state.feed_since(since)
     kinds = [type(change).__name__ for change in update.changes]
     assert sorted(kinds) == ["RoutingChange", "WeightsChange"]
+
+
+def test_new_process_takes_the_place_of_the_one_at_its_address():
+    """Guards against budgets that stay with a process which has ended.
+
+    After a loss of power, all shares were locked for the time of a lease, and requests
+    within their rate were refused.
+    """
+    machine = Machine()
+    machine.file(1, workspaces=(WorkspaceProfile("w", (), rate_per_s=10, burst=50),))
+
+    def beat(instance, boot, granted=0, held=0):
+        share = ShareReport("w", held, 0, 0, 50, granted, 50)
+        heartbeat = Heartbeat(
+            instance, boot, 1, 0, 0, "east", "a:80", "serving", [share]
+        )
+        machine.index += 1
+        entry = HeartbeatEntry(machine.index, 0, [heartbeat])
+        machine.state.apply(machine.index, encode_entry(entry))
+        return machine.state.grants(instance, boot)
+
+    assert beat("i@1", 1)[0].granted_tokens == 50
+    beat("i@2", 2)
+    names = [row.instance for row in machine.state.instances.rows]
+    assert names == ["i@2"]
+    budget = json.loads(machine.state.read("budgets").document)[0]
+    assert "i@1/1" not in budget["shares"]
