Count requests that fail together as one failure of a target

Cause: when an engine crashed for 1 s with 8 streams, each lost stream doubled the time for which it was avoided, to 4 s.

Change: a target that is avoided already is not avoided longer.

Conclusion: a short crash costs 400 ms.

--- a/papayacrank/forwarding/_health.py
+++ b/papayacrank/forwarding/_health.py
@@ -84,8 +84,10 @@
         health.outcomes += 1
         health.failure_rate += FAILURE_WEIGHT * (outcome - health.failure_rate)
 
-    @staticmethod
-    def _avoid(name: str, health: _Health, reason: str, now_ms: int) -> None:
+    def _avoid(self, name: str, health: _Health, reason: str, now_ms: int) -> None:
+        if self.is_avoided(name, now_ms):
+            # Requests that fail together, as in a crash, are one piece of evidence.
+            return
         health.avoided_until_ms = now_ms + health.avoidance_ms
         health.avoidance_ms = min(2 * health.avoidance_ms, MAX_AVOIDANCE_MS)
         log_event(
--- a/papayacrank/forwarding/tests/test_parts.py
+++ b/papayacrank/forwarding/tests/test_parts.py
@@ -195,3 +195,13 @@
     """Guards against refusals where the configuration sets no limit."""
     bench = QuotaBench(rate=0)
     assert bench.desk.admit("r", "w", 10**9, 0).admitted
+
+
+def test_requests_that_fail_together_count_once():
+    """Guards against a target that is avoided for seconds after a short crash."""
+    health = TargetHealth()
+    peers = ["a", "b", "c", "d"]
+    for _ in range(12):
+        health.on_failure("a", peers, 0)
+    assert health.is_avoided("a", 399)
+    assert not health.is_avoided("a", 401)
