Decode the head of an answer once and drop what nothing uses

Cause: found while reading the change again: the head of each answer was decoded three times, two methods of the roll-out held the same lines, and several fields, constants and properties had no reader.

Change: an attempt keeps what its answer's head says; _Engine.take_wanted serves both callers; unused code is gone. Behaviour and tests are unchanged.

Conclusion: two decodings of a head are left, one for the check of the id.

--- a/papayacrank/control/_rollout.py
+++ b/papayacrank/control/_rollout.py
@@ -71,6 +71,12 @@
         self.since_ms = now_ms
         self.next_ms = now_ms + delay_ms
 
+    def take_wanted(self, now_ms: int) -> None:
+        """Count the ordered version as the one that runs."""
+        known = self.weights if self.weights is not None else self.target.weights
+        self.weights = {m: max(v, self.wanted) for m, v in known.items()}
+        self.observed_ms = now_ms
+
 
 class WeightsRollout:
     """Brings engines to the named versions, a third of a service at a time.
@@ -99,11 +105,6 @@
         self._may_order_ms = 0
         self._engines: dict[str, _Engine] = {}
 
-    @property
-    def is_active(self) -> bool:
-        """Whether an engine is between two versions."""
-        return any(e.phase is not Phase.IDLE for e in self._engines.values())
-
     def reset(self, token: int, may_order_ms: int) -> None:
         """Start anew under a fencing token; no order leaves before a time."""
         self._token = token
@@ -266,9 +267,7 @@
 
         Requests that come too early are refused without having run.
         """
-        known = engine.weights if engine.weights is not None else engine.target.weights
-        engine.weights = {m: max(v, engine.wanted) for m, v in known.items()}
-        engine.observed_ms = now_ms
+        engine.take_wanted(now_ms)
         engine.enter(Phase.CONFIRMING, now_ms, REPORT_LAG_MS)
 
     def _on_status(self, engine: _Engine, status: EngineStatus, now_ms: int) -> None:
@@ -301,9 +300,7 @@
         engine.enter(Phase.IDLE, now_ms)
 
     def _on_loaded(self, engine: _Engine, now_ms: int) -> None:
-        known = engine.weights if engine.weights is not None else engine.target.weights
-        engine.weights = {m: max(v, engine.wanted) for m, v in known.items()}
-        engine.observed_ms = now_ms
+        engine.take_wanted(now_ms)
         log_event(
             WEIGHTS_LOADED,
             target=engine.target.name,
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -475,8 +475,6 @@
         job.attempt = None
         job.excluded.add(attempt.target.name)
         job.last_failure = code
-        if sent:
-            job.sends += 1
         self._close_attempt(job, attempt)
         self._metrics.on_attempt_failed(job.service.name, code)
         log_event(
@@ -533,6 +531,7 @@
         attempt = call.state.attempt
         attempt.status = status
         attempt.headers = headers
+        attempt.facts = self._protocol.read_answer(status, headers)
         self._observe_weights(call.state, attempt)
         if call.state.workspace is not None and 200 <= status < 300:
             job, now_ms = call.state, self._clock.now_ms()
@@ -540,19 +539,18 @@
         if attempt.is_stream and not 200 <= status < 300:
             attempt.is_stream = False
 
-    def _observe_weights(self, job: Job, attempt: Attempt) -> bool:
-        """Take over the version that an answer shows; return whether it is newer."""
-        facts = self._protocol.read_answer(attempt.status, attempt.headers)
+    def _observe_weights(self, job: Job, attempt: Attempt) -> None:
+        """Take over the version of the weights that an answer shows."""
+        facts = attempt.facts
         model, name = job.request.model, attempt.target.name
         if model is None or facts.target_name not in (None, name):
-            return False
+            return
         version = facts.weights_version
         if version is None and facts.wrong_target and facts.target_name == name:
             # The engine refuses the version that it was believed to run.
             version = self._weights.get(model)
-        if version is None:
-            return False
-        return self._table.observe_weights(name, model, version)
+        if version is not None:
+            self._table.observe_weights(name, model, version)
 
     def on_data(self, call: TargetCall, data: bytes) -> None:
         """Take a piece of an answer's body."""
@@ -576,9 +574,9 @@
         """Take the end of an answer."""
         job: Job = call.state
         attempt = job.attempt
-        facts = self._protocol.read_answer(attempt.status, attempt.headers)
+        facts = attempt.facts
         if facts.not_run or facts.wrong_target:
-            self._on_not_run(job, attempt, facts)
+            self._on_not_run(job, attempt)
         elif not facts.is_whole:
             self._on_broken(job, attempt, "spoiled answer")
         elif attempt.is_stream:
@@ -609,8 +607,9 @@
         self._end_attempt(job, attempt, failure.code, sent=False)
         self._go_on(job)
 
-    def _on_not_run(self, job: Job, attempt: Attempt, facts) -> None:
+    def _on_not_run(self, job: Job, attempt: Attempt) -> None:
         """Try another target, since this one has certainly not run the request."""
+        facts = attempt.facts
         code = "wrong_target" if facts.wrong_target else f"refused_{attempt.status}"
         self._end_attempt(job, attempt, code, sent=True)
         known = self._table.find(attempt.target.name)
@@ -646,7 +645,6 @@
             self._end_attempt(job, attempt, f"status_{attempt.status}", sent=True)
             self._dispatch(job)
             return
-        attempt.has_first_event = False
         self._close_attempt(job, attempt)
         if job.exchange.has_begun:
             job.exchange.abort()
@@ -719,7 +717,6 @@
         job: Job | None = exchange.state
         if job is None or job.is_done:
             return
-        job.caller_left = True
         attempt = job.attempt
         if attempt is not None:
             self._port.cancel(attempt.call)
--- a/papayacrank/forwarding/_health.py
+++ b/papayacrank/forwarding/_health.py
@@ -18,7 +18,6 @@
 @dataclass(slots=True)
 class _Health:
     failure_rate: float = 0.0
-    outcomes: int = 0
     avoided_until_ms: int = 0
     avoidance_ms: int = FIRST_AVOIDANCE_MS
 
@@ -81,7 +80,6 @@
 
     @staticmethod
     def _note(health: _Health, outcome: float) -> None:
-        health.outcomes += 1
         health.failure_rate += FAILURE_WEIGHT * (outcome - health.failure_rate)
 
     def _avoid(self, name: str, health: _Health, reason: str, now_ms: int) -> None:
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -5,7 +5,7 @@
 from papayacrank.messages import FleetTarget, Route, ServiceProfile, WorkspaceProfile
 from papayacrank.transport import HttpExchange
 
-from ._base import ForwardRequest, HeaderList
+from ._base import AnswerFacts, ForwardRequest, HeaderList
 from ._event_stream import EventSplitter
 from ._placement import Choice
 from ._target_port import TargetCall
@@ -21,6 +21,8 @@
         What the attempt adds to the load of its target.
     salt : str
         Cache salt, empty for plain services.
+    facts : AnswerFacts
+        What the head of the answer says.
     has_first_event : bool
         Whether an event or the head of a plain answer arrived.
     """
@@ -35,6 +37,7 @@
     saves: bool = False
     status: int = 0
     headers: HeaderList = field(default_factory=list)
+    facts: AnswerFacts = AnswerFacts()
     body: bytearray = field(default_factory=bytearray)
     splitter: EventSplitter = field(default_factory=EventSplitter)
     has_first_event: bool = False
@@ -53,8 +56,6 @@
         Time by which the caller has its final answer.
     runs : int
         Attempts that may have run.
-    sends : int
-        Attempts of which any byte was written.
     last_event_id : str or None
         Id of the last event that the caller has.
     """
@@ -69,7 +70,6 @@
     deadline_at_ms: int
     cost: int = 0
     runs: int = 0
-    sends: int = 0
     tries: int = 0
     excluded: set[str] = field(default_factory=set)
     attempt: Attempt | None = None
@@ -77,7 +77,6 @@
     has_events: bool = False
     first_event_ms: int | None = None
     last_failure: str = ""
-    caller_left: bool = False
     is_done: bool = False
 
     @property
--- a/papayacrank/forwarding/_target_port.py
+++ b/papayacrank/forwarding/_target_port.py
@@ -30,7 +30,6 @@
 IDLE_MARGIN_MS = 500
 MAX_HEAD_BYTES = 65_536
 MAX_ANSWER_BODY_BYTES = 16 * 1024 * 1024
-PROGRESS_BYTES = 65_536
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,18 +141,12 @@
         self._count: dict[str, int] = {}
         self._pool = IdlePool(MAX_IDLE_PER_TARGET, MAX_IDLE)
         self._numbers = itertools.count(1)
-        self._opened = 0
 
     @property
     def open_connections(self) -> int:
         """Number of connections, including idle ones."""
         return len(self._connections)
 
-    @property
-    def opened_connections(self) -> int:
-        """Number of connections opened since the start."""
-        return self._opened
-
     def submit(self, call: TargetCall) -> None:
         """Send a request; the listener learns how it ends, also before the return."""
         if self._poller is None:
@@ -216,7 +209,6 @@
             connection.close()
             self._fail(call, CallFailure("connect_failed", False, str(error)))
             return
-        self._opened += 1
         self._connections[connection.sock] = connection
         self._count[call.address] = self._count.get(call.address, 0) + 1
         connection.call = call
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -159,11 +159,6 @@
             memory + own.memory_tokens,
         )
 
-    def own_running(self, name: str) -> int:
-        """Return the number of requests of this process at a target."""
-        own = self._own.get(name)
-        return own.running if own is not None else 0
-
     def begin(self, name: str, prefill_tokens: int, memory_tokens: int) -> None:
         """Count a request that is sent."""
         own = self._own.setdefault(name, _OwnLoad())
--- a/papayacrank/platform/_settings.py
+++ b/papayacrank/platform/_settings.py
@@ -14,7 +14,6 @@
 # Ports of this project within the range that is free for traffic between instances.
 CONTROL_LINK_PORT = 0
 ENTRY_METRICS_PORT = 1
-CONTROL_METRICS_PORT = 2
 MAX_VOTERS = 7
 # A voter is replaced by a caught-up learner before the platform stops counting the
 # loss, 4 s after a successor has started.
@@ -42,7 +41,6 @@
     """Bounds that the platform sets."""
 
     contact_ms: int = 3_000
-    drain_ms: int = 3_000
     grace_s: float = 8
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10
