Keep a request alive when its log line cannot be written

A test of the replay program sets the log stream of its process to the captured standard error, which is closed when the test ends. With both test files on one worker, every later line of level error raises ValueError inside an event handler, and the handler never reports the end of its request. Load only changed which tests share a worker. Reproduced without load: test_replay.py and test_faults.py in one process gave 4 failures of 4 tests that log errors.

Change: the default log stream counts lines that it cannot write and reports their number later; each test puts the logging back. The streams' own two lines are in the catalogue.

Conclusion: a broken standard error could end requests of the entry and control programs as well; it no longer does.

--- a/conftest.py
+++ b/conftest.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import pytest
+import structlog
 
 KNOWN_RED = Path(__file__).with_name("KNOWN-RED.txt")
 
@@ -14,6 +15,14 @@
     return {line.split("|", 1)[0].strip(): line for line in entries}
 
 
+@pytest.fixture(autouse=True)
+def _default_logging():
+    """Undo the logging set up by programs that a test runs in its own process."""
+    yield
+    structlog.reset_defaults()
+    structlog.contextvars.clear_contextvars()
+
+
 def pytest_collection_modifyitems(items):
     """Mark exactly the listed tests as expected failures."""
     known = read_known_red()
--- a/papayacrank/kernel/__init__.py
+++ b/papayacrank/kernel/__init__.py
@@ -9,12 +9,13 @@
     declared_events,
     log_event,
 )
-from ._log_stream import BoundedLogStream
+from ._log_stream import BoundedLogStream, GuardedLogStream
 from ._registry import available, create, register
 from ._verdict import Failure, Verdict
 
 __all__ = [
     "BoundedLogStream",
+    "GuardedLogStream",
     "CancelTimer",
     "Clock",
     "Effect",
--- a/papayacrank/kernel/_events.py
+++ b/papayacrank/kernel/_events.py
@@ -7,6 +7,8 @@
 
 import structlog
 
+from ._log_stream import GuardedLogStream
+
 
 @dataclass(frozen=True, slots=True)
 class LogEvent:
@@ -84,7 +86,9 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             getattr(logging, level.upper())
         ),
-        logger_factory=structlog.PrintLoggerFactory(file=stream or sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(
+            file=stream or GuardedLogStream(sys.stderr)
+        ),
         cache_logger_on_first_use=False,
     )
     structlog.contextvars.clear_contextvars()
@@ -103,3 +107,22 @@
     """
     logger = structlog.get_logger()
     getattr(logger, event.level)(event.name, number=event.number, **fields)
+
+
+# The log streams write these two lines themselves.
+declare_events(
+    LogEvent(
+        1,
+        "log_lines_dropped",
+        "info",
+        "Log lines beyond the rate or the buffer were not written.",
+        "Read the counters for what they would have told.",
+    ),
+    LogEvent(
+        2,
+        "log_lines_lost",
+        "info",
+        "Log lines could not be written; the stream failed for a while.",
+        "Check the reader of the log.",
+    ),
+)
--- a/papayacrank/kernel/_log_stream.py
+++ b/papayacrank/kernel/_log_stream.py
@@ -3,6 +3,7 @@
 import json
 import os
 import time
+from typing import TextIO
 
 STANDARD_OUTPUT = 1
 MAX_LINES_PER_S = 400
@@ -72,3 +73,44 @@
             line = {"event": "log_lines_dropped", "number": 1, "count": self._dropped}
             self._pending += json.dumps(line).encode() + b"\n"
             self._dropped = 0
+
+
+class GuardedLogStream:
+    """Writes lines to a text stream and survives its failure.
+
+    A log line that cannot be written must not fail the request that it describes.
+    The number of lost lines is written once the stream takes lines again.
+
+    Parameters
+    ----------
+    stream : file object
+        Receiver of the lines.
+    """
+
+    def __init__(self, stream: TextIO):
+        self._stream = stream
+        self._lost = 0
+
+    @property
+    def lost(self) -> int:
+        """Number of lines lost since the last report of it."""
+        return self._lost
+
+    def write(self, text: str) -> None:
+        """Write text, or count it as lost."""
+        try:
+            if self._lost:
+                line = {"event": "log_lines_lost", "number": 2, "count": self._lost}
+                self._stream.write(json.dumps(line) + "\n")
+                self._lost = 0
+            self._stream.write(text)
+        except (OSError, ValueError):
+            # A closed stream raises ValueError, a broken one OSError.
+            self._lost += 1
+
+    def flush(self) -> None:
+        """Pass written text on."""
+        try:
+            self._stream.flush()
+        except (OSError, ValueError):
+            self._lost += 1
--- a/papayacrank/kernel/tests/test_log_stream.py
+++ b/papayacrank/kernel/tests/test_log_stream.py
@@ -1,8 +1,18 @@
 """Tests of the bounded output of log lines."""
 
+import io
+import json
 import os
 
-from papayacrank.kernel import BoundedLogStream
+from papayacrank.kernel import (
+    BoundedLogStream,
+    GuardedLogStream,
+    LogEvent,
+    configure_logging,
+    log_event,
+)
+
+ERROR = LogEvent(1, "example", "error", "An example.")
 
 
 def read_all(descriptor):
@@ -47,3 +57,44 @@
     os.close(reader)
     stream.write("x\n")
     stream.flush()
+
+
+def test_closed_stream_does_not_fail_the_caller():
+    """Guards against a request that fails because its log line cannot be written."""
+    closed = io.StringIO()
+    closed.close()
+    stream = GuardedLogStream(closed)
+    configure_logging("test", stream=stream)
+    log_event(ERROR)
+    assert stream.lost > 0
+
+
+def test_lines_lost_are_counted_once_the_stream_works_again():
+    """Guards against a gap in the log that nobody sees."""
+
+    class Failing(io.StringIO):
+        failing = True
+
+        def write(self, text):
+            if self.failing:
+                raise BrokenPipeError
+            return super().write(text)
+
+    target = Failing()
+    stream = GuardedLogStream(target)
+    stream.write("first\n")
+    target.failing = False
+    stream.write("second\n")
+    report, line = target.getvalue().splitlines()
+    assert json.loads(report)["count"] == 1
+    assert line == "second"
+    assert stream.lost == 0
+
+
+def test_standard_error_is_guarded(monkeypatch):
+    """Guards against programs that use a broken standard error as it is."""
+    closed = io.StringIO()
+    closed.close()
+    monkeypatch.setattr("sys.stderr", closed)
+    configure_logging("test")
+    log_event(ERROR)
