Send the whole view first in each term

Cause: the first change of a term had base 0 of that term, which no entry process has.

Change: the first push of a term is the whole view.

Conclusion: covered by test_changes_lead_to_the_view now.

--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -129,13 +129,21 @@
             self._term, self._sequence, self._view, control, self._store_starts
         )
 
-    def take_change(self, control: list[str], now_ms: int) -> FleetChange | None:
-        """Return what has changed since the last call, None if nothing has."""
+    def take_change(
+        self, control: list[str], now_ms: int
+    ) -> FleetView | FleetChange | None:
+        """Return what has changed since the last call, None if nothing has.
+
+        The first change of a term is the whole view, because receivers have a view of
+        another term or none.
+        """
         base = self._pushed
         if base.sequence == self._sequence:
             return None
         self._pushed = self.view(control)
         self._pushes.append((now_ms, self._sequence))
+        if base.sequence == 0:
+            return self._pushed
         known = {target.number: target for target in base.targets}
         changed = [t for t in self._view if known.pop(t.number, None) != t]
         present = {target.number for target in self._view}
--- a/papayacrank/control/tests/test_rollout.py
+++ b/papayacrank/control/tests/test_rollout.py
@@ -354,9 +354,9 @@
     """Guards against entry processes that lack a change of a target."""
     bench = Bench()
     bench.run(100)
-    bench.board.take_change(["c1"], bench.now_ms)
     table = TargetTable()
-    table.update(bench.board.view(["c1"]))
+    table.update(bench.board.take_change(["c1"], bench.now_ms))
+    assert table.targets == bench.board.targets
     bench.wanted = {MODEL: 2}
     changes = 0
     for _ in range(800):
@@ -418,6 +418,11 @@
     assert bench.board.sequence == 0
     assert bench.board.take_change([], bench.now_ms) is None
     assert not bench.board.needs_view(1, 5, bench.now_ms)
+    bench.protocol.fails = False
+    bench.run(400)
+    table = TargetTable()
+    assert table.update(bench.board.take_change([], bench.now_ms)) == []
+    assert table.position[0] == 2
 
 
 def build_stores(**addresses):
