Explain a request from log files

Cause: on-call engineers have only logs; docs/OPERATIONS.md led from an id to a cause by hand, over the files of all instances.

--- a/papayacrank/admin/_commands.py
+++ b/papayacrank/admin/_commands.py
@@ -3,6 +3,7 @@
 import getpass
 import json
 import secrets
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
@@ -33,6 +34,7 @@
 
 from ._exchange import ControlExchange
 from ._explain import ExplainError, explain_request
+from ._log_explain import explain_from_lines, format_explanation, read_lines
 from ._output import EXIT_FAILED, EXIT_INVALID, EXIT_UNKNOWN, Output
 from ._settings import AdminSettings, find_control
 from ._views import join_targets, summarize_usage
@@ -270,7 +272,7 @@
         self._output.show({"old": old, "new": new, "request_id": request_id})
 
     @SetParseFn(str)
-    def explain(self, caller_request_id, entry=None, key_file=None):
+    def explain(self, caller_request_id, entry=None, key_file=None, log=None):
         """Show what happened to a request of a caller.
 
         Args:
@@ -278,7 +280,12 @@
             entry: Address of the entry process, as ip:port; default: all live ones.
             key_file: Path of a file with a key of the request's workspace; needed
                 unless the entry process is reached through 127.x.
+            log: Log files of the processes, separated by commas; ``-`` is standard
+                input. No process is asked then.
         """
+        if log is not None:
+            self._explain_from_log(caller_request_id, log)
+            return
         key = self._read_key(key_file) if key_file else None
         addresses = [entry] if entry else self._entry_addresses()
         try:
@@ -292,6 +299,19 @@
             self._output.fail("unknown_request", message, EXIT_FAILED)
         self._output.show(record)
 
+    def _explain_from_log(self, request_id: str, log) -> None:
+        # fire turns texts with commas into tuples.
+        paths = log if isinstance(log, (list, tuple)) else str(log).split(",")
+        try:
+            lines = read_lines(str(path) for path in paths)
+        except OSError as error:
+            self._output.fail("unreadable_log", str(error), EXIT_INVALID)
+        explanation = explain_from_lines(lines, request_id)
+        if explanation is None:
+            message = f"none of {len(lines)} lines names {request_id}"
+            self._output.fail("unknown_request", message, EXIT_FAILED)
+        self._output.show(asdict(explanation), format_explanation(explanation))
+
     @staticmethod
     def _explain_conflict(failure: Failure, new: Configuration) -> None:
         """Add what filing would change in the configuration that won."""
--- /dev/null
+++ b/papayacrank/admin/tests/test_log_explain.py
@@ -0,0 +1,162 @@
+"""Tests of the explanation of a request from log files."""
+
+import io
+import json
+
+import pytest
+
+from papayacrank.admin.__main__ import main
+from papayacrank.admin._log_explain import (
+    explain_from_lines,
+    format_explanation,
+    read_lines,
+)
+
+START = "2026-01-01T10:00:{:06.3f}+00:00"
+
+
+def build_line(event, second=30.0, process="front-1", **fields):
+    """Return a log line."""
+    base = {"event": event, "process": process, "timestamp": START.format(second)}
+    return base | fields
+
+
+def build_end(request_id="r1", code="served", second=30.0, **fields):
+    """Return the last line of a request."""
+    base = {
+        "request_id": request_id,
+        "code": code,
+        "status": 200,
+        "workspace": "w1",
+        "routing_version": 4,
+        "tries": 1,
+        "cost": 1_000,
+        "sent_after_ms": 3,
+    }
+    return build_line("request_ended", second, **(base | fields))
+
+
+def build_rates(rate=10_000):
+    """Return the line that shows the rates of version 4."""
+    return build_line("routing_applied", 1.0, version=4, rates={"w1": [rate, 20_000]})
+
+
+def causes_of(lines, request_id="r1"):
+    """Return the causes as one text."""
+    return "; ".join(explain_from_lines(lines, request_id).causes)
+
+
+def test_unknown_request_is_not_explained():
+    """Guards against an explanation of another request."""
+    assert explain_from_lines([build_end("other")], "r1") is None
+
+
+@pytest.mark.parametrize(
+    ("served", "expected"),
+    [(80, "over the rate"), (8, "refused below the rate")],
+)
+def test_refusal_over_a_rate_is_compared_with_what_was_served(served, expected):
+    """Guards against a rate that is blamed for refusals below it, and the reverse."""
+    lines = [build_rates()]
+    lines += [build_end(f"s{n}", second=25.0 + n / 20) for n in range(served)]
+    lines += [build_end(code="over_rate", status=429, tries=0)]
+    explanation = explain_from_lines(lines, "r1")
+    assert explanation.outcome == "over_rate"
+    assert explanation.causes[0].startswith(expected)
+    assert "10000 tokens/s" in explanation.causes[0]
+
+
+def test_lost_contact_is_named():
+    """Guards against refusals whose cause is the link to the control group."""
+    lines = [
+        build_rates(),
+        build_line("forwarding_control_lost", 28.0),
+        build_line("forwarding_control_lost", 28.0, process="front-2"),
+        build_end(code="over_rate", tries=0),
+    ]
+    explanation = explain_from_lines(lines, "r1")
+    assert "lost contact" in explanation.causes[-1]
+    assert len(explanation.context) == 1
+
+
+def test_failed_target_is_shown_with_what_others_saw():
+    """Guards against a failure that is taken for one of this request alone."""
+    failed = build_line(
+        "attempt_failed",
+        29.9,
+        request_id="r1",
+        target="e1",
+        code="connection_lost",
+        after_ms=500,
+    )
+    lines = [
+        failed,
+        build_line("target_avoided", 29.9, process="front-2", target="e1"),
+        build_line("target_left", 32.0, process="front-1-control", target="e1"),
+        build_line("target_left", 29.0, target="e2"),
+        build_end(code="target_failed", status=502),
+    ]
+    explanation = explain_from_lines(lines, "r1")
+    assert "attempt at e1 failed after 500 ms" in explanation.causes[0]
+    assert "left the platform's list" in explanation.causes[0]
+    assert {line["target"] for line in explanation.context} == {"e1"}
+
+
+def test_late_answer_names_queue_and_new_weights():
+    """Guards against a roll-out of weights that stays unseen behind a queue."""
+    lines = [
+        build_line("weights_loaded", 29.0, process="c", target="e1", version=4),
+        build_end(target="e1", target_prefill=16_616, missing_tokens=4_906),
+    ]
+    text = causes_of(lines)
+    assert "16616 prompt tokens waited at e1" in text
+    assert "new weights were loaded at that time: e1" in text
+
+
+def test_wait_for_a_grant_is_told_from_other_attempts():
+    """Guards against a wait that is blamed on the wrong step."""
+    assert "for a grant" in causes_of([build_end(sent_after_ms=240)])
+    assert "other attempts" in causes_of([build_end(sent_after_ms=240, tries=2)])
+
+
+def test_request_without_a_final_line_is_explained():
+    """Guards against a crash of the process that hides the request."""
+    failed = build_line(
+        "attempt_failed", request_id="r1", target="e1", code="x", after_ms=1
+    )
+    assert "the process ended" in causes_of([failed])
+
+
+def test_cut_lines_and_other_output_are_passed_over(tmp_path, monkeypatch):
+    """Guards against a log that cannot be read because of its last line."""
+    path = tmp_path / "a.log"
+    line = json.dumps(build_end())
+    path.write_text(f"  12.5 front-1 {line}\nnot a line\n{line[:40]}\n[1]\n")
+    monkeypatch.setattr("sys.stdin", io.StringIO(line + "\n"))
+    assert len(read_lines([str(path), "-"])) == 2
+
+
+def test_command_explains_from_files(tmp_path, capsys):
+    """Guards against a command that asks processes although it has the logs."""
+    first, second = tmp_path / "a.log", tmp_path / "b.log"
+    first.write_text(json.dumps(build_rates()) + "\n")
+    second.write_text(json.dumps(build_end(code="over_rate", tries=0)) + "\n")
+    main(["explain", "r1", f"--log={first},{second}", "--json"])
+    document = json.loads(capsys.readouterr().out)
+    assert document["outcome"] == "over_rate"
+    main(["explain", "r1", f"--log={second}"])
+    assert capsys.readouterr().out.startswith("r1: over_rate")
+    for arguments, code in (
+        (["explain", "r2", f"--log={second}"], 1),
+        (["explain", "r1", f"--log={tmp_path / 'missing'}"], 2),
+    ):
+        with pytest.raises(SystemExit) as stopped:
+            main(arguments)
+        assert stopped.value.code == code
+
+
+def test_text_has_the_lines_behind_the_causes():
+    """Guards against findings that nobody can check."""
+    text = format_explanation(explain_from_lines([build_end()], "r1"))
+    assert "nothing unusual" in text
+    assert '"request_id": "r1"' in text
