Let control processes without a disk vote only until others can

Cause: with control on 8% of a failure domain, a deployment of more than 12 instances a domain with one disk each, or of more than 25 with two, has control processes without a disk. They only redirected operators. If one of the three seeds was such a process, the group would have waited for it for ever, since all initial voters must answer.

Change: such a process is a full member with a temporary folder that is marked as volatile. It may be an initial voter; once members with a disk have caught up, they are promoted and the volatile ones lose their votes. They are never promoted, except where no member has a disk. The redirecting process is gone.

Figures: 30 seeds of 6 members, of which 3 volatile and 2 of these initial voters: the votes are with the 3 others after 4 s, and a stop of all that empties the volatile folders loses nothing.

Conclusion: founding no longer depends on which instances the seeds name.

--- a/papayacrank/config/_settings.py
+++ b/papayacrank/config/_settings.py
@@ -75,6 +75,8 @@
         Address for the other processes.
     data_folder : str
         Folder for all durable files.
+    volatile : bool
+        Whether the folder is lost with the process, as on a machine without a disk.
     peers : list of PeerAddress
         The other control processes.
     initial_voters : list of str
@@ -88,6 +90,7 @@
     failure_domain: Name
     link: Address
     data_folder: str
+    volatile: bool = False
     peers: list[PeerAddress] = []
     initial_voters: list[Name] = []
     target_voters: int = Field(default=5, ge=1, le=7)
--- a/papayacrank/consensus/_membership.py
+++ b/papayacrank/consensus/_membership.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
+import msgspec
 from expression import Error, Ok, Result
 
 from papayacrank.kernel import Failure, Verdict
@@ -129,7 +130,7 @@
         return named[-1] if named else None
 
     def _promote(self, learner: Member) -> int:
-        voter = Member(learner.name, learner.identity, learner.failure_domain, True)
+        voter = msgspec.structs.replace(learner, voter=True)
         others = (m for m in self._members if m.identity != learner.identity)
         return self._log_members((*others, voter))
 
@@ -156,7 +157,9 @@
         known = any(m.identity == request.identity for m in self._members)
         if self._role is not Role.LEADER or known:
             return
-        member = Member(sender, request.identity, request.failure_domain, False)
+        member = Member(
+            sender, request.identity, request.failure_domain, False, request.volatile
+        )
         self._joiners[request.identity] = member
         while len(self._joiners) > MAX_JOINERS:
             del self._joiners[next(iter(self._joiners))]
@@ -175,9 +178,27 @@
             self._promote(learner)
         elif self._joiners:
             self._add_joiner()
+        elif (volatile := self._find_volatile_voter()) is not None:
+            self._replace_volatile(volatile)
         elif self._all_voters_answer():
             self._balance_domains()
 
+    def _find_volatile_voter(self) -> Member | None:
+        """Return a voter whose votes are lost with its process, while others remain."""
+        if all(member.volatile for member in self._members):
+            return None
+        return next((m for m in self._voters if m.volatile), None)
+
+    def _replace_volatile(self, voter: Member) -> None:
+        """Promote the learners that keep their folder, then remove the voter."""
+        learners = self._promotable_learners()
+        if learners and len(self._voters) < self._settings.target_voters:
+            self._promote(min(learners, key=lambda m: m.name))
+            return
+        has_others = learners or not all(m.volatile for m in self._voters)
+        if has_others and self._survives_without(voter):
+            self._remove(voter)
+
     def _balance_domains(self) -> None:
         """Move a vote from the domain with most voters to one with at least 2 fewer.
 
@@ -198,7 +219,7 @@
         """Return a learner whose domain has at least 2 voters fewer than another."""
         voters = Counter(m.failure_domain for m in self._voters)
         most = max(voters.values(), default=0)
-        learners = self._caught_up_learners()
+        learners = self._promotable_learners()
         fitting = [m for m in learners if voters[m.failure_domain] + 2 <= most]
         return min(
             fitting, key=lambda m: (voters[m.failure_domain], m.name), default=None
@@ -242,7 +263,7 @@
             if not member.voter:
                 return member
             spare = len(self._voters) - 1 >= MIN_VOTERS
-            if spare or self._caught_up_learners():
+            if spare or self._promotable_learners():
                 return member
         return None
 
@@ -263,7 +284,7 @@
 
     def _find_promotable(self) -> Member | None:
         """Return the learner to promote, from the domain with the fewest voters."""
-        learners = self._caught_up_learners()
+        learners = self._promotable_learners()
         planned = [m for m in learners if m.identity == self._planned_voter]
         if planned:
             return planned[0]
@@ -274,9 +295,23 @@
 
     def _intended_voters(self) -> int:
         target = self._settings.target_voters
-        live = sum(not self._is_silent(member) for member in self._members)
+        live = sum(
+            not self._is_silent(member)
+            for member in self._members
+            if self._may_vote(member)
+        )
         return target if live >= target else min(target, MIN_VOTERS)
 
+    def _may_vote(self, member: Member) -> bool:
+        """Whether a member is fit to be a voter.
+
+        One whose folder is lost with its process is fit only where all are like it.
+        """
+        return not member.volatile or all(m.volatile for m in self._members)
+
+    def _promotable_learners(self) -> list[Member]:
+        return [m for m in self._caught_up_learners() if self._may_vote(m)]
+
     def _caught_up_learners(self) -> list[Member]:
         return [m for m in self._members if not m.voter and self._is_caught_up(m)]
 
--- a/papayacrank/consensus/_messages.py
+++ b/papayacrank/consensus/_messages.py
@@ -53,12 +53,15 @@
         Random identifier of the data folder.
     voter : bool
         False for a learner, which receives the log and has no vote.
+    volatile : bool
+        Whether the data folder is lost with the process.
     """
 
     name: str
     identity: str
     failure_domain: str
     voter: bool
+    volatile: bool = False
 
 
 class Membership(msgspec.Struct, frozen=True, array_like=True):
@@ -313,6 +316,7 @@
     record: PeerRecord
     leader: str
     membership: Membership
+    volatile: bool = False
 
 
 class JoinRequest(_Message, frozen=True, tag="rj"):
@@ -321,6 +325,7 @@
     group: str
     identity: str
     failure_domain: str
+    volatile: bool = False
 
 
 CONSENSUS_MESSAGES = (
--- a/papayacrank/consensus/_recovery.py
+++ b/papayacrank/consensus/_recovery.py
@@ -139,6 +139,7 @@
             record=record or PeerRecord(query.identity, 0, 0),
             leader=self._leader,
             membership=Membership(0, ()) if self._is_founding else self._log.membership,
+            volatile=self._settings.volatile,
         )
         self._send(sender, reply)
         if not self._is_verified and sender not in self._answers:
@@ -318,6 +319,7 @@
                 group=self._group,
                 identity=self._identity,
                 failure_domain=self._settings.failure_domain,
+                volatile=self._settings.volatile,
             )
             self._send(leader, request)
 
@@ -355,9 +357,12 @@
 
     def _initial_member(self, name: str) -> Member:
         if name == self._settings.name:
-            return Member(name, self._identity, self._settings.failure_domain, True)
+            own = self._settings
+            domain = own.failure_domain
+            return Member(name, self._identity, domain, True, own.volatile)
         reply = self._answers[name]
-        return Member(name, reply.identity, reply.failure_domain, True)
+        domain = reply.failure_domain
+        return Member(name, reply.identity, domain, True, reply.volatile)
 
     def _notice_waiting(self, missing: list[str]) -> None:
         if self._now_ms >= self._notice_due_ms:
--- a/papayacrank/consensus/_settings.py
+++ b/papayacrank/consensus/_settings.py
@@ -49,6 +49,9 @@
         Of this member.
     peers : tuple of str
         Names of the other configured members.
+    volatile : bool
+        Whether the data folder is lost with the process. Such a member votes only
+        until others can, or where all members are like it.
     initial_voters : tuple of str
         Names of the voters of a new group.
     target_voters : int
@@ -64,6 +67,7 @@
     name: str
     failure_domain: str = "default"
     peers: tuple[str, ...] = ()
+    volatile: bool = False
     initial_voters: tuple[str, ...] = ()
     target_voters: int = 5
     heartbeat_interval_ms: int = 100
@@ -91,6 +95,7 @@
             name=settings.instance,
             failure_domain=settings.failure_domain,
             peers=tuple(peer.name for peer in settings.peers),
+            volatile=settings.volatile,
             initial_voters=tuple(settings.initial_voters),
             target_voters=settings.target_voters,
             heartbeat_interval_ms=settings.heartbeat_interval_ms,
--- a/papayacrank/consensus/tests/test_faults.py
+++ b/papayacrank/consensus/tests/test_faults.py
@@ -1,5 +1,7 @@
 """Random schedules of faults; each checks the history of the clients' operations."""
 
+from dataclasses import replace
+
 import pytest
 
 from papayacrank.consensus import HardState, Remove, Replace, _replication
@@ -389,3 +391,46 @@
     cluster.run_until(is_replaced, 3_000)
     cluster.write_and_wait()
     cluster.finish()
+
+
+def test_members_without_a_disk_leave_their_votes_to_others():
+    """Guards against entries that only members have that forget them.
+
+    Of the 3 initial voters, 2 have no disk. Once the group has settled, all members
+    stop at once, and those without a disk come back empty.
+    """
+    for seed in range(30):
+        cluster = Cluster(seed, size=6, voters=3)
+        volatile = [cluster.hosts[name] for name in ("n0", "n2", "n5")]
+        for host in volatile:
+            host.settings = replace(host.settings, volatile=True)
+        cluster.start()
+        cluster.run(4_000)
+        assert cluster.voters() == ["n1", "n3", "n4"]
+        cluster.clients(500)
+        for host in cluster.hosts.values():
+            host.crash()
+        for host in volatile:
+            host.lost_identity = host.store.identity
+            host.files.restore({})
+        for host in cluster.hosts.values():
+            host.start()
+        cluster.write_and_wait(10_000)
+        cluster.run(3_000)
+        assert cluster.voters() == ["n1", "n3", "n4"]
+        cluster.finish()
+
+
+def test_members_without_a_disk_vote_where_no_member_has_one():
+    """Guards against a deployment without disks in which nobody may lead."""
+    cluster = Cluster(1, size=4, voters=3)
+    for host in cluster.hosts.values():
+        host.settings = replace(host.settings, volatile=True)
+    cluster.start()
+    cluster.clients(300)
+    host = cluster.leading()
+    cluster.lose_disk(host)
+    cluster.write_and_wait(10_000)
+    cluster.run(3_000)
+    assert len(cluster.voters()) == 3
+    cluster.finish()
--- a/papayacrank/platform/__main__.py
+++ b/papayacrank/platform/__main__.py
@@ -1,6 +1,7 @@
 """Programs ``entry`` and ``control`` on the platform."""
 
 import sys
+import tempfile
 import time
 
 import fire
@@ -55,11 +56,9 @@
         stream = BoundedLogStream()
         name = f"{settings.node_name}-control"
         configure_logging(name, stream=stream)
-        if not settings.data_dir:
-            _run_relay(settings, name, stream)
-            return
+        folder = _data_folder(settings)
         try:
-            process = _build_control(settings)
+            process = _build_control(settings, folder)
         except LogStoreError as error:
             print(error, file=sys.stderr)
             sys.exit(EXIT_FAILED)
@@ -121,7 +120,12 @@
     return ForwardingProcess(node, PlatformCallerProtocol())
 
 
-def _build_control(settings: PlatformSettings):
+def _data_folder(settings: PlatformSettings) -> str:
+    """Return the folder on the disk, or a temporary one where there is no disk."""
+    return settings.data_dir or tempfile.mkdtemp(prefix="papayacrank-")
+
+
+def _build_control(settings: PlatformSettings, folder: str):
     from papayacrank.control import FleetBoard
     from papayacrank.control.process import ControlProcess
     from papayacrank.transport import HttpPort
@@ -134,7 +138,7 @@
     protocol = PlatformTargetProtocol(settings.cloud.address)
     fleet = FleetBoard(protocol, settings.node_name, delay_ms)
     process = ControlProcess(
-        settings.control_settings(), fleet, settings.resolve_control
+        settings.control_settings(folder), fleet, settings.resolve_control
     )
     api = ControlApi(process.submit)
     HttpPort(
@@ -143,15 +147,6 @@
     return process
 
 
-def _run_relay(settings: PlatformSettings, name: str, stream: BoundedLogStream) -> None:
-    """Redirect operators, on an instance without a disk, until SIGTERM."""
-    from ._control_relay import RelayProcess
-
-    process = RelayProcess(settings)
-    _watch(process, settings, process.learn)
-    run_process(process, name, "info", process.stop, log_stream=stream)
-
-
 def main() -> None:
     """Run the command line."""
     fire.Fire(Programs)
--- a/papayacrank/platform/_settings.py
+++ b/papayacrank/platform/_settings.py
@@ -105,8 +105,14 @@
             return None
         return f"{name}:{self.port(CONTROL_LINK_PORT)}"
 
-    def control_settings(self) -> ControlSettings:
-        """Return the settings of a control process on this machine."""
+    def control_settings(self, data_folder: str) -> ControlSettings:
+        """Return the settings of a control process on this machine.
+
+        Parameters
+        ----------
+        data_folder : str
+            `data_dir`, or another folder on a machine without a disk.
+        """
         others = [name for name in self.control_names if name != self.ip]
         peers = [
             PeerAddress(name=name, address=self.resolve_control(name))
@@ -116,7 +122,8 @@
             instance=self.ip,
             failure_domain=self.zone,
             link=self.internal_address(CONTROL_LINK_PORT),
-            data_folder=self.data_dir,
+            data_folder=data_folder,
+            volatile=not self.data_dir,
             peers=peers,
             initial_voters=list(self.control_names) if self.bootstrap else [],
             target_voters=MAX_VOTERS,
