Choose the store once, and drop headers in one place

A request hashed its store three times for one sending. Two functions and two lists dropped the headers of one connection. Every finished request searched the requests that wait for a grant. Three models of the platform's messages had their own base class, the two lines of the log streams had their name and number twice, and the leader built its view before it knew that it would not use it.

Change: one piece of code for each. The roles of a failed call in Forwarder.on_failed are named once; a volatile voter is found by the same rule that keeps it from promotion.

--- a/papayacrank/admin/_log_explain.py
+++ b/papayacrank/admin/_log_explain.py
@@ -257,13 +257,13 @@
     end = _time_of(final)
     context = []
     for line in lines:
-        if not -CONTEXT_AFTER_S <= end - _time_of(line) <= CONTEXT_BEFORE_S:
-            continue
         about_target = line["event"] in TARGET_EVENTS and line.get("target") in targets
         about_control = line["event"] in CONTROL_EVENTS and (
             line.get("process") == process or line["event"].startswith("leader_")
         )
-        if about_target or about_control:
+        if not about_target and not about_control:
+            continue
+        if -CONTEXT_AFTER_S <= end - _time_of(line) <= CONTEXT_BEFORE_S:
             context.append(line)
     return sorted(context, key=_time_of)
 
--- a/papayacrank/consensus/_election.py
+++ b/papayacrank/consensus/_election.py
@@ -116,10 +116,10 @@
         if self._heard_from_leader() and request.term > self._term:
             return
         if request.pre_vote:
-            granted = request.term > self._term and self._accepts(request)
             # Leaves an election time to end before the next one begins.
-            if self._now_ms - self._voted_ms < START_ELECTION_TIMEOUT_MS:
-                granted = False
+            may_begin = self._now_ms - self._voted_ms >= START_ELECTION_TIMEOUT_MS
+            is_newer = request.term > self._term
+            granted = may_begin and is_newer and self._accepts(request)
             # Without the floor in the answer, a candidate below it would be refused
             # for ever.
             refused_term = max(self._term, self._term_floor)
--- a/papayacrank/consensus/_membership.py
+++ b/papayacrank/consensus/_membership.py
@@ -185,9 +185,7 @@
 
     def _find_volatile_voter(self) -> Member | None:
         """Return a voter whose votes are lost with its process, while others remain."""
-        if all(member.volatile for member in self._members):
-            return None
-        return next((m for m in self._voters if m.volatile), None)
+        return next((m for m in self._voters if not self._may_vote(m)), None)
 
     def _replace_volatile(self, voter: Member) -> None:
         """Promote the learners that keep their folder, then remove the voter."""
--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -250,24 +250,23 @@
             Link name by instance.
         """
         self._sum_loads(now_ms)
-        silent = sorted(name for name, until in self._silent.items() if until > now_ms)
         self._silent = {n: u for n, u in self._silent.items() if u > now_ms}
         loads = {
             number: load
             for name, load in self._totals.items()
             if (number := self._numbers.get(name))
         }
-        numbers = [self._numbers[name] for name in silent if name in self._numbers]
+        silent = sorted(self._numbers[n] for n in self._silent if n in self._numbers)
         parts = self._group_parts()
         sends = []
         for instance, sender in receivers.items():
             report = self._reports.get(instance)
             reported = report.load.sequence if report is not None else 0
-            content = (reported, loads, numbers)
+            content = (reported, loads, silent)
             if self._sent.get(instance) == content and not parts:
                 continue
             self._sent[instance] = content
-            message = FleetLoad(self._term, reported, loads, numbers, parts)
+            message = FleetLoad(self._term, reported, loads, silent, parts)
             sends.append(Send(sender, message))
         return sends
 
@@ -322,6 +321,9 @@
         return self._numbers.setdefault(name, len(self._numbers) + 1)
 
     def _refresh_view(self) -> None:
+        if not self._has_list:
+            # Entry processes keep the view of the last leader until then.
+            return
         view = [
             FleetTarget(
                 target.name,
@@ -338,9 +340,6 @@
             for target in self._targets.values()
         ]
         starts = self._stores.starts
-        if not self._has_list:
-            # Entry processes keep the view of the last leader until then.
-            return
         if view != self._view or starts != self._store_starts:
             self._view = view
             self._store_starts = starts
--- a/papayacrank/forwarding/__init__.py
+++ b/papayacrank/forwarding/__init__.py
@@ -6,13 +6,14 @@
     CallerProtocol,
     Dispatch,
     ForwardRequest,
-    HeaderList,
     PromptPart,
 )
 from ._forwarder import Forwarder, ForwardingSettings
+from ._headers import CONNECTION_HEADERS, HeaderList, drop_headers
 from ._process import ForwardingProcess, ForwardingProcessSettings
 
 __all__ = [
+    "CONNECTION_HEADERS",
     "AnswerFacts",
     "CallerAnswer",
     "CallerProtocol",
@@ -24,4 +25,5 @@
     "ForwardingSettings",
     "HeaderList",
     "PromptPart",
+    "drop_headers",
 ]
--- a/papayacrank/forwarding/_base.py
+++ b/papayacrank/forwarding/_base.py
@@ -6,7 +6,7 @@
 from papayacrank.kernel import Failure
 from papayacrank.transport import CallerHead
 
-HeaderList = list[tuple[bytes, bytes]]
+from ._headers import HeaderList
 
 
 @dataclass(frozen=True, slots=True)
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -14,11 +14,12 @@
     RequestKind,
     Route,
     RoutingConfiguration,
+    ServiceProfile,
     WorkspaceProfile,
 )
 from papayacrank.transport import ExchangeListener, HttpExchange, Timers
 
-from ._base import CallerProtocol, Dispatch, ForwardRequest, HeaderList
+from ._base import CallerProtocol, Dispatch, ForwardRequest
 from ._event_stream import EventStreamError
 from ._events import (
     ATTEMPT_FAILED,
@@ -27,6 +28,7 @@
     ROUTING_APPLIED,
     STORE_CHANGED,
 )
+from ._headers import CONNECTION_HEADERS, HeaderList, drop_headers
 from ._health import TargetHealth
 from ._job import Attempt, Job
 from ._metrics import ForwardingMetrics
@@ -68,18 +70,8 @@
 URGENCY_STEPS = 3
 MAX_URGENCY = 9
 SERVER_ERROR = 500
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-    }
-)
+# The port to the caller frames an answer anew.
+ANSWER_HEADERS_DROPPED = CONNECTION_HEADERS | {b"content-length"}
 
 
 @dataclass(frozen=True)
@@ -384,13 +376,22 @@
         if left_ms < MIN_TIME_LEFT_MS:
             self._give_up(job, "deadline", "no time is left")
             return
-        choice = self._place(job, now_ms)
+        store = self._choose_store(job)
+        choice = self._place(job, store, now_ms)
         if choice is None:
             self._give_up(job, "no_target", "no target can take the request")
             return
-        self._send(job, choice, now_ms, left_ms)
+        self._send(job, choice, store, now_ms, left_ms)
+
+    def _choose_store(self, job: Job) -> ServiceProfile | None:
+        """Return the store for a prompt; None for a plain service or without one."""
+        if job.service.engine is None:
+            return None
+        return self._index.choose_store(job.request.shared_parts, self._lost_stores)
 
-    def _place(self, job: Job, now_ms: int) -> Choice | None:
+    def _place(
+        self, job: Job, store: ServiceProfile | None, now_ms: int
+    ) -> Choice | None:
         targets = [
             target
             for target in self._table.of_service(job.service.name)
@@ -403,7 +404,7 @@
             if not self._health.is_avoided(target.name, now_ms)
             and not self._table.is_silent(target.name)
         ]
-        request = self._describe(job, now_ms)
+        request = self._describe(job, store, now_ms)
         engine = job.service.engine is not None
         placement = self._engine_placement if engine else self._plain_placement
         choice = placement.choose(request, healthy, now_ms)
@@ -411,7 +412,9 @@
             choice = placement.choose(request, usable, now_ms)
         return choice
 
-    def _describe(self, job: Job, now_ms: int) -> PlacementRequest:
+    def _describe(
+        self, job: Job, store: ServiceProfile | None, now_ms: int
+    ) -> PlacementRequest:
         request = job.request
         if job.service.engine is None:
             return PlacementRequest(job.service)
@@ -429,16 +432,19 @@
             self._settings.max_old_weights_ms,
             job.route.objective_ms,
             now_ms - job.arrived_ms,
-            self._store_name(job),
+            store.name if store is not None else "",
         )
 
-    def _store_name(self, job: Job) -> str:
-        store = self._index.choose_store(job.request.shared_parts, self._lost_stores)
-        return store.name if store is not None else ""
-
-    def _send(self, job: Job, choice: Choice, now_ms: int, left_ms: int) -> None:
+    def _send(
+        self,
+        job: Job,
+        choice: Choice,
+        store: ServiceProfile | None,
+        now_ms: int,
+        left_ms: int,
+    ) -> None:
         target = choice.target
-        dispatch, salt = self._build_dispatch(job, choice, left_ms)
+        dispatch, salt = self._build_dispatch(job, choice, store, left_ms)
         call = TargetCall(
             target.address,
             job.request.method,
@@ -458,7 +464,7 @@
             prefill_tokens=choice.missing_tokens,
             memory_tokens=job.request.tokens,
             salt=salt,
-            store=self._store_name(job) if dispatch.save_to is not None else "",
+            store=store.name if dispatch.save_to is not None else "",
             is_stream=is_stream,
         )
         job.attempt = attempt
@@ -469,7 +475,7 @@
         self._port.submit(call)
 
     def _build_dispatch(
-        self, job: Job, choice: Choice, left_ms: int
+        self, job: Job, choice: Choice, store: ServiceProfile | None, left_ms: int
     ) -> tuple[Dispatch, str]:
         target, request = choice.target, job.request
         workspace = job.workspace.name if job.workspace else None
@@ -477,9 +483,8 @@
             return Dispatch(target.name, left_ms, workspace), ""
         version = target.weights.get(request.model, 0)
         salt = salt_for(_salt_base(job), version)
-        chosen = self._index.choose_store(request.shared_parts, self._lost_stores)
-        store = chosen.store.address if chosen is not None else None
-        is_stored = chosen is None or self._is_stored(request, salt, chosen.name)
+        address = store.store.address if store is not None else None
+        is_stored = store is None or self._is_stored(request, salt, store.name)
         dispatch = Dispatch(
             target.name,
             left_ms,
@@ -487,8 +492,8 @@
             _urgency(job),
             salt,
             version,
-            store,
-            None if is_stored else store,
+            address,
+            None if is_stored else address,
             job.last_event_id,
         )
         return dispatch, salt
@@ -653,15 +658,13 @@
         attempt = job.attempt
         now_ms = self._clock.now_ms()
         name = attempt.target.name
-        if failure.code == "connect_timeout":
-            self._table.note_silent(name)
-        if failure.code in ("connect_timeout", "connect_failed"):
-            self._health.on_unreachable(name, now_ms)
-            self._port.drop_idle(attempt.target.address)
-        elif failure.may_have_run:
+        has_no_connection = failure.code in ("connect_timeout", "connect_failed")
+        is_silent = failure.code == "connect_timeout" or failure.message == "ETIMEDOUT"
+        if failure.may_have_run and not has_no_connection:
             self._health.on_failure(name, self._peer_names(job), now_ms)
-        if failure.message == "ETIMEDOUT":
+        if is_silent:
             self._table.note_silent(name)
+        if is_silent or has_no_connection:
             self._health.on_unreachable(name, now_ms)
             self._port.drop_idle(attempt.target.address)
         if failure.may_have_run:
@@ -713,7 +716,7 @@
             job.exchange.abort()
             self._finish(job, attempt, "target_failed", attempt.status)
             return
-        headers = _end_to_end(attempt.headers)
+        headers = drop_headers(attempt.headers, ANSWER_HEADERS_DROPPED)
         job.exchange.respond(attempt.status, headers, bytes(attempt.body))
         self._finish(job, attempt, "served", attempt.status)
 
@@ -729,7 +732,8 @@
                 return
             job.last_event_id = event.event_id
         if not job.exchange.has_begun:
-            job.exchange.begin(attempt.status, _end_to_end(attempt.headers))
+            headers = drop_headers(attempt.headers, ANSWER_HEADERS_DROPPED)
+            job.exchange.begin(attempt.status, headers)
         job.has_events = True
         job.exchange.send(event.data)
 
@@ -761,12 +765,13 @@
 
     def take_load(self, load: FleetLoad) -> None:
         """Take over the load and the prompt parts that the leader reports."""
-        self._table.take_load(load)
+        if not self._table.take_load(load):
+            return
         now_ms = self._clock.now_ms()
         for group in load.parts:
             for number, part in group.places:
                 name = self._table.name_of(number)
-                if name is not None and load.term == self._table.position[0]:
+                if name is not None:
                     place = PartPlace(name, group.salt, part, group.store)
                     self._note_place(place, now_ms)
 
@@ -829,8 +834,8 @@
         self._timers.cancel(_watch_timer(job))
         now_ms = self._clock.now_ms()
         if job.workspace is not None:
-            self._quota.cancel(_quota_id(job))
-            self._waiting.pop(_quota_id(job), None)
+            if self._waiting.pop(_quota_id(job), None) is not None:
+                self._quota.cancel(_quota_id(job))
             ran = job.may_have_run or attempt is not None
             self._quota.settle(_quota_id(job), job.cost if ran else 0, now_ms)
         self._metrics.on_ended(job.service.name, code, now_ms - job.arrived_ms)
@@ -927,18 +932,6 @@
     return int(event_id) <= int(last_id)
 
 
-def _end_to_end(headers: HeaderList) -> HeaderList:
-    """Drop the headers that concern one connection, and framing."""
-    named = {
-        part.strip().lower()
-        for name, value in headers
-        if name == b"connection"
-        for part in value.split(b",")
-    }
-    dropped = HOP_BY_HOP | named
-    return [(name, value) for name, value in headers if name not in dropped]
-
-
 def _quota_id(job: Job) -> str:
     return str(job.number)
 
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -5,8 +5,9 @@
 from papayacrank.messages import FleetTarget, Route, ServiceProfile, WorkspaceProfile
 from papayacrank.transport import HttpExchange
 
-from ._base import AnswerFacts, ForwardRequest, HeaderList
+from ._base import AnswerFacts, ForwardRequest
 from ._event_stream import EventSplitter
+from ._headers import HeaderList
 from ._placement import Choice
 from ._target_port import TargetCall
 
--- a/papayacrank/forwarding/_target_port.py
+++ b/papayacrank/forwarding/_target_port.py
@@ -15,7 +15,7 @@
 from papayacrank.kernel import Clock
 from papayacrank.transport import Connection, ConnectionState, IdlePool, Timers
 
-from ._base import HeaderList
+from ._headers import HeaderList
 
 # Targets answer a handshake within a few milliseconds; several lost packets in a row
 # are rare enough to try another target instead.
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -94,11 +94,8 @@
         """
         if (view.term, view.sequence) <= self.position:
             return None
-        gone = [
-            target
-            for name, target in self._targets.items()
-            if all(name != item.name for item in view.targets)
-        ]
+        present = {target.name for target in view.targets}
+        gone = [t for name, t in self._targets.items() if name not in present]
         self._term, self._sequence = view.term, view.sequence
         self._view = view
         self._names = {target.number: target.name for target in view.targets}
@@ -162,13 +159,17 @@
 
     # Load
 
-    def take_load(self, load: FleetLoad) -> None:
+    def take_load(self, load: FleetLoad) -> bool:
         """Take over the totals of all entry processes.
 
-        They are ignored if they name targets by the numbers of another term.
+        Returns
+        -------
+        bool
+            False if they name targets by the numbers of another term; nothing is
+            taken over then.
         """
         if load.term != self._term:
-            return
+            return False
         if load.reported in self._sent:
             self._counted = self._sent[load.reported]
         elif load.reported == 0:
@@ -177,6 +178,7 @@
             self._sent.popitem(last=False)
         self._totals = self._by_name(load.loads)
         self._silent = frozenset(self._by_name(dict.fromkeys(load.silent)))
+        return True
 
     def _by_name(self, numbered: dict) -> dict:
         names = self._names
--- a/papayacrank/kernel/_events.py
+++ b/papayacrank/kernel/_events.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from ._log_stream import GuardedLogStream
+from ._log_stream import LINES_DROPPED, LINES_LOST, GuardedLogStream
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,15 +112,13 @@
 # The log streams write these two lines themselves.
 declare_events(
     LogEvent(
-        1,
-        "log_lines_dropped",
+        *LINES_DROPPED,
         "info",
         "Log lines beyond the rate or the buffer were not written.",
         "Read the counters for what they would have told.",
     ),
     LogEvent(
-        2,
-        "log_lines_lost",
+        *LINES_LOST,
         "info",
         "Log lines could not be written; the stream failed for a while.",
         "Check the reader of the log.",
--- a/papayacrank/kernel/_log_stream.py
+++ b/papayacrank/kernel/_log_stream.py
@@ -8,6 +8,14 @@
 STANDARD_OUTPUT = 1
 MAX_LINES_PER_S = 400
 MAX_PENDING_BYTES = 262_144
+# Number and name of the lines that the streams write themselves.
+LINES_DROPPED = (1, "log_lines_dropped")
+LINES_LOST = (2, "log_lines_lost")
+
+
+def _format_count(event: tuple[int, str], count: int) -> str:
+    number, name = event
+    return json.dumps({"event": name, "number": number, "count": count}) + "\n"
 
 
 class BoundedLogStream:
@@ -70,8 +78,7 @@
 
     def _report_dropped(self) -> None:
         if self._dropped:
-            line = {"event": "log_lines_dropped", "number": 1, "count": self._dropped}
-            self._pending += json.dumps(line).encode() + b"\n"
+            self._pending += _format_count(LINES_DROPPED, self._dropped).encode()
             self._dropped = 0
 
 
@@ -100,8 +107,7 @@
         """Write text, or count it as lost."""
         try:
             if self._lost:
-                line = {"event": "log_lines_lost", "number": 2, "count": self._lost}
-                self._stream.write(json.dumps(line) + "\n")
+                self._stream.write(_format_count(LINES_LOST, self._lost))
                 self._lost = 0
             self._stream.write(text)
         except (OSError, ValueError):
--- a/papayacrank/platform/_caller_protocol.py
+++ b/papayacrank/platform/_caller_protocol.py
@@ -4,6 +4,7 @@
 from urllib.parse import parse_qs
 
 from papayacrank.forwarding import (
+    CONNECTION_HEADERS,
     AnswerFacts,
     CallerAnswer,
     CallerProtocol,
@@ -11,6 +12,7 @@
     ForwardRequest,
     HeaderList,
     PromptPart,
+    drop_headers,
 )
 from papayacrank.kernel import Failure, Verdict
 from papayacrank.transport import CallerHead
@@ -44,7 +46,7 @@
 MS_PER_SECOND = 1_000
 
 # Headers that only the system may set, or that concern one connection or framing.
-_NOT_FORWARDED = frozenset(
+_NOT_FORWARDED = CONNECTION_HEADERS | frozenset(
     {
         API_KEY,
         DEADLINE_MS,
@@ -61,14 +63,7 @@
         b"papayacrank-pin-ms",
         b"kv-from",
         b"papayacrank-kv-from",
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
         b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
         b"content-length",
         b"expect",
     }
@@ -92,7 +87,7 @@
             head.target,
             known.get(HOST, "").rsplit(":", 1)[0].lower(),
             head.target.split("?", 1)[0],
-            _forwarded(head.headers, known.get(b"connection", "")),
+            drop_headers(head.headers, _NOT_FORWARDED),
             _read_number(known.get(DEADLINE_MS)),
             known.get(API_KEY),
             known.get(MODEL),
@@ -165,12 +160,6 @@
         return query.get("zone", [""])[0]
 
 
-def _forwarded(headers: HeaderList, connection: str) -> HeaderList:
-    named = {part.strip().lower().encode("latin-1") for part in connection.split(",")}
-    dropped = _NOT_FORWARDED | named
-    return [(name, value) for name, value in headers if name not in dropped]
-
-
 def _read_number(text: str | None) -> int | None:
     text = (text or "").strip()
     return int(text) if text.isascii() and text.isdigit() else None
--- a/papayacrank/platform/_configuration.py
+++ b/papayacrank/platform/_configuration.py
@@ -2,7 +2,7 @@
 
 from typing import Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from pydantic import Field, ValidationError, model_validator
 
 from papayacrank.control import digest_key
 from papayacrank.messages import (
@@ -17,6 +17,8 @@
     WorkspaceProfile,
 )
 
+from ._wire_model import WireModel
+
 _KINDS = {
     "safe": RequestKind.IDEMPOTENT,
     "unsafe": RequestKind.NON_IDEMPOTENT,
@@ -28,16 +30,12 @@
     """A document is no valid configuration; the message names the field."""
 
 
-class _Model(BaseModel):
-    model_config = ConfigDict(extra="ignore", frozen=True)
-
-
-class _Split(_Model):
+class _Split(WireModel):
     service: str
     weight: int = Field(ge=0)
 
 
-class _Route(_Model):
+class _Route(WireModel):
     name: str = ""
     host: str
     path_prefix: str
@@ -73,11 +71,11 @@
         return named | ({self.service} if self.service is not None else set())
 
 
-class _ModelName(_Model):
+class _ModelName(WireModel):
     name: str
 
 
-class _Engine(_Model):
+class _Engine(WireModel):
     slots: int = 1
     kv_capacity_tokens: int = 0
     kv_token_bytes: int = 0
@@ -85,7 +83,7 @@
     models: list[_ModelName] = []
 
 
-class _Service(_Model):
+class _Service(WireModel):
     name: str
     health_path: str = ""
     max_connections: int = 0
@@ -96,14 +94,14 @@
     kv_capacity_tokens: int = 0
 
 
-class _Limits(_Model):
+class _Limits(WireModel):
     max_header_bytes: int = Field(default=16_384, ge=1)
     max_body_bytes: int = Field(default=4_194_304, ge=1)
     header_timeout_ms: int = Field(default=3_000, ge=1)
     idle_timeout_ms: int = Field(default=15_000, ge=1)
 
 
-class _Tenant(_Model):
+class _Tenant(WireModel):
     name: str
     api_keys: list[str] = []
     priority: int | None = None
@@ -115,7 +113,7 @@
     burst: float = Field(default=0, ge=0)
 
 
-class _Document(_Model):
+class _Document(WireModel):
     version: int = Field(ge=1)
     routes: list[_Route] = []
     services: list[_Service] = []
--- a/papayacrank/platform/_control_api.py
+++ b/papayacrank/platform/_control_api.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import Field, ValidationError
 
 from papayacrank.kernel import Failure, log_event
 from papayacrank.messages import FileRouting, NameWeights, ReadState
@@ -12,6 +12,7 @@
 
 from ._configuration import ConfigurationError, read_configuration
 from ._events import CONFIGURATION_REFUSED, OPERATOR_ANSWERED
+from ._wire_model import StrictWireModel
 
 # Operators try another machine after a second without an answer.
 SUBMIT_TIMEOUT_MS = 850
@@ -19,9 +20,7 @@
 RETRY_HEADERS = [*JSON_HEADERS, (b"retry-after", b"0.2")]
 
 
-class _VersionNamed(BaseModel):
-    model_config = ConfigDict(extra="ignore", strict=True)
-
+class _VersionNamed(StrictWireModel):
     model: str
     version: int = Field(ge=1)
 
--- a/papayacrank/platform/_settings.py
+++ b/papayacrank/platform/_settings.py
@@ -5,10 +5,12 @@
 import tomllib
 from pathlib import Path
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import Field, ValidationError
 
 from papayacrank.config import ControlSettings, PeerAddress, SettingsError
 
+from ._wire_model import WireModel
+
 SETTINGS_VARIABLE = "PAPAYACRANK_CONFIG"
 DEFAULT_PATH = "/etc/papayacrank/local.toml"
 # Ports of this project within the range that is free for traffic between instances.
@@ -24,11 +26,7 @@
 LEADER_LEASE_MS = 320
 
 
-class _Model(BaseModel):
-    model_config = ConfigDict(extra="ignore", frozen=True)
-
-
-class Listen(_Model):
+class Listen(WireModel):
     """Listening addresses; empty where the role does not serve them."""
 
     front: str = ""
@@ -37,7 +35,7 @@
     directory: str = ""
 
 
-class Bounds(_Model):
+class Bounds(WireModel):
     """Bounds that the platform sets."""
 
     contact_ms: int = 3_000
@@ -50,14 +48,14 @@
     version_ms: int = 8_000
 
 
-class Cloud(_Model):
+class Cloud(WireModel):
     """The platform's list of servers."""
 
     address: str = ""
     rate_per_s: float = 40.0
 
 
-class PlatformSettings(_Model):
+class PlatformSettings(WireModel):
     """Settings that the platform writes for each process.
 
     Attributes
--- a/papayacrank/platform/_target_protocol.py
+++ b/papayacrank/platform/_target_protocol.py
@@ -3,7 +3,7 @@
 import json
 from urllib.parse import quote
 
-from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
+from pydantic import TypeAdapter, ValidationError
 
 from papayacrank.control import (
     EngineStatus,
@@ -17,6 +17,8 @@
     TargetProtocol,
 )
 
+from ._wire_model import StrictWireModel
+
 CALL_TIMEOUT_MS = 600
 ORDER_TIMEOUT_MS = 250
 STORE_TIMEOUT_MS = 300
@@ -38,16 +40,12 @@
 }
 
 
-class _Model(BaseModel):
-    model_config = ConfigDict(extra="ignore", frozen=True, strict=True)
-
-
-class _LoadedModel(_Model):
+class _LoadedModel(StrictWireModel):
     name: str
     version: int
 
 
-class _Listed(_Model):
+class _Listed(StrictWireModel):
     id: str
     service: str
     address: str
@@ -59,7 +57,7 @@
     born: int = 0
 
 
-class _Report(_Model):
+class _Report(StrictWireModel):
     busy: bool
     # Number of orders accepted since the start.
     sequence: int
@@ -67,7 +65,7 @@
     born: int = 0
 
 
-class _StoreEvents(_Model):
+class _StoreEvents(StrictWireModel):
     # Changes with each start of the store.
     boot_epoch: int
 
--- a/papayacrank/platform/tests/test_adapter.py
+++ b/papayacrank/platform/tests/test_adapter.py
@@ -215,6 +215,18 @@
     assert b"x-on" in names
 
 
+def test_headers_named_by_a_second_connection_header_are_dropped():
+    """Guards against a sender that lists the headers in several lines."""
+    request = read(
+        (b"connection", b"close"),
+        (b"connection", b"X-Hop"),
+        (b"x-hop", b"1"),
+        (b"x-on", b"2"),
+    )
+    assert b"x-hop" not in dict(request.headers)
+    assert dict(request.headers)[b"x-on"] == b"2"
+
+
 def test_headers_for_a_server():
     """Guards against a server that gets the wrong time, name or weights."""
     request = read((b"papayacrank-deadline-ms", b"6000"))
