Keep the log of a control process without a disk in memory

Cause: a control process without a disk kept its log in a temporary folder.

Change: MemoryFiles holds the log of a volatile process. A control process that cannot open its folder reports the error once and tries again with growing waits; a failed load releases the lock of the folder.

--- a/papayacrank/config/_settings.py
+++ b/papayacrank/config/_settings.py
@@ -74,9 +74,10 @@
     link : str
         Address for the other processes.
     data_folder : str
-        Folder for all durable files.
+        Folder for all durable files; not used by a volatile process.
     volatile : bool
-        Whether the folder is lost with the process, as on a machine without a disk.
+        Whether the state is kept in memory and lost with the process, as on a machine
+        without a disk.
     peers : list of PeerAddress
         The other control processes.
     initial_voters : list of str
--- a/papayacrank/consensus/__init__.py
+++ b/papayacrank/consensus/__init__.py
@@ -46,6 +46,7 @@
 """
 
 from ._effects import Committed, InstallState, Notice, Persist
+from ._files import MemoryFiles
 from ._membership import AddLearner, MemberChange, Promote, Remove, Replace
 from ._messages import (
     CONSENSUS_MESSAGES,
@@ -71,6 +72,7 @@
     "InstallState",
     "LogStore",
     "LogStoreError",
+    "MemoryFiles",
     "Member",
     "MemberChange",
     "Membership",
--- a/papayacrank/consensus/_files.py
+++ b/papayacrank/consensus/_files.py
@@ -149,6 +149,54 @@
             os.close(fd)
 
 
+class MemoryFiles(Files):
+    """Files in the memory of the process, for an instance without a disk.
+
+    Everything is lost with the process. Temporary folders are not used, because
+    not every system supports locks and folder syncs on them.
+    """
+
+    def __init__(self):
+        self._contents: dict[str, bytearray] = {}
+
+    def open_folder(self) -> None:
+        """Do nothing: no other process can use these files."""
+
+    def names(self) -> list[str]:
+        """Return the names of the files."""
+        return sorted(self._contents)
+
+    def read(self, name: str) -> bytes:
+        """Return the content of a file."""
+        return bytes(self._contents[name])
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add bytes to the end of a file."""
+        self._contents.setdefault(name, bytearray()).extend(data)
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to `size` bytes."""
+        del self._contents[name][size:]
+
+    def sync(self, name: str) -> None:
+        """Do nothing: the content is as durable as it can be."""
+
+    def rename(self, old: str, new: str) -> None:
+        """Rename a file, replacing `new`."""
+        self._contents[new] = self._contents.pop(old)
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        del self._contents[name]
+
+    def sync_folder(self) -> None:
+        """Do nothing, as `sync`."""
+
+    def close(self) -> None:
+        """Release the memory."""
+        self._contents.clear()
+
+
 def _sync_path(path: Path) -> None:
     fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
     try:
--- a/papayacrank/consensus/_store.py
+++ b/papayacrank/consensus/_store.py
@@ -128,7 +128,11 @@
         try:
             return self._load()
         except (OSError, msgspec.DecodeError) as error:
+            self._files.close()
             raise self._damage(str(error)) from error
+        except LogStoreError:
+            self._files.close()
+            raise
 
     def append(self, records: Sequence[Record]) -> None:
         """Write records in order and return once they are synced.
--- a/papayacrank/control/_process.py
+++ b/papayacrank/control/_process.py
@@ -13,6 +13,7 @@
     CONSENSUS_MESSAGES,
     LogStore,
     LogStoreError,
+    MemoryFiles,
     Notice,
     Persist,
     RaftNode,
@@ -56,6 +57,12 @@
     return int(time.time() * MS_PER_SECOND)
 
 
+def build_log_store(settings: ControlSettings) -> LogStore:
+    """Return the store of a process: its data folder, or its memory if volatile."""
+    files = MemoryFiles() if settings.volatile else None
+    return LogStore(settings.data_folder, files)
+
+
 class flush(Event):  # noqa: N801 - circuits events are lower case
     """All messages that had arrived are handled: send what they proposed."""
 
@@ -93,7 +100,7 @@
         install_process_handlers(self)
         self._timers = Timers(self._clock).register(self)
         self._http = HttpCaller(self._clock, self._timers).register(self)
-        self._store = LogStore(settings.data_folder)
+        self._store = build_log_store(settings)
         self._writer = StoreWriter(self._store).register(self)
         self._node = self._build_node()
         codec = MessageCodec(CONTROL_MESSAGES + CONSENSUS_MESSAGES)
--- a/papayacrank/platform/__main__.py
+++ b/papayacrank/platform/__main__.py
@@ -1,7 +1,6 @@
 """Programs ``entry`` and ``control`` on the platform."""
 
 import sys
-import tempfile
 import time
 
 import fire
@@ -25,6 +24,9 @@
 # Margin below the platform's bound for requests that begin on replaced weights.
 OLD_WEIGHTS_MARGIN_MS = 1_500
 
+# Waits between tries to open the data folder.
+START_WAITS_S = (0.2, 0.5, 1.0, 2.0, 4.0)
+
 
 class Programs:
     """Programs of papayacrank on the platform."""
@@ -50,17 +52,12 @@
         Exit codes: 0 after a planned stop, 1 after a fault, 2 if the settings are
         invalid.
         """
-        from papayacrank.consensus import LogStoreError
-
         settings = _load()
         stream = BoundedLogStream()
         name = f"{settings.node_name}-control"
         configure_logging(name, stream=stream)
-        folder = _data_folder(settings)
-        try:
-            process = _build_control(settings, folder)
-        except LogStoreError as error:
-            print(error, file=sys.stderr)
+        process = _start_control(settings)
+        if process is None:
             sys.exit(EXIT_FAILED)
         _watch(process, settings, lambda new: None)
         run_process(process, name, "info", process.begin_stop, log_stream=stream)
@@ -120,12 +117,28 @@
     return ForwardingProcess(node, PlatformCallerProtocol())
 
 
-def _data_folder(settings: PlatformSettings) -> str:
-    """Return the folder on the disk, or a temporary one where there is no disk."""
-    return settings.data_dir or tempfile.mkdtemp(prefix="papayacrank-")
+def _start_control(settings: PlatformSettings):
+    """Return a control process; wait and try again while its folder is not usable.
+
+    A disk that refuses or stalls may recover, and a start costs a quarter of a second
+    of processor time. Returns None after the last try.
+    """
+    from papayacrank.consensus import LogStoreError
+
+    known = ""
+    for wait_s in (*START_WAITS_S, None):
+        try:
+            return _build_control(settings)
+        except LogStoreError as error:
+            if str(error) != known:
+                known = str(error)
+                print(error, file=sys.stderr, flush=True)
+        if wait_s is not None:
+            time.sleep(wait_s)
+    return None
 
 
-def _build_control(settings: PlatformSettings, folder: str):
+def _build_control(settings: PlatformSettings):
     from papayacrank.control import FleetBoard
     from papayacrank.control.process import ControlProcess
     from papayacrank.transport import HttpPort
@@ -138,7 +151,7 @@
     protocol = PlatformTargetProtocol(settings.cloud.address)
     fleet = FleetBoard(protocol, settings.node_name, delay_ms)
     process = ControlProcess(
-        settings.control_settings(folder), fleet, settings.resolve_control
+        settings.control_settings(), fleet, settings.resolve_control
     )
     api = ControlApi(process.submit)
     HttpPort(
--- a/papayacrank/platform/_settings.py
+++ b/papayacrank/platform/_settings.py
@@ -103,14 +103,8 @@
             return None
         return f"{name}:{self.port(CONTROL_LINK_PORT)}"
 
-    def control_settings(self, data_folder: str) -> ControlSettings:
-        """Return the settings of a control process on this machine.
-
-        Parameters
-        ----------
-        data_folder : str
-            `data_dir`, or another folder on a machine without a disk.
-        """
+    def control_settings(self) -> ControlSettings:
+        """Return the settings of a control process on this machine."""
         others = [name for name in self.control_names if name != self.ip]
         peers = [
             PeerAddress(name=name, address=self.resolve_control(name))
@@ -120,7 +114,7 @@
             instance=self.ip,
             failure_domain=self.zone,
             link=self.internal_address(CONTROL_LINK_PORT),
-            data_folder=data_folder,
+            data_folder=self.data_dir,
             volatile=not self.data_dir,
             peers=peers,
             initial_voters=list(self.control_names) if self.bootstrap else [],
