Follow targets that say they are leaving or want a pause

Cause: Server-Leaving and Retry-After of a server were read nowhere. A server that says that it leaves ahead of the platform's list kept getting requests, repeats and orders, and a server that turned requests away was asked again at once.

Change: the adapter reads both headers of every answer (pauses as seconds with fractions or as a date; the longest of several values; unreadable and negative values are ignored). A leaving target is marked by name and start, in the entry process at once and in the leader's view as news; the list brings it back only with a newer start. If all targets of a service want a pause, callers are refused at once with the earliest end, spread over half of the pause. The leader orders no weights for a leaving engine and pauses its calls to an engine that asks for it, for 4 s at most. The selection of targets moved from Forwarder to TargetSelection.

test_changes_lead_to_the_view expected an order to an engine that leaves before its order is sent. It now checks that this engine gets none, and all others exactly one.

Open: a pause that an entry process was asked for does not stop orders of the control process on the same machine.

--- a/papayacrank/control/__init__.py
+++ b/papayacrank/control/__init__.py
@@ -15,6 +15,7 @@
     OrderOutcome,
     RunPolicy,
     TargetProtocol,
+    TargetSignals,
 )
 
 __all__ = [
@@ -36,5 +37,6 @@
     "RequestFinished",
     "RunPolicy",
     "TargetProtocol",
+    "TargetSignals",
     "digest_key",
 ]
--- a/papayacrank/control/_effects.py
+++ b/papayacrank/control/_effects.py
@@ -37,9 +37,12 @@
         HTTP status; 0 if there was no complete answer.
     error : str
         Reason if there was none.
+    headers : tuple of (str, str)
+        Headers of the answer, with names in lower case.
     """
 
     key: str
     status: int
     body: bytes = b""
     error: str = ""
+    headers: tuple[tuple[str, str], ...] = ()
--- a/papayacrank/control/_events.py
+++ b/papayacrank/control/_events.py
@@ -88,6 +88,12 @@
 TARGET_LEFT = LogEvent(
     3021, "target_left", "info", "A target is no longer on the platform's list."
 )
+TARGET_LEAVING_REPORTED = LogEvent(
+    3030,
+    "target_leaving_reported",
+    "info",
+    "An answer of a target says that it is leaving, ahead of the platform's list.",
+)
 TARGET_SILENT = LogEvent(
     3022,
     "target_silent",
@@ -134,6 +140,7 @@
     STORE_SILENT,
     TARGET_LISTED,
     TARGET_LEFT,
+    TARGET_LEAVING_REPORTED,
     TARGET_SILENT,
     WEIGHTS_ORDERED,
     WEIGHTS_LOADED,
--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -1,7 +1,7 @@
 """The leader's work on targets: list, weights and load."""
 
-from collections import deque
-from dataclasses import dataclass
+from collections import OrderedDict, deque
+from dataclasses import dataclass, replace
 
 from papayacrank.kernel import Send, log_event
 from papayacrank.messages import (
@@ -19,6 +19,7 @@
 from ._effects import HttpCall, HttpResult
 from ._events import (
     PLATFORM_LIST_FAILED,
+    TARGET_LEAVING_REPORTED,
     TARGET_LEFT,
     TARGET_LISTED,
     TARGET_SILENT,
@@ -40,6 +41,7 @@
 RESEND_AFTER_MS = 250
 # New parts that are passed on in one message; more are dropped and learned later.
 MAX_NEW_PARTS = 500
+MAX_LEAVING = 5_000
 
 
 @dataclass(slots=True)
@@ -89,6 +91,8 @@
         self._pushes: deque[tuple[int, int]] = deque()
         self._settled = 0
         self._new_parts: list[PartPlace] = []
+        # Starts of targets that say that they are leaving, by name and start.
+        self._leaving: OrderedDict[tuple[str, int], None] = OrderedDict()
 
     @property
     def sequence(self) -> int:
@@ -122,6 +126,7 @@
         self._rollout.reset(term, now_ms + self._order_delay_ms)
         self._stores.reset()
         self._store_starts = {}
+        self._leaving.clear()
 
     def view(self, control: list[str]) -> FleetView:
         """Return the view for entry processes."""
@@ -208,6 +213,7 @@
             self._refresh_view()
             return []
         if not result.key.startswith(LISTING_KEY):
+            self._take_signals(result, now_ms)
             self._rollout.handle(result, now_ms)
             self._refresh_view()
             return []
@@ -236,11 +242,43 @@
         self._reports[report.instance] = _Report(report, now_ms)
         room = MAX_NEW_PARTS - len(self._new_parts)
         self._new_parts += report.parts[: max(0, room)]
+        for name, born_ms in report.leaving:
+            self._note_leaving(name, born_ms, report.instance)
         for name in report.silent:
             if name not in self._silent:
                 log_event(TARGET_SILENT, target=name, reported_by=report.instance)
             self._silent[name] = now_ms + SILENT_LIFETIME_MS
 
+    def _take_signals(self, result: HttpResult, now_ms: int) -> None:
+        """Take over what an engine asks of this process with its answer."""
+        name = result.key.split(" ", 1)[1]
+        signals = self._protocol.read_signals(result)
+        target = self._targets.get(name)
+        if signals.is_leaving and target is not None:
+            self._note_leaving(name, target.born_ms, "leader")
+        if signals.pause_ms is not None:
+            self._rollout.pause(name, signals.pause_ms, now_ms)
+
+    def _note_leaving(self, name: str, born_ms: int, source: str) -> None:
+        """Take that a start of a target is leaving, whatever the list shows."""
+        if (name, born_ms) in self._leaving:
+            return
+        self._leaving[(name, born_ms)] = None
+        while len(self._leaving) > MAX_LEAVING:
+            self._leaving.popitem(last=False)
+        log_event(
+            TARGET_LEAVING_REPORTED, target=name, born_ms=born_ms, reported_by=source
+        )
+        if name in self._targets:
+            self._targets[name] = self._correct(self._targets[name])
+            self._rollout.correct(self._targets[name])
+            self._refresh_view()
+
+    def _correct(self, target: ListedTarget) -> ListedTarget:
+        if (target.name, target.born_ms) in self._leaving and not target.leaving:
+            return replace(target, leaving=True)
+        return target
+
     def push_load(self, receivers: dict[str, str], now_ms: int) -> list[Send]:
         """Return the totals for entry processes, if they have changed.
 
@@ -300,7 +338,7 @@
     # View
 
     def _take_list(self, now_ms: int) -> None:
-        targets = {target.name: target for target in self._pages}
+        targets = {target.name: self._correct(target) for target in self._pages}
         for name in targets.keys() - self._targets.keys():
             listed = targets[name]
             log_event(
--- a/papayacrank/control/_http.py
+++ b/papayacrank/control/_http.py
@@ -165,8 +165,9 @@
     def _succeed(self, call: _Call) -> None:
         body = call.parser.recv_body()
         status = call.parser.get_status_code()
+        headers = tuple((n.lower(), v) for n, v in call.parser.get_headers().items())
         self._close(call)
-        self._report(HttpResult(call.key, status, bytes(body)))
+        self._report(HttpResult(call.key, status, bytes(body), headers=headers))
 
     def _fail(self, call: _Call, error: str) -> None:
         if self._calls.get(call.sock.fileno()) is not call:
--- a/papayacrank/control/_rollout.py
+++ b/papayacrank/control/_rollout.py
@@ -36,6 +36,8 @@
 LOADING_PART = 3
 # The list lags behind the engines' own reports.
 LIST_LAG_MS = 2_000
+# Requests may begin on replaced weights for 8 s.
+MAX_PAUSE_MS = 4_000
 
 
 class Phase(Enum):
@@ -63,6 +65,7 @@
     observed_ms: int = 0
     wanted: int = 0
     blocked_until_ms: int = 0
+    paused_until_ms: int = 0
     is_gone: bool = False
 
     def enter(self, phase: Phase, now_ms: int, delay_ms: int = 0) -> None:
@@ -128,6 +131,23 @@
             engines[name] = known
         self._engines = engines
 
+    def correct(self, target: ListedTarget) -> None:
+        """Take over a change of one target between two lists."""
+        engine = self._engines.get(target.name)
+        if engine is not None:
+            engine.target = target
+
+    def pause(self, name: str, pause_ms: int, now_ms: int) -> None:
+        """Send nothing to an engine for a time that it has asked for.
+
+        Its weights would be late beyond `MAX_PAUSE_MS`, which breaks a promise to
+        callers, so a longer time is cut.
+        """
+        engine = self._engines.get(name)
+        if engine is not None:
+            paused_until_ms = now_ms + min(pause_ms, MAX_PAUSE_MS)
+            engine.paused_until_ms = max(engine.paused_until_ms, paused_until_ms)
+
     def is_loading(self, name: str) -> bool:
         """Whether an engine must not get new requests."""
         engine = self._engines.get(name)
@@ -156,6 +176,13 @@
         for engine in self._engines.values():
             if engine.calling or engine.phase is Phase.IDLE or now_ms < engine.next_ms:
                 continue
+            is_paused = now_ms < engine.paused_until_ms
+            if engine.phase is Phase.LEAVING and (engine.target.leaving or is_paused):
+                engine.enter(Phase.IDLE, now_ms)
+                continue
+            if is_paused:
+                engine.next_ms = engine.paused_until_ms
+                continue
             if engine.phase is Phase.LOADING:
                 self._expect_loaded(engine, now_ms)
                 continue
@@ -206,7 +233,8 @@
     def _is_behind(self, engine: _Engine, wanted: dict[str, int], now_ms: int) -> bool:
         if engine.phase is not Phase.IDLE or engine.target.leaving:
             return False
-        if engine.is_gone or now_ms < engine.blocked_until_ms:
+        blocked_until_ms = max(engine.blocked_until_ms, engine.paused_until_ms)
+        if engine.is_gone or now_ms < blocked_until_ms:
             return False
         weights = self.weights(engine.target)
         return any(weights[m] < wanted.get(m, 0) for m in weights)
--- a/papayacrank/control/_target_protocol.py
+++ b/papayacrank/control/_target_protocol.py
@@ -106,6 +106,22 @@
     UNKNOWN = "unknown"
 
 
+@dataclass(frozen=True, slots=True)
+class TargetSignals:
+    """What a target asks of its callers with any answer.
+
+    Parameters
+    ----------
+    is_leaving : bool
+        Whether the target is being removed.
+    pause_ms : int or None
+        Time for which it wants nothing from this instance, if stated.
+    """
+
+    is_leaving: bool = False
+    pause_ms: int | None = None
+
+
 class TargetProtocol(ABC):
     """Wire form of the platform's list, engine reports, orders and store checks."""
 
@@ -133,6 +149,10 @@
     def read_load(self, result: HttpResult) -> OrderOutcome:
         """Return the answer to an order."""
 
+    @abstractmethod
+    def read_signals(self, result: HttpResult) -> TargetSignals:
+        """Return what the answer to a status reading or an order asks for."""
+
     @abstractmethod
     def build_store_check(self, key: str, address: str) -> HttpCall:
         """Return the call that asks a store which start of it is running."""
--- a/papayacrank/control/tests/test_rollout.py
+++ b/papayacrank/control/tests/test_rollout.py
@@ -11,6 +11,7 @@
     ListingPage,
     OrderOutcome,
     TargetProtocol,
+    TargetSignals,
 )
 from papayacrank.forwarding._targets import TargetTable
 from papayacrank.messages import (
@@ -39,6 +40,8 @@
         self.is_down = False
         self.is_replaced = False
         self.mute_orders = 0
+        self.headers = ()
+        self.calls = 0
 
     def advance(self, now_ms):
         """Finish a load that is due."""
@@ -118,6 +121,12 @@
             OrderOutcome(result.body.decode()) if result.body else OrderOutcome.UNKNOWN
         )
 
+    def read_signals(self, result):
+        """Return what the headers of a result say."""
+        known = dict(result.headers)
+        pause = known.get("pause-ms")
+        return TargetSignals("leaving" in known, int(pause) if pause else None)
+
     def build_store_check(self, key, address):
         """Return the call for a store."""
         return HttpCall(key, "GET", f"store {address}")
@@ -172,8 +181,11 @@
         engine = self.engines[name]
         if engine.is_down:
             return HttpResult(call.key, 0, error="refused")
+        engine.calls += 1
+        if any(name == "pause-ms" for name, _ in engine.headers):
+            return HttpResult(call.key, 503, headers=engine.headers)
         if kind == "status":
-            return HttpResult(call.key, 200, name.encode())
+            return HttpResult(call.key, 200, name.encode(), headers=engine.headers)
         order = self.protocol.orders[call.key]
         if engine.is_replaced:
             return HttpResult(call.key, 421, OrderOutcome.WRONG_TARGET.value.encode())
@@ -328,6 +340,60 @@
     assert [t.name for t in bench.board.targets if t.leaving] == ["e3"]
 
 
+def test_engine_that_says_it_is_leaving_gets_no_order():
+    """Guards against orders to an engine that leaves before the list shows it."""
+    bench = Bench()
+    bench.run(100)
+    bench.engines["e3"].headers = (("leaving", "1"),)
+    bench.wanted = {MODEL: 2}
+    bench.run(4_000)
+    assert bench.engines["e3"].orders == 0
+    assert [t.name for t in bench.board.targets if t.leaving] == ["e3"]
+    assert [e.orders for e in bench.engines.values()].count(1) == 8
+
+
+def test_leaving_target_of_a_report_changes_the_view_for_that_start_only():
+    """Guards against a list that brings a leaving target back, or hides a new one."""
+    bench = Bench()
+    bench.run(100)
+    report = EntryLoad("i1", 1, {}, leaving=[("e2", 1), ("e4", 0), ("gone", 5)])
+    bench.board.observe_load(report, bench.now_ms)
+    assert [t.name for t in bench.board.targets if t.leaving] == ["e2"]
+    bench.run(3_000)
+    assert [t.name for t in bench.board.targets if t.leaving] == ["e2"]
+    bench.board.reset(2, bench.now_ms)
+    bench.run(1_300)
+    assert [t.name for t in bench.board.targets if t.leaving] == []
+
+
+def test_engine_that_asks_for_a_pause_gets_no_calls_until_its_end():
+    """Guards against status readings that reach an overloaded engine."""
+    bench = Bench()
+    bench.run(100)
+    engine = bench.engines["e3"]
+    engine.headers = (("pause-ms", "2000"),)
+    bench.wanted = {MODEL: 2}
+    bench.run(1_800)
+    assert engine.calls == 1
+    assert not any(t.loading for t in bench.board.targets if t.name == "e3")
+    engine.headers = ()
+    bench.run(3_000)
+    assert bench.versions() == [2] * 9
+
+
+def test_pause_of_an_engine_ends_before_its_weights_are_late():
+    """Guards against an absurd pause that keeps replaced weights in use."""
+    bench = Bench()
+    bench.run(100)
+    engine = bench.engines["e3"]
+    engine.headers = (("pause-ms", "900000000"),)
+    bench.wanted = {MODEL: 2}
+    bench.run(500)
+    engine.headers = ()
+    bench.run(6_000)
+    assert bench.versions() == [2] * 9
+
+
 def test_loads_are_summed_and_sent_only_when_they_change():
     """Guards against traffic without news, and against loads of lost processes."""
     bench = Bench()
@@ -369,7 +435,10 @@
             table.update(table.merge(change))
             assert table.targets == bench.board.targets
     assert changes >= 6
-    assert bench.versions() == [2] * 9
+    # An engine that leaves before its order gets none; all others get one.
+    stayed = [e for e in bench.engines.values() if e.name != "e3"]
+    assert [(e.versions[MODEL], e.orders) for e in stayed] == [(2, 1)] * 8
+    assert bench.engines["e3"].orders == 0
 
 
 def test_roll_out_takes_little_traffic():
--- a/papayacrank/forwarding/_base.py
+++ b/papayacrank/forwarding/_base.py
@@ -127,6 +127,10 @@
         Target that answered, if stated.
     weights_version : int or None
         Version of the weights, if stated.
+    is_leaving : bool
+        Whether the target says that it is being removed.
+    pause_ms : int or None
+        Time for which the target wants nothing from this instance, if stated.
     """
 
     request_id: str | None = None
@@ -135,6 +139,8 @@
     is_whole: bool = True
     target_name: str | None = None
     weights_version: int | None = None
+    is_leaving: bool = False
+    pause_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/papayacrank/forwarding/_events.py
+++ b/papayacrank/forwarding/_events.py
@@ -61,7 +61,22 @@
     " forgotten.",
 )
 
+TARGET_PAUSED = LogEvent(
+    2112,
+    "target_paused",
+    "info",
+    "A target turned a request away and wants nothing from this instance for a while.",
+)
+TARGET_LEAVING = LogEvent(
+    2113,
+    "target_says_leaving",
+    "info",
+    "An answer of a target says that it is leaving; it gets no further requests.",
+)
+
 declare_events(
+    TARGET_PAUSED,
+    TARGET_LEAVING,
     STORE_CHANGED,
     REQUEST_ENDED,
     ATTEMPT_FAILED,
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from papayacrank.control import digest_key
-from papayacrank.kernel import Clock, Failure, Verdict, create, log_event
+from papayacrank.kernel import Clock, Failure, Verdict, log_event
 from papayacrank.messages import (
     FleetLoad,
     FleetView,
@@ -27,21 +27,18 @@
     REQUEST_REFUSED,
     ROUTING_APPLIED,
     STORE_CHANGED,
+    TARGET_LEAVING,
 )
 from ._headers import CONNECTION_HEADERS, HeaderList, drop_headers
 from ._health import TargetHealth
 from ._job import Attempt, Job
 from ._metrics import ForwardingMetrics
-from ._placement import (
-    Choice,
-    PartPlaces,
-    Placement,
-    PlacementRequest,
-    salt_for,
-)
+from ._placement import Choice, PartPlaces, PlacementRequest, salt_for
+from ._push_back import PushBacks
 from ._quota import QuotaDecision, QuotaDesk
 from ._repeats import RepeatBudget
 from ._routes import RouteIndex
+from ._selection import TargetSelection
 from ._target_port import CallFailure, CallListener, TargetCall, TargetPort
 from ._targets import TargetTable
 
@@ -86,6 +83,9 @@
         Bound on repeats, as for `RepeatBudget`.
     max_old_weights_ms : int
         Time after which no request may begin on replaced weights.
+    max_pause_ms : int
+        Bound on the pause that one answer of a target may ask for. A minute is far
+        beyond the overload of a target; a longer pause is taken for a mistake.
     """
 
     instance: str
@@ -94,6 +94,7 @@
     repeat_window_ms: int = 10_000
     repeat_slack: float = 50.0
     max_old_weights_ms: int = 6_500
+    max_pause_ms: int = 60_000
 
 
 class Forwarder(ExchangeListener, CallListener):
@@ -143,14 +144,15 @@
         self._repeats = RepeatBudget(
             settings.repeat_ratio, settings.repeat_window_ms, settings.repeat_slack
         )
-        common = {
-            "table": self._table,
-            "parts": self._parts,
-            "failure_domain": settings.failure_domain,
-            "random_state": random_state,
-        }
-        self._engine_placement = create(Placement, "expected_loss", **common)
-        self._plain_placement = create(Placement, "least_running", **common)
+        self._push_backs = PushBacks(settings.max_pause_ms)
+        self._selection = TargetSelection(
+            self._table,
+            self._health,
+            self._push_backs,
+            self._parts,
+            settings.failure_domain,
+            random_state,
+        )
         self._index: RouteIndex | None = None
         self._weights: dict[str, int] = {}
         self._weights_since_ms: dict[str, int] = {}
@@ -214,6 +216,7 @@
             return False
         for target in gone:
             self._health.forget(target.name)
+            self._push_backs.forget(target.name)
             self._parts.engines.forget_place(target.name)
             self._port.drop_idle(target.address)
         self._take_stores(view.stores)
@@ -377,7 +380,8 @@
             self._give_up(job, "deadline", "no time is left")
             return
         store = self._choose_store(job)
-        choice = self._place(job, store, now_ms)
+        request = self._describe(job, store, now_ms)
+        choice = self._selection.choose(request, job.excluded, now_ms)
         if choice is None:
             self._give_up(job, "no_target", "no target can take the request")
             return
@@ -389,29 +393,6 @@
             return None
         return self._index.choose_store(job.request.shared_parts, self._lost_stores)
 
-    def _place(
-        self, job: Job, store: ServiceProfile | None, now_ms: int
-    ) -> Choice | None:
-        targets = [
-            target
-            for target in self._table.of_service(job.service.name)
-            if not target.leaving and not target.loading
-        ]
-        usable = [t for t in targets if t.name not in job.excluded]
-        healthy = [
-            target
-            for target in usable
-            if not self._health.is_avoided(target.name, now_ms)
-            and not self._table.is_silent(target.name)
-        ]
-        request = self._describe(job, store, now_ms)
-        engine = job.service.engine is not None
-        placement = self._engine_placement if engine else self._plain_placement
-        choice = placement.choose(request, healthy, now_ms)
-        if choice is None and usable:
-            choice = placement.choose(request, usable, now_ms)
-        return choice
-
     def _describe(
         self, job: Job, store: ServiceProfile | None, now_ms: int
     ) -> PlacementRequest:
@@ -528,7 +509,7 @@
         if job.is_done or job.attempt is not attempt:
             return
         now_ms = self._clock.now_ms()
-        peers = self._peer_names(job)
+        peers = self._selection.peer_names(job.service.name)
         self._health.on_failure(attempt.target.name, peers, now_ms)
         may_have_run = attempt.call.bytes_written
         if not self._may_run_again(job, runs=job.runs + may_have_run):
@@ -583,9 +564,6 @@
         else:
             self._give_up(job, job.last_failure, "all attempts failed")
 
-    def _peer_names(self, job: Job) -> list[str]:
-        return [t.name for t in self._table.of_service(job.service.name)]
-
     # Answers of targets
 
     def is_answer(self, call: TargetCall, status: int, headers: HeaderList) -> bool:
@@ -601,6 +579,7 @@
         attempt.headers = headers
         attempt.facts = self._protocol.read_answer(status, headers)
         self._observe_weights(call.state, attempt)
+        self._observe_requests_of(attempt)
         if call.state.workspace is not None and 200 <= status < 300:
             job, now_ms = call.state, self._clock.now_ms()
             self._quota.spend(_quota_id(job), job.cost, now_ms)
@@ -620,6 +599,17 @@
         if version is not None:
             self._table.observe_weights(name, model, version)
 
+    def _observe_requests_of(self, attempt: Attempt) -> None:
+        """Take over what a target asks of this process with its answer."""
+        facts, now_ms = attempt.facts, self._clock.now_ms()
+        name = facts.target_name or attempt.target.name
+        if facts.is_leaving and self._table.note_leaving(name):
+            log_event(TARGET_LEAVING, target=name, status=attempt.status)
+        if facts.pause_ms is not None:
+            self._push_backs.note(name, facts.pause_ms, now_ms)
+        elif not facts.wrong_target and attempt.status < SERVER_ERROR:
+            self._push_backs.on_success(name, now_ms)
+
     def on_data(self, call: TargetCall, data: bytes) -> None:
         """Take a piece of an answer's body."""
         job: Job = call.state
@@ -643,6 +633,8 @@
         job: Job = call.state
         attempt = job.attempt
         facts = attempt.facts
+        if facts.is_leaving:
+            self._port.drop_idle(attempt.target.address)
         if facts.not_run or facts.wrong_target:
             self._on_not_run(job, attempt)
         elif not facts.is_whole:
@@ -661,7 +653,9 @@
         has_no_connection = failure.code in ("connect_timeout", "connect_failed")
         is_silent = failure.code == "connect_timeout" or failure.message == "ETIMEDOUT"
         if failure.may_have_run and not has_no_connection:
-            self._health.on_failure(name, self._peer_names(job), now_ms)
+            self._health.on_failure(
+                name, self._selection.peer_names(job.service.name), now_ms
+            )
         if is_silent:
             self._table.note_silent(name)
         if is_silent or has_no_connection:
@@ -703,7 +697,9 @@
         failed = attempt.status >= SERVER_ERROR
         name = attempt.target.name
         if failed:
-            self._health.on_failure(name, self._peer_names(job), now_ms)
+            self._health.on_failure(
+                name, self._selection.peer_names(job.service.name), now_ms
+            )
         else:
             self._health.on_success(name)
         may_improve = failed and not job.has_events and not job.exchange.has_begun
@@ -815,7 +811,11 @@
             verdict = Verdict.MAY_HAVE_RUN
             self._fail(job, Failure(code, verdict, message, status))
             return
-        self._fail(job, _refusal(code, message, 503, RETRY_WHEN_FULL_MS))
+        now_ms = self._clock.now_ms()
+        after_ms = self._selection.return_after_ms(job.service.name, now_ms)
+        if after_ms is None:
+            after_ms = RETRY_WHEN_FULL_MS
+        self._fail(job, _refusal(code, message, 503, after_ms))
 
     def _fail(self, job: Job, failure: Failure) -> None:
         if job.exchange.has_begun:
--- /dev/null
+++ b/papayacrank/forwarding/_selection.py
@@ -0,0 +1,118 @@
+"""Which targets may get a request, and which of them gets it."""
+
+from random import Random
+
+from papayacrank.kernel import create
+from papayacrank.messages import FleetTarget
+
+from ._health import TargetHealth
+from ._placement import Choice, PartPlaces, Placement, PlacementRequest
+from ._push_back import PushBacks
+from ._targets import TargetTable
+
+# Callers that were refused together return over this part of the pause.
+RETURN_SPREAD = 0.5
+MIN_RETURN_SPREAD_MS = 100
+
+
+class TargetSelection:
+    """Selects targets by what is known about them.
+
+    Targets that are leaving, loading weights or have asked for a pause get nothing.
+    Targets that fail or do not answer are used only where no other is left.
+
+    Parameters
+    ----------
+    table : TargetTable
+        Targets and their load.
+    health : TargetHealth
+        Failures of targets.
+    push_backs : PushBacks
+        Pauses that targets have asked for.
+    parts : PartPlaces
+        Where prompt parts are.
+    failure_domain : str
+        Failure domain of this instance.
+    random_state : random.Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self,
+        table: TargetTable,
+        health: TargetHealth,
+        push_backs: PushBacks,
+        parts: PartPlaces,
+        failure_domain: str,
+        random_state: Random,
+    ):
+        self._table = table
+        self._health = health
+        self._push_backs = push_backs
+        self._random = random_state
+        common = {
+            "table": table,
+            "parts": parts,
+            "failure_domain": failure_domain,
+            "random_state": random_state,
+        }
+        self._engine_placement = create(Placement, "expected_loss", **common)
+        self._plain_placement = create(Placement, "least_running", **common)
+
+    def choose(
+        self, request: PlacementRequest, excluded: set[str], now_ms: int
+    ) -> Choice | None:
+        """Return the target of a request; None if no target may get it.
+
+        Parameters
+        ----------
+        excluded : set of str
+            Targets that the request was sent to before.
+        """
+        usable = [
+            target
+            for target in self._in_service(request.service.name)
+            if target.name not in excluded
+            and self._push_backs.may_send(
+                target.name, self._table.own_running(target.name), now_ms
+            )
+        ]
+        healthy = [t for t in usable if self._is_healthy(t, now_ms)]
+        is_engine = request.service.engine is not None
+        placement = self._engine_placement if is_engine else self._plain_placement
+        choice = placement.choose(request, healthy, now_ms)
+        if choice is None and len(healthy) < len(usable):
+            choice = placement.choose(request, usable, now_ms)
+        return choice
+
+    def return_after_ms(self, service: str, now_ms: int) -> int | None:
+        """Return when a refused caller may come back, if all targets want a pause.
+
+        The times of several callers are spread, so that they do not return together.
+        """
+        ends = [
+            self._push_backs.end_ms(target.name, now_ms)
+            for target in self._in_service(service)
+        ]
+        if not ends or None in ends:
+            return None
+        left_ms = min(ends) - now_ms
+        spread_ms = max(MIN_RETURN_SPREAD_MS, RETURN_SPREAD * left_ms)
+        return left_ms + int(self._random.uniform(0, spread_ms))
+
+    def peer_names(self, service: str) -> list[str]:
+        """Return the names of all targets of a service."""
+        return [target.name for target in self._table.of_service(service)]
+
+    def _in_service(self, service: str) -> list[FleetTarget]:
+        return [
+            target
+            for target in self._table.of_service(service)
+            if not target.leaving and not target.loading
+        ]
+
+    def _is_healthy(self, target: FleetTarget, now_ms: int) -> bool:
+        return not (
+            self._health.is_avoided(target.name, now_ms)
+            or self._table.is_silent(target.name)
+        )
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -18,6 +18,7 @@
 # Reports that the leader has not answered yet; at 10 a second this is 6 s.
 MAX_PENDING_REPORTS = 64
 MAX_NEW_PARTS = 200
+MAX_LEAVING = 2_000
 NO_LOAD = TargetLoad()
 
 
@@ -56,6 +57,10 @@
         self._newly_silent: set[str] = set()
         self._new_parts: list[PartPlace] = []
         self._observed: dict[tuple[str, str], int] = {}
+        # Starts of targets that say that they are leaving, also if the list lags or a
+        # new leader does not know it.
+        self._leaving: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._last_leaving: list[tuple[str, int]] = []
 
     @property
     def position(self) -> tuple[int, int]:
@@ -143,7 +148,32 @@
         self._group_by_service()
         return True
 
+    def note_leaving(self, name: str) -> bool:
+        """Take that a target says that it is leaving; return whether that is news.
+
+        It holds for the present start of the target, whatever the list shows.
+        """
+        target = self._targets.get(name)
+        if target is None or target.leaving:
+            return False
+        self._leaving[(name, target.born_ms)] = None
+        while len(self._leaving) > MAX_LEAVING:
+            self._leaving.popitem(last=False)
+        self._targets[name] = self._correct(target)
+        self._group_by_service()
+        return True
+
+    def _unconfirmed_leaving(self) -> list[tuple[str, int]]:
+        """Return the leaving targets that the view does not show as such."""
+        return [
+            (target.name, target.born_ms)
+            for target in self._view.targets
+            if not target.leaving and (target.name, target.born_ms) in self._leaving
+        ]
+
     def _correct(self, target: FleetTarget) -> FleetTarget:
+        if (target.name, target.born_ms) in self._leaving and not target.leaving:
+            target = msgspec.structs.replace(target, leaving=True)
         weights = {
             model: max(version, self._observed.get((target.name, model), 0))
             for model, version in target.weights.items()
@@ -200,6 +230,11 @@
             memory + own.memory_tokens,
         )
 
+    def own_running(self, name: str) -> int:
+        """Return the open requests of this process at a target."""
+        own = self._own.get(name)
+        return own.running if own is not None else 0
+
     def begin(self, name: str, prefill_tokens: int, memory_tokens: int) -> None:
         """Count a request that is sent."""
         own = self._own.setdefault(name, _OwnLoad())
@@ -233,6 +268,7 @@
         """Return the next report, None if nothing has changed."""
         loads = {n: own.freeze() for n, own in self._own.items() if own.running > 0}
         is_news = self._newly_silent or self._new_parts
+        is_news = is_news or self._unconfirmed_leaving() != self._last_leaving
         if loads == self._last_loads and not is_news:
             return None
         self._last_loads = loads
@@ -250,4 +286,7 @@
         silent = sorted(self._newly_silent)
         self._newly_silent.clear()
         parts, self._new_parts = self._new_parts, []
-        return EntryLoad(instance, self._report_sequence, loads, silent, parts)
+        self._last_leaving = self._unconfirmed_leaving()
+        return EntryLoad(
+            instance, self._report_sequence, loads, silent, parts, self._last_leaving
+        )
--- a/papayacrank/forwarding/tests/builders.py
+++ b/papayacrank/forwarding/tests/builders.py
@@ -127,7 +127,7 @@
         return list(request.headers)
 
     def read_answer(self, status, headers):
-        """Read ``id``, ``not-run``, ``server``, ``weights`` and ``spoiled``."""
+        """Read the facts of an answer by short names."""
         known = {n.decode(): v.decode() for n, v in headers}
         weights = known.get("weights")
         return AnswerFacts(
@@ -137,6 +137,8 @@
             "spoiled" not in known,
             known.get("server"),
             int(weights) if weights else None,
+            "leaving" in known,
+            int(known["pause-ms"]) if "pause-ms" in known else None,
         )
 
     def build_failure(self, failure, request_id):
--- a/papayacrank/messages/_fleet.py
+++ b/papayacrank/messages/_fleet.py
@@ -122,6 +122,9 @@
         Targets that did not answer a connection attempt since the last message.
     parts : list of PartPlace
         Parts seen at a place for the first time since the last message.
+    leaving : list of (str, int)
+        Targets, by name and start, whose answers say that they are leaving while the
+        view does not show it.
     """
 
     instance: str
@@ -129,6 +132,7 @@
     loads: dict[str, TargetLoad]
     silent: list[str] = []
     parts: list[PartPlace] = []
+    leaving: list[tuple[str, int]] = []
 
 
 class PartGroup(msgspec.Struct, frozen=True, array_like=True):
--- a/papayacrank/platform/_caller_protocol.py
+++ b/papayacrank/platform/_caller_protocol.py
@@ -17,6 +17,8 @@
 from papayacrank.kernel import Failure, Verdict
 from papayacrank.transport import CallerHead
 
+from ._signals import read_pause_ms, says_leaving
+
 REQUEST_ID = b"papayacrank-request-id"
 DEADLINE_MS = b"papayacrank-deadline-ms"
 API_KEY = b"x-api-key"
@@ -121,6 +123,7 @@
 
     def read_answer(self, status: int, headers: HeaderList) -> AnswerFacts:
         """Return what the head of a server's answer says."""
+        pairs = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in headers]
         known = {name: value.decode("latin-1") for name, value in headers}
         succeeded = 200 <= status < 300
         identified = REQUEST_ID in known and SERVER_SEAL in known
@@ -131,6 +134,8 @@
             is_whole=CONTENT_ENCODING not in known and (identified or not succeeded),
             target_name=known.get(INSTANCE_ID),
             weights_version=_read_number(known.get(WEIGHT_VERSIONS)),
+            is_leaving=says_leaving(pairs),
+            pause_ms=read_pause_ms(status, pairs),
         )
 
     def build_failure(self, failure: Failure, request_id: str) -> CallerAnswer:
--- /dev/null
+++ b/papayacrank/platform/_signals.py
@@ -0,0 +1,57 @@
+"""Headers with which a server says that it is leaving or wants a pause."""
+
+import re
+import time
+from email.utils import parsedate_to_datetime
+
+SERVER_LEAVING = "server-leaving"
+RETRY_AFTER = "retry-after"
+# Status of an answer whose RETRY_AFTER asks for a pause.
+TURNED_AWAY = 503
+MS_PER_SECOND = 1_000
+_SECONDS = re.compile(r"\d{1,9}(\.\d*)?|\.\d+", re.ASCII)
+
+
+def says_leaving(headers: list[tuple[str, str]]) -> bool:
+    """Return whether an answer comes from a server that is leaving.
+
+    Parameters
+    ----------
+    headers : list of (str, str)
+        Headers with names in lower case.
+    """
+    return any(n == SERVER_LEAVING and v.strip() == "1" for n, v in headers)
+
+
+def read_pause_ms(status: int, headers: list[tuple[str, str]]) -> int | None:
+    """Return the pause that a server asks for, None without a readable one.
+
+    The longest of several values counts. Negative numbers and text that is neither a
+    number of seconds nor a date are ignored.
+
+    Parameters
+    ----------
+    headers : list of (str, str)
+        Headers with names in lower case.
+    """
+    if status != TURNED_AWAY:
+        return None
+    values = [
+        part
+        for name, value in headers
+        if name == RETRY_AFTER
+        for part in (value, *value.split(","))
+    ]
+    pauses = [p for p in map(_read_pause, values) if p is not None]
+    return max(pauses, default=None)
+
+
+def _read_pause(text: str) -> int | None:
+    text = text.strip()
+    if _SECONDS.fullmatch(text):
+        return round(float(text) * MS_PER_SECOND)
+    try:
+        until_s = parsedate_to_datetime(text).timestamp()
+    except (ValueError, OverflowError):
+        return None
+    return max(0, round((until_s - time.time()) * MS_PER_SECOND))
--- a/papayacrank/platform/_target_protocol.py
+++ b/papayacrank/platform/_target_protocol.py
@@ -15,8 +15,10 @@
     OrderOutcome,
     RunPolicy,
     TargetProtocol,
+    TargetSignals,
 )
 
+from ._signals import read_pause_ms, says_leaving
 from ._wire_model import StrictWireModel
 
 CALL_TIMEOUT_MS = 600
@@ -147,6 +149,13 @@
         """Return the answer to an order."""
         return _OUTCOMES.get(result.status, OrderOutcome.UNKNOWN)
 
+    def read_signals(self, result: HttpResult) -> TargetSignals:
+        """Return whether a server is leaving, and the pause that it asks for."""
+        headers = list(result.headers)
+        return TargetSignals(
+            says_leaving(headers), read_pause_ms(result.status, headers)
+        )
+
     def build_store_check(self, key: str, address: str) -> HttpCall:
         """Return the call that reads the cache events of a store."""
         url = f"http://{address}/v1/kv-events?since={NO_EVENTS}"
@@ -154,6 +163,8 @@
 
     def read_store_check(self, result: HttpResult) -> int | str:
         """Return the start of the store that sent the events."""
+        if says_leaving(list(result.headers)):
+            return "the store is leaving"
         if result.status != 200:
             return result.error or f"status {result.status}"
         try:
