Bound answers of targets in bytes, pieces, count and time

Cause: a target in trouble may send without end until its caller closes. Repeated interim heads, an answer to an earlier request without end, a head that drips and answers in one-byte chunks took memory and the whole loop until the deadline. A second copy of a refusal could be taken for the answer to a second sending of the same request, and an answer without an id on a kept connection for that to the present one. Comments counted as progress of a stream.

Change: TargetPort bounds interim heads (8), answers to earlier requests (4, 256 KiB), pieces (20,000), the body (4 MiB instead of 16), the time from the first byte of a head (3 s) and all collected bodies together (24 MiB). One connection handles 64 pieces in a turn and goes on 4 ms later. A second sending to the same target takes a new connection; an answer without an id on a kept connection counts as one that may have run. Only events with data or an id are progress; 64 KiB without one end the attempt. Answers to the leader's calls are bounded by call, 64 KiB for reports and orders and 2 MiB for a page.

--- a/papayacrank/control/_effects.py
+++ b/papayacrank/control/_effects.py
@@ -17,6 +17,8 @@
         JSON body; empty for GET.
     headers : tuple of (str, str)
         Further headers.
+    max_bytes : int
+        Largest answer, with its head; a larger one is an error.
     """
 
     key: str
@@ -25,6 +27,7 @@
     body: bytes = b""
     timeout_ms: int = 2_000
     headers: tuple[tuple[str, str], ...] = ()
+    max_bytes: int = 65_536
 
 
 @dataclass(frozen=True, slots=True)
--- a/papayacrank/control/_http.py
+++ b/papayacrank/control/_http.py
@@ -16,7 +16,6 @@
 
 from ._effects import HttpCall, HttpResult
 
-MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 MAX_OPEN_CALLS = 64
 READ_BYTES = 65_536
 RESPONSE_PARSER = 1
@@ -32,6 +31,7 @@
     sock: socket.socket
     unsent: bytes
     parser: HttpParser
+    max_bytes: int
     received: int = 0
     connected: bool = False
 
@@ -82,7 +82,8 @@
             self._report(HttpResult(call.key, 0, error=os.strerror(status)))
             return
         request = _encode(call, parts)
-        state = _Call(call.key, sock, request, HttpParser(RESPONSE_PARSER))
+        parser = HttpParser(RESPONSE_PARSER)
+        state = _Call(call.key, sock, request, parser, call.max_bytes)
         self._calls[sock.fileno()] = state
         self._find_poller().addWriter(self, sock.fileno())
         deadline_ms = self._clock.now_ms() + call.timeout_ms
@@ -141,7 +142,7 @@
 
     def _parse(self, call: _Call, data: bytes) -> None:
         call.received += len(data)
-        if call.received > MAX_RESPONSE_BYTES:
+        if call.received > call.max_bytes:
             self._fail(call, "response too large")
             return
         if data:
--- a/papayacrank/control/_platform.py
+++ b/papayacrank/control/_platform.py
@@ -7,6 +7,8 @@
 
 from ._effects import HttpCall, HttpResult
 
+# A page of 3,300 targets at about 300 bytes each, four times over.
+MAX_LIST_BYTES = 4 * 1024 * 1024
 PLATFORM_KEY = "platform"
 MAX_LISTED_TARGETS = 10_000
 
@@ -42,7 +44,7 @@
             return []
         self._waiting = True
         self._next_ms = now_ms + self._interval_ms
-        return [HttpCall(PLATFORM_KEY, "GET", self._url)]
+        return [HttpCall(PLATFORM_KEY, "GET", self._url, max_bytes=MAX_LIST_BYTES)]
 
     def handle(self, result: HttpResult) -> ObserveTargets | str | None:
         """Handle an answer.
--- a/papayacrank/forwarding/_event_stream.py
+++ b/papayacrank/forwarding/_event_stream.py
@@ -3,7 +3,10 @@
 from dataclasses import dataclass
 
 MAX_EVENT_BYTES = 262_144
+# Comments and other blocks without data that may come between two events with data.
+MAX_EMPTY_BYTES = 65_536
 ID_FIELD = b"id:"
+DATA_FIELD = b"data"
 
 
 class EventStreamError(ValueError):
@@ -18,10 +21,13 @@
     ----------
     event_id : str or None
         Id of the event, if it states one.
+    has_content : bool
+        Whether it has an id or data; a comment has neither and shows no progress.
     """
 
     data: bytes
     event_id: str | None
+    has_content: bool = True
 
 
 class EventSplitter:
@@ -33,6 +39,7 @@
 
     def __init__(self):
         self._buffer = bytearray()
+        self._empty_bytes = 0
 
     @property
     def has_partial(self) -> bool:
@@ -45,18 +52,27 @@
         Raises
         ------
         EventStreamError
-            If an event exceeds the limit.
+            If an event exceeds the limit, or too much comes without one.
         """
         self._buffer += data
         events = []
         while (end := self._find_end()) > 0:
             raw = bytes(self._buffer[:end])
             del self._buffer[:end]
-            events.append(StreamEvent(raw, _find_id(raw)))
+            events.append(self._read_event(raw))
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventStreamError("an event is too large")
         return events
 
+    def _read_event(self, raw: bytes) -> StreamEvent:
+        event_id = _find_id(raw)
+        has_data = any(line.startswith(DATA_FIELD) for line in raw.splitlines())
+        event = StreamEvent(raw, event_id, has_data or event_id is not None)
+        self._empty_bytes = 0 if event.has_content else self._empty_bytes + len(raw)
+        if self._empty_bytes > MAX_EMPTY_BYTES:
+            raise EventStreamError("too much without an event")
+        return event
+
     def _find_end(self) -> int:
         ends = [
             position + len(mark)
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -434,8 +434,10 @@
             job.exchange.body,
             self,
             self._connection_limit(job),
+            needs_new_connection=target.name in job.sent_to,
             state=job,
         )
+        job.sent_to.add(target.name)
         is_stream = job.route.kind is RequestKind.STREAM
         attempt = Attempt(
             target,
@@ -585,6 +587,7 @@
             self._quota.spend(_quota_id(job), job.cost, now_ms)
         if attempt.is_stream and not 200 <= status < 300:
             attempt.is_stream = False
+        call.is_collected = not attempt.is_stream
 
     def _observe_weights(self, job: Job, attempt: Attempt) -> None:
         """Take over the version of the weights that an answer shows."""
@@ -635,7 +638,10 @@
         facts = attempt.facts
         if facts.is_leaving:
             self._port.drop_idle(attempt.target.address)
-        if facts.not_run or facts.wrong_target:
+        if facts.request_id is None and attempt.call.reused:
+            # It may answer an earlier request, also if it says that nothing has run.
+            self._on_broken(job, attempt, "unidentified_answer")
+        elif facts.not_run or facts.wrong_target:
             self._on_not_run(job, attempt)
         elif not facts.is_whole:
             self._on_broken(job, attempt, "spoiled answer")
@@ -719,10 +725,11 @@
     # Streams
 
     def _pass_event(self, job: Job, attempt: Attempt, event) -> None:
-        if not attempt.has_first_event:
-            self._on_first_event(job, attempt)
-        if job.route.is_repeatable:
-            self._watch(job, attempt)
+        if event.has_content:
+            if not attempt.has_first_event:
+                self._on_first_event(job, attempt)
+            if job.route.is_repeatable:
+                self._watch(job, attempt)
         if event.event_id is not None:
             if _is_repeated(event.event_id, job.last_event_id):
                 return
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -59,6 +59,8 @@
         Time by which the caller has its final answer.
     runs : int
         Attempts that may have run.
+    sent_to : set of str
+        Targets that the request was sent to.
     last_event_id : str or None
         Id of the last event that the caller has.
     """
@@ -75,6 +77,7 @@
     runs: int = 0
     tries: int = 0
     excluded: set[str] = field(default_factory=set)
+    sent_to: set[str] = field(default_factory=set)
     attempt: Attempt | None = None
     last_event_id: str | None = None
     has_events: bool = False
--- a/papayacrank/forwarding/_target_port.py
+++ b/papayacrank/forwarding/_target_port.py
@@ -29,7 +29,23 @@
 # A connection is not reused this close to the end that the target has announced.
 IDLE_MARGIN_MS = 500
 MAX_HEAD_BYTES = 65_536
-MAX_ANSWER_BODY_BYTES = 16 * 1024 * 1024
+# Bounds on one answer. Answers of plain services are a few kB, a stream of a few
+# thousand events some hundred kB.
+MAX_ANSWER_BODY_BYTES = 4 * 1024 * 1024
+MAX_ANSWER_PIECES = 20_000
+MAX_INTERIM_HEADS = 8
+# From the first byte of a head to its end; several lost packets take about a second.
+HEAD_TIMEOUT_MS = 3_000
+# Bounds on the answers to earlier requests that precede an answer.
+MAX_SKIPPED_ANSWERS = 4
+MAX_SKIPPED_BYTES = 256 * 1024
+# Bodies that are collected at the same time. An instance has 128 MB, of which a process
+# without load takes 40 MB.
+MAX_COLLECTED_BYTES = 24 * 1024 * 1024
+# Pieces of one connection that are handled in one turn of the loop, about 1 ms, and
+# the time after which it goes on.
+MAX_PIECES_PER_TURN = 64
+NEXT_TURN_MS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +56,7 @@
     ----------
     code : str
         ``"connect_failed"``, ``"connect_timeout"``, ``"connection_lost"``,
-        ``"malformed_answer"`` or ``"too_many_connections"``.
+        ``"malformed_answer"``, ``"answer_too_large"`` or ``"too_many_connections"``.
     may_have_run : bool
         Whether any byte of the request was handed to the operating system.
     """
@@ -86,6 +102,11 @@
         Headers without framing.
     max_connections : int
         Connections to the target that this process may have.
+    needs_new_connection : bool
+        Whether a kept connection must not be used, because an answer to an earlier
+        sending of the same request could not be told from one to this.
+    is_collected : bool
+        Whether the listener keeps the body until it is complete.
     """
 
     address: str
@@ -95,12 +116,18 @@
     body: bytes
     listener: CallListener
     max_connections: int = 64
+    needs_new_connection: bool = False
+    is_collected: bool = False
     state: Any = None
     bytes_written: bool = False
     is_open: bool = True
     reused: bool = False
 
 
+class AnswerLimitError(Exception):
+    """An answer exceeds a bound of this process."""
+
+
 class _HttpConnection(Connection):
     """Connection with the framing of its present request."""
 
@@ -112,7 +139,19 @@
         self.call: TargetCall | None = None
         self.keep_ms = DEFAULT_IDLE_MS
         self.reusable = True
+        self.begin_call(None)
+
+    def begin_call(self, call: TargetCall | None) -> None:
+        """Take a call and start to count its answer anew."""
+        self.call = call
+        self.reusable = True
         self.body_bytes = 0
+        self.pieces = 0
+        self.interim_heads = 0
+        self.skipped_answers = 0
+        self.skipped_bytes = 0
+        self.head_began_ms: int | None = None
+        self.has_end = False
 
 
 class TargetPort(BaseComponent):
@@ -140,6 +179,7 @@
         self._by_call: dict[TargetCall, _HttpConnection] = {}
         self._count: dict[str, int] = {}
         self._pool = IdlePool(MAX_IDLE_PER_TARGET, MAX_IDLE)
+        self._collected_bytes = 0
         self._numbers = itertools.count(1)
 
     @property
@@ -151,7 +191,9 @@
         """Send a request; the listener learns how it ends, also before the return."""
         if self._poller is None:
             self._poller = findcmp(self.root, BasePoller)
-        connection = self._take_idle(call.address)
+        connection = None
+        if not call.needs_new_connection:
+            connection = self._take_idle(call.address)
         if connection is not None:
             call.reused = True
             self._send(connection, call)
@@ -170,6 +212,7 @@
         if connection is not None:
             connection.call = None
             self._close(connection)
+            self._release_memory(connection, call)
 
     def drop_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
@@ -225,10 +268,8 @@
             self._drop(connection, CallFailure("connect_timeout", False))
 
     def _send(self, connection: _HttpConnection, call: TargetCall) -> None:
-        connection.call = call
+        connection.begin_call(call)
         connection.state = ConnectionState.BUSY
-        connection.reusable = True
-        connection.body_bytes = 0
         self._by_call[call] = connection
         connection.queue(_encode(connection.protocol, call))
         self._write(connection)
@@ -309,34 +350,105 @@
     # Answers
 
     def _parse(self, connection: _HttpConnection, data: bytes) -> None:
-        call = connection.call
+        """Handle received bytes; none at all mean the end of the connection."""
+        connection.has_end = not data
+        self._handle(connection, connection.call, data)
+
+    def _handle(
+        self, connection: _HttpConnection, call: TargetCall, data: bytes
+    ) -> None:
         try:
-            connection.protocol.receive_data(data)
-            while call.is_open and connection.call is call:
-                event = connection.protocol.next_event()
-                if event is h11.NEED_DATA:
-                    return
-                if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
-                    self._lose(connection, "closed")
-                    return
-                self._take_event(connection, call, event)
+            if data or connection.has_end:
+                connection.protocol.receive_data(data)
+            self._take_events(connection, call)
         except h11.RemoteProtocolError as error:
-            code = "malformed_answer" if data else "connection_lost"
+            code = "connection_lost" if connection.has_end else "malformed_answer"
             self._drop(connection, CallFailure(code, call.bytes_written, str(error)))
+        except AnswerLimitError as error:
+            failure = CallFailure("answer_too_large", call.bytes_written, str(error))
+            self._drop(connection, failure)
+
+    def _take_events(self, connection: _HttpConnection, call: TargetCall) -> None:
+        """Handle what has arrived, up to the work of one turn."""
+        for _ in range(MAX_PIECES_PER_TURN):
+            if not call.is_open or connection.call is not call:
+                return
+            event = connection.protocol.next_event()
+            if event is h11.NEED_DATA:
+                self._check_head_time(connection)
+                return
+            if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+                self._lose(connection, "closed")
+                return
+            self._take_event(connection, call, event)
+        if call.is_open and connection.call is call:
+            self._wait_for_turn(connection)
+
+    def _wait_for_turn(self, connection: _HttpConnection) -> None:
+        """Let other connections go first; nothing more is read until then."""
+        self._poller.removeReader(connection.sock)
+        at_ms = self._clock.now_ms() + NEXT_TURN_MS
+        self._timers.set(_timer(connection), at_ms, lambda: self._go_on(connection))
+
+    def _go_on(self, connection: _HttpConnection) -> None:
+        call = connection.call
+        if call is None or connection.state is ConnectionState.CLOSED:
+            return
+        self._poller.addReader(self, connection.sock)
+        self._handle(connection, call, b"")
 
     def _take_event(self, connection: _HttpConnection, call: TargetCall, event) -> None:
+        connection.pieces += 1
+        if connection.pieces > MAX_ANSWER_PIECES:
+            raise AnswerLimitError("the answer comes in too many pieces")
         if isinstance(event, h11.Response):
+            connection.head_began_ms = None
             self._take_head(connection, call, event)
+        elif isinstance(event, h11.InformationalResponse):
+            connection.head_began_ms = None
+            connection.interim_heads += 1
+            if connection.interim_heads > MAX_INTERIM_HEADS:
+                raise AnswerLimitError("too many interim heads")
         elif isinstance(event, h11.Data):
-            if connection.state is ConnectionState.ENDING:
-                return
-            connection.body_bytes += len(event.data)
-            if connection.body_bytes > MAX_ANSWER_BODY_BYTES:
-                raise h11.RemoteProtocolError("the answer is too large")
-            call.listener.on_data(call, bytes(event.data))
+            self._take_data(connection, call, bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._finish(connection, call)
 
+    def _take_data(
+        self, connection: _HttpConnection, call: TargetCall, data: bytes
+    ) -> None:
+        if connection.state is ConnectionState.ENDING:
+            connection.skipped_bytes += len(data)
+            if connection.skipped_bytes > MAX_SKIPPED_BYTES:
+                raise AnswerLimitError("an answer to an earlier request is too large")
+            return
+        connection.body_bytes += len(data)
+        if call.is_collected:
+            self._collected_bytes += len(data)
+            if self._collected_bytes > MAX_COLLECTED_BYTES:
+                raise AnswerLimitError("all open answers together are too large")
+        if connection.body_bytes > MAX_ANSWER_BODY_BYTES:
+            raise AnswerLimitError("the answer is too large")
+        call.listener.on_data(call, data)
+
+    def _check_head_time(self, connection: _HttpConnection) -> None:
+        """End a connection whose head comes byte by byte."""
+        protocol = connection.protocol
+        in_head = protocol.their_state is h11.SEND_RESPONSE
+        if not in_head or not protocol.trailing_data[0]:
+            return
+        now_ms = self._clock.now_ms()
+        if connection.head_began_ms is None:
+            connection.head_began_ms = now_ms
+        elif now_ms - connection.head_began_ms > HEAD_TIMEOUT_MS:
+            raise AnswerLimitError("the head takes too long")
+
+    def _release_memory(self, connection: _HttpConnection, call: TargetCall) -> None:
+        """Count a body that its listener no longer collects."""
+        if call.is_collected:
+            self._collected_bytes -= connection.body_bytes
+        connection.body_bytes = 0
+
     def _take_head(self, connection: _HttpConnection, call: TargetCall, event) -> None:
         headers = list(event.headers)
         status = event.status_code
@@ -344,6 +456,9 @@
             # An answer to an earlier request; that to this one follows it.
             connection.state = ConnectionState.ENDING
             connection.reusable = False
+            connection.skipped_answers += 1
+            if connection.skipped_answers > MAX_SKIPPED_ANSWERS:
+                raise AnswerLimitError("too many answers to earlier requests")
             return
         connection.keep_ms = _read_keep_alive(headers)
         call.listener.on_answer(call, status, headers)
@@ -355,6 +470,7 @@
         self._by_call.pop(call, None)
         connection.call = None
         call.is_open = False
+        self._release_memory(connection, call)
         self._release(connection)
         call.listener.on_ended(call)
 
@@ -398,6 +514,7 @@
         connection.call = None
         self._by_call.pop(call, None)
         self._close(connection)
+        self._release_memory(connection, call)
         self._fail(call, failure)
 
     @staticmethod
--- a/papayacrank/forwarding/tests/test_forwarder.py
+++ b/papayacrank/forwarding/tests/test_forwarder.py
@@ -507,3 +507,63 @@
     complete_start(bench)
     assert bench.port.calls == []
     assert caller.status is None
+
+
+def test_answer_without_an_id_on_a_kept_connection_promises_nothing():
+    """Guards against a second copy of a refusal that is taken for this request's."""
+    bench = Bench(*PLAIN)
+    caller = bench.send("/claim/x")
+    bench.call.reused = True
+    bench.call.bytes_written = True
+    bench.forwarder.on_answer(bench.call, 503, [(b"not-run", b"1")])
+    bench.end()
+    assert len(bench.port.calls) == 1
+    assert (caller.status, caller.headers["verdict"]) == (502, "may-have-run")
+
+
+def test_second_sending_to_a_target_takes_a_new_connection():
+    """Guards against a late copy of a refusal with the same id."""
+    bench = Bench(ENGINES[0], weights={MODEL: 2})
+    bench.send("/reply/x", tokens=100)
+    assert not bench.call.needs_new_connection
+    bench.answer(421, b"", server="e1", weights=2)
+    assert len(bench.port.calls) == 2
+    assert bench.call.needs_new_connection
+
+
+def test_comments_are_no_progress_of_a_stream():
+    """Guards against a stalled stream that is kept alive by a byte now and then."""
+    bench = Bench(*ENGINES)
+    caller = bench.send("/reply/x", tokens=100)
+    bench.begin()
+    bench.event(1)
+    for _ in range(4):
+        bench.advance(400)
+        bench.forwarder.on_data(bench.port.calls[0], b": ping\n\n")
+    assert len(bench.port.calls) == 2
+    assert caller.body.startswith(b"id: 1\ndata: x1\n\n: ping\n\n")
+
+
+def test_slow_stream_of_events_goes_on():
+    """Guards against a sound stream that is cut for its slowness."""
+    bench = Bench(*ENGINES)
+    caller = bench.send("/reply/x", tokens=100, deadline=60_000)
+    bench.begin()
+    for number in range(1, 5):
+        bench.event(number)
+        bench.advance(1_000)
+    bench.end()
+    assert len(bench.port.calls) == 1 and caller.ended and not caller.aborted
+
+
+def test_endless_comments_end_an_attempt():
+    """Guards against a stream of comments without an event."""
+    bench = Bench(*ENGINES)
+    bench.send("/appraise/x", tokens=100)
+    bench.begin()
+    bench.event(1)
+    first = bench.call
+    for _ in range(80):
+        if first not in bench.port.cancelled:
+            bench.forwarder.on_data(first, b":" + b"x" * 1_000 + b"\n\n")
+    assert first in bench.port.cancelled
--- a/papayacrank/forwarding/tests/test_target_port.py
+++ b/papayacrank/forwarding/tests/test_target_port.py
@@ -9,6 +9,7 @@
 import pytest
 from circuits import BaseComponent, Event, handler
 
+from papayacrank.forwarding import _target_port as port_module
 from papayacrank.forwarding._target_port import CallListener, TargetCall, TargetPort
 from papayacrank.kernel import MonotonicClock
 from papayacrank.transport import Timers, install_process_handlers
@@ -120,7 +121,7 @@
         self.thread.start()
         time.sleep(0.2)
 
-    def run(self, address, request_id, body=b"", method="POST"):
+    def run(self, address, request_id, body=b"", method="POST", **fields):
         """Send a request and return how it ended."""
         call = TargetCall(
             address,
@@ -130,6 +131,7 @@
             body,
             self.collector,
             state=request_id,
+            **fields,
         )
         self.submitter.fire(submit_call(call), "submitter")
         return self.collector.outcomes.get(timeout=10)
@@ -284,3 +286,129 @@
     time.sleep(0.7)
     bench.run(target.address, "b")
     assert target.connections == 2
+
+
+# Bytes without end
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nid: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+EARLIER = CHUNKED.replace(b"id: a", b"id: earlier")
+
+
+def endless(first, piece, pause_s=0.0):
+    """Return a script that sends a piece again and again until its peer closes."""
+
+    def script(sock, data, number):
+        sock.sendall(first)
+        while True:
+            sock.sendall(piece)
+            if pause_s:
+                time.sleep(pause_s)
+
+    return script
+
+
+@pytest.mark.parametrize(
+    ("first", "piece"),
+    [
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (b"", b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\n", b"x: y\r\n"),
+        (b"HTTP/1.1 200 OK\r\nx: ", b"y" * 1_000),
+        (b"", b"\x00" * 1_000),
+        (CHUNKED, b"ffff\r\n" + b"x" * 65_535 + b"\r\n"),
+        (CHUNKED, b"1\r\nx\r\n" * 100),
+        (CHUNKED + b"5;", b"x" * 1_000),
+        (CHUNKED + b"0\r\n", b"x: y\r\n"),
+        (b"HTTP/1.1 200 OK\r\nid: a\r\n\r\n", b"x" * 10_000),
+        (EARLIER, b"ffff\r\n" + b"x" * 65_535 + b"\r\n"),
+        (EARLIER, b"1\r\nx\r\n" * 100),
+        (b"", b"HTTP/1.1 200 OK\r\nid: earlier\r\nContent-Length: 2\r\n\r\nok"),
+    ],
+)
+def test_answer_without_end_is_ended(bench, first, piece):
+    """Guards against memory and time that one target takes until its deadline."""
+    target = ScriptedTarget(endless(first, piece))
+    name, code, may_have_run = bench.run(target.address, "a", is_collected=True)
+    assert code in ("malformed_answer", "answer_too_large", "connection_lost")
+    assert may_have_run
+    assert bench.port.open_connections == 0
+    assert len(bench.collector.bodies.get("a", b"")) <= 4 * 1024 * 1024
+
+
+def test_head_that_drips_is_ended(bench, monkeypatch):
+    """Guards against a head of a byte now and then that never ends."""
+    monkeypatch.setattr(port_module, "HEAD_TIMEOUT_MS", 300)
+    target = ScriptedTarget(endless(b"HTTP/1.1 200 OK\r\nx: ", b"y", 0.05))
+    assert bench.run(target.address, "a") == ("a", "answer_too_large", True)
+
+
+def test_whole_head_is_waited_for(bench, monkeypatch):
+    """Guards against a slow target that is cut although its head comes at once."""
+    monkeypatch.setattr(port_module, "HEAD_TIMEOUT_MS", 300)
+
+    def script(sock, data, number):
+        time.sleep(0.6)
+        sock.sendall(OK % b"a")
+
+    assert bench.run(ScriptedTarget(script).address, "a") == ("a", "ended", True)
+
+
+def test_many_small_pieces_leave_time_for_others(bench):
+    """Guards against one target whose pieces take the loop from all others."""
+    flood = ScriptedTarget(endless(CHUNKED, b"1\r\nx\r\n" * 5_000))
+    sound = ScriptedTarget(lambda sock, data, n: sock.sendall(OK % request_id_of(data)))
+    calls = [
+        TargetCall(
+            flood.address, "GET", "/", [(b"host", b"h")], b"", Collector(), state="a"
+        )
+        for _ in range(4)
+    ]
+    for call in calls:
+        bench.submitter.fire(submit_call(call), "submitter")
+    slowest = 0.0
+    for number in range(40):
+        began = time.monotonic()
+        assert bench.run(sound.address, f"s{number}")[1] == "ended"
+        slowest = max(slowest, time.monotonic() - began)
+    assert slowest < 0.25
+
+
+def test_open_answers_together_are_bounded(bench, monkeypatch):
+    """Guards against an instance that runs out of memory by many large answers."""
+    monkeypatch.setattr(port_module, "MAX_COLLECTED_BYTES", 100_000)
+    release = threading.Event()
+
+    def script(sock, data, number):
+        head = b"HTTP/1.1 200 OK\r\nid: %s\r\nContent-Length: 60000\r\n\r\n"
+        sock.sendall(head % request_id_of(data) + b"x" * 59_999)
+        release.wait(5)
+        sock.sendall(b"x")
+
+    target = ScriptedTarget(script)
+    first = TargetCall(
+        target.address,
+        "GET",
+        "/",
+        [(b"host", b"h"), (b"id", b"a")],
+        b"",
+        bench.collector,
+        is_collected=True,
+        state="a",
+    )
+    bench.submitter.fire(submit_call(first), "submitter")
+    time.sleep(0.3)
+    outcome = bench.run(target.address, "b", is_collected=True)
+    assert outcome == ("b", "answer_too_large", True)
+    release.set()
+    assert bench.collector.outcomes.get(timeout=5) == ("a", "ended", True)
+    assert bench.run(target.address, "c", is_collected=True) == ("c", "ended", True)
+
+
+def test_second_sending_does_not_use_the_connection_of_the_first(bench):
+    """Guards against a late copy of the first answer that is taken for the second."""
+    target = ScriptedTarget(
+        lambda sock, data, n: sock.sendall(OK % request_id_of(data))
+    )
+    assert bench.run(target.address, "a")[1] == "ended"
+    assert bench.run(target.address, "a", needs_new_connection=True)[1] == "ended"
+    assert target.connections == 2
--- a/papayacrank/platform/_target_protocol.py
+++ b/papayacrank/platform/_target_protocol.py
@@ -24,6 +24,8 @@
 CALL_TIMEOUT_MS = 600
 ORDER_TIMEOUT_MS = 250
 STORE_TIMEOUT_MS = 300
+# A page has 50 entries of about 300 bytes.
+MAX_PAGE_BYTES = 2 * 1024 * 1024
 # Number beyond all events of a store, so that the answer carries none of them.
 NO_EVENTS = 2**53
 EXPECT_INSTANCE = "Papayacrank-Expect-Instance"
@@ -93,7 +95,9 @@
         """Return the call that reads a page of the list."""
         query = "" if page is None else f"?page_token={quote(page, safe='')}"
         url = f"http://{self._list_address}/instances{query}"
-        return HttpCall(key, "GET", url, timeout_ms=CALL_TIMEOUT_MS)
+        return HttpCall(
+            key, "GET", url, timeout_ms=CALL_TIMEOUT_MS, max_bytes=MAX_PAGE_BYTES
+        )
 
     def read_listing(self, result: HttpResult) -> ListingPage | str:
         """Return the readable entries of a page."""
