--- a/papayacrank/messages/_routing.py
+++ b/papayacrank/messages/_routing.py
@@ -135,6 +135,9 @@
         Tokens counted for a request that does not state its size.
     counts_tokens : bool
         Whether the budget counts tokens; otherwise it counts requests.
+    tolerance : int
+        What may be admitted beyond the burst, so that requests within the budget are
+        not refused because a part of it lies unused at other instances.
     """
 
     name: str
@@ -145,6 +148,7 @@
     burst: int = 0
     default_cost: int = 1
     counts_tokens: bool = True
+    tolerance: int = 0
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- a/papayacrank/platform/__main__.py
+++ b/papayacrank/platform/__main__.py
@@ -143,6 +143,7 @@
     from papayacrank.control.process import ControlProcess
     from papayacrank.transport import HttpPort
 
+    from ._configuration import RateTolerance
     from ._control_api import ControlApi
     from ._target_protocol import PlatformTargetProtocol
 
@@ -153,7 +154,10 @@
     process = ControlProcess(
         settings.control_settings(), fleet, settings.resolve_control
     )
-    api = ControlApi(process.submit)
+    tolerance = RateTolerance(
+        bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
+    )
+    api = ControlApi(process.submit, tolerance)
     HttpPort(
         settings.listen.control, "operators", api, process.clock, process.timers
     ).register(process)
--- a/papayacrank/platform/_configuration.py
+++ b/papayacrank/platform/_configuration.py
@@ -1,5 +1,6 @@
 """Configuration documents of the platform's operators."""
 
+from dataclasses import dataclass
 from typing import Literal
 
 from pydantic import Field, ValidationError, model_validator
@@ -26,6 +27,35 @@
 }
 
 
+# The other half is left for instances that are cut off and spend a part of their own.
+USED_TOLERANCE_PART = 0.5
+
+
+@dataclass(frozen=True)
+class RateTolerance:
+    """How far the platform lets a tenant exceed its quota.
+
+    In a window, ``(rate x window + burst) x (1 + overage) + slack`` may run.
+
+    Parameters
+    ----------
+    slack : float
+        In the unit of the quota.
+    """
+
+    window_s: float = 0.0
+    overage: float = 0.0
+    slack: float = 0.0
+
+    def beyond(self, rate_per_s: float, burst: float) -> int:
+        """Return what may be admitted beyond the burst of a quota."""
+        allowed = self.overage * (rate_per_s * self.window_s + burst) + self.slack
+        return int(USED_TOLERANCE_PART * allowed)
+
+
+NO_TOLERANCE = RateTolerance()
+
+
 class ConfigurationError(ValueError):
     """A document is no valid configuration; the message names the field."""
 
@@ -140,9 +170,16 @@
         return self
 
 
-def read_configuration(source: bytes) -> RoutingConfiguration:
+def read_configuration(
+    source: bytes, tolerance: RateTolerance = NO_TOLERANCE
+) -> RoutingConfiguration:
     """Decode and check a configuration document.
 
+    Parameters
+    ----------
+    tolerance : RateTolerance
+        How far quotas may be exceeded.
+
     Raises
     ------
     ConfigurationError
@@ -158,7 +195,7 @@
         document.version,
         tuple(_build_route(route) for route in document.routes),
         tuple(_build_service(service) for service in document.services),
-        tuple(_build_workspace(tenant) for tenant in document.tenants),
+        tuple(_build_workspace(tenant, tolerance) for tenant in document.tenants),
         CallerLimits(**document.limits.model_dump()),
     )
 
@@ -199,7 +236,7 @@
     )
 
 
-def _build_workspace(tenant: _Tenant) -> WorkspaceProfile:
+def _build_workspace(tenant: _Tenant, tolerance: RateTolerance) -> WorkspaceProfile:
     return WorkspaceProfile(
         tenant.name,
         tuple(digest_key(key) for key in tenant.api_keys),
@@ -209,4 +246,5 @@
         int(tenant.burst),
         max(1, tenant.uncached_tokens),
         tenant.unit == "tokens",
+        tolerance.beyond(tenant.rate_per_s, tenant.burst),
     )
--- a/papayacrank/platform/_control_api.py
+++ b/papayacrank/platform/_control_api.py
@@ -10,7 +10,12 @@
 from papayacrank.messages import FileRouting, NameWeights, ReadState
 from papayacrank.transport import ExchangeListener, HttpExchange
 
-from ._configuration import ConfigurationError, read_configuration
+from ._configuration import (
+    NO_TOLERANCE,
+    ConfigurationError,
+    RateTolerance,
+    read_configuration,
+)
 from ._events import CONFIGURATION_REFUSED, OPERATOR_ANSWERED
 from ._wire_model import StrictWireModel
 
@@ -32,10 +37,17 @@
     ----------
     submit : Callable
         `ControlProcess.submit`.
+    tolerance : RateTolerance
+        How far quotas may be exceeded.
     """
 
-    def __init__(self, submit: Callable[[Any, Callable, int], None]):
+    def __init__(
+        self,
+        submit: Callable[[Any, Callable, int], None],
+        tolerance: RateTolerance = NO_TOLERANCE,
+    ):
         self._submit = submit
+        self._tolerance = tolerance
         self._routes = {
             ("POST", "/v1/configuration/put"): self._put_configuration,
             ("GET", "/v1/configuration/get"): self._get_configuration,
@@ -53,7 +65,7 @@
 
     def _put_configuration(self, exchange: HttpExchange) -> None:
         try:
-            configuration = read_configuration(exchange.body)
+            configuration = read_configuration(exchange.body, self._tolerance)
         except ConfigurationError as error:
             log_event(CONFIGURATION_REFUSED, error=str(error))
             _answer(exchange, 400, {"error": str(error)})
--- a/papayacrank/platform/_settings.py
+++ b/papayacrank/platform/_settings.py
@@ -43,6 +43,10 @@
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10
     budget_slack: float = 50
+    # How far a tenant may exceed its quota; without these fields not at all.
+    quota_window_s: float = 0
+    quota_overage: float = 0
+    quota_slack: float = 0
     fencing_required: bool = True
     lease_ms: int = 3_000
     version_ms: int = 8_000
--- a/papayacrank/platform/tests/test_adapter.py
+++ b/papayacrank/platform/tests/test_adapter.py
@@ -24,7 +24,11 @@
     StateView,
 )
 from papayacrank.platform._caller_protocol import PlatformCallerProtocol
-from papayacrank.platform._configuration import ConfigurationError, read_configuration
+from papayacrank.platform._configuration import (
+    ConfigurationError,
+    RateTolerance,
+    read_configuration,
+)
 from papayacrank.platform._control_api import ControlApi
 from papayacrank.platform._settings import load_platform_settings
 from papayacrank.platform._target_protocol import PlatformTargetProtocol
@@ -114,6 +118,20 @@
     assert services["store"].store.address == "172.20.0.2:8604"
 
 
+def test_half_of_the_tolerance_of_a_quota_is_used():
+    """Guards against refusals within a quota, and against a quota that is broken.
+
+    In a window of 8 s, (1,000 x 8 + 500) x 1.1 + 700 may run; the budget admits at
+    most 1,000 x 8 + 500 + 775.
+    """
+    document = build_document(3)
+    document["tenants"][0].update(rate_per_s=1_000, burst=500)
+    tolerance = RateTolerance(8, 0.1, 700)
+    workspace = read_configuration(encode(document), tolerance).workspaces[0]
+    assert (workspace.burst, workspace.tolerance) == (500, 775)
+    assert read_configuration(encode(document)).workspaces[0].tolerance == 0
+
+
 def broken(change):
     """Return a document after a change."""
     document = copy.deepcopy(build_document())
--- a/papayacrank/state/_machine.py
+++ b/papayacrank/state/_machine.py
@@ -419,7 +419,7 @@
         outcome = self._routing.file(command)
         if self._routing.version > before:
             budgets = [
-                WorkspaceBudget(item.name, item.rate_per_s, item.burst)
+                WorkspaceBudget(item.name, item.rate_per_s, item.burst + item.tolerance)
                 for item in command.configuration.workspaces
                 if item.rate_per_s > 0
             ]
