Lose no request in a planned stop, and check the lease when an order is sent

Cause, planned stop: closing the listening socket resets the connections in its queue, whose callers may have sent a request; a kept connection was closed although it carried an unread request; a process stopped while a request was half read, or while a caller had not taken its answer yet.

Cause, hand-over: the lease was checked when an order was decided, not when it was sent. A process that freezes while it connects sent the order after its successor had taken over; targets that check no fence would carry it out.

Change: the listening socket is emptied before it is closed. Calls that need the lease are checked right before their bytes leave.

--- a/papayacrank/control/_effects.py
+++ b/papayacrank/control/_effects.py
@@ -19,6 +19,9 @@
         Further headers.
     max_bytes : int
         Largest answer, with its head; a larger one is an error.
+    needs_lease : bool
+        Whether only a leader with a lease may send the call. The lease may end while
+        the connection is opened, for example in a frozen process.
     """
 
     key: str
@@ -28,6 +31,7 @@
     timeout_ms: int = 2_000
     headers: tuple[tuple[str, str], ...] = ()
     max_bytes: int = 65_536
+    needs_lease: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/papayacrank/control/_http.py
+++ b/papayacrank/control/_http.py
@@ -4,6 +4,7 @@
 import ipaddress
 import os
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from urllib.parse import urlsplit
 
@@ -20,6 +21,7 @@
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 32_768
 MAX_INTERIM_HEADS = 8
+LEASE_ENDED = "the lease ended before the call was sent"
 
 
 class http_finished(Event):  # noqa: N801 - circuits events are lower case
@@ -33,6 +35,7 @@
     unsent: bytes
     protocol: h11.Connection
     max_bytes: int
+    needs_lease: bool
     received: int = 0
     connected: bool = False
     interim_heads: int = 0
@@ -52,12 +55,21 @@
         Clock of the timers.
     timers : Timers
         Ends calls that take too long.
+    has_lease : Callable, optional
+        Whether this process leads at this moment; checked right before the bytes of a
+        call that needs it are sent.
     """
 
     channel = "http-caller"
 
-    def __init__(self, clock: Clock, timers: Timers):
+    def __init__(
+        self,
+        clock: Clock,
+        timers: Timers,
+        has_lease: Callable[[], bool] = lambda: True,
+    ):
         super().__init__()
+        self._has_lease = has_lease
         self._clock = clock
         self._timers = timers
         self._poller = None
@@ -87,7 +99,9 @@
             return
         protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         request = _encode(protocol, call, parts)
-        state = _Call(call.key, sock, request, protocol, call.max_bytes)
+        state = _Call(
+            call.key, sock, request, protocol, call.max_bytes, call.needs_lease
+        )
         self._calls[sock.fileno()] = state
         self._find_poller().addWriter(self, sock.fileno())
         deadline_ms = self._clock.now_ms() + call.timeout_ms
@@ -106,6 +120,9 @@
                 self._fail(call, os.strerror(error))
                 return
             call.connected = True
+            if call.needs_lease and not self._has_lease():
+                self._fail(call, LEASE_ENDED)
+                return
         self._send(call)
 
     @handler("_read")
--- a/papayacrank/control/_order_calls.py
+++ b/papayacrank/control/_order_calls.py
@@ -34,7 +34,14 @@
     }
     url = f"http://{target.address}/v1/orders"
     key = f"{KEY_PREFIX}send {row.order_id}"
-    return HttpCall(key, "POST", url, json.dumps(body).encode(), HTTP_TIMEOUT_MS)
+    return HttpCall(
+        key,
+        "POST",
+        url,
+        json.dumps(body).encode(),
+        HTTP_TIMEOUT_MS,
+        needs_lease=True,
+    )
 
 
 def build_read(kind: str, row: OrderRow, target: TargetAddress) -> HttpCall:
--- a/papayacrank/control/_process.py
+++ b/papayacrank/control/_process.py
@@ -99,7 +99,8 @@
         self._stop_by_ms: int | None = None
         install_process_handlers(self)
         self._timers = Timers(self._clock).register(self)
-        self._http = HttpCaller(self._clock, self._timers).register(self)
+        self._http = HttpCaller(self._clock, self._timers, self._has_lease)
+        self._http.register(self)
         self._store = build_log_store(settings)
         self._writer = StoreWriter(self._store).register(self)
         self._node = self._build_node()
@@ -143,6 +144,9 @@
         for effect in self._local.submit(command, callback, timeout_ms, now_ms):
             self._carry_out(effect)
 
+    def _has_lease(self) -> bool:
+        return self._node.raft.has_lease(self._clock.now_ms())
+
     def begin_stop(self) -> None:
         """Stop gracefully: hand over leadership first, if this member leads."""
         self._node.stop()
--- a/papayacrank/control/tests/test_http.py
+++ b/papayacrank/control/tests/test_http.py
@@ -21,14 +21,22 @@
     """Make a call within the loop: ``make_call(call)``."""
 
 
+class Lease:
+    """Lease that a test takes away."""
+
+    def __init__(self):
+        self.is_held = True
+
+
 class Driver(BaseComponent):
     """Makes calls of the test's thread and collects their results."""
 
     channel = "http-caller"
 
-    def __init__(self, caller):
+    def __init__(self, caller, lease):
         super().__init__()
         self._caller = caller
+        self.lease = lease
         self.results = queue.Queue()
 
     @handler("make_call")
@@ -47,7 +55,9 @@
     install_process_handlers(root)
     clock = MonotonicClock()
     timers = Timers(clock).register(root)
-    running = Driver(HttpCaller(clock, timers).register(root)).register(root)
+    lease = Lease()
+    caller = HttpCaller(clock, timers, lambda: lease.is_held).register(root)
+    running = Driver(caller, lease).register(root)
     thread = threading.Thread(target=root.run, daemon=True)
     thread.start()
     time.sleep(0.2)
@@ -56,11 +66,12 @@
     thread.join(5)
 
 
-def call(driver, script, body=b""):
+def call(driver, script, body=b"", **fields):
     """Make a call to a scripted server and return its result."""
     target = ScriptedTarget(script)
     method = "POST" if body else "GET"
-    request = HttpCall("k", method, f"http://{target.address}/x", body, TIMEOUT_MS)
+    url = f"http://{target.address}/x"
+    request = HttpCall("k", method, url, body, TIMEOUT_MS, **fields)
     driver.fire(make_call(request), "http-caller")
     return driver.results.get(timeout=5)
 
@@ -142,3 +153,18 @@
             time.sleep(0.05)
 
     assert call(driver, script).error == "timeout"
+
+
+@pytest.mark.parametrize("needs_lease", [True, False])
+def test_order_is_not_sent_once_the_lease_has_ended(driver, needs_lease):
+    """Guards against an order of a frozen leader beside those of its successor."""
+    seen = []
+
+    def script(sock, data, number):
+        seen.append(data)
+        sock.sendall(OK)
+
+    driver.lease.is_held = False
+    result = call(driver, script, b"{}", needs_lease=needs_lease)
+    assert len(seen) == (0 if needs_lease else 1)
+    assert result.status == (0 if needs_lease else 200)
--- a/papayacrank/entry/_process.py
+++ b/papayacrank/entry/_process.py
@@ -428,7 +428,8 @@
         if not self._drain.is_draining:
             return
         if self._stop_by_ms is not None:
-            if not self._usage.pending or now_ms >= self._stop_by_ms:
+            is_done = not self._usage.pending and not self._count_open()
+            if is_done or now_ms >= self._stop_by_ms:
                 log_event(DRAIN_FINISHED, unconfirmed_usage=len(self._usage.pending))
                 self.root.stop()
             return
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -205,7 +205,7 @@
             self._front.close_after_answers()
         if elapsed_ms >= CALLERS_GONE_MS:
             self._front.stop_listening()
-            if not self._forwarder.open_jobs and not self._front.open_exchanges:
+            if not self._forwarder.open_jobs and self._front.is_finished:
                 self.root.stop()
                 return
         if elapsed_ms >= self._settings.stop_timeout_ms:
--- a/papayacrank/platform/_target_protocol.py
+++ b/papayacrank/platform/_target_protocol.py
@@ -146,7 +146,13 @@
         url = f"http://{order.address}/v1/order"
         headers = ((EXPECT_INSTANCE, order.target),)
         return HttpCall(
-            key, "POST", url, json.dumps(body).encode(), ORDER_TIMEOUT_MS, headers
+            key,
+            "POST",
+            url,
+            json.dumps(body).encode(),
+            ORDER_TIMEOUT_MS,
+            headers,
+            needs_lease=True,
         )
 
     def read_load(self, result: HttpResult) -> OrderOutcome:
--- a/papayacrank/transport/_caller_server.py
+++ b/papayacrank/transport/_caller_server.py
@@ -1,6 +1,6 @@
 """Listening socket and connections of callers."""
 
-from socket import SHUT_WR
+from socket import MSG_PEEK, SHUT_WR
 
 from circuits import Event, handler
 from circuits.net.events import connect, disconnect, read
@@ -82,6 +82,15 @@
         """Close a connection at once."""
         self._close(sock)
 
+    def is_quiet(self, sock) -> bool:
+        """Return whether nothing has arrived that was not read."""
+        try:
+            return not sock.recv(1, MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return True
+
     def half_close(self, sock) -> None:
         """Signal the end of the answers while still reading."""
         try:
@@ -90,8 +99,14 @@
             self._close(sock)
 
     def stop_listening(self) -> None:
-        """Accept no further connections."""
+        """Accept what has arrived, and no further connections.
+
+        Closing the socket resets the connections that wait in its queue, although
+        their callers may have sent a request.
+        """
         if self._sock is not None:
+            while self._accept_one():
+                pass
             self._poller.discard(self._sock)
             self._sock.close()
             self._sock = None
--- a/papayacrank/transport/_http_port.py
+++ b/papayacrank/transport/_http_port.py
@@ -15,6 +15,9 @@
 from ._timers import Timers
 
 SWEEP_INTERVAL_MS = 500
+# In a planned stop, a connection without a request is closed once it is as old as this:
+# the first request of a new one follows within a round trip.
+FRESH_MS = 150
 # After an answer that ends the connection, unread input is discarded for a while:
 # closing a socket with unread input resets it, and the caller may lose the answer.
 DISCARD_MS = 2_000
@@ -209,6 +212,14 @@
         """Number of open connections."""
         return len(self._callers)
 
+    @property
+    def is_finished(self) -> bool:
+        """Whether no request and no answer is lost if the process stops now."""
+        return all(
+            caller.discard_until_ms is not None and not self._server.held_bytes(sock)
+            for sock, caller in self._callers.items()
+        )
+
     @property
     def open_exchanges(self) -> int:
         """Number of requests without a complete answer."""
@@ -226,8 +237,16 @@
         """Accept no further connections and close idle ones."""
         self._closes_all = True
         self._server.stop_listening()
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close the connections that carry no request, but for the newest ones."""
+        oldest_ms = self._clock.now_ms() - FRESH_MS
         for sock, caller in list(self._callers.items()):
-            if caller.exchange is None and caller.began_ms is None:
+            is_idle = caller.exchange is None and caller.began_ms is None
+            if not is_idle or caller.active_ms > oldest_ms:
+                continue
+            if not self._server.held_bytes(sock) and self._server.is_quiet(sock):
                 self._server.end(sock)
 
     # Answers
--- a/papayacrank/transport/tests/test_http_port.py
+++ b/papayacrank/transport/tests/test_http_port.py
@@ -5,7 +5,7 @@
 import time
 
 import pytest
-from circuits import BaseComponent
+from circuits import BaseComponent, Event, handler
 
 from papayacrank.kernel import MonotonicClock
 from papayacrank.transport import (
@@ -195,3 +195,116 @@
     assert len(server.echo.held) == 1
     assert server.echo.left == server.echo.held
     assert server.port.open_exchanges == 0
+
+
+# Planned stops
+
+
+class run_step(Event):  # noqa: N801 - circuits events are lower case
+    """Call a function within the loop: ``run_step(function)``."""
+
+
+class Stepper(BaseComponent):
+    """Runs steps of a test between two turns of the loop."""
+
+    channel = "stepper"
+
+    def __init__(self):
+        super().__init__()
+        self.done = threading.Event()
+
+    @handler("run_step")
+    def _on_run_step(self, function):
+        function()
+        self.done.set()
+
+    def run(self, function):
+        """Run a function in the loop and wait for its end."""
+        self.done.clear()
+        self.fire(run_step(function), "stepper")
+        assert self.done.wait(5)
+
+
+@pytest.fixture
+def stepper(server):
+    """Return a stepper in the loop of the server."""
+    return Stepper().register(server.root)
+
+
+REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def test_connections_that_were_not_accepted_yet_are_answered_in_a_stop(server, stepper):
+    """Guards against requests in the listen queue that are reset by a planned stop."""
+    socks = []
+
+    def stop_while_callers_connect():
+        for _ in range(20):
+            sock = server.connect()
+            sock.sendall(REQUEST)
+            socks.append(sock)
+        time.sleep(0.05)
+        server.port.stop_listening()
+
+    stepper.run(stop_while_callers_connect)
+    answers = [receive_until_closed(sock) for sock in socks]
+    assert all(answer.startswith(b"HTTP/1.1 200") for answer in answers)
+
+
+def test_request_that_was_not_read_yet_is_answered_in_a_stop(server, stepper):
+    """Guards against a kept connection that is closed on the request it carries."""
+    sock = server.connect()
+    ask(sock, REQUEST, b"GET /x ")
+    time.sleep(0.3)
+
+    def stop_after_a_request():
+        sock.sendall(REQUEST)
+        time.sleep(0.05)
+        server.port.stop_listening()
+
+    stepper.run(stop_after_a_request)
+    answer = receive_until_closed(sock)
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert b"connection: close" in answer.lower()
+
+
+def test_fresh_and_begun_connections_outlive_the_first_moment_of_a_stop(server):
+    """Guards against a request that is cut between its connection and its last byte."""
+    fresh, begun, idle = server.connect(), server.connect(), server.connect()
+    time.sleep(0.3)
+    begun.sendall(REQUEST[:10])
+    late = server.connect()
+    time.sleep(0.05)
+    server.port.stop_listening()
+    assert not server.port.is_finished
+    late.sendall(REQUEST)
+    begun.sendall(REQUEST[10:])
+    for sock in (late, begun):
+        assert receive_until_closed(sock).startswith(b"HTTP/1.1 200")
+    for sock in (fresh, idle):
+        assert receive_until_closed(sock) == b""
+
+
+def test_answer_that_a_caller_has_not_taken_is_no_finished_one(server, stepper):
+    """Guards against an answer that is cut because the process stops before its end."""
+    sock = server.connect()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    sock.sendall(b"GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
+    time.sleep(0.2)
+
+    def answer_and_stop():
+        exchange = server.echo.held[0]
+        exchange.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        exchange.respond(200, [], b"x" * 900_000)
+        server.port.stop_listening()
+
+    stepper.run(answer_and_stop)
+    time.sleep(0.2)
+    stepper.run(server.port.close_idle)
+    assert not server.port.is_finished
+    received = b""
+    while len(received) < 900_000:
+        received += sock.recv(1 << 20)
+    time.sleep(0.2)
+    stepper.run(server.port.close_idle)
+    assert server.port.is_finished
