Remember a leaving target also if the list shows it at that moment

Cause: a target whose answer says that it leaves while the list shows it as leaving was not marked, so a list that goes back to an older state brought it into use again.

Change: the mark is kept in any case. The test failed before it.

--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -154,11 +154,13 @@
         It holds for the present start of the target, whatever the list shows.
         """
         target = self._targets.get(name)
-        if target is None or target.leaving:
+        if target is None:
             return False
         self._leaving[(name, target.born_ms)] = None
         while len(self._leaving) > MAX_LEAVING:
             self._leaving.popitem(last=False)
+        if target.leaving:
+            return False
         self._targets[name] = self._correct(target)
         self._group_by_service()
         return True
--- a/papayacrank/forwarding/tests/test_target_signals.py
+++ b/papayacrank/forwarding/tests/test_target_signals.py
@@ -81,6 +81,21 @@
     assert name not in targets_of(bench, 20)
 
 
+def test_list_that_takes_its_word_back_does_not_bring_a_target_back():
+    """Guards against a list that shows a leaving target, then the state before."""
+    leaving = [build_target(t.name, born_ms=5, leaving=t.name == "p1") for t in PLAIN]
+    bench = Bench(*PLAIN)
+    while True:
+        bench.send("/claim/x")
+        if bench.target_of(bench.call) == "p1":
+            break
+        bench.answer()
+    bench.forwarder.apply_fleet(build_view(*leaving, sequence=2))
+    bench.answer(leaving=1)
+    bench.forwarder.apply_fleet(build_view(*PLAIN, sequence=3))
+    assert "p1" not in targets_of(bench, 20)
+
+
 def test_new_start_under_the_same_name_is_used():
     """Guards against a restarted target that is shut out for its predecessor."""
     bench = Bench(*PLAIN)
