Do per-event and per-tick work of streams and reports once

Cause: each event of a stream was split into lines twice, and each load report went over all targets twice for marks of leaving targets, also without any mark.

Change: lines are searched for data only in an event without an id; without marks, no target is visited. Behaviour is unchanged.

--- a/papayacrank/forwarding/_event_stream.py
+++ b/papayacrank/forwarding/_event_stream.py
@@ -66,8 +66,10 @@
 
     def _read_event(self, raw: bytes) -> StreamEvent:
         event_id = _find_id(raw)
-        has_data = any(line.startswith(DATA_FIELD) for line in raw.splitlines())
-        event = StreamEvent(raw, event_id, has_data or event_id is not None)
+        has_content = event_id is not None or any(
+            line.startswith(DATA_FIELD) for line in raw.splitlines()
+        )
+        event = StreamEvent(raw, event_id, has_content)
         self._empty_bytes = 0 if event.has_content else self._empty_bytes + len(raw)
         if self._empty_bytes > MAX_EMPTY_BYTES:
             raise EventStreamError("too much without an event")
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -167,6 +167,8 @@
 
     def _unconfirmed_leaving(self) -> list[tuple[str, int]]:
         """Return the leaving targets that the view does not show as such."""
+        if not self._leaving:
+            return []
         return [
             (target.name, target.born_ms)
             for target in self._view.targets
