Frame requests to targets and of the leader in one place

Cause: HttpCaller and TargetPort had the same steps to send a whole request through h11.

Change: both call transport.encode_request; each keeps the headers that it adds. Behaviour is unchanged.

--- a/papayacrank/control/_http.py
+++ b/papayacrank/control/_http.py
@@ -13,7 +13,7 @@
 from circuits.core.pollers import BasePoller
 
 from papayacrank.kernel import Clock
-from papayacrank.transport import Timers
+from papayacrank.transport import Timers, encode_request
 
 from ._effects import HttpCall, HttpResult
 
@@ -253,8 +253,4 @@
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(call.body))),
         ]
-    request = h11.Request(method=call.method, target=path, headers=headers)
-    data = protocol.send(request)
-    if call.body:
-        data += protocol.send(h11.Data(data=call.body))
-    return data + protocol.send(h11.EndOfMessage())
+    return encode_request(protocol, call.method, path, headers, call.body)
--- a/papayacrank/forwarding/_target_port.py
+++ b/papayacrank/forwarding/_target_port.py
@@ -13,7 +13,13 @@
 from circuits.core.utils import findcmp
 
 from papayacrank.kernel import Clock
-from papayacrank.transport import Connection, ConnectionState, IdlePool, Timers
+from papayacrank.transport import (
+    Connection,
+    ConnectionState,
+    IdlePool,
+    Timers,
+    encode_request,
+)
 
 from ._headers import HeaderList
 
@@ -552,11 +558,7 @@
     headers = list(call.headers)
     if call.body or call.method not in ("GET", "HEAD", "DELETE"):
         headers.append((b"content-length", b"%d" % len(call.body)))
-    request = h11.Request(method=call.method, target=call.target, headers=headers)
-    data = protocol.send(request)
-    if call.body:
-        data += protocol.send(h11.Data(data=call.body))
-    return data + protocol.send(h11.EndOfMessage())
+    return encode_request(protocol, call.method, call.target, headers, call.body)
 
 
 def _read_keep_alive(headers: HeaderList) -> int:
--- a/papayacrank/transport/__init__.py
+++ b/papayacrank/transport/__init__.py
@@ -6,6 +6,7 @@
 from ._http_port import CallerHead, ExchangeListener, HttpExchange, HttpLimits, HttpPort
 from ._link import Link, LinkSettings, received
 from ._process import install_process_handlers, run_process
+from ._request_bytes import encode_request
 from ._timers import Timers
 
 __all__ = [
@@ -24,6 +25,7 @@
     "MessageDecodeError",
     "Timers",
     "caller_progress",
+    "encode_request",
     "install_process_handlers",
     "received",
     "run_process",
