Share pauses between the entry process and the leader on one machine

Cause: a target that answers 503 with Retry-After counts requests by machine, but the entry process and the leader's roll-out of weights kept their pauses apart. In a test, an engine got three calls of the roll-out (two readings and an order) within the pause that the entry process on the same machine was asked for; two are allowed.

Change: each tells the other of a new pause once, with the time left, in the load reports (`EntryLoad.paused`, `FleetLoad.paused`). Only processes on the machine of the leader are told. `target_paused` names who was asked.

Four tests, red before.

--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -61,7 +61,7 @@
     protocol : TargetProtocol
         Wire form of the calls.
     holder : str
-        Name of this process in orders.
+        Name of this process in orders, and of its machine.
     order_delay_ms : int
         Time that a new leader waits before its first order, for targets that do not
         check fencing tokens.
@@ -69,6 +69,7 @@
 
     def __init__(self, protocol: TargetProtocol, holder: str, order_delay_ms: int = 0):
         self._protocol = protocol
+        self._holder = holder
         self._order_delay_ms = order_delay_ms
         self._rollout = WeightsRollout(protocol, holder, RunPolicy.CONTINUE)
         self._stores = StoreWatch(protocol)
@@ -91,6 +92,7 @@
         self._pushes: deque[tuple[int, int]] = deque()
         self._settled = 0
         self._new_parts: list[PartPlace] = []
+        self._new_pauses: dict[str, int] = {}
         # Starts of targets that say that they are leaving, by name and start.
         self._leaving: OrderedDict[tuple[str, int], None] = OrderedDict()
 
@@ -115,6 +117,7 @@
         self._next_list_ms = now_ms
         self._reports.clear()
         self._new_parts = []
+        self._new_pauses = {}
         self._silent.clear()
         self._totals = {}
         self._sent.clear()
@@ -244,6 +247,9 @@
         self._new_parts += report.parts[: max(0, room)]
         for name, born_ms in report.leaving:
             self._note_leaving(name, born_ms, report.instance)
+        if self._is_local(report.instance):
+            for name, pause_ms in report.paused:
+                self._rollout.pause(name, pause_ms, now_ms)
         for name in report.silent:
             if name not in self._silent:
                 log_event(TARGET_SILENT, target=name, reported_by=report.instance)
@@ -258,6 +264,11 @@
             self._note_leaving(name, target.born_ms, "leader")
         if signals.pause_ms is not None:
             self._rollout.pause(name, signals.pause_ms, now_ms)
+            self._new_pauses[name] = now_ms + signals.pause_ms
+
+    def _is_local(self, instance: str) -> bool:
+        """Whether an entry process runs on this machine; it is named after it."""
+        return instance.partition("@")[0] == self._holder
 
     def _note_leaving(self, name: str, born_ms: int, source: str) -> None:
         """Take that a start of a target is leaving, whatever the list shows."""
@@ -296,18 +307,29 @@
         }
         silent = sorted(self._numbers[n] for n in self._silent if n in self._numbers)
         parts = self._group_parts()
+        pauses = self._take_new_pauses(now_ms)
         sends = []
         for instance, sender in receivers.items():
             report = self._reports.get(instance)
             reported = report.load.sequence if report is not None else 0
             content = (reported, loads, silent)
-            if self._sent.get(instance) == content and not parts:
+            paused = pauses if self._is_local(instance) else []
+            if self._sent.get(instance) == content and not parts and not paused:
                 continue
             self._sent[instance] = content
-            message = FleetLoad(self._term, reported, loads, silent, parts)
+            message = FleetLoad(self._term, reported, loads, silent, parts, paused)
             sends.append(Send(sender, message))
         return sends
 
+    def _take_new_pauses(self, now_ms: int) -> list[tuple[int, int]]:
+        """Take the pauses that targets have asked this process for."""
+        pauses, self._new_pauses = self._new_pauses, {}
+        return [
+            (self._numbers[name], end_ms - now_ms)
+            for name, end_ms in pauses.items()
+            if name in self._numbers and end_ms > now_ms
+        ]
+
     def _group_parts(self) -> list[PartGroup]:
         """Take the new parts in the short form for many receivers."""
         new_parts, self._new_parts = self._new_parts, []
--- a/papayacrank/control/tests/test_rollout.py
+++ b/papayacrank/control/tests/test_rollout.py
@@ -394,6 +394,42 @@
     assert bench.versions() == [2] * 9
 
 
+def test_pause_asked_of_this_machine_holds_for_its_orders():
+    """Guards against orders to an overloaded engine from the machine it turned away."""
+    bench = Bench()
+    bench.run(100)
+    engine = bench.engines["e3"]
+    for sequence, instance in enumerate(["leader@7", "other@7"], start=1):
+        name = "e3" if instance == "leader@7" else "e4"
+        report = EntryLoad(instance, sequence, {}, paused=[(name, 2_000)])
+        bench.board.observe_load(report, bench.now_ms)
+    bench.wanted = {MODEL: 2}
+    bench.run(1_900)
+    assert engine.calls == 0
+    assert bench.engines["e4"].orders == 1
+    bench.run(3_000)
+    assert bench.versions() == [2] * 9
+
+
+def test_pause_asked_of_the_leader_is_told_to_its_machine_once():
+    """Guards against requests from a machine whose orders were turned away."""
+    bench = Bench()
+    bench.run(100)
+    number = {t.name: t.number for t in bench.board.targets}
+    bench.engines["e3"].headers = (("pause-ms", "2000"),)
+    bench.wanted = {MODEL: 2}
+    while not bench.engines["e3"].calls:
+        bench.run(10)
+    bench.run(10)
+    receivers = {"leader@7": "local", "other@7": "other"}
+    sent = {s.to: s.message for s in bench.board.push_load(receivers, bench.now_ms)}
+    [(paused, left_ms)] = sent["local"].paused
+    assert paused == number["e3"]
+    assert 1_900 < left_ms <= 2_000
+    assert sent["other"].paused == []
+    assert bench.board.push_load(receivers, bench.now_ms) == []
+
+
 def test_loads_are_summed_and_sent_only_when_they_change():
     """Guards against traffic without news, and against loads of lost processes."""
     bench = Bench()
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -766,11 +766,19 @@
             is_news |= self._parts.stores.note(place.store, salt, part, now_ms)
         return is_news
 
+    def take_new_pauses(self) -> list[tuple[str, int]]:
+        """Return the pauses that targets asked for since the last call."""
+        return self._push_backs.take_news(self._clock.now_ms())
+
     def take_load(self, load: FleetLoad) -> None:
-        """Take over the load and the prompt parts that the leader reports."""
+        """Take over the load, pauses and prompt parts that the leader reports."""
         if not self._table.take_load(load):
             return
         now_ms = self._clock.now_ms()
+        for number, pause_ms in load.paused:
+            name = self._table.name_of(number)
+            if name is not None:
+                self._push_backs.follow(name, pause_ms, now_ms)
         for group in load.parts:
             for number, part in group.places:
                 name = self._table.name_of(number)
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -356,7 +356,8 @@
         if leader is None:
             return
         instance = self._settings.forwarding.instance
-        report = self._forwarder.table.report(instance)
+        paused = self._forwarder.take_new_pauses()
+        report = self._forwarder.table.report(instance, paused)
         if report is None and self._ticks % REPEAT_LOAD_TICKS == 0:
             report = self._forwarder.table.repeat_report(instance)
         if report is not None:
--- a/papayacrank/forwarding/_push_back.py
+++ b/papayacrank/forwarding/_push_back.py
@@ -36,22 +36,43 @@
     def __init__(self, max_pause_ms: int):
         self._max_pause_ms = max_pause_ms
         self._pauses: dict[str, _Pause] = {}
+        self._news: dict[str, int] = {}
 
     def note(self, name: str, pause_ms: int, now_ms: int) -> None:
-        """Note that a target has asked for a pause.
+        """Note that a target has asked this process for a pause.
 
         Parameters
         ----------
         pause_ms : int
             Time from now, in milliseconds.
         """
+        self._news[name] = self._pause(name, pause_ms, now_ms, "answer")
+
+    def follow(self, name: str, pause_ms: int, now_ms: int) -> None:
+        """Note a pause that another process of this machine was asked for."""
+        self._pause(name, pause_ms, now_ms, "leader")
+
+    def take_news(self, now_ms: int) -> list[tuple[str, int]]:
+        """Return each pause asked for since the last call, with the time left."""
+        news, self._news = self._news, {}
+        return [(name, end - now_ms) for name, end in news.items() if end > now_ms]
+
+    def _pause(self, name: str, pause_ms: int, now_ms: int, source: str) -> int:
+        """Extend the pause of a target and return its end."""
         used_ms = min(pause_ms, self._max_pause_ms)
         until_ms = now_ms + used_ms + PAUSE_MARGIN_MS
         known = self._pauses.get(name)
         if known is not None and known.until_ms > now_ms:
             until_ms = max(until_ms, known.until_ms)
         self._pauses[name] = _Pause(until_ms)
-        log_event(TARGET_PAUSED, target=name, asked_ms=pause_ms, for_ms=used_ms)
+        log_event(
+            TARGET_PAUSED,
+            target=name,
+            asked_ms=pause_ms,
+            for_ms=used_ms,
+            asked_by=source,
+        )
+        return until_ms
 
     def may_send(self, name: str, running: int, now_ms: int) -> bool:
         """Whether a target may get a request now.
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -1,6 +1,7 @@
 """What an entry process knows about the targets and their load."""
 
 from collections import OrderedDict
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -268,21 +269,34 @@
         if len(self._new_parts) < MAX_NEW_PARTS:
             self._new_parts.append(place)
 
-    def report(self, instance: str) -> EntryLoad | None:
-        """Return the next report, None if nothing has changed."""
+    def report(
+        self, instance: str, paused: Sequence[tuple[str, int]] = ()
+    ) -> EntryLoad | None:
+        """Return the next report, None if nothing has changed.
+
+        Parameters
+        ----------
+        paused : sequence of (str, int)
+            Targets that have asked for a pause since the last report, and its length.
+        """
         loads = {n: own.freeze() for n, own in self._own.items() if own.running > 0}
-        is_news = self._newly_silent or self._new_parts
+        is_news = self._newly_silent or self._new_parts or paused
         is_news = is_news or self._unconfirmed_leaving() != self._last_leaving
         if loads == self._last_loads and not is_news:
             return None
         self._last_loads = loads
-        return self._build_report(instance, loads)
+        return self._build_report(instance, loads, paused)
 
     def repeat_report(self, instance: str) -> EntryLoad:
         """Return the report again, so that it does not expire."""
         return self._build_report(instance, self._last_loads or {})
 
-    def _build_report(self, instance: str, loads: dict[str, TargetLoad]) -> EntryLoad:
+    def _build_report(
+        self,
+        instance: str,
+        loads: dict[str, TargetLoad],
+        paused: Sequence[tuple[str, int]] = (),
+    ) -> EntryLoad:
         self._report_sequence += 1
         self._sent[self._report_sequence] = loads
         while len(self._sent) > MAX_PENDING_REPORTS:
@@ -292,5 +306,11 @@
         parts, self._new_parts = self._new_parts, []
         self._last_leaving = self._unconfirmed_leaving()
         return EntryLoad(
-            instance, self._report_sequence, loads, silent, parts, self._last_leaving
+            instance,
+            self._report_sequence,
+            loads,
+            silent,
+            parts,
+            self._last_leaving,
+            list(paused),
         )
--- a/papayacrank/forwarding/tests/test_target_signals.py
+++ b/papayacrank/forwarding/tests/test_target_signals.py
@@ -11,6 +11,7 @@
     PushBacks,
 )
 from papayacrank.forwarding._targets import TargetTable
+from papayacrank.messages import FleetLoad
 
 from .builders import Bench, build_target, build_view
 
@@ -216,6 +217,28 @@
     assert push_backs.may_send("p1", 0, 60_000 + PAUSE_MARGIN_MS)
 
 
+def test_pause_is_told_once_with_the_time_left():
+    """Guards against orders from this machine during a pause asked of it."""
+    bench = Bench(*PLAIN)
+    bench.send("/claim/x")
+    name = bench.target_of(bench.call)
+    bench.answer(503, b"", not_run=1, pause_ms=2_000)
+    bench.advance(100)
+    assert bench.forwarder.take_new_pauses() == [(name, 1_900 + PAUSE_MARGIN_MS)]
+    assert bench.forwarder.take_new_pauses() == []
+
+
+def test_pause_asked_of_the_leader_on_this_machine_is_kept():
+    """Guards against requests from a machine whose orders were turned away."""
+    bench = Bench(build_target("p1", number=1), build_target("p2", number=2))
+    load = FleetLoad(1, 0, {}, paused=[(1, 2_000), (9, 2_000)])
+    bench.forwarder.take_load(load)
+    assert set(targets_of(bench, 20)) == {"p2"}
+    assert bench.forwarder.take_new_pauses() == []
+    bench.advance(2_000 + PAUSE_MARGIN_MS)
+    assert set(targets_of(bench, 20)) == {"p1", "p2"}
+
+
 def test_load_of_other_targets_is_expected_during_a_pause():
     """Guards against a request that waits for a paused target with room."""
     bench = Bench(*(build_target(f"p{n}") for n in range(6)))
--- a/papayacrank/messages/_fleet.py
+++ b/papayacrank/messages/_fleet.py
@@ -125,6 +125,9 @@
     leaving : list of (str, int)
         Targets, by name and start, whose answers say that they are leaving while the
         view does not show it.
+    paused : list of (str, int)
+        Targets that have asked for a pause since the last message, and its length from
+        now in milliseconds.
     """
 
     instance: str
@@ -133,6 +136,7 @@
     silent: list[str] = []
     parts: list[PartPlace] = []
     leaving: list[tuple[str, int]] = []
+    paused: list[tuple[str, int]] = []
 
 
 class PartGroup(msgspec.Struct, frozen=True, array_like=True):
@@ -164,6 +168,10 @@
         Numbers of targets that do not answer connection attempts.
     parts : list of PartGroup
         Parts that entry processes saw since the last message.
+    paused : list of (int, int)
+        Numbers of targets that have asked the leader for a pause since the last
+        message, and its length from now in milliseconds. Only entry processes on the
+        machine of the leader are told, because the pause is for that machine.
     """
 
     term: int
@@ -171,3 +179,4 @@
     loads: dict[int, TargetLoad]
     silent: list[int] = []
     parts: list[PartGroup] = []
+    paused: list[tuple[int, int]] = []
