Bound request bodies of all callers in sum; deliver large whole answers to slow readers

Cause: `HttpPort` bounded the body of one request (4 MiB), not the sum over callers, and held up to 256 MiB of answers, on instances of 128 MB. An answer that is ready as a whole was cut when the caller had not taken all but 1 MiB of it at once, because the bound on what a connection holds was checked after the piece was added.

Change: bodies are counted until their answers have ended; beyond 24 MiB a request is refused with 503 and Retry-After, by its announced length before its body is read. Held answers of all callers are bounded by 24 MiB. The bound of one connection is checked before a piece is added, so that a whole answer passes and a stream stays bounded.

Tests, red before: an answer of 12 MB to a caller that reads after 0.3 s (3.9 MB arrived before, all now); four callers with bodies beyond the sum. Requests sent ahead of an answer on the same connection are bounded by connection only, as before.

--- a/papayacrank/transport/_http_port.py
+++ b/papayacrank/transport/_http_port.py
@@ -21,6 +21,11 @@
 # After an answer that ends the connection, unread input is discarded for a while:
 # closing a socket with unread input resets it, and the caller may lose the answer.
 DISCARD_MS = 2_000
+# Answer bytes held for all callers together, within an instance of 128 MB.
+MAX_TOTAL_HELD_BYTES = 25_165_824
+# A request for whose body there is no memory may come back after this time, in which
+# most running requests end.
+FULL_RETRY_S = 1
 CLOSE_HEADER = (b"connection", b"close")
 FORBIDDEN_PAIR = frozenset({b"content-length", b"transfer-encoding"})
 
@@ -44,7 +49,11 @@
     max_connections : int
         Further connections are refused.
     max_held_bytes : int
-        Answer bytes that a connection may hold for a caller that does not read.
+        Answer bytes that a connection may hold for a caller that does not read before
+        a further piece ends the connection.
+    max_total_body_bytes : int
+        Sum of the request bodies of all callers. An instance of 128 MB needs half of
+        that for itself.
     """
 
     max_header_bytes: int = 16_384
@@ -54,6 +63,7 @@
     idle_timeout_ms: int = 15_000
     max_connections: int = 2_000
     max_held_bytes: int = 1_048_576
+    max_total_body_bytes: int = 25_165_824
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,9 +206,14 @@
         self._limits = limits or HttpLimits()
         self._callers: dict[Any, _Caller] = {}
         self._closes_all = False
+        self._input_bytes = 0
         host, port = address.rsplit(":", 1)
         self._server = CallerServer(
-            (host, int(port)), self._limits.max_connections, b"", channel=name
+            (host, int(port)),
+            self._limits.max_connections,
+            b"",
+            MAX_TOTAL_HELD_BYTES,
+            channel=name,
         ).register(self)
         self._schedule_sweep()
 
@@ -267,9 +282,11 @@
         caller = self._find(exchange)
         if caller is None:
             return
-        self._write(exchange.sock, caller, h11.Data(data=data))
+        # The first piece beyond the bound is taken: it may be a whole answer.
         if self._server.held_bytes(exchange.sock) > self._limits.max_held_bytes:
             self._server.abort(exchange.sock)
+            return
+        self._write(exchange.sock, caller, h11.Data(data=data))
 
     def end_answer(self, exchange: HttpExchange) -> None:
         """End the answer and go on with the next request of the connection."""
@@ -280,6 +297,7 @@
         self._write(sock, caller, h11.EndOfMessage())
         exchange.is_open = False
         caller.exchange = None
+        self._count_input(caller, 0)
         caller.active_ms = self._clock.now_ms()
         protocol = caller.protocol
         if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
@@ -323,7 +341,10 @@
     @handler("disconnect")
     def _on_disconnect(self, sock):
         caller = self._callers.pop(sock, None)
-        if caller is None or caller.exchange is None:
+        if caller is None:
+            return
+        self._count_input(caller, 0)
+        if caller.exchange is None:
             return
         exchange = caller.exchange
         was_open, exchange.is_open = exchange.is_open, False
@@ -374,9 +395,11 @@
             self._take_head(sock, caller, event)
         elif isinstance(event, h11.Data):
             caller.body.append(bytes(event.data))
-            caller.body_bytes += len(event.data)
+            self._count_input(caller, caller.body_bytes + len(event.data))
             if caller.body_bytes > self._limits.max_body_bytes:
                 self._refuse_input(sock, caller, 413, "body too large")
+            elif self._input_bytes > self._limits.max_total_body_bytes:
+                self._refuse_input(sock, caller, 503, "bodies of all callers too large")
         elif isinstance(event, h11.EndOfMessage):
             self._open_exchange(sock, caller)
 
@@ -395,8 +418,17 @@
             return
         caller.head = CallerHead(event.method.decode("latin-1"), target, headers)
         length = caller.head.find(b"content-length")
-        if length is not None and int(length) > self._limits.max_body_bytes:
+        if length is None:
+            return
+        if int(length) > self._limits.max_body_bytes:
             self._refuse_input(sock, caller, 413, "body too large")
+        elif self._input_bytes + int(length) > self._limits.max_total_body_bytes:
+            self._refuse_input(sock, caller, 503, "bodies of all callers too large")
+
+    def _count_input(self, caller: _Caller, body_bytes: int) -> None:
+        """Count the body of a caller's request, until its answer has ended."""
+        self._input_bytes += body_bytes - caller.body_bytes
+        caller.body_bytes = body_bytes
 
     def _open_exchange(self, sock, caller: _Caller) -> None:
         body = b"".join(caller.body)
@@ -405,14 +437,17 @@
         caller.began_ms = None
         caller.head = None
         caller.body = []
-        caller.body_bytes = 0
         self._listener.on_exchange(exchange)
 
     def _refuse_input(self, sock, caller: _Caller, status: int, reason: str) -> None:
         log_event(CALLER_INPUT_REFUSED, port=self._name, status=status, reason=reason)
         caller.began_ms = None
+        caller.body = []
+        self._count_input(caller, 0)
         if caller.protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [(b"content-length", b"0"), CLOSE_HEADER]
+            if status == HTTPStatus.SERVICE_UNAVAILABLE:
+                headers.append((b"retry-after", b"%d" % FULL_RETRY_S))
             response = h11.Response(
                 status_code=status, headers=headers, reason=_reason(status)
             )
--- a/papayacrank/transport/tests/test_http_port.py
+++ b/papayacrank/transport/tests/test_http_port.py
@@ -22,7 +22,10 @@
     header_timeout_ms=300,
     body_timeout_ms=300,
     idle_timeout_ms=600,
+    max_total_body_bytes=12_000,
 )
+# More than the socket buffers of both sides take at once.
+LARGE_ANSWER_BYTES = 12_000_000
 
 
 class Echo(ExchangeListener):
@@ -42,6 +45,8 @@
             exchange.send(b"one")
             exchange.send(b"two")
             exchange.end()
+        elif head.target == "/large":
+            exchange.respond(200, [], b"x" * LARGE_ANSWER_BYTES)
         elif head.target == "/cut":
             exchange.begin(200, [])
             exchange.send(b"one")
@@ -103,6 +108,14 @@
     return data
 
 
+def wait_until(condition):
+    """Wait for up to 5 s until a condition holds."""
+    end = time.monotonic() + 5
+    while not condition():
+        assert time.monotonic() < end, "timed out"
+        time.sleep(0.01)
+
+
 def ask(sock, data, end=b"\r\n\r\n"):
     """Send bytes and return what arrives until `end`."""
     sock.sendall(data)
@@ -308,3 +321,38 @@
     time.sleep(0.2)
     stepper.run(server.port.close_idle)
     assert server.port.is_finished
+
+
+def test_whole_answer_reaches_a_caller_that_reads_late(server):
+    """Guards against ready answers that are cut because they are large."""
+    sock = server.connect()
+    sock.sendall(b"GET /large HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+    time.sleep(0.3)
+    answer = receive_until_closed(sock)
+    assert len(answer.partition(b"\r\n\r\n")[2]) == LARGE_ANSWER_BYTES
+
+
+def test_bodies_of_all_callers_are_bounded_in_sum(server):
+    """Guards against a process that ends for lack of memory under large requests."""
+    head = b"POST /hold HTTP/1.1\r\nHost: a\r\nContent-Length: 4500\r\n\r\n"
+    body = b"x" * 4_500
+    first, second = server.connect(), server.connect()
+    for sock in (first, second):
+        sock.sendall(head + body)
+    wait_until(lambda: len(server.echo.held) == 2)
+    third = server.connect()
+    third.sendall(head)
+    refusal = receive_until_closed(third)
+    assert refusal.startswith(b"HTTP/1.1 503 ")
+    assert b"retry-after: 1\r\n" in refusal.lower()
+    fourth = server.connect()
+    fourth.sendall(head.replace(b"Content-Length: 4500", b"Transfer-Encoding: chunked"))
+    fourth.sendall(b"1194\r\n" + body)
+    assert receive_until_closed(fourth).startswith(b"HTTP/1.1 503 ")
+    for exchange in server.echo.held:
+        exchange.respond(200, [])
+    assert first.recv(100).startswith(b"HTTP/1.1 200 ")
+    second.close()
+    fifth = server.connect()
+    fifth.sendall(head + body)
+    wait_until(lambda: len(server.echo.held) == 3)
