Play damaged messages against the three HTTP parsers

A request ends once and is not said to be without a run; no handler fails; another caller is served.

--- a/papayacrank/forwarding/tests/test_target_port.py
+++ b/papayacrank/forwarding/tests/test_target_port.py
@@ -8,12 +8,15 @@
 
 import pytest
 from circuits import BaseComponent, Event, handler
+from hypothesis import HealthCheck, given, settings
+from structlog.testing import capture_logs
 
 from papayacrank.forwarding import _target_port as port_module
 from papayacrank.forwarding._target_port import CallListener, TargetCall, TargetPort
 from papayacrank.kernel import MonotonicClock
 from papayacrank.testing import ScriptedTarget
 from papayacrank.transport import Timers, install_process_handlers
+from papayacrank.transport.tests.http_messages import ANSWERS, damaged_messages
 
 OK = b"HTTP/1.1 200 OK\r\nid: %s\r\nContent-Length: 2\r\n\r\nok"
 RESET = struct.pack("ii", 1, 0)
@@ -373,3 +376,25 @@
     assert bench.run(target.address, "a")[1] == "ended"
     assert bench.run(target.address, "a", needs_new_connection=True)[1] == "ended"
     assert target.connections == 2
+
+
+@settings(
+    max_examples=200,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(pieces=damaged_messages(ANSWERS))
+def test_damaged_answer_ends_its_request_once(bench, pieces):
+    """Guards against answers that stop the loop, end twice or deny a run."""
+
+    def script(sock, data, number):
+        for piece in pieces:
+            sock.sendall(piece)
+        sock.close()
+
+    target = ScriptedTarget(script)
+    with capture_logs() as events:
+        _, code, may_have_run = bench.run(target.address, "r")
+    assert may_have_run
+    assert bench.collector.outcomes.empty()
+    assert not [e for e in events if e["event"] == "handler_failed"], code
--- a/papayacrank/targets/tests/test_faults.py
+++ b/papayacrank/targets/tests/test_faults.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 
 import pytest
+from hypothesis import HealthCheck, given, settings
+from structlog.testing import capture_logs
 
 from papayacrank.targets import (
     Delivery,
@@ -22,6 +24,7 @@
 from papayacrank.targets.tests._scripted import ScriptedServer
 from papayacrank.testing import EngineSpeed, Relay, expected_output
 from papayacrank.transport import Connection
+from papayacrank.transport.tests.http_messages import ANSWERS, damaged_messages
 
 SHORT = TargetTimeouts(
     connect_ms=200, first_byte_ms=200, first_token_ms=200, progress_ms=200
@@ -588,3 +591,20 @@
     assert not ran & unwritten
     assert set(finished) <= ran
     assert len(finished) >= 60
+
+
+@settings(
+    max_examples=200,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(pieces=damaged_messages(ANSWERS))
+def test_damaged_answer_ends_its_request_once(bench, pieces):
+    """Guards against answers that stop the loop, end twice or deny a run."""
+    bench.recorder.outcomes.clear()
+    with ScriptedServer(["read", *pieces]) as server, capture_logs() as events:
+        request = plain_request(server.address, "r", timeouts=SHORT)
+        failure = bench.run_request(request)
+        bench.run_ms(2)
+    assert failure is None or failure.bytes_written
+    assert not [e for e in events if e["event"] == "handler_failed"]
--- a/papayacrank/transport/tests/test_http_port.py
+++ b/papayacrank/transport/tests/test_http_port.py
@@ -6,6 +6,8 @@
 
 import pytest
 from circuits import BaseComponent, Event, handler
+from hypothesis import HealthCheck, given, settings
+from structlog.testing import capture_logs
 
 from papayacrank.kernel import MonotonicClock
 from papayacrank.transport import (
@@ -16,6 +18,8 @@
     install_process_handlers,
 )
 
+from .http_messages import REQUESTS, damaged_messages
+
 LIMITS = HttpLimits(
     max_header_bytes=2_000,
     max_body_bytes=5_000,
@@ -356,3 +360,28 @@
     fifth = server.connect()
     fifth.sendall(head + body)
     wait_until(lambda: len(server.echo.held) == 3)
+
+
+@settings(
+    max_examples=200,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@given(pieces=damaged_messages(REQUESTS))
+def test_damaged_request_harms_nobody_else(server, pieces):
+    """Guards against input that stops the loop or is kept without a bound."""
+    sock = server.connect()
+    with capture_logs() as events:
+        try:
+            for piece in pieces:
+                sock.sendall(piece)
+            sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+        answer = receive_until_closed(sock)
+        sock.close()
+        other = server.connect()
+        assert ask(other, REQUEST, b"GET /x ").startswith(b"HTTP/1.1 200")
+        other.close()
+    assert not answer or answer.startswith(b"HTTP/1.1 ")
+    assert not [e for e in events if e["event"] == "handler_failed"]
