End answers that make no progress in the client of the own interface

Cause: `TargetClient` moved the time-out of a request with every byte it received. A target that sent interim heads, a head of a byte now and then, comments, an event or a refusal without end kept a request for as long as it liked (eleven forms, none ended in 5 s).

Change: only the head of an answer, a token of a stream and a piece of a plain body move the time-out; more than 16 interim heads are malformed.

Tests: twelve, eleven red before; a plain body of a byte each 50 ms is still not cut. The test that plays damaged answers read an id as UTF-8 itself and failed once on that.

--- a/papayacrank/forwarding/tests/test_target_port.py
+++ b/papayacrank/forwarding/tests/test_target_port.py
@@ -14,7 +14,7 @@
 from papayacrank.forwarding import _target_port as port_module
 from papayacrank.forwarding._target_port import CallListener, TargetCall, TargetPort
 from papayacrank.kernel import MonotonicClock
-from papayacrank.testing import ScriptedTarget
+from papayacrank.testing import ScriptedTarget, endless
 from papayacrank.transport import Timers, install_process_handlers
 from papayacrank.transport.tests.http_messages import ANSWERS, damaged_messages
 
@@ -32,7 +32,7 @@
     def is_answer(self, call, status, headers):
         """Compare the ids."""
         known = dict(headers).get(b"id")
-        return known is None or known.decode() == call.state
+        return known is None or known.decode("latin-1") == call.state
 
     def on_answer(self, call, status, headers):
         """Begin a body."""
@@ -258,19 +258,6 @@
 EARLIER = CHUNKED.replace(b"id: a", b"id: earlier")
 
 
-def endless(first, piece, pause_s=0.0):
-    """Return a script that sends a piece again and again until its peer closes."""
-
-    def script(sock, data, number):
-        sock.sendall(first)
-        while True:
-            sock.sendall(piece)
-            if pause_s:
-                time.sleep(pause_s)
-
-    return script
-
-
 @pytest.mark.parametrize(
     ("first", "piece"),
     [
--- a/papayacrank/targets/_answer.py
+++ b/papayacrank/targets/_answer.py
@@ -31,11 +31,12 @@
     had_head = attempt.reader.head is not None
     body = attempt.reader.feed(data)
     events = []
-    if not had_head and attempt.reader.head is not None:
+    got_head = not had_head and attempt.reader.head is not None
+    if got_head:
         events += _take_head(attempt)
-    if body:
-        events += _take_body(attempt, body)
-    return events
+    pieces = _take_body(attempt, body) if body else []
+    attempt.advanced = got_head or bool(pieces)
+    return events + pieces
 
 
 def _take_head(attempt: Attempt) -> list[Event]:
--- a/papayacrank/targets/_client.py
+++ b/papayacrank/targets/_client.py
@@ -370,7 +370,7 @@
             if not self._poller.isReading(connection.sock):
                 self._poller.addReader(self, connection.sock)
             self._deadlines.set(connection, STREAM_END_TIMEOUT_MS)
-        elif not attempt.paused and not connection.has_unsent:
+        elif attempt.advanced and not attempt.paused and not connection.has_unsent:
             self._deadlines.set(connection, self._wait_ms(attempt))
 
     def _wait_ms(self, attempt: Attempt) -> int:
--- a/papayacrank/targets/_exchange.py
+++ b/papayacrank/targets/_exchange.py
@@ -15,7 +15,14 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """Progress of one `TargetRequest`."""
+    """Progress of one `TargetRequest`.
+
+    Parameters
+    ----------
+    advanced : bool
+        Whether the last bytes received were progress: the head of the answer, a token
+        of a stream or a piece of a plain body. Other bytes do not extend a time-out.
+    """
 
     request: TargetRequest
     wire: bytes
@@ -27,6 +34,7 @@
     restarted: bool = False
     refused: bool = False
     got_token: bool = False
+    advanced: bool = False
     body_bytes: int = 0
     refusal_body: bytearray = field(default_factory=bytearray)
     connection: object = None
--- a/papayacrank/targets/_request.py
+++ b/papayacrank/targets/_request.py
@@ -31,7 +31,8 @@
     first_token_ms : int
         From the head of the answer until the first token; streams only.
     progress_ms : int
-        Between two pieces of the answer, and between two writes of the request.
+        Between two pieces of a plain body or two tokens of a stream, and between two
+        writes of the request.
     """
 
     connect_ms: int = CONNECT_TIMEOUT_MS
--- a/papayacrank/targets/_response.py
+++ b/papayacrank/targets/_response.py
@@ -10,6 +10,8 @@
 
 MAX_CHUNK_LINE_BYTES = 256
 MAX_TRAILER_BYTES = 8_192
+# A target sends few interim heads; more are an answer without end.
+MAX_INTERIM_HEADS = 16
 NO_BODY_STATUSES = (204, 304)
 LINE_END = b"\r\n"
 HEAD_END = b"\r\n\r\n"
@@ -57,6 +59,7 @@
         self._left_bytes = 0
         self.head: AnswerHead | None = None
         self.complete = False
+        self._interim_heads = 0
         self.keep_alive = False
 
     @property
@@ -90,6 +93,9 @@
         if 100 <= head.status < 200:
             if head.status == 101:
                 raise MalformedAnswerError("unexpected change of protocol")
+            self._interim_heads += 1
+            if self._interim_heads > MAX_INTERIM_HEADS:
+                raise MalformedAnswerError("too many interim heads")
             return True
         self.head = head
         self._choose_framing(head)
--- a/papayacrank/targets/tests/test_faults.py
+++ b/papayacrank/targets/tests/test_faults.py
@@ -22,7 +22,13 @@
     stream_request,
 )
 from papayacrank.targets.tests._scripted import ScriptedServer
-from papayacrank.testing import EngineSpeed, Relay, expected_output
+from papayacrank.testing import (
+    EngineSpeed,
+    Relay,
+    ScriptedTarget,
+    endless,
+    expected_output,
+)
 from papayacrank.transport import Connection
 from papayacrank.transport.tests.http_messages import ANSWERS, damaged_messages
 
@@ -608,3 +614,55 @@
         bench.run_ms(2)
     assert failure is None or failure.bytes_written
     assert not [e for e in events if e["event"] == "handler_failed"]
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+EVENTS = CHUNKED.replace(b"OK\r\n", b"OK\r\nContent-Type: text/event-stream\r\n")
+REFUSAL = CHUNKED.replace(b"200 OK", b"503 Busy")
+PAUSE_S = 0.05
+
+
+@pytest.mark.parametrize(
+    ("first", "piece", "pause_s"),
+    [
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n", 0.0),
+        (b"", b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 0.0),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n", PAUSE_S),
+        (b"HTTP/1.1 200 OK\r\nx: ", b"y", PAUSE_S),
+        (EVENTS, b"3\r\n:c\n\r\n", 0.0),
+        (EVENTS, b"3\r\n:c\n\r\n", PAUSE_S),
+        (EVENTS, b"8\r\ndata: x\n\r\n", PAUSE_S),
+        (EVENTS, b"1\r\nx\r\n", PAUSE_S),
+        (REFUSAL, b"1\r\nx\r\n", PAUSE_S),
+        (REFUSAL, b"1\r\nx\r\n", 0.0),
+    ],
+)
+def test_bytes_that_are_no_progress_do_not_keep_a_stream(bench, first, piece, pause_s):
+    """Guards against a target that occupies a request without answering it."""
+    target = ScriptedTarget(endless(first, piece, pause_s))
+    request = stream_request(target.address, timeouts=SHORT)
+    failure = bench.run_request(request)
+    assert failure.code in (
+        "malformed_answer",
+        "first_byte_timeout",
+        "first_token_timeout",
+        "progress_timeout",
+    )
+    assert failure.bytes_written
+
+
+def test_head_that_drips_does_not_keep_a_plain_request(bench):
+    """Guards against a head of a byte now and then that never ends."""
+    target = ScriptedTarget(endless(b"HTTP/1.1 200 OK\r\nx: ", b"y", PAUSE_S))
+    failure = bench.run_request(plain_request(target.address, timeouts=SHORT))
+    assert failure.code == "first_byte_timeout"
+
+
+def test_slow_but_steady_answers_are_not_cut(bench):
+    """Guards against time-outs of answers that make progress."""
+    head = HEAD.replace(b"5", b"12")
+    steps = [b"x", PAUSE_S] * 12
+    with ScriptedServer(["read", head, *steps, "hold"]) as server:
+        request = plain_request(server.address, timeouts=SHORT)
+        assert bench.run_request(request) is None
+    assert bench.recorder.data["r1"] == b"x" * 12
--- a/papayacrank/testing/_scripted.py
+++ b/papayacrank/testing/_scripted.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 
 
 class ScriptedTarget:
@@ -42,3 +43,24 @@
                 self._script(sock, data, self._numbers)
         except OSError:
             return
+
+
+def endless(first: bytes, piece: bytes, pause_s: float = 0.0):
+    """Return a script that sends a piece again and again until its peer closes.
+
+    Parameters
+    ----------
+    first : bytes
+        Sent once, before the pieces.
+    pause_s : float
+        Pause after each piece, in seconds.
+    """
+
+    def script(sock, data, number):
+        sock.sendall(first)
+        while True:
+            sock.sendall(piece)
+            if pause_s:
+                time.sleep(pause_s)
+
+    return script
