Send entry processes that come or go as single changes of the feed

Cause: each change of the live entry processes put the whole list into the feed.

Change: `InstanceChange` carries one process, as `KeyChange` does.

Three tests, the first red before; the test that compares a restored with an original machine passes.

--- a/papayacrank/control/_contact.py
+++ b/papayacrank/control/_contact.py
@@ -15,7 +15,7 @@
     FeedUpdate,
     Heartbeat,
     HeartbeatAck,
-    InstancesChange,
+    InstanceChange,
     KeyChange,
     KeyEntry,
     NotLeader,
@@ -344,15 +344,15 @@
             return []
         before = dict(self._keys)
         self._keys = {entry.key_id: entry for entry in snapshot.keys}
+        self._instances = tuple(snapshot.instances)
         changes: list[FeedChange] = [
             snapshot.configuration,
             TargetsChange(snapshot.targets),
-            InstancesChange(snapshot.instances),
         ]
         changes += [c for c in (snapshot.routing, snapshot.weights) if c is not None]
         for change in changes:
             self._apply(change)
-        return self._finish_change(snapshot.version, changes, before)
+        return self._finish_change(snapshot.version, changes, before, is_whole=True)
 
     def _apply(self, change: FeedChange) -> None:
         if isinstance(change, ConfigurationChange):
@@ -369,7 +369,7 @@
         elif isinstance(change, WeightsChange):
             self._weights = dict(change.versions)
         else:
-            self._instances = tuple(change.instances)
+            self._apply_instance(change)
 
     def _apply_configuration(self, change: ConfigurationChange) -> None:
         if change.version <= self._configuration_version:
@@ -377,11 +377,19 @@
         self._configuration = parse_configuration(change.document)
         self._configuration_version = change.version
 
+    def _apply_instance(self, change: InstanceChange) -> None:
+        others = [e for e in self._instances if e.instance != change.instance]
+        if change.entry is not None:
+            others.append(change.entry)
+        self._instances = tuple(sorted(others, key=lambda entry: entry.instance))
+
     def _apply_routing(self, configuration: RoutingConfiguration) -> None:
         if self._routing is None or configuration.version > self._routing.version:
             self._routing = configuration
 
-    def _finish_change(self, version: int, changes: list, before: dict) -> list:
+    def _finish_change(
+        self, version: int, changes: list, before: dict, is_whole: bool = False
+    ) -> list:
         self._feed_version = version
         self._index_keys()
         if self._awaited is not None and self._awaited[0] <= version:
@@ -394,7 +402,7 @@
                 version,
                 ConfigurationChange in kinds,
                 TargetsChange in kinds,
-                InstancesChange in kinds,
+                InstanceChange in kinds or is_whole,
                 RoutingChange in kinds,
                 WeightsChange in kinds,
                 tuple(withdrawn),
--- a/papayacrank/control/tests/test_contact.py
+++ b/papayacrank/control/tests/test_contact.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -25,7 +26,7 @@
     GrantKey,
     Heartbeat,
     HeartbeatAck,
-    InstancesChange,
+    InstanceChange,
     KeyChange,
     KeyEntry,
     NotLeader,
@@ -160,7 +161,7 @@
     changes = [
         ConfigurationChange(3, DOCUMENT),
         TargetsChange([TargetStatus("sample-llm-1", "leaving")]),
-        InstancesChange([me]),
+        InstanceChange("i1", me),
     ]
     assert not contact.drain_requested
     changed = contact.receive("c1", FeedUpdate(0, 3, changes), 0)
@@ -171,6 +172,26 @@
     assert contact.drain_requested
 
 
+def test_instances_follow_single_changes():
+    """Guards against callers that are sent to a process that is gone."""
+    contact = build_contact()
+    first, second = (
+        EntryAddress(name, 7, "east", f"127.0.0.1:{port}", "serving")
+        for name, port in (("i1", 81), ("i2", 82))
+    )
+    changes = [InstanceChange("i2", second), InstanceChange("i1", first)]
+    assert contact.receive("c1", FeedUpdate(0, 2, changes), 0)[0].instances
+    assert contact.instances == (first, second)
+    drained = msgspec.structs.replace(first, status="draining")
+    contact.receive("c1", FeedUpdate(2, 3, [InstanceChange("i1", drained)]), 0)
+    assert contact.instances == (drained, second)
+    contact.receive("c1", FeedUpdate(3, 4, [InstanceChange("i2")]), 0)
+    assert contact.instances == (drained,)
+    snapshot = FeedSnapshot(9, ConfigurationChange(1, DOCUMENT), [], [], [second])
+    assert contact.receive("c1", snapshot, 0)[0].instances
+    assert contact.instances == (second,)
+
+
 def test_update_with_a_gap_is_not_applied():
     """Guards against a copy that misses a change and claims the newer version."""
     contact = build_contact()
--- a/papayacrank/messages/_feed.py
+++ b/papayacrank/messages/_feed.py
@@ -52,10 +52,11 @@
     targets: list[TargetStatus]
 
 
-class InstancesChange(msgspec.Struct, tag=True, frozen=True):
-    """All live entry processes."""
+class InstanceChange(msgspec.Struct, tag=True, frozen=True):
+    """An entry process came or changed (`entry` set) or is gone (`entry` is None)."""
 
-    instances: list[EntryAddress]
+    instance: str
+    entry: EntryAddress | None = None
 
 
 class RoutingChange(msgspec.Struct, tag=True, frozen=True):
@@ -74,7 +75,7 @@
     ConfigurationChange
     | KeyChange
     | TargetsChange
-    | InstancesChange
+    | InstanceChange
     | RoutingChange
     | WeightsChange
 )
--- a/papayacrank/state/_feed.py
+++ b/papayacrank/state/_feed.py
@@ -8,7 +8,7 @@
     ConfigurationChange,
     FeedChange,
     FeedUpdate,
-    InstancesChange,
+    InstanceChange,
     KeyChange,
     RoutingChange,
     WeightsChange,
@@ -70,8 +70,8 @@
         return f"key {change.key_id}"
     if isinstance(change, ConfigurationChange):
         return "configuration"
-    if isinstance(change, InstancesChange):
-        return "instances"
+    if isinstance(change, InstanceChange):
+        return f"instance {change.instance}"
     if isinstance(change, RoutingChange):
         return "routing"
     if isinstance(change, WeightsChange):
--- a/papayacrank/state/_machine.py
+++ b/papayacrank/state/_machine.py
@@ -16,6 +16,7 @@
     ControlReply,
     ControlRequest,
     Done,
+    EntryAddress,
     FailureRecord,
     FeedSnapshot,
     FeedUpdate,
@@ -24,7 +25,7 @@
     FinishAction,
     GrantKey,
     Heartbeat,
-    InstancesChange,
+    InstanceChange,
     KeyChange,
     KeyChanged,
     NameWeights,
@@ -115,6 +116,7 @@
         self._orders = OrderTable()
         self._usage = UsageTable()
         self._feed = FeedHistory()
+        self._published_instances: dict[str, EntryAddress] = {}
         self._routing = RoutingTable()
         self._weights = WeightsTable()
         self._ledger = BudgetLedger()
@@ -306,6 +308,8 @@
         self._now_ms = snapshot.now_ms
         for name, table in self._tables().items():
             table.load(getattr(snapshot, name))
+        # All changes are published with the entry that makes them.
+        self._published_instances = self._addresses_by_instance()
         self._ledger.restore(msgspec.msgpack.decode(snapshot.ledger))
 
     def _tables(self) -> dict[str, Table]:
@@ -482,15 +486,16 @@
     def _apply_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Apply one heartbeat; return whether it changed the addresses."""
         known = self._instances.current(heartbeat.instance)
+        lost = False
         if known is not None and known.boot < heartbeat.boot:
-            self._lose_instance(known.instance, known.boot)
+            lost = self._lose_instance(known.instance, known.boot)
         if known is None:
             # Two processes cannot listen on one address, so the earlier one has ended.
             for earlier in self._instances.predecessors(heartbeat):
-                self._lose_instance(earlier.instance, earlier.boot)
+                lost |= self._lose_instance(earlier.instance, earlier.boot)
         row = self._instances.register(heartbeat)
         if row is None:
-            return False
+            return lost
         row.shares = heartbeat.shares
         row.grants = self._ledger.apply_reports(
             heartbeat.instance, heartbeat.boot, heartbeat.shares, self._now_ms
@@ -517,5 +522,18 @@
         else:
             self._orders.release(entry.order_id, entry.observed)
 
+    def _addresses_by_instance(self) -> dict[str, EntryAddress]:
+        return {entry.instance: entry for entry in self._instances.addresses()}
+
     def _publish_instances(self) -> None:
-        self._feed.add(InstancesChange(self._instances.addresses()))
+        """Add to the feed what has changed since the last call.
+
+        A full list for each change made the bytes of a start of all instances grow
+        with the third power of their number.
+        """
+        published = self._published_instances
+        current = self._addresses_by_instance()
+        for name in sorted(published.keys() | current.keys()):
+            if published.get(name) != current.get(name):
+                self._feed.add(InstanceChange(name, current.get(name)))
+        self._published_instances = current
--- a/papayacrank/state/tests/test_machine.py
+++ b/papayacrank/state/tests/test_machine.py
@@ -83,6 +83,13 @@
         )
         self.append(HeartbeatEntry, [heartbeat])
 
+    def start(self, number):
+        """Apply the first heartbeat of a process with an address of its own."""
+        address = f"127.0.0.1:{number}"
+        name = f"i{number}"
+        heartbeat = Heartbeat(name, 1, 1, 0, 0, "east", address, "serving", [])
+        self.append(HeartbeatEntry, [heartbeat])
+
     def expire(self, instance="i1", boot=1):
         """Apply the expiry of one lease."""
         self.append(ExpireEntry, [InstanceRef(instance, boot)])
@@ -422,6 +429,33 @@
     assert "longest_match" in refusal.message
 
 
+def test_start_of_many_instances_costs_each_receiver_a_share():
+    """Guards against a start whose bytes grow with the square at each receiver.
+
+    With whole lists, 200 instances that started at once cost the leader 40 MB in 2 s.
+    """
+    group = Group()
+    sizes = []
+    for number in range(100):
+        before = group.machine.feed_version
+        group.start(number)
+        update = group.machine.feed_since(before)
+        sizes.append(len(msgspec.msgpack.encode(update)))
+    assert max(sizes) < 2 * min(sizes)
+    assert len(group.machine.instances.addresses()) == 100
+
+
+def test_late_heartbeat_of_an_older_process_changes_nothing_for_callers():
+    """Guards against a feed version that only some members count."""
+    group = Group()
+    group.beat("i1", boot=2)
+    version = group.machine.feed_version
+    group.beat("i1", boot=1)
+    assert group.machine.feed_version == version
+    group.expire("i1", boot=2)
+    assert group.machine.feed_version == version + 1
+
+
 def test_empty_snapshot_restores_the_initial_state():
     """Guards against a member that stops because its log was discarded early."""
     group = Group()
