--- a/papayacrank/transport/tests/test_transport.py
+++ b/papayacrank/transport/tests/test_transport.py
@@ -7,6 +7,7 @@
 from circuits import BaseComponent, Event, handler
 from hypothesis import given
 from hypothesis import strategies as st
+from structlog.testing import capture_logs
 
 from papayacrank.config import EntryTimings
 from papayacrank.kernel import ManualClock, MonotonicClock
@@ -74,6 +75,26 @@
         node.link.close()
 
 
+def test_traffic_is_logged_by_type_and_once():
+    """Guards against a full link of which nobody can tell what fills it."""
+    server = Node("control-1", "127.0.0.1:0")
+    client = Node("entry-1", peers={"control-1": server.link.listen_address})
+    message = NotLeader("r1")
+    size = len(CODEC.encode(message))
+    run_until([server, client], lambda: client.link.send("control-1", message))
+    run_until([server, client], lambda: server.messages)
+    with capture_logs() as events:
+        client.link.log_traffic()
+        server.link.log_traffic()
+        server.link.log_traffic()
+    sent, received, nothing = events
+    assert sent["sent"] == {"NotLeader": [1, size]}
+    assert received["received"] == {"NotLeader": [1, size]}
+    assert (nothing["sent"], nothing["received"]) == ({}, {})
+    for node in (server, client):
+        node.link.close()
+
+
 def test_queued_read_after_close_is_ignored():
     """Guards against a handler that fails while the process stops."""
     server = Node("control-1", "127.0.0.1:0")
