--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -369,6 +369,7 @@
             return
         text = "the workspace is over its rate"
         retry_after_ms = decision.retry_after_ms
+        job.ledger_age_ms = decision.ledger_age_ms
         self._fail(job, _refusal("over_rate", text, 429, retry_after_ms))
 
     # Attempts
@@ -870,6 +871,8 @@
             "tries": job.tries,
             "cost": job.cost,
         }
+        if job.ledger_age_ms is not None:
+            fields["ledger_age_ms"] = job.ledger_age_ms
         if job.last_failure:
             fields["last_failure"] = job.last_failure
         if attempt is not None:
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -63,6 +63,8 @@
         Targets that the request was sent to.
     last_event_id : str or None
         Id of the last event that the caller has.
+    ledger_age_ms : int or None
+        Age of the answer of the ledger by which the request was refused.
     """
 
     number: int
@@ -83,6 +85,7 @@
     has_events: bool = False
     first_event_ms: int | None = None
     last_failure: str = ""
+    ledger_age_ms: int | None = None
     is_done: bool = False
 
     @property
--- a/papayacrank/forwarding/_quota.py
+++ b/papayacrank/forwarding/_quota.py
@@ -11,8 +11,8 @@
 # of the rate: others may be in contact and get all of it.
 FALLBACK_PART = 0.5
 MAX_WAITING = 256
-# Requests wait this long for a grant. A grant takes about 30 ms; a wait beyond it means
-# that the workspace is over its rate.
+# Requests wait this long for a grant, and until the ledger has answered a report that
+# shows them. A grant takes about 30 ms, more where the leader serves 200 instances.
 GRANT_WAIT_MS = 250
 # Reports are answered every 500 ms; beyond this time the leader is being replaced.
 STALE_CONTACT_MS = 750
@@ -23,6 +23,7 @@
     request_id: str
     workspace: str
     cost: int
+    began_ms: int
     until_ms: int
 
 
@@ -40,11 +41,14 @@
     ----------
     retry_after_ms : int
         Time after which the rate allows the request; 0 if it was admitted.
+    ledger_age_ms : int
+        Age of what the ledger answered last; counts for refusals.
     """
 
     request_id: str
     admitted: bool
     retry_after_ms: int = 0
+    ledger_age_ms: int = 0
 
 
 class QuotaDesk:
@@ -97,10 +101,10 @@
             return QuotaDecision(request_id, True)
         if self._is_stale(now_ms):
             admitted = self._spend_fallback(profile, cost, now_ms)
-            return self._decide(request_id, profile, cost, admitted)
+            return self._decide(request_id, profile, cost, admitted, now_ms)
         if cost > profile.burst or len(self._waiting) >= MAX_WAITING:
-            return self._decide(request_id, profile, cost, False)
-        waiting = _Waiting(request_id, workspace, cost, now_ms + GRANT_WAIT_MS)
+            return self._decide(request_id, profile, cost, False, now_ms)
+        waiting = _Waiting(request_id, workspace, cost, now_ms, now_ms + GRANT_WAIT_MS)
         self._waiting.append(waiting)
         self._set_queued(workspace)
         return None
@@ -144,23 +148,31 @@
             item.request_id, item.workspace, item.cost, now_ms
         ):
             return QuotaDecision(item.request_id, True)
-        if now_ms >= item.until_ms and self._is_stale(now_ms):
+        if now_ms < item.until_ms:
+            return None
+        if self._is_stale(now_ms):
             admitted = self._spend_fallback(profile, item.cost, now_ms)
-            return self._decide(item.request_id, profile, item.cost, admitted)
-        if now_ms >= item.until_ms:
-            return self._decide(item.request_id, profile, item.cost, False)
+            return self._decide(item.request_id, profile, item.cost, admitted, now_ms)
+        if self._shares.answered_sent_ms >= item.began_ms:
+            return self._decide(item.request_id, profile, item.cost, False, now_ms)
         return None
 
     def _is_stale(self, now_ms: int) -> bool:
         """Whether no grant can be expected now."""
         return now_ms - self._shares.answered_sent_ms > STALE_CONTACT_MS
 
-    @staticmethod
     def _decide(
-        request_id: str, profile: WorkspaceProfile, cost: int, admitted: bool
+        self,
+        request_id: str,
+        profile: WorkspaceProfile,
+        cost: int,
+        admitted: bool,
+        now_ms: int,
     ) -> QuotaDecision:
         wait_ms = MS_PER_SECOND * cost // max(1, profile.rate_per_s)
-        return QuotaDecision(request_id, admitted, 0 if admitted else max(100, wait_ms))
+        retry_after_ms = 0 if admitted else max(100, wait_ms)
+        age_ms = now_ms - self._shares.answered_sent_ms
+        return QuotaDecision(request_id, admitted, retry_after_ms, age_ms)
 
     def _spend_fallback(
         self, profile: WorkspaceProfile, cost: int, now_ms: int
--- a/papayacrank/forwarding/tests/test_parts.py
+++ b/papayacrank/forwarding/tests/test_parts.py
@@ -222,6 +222,30 @@
     assert [d.request_id for d in bench.desk.poll(10_100)] == ["large", "small"]
 
 
+def test_request_is_not_refused_before_the_ledger_has_answered():
+    """Guards against refusals within the rate because a leader is slow to grant."""
+    bench = QuotaBench()
+    bench.grant(0, 9_990)
+    assert bench.desk.admit("r1", "w", 500, 10_000) is None
+    assert bench.desk.poll(10_300) == []
+    bench.grant(500, 10_010)
+    assert [d.admitted for d in bench.desk.poll(10_400)] == [True]
+    assert bench.desk.admit("r2", "w", 500, 10_500) is None
+    bench.grant(0, 10_510)
+    assert bench.desk.poll(10_740) == []
+    [refused] = bench.desk.poll(10_750)
+    assert (refused.admitted, refused.ledger_age_ms) == (False, 240)
+
+
+def test_wait_for_the_ledger_ends_when_contact_is_lost():
+    """Guards against requests that are held while nobody can grant anything."""
+    bench = QuotaBench()
+    bench.grant(0, 9_990)
+    assert bench.desk.admit("r1", "w", 50, 10_000) is None
+    assert bench.desk.poll(10_740) == []
+    assert [d.admitted for d in bench.desk.poll(10_741)] == [True]
+
+
 def test_workspace_without_a_rate_is_not_limited():
     """Guards against refusals where the configuration sets no limit."""
     bench = QuotaBench(rate=0)
