--- a/papayacrank/transport/_http_port.py
+++ b/papayacrank/transport/_http_port.py
@@ -22,7 +22,7 @@
 # closing a socket with unread input resets it, and the caller may lose the answer.
 DISCARD_MS = 2_000
 # Answer bytes held for all callers together, within an instance of 128 MB.
-MAX_TOTAL_HELD_BYTES = 25_165_824
+MAX_PORT_HELD_BYTES = 25_165_824
 # A request for whose body there is no memory may come back after this time, in which
 # most running requests end.
 FULL_RETRY_S = 1
@@ -212,7 +212,7 @@
             (host, int(port)),
             self._limits.max_connections,
             b"",
-            MAX_TOTAL_HELD_BYTES,
+            MAX_PORT_HELD_BYTES,
             channel=name,
         ).register(self)
         self._schedule_sweep()
