--- a/papayacrank/control/_process.py
+++ b/papayacrank/control/_process.py
@@ -30,12 +30,12 @@
 from papayacrank.messages import CONTROL_MESSAGES
 from papayacrank.state import StateMachine
 from papayacrank.transport import (
-    TRAFFIC_LOG_INTERVAL_MS,
     Link,
     LinkSettings,
     MessageCodec,
     Timers,
     install_process_handlers,
+    log_traffic,
 )
 
 from ._client import RequestFinished
@@ -51,7 +51,6 @@
 HAND_OVER_TIMEOUT_MS = 2_000
 HAND_OVER_POLL_MS = 20
 STOP_TIMER = "control.stop"
-TRAFFIC_TIMER = "control.traffic"
 
 
 def read_wall_clock_ms() -> int:
@@ -108,7 +107,7 @@
         self._node = self._build_node()
         codec = MessageCodec(CONTROL_MESSAGES + CONSENSUS_MESSAGES)
         self._link = Link(self._link_settings(), codec).register(self)
-        self._schedule_traffic_log()
+        log_traffic(self._link, self._clock, self._timers)
 
     @property
     def node(self) -> ControlNode:
@@ -213,14 +212,6 @@
             self._flush_pending = True
             self.fire(flush(), self.channel)
 
-    def _schedule_traffic_log(self) -> None:
-        at_ms = self._clock.now_ms() + TRAFFIC_LOG_INTERVAL_MS
-        self._timers.set(TRAFFIC_TIMER, at_ms, self._log_traffic)
-
-    def _log_traffic(self) -> None:
-        self._link.log_traffic()
-        self._schedule_traffic_log()
-
     def _carry_out(self, effect: Any) -> None:
         match effect:
             case Send(to, message) if to == self._settings.instance:
--- a/papayacrank/entry/_process.py
+++ b/papayacrank/entry/_process.py
@@ -29,7 +29,13 @@
 )
 from papayacrank.routing import RetryPolicy, Router
 from papayacrank.targets import TargetClient
-from papayacrank.transport import Link, LinkSettings, MessageCodec, Timers
+from papayacrank.transport import (
+    Link,
+    LinkSettings,
+    MessageCodec,
+    Timers,
+    log_traffic,
+)
 
 from ._context import EntryContext
 from ._dispatcher import DEFAULT_KEEP_MS, Dispatcher
@@ -121,6 +127,7 @@
         self._usage_ms = clock.now_ms()
         self._sent_usage: set[int] = set()
         self._build()
+        log_traffic(self._link, self._clock, self._timers)
         self._watch()
 
     @property
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -19,7 +19,6 @@
 from papayacrank.kernel import MonotonicClock, log_event
 from papayacrank.messages import CONTROL_MESSAGES, FleetChange, FleetLoad, FleetView
 from papayacrank.transport import (
-    TRAFFIC_LOG_INTERVAL_MS,
     ExchangeListener,
     HttpExchange,
     HttpLimits,
@@ -29,6 +28,7 @@
     MessageCodec,
     Timers,
     install_process_handlers,
+    log_traffic,
 )
 
 from ._base import CallerProtocol
@@ -48,7 +48,6 @@
 # Load reports that do not change are repeated, because the leader forgets them.
 REPEAT_LOAD_TICKS = 8
 SWEEP_TICKS = 10
-TRAFFIC_LOG_TICKS = TRAFFIC_LOG_INTERVAL_MS // TICK_INTERVAL_MS
 QUOTA_POLL_MS = 25
 KEEP_ADDRESS_MS = 1_000
 # Callers keep an answer up to three times as long as they are told. From then on, no
@@ -191,6 +190,7 @@
     def start_work(self) -> None:
         """Start to follow the control group; call once the loop runs."""
         self._control.start_contact()
+        log_traffic(self._link, self._clock, self._timers)
         self._tick()
 
     def begin_stop(self) -> None:
@@ -348,8 +348,6 @@
         self._note_contact(now_ms)
         if self._shares.needs_report(now_ms):
             self._control.beat()
-        if self._ticks % TRAFFIC_LOG_TICKS == 0:
-            self._link.log_traffic()
         if self._ticks % SWEEP_TICKS == 0:
             self._target_port.close_expired()
         if self._quota.has_waiting:
--- a/papayacrank/transport/__init__.py
+++ b/papayacrank/transport/__init__.py
@@ -4,13 +4,12 @@
 from ._codec import MessageCodec, MessageDecodeError
 from ._connection import Connection, ConnectionState, IdlePool
 from ._http_port import CallerHead, ExchangeListener, HttpExchange, HttpLimits, HttpPort
-from ._link import TRAFFIC_LOG_INTERVAL_MS, Link, LinkSettings, received
+from ._link import Link, LinkSettings, log_traffic, received
 from ._process import install_process_handlers, run_process
 from ._request_bytes import encode_request
 from ._timers import Timers
 
 __all__ = [
-    "TRAFFIC_LOG_INTERVAL_MS",
     "CallerHead",
     "CallerServer",
     "Connection",
@@ -28,6 +27,7 @@
     "caller_progress",
     "encode_request",
     "install_process_handlers",
+    "log_traffic",
     "received",
     "run_process",
 ]
--- a/papayacrank/transport/_link.py
+++ b/papayacrank/transport/_link.py
@@ -8,10 +8,11 @@
 from circuits import BaseComponent, Event, handler
 from circuits.core.pollers import BasePoller
 
-from papayacrank.kernel import log_event
+from papayacrank.kernel import Clock, log_event
 
 from ._codec import MessageCodec, MessageDecodeError
 from ._events import LINK_TRAFFIC, SEND_QUEUE_FULL, UNDECODABLE_MESSAGE
+from ._timers import Timers
 
 HIGH_WATER_MARK_MESSAGES = 256
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
@@ -283,3 +284,17 @@
         if self._server is not None:
             sockets.append(self._server)
         return {socket.FD: socket for socket in sockets}
+
+
+def log_traffic(link: Link, clock: Clock, timers: Timers) -> None:
+    """Write the counts of a link to the log every `TRAFFIC_LOG_INTERVAL_MS`."""
+
+    def write() -> None:
+        link.log_traffic()
+        schedule()
+
+    def schedule() -> None:
+        at_ms = clock.now_ms() + TRAFFIC_LOG_INTERVAL_MS
+        timers.set("link-traffic", at_ms, write)
+
+    schedule()
