--- a/papayacrank/transport/tests/test_http_port.py
+++ b/papayacrank/transport/tests/test_http_port.py
@@ -336,7 +336,7 @@
     assert len(answer.partition(b"\r\n\r\n")[2]) == LARGE_ANSWER_BYTES
 
 
-def test_bodies_of_all_callers_are_bounded_in_sum(server):
+def test_bodies_of_all_callers_are_bounded_in_sum(server, stepper):
     """Guards against a process that ends for lack of memory under large requests."""
     head = b"POST /hold HTTP/1.1\r\nHost: a\r\nContent-Length: 4500\r\n\r\n"
     body = b"x" * 4_500
@@ -353,8 +353,8 @@
     fourth.sendall(head.replace(b"Content-Length: 4500", b"Transfer-Encoding: chunked"))
     fourth.sendall(b"1194\r\n" + body)
     assert receive_until_closed(fourth).startswith(b"HTTP/1.1 503 ")
-    for exchange in server.echo.held:
-        exchange.respond(200, [])
+    held = list(server.echo.held)
+    stepper.run(lambda: [exchange.respond(200, []) for exchange in held])
     assert first.recv(100).startswith(b"HTTP/1.1 200 ")
     second.close()
     fifth = server.connect()
