Log and count request rates that targets state

What callers and targets saw: targets got more requests than they had stated. The logs could not tell whether no process reads the limit or each one obeys it for itself, because no line says which instance received which limit. Change: the adapter decodes the header with any status, on responses to requests and to calls of the leader; an entry process logs a changed, ended or unreadable limit (2201, 2202) with target and request, and counts requests that it sends to a target with a known limit. No decision uses it yet.

--- a/papayacrank/control/_target_protocol.py
+++ b/papayacrank/control/_target_protocol.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from papayacrank.permits import RateStatement
+
 from ._effects import HttpCall, HttpResult
 
 
@@ -117,10 +119,13 @@
         Whether the target is being removed.
     pause_ms : int or None
         Time for which this instance must send it nothing, if stated.
+    rate : RateStatement or None
+        Request rate limit, if stated.
     """
 
     is_leaving: bool = False
     pause_ms: int | None = None
+    rate: RateStatement | None = None
 
 
 class TargetProtocol(ABC):
--- a/papayacrank/forwarding/_base.py
+++ b/papayacrank/forwarding/_base.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from papayacrank.kernel import Failure
+from papayacrank.permits import RateStatement
 from papayacrank.transport import RequestHead
 
 from ._headers import HeaderList
@@ -144,6 +145,8 @@
     pause_ms : int or None
         Time in milliseconds for which the target accepts no requests from this
         instance, if stated.
+    rate : RateStatement or None
+        Request rate limit of the target, if stated.
     """
 
     request_id: str | None = None
@@ -154,6 +157,7 @@
     weights_version: int | None = None
     is_leaving: bool = False
     pause_ms: int | None = None
+    rate: RateStatement | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -17,6 +17,7 @@
     ServiceProfile,
     WorkspaceProfile,
 )
+from papayacrank.permits import StatedRates
 from papayacrank.transport import ExchangeListener, HttpExchange, Timers
 
 from ._base import CallerProtocol, Dispatch, ForwardRequest
@@ -151,6 +152,7 @@
             settings.retry_ratio, settings.retry_window_ms, settings.retry_slack
         )
         self._pauses = TargetPauses(settings.max_pause_ms)
+        self._stated_rates = StatedRates()
         self._selection = TargetSelection(
             self._table,
             self._health,
@@ -223,6 +225,7 @@
         for target in removed:
             self._health.forget(target.name)
             self._pauses.forget(target.name)
+            self._stated_rates.forget(target.name)
             self._parts.engines.forget_location(target.name)
             self._port.drop_idle(target.address)
         self._update_stores(view.stores)
@@ -476,6 +479,8 @@
         self._table.begin(target.name, attempt.prefill_tokens, attempt.memory_tokens)
         if job.route.is_repeatable:
             self._set_response_timer(job, attempt)
+        if self._stated_rates.has_limit(target.name):
+            self._metrics.on_sent_to_limited(job.service.name)
         self._port.submit(call)
 
     def _build_dispatch(
@@ -615,7 +620,7 @@
         attempt.headers = headers
         attempt.metadata = self._protocol.read_response(status, headers)
         self._observe_weights(call.state, attempt)
-        self._apply_target_signals(attempt)
+        self._apply_target_signals(call.state, attempt)
         if call.state.workspace is not None and 200 <= status < 300:
             job, now_ms = call.state, self._clock.now_ms()
             self._quota.spend(_quota_id(job), job.cost, now_ms)
@@ -637,12 +642,13 @@
         if version is not None:
             self._table.observe_weights(name, model, version)
 
-    def _apply_target_signals(self, attempt: Attempt) -> None:
-        """Apply the removal notice or pause request that a response carries."""
+    def _apply_target_signals(self, job: Job, attempt: Attempt) -> None:
+        """Apply the removal notice, pause or rate limit that a response carries."""
         metadata, now_ms = attempt.metadata, self._clock.now_ms()
         name = metadata.target_name or attempt.target.name
         if metadata.is_leaving and self._table.mark_leaving(name):
             log_event(TARGET_LEAVING, target=name, status=attempt.status)
+        self._stated_rates.observe(name, metadata.rate, job.request.request_id)
         if metadata.pause_ms is not None:
             self._pauses.on_pause_requested(name, metadata.pause_ms, now_ms)
         elif not metadata.wrong_target and attempt.status < SERVER_ERROR:
--- a/papayacrank/forwarding/_metrics.py
+++ b/papayacrank/forwarding/_metrics.py
@@ -33,6 +33,12 @@
             ["service", "code"],
             registry=self._registry,
         )
+        self._sent_to_limited = Counter(
+            "papayacrank_forwarding_sent_to_limited",
+            "Requests sent to targets that state a request rate limit, by service",
+            ["service"],
+            registry=self._registry,
+        )
         self._ttft = Histogram(
             "papayacrank_forwarding_ttft_seconds",
             "Time from the arrival of a request to its first event",
@@ -86,6 +92,10 @@
         """Count a failed attempt."""
         self._attempts.labels(service, code).inc()
 
+    def on_sent_to_limited(self, service: str) -> None:
+        """Count a request sent to a target that states a request rate limit."""
+        self._sent_to_limited.labels(service).inc()
+
     def on_first_event(self, service: str, ttft_ms: int) -> None:
         """Observe the time to the first event of a stream."""
         self._ttft.labels(service).observe(ttft_ms / MS_PER_SECOND)
--- a/papayacrank/forwarding/tests/builders.py
+++ b/papayacrank/forwarding/tests/builders.py
@@ -29,6 +29,7 @@
     StoreProfile,
     WorkspaceProfile,
 )
+from papayacrank.permits import read_rate_statement
 from papayacrank.transport import HttpExchange, RequestHead
 
 KEY = "secret-1"
@@ -139,6 +140,7 @@
             int(weights) if weights else None,
             "leaving" in known,
             int(known["pause-ms"]) if "pause-ms" in known else None,
+            read_rate_statement([known["rate"]] if "rate" in known else []),
         )
 
     def build_failure(self, failure, request_id):
--- a/papayacrank/platform/_caller_protocol.py
+++ b/papayacrank/platform/_caller_protocol.py
@@ -17,7 +17,7 @@
 from papayacrank.kernel import Failure, Verdict
 from papayacrank.transport import RequestHead
 
-from ._signals import has_leaving_header, read_pause_ms
+from ._signals import has_leaving_header, read_pause_ms, read_rate
 
 REQUEST_ID = b"papayacrank-request-id"
 DEADLINE_MS = b"papayacrank-deadline-ms"
@@ -136,6 +136,7 @@
             weights_version=_read_number(known.get(WEIGHT_VERSIONS)),
             is_leaving=has_leaving_header(pairs),
             pause_ms=read_pause_ms(status, pairs),
+            rate=read_rate(pairs),
         )
 
     def build_failure(self, failure: Failure, request_id: str) -> CallerResponse:
--- a/papayacrank/platform/_signals.py
+++ b/papayacrank/platform/_signals.py
@@ -1,11 +1,15 @@
-"""Response headers by which a target announces its departure or requests a pause."""
+"""Response headers by which a target announces departure, a pause or a rate limit."""
 
 import re
 import time
 from email.utils import parsedate_to_datetime
 
+from papayacrank.permits import RateStatement, read_rate_statement
+
 SERVER_LEAVING = "server-leaving"
 RETRY_AFTER = "retry-after"
+# Requests per second that the server accepts from all machines together.
+SERVER_LIMIT = "server-limit"
 # Status of a response whose RETRY_AFTER requests a pause.
 SERVICE_UNAVAILABLE = 503
 MS_PER_SECOND = 1_000
@@ -53,6 +57,17 @@
     return max(pauses, default=None)
 
 
+def read_rate(headers: list[tuple[str, str]]) -> RateStatement | None:
+    """Return the request rate limit that a target states, None if it states none.
+
+    Parameters
+    ----------
+    headers : list of (str, str)
+        Headers with names in lower case.
+    """
+    return read_rate_statement(v for n, v in headers if n == SERVER_LIMIT)
+
+
 def _read_pause(text: str) -> int | None:
     text = text.strip()
     if _SECONDS.fullmatch(text):
--- a/papayacrank/platform/_target_protocol.py
+++ b/papayacrank/platform/_target_protocol.py
@@ -18,7 +18,7 @@
     TargetSignals,
 )
 
-from ._signals import has_leaving_header, read_pause_ms
+from ._signals import has_leaving_header, read_pause_ms, read_rate
 from ._wire_model import StrictWireModel
 
 CALL_TIMEOUT_MS = 600
@@ -166,10 +166,12 @@
         return _OUTCOMES.get(result.status, OrderOutcome.UNKNOWN)
 
     def read_signals(self, result: HttpResult) -> TargetSignals:
-        """Return whether a target is leaving and the pause it requests."""
+        """Return whether a target is leaving, its pause and its rate limit."""
         headers = list(result.headers)
         return TargetSignals(
-            has_leaving_header(headers), read_pause_ms(result.status, headers)
+            has_leaving_header(headers),
+            read_pause_ms(result.status, headers),
+            read_rate(headers),
         )
 
     def build_store_check(self, key: str, address: str) -> HttpCall:
--- a/papayacrank/platform/tests/test_signals.py
+++ b/papayacrank/platform/tests/test_signals.py
@@ -1,4 +1,4 @@
-"""Tests of the headers by which targets announce departure or request a pause."""
+"""Tests of the headers by which targets announce departure, a pause or a rate limit."""
 
 from email.utils import formatdate
 from time import time
@@ -66,6 +66,17 @@
     assert not facts.is_leaving
 
 
+@pytest.mark.parametrize("status", [200, 421, 429, 500, 503])
+def test_rate_limit_is_read_with_any_status(status):
+    """Guards against a rate limit that is known to no process."""
+    headers = [(b"server-limit", b"1.2"), (b"server-limit", b"x")]
+    assert PlatformCallerProtocol().read_response(status, headers).rate.per_s == 1.2
+    assert PlatformCallerProtocol().read_response(status, []).rate is None
+    pairs = tuple((n.decode(), v.decode()) for n, v in headers)
+    result = HttpResult("rollout-status e1", status, headers=pairs)
+    assert PlatformTargetProtocol("10.0.0.1:1").read_signals(result).rate.per_s == 1.2
+
+
 def test_signals_are_read_from_responses_to_orders():
     """Guards against orders to a target that is leaving or requested a pause."""
     headers = (("server-leaving", "1"), ("retry-after", "2"))
