--- a/papayacrank/platform/tests/fake_platform.py
+++ b/papayacrank/platform/tests/fake_platform.py
@@ -64,6 +64,8 @@
         self.version = 1
         self.orders = 0
         self.delay_s = 0.0
+        self.rate_limit = None
+        self.arrivals = []
         outer = self
 
         class Handler(_Handler):
@@ -95,9 +97,14 @@
             "models": models if self.service == "llm" else [],
         }
 
+    def limit_headers(self):
+        """Return the headers that state the request rate limit, if there is one."""
+        return {} if self.rate_limit is None else {"Server_Limit": self.rate_limit}
+
     def handle(self, handler):
         """Respond as a plain server."""
         handler.read_body()
+        self.arrivals.append(time.monotonic())
         request_id = handler.headers["Papayacrank-Request-Id"]
         if handler.headers["Papayacrank-Expect-Instance"] != self.name:
             handler.reply(421, b"", Papayacrank_Instance_Id=self.name)
@@ -108,7 +115,7 @@
         headers = {
             "Papayacrank_Request_Id": request_id,
             "Papayacrank_Server_Seal": SEAL,
-        }
+        } | self.limit_headers()
         handler.reply(200, f"served {request_id}".encode(), **headers)
 
     def close(self):
@@ -136,6 +143,7 @@
 
     def _stream(self, handler):
         handler.read_body()
+        self.arrivals.append(time.monotonic())
         if handler.headers["Papayacrank-Expect-Version"] != str(self.version):
             handler.reply(421, b"", Papayacrank_Instance_Id=self.name)
             return
@@ -145,6 +153,8 @@
         request_id = handler.headers["Papayacrank-Request-Id"]
         handler.send_header("Papayacrank-Request-Id", request_id)
         handler.send_header("Papayacrank-Server-Seal", SEAL)
+        for name, value in self.limit_headers().items():
+            handler.send_header(name.replace("_", "-"), str(value))
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
         for number in (1, 2, 3):
