Grant permits for targets that state a request rate limit

Cause: what a target states in its responses had two ways in the design, "for this instance" (pauses) and "about the target" (leaving). A limit on all instances together had none: nothing held a rate that is learned at run time, divided it, or told it to others. Equal shares of 1.2/s over 9 or 200 instances would be less than one request in many seconds for each, so they overshoot or waste the target.

Change: the package permits. The leader keeps a token bucket for each limited target; an instance requests a permit for each request that it wants to send there, also for retries and resumed streams, and gets the next free token if its request can wait that long. Without a reply nothing is sent. A permit lapses 300 ms after its time, measured from when it was requested, and again right before the bytes are sent, so a suspended process cannot use it. A new leader starts in debt for the time that permits of the last one may cover. Limits are pushed to all entry processes, sent again if a heartbeat shows that one lacks them, sent before the first view of a new process, and repeated to a new leader. A limit that is new or lower holds at once; it rises or ends only by a response to a request that was sent after its sender knew the limit in force, because responses overtake each other. Status requests, orders and store checks of the leader are charged and bounded.

Placement: the wait for a permit is part of the expected time; health and cached parts are untouched. A request waits at most half of its objective, then another target is tried; if none can take it, it is refused at once with a Retry-After from the rates, spread over this instance's part of them.

Without the bound on the leader's own calls, its test fails.

--- a/papayacrank/control/_contact.py
+++ b/papayacrank/control/_contact.py
@@ -154,6 +154,12 @@
         self._routing: RoutingConfiguration | None = None
         self._weights: dict[str, int] = {}
         self._fleet_position = (0, 0)
+        self._rates_position = (0, 0)
+
+    @property
+    def term(self) -> int:
+        """Highest term of a leader that has acknowledged a heartbeat."""
+        return self._term
 
     @property
     def configuration(self) -> Configuration | None:
@@ -242,6 +248,10 @@
         """Set the position of the applied fleet view, which heartbeats report."""
         self._fleet_position = (term, sequence)
 
+    def set_rates_position(self, term: int, revision: int) -> None:
+        """Set the position of the table of request rates, which heartbeats report."""
+        self._rates_position = (term, revision)
+
     def start(self, now_ms: int) -> list[Effect]:
         """Send the first heartbeat."""
         return self._send_heartbeat(now_ms)
@@ -293,6 +303,7 @@
             self._status,
             shares,
             *self._fleet_position,
+            *self._rates_position,
         )
         interval_ms = self._settings.heartbeat_interval_ms
         if self._is_searching(now_ms):
--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -1,6 +1,6 @@
 """Fleet controller of the leader: target list, weights and load."""
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from dataclasses import dataclass, replace
 
 from papayacrank.kernel import Send, log_event
@@ -15,6 +15,7 @@
     RoutingConfiguration,
     TargetLoad,
 )
+from papayacrank.permits import PermitAllocator
 
 from ._effects import HttpCall, HttpResult
 from ._events import (
@@ -24,6 +25,7 @@
     TARGET_LISTED,
     TARGET_SILENT,
 )
+from ._push_log import PushLog
 from ._rollout import ORDER_KEY, STATUS_KEY, WeightsRollout
 from ._stores import STORE_KEY, StoreMonitor
 from ._target_protocol import ListedTarget, RunningRequestPolicy, TargetProtocol
@@ -36,13 +38,12 @@
 LOAD_LIFETIME_MS = 2_000
 SILENT_LIFETIME_MS = 1_500
 MAX_PAGES = 200
-# The whole view is sent again if a change is not reported as applied after this time;
-# the slowest links have 5 Mbit/s.
-RESEND_DELAY_MS = 250
 # Limit on the new prompt parts forwarded in one message. Further ones are dropped;
 # entry processes learn of them later.
 MAX_NEW_PARTS = 500
 MAX_LEAVING = 5_000
+NO_RESPONSE = 0
+MISDIRECTED = 421
 
 
 @dataclass(slots=True)
@@ -66,14 +67,27 @@
     order_delay_ms : int
         Delay before the first order of a new leader, for targets that do not check
         fencing tokens.
+    permits : PermitAllocator, optional
+        Request rate limits, which hold for the calls of this controller as well.
     """
 
-    def __init__(self, protocol: TargetProtocol, holder: str, order_delay_ms: int = 0):
+    def __init__(
+        self,
+        protocol: TargetProtocol,
+        holder: str,
+        order_delay_ms: int = 0,
+        permits: PermitAllocator | None = None,
+    ):
         self._protocol = protocol
         self._holder = holder
         self._order_delay_ms = order_delay_ms
-        self._rollout = WeightsRollout(protocol, holder, RunningRequestPolicy.CONTINUE)
-        self._stores = StoreMonitor(protocol)
+        self._permits = permits or PermitAllocator()
+        self._rollout = WeightsRollout(
+            protocol, holder, RunningRequestPolicy.CONTINUE, self._permits
+        )
+        self._stores = StoreMonitor(protocol, self._permits)
+        # Revision of the limit that was known at each pending call.
+        self._rate_revisions: dict[str, int] = {}
         self._store_starts: dict[str, int] = {}
         self._term = 0
         self._sequence = 0
@@ -90,13 +104,17 @@
         self._has_list = False
         self._target_numbers: dict[str, int] = {}
         self._last_pushed = FleetView(0, 0, [])
-        self._recent_pushes: deque[tuple[int, int]] = deque()
-        self._overdue_sequence = 0
+        self._pushes = PushLog()
         self._new_parts: list[PartLocation] = []
         self._new_pauses: dict[str, int] = {}
         # Targets that have reported that they are leaving, by name and start time.
         self._leaving: OrderedDict[tuple[str, int], None] = OrderedDict()
 
+    @property
+    def permits(self) -> PermitAllocator:
+        """Request rate limits and permits."""
+        return self._permits
+
     @property
     def sequence(self) -> int:
         """Number of changes of the view in the current term."""
@@ -125,12 +143,12 @@
         self._has_list = False
         self._target_numbers = {}
         self._last_pushed = FleetView(term, 0, [])
-        self._recent_pushes.clear()
-        self._overdue_sequence = 0
+        self._pushes.clear()
         self._rollout.reset(term, now_ms + self._order_delay_ms)
         self._stores.reset()
         self._store_starts = {}
         self._leaving.clear()
+        self._rate_revisions.clear()
 
     def view(self, control: list[str]) -> FleetView:
         """Return the complete view for entry processes."""
@@ -150,7 +168,7 @@
         if base.sequence == self._sequence:
             return None
         self._last_pushed = self.view(control)
-        self._recent_pushes.append((now_ms, self._sequence))
+        self._pushes.record(self._sequence, now_ms)
         if base.sequence == 0:
             return self._last_pushed
         known = {target.number: target for target in base.targets}
@@ -172,12 +190,7 @@
             return False
         if term != self._term:
             return True
-        while (
-            self._recent_pushes
-            and self._recent_pushes[0][0] <= now_ms - RESEND_DELAY_MS
-        ):
-            self._overdue_sequence = self._recent_pushes.popleft()[1]
-        return sequence < self._overdue_sequence
+        return self._pushes.is_overdue(sequence, now_ms)
 
     def poll(
         self,
@@ -196,6 +209,9 @@
         """
         calls = self._rollout.poll(desired_versions, self._total_loads, now_ms)
         calls += self._stores.poll(configuration, now_ms)
+        for call in calls:
+            revision = self._permits.revision_of(_called_name(call.key))
+            self._rate_revisions[call.key] = revision
         if not self._list_pending and now_ms >= self._next_list_ms:
             self._list_pending = True
             self._listed_targets = []
@@ -215,6 +231,7 @@
 
     def handle(self, result: HttpResult, now_ms: int) -> list[HttpCall]:
         """Handle the result of a call and return the next calls."""
+        self._observe_rate(result, now_ms)
         if result.key.startswith(STORE_KEY):
             self._stores.handle(result, now_ms)
             self._refresh_view()
@@ -259,9 +276,20 @@
                 log_event(TARGET_SILENT, target=name, reported_by=report.instance)
             self._silent[name] = now_ms + SILENT_LIFETIME_MS
 
+    def _observe_rate(self, result: HttpResult, now_ms: int) -> None:
+        """Apply the request rate limit in the response of a target or store."""
+        revision = self._rate_revisions.pop(result.key, None)
+        if revision is None or result.status in (NO_RESPONSE, MISDIRECTED):
+            return
+        name = _called_name(result.key)
+        target = self._targets.get(name)
+        start = target.born_ms if target is not None else 0
+        statement = self._protocol.read_signals(result).rate
+        self._permits.observe_response(name, start, statement, revision, now_ms)
+
     def _apply_signals(self, result: HttpResult, now_ms: int) -> None:
         """Apply the signals that an engine attached to its response."""
-        name = result.key.split(" ", 1)[1]
+        name = _called_name(result.key)
         signals = self._protocol.read_signals(result)
         target = self._targets.get(name)
         if signals.is_leaving and target is not None:
@@ -385,6 +413,8 @@
         self._targets = targets
         self._has_list = True
         self._rollout.update_targets(targets, now_ms)
+        starts = {name: target.born_ms for name, target in targets.items()}
+        self._permits.retain(dict.fromkeys(self._stores.names, 0) | starts)
         self._refresh_view()
 
     def _target_number(self, name: str) -> int:
@@ -414,3 +444,8 @@
             self._view = view
             self._store_starts = starts
             self._sequence += 1
+
+
+def _called_name(key: str) -> str:
+    """Return the name of the target or store that a call is for."""
+    return key.split(" ", 1)[1]
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -22,6 +22,7 @@
     ObserveTargets,
     ReplaceMember,
 )
+from papayacrank.permits import PermitAllocator
 from papayacrank.state import (
     CommandEntry,
     Entry,
@@ -49,6 +50,7 @@
 from ._leases import EntryLease, EntryLeases
 from ._order_calls import HTTP_TIMEOUT_MS
 from ._orders import OrderRunner, ProposeOrder
+from ._permit_service import PERMIT_MESSAGES, PermitService
 from ._platform_list import PLATFORM_LIST_KEY, PlatformListPoller
 from ._publisher import FeedPublisher
 from ._requests import RequestHandler, build_change_notices
@@ -107,6 +109,8 @@
         self._machine = machine
         self._wall_clock_ms = wall_clock_ms
         self._fleet = fleet
+        permits = fleet.permits if fleet is not None else PermitAllocator()
+        self._permits = PermitService(permits)
         self._leases = EntryLeases(settings.entry_lease_ms, settings.clock_drift)
         self._publisher = FeedPublisher(machine)
         self._requests = RequestHandler(raft, machine, settings.instance)
@@ -168,6 +172,8 @@
             return self._on_request(sender, message, now_ms)
         if isinstance(message, Heartbeat):
             return self._on_heartbeat(sender, message, now_ms)
+        if isinstance(message, PERMIT_MESSAGES):
+            return self._on_permit_message(sender, message, now_ms)
         if isinstance(message, EntryLoad) and self.is_active and self._fleet:
             self._fleet.observe_load(message, now_ms)
         return []
@@ -201,8 +207,9 @@
         if self._fleet is not None and self._fleet.owns(result.key):
             # Required without the lease too: the controller tracks its pending calls.
             calls = self._fleet.handle(result, now_ms)
-            may_serve = self._may_serve(now_ms)
-            return [*calls, *self._poll_fleet(now_ms)] if may_serve else []
+            if not self._may_serve(now_ms):
+                return []
+            return [*calls, *self._push_rates(now_ms), *self._poll_fleet(now_ms)]
         if not self._may_serve(now_ms):
             return []
         if result.key == PLATFORM_LIST_KEY:
@@ -277,6 +284,7 @@
         self._leases.reset(now_ms)
         self._orders.reset(self._raft.term, now_ms)
         self._platform_list.reset()
+        self._permits.reset(self._raft.term)
         if self._fleet is not None:
             self._fleet.reset(self._raft.term, now_ms)
         self._propose(
@@ -365,6 +373,9 @@
         if lease is None:
             return []
         missing_updates = self._publisher.resend_missing(lease, now_ms)
+        # The limits come before the view, after which a new process sends requests.
+        position = (heartbeat.rates_term, heartbeat.rates_revision)
+        missing_updates += self._permits.resend(sender, *position, now_ms)
         missing_updates += self._resend_fleet_view(heartbeat, sender, now_ms)
         if not self._machine.needs_entry(heartbeat):
             return [*missing_updates, self._acknowledge(heartbeat, lease)]
@@ -417,6 +428,18 @@
         self._published_version = version
         return self._publisher.push(self._leases.all, now_ms)
 
+    def _on_permit_message(self, sender: str, message, now_ms: int) -> list[Any]:
+        if not self._may_serve(now_ms):
+            return []
+        replies = self._permits.receive(sender, message, now_ms)
+        return [*replies, *self._push_rates(now_ms)]
+
+    def _push_rates(self, now_ms: int) -> list[Any]:
+        return self._permits.push(self._entry_names, now_ms)
+
+    def _entry_names(self) -> list[str]:
+        return [lease.sender for lease in self._leases.all if lease.sender]
+
     # Periodic tasks of the leader
 
     def _run_leader_tasks(self, now_ms: int) -> list[Any]:
@@ -429,6 +452,7 @@
         effects += self._execute_decisions(self._orders.poll(now_ms), now_ms)
         effects += self._poll_fleet(now_ms)
         effects += self._push_load(now_ms)
+        effects += self._push_rates(now_ms)
         return effects + self._requests.poll()
 
     def _poll_fleet(self, now_ms: int) -> list[Any]:
@@ -451,8 +475,7 @@
         change = self._fleet.pop_change(self._member_names(), now_ms)
         if change is None:
             return []
-        receivers = [lease.sender for lease in self._leases.all if lease.sender]
-        return [Send(receiver, change) for receiver in receivers]
+        return [Send(receiver, change) for receiver in self._entry_names()]
 
     def _push_load(self, now_ms: int) -> list[Any]:
         if self._fleet is None:
--- a/papayacrank/control/_rollout.py
+++ b/papayacrank/control/_rollout.py
@@ -6,6 +6,7 @@
 
 from papayacrank.kernel import log_event
 from papayacrank.messages import TargetLoad
+from papayacrank.permits import PermitAllocator
 
 from ._effects import HttpCall, HttpResult
 from ._events import WEIGHTS_LOADED, WEIGHTS_ORDERED, WEIGHTS_REFUSED
@@ -97,14 +98,21 @@
         Name of this process in orders.
     policy : RunningRequestPolicy
         Treatment of the requests that run when an engine loads weights.
+    permits : PermitAllocator
+        Request rate limits, which hold for status requests and orders as well.
     """
 
     def __init__(
-        self, protocol: TargetProtocol, holder: str, policy: RunningRequestPolicy
+        self,
+        protocol: TargetProtocol,
+        holder: str,
+        policy: RunningRequestPolicy,
+        permits: PermitAllocator,
     ):
         self._protocol = protocol
         self._holder = holder
         self._policy = policy
+        self._permits = permits
         self._fencing_token = 0
         self._fenced = False
         self._earliest_order_ms = 0
@@ -203,6 +211,10 @@
             if engine.phase is Phase.LOADING:
                 self._assume_loaded(engine, now_ms)
                 continue
+            wait_ms = self._permits.charge_call(engine.target.name, now_ms)
+            if wait_ms:
+                engine.next_ms = now_ms + wait_ms
+                continue
             model = next(m for m in engine.target.weights if m in desired_versions)
             calls.append(
                 self._next_call(engine, model, desired_versions[model], now_ms)
--- a/papayacrank/control/_stores.py
+++ b/papayacrank/control/_stores.py
@@ -4,6 +4,7 @@
 
 from papayacrank.kernel import log_event
 from papayacrank.messages import RoutingConfiguration
+from papayacrank.permits import PermitAllocator
 
 from ._effects import HttpCall, HttpResult
 from ._events import PROMPT_STORE_RESPONSIVE, PROMPT_STORE_UNRESPONSIVE
@@ -40,12 +41,20 @@
     ----------
     protocol : TargetProtocol
         Encodes calls and decodes their results.
+    permits : PermitAllocator
+        Request rate limits, which hold for the checks as well.
     """
 
-    def __init__(self, protocol: TargetProtocol):
+    def __init__(self, protocol: TargetProtocol, permits: PermitAllocator):
         self._protocol = protocol
+        self._permits = permits
         self._stores: dict[str, _Store] = {}
 
+    @property
+    def names(self) -> list[str]:
+        """Names of the stores."""
+        return list(self._stores)
+
     @property
     def starts(self) -> dict[str, int]:
         """Start number of each checked store, 0 if it does not respond."""
@@ -69,6 +78,10 @@
                 store = self._stores[name] = _Store(store_profile.address, now_ms)
             if store.call_pending or now_ms < store.next_ms:
                 continue
+            wait_ms = self._permits.charge_call(name, now_ms)
+            if wait_ms:
+                store.next_ms = now_ms + wait_ms
+                continue
             store.call_pending = True
             key = STORE_KEY + name
             calls.append(self._protocol.build_store_check(key, store.address))
--- a/papayacrank/control/tests/test_rollout.py
+++ b/papayacrank/control/tests/test_rollout.py
@@ -23,6 +23,7 @@
     StoreProfile,
     TargetLoad,
 )
+from papayacrank.permits import read_rate_statement
 
 MODEL = "m"
 LOAD_MS = 600
@@ -39,13 +40,15 @@
         self.loading = None
         self.is_down = False
         self.is_replaced = False
+        self.is_stuck = False
         self.lost_order_replies = 0
         self.headers = ()
         self.calls = 0
 
     def advance(self, now_ms):
         """Finish a load that is due."""
-        if self.loading is not None and now_ms >= self.loading[0]:
+        is_due = self.loading is not None and now_ms >= self.loading[0]
+        if is_due and not self.is_stuck:
             self.versions = {MODEL: self.loading[1]}
             self.loading = None
 
@@ -125,7 +128,12 @@
         """Return the signals in the headers of a result."""
         header_values = dict(result.headers)
         pause = header_values.get("pause-ms")
-        return TargetSignals("leaving" in header_values, int(pause) if pause else None)
+        rate = header_values.get("rate")
+        return TargetSignals(
+            "leaving" in header_values,
+            int(pause) if pause else None,
+            read_rate_statement([rate] if rate else []),
+        )
 
     def build_store_check(self, key, address):
         """Return the call for a store."""
@@ -439,6 +447,49 @@
     assert sim.controller.push_load(receivers, sim.now_ms) == []
 
 
+def test_limit_in_a_response_to_an_order_is_applied_and_ends():
+    """Guards against a rate limit that only the leader has read."""
+    sim = FleetSimulation(3)
+    sim.run(100)
+    engine = sim.engines["e0"]
+    engine.headers = (("rate", "1.5"),)
+    sim.desired_versions = {MODEL: 2}
+    sim.run(4_000)
+    assert sim.controller.permits.rate_of("e0") == 1.5
+    assert sim.versions() == [2] * 3
+    engine.headers = ()
+    sim.desired_versions = {MODEL: 3}
+    sim.run(4_000)
+    assert sim.controller.permits.rate_of("e0") is None
+
+
+def test_calls_of_the_leader_stay_within_the_limit_of_an_engine():
+    """Guards against status requests that exceed the rate of an engine in need."""
+    sim = FleetSimulation(3)
+    sim.run(100)
+    engine = sim.engines["e0"]
+    engine.headers = (("rate", "1"),)
+    engine.is_stuck = True
+    sim.desired_versions = {MODEL: 2}
+    sim.run(2_000)
+    calls = engine.calls
+    sim.run(10_000)
+    assert engine.calls - calls <= 10 + 4
+
+
+def test_response_of_a_replaced_engine_states_no_limit():
+    """Guards against the limit of another process at the address of an engine."""
+    sim = FleetSimulation(3)
+    sim.run(100)
+    sim.desired_versions = {MODEL: 2}
+    while not sim.pending or not sim.pending[0].key.endswith(" e0"):
+        sim.run(5)
+    key = sim.pending.pop(0).key
+    result = HttpResult(key, 421, headers=(("rate", "1"),))
+    sim.controller.handle(result, sim.now_ms)
+    assert sim.controller.permits.rate_of("e0") is None
+
+
 def test_loads_are_summed_and_sent_only_when_they_change():
     """Guards against messages without changes, and against loads of lost processes."""
     sim = FleetSimulation()
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -17,7 +17,13 @@
     ServiceProfile,
     WorkspaceProfile,
 )
-from papayacrank.permits import StatedRates
+from papayacrank.permits import (
+    Permit,
+    PermitDecision,
+    PermitOutcome,
+    PermitPort,
+    RateKnowledge,
+)
 from papayacrank.transport import ExchangeListener, HttpExchange, Timers
 
 from ._base import CallerProtocol, Dispatch, ForwardRequest
@@ -39,7 +45,7 @@
 from ._quota import QuotaDecision, QuotaEnforcer
 from ._retry_budget import RetryBudget
 from ._routes import RouteIndex
-from ._selection import TargetSelection
+from ._selection import ANY_PERMIT_WAIT_MS, NO_PERMITS, TargetSelection
 from ._target_port import CallFailure, CallListener, TargetCall, TargetPort
 from ._targets import TargetTable
 
@@ -68,6 +74,10 @@
 # Callers give up after 2 s without an event.
 FIRST_EVENT_TIMEOUT_FACTOR = 2.5
 STREAM_IDLE_TIMEOUT_MS = 1_200
+# Part of the latency objective for which a request may wait for permits of targets with
+# a request rate limit, and the number of permits that it may request.
+PERMIT_WAIT_FRACTION = 0.5
+MAX_PERMIT_REQUESTS = 3
 URGENCY_STEPS = 3
 MAX_URGENCY = 9
 SERVER_ERROR = 500
@@ -117,6 +127,8 @@
         Connections to targets.
     quota : QuotaEnforcer
         Rate limits of the workspaces.
+    permits : PermitPort
+        Permits for targets with a request rate limit.
     clock : Clock
         Clock of `timers`.
     timers : Timers
@@ -131,6 +143,7 @@
         protocol: CallerProtocol,
         port: TargetPort,
         quota: QuotaEnforcer,
+        permits: PermitPort,
         clock: Clock,
         timers: Timers,
         random_state: random.Random,
@@ -139,6 +152,7 @@
         self._protocol = protocol
         self._port = port
         self._quota = quota
+        self._permits = permits
         self._clock = clock
         self._timers = timers
         self._random = random_state
@@ -152,11 +166,11 @@
             settings.retry_ratio, settings.retry_window_ms, settings.retry_slack
         )
         self._pauses = TargetPauses(settings.max_pause_ms)
-        self._stated_rates = StatedRates()
         self._selection = TargetSelection(
             self._table,
             self._health,
             self._pauses,
+            permits.client,
             self._parts,
             settings.failure_domain,
             random_state,
@@ -225,9 +239,9 @@
         for target in removed:
             self._health.forget(target.name)
             self._pauses.forget(target.name)
-            self._stated_rates.forget(target.name)
             self._parts.engines.forget_location(target.name)
             self._port.drop_idle(target.address)
+        self._permits.client.retain((t.name, t.born_ms) for t in view.targets)
         self._update_stores(view.stores)
         self._release_held_requests()
         return True
@@ -395,19 +409,79 @@
 
     # Attempts
 
-    def _dispatch(self, job: Job) -> None:
+    def _dispatch(self, job: Job, permit: Permit | None = None) -> None:
+        """Choose a target and send the request, or request a permit for the target.
+
+        Parameters
+        ----------
+        job : Job
+            Request.
+        permit : Permit, optional
+            Permit for the target chosen before, which is checked again.
+        """
         now_ms = self._clock.now_ms()
         remaining_ms = job.deadline_at_ms - now_ms
         if remaining_ms < MIN_REMAINING_MS:
+            self._give_back(permit)
             self._give_up(job, "deadline", "no time is left")
             return
         store = self._choose_store(job)
         request = self._build_placement_request(job, store, now_ms)
-        choice = self._selection.choose(request, job.excluded, now_ms)
+        if permit is not None:
+            choice = self._selection.choose(
+                request, job.excluded, ANY_PERMIT_WAIT_MS, now_ms, only=permit.target
+            )
+            if choice is not None:
+                self._send(job, choice, store, now_ms, remaining_ms, permit)
+                return
+            self._give_back(permit)
+        max_wait_ms = self._max_permit_wait_ms(job, now_ms)
+        choice = self._selection.choose(request, job.excluded, max_wait_ms, now_ms)
         if choice is None:
+            self._give_up_without_target(job, request, now_ms)
+        elif self._permits.client.rate_of(choice.target.name) is None:
+            self._send(job, choice, store, now_ms, remaining_ms)
+        else:
+            self._request_permit(job, choice.target.name, max_wait_ms, now_ms)
+
+    def _max_permit_wait_ms(self, job: Job, now_ms: int) -> int:
+        """Return how long a request may wait for a permit, `NO_PERMITS` if not."""
+        if job.permit_requests >= MAX_PERMIT_REQUESTS:
+            return NO_PERMITS
+        limit_ms = int(PERMIT_WAIT_FRACTION * job.route.objective_ms)
+        return max(0, limit_ms - (now_ms - job.arrived_ms))
+
+    def _request_permit(
+        self, job: Job, target: str, max_wait_ms: int, now_ms: int
+    ) -> None:
+        job.permit_requests += 1
+
+        def on_decision(decision: PermitDecision) -> None:
+            job.permit_wait_ms += self._clock.now_ms() - now_ms
+            if decision.outcome is PermitOutcome.GRANTED:
+                self._dispatch(job, decision.permit)
+                return
+            if decision.outcome is not PermitOutcome.UNLIMITED:
+                job.refused_permits.append(target)
+            self._dispatch(job)
+
+        self._permits.acquire(_quota_id(job), target, max_wait_ms, on_decision)
+
+    def _give_back(self, permit: Permit | None) -> None:
+        if permit is not None:
+            self._permits.give_back(permit)
+
+    def _give_up_without_target(
+        self, job: Job, request: PlacementRequest, now_ms: int
+    ) -> None:
+        would_fit = self._selection.choose(
+            request, job.excluded, ANY_PERMIT_WAIT_MS, now_ms
+        )
+        if would_fit is None:
             self._give_up(job, "no_target", "no target can take the request")
             return
-        self._send(job, choice, store, now_ms, remaining_ms)
+        text = "all targets are at the request rate that they accept"
+        self._give_up(job, "targets_limited", text)
 
     def _choose_store(self, job: Job) -> ServiceProfile | None:
         """Return the store for a prompt; None for plain services or if none is up."""
@@ -447,6 +521,7 @@
         store: ServiceProfile | None,
         now_ms: int,
         remaining_ms: int,
+        permit: Permit | None = None,
     ) -> None:
         target = choice.target
         dispatch, salt = self._build_dispatch(job, choice, store, remaining_ms)
@@ -459,6 +534,7 @@
             self,
             self._connection_limit(job),
             needs_new_connection=target.name in job.sent_to,
+            send_before_ms=permit.until_ms if permit is not None else None,
             state=job,
         )
         job.sent_to.add(target.name)
@@ -473,13 +549,15 @@
             salt=salt,
             store=store.name if dispatch.save_to is not None else "",
             is_stream=is_stream,
+            permit=permit,
+            rate_knowledge=self._permits.client.knowledge_of(target.name),
         )
         job.attempt = attempt
         job.tries += 1
         self._table.begin(target.name, attempt.prefill_tokens, attempt.memory_tokens)
         if job.route.is_repeatable:
             self._set_response_timer(job, attempt)
-        if self._stated_rates.has_limit(target.name):
+        if permit is not None:
             self._metrics.on_sent_to_limited(job.service.name)
         self._port.submit(call)
 
@@ -574,6 +652,8 @@
         if not attempt.has_first_event:
             self._table.end_prefill(attempt.target.name, attempt.prefill_tokens)
         self._table.end(attempt.target.name, attempt.memory_tokens)
+        if not attempt.call.bytes_written:
+            self._give_back(attempt.permit)
 
     def _may_run_again(self, job: Job, runs: int) -> bool:
         """Whether a request that may have run `runs` times may run again.
@@ -648,12 +728,40 @@
         name = metadata.target_name or attempt.target.name
         if metadata.is_leaving and self._table.mark_leaving(name):
             log_event(TARGET_LEAVING, target=name, status=attempt.status)
-        self._stated_rates.observe(name, metadata.rate, job.request.request_id)
+        self._observe_rate(job, attempt, name)
         if metadata.pause_ms is not None:
             self._pauses.on_pause_requested(name, metadata.pause_ms, now_ms)
         elif not metadata.wrong_target and attempt.status < SERVER_ERROR:
             self._pauses.on_success(name, now_ms)
 
+    def _observe_rate(self, job: Job, attempt: Attempt, name: str) -> None:
+        """Apply the request rate limit that a response states, or that it states none.
+
+        Parameters
+        ----------
+        job : Job
+            Request.
+        attempt : Attempt
+            Attempt that got the response.
+        name : str
+            Target that sent the response.
+        """
+        metadata = attempt.metadata
+        if metadata.wrong_target and metadata.target_name is None:
+            return
+        target = self._table.find(name)
+        is_own = name == attempt.target.name
+        self._permits.observe(
+            name,
+            target.born_ms if target is not None else 0,
+            metadata.rate,
+            attempt.rate_knowledge if is_own else RateKnowledge(),
+            is_own
+            and metadata.is_valid
+            and metadata.request_id == job.request.request_id,
+            job.request.request_id,
+        )
+
     def on_data(self, call: TargetCall, data: bytes) -> None:
         """Handle a chunk of a response body."""
         job: Job = call.state
@@ -873,7 +981,9 @@
             self._fail(job, Failure(code, verdict, message, status))
             return
         now_ms = self._clock.now_ms()
-        after_ms = self._selection.estimate_retry_after_ms(job.service.name, now_ms)
+        after_ms = self._selection.estimate_retry_after_ms(
+            job.service.name, self._instances, now_ms
+        )
         if after_ms is None:
             after_ms = DEFAULT_RETRY_AFTER_MS
         self._fail(job, _refusal(code, message, 503, after_ms))
@@ -893,6 +1003,7 @@
         self._jobs.pop(job.number, None)
         self._timers.cancel(_deadline_timer(job))
         self._timers.cancel(_response_timer(job))
+        self._permits.cancel(_quota_id(job))
         now_ms = self._clock.now_ms()
         if job.workspace is not None:
             if self._awaiting_grant.pop(_quota_id(job), None) is not None:
@@ -918,6 +1029,9 @@
         }
         if job.ledger_age_ms is not None:
             fields["ledger_age_ms"] = job.ledger_age_ms
+        if job.permit_requests:
+            fields["permit_wait_ms"] = job.permit_wait_ms
+            fields["refused_permits"] = job.refused_permits
         if job.last_failure:
             fields["last_failure"] = job.last_failure
         if attempt is not None:
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from papayacrank.messages import FleetTarget, Route, ServiceProfile, WorkspaceProfile
+from papayacrank.permits import Permit, RateKnowledge
 from papayacrank.transport import HttpExchange
 
 from ._base import ForwardRequest, ResponseMetadata
@@ -46,6 +47,10 @@
         Whether the first event of a stream arrived.
     is_stream : bool
         Whether the response is forwarded event by event.
+    permit : Permit or None
+        Permit of the attempt, if its target has a request rate limit.
+    rate_knowledge : RateKnowledge
+        What was known about the limit of the target at the time of sending.
     """
 
     target: FleetTarget
@@ -63,6 +68,8 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     has_first_event: bool = False
     is_stream: bool = False
+    permit: Permit | None = None
+    rate_knowledge: RateKnowledge = RateKnowledge()
 
 
 @dataclass(eq=False)
@@ -102,6 +109,12 @@
     ledger_age_ms : int or None
         Age in milliseconds of the ledger's last reply, if the request was refused by
         its rate.
+    permit_requests : int
+        Number of permits requested for the request.
+    permit_wait_ms : int
+        Time for which the request has waited for permits, in milliseconds.
+    refused_permits : list of str
+        Targets for which the request got no permit.
     is_done : bool
         Whether the request has its final outcome.
     """
@@ -125,6 +138,9 @@
     first_event_ms: int | None = None
     last_failure: str = ""
     ledger_age_ms: int | None = None
+    permit_requests: int = 0
+    permit_wait_ms: int = 0
+    refused_permits: list[str] = field(default_factory=list)
     is_done: bool = False
 
     @property
--- a/papayacrank/forwarding/_metrics.py
+++ b/papayacrank/forwarding/_metrics.py
@@ -39,6 +39,12 @@
             ["service"],
             registry=self._registry,
         )
+        self._permits = Counter(
+            "papayacrank_permits",
+            "Permits for targets with a request rate limit, by outcome",
+            ["outcome"],
+            registry=self._registry,
+        )
         self._ttft = Histogram(
             "papayacrank_forwarding_ttft_seconds",
             "Time from the arrival of a request to its first event",
@@ -96,6 +102,10 @@
         """Count a request sent to a target that states a request rate limit."""
         self._sent_to_limited.labels(service).inc()
 
+    def on_permit(self, outcome: str) -> None:
+        """Count a decision on a permit, or a returned permit."""
+        self._permits.labels(outcome).inc()
+
     def on_first_event(self, service: str, ttft_ms: int) -> None:
         """Observe the time to the first event of a stream."""
         self._ttft.labels(service).observe(ttft_ms / MS_PER_SECOND)
--- a/papayacrank/forwarding/_placement.py
+++ b/papayacrank/forwarding/_placement.py
@@ -11,6 +11,7 @@
 
 from papayacrank.kernel import register
 from papayacrank.messages import FleetTarget, ServiceProfile, TargetLoad
+from papayacrank.permits import PermitClient
 
 from ._base import PromptPart
 from ._targets import TargetTable
@@ -189,6 +190,8 @@
         Targets and their load.
     parts : KnownPartLocations
         Known locations of prompt parts.
+    permits : PermitClient
+        Request rate limits; waiting for a permit counts as expected time.
     failure_domain : str
         Failure domain of this instance.
     random_state : random.Random
@@ -199,11 +202,13 @@
         self,
         table: TargetTable,
         parts: KnownPartLocations,
+        permits: PermitClient,
         failure_domain: str,
         random_state: Random,
     ):
         self.table = table
         self.parts = parts
+        self.permits = permits
         self.failure_domain = failure_domain
         self.random_state = random_state
 
@@ -303,9 +308,10 @@
             recomputed_tokens = CACHED_ELSEWHERE_PROBABILITY * uncached[0].tokens
             recompute_loss = recomputed_tokens * RECOMPUTE_LOSS_PER_TOKEN
         location = PartsLocation.STORE if fetched else PartsLocation.TARGET
+        permit_ms = self.permits.wait_ms(target.name, now_ms)
         choice = Choice(
             target,
-            FIRST_STEP_MS + fetch_ms + compute_ms,
+            permit_ms + FIRST_STEP_MS + fetch_ms + compute_ms,
             own_tokens + compute_tokens,
             PartsLocation.UNKNOWN if uncached else location,
             load,
@@ -366,7 +372,7 @@
         self, request: PlacementRequest, targets: list[FleetTarget], now_ms: int
     ) -> Choice | None:
         """Return the target with the least expected response time."""
-        choices = [self._estimate(target) for target in targets]
+        choices = [self._estimate(target, now_ms) for target in targets]
         return min(
             choices,
             key=lambda c: (
@@ -377,13 +383,14 @@
             default=None,
         )
 
-    def _estimate(self, target: FleetTarget) -> Choice:
+    def _estimate(self, target: FleetTarget, now_ms: int) -> Choice:
         load = self.table.load(target.name)
         slots = max(1, target.slots)
         utilization = load.running / slots
         wait_ms = PLAIN_SERVICE_TIME_MS * (
             utilization if load.running < slots else 2 * utilization
         )
+        wait_ms += self.permits.wait_ms(target.name, now_ms)
         return Choice(target, wait_ms + PLAIN_SERVICE_TIME_MS, load=load)
 
     def _distance_ms(self, target: FleetTarget) -> float:
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -18,6 +18,7 @@
 )
 from papayacrank.kernel import MonotonicClock, log_event
 from papayacrank.messages import CONTROL_MESSAGES, FleetChange, FleetLoad, FleetView
+from papayacrank.permits import PermitClient, PermitPort
 from papayacrank.transport import (
     ExchangeListener,
     HttpExchange,
@@ -155,15 +156,23 @@
         self._shares = LocalShares()
         self._quota = QuotaEnforcer(self._shares)
         self._target_port = TargetPort(self._clock, self._timers).register(self)
+        self._permits = PermitPort(
+            PermitClient(settings.forwarding.instance),
+            self._send_to_leader,
+            self._clock,
+            self._timers,
+        )
         self._forwarder = Forwarder(
             settings.forwarding,
             protocol,
             self._target_port,
             self._quota,
+            self._permits,
             self._clock,
             self._timers,
             self._random,
         )
+        self._permits.count = self._forwarder.metrics.on_permit
         self._forwarder.on_quota_wait = self._poll_quota
         self._build_control()
         self._build_ports()
@@ -287,9 +296,22 @@
             "Whether the control group acknowledges heartbeats",
             lambda: int(self._has_contact),
         )
+        metrics.add_gauge(
+            "rate_limited_targets",
+            "Targets with a request rate limit",
+            lambda: self._permits.client.limited_targets,
+        )
 
     # Control group
 
+    def _send_to_leader(self, message) -> bool:
+        """Send a message to the presumed leader; return False if none is known."""
+        leader = self._contact.leader
+        if leader is None:
+            return False
+        self._link.send(leader, message)
+        return True
+
     def _on_feed(self, change: FeedChanged) -> None:
         if change.routing and self._contact.routing is not None:
             self._apply_routing()
@@ -325,6 +347,9 @@
                 self._on_fleet(view)
         elif isinstance(message, FleetLoad):
             self._forwarder.apply_load(message)
+        else:
+            self._permits.receive(message)
+            self._contact.set_rates_position(*self._permits.client.position)
 
     def _on_fleet(self, view: FleetView) -> None:
         if not self._forwarder.apply_fleet(view):
@@ -355,6 +380,7 @@
         self._ticks += 1
         self._send_load()
         self._update_contact(now_ms)
+        self._permits.poll(self._contact.term)
         if self._shares.needs_report(now_ms):
             self._control.send_heartbeat()
         if self._ticks % SWEEP_TICKS == 0:
--- a/papayacrank/forwarding/_selection.py
+++ b/papayacrank/forwarding/_selection.py
@@ -4,6 +4,7 @@
 
 from papayacrank.kernel import create
 from papayacrank.messages import FleetTarget
+from papayacrank.permits import PermitClient, RetrySpread
 
 from ._health import TargetHealth
 from ._pauses import TargetPauses
@@ -13,13 +14,18 @@
 # Retry times of refused callers are spread over this fraction of the pause.
 RETRY_JITTER = 0.5
 MIN_RETRY_JITTER_MS = 100
+# Values of `max_permit_wait_ms` that exclude targets with a request rate limit, or
+# allow any wait.
+NO_PERMITS = -1
+ANY_PERMIT_WAIT_MS = 1 << 60
 
 
 class TargetSelection:
     """Selects the target of a request by availability, health and placement.
 
-    Targets that are leaving, loading weights or paused get no requests. Ejected and
-    unreachable targets are used only if no healthy target can take the request.
+    Targets that are leaving, loading weights or paused get no requests, and those with
+    a request rate limit only if a permit is expected in time. Ejected and unreachable
+    targets are used only if no healthy target can take the request.
 
     Parameters
     ----------
@@ -29,6 +35,8 @@
         Passive health checks of the targets.
     pauses : TargetPauses
         Pauses that targets requested.
+    permits : PermitClient
+        Request rate limits of the targets.
     parts : KnownPartLocations
         Known locations of prompt parts.
     failure_domain : str
@@ -42,6 +50,7 @@
         table: TargetTable,
         health: TargetHealth,
         pauses: TargetPauses,
+        permits: PermitClient,
         parts: KnownPartLocations,
         failure_domain: str,
         random_state: Random,
@@ -49,10 +58,13 @@
         self._table = table
         self._health = health
         self._pauses = pauses
+        self._permits = permits
         self._random = random_state
+        self._spread = RetrySpread(random_state)
         common = {
             "table": table,
             "parts": parts,
+            "permits": permits,
             "failure_domain": failure_domain,
             "random_state": random_state,
         }
@@ -60,7 +72,12 @@
         self._plain_placement = create(Placement, "least_running", **common)
 
     def choose(
-        self, request: PlacementRequest, excluded: set[str], now_ms: int
+        self,
+        request: PlacementRequest,
+        excluded: set[str],
+        max_permit_wait_ms: int,
+        now_ms: int,
+        only: str | None = None,
     ) -> Choice | None:
         """Choose the target of a request.
 
@@ -70,8 +87,13 @@
             Request to place.
         excluded : set of str
             Targets that must not get the request.
+        max_permit_wait_ms : int
+            Longest time that the request may wait for a permit; `NO_PERMITS` excludes
+            all targets that need one.
         now_ms : int
             Current time in milliseconds.
+        only : str, optional
+            Target to restrict the choice to.
 
         Returns
         -------
@@ -82,6 +104,8 @@
             target
             for target in self._available_targets(request.service.name)
             if target.name not in excluded
+            and only in (None, target.name)
+            and self._has_permit_within(target.name, max_permit_wait_ms, now_ms)
             and self._pauses.may_send(
                 target.name, self._table.own_running(target.name), now_ms
             )
@@ -94,27 +118,58 @@
             choice = placement.choose(request, usable, now_ms)
         return choice
 
-    def estimate_retry_after_ms(self, service: str, now_ms: int) -> int | None:
+    def estimate_retry_after_ms(
+        self, service: str, instances: int, now_ms: int
+    ) -> int | None:
         """Return the time after which a refused caller should retry.
 
-        Random jitter keeps callers that were refused together from retrying at the
-        same time.
+        Callers that were refused together are spread over the time in which the targets
+        can take them.
+
+        Parameters
+        ----------
+        service : str
+            Service of the request.
+        instances : int
+            Number of instances that share the request rate limits.
+        now_ms : int
+            Current time in milliseconds.
 
         Returns
         -------
         int or None
-            Time in milliseconds; None unless all targets of the service are paused.
+            Time in milliseconds; None unless all targets of the service are paused or
+            have a request rate limit.
         """
-        pause_ends = [
-            self._pauses.pause_end_ms(target.name, now_ms)
-            for target in self._available_targets(service)
-        ]
-        if not pause_ends or None in pause_ends:
+        names = [target.name for target in self._available_targets(service)]
+        pause_ends = {
+            name: end_ms
+            for name in names
+            if (end_ms := self._pauses.pause_end_ms(name, now_ms)) is not None
+        }
+        rates = {
+            name: per_s
+            for name in names
+            if name not in pause_ends
+            and (per_s := self._permits.rate_of(name)) is not None
+        }
+        if not names or len(pause_ends) + len(rates) < len(names):
             return None
-        remaining_ms = min(pause_ends) - now_ms
+        free_in_ms = [end_ms - now_ms for end_ms in pause_ends.values()]
+        if rates:
+            free_in_ms += [self._permits.wait_ms(name, now_ms) for name in rates]
+            return self._spread.retry_after_ms(
+                service, min(free_in_ms), sum(rates.values()), instances, now_ms
+            )
+        remaining_ms = min(free_in_ms)
         jitter_ms = max(MIN_RETRY_JITTER_MS, RETRY_JITTER * remaining_ms)
         return remaining_ms + int(self._random.uniform(0, jitter_ms))
 
+    def _has_permit_within(self, name: str, max_wait_ms: int, now_ms: int) -> bool:
+        if self._permits.rate_of(name) is None:
+            return True
+        return self._permits.wait_ms(name, now_ms) <= max_wait_ms
+
     def _available_targets(self, service: str) -> list[FleetTarget]:
         return [
             target
--- a/papayacrank/forwarding/_target_port.py
+++ b/papayacrank/forwarding/_target_port.py
@@ -64,7 +64,8 @@
     ----------
     code : str
         ``"connect_failed"``, ``"connect_timeout"``, ``"connection_lost"``,
-        ``"malformed_answer"``, ``"answer_too_large"`` or ``"too_many_connections"``.
+        ``"malformed_answer"``, ``"answer_too_large"``, ``"too_many_connections"`` or
+        ``"permit_expired"``.
     may_have_run : bool
         Whether any byte of the request was handed to the operating system.
     message : str
@@ -127,6 +128,9 @@
         attempt of the same request could not be distinguished from one to this.
     is_buffered : bool
         Whether the listener buffers the body until it is complete.
+    send_before_ms : int or None
+        Time from which the request must not be sent any more, because its permit has
+        expired, for example while the process was suspended.
     state : object
         Data of the listener.
     bytes_written : bool
@@ -146,6 +150,7 @@
     max_connections: int = 64
     needs_new_connection: bool = False
     is_buffered: bool = False
+    send_before_ms: int | None = None
     state: Any = None
     bytes_written: bool = False
     is_open: bool = True
@@ -301,6 +306,10 @@
         connection.begin_call(call)
         connection.state = ConnectionState.BUSY
         self._by_call[call] = connection
+        limit_ms = call.send_before_ms
+        if limit_ms is not None and self._clock.now_ms() >= limit_ms:
+            self._drop(connection, CallFailure("permit_expired", False))
+            return
         connection.queue(_encode(connection.protocol, call))
         self._write(connection)
 
--- a/papayacrank/forwarding/tests/builders.py
+++ b/papayacrank/forwarding/tests/builders.py
@@ -29,7 +29,7 @@
     StoreProfile,
     WorkspaceProfile,
 )
-from papayacrank.permits import read_rate_statement
+from papayacrank.permits import PermitClient, PermitPort, read_rate_statement
 from papayacrank.transport import HttpExchange, RequestHead
 
 KEY = "secret-1"
@@ -243,11 +243,16 @@
         self.protocol = StubProtocol()
         self.shares = LocalShares()
         self.quota = QuotaEnforcer(self.shares)
+        self.leader_messages = []
+        self.permits = PermitPort(
+            PermitClient("i1"), self._send_to_leader, self.clock, self.timers
+        )
         self.forwarder = Forwarder(
             ForwardingSettings("i1", "east"),
             self.protocol,
             self.port,
             self.quota,
+            self.permits,
             self.clock,
             self.timers,
             random.Random(1),
@@ -257,6 +262,10 @@
             self.forwarder.apply_fleet(build_view(*targets))
             self.forwarder.apply_weights(weights or {MODEL: 1})
 
+    def _send_to_leader(self, message):
+        self.leader_messages.append(message)
+        return True
+
     @property
     def call(self):
         """Last call at the port."""
--- a/papayacrank/forwarding/tests/test_placement.py
+++ b/papayacrank/forwarding/tests/test_placement.py
@@ -14,6 +14,7 @@
 )
 from papayacrank.forwarding._targets import TargetTable
 from papayacrank.messages import EngineProfile, ServiceProfile, TargetLoad
+from papayacrank.permits import PermitClient
 
 from .builders import MODEL, build_load, build_target, build_view
 
@@ -36,7 +37,7 @@
         self.parts = KnownPartLocations()
         random_state = random.Random(3)
         self.placement = ExpectedLossPlacement(
-            self.table, self.parts, "east", random_state
+            self.table, self.parts, PermitClient("i1"), "east", random_state
         )
 
     def set_loads(self, **loads):
@@ -156,7 +157,7 @@
     loads = {"p1": TargetLoad(load + 1), "p2": TargetLoad(load)}
     table.apply_load(build_load(table, loads))
     placement = LeastRunningPlacement(
-        table, KnownPartLocations(), "east", random.Random(1)
+        table, KnownPartLocations(), PermitClient("i1"), "east", random.Random(1)
     )
     request = PlacementRequest(PLAIN)
     counts = Counter()
--- a/papayacrank/messages/__init__.py
+++ b/papayacrank/messages/__init__.py
@@ -43,6 +43,15 @@
     PartLocationGroup,
     TargetLoad,
 )
+from ._permits import (
+    PermitReply,
+    PermitRequest,
+    PermitReturn,
+    RateObservation,
+    RateReport,
+    TargetRate,
+    TargetRates,
+)
 from ._requests import (
     ControlReply,
     ControlRequest,
@@ -89,6 +98,11 @@
     EntryLoad,
     FleetChange,
     FleetLoad,
+    RateReport,
+    TargetRates,
+    PermitRequest,
+    PermitReply,
+    PermitReturn,
 )
 
 __all__ = [
@@ -131,7 +145,12 @@
     "NotLeader",
     "ObserveTargets",
     "OrderPlaced",
+    "PermitReply",
+    "PermitRequest",
+    "PermitReturn",
     "PlaceOrder",
+    "RateObservation",
+    "RateReport",
     "ReadState",
     "ReplaceMember",
     "ReportUsage",
@@ -148,6 +167,8 @@
     "StateView",
     "StoreProfile",
     "TargetLoad",
+    "TargetRate",
+    "TargetRates",
     "TargetStatus",
     "TargetsChange",
     "UsageDelta",
--- a/papayacrank/messages/_requests.py
+++ b/papayacrank/messages/_requests.py
@@ -144,6 +144,8 @@
         ``"starting"``, ``"serving"`` or ``"draining"``.
     fleet_term, fleet_sequence : int
         Term and sequence of the newest `FleetView` of the sender.
+    rates_term, rates_revision : int
+        Term and revision of the newest `TargetRates` that the sender has in full.
     """
 
     instance: str
@@ -157,6 +159,8 @@
     shares: list[ShareReport] = []
     fleet_term: int = 0
     fleet_sequence: int = 0
+    rates_term: int = 0
+    rates_revision: int = 0
 
 
 class HeartbeatAck(msgspec.Struct, tag=True, frozen=True):
