Grant permits at the own interface as well

Cause: as in the forwarding; the way of a request there is separate code (entry/, routing/, targets/).

Change: targets state X-Request-Rate-Limit in responses to requests, with any status and at the head of a stream. The router counts the wait for a permit in the cost of a target and leaves out those without one in time; flows request a permit for each attempt, resumed streams included; the client checks it right before the first byte and sends a request with a permit once only, so a stale connection is not retried on the same permit. An action whose caller left while it waited is not sent. If all targets are limited, the request is refused with targets_limited and a Retry-After from the rates.

--- a/papayacrank/entry/_action_flow.py
+++ b/papayacrank/entry/_action_flow.py
@@ -12,6 +12,7 @@
     BeginAction,
     FinishAction,
 )
+from papayacrank.permits import PermitDecision
 from papayacrank.targets import TargetFailure
 
 from ._authentication import Caller
@@ -143,6 +144,15 @@
             self._add_step("recorded as started")
             self._start_attempt()
 
+    def on_permit_decision(self, decision: PermitDecision) -> None:
+        """Continue with the decision on a permit, unless the caller is gone."""
+        if self._is_detached:
+            self._give_back(decision.permit)
+            self._add_step("not sent: the caller is gone")
+            self._end("not_sent", None)
+        else:
+            super().on_permit_decision(decision)
+
     def _handle_begin_failure(self, failure: Failure) -> None:
         if failure.verdict is Verdict.NOT_RUN:
             self._state.on_record_refused()
--- a/papayacrank/entry/_completion_flow.py
+++ b/papayacrank/entry/_completion_flow.py
@@ -250,13 +250,24 @@
         step = self._assembler.next_step(target, may_reuse_engine)
         if step is ResumeStep.SAME_ENGINE:
             self._context.metrics.on_repeated(self._service.name, "resume")
-            choice = Choice(target, 0, 0.0, None, RESUME_REASON)
-            self._send_attempt(self._build_routing(), choice)
+            self._resume_on_same_engine(target)
         elif step is ResumeStep.OTHER_ENGINE:
             self._retry_on_other_target(target, "move")
         else:
             self._fail_with_target_error(target, failure)
 
+    def _resume_on_same_engine(self, target: str) -> None:
+        choice = Choice(target, 0, 0.0, None, RESUME_REASON)
+        if self._context.permits.client.rate_of(target) is None:
+            self._send_attempt(self._build_routing(), choice)
+            return
+        self._request_permit(
+            target,
+            self._limit_wait(self._build_routing()).max_permit_wait_ms,
+            lambda permit: self._send_attempt(self._build_routing(), choice, permit),
+            lambda: self._retry_on_other_target(target, "move"),
+        )
+
     def _is_target_live(self, target: str) -> bool:
         return self._context.contact.targets.get(target, "live") == "live"
 
--- a/papayacrank/entry/_context.py
+++ b/papayacrank/entry/_context.py
@@ -9,6 +9,7 @@
 from papayacrank.config import EntrySettings
 from papayacrank.control import ControlContact
 from papayacrank.kernel import Clock
+from papayacrank.permits import PermitPort
 from papayacrank.routing import RetryPolicy, Router
 from papayacrank.targets import TargetClient
 from papayacrank.transport import Timers
@@ -42,6 +43,7 @@
     contact: ControlContact
     targets: TargetClient
     router: Router
+    permits: PermitPort
     shares: LocalShares
     engine_admission: AdmissionPolicy
     plain_admission: AdmissionPolicy
--- a/papayacrank/entry/_dispatcher.py
+++ b/papayacrank/entry/_dispatcher.py
@@ -87,6 +87,10 @@
     def _on_target_headers(self, attempt_id, status, headers):
         self._call_attempt(attempt_id, "on_headers", status, headers)
 
+    @handler("target_rate")
+    def _on_target_rate(self, attempt_id, statement, is_identified):
+        self._call_attempt(attempt_id, "on_rate", statement, is_identified)
+
     @handler("target_data")
     def _on_target_data(self, attempt_id, data):
         self._call_attempt(attempt_id, "on_data", data)
--- a/papayacrank/entry/_flow.py
+++ b/papayacrank/entry/_flow.py
@@ -1,11 +1,20 @@
 """Base class of the flows of requests to targets."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 
 from papayacrank.admission import AdmissionPolicy, AdmissionRequest
 from papayacrank.config import Service
 from papayacrank.kernel import Failure, Verdict
+from papayacrank.permits import (
+    Permit,
+    PermitDecision,
+    PermitOutcome,
+    RateKnowledge,
+    RateStatement,
+)
 from papayacrank.routing import Choice, RoutingRequest
 from papayacrank.targets import TargetFailure, TargetRequest, TargetUsage
 
@@ -20,6 +29,12 @@
 MAX_ATTEMPTS = 4
 MAX_MESSAGE_CHARACTERS = 200
 DEADLINE_CODE = "deadline_exceeded"
+# Permits of targets with a request rate limit that a request may wait for, and the part
+# of its remaining time that each wait may take.
+MAX_PERMIT_REQUESTS = 3
+PERMIT_WAIT_DIVISOR = 4
+NO_PERMITS = -1
+ANY_PERMIT_WAIT_MS = 1 << 60
 # The target rejected the content of the request, so a retry would not help.
 CALLER_ERROR_STATUSES = frozenset({400, 413, 422})
 
@@ -67,6 +82,10 @@
         self._excluded: frozenset[str] = frozenset()
         self._choice: Choice | None = None
         self._attempt_id: str | None = None
+        self._permit: Permit | None = None
+        self._permit_requests = 0
+        self._on_permit_decision: Callable[[PermitDecision], None] | None = None
+        self._rate_knowledge = RateKnowledge()
         self._is_admitted = False
         self._is_outcome_recorded = False
         self._ended = False
@@ -170,12 +189,25 @@
         """Handle the failure of the current attempt."""
         target = self._choice.target
         self._state.on_attempt_failed(failure.bytes_written)
+        if not failure.bytes_written:
+            self._give_back(self._permit)
         ok = None if self._is_health_neutral(failure) else False
         self._context.router.on_finished(self._attempt_id, ok, self._now_ms())
         self._clear_attempt()
         self._add_step(f"attempt at {target} failed: {failure.code}")
         self._handle_attempt_failure(target, failure)
 
+    def on_rate(self, statement: RateStatement | None, is_identified: bool) -> None:
+        """Handle the request rate limit that the head of a response states, if any."""
+        self._context.permits.observe(
+            self._choice.target,
+            0,
+            statement,
+            self._rate_knowledge,
+            is_identified,
+            self._exchange.public_id,
+        )
+
     def on_caller_left(self) -> None:
         """Cancel the request after the caller has disconnected."""
         if not self._ended:
@@ -219,20 +251,29 @@
     def _run(self) -> None:
         self._start_attempt()
 
-    def _start_attempt(self) -> None:
-        """Choose a target and send the request."""
+    def _start_attempt(self, permit: Permit | None = None) -> None:
+        """Choose a target and send the request, or request a permit of the target.
+
+        Parameters
+        ----------
+        permit : Permit, optional
+            Permit of the target that was chosen before, which is checked again.
+        """
         if self._caller is not None and not self._has_contact():
             # The contact was checked when the request was accepted, but the process may
             # have been suspended since.
+            self._give_back(permit)
             text = "control contact was lost before the request was sent"
             self._give_up(self._state.fail("no_control_contact", text, 503))
             return
-        routing = self._build_routing()
+        if permit is not None and self._send_with_permit(permit):
+            return
+        routing = self._limit_wait(self._build_routing())
         outcome = self._context.router.choose(routing, self._now_ms())
         if outcome.is_error() and self._excluded:
             # All targets have failed once; one of them may have recovered.
             self._excluded = frozenset()
-            routing = self._build_routing()
+            routing = self._limit_wait(self._build_routing())
             outcome = self._context.router.choose(routing, self._now_ms())
         if outcome.is_error():
             refused = outcome.error
@@ -241,12 +282,92 @@
                 self._state.fail(code, refused.message, status, refused.retry_after_ms)
             )
             return
-        self._send_attempt(routing, outcome.ok)
+        target = outcome.ok.target
+        if self._context.permits.client.rate_of(target) is None:
+            self._send_attempt(routing, outcome.ok)
+            return
+        self._request_permit(
+            target, routing.max_permit_wait_ms, self._start_attempt, self._start_attempt
+        )
+
+    def _send_with_permit(self, permit: Permit) -> bool:
+        """Send the request if its target can still take it, else return the permit."""
+        routing = replace(
+            self._build_routing(),
+            max_permit_wait_ms=ANY_PERMIT_WAIT_MS,
+            required=permit.target,
+        )
+        outcome = self._context.router.choose(routing, self._now_ms())
+        if outcome.is_error():
+            self._give_back(permit)
+            return False
+        self._send_attempt(routing, outcome.ok, permit)
+        return True
+
+    def _limit_wait(self, routing: RoutingRequest) -> RoutingRequest:
+        """Set the longest time that a request may wait for a permit."""
+        max_wait_ms = NO_PERMITS
+        if self._permit_requests < MAX_PERMIT_REQUESTS:
+            remaining_ms = self._deadline_at_ms - self._now_ms()
+            max_wait_ms = max(0, remaining_ms // PERMIT_WAIT_DIVISOR)
+        return replace(routing, max_permit_wait_ms=max_wait_ms)
+
+    def _request_permit(
+        self,
+        target: str,
+        max_wait_ms: int,
+        on_granted: Callable[[Permit | None], None],
+        on_refused: Callable[[], None],
+    ) -> None:
+        """Request a permit of a target.
+
+        Parameters
+        ----------
+        target : str
+            Target with a request rate limit.
+        max_wait_ms : int
+            Longest time to wait for the permit.
+        on_granted : callable
+            Called with the permit, or None if the limit has ended.
+        on_refused : callable
+            Called if there is no permit in time.
+        """
+        self._permit_requests += 1
+        self._add_step(f"waits for a permit of {target}")
+
+        def on_decision(decision: PermitDecision) -> None:
+            if decision.outcome is PermitOutcome.GRANTED:
+                on_granted(decision.permit)
+            elif decision.outcome is PermitOutcome.UNLIMITED:
+                on_granted(None)
+            else:
+                self._add_step(f"no permit of {target}: {decision.outcome.value}")
+                on_refused()
+
+        self._on_permit_decision = on_decision
+        self._context.permits.acquire(
+            self.request_id,
+            target,
+            max_wait_ms,
+            self._make_guarded_callback("on_permit_decision"),
+        )
+
+    def on_permit_decision(self, decision: PermitDecision) -> None:
+        """Continue with the decision on a permit."""
+        self._on_permit_decision(decision)
+
+    def _give_back(self, permit: Permit | None) -> None:
+        if permit is not None:
+            self._context.permits.give_back(permit)
 
-    def _send_attempt(self, routing: RoutingRequest, choice: Choice) -> None:
+    def _send_attempt(
+        self, routing: RoutingRequest, choice: Choice, permit: Permit | None = None
+    ) -> None:
         now_ms = self._now_ms()
         self._state.on_attempt()
         self._choice = choice
+        self._permit = permit
+        self._rate_knowledge = self._context.permits.client.knowledge_of(choice.target)
         self._attempt_id = routing.request_id
         self._add_step(
             f"sent to {choice.target}: {choice.reason}, "
@@ -254,7 +375,10 @@
         )
         self._context.router.on_sent(routing, choice, now_ms)
         self._context.flows.add_attempt(self._attempt_id, self)
-        self._context.targets.submit(self._build_attempt(self._attempt_id, choice))
+        attempt = self._build_attempt(self._attempt_id, choice)
+        if permit is not None:
+            attempt = replace(attempt, send_before_ms=permit.until_ms)
+        self._context.targets.submit(attempt)
 
     def _give_up(self, failure: Failure) -> None:
         """End a request that gets no further attempt."""
@@ -281,7 +405,7 @@
         """Return whether a failure says nothing about the health of the target."""
         if failure.status in CALLER_ERROR_STATUSES:
             return True
-        return failure.code in ("invalid_request", "overloaded")
+        return failure.code in ("invalid_request", "overloaded", "permit_expired")
 
     def _cancel_attempt(self, is_past_deadline: bool = False) -> None:
         """Cancel the current attempt.
@@ -347,6 +471,7 @@
             computed = (prompt - cached + output) * ran
             self._admission.on_served(self.request_id, cached * ran, computed, now_ms)
         self._cancel_timer("deadline")
+        self._context.permits.cancel(self.request_id)
         if verdict is not Verdict.NOT_RUN:
             metrics = self._context.metrics
             metrics.on_tokens(self._service.name, prompt, cached, output)
--- a/papayacrank/entry/_metrics.py
+++ b/papayacrank/entry/_metrics.py
@@ -36,6 +36,12 @@
             buckets=TTFT_BUCKETS_S,
             registry=self._registry,
         )
+        self._permits = Counter(
+            "papayacrank_permits",
+            "Permits for targets with a request rate limit, by outcome",
+            ["outcome"],
+            registry=self._registry,
+        )
         self._tokens = Counter(
             "papayacrank_tokens",
             "Tokens, by service and kind (prompt, cached, output)",
@@ -50,6 +56,10 @@
         )
         self._gauges: dict[str, Gauge] = {}
 
+    def on_permit(self, outcome: str) -> None:
+        """Count a decision on a permit, or a returned permit."""
+        self._permits.labels(outcome).inc()
+
     def add_gauge(self, name: str, text: str, read) -> None:
         """Add a gauge whose value is read when the metrics are rendered."""
         gauge = Gauge(f"papayacrank_{name}", text, registry=self._registry)
--- a/papayacrank/entry/_process.py
+++ b/papayacrank/entry/_process.py
@@ -27,6 +27,7 @@
     WarmupReply,
     WarmupRequest,
 )
+from papayacrank.permits import PermitClient, PermitPort
 from papayacrank.routing import RetryPolicy, Router
 from papayacrank.targets import TargetClient
 from papayacrank.transport import (
@@ -164,12 +165,20 @@
         self._build_control()
         self._metrics = EntryMetrics()
         self._usage = UsageRecorder(settings.instance, self._boot)
+        self._permits = PermitPort(
+            PermitClient(f"{settings.instance}@{self._boot}"),
+            self._send_to_leader,
+            clock,
+            timers,
+        )
+        self._permits.count = self._metrics.on_permit
         self._router = Router(
             "papayacrank",
             None,
             settings.instance,
             settings.failure_domain,
             self._random_state,
+            permits=self._permits.client,
         )
         self._engine_admission = self._create_admission(self._shares)
         # Requests to plain services use no tokens, so their queue has no shares.
@@ -189,6 +198,7 @@
             contact=self._contact,
             targets=TargetClient(clock, timers).register(self),
             router=self._router,
+            permits=self._permits,
             shares=self._shares,
             engine_admission=self._engine_admission,
             plain_admission=plain_admission,
@@ -265,6 +275,10 @@
             "target_attempts": ("Attempts", lambda: self._context.targets.active),
             "control_contact": ("1 with contact", lambda: int(self._had_contact)),
             "feed_version": ("Feed copy", lambda: self._contact.feed_version),
+            "rate_limited_targets": (
+                "Targets with a request rate limit",
+                lambda: self._permits.client.limited_targets,
+            ),
         }
         for name, (text, read) in gauges.items():
             self._metrics.add_gauge(name, text, read)
@@ -272,6 +286,14 @@
     def _count_connections(self) -> int:
         return self._front_end.connection_count
 
+    def _send_to_leader(self, message) -> bool:
+        """Send a message to the presumed leader; return False if none is known."""
+        leader = self._contact.leader
+        if leader is None:
+            return False
+        self._link.send(leader, message)
+        return True
+
     # Periodic checks
 
     def _run_periodic_checks(self) -> None:
@@ -281,6 +303,7 @@
             "entry/watch", now_ms + CHECK_INTERVAL_MS, self._run_periodic_checks
         )
         self._check_contact(now_ms)
+        self._permits.poll(self._contact.term)
         self._advance_start(now_ms)
         self._report_usage(now_ms)
         self._advance_drain(now_ms)
@@ -307,6 +330,7 @@
     def _on_feed(self, change: FeedChanged) -> None:
         if change.configuration or change.targets:
             self._target_sync.update()
+            self._permits.client.retain(self._target_sync.list_starts())
             self._engine_monitor.update_targets(self._target_sync.list_engines())
         if change.configuration:
             log_event(
@@ -436,6 +460,9 @@
             may_serve = self._start_state is StartState.ANNOUNCED
             effects = self._warmup_server.receive(sender, message, may_serve, now_ms)
             self._port.run(effects)
+        else:
+            self._permits.receive(message)
+            self._contact.set_rates_position(*self._permits.client.position)
 
     # Planned stop
 
--- a/papayacrank/entry/_target_sync.py
+++ b/papayacrank/entry/_target_sync.py
@@ -49,6 +49,12 @@
         serving = [i for i in self._contact.instances if i.status == "serving"]
         self._router.set_instances(len(serving))
 
+    def list_starts(self) -> list[tuple[str, int]]:
+        """Return the names of all configured targets; their starts are unknown."""
+        configuration = self._contact.configuration
+        services = configuration.services if configuration is not None else ()
+        return [(target.name, 0) for s in services for target in s.targets]
+
     def list_engines(self) -> list[TargetAddress]:
         """Return all configured engines except those in state ``gone``."""
         configuration = self._contact.configuration
--- a/papayacrank/forwarding/tests/test_target_port.py
+++ b/papayacrank/forwarding/tests/test_target_port.py
@@ -133,6 +133,25 @@
     assert target.connections == 1
 
 
+@pytest.mark.parametrize("is_kept", [False, True])
+def test_request_with_an_expired_permit_is_not_sent(bench, is_kept):
+    """Guards against a request that a suspended process sends after its time."""
+    received = []
+
+    def script(sock, data, number):
+        received.append(request_id_of(data))
+        sock.sendall(OK % received[-1])
+
+    target = ScriptedTarget(script)
+    if is_kept:
+        bench.run(target.address, "a")
+    limit_ms = bench.clock.now_ms()
+    outcome = bench.run(target.address, "b", send_before_ms=limit_ms)
+    assert outcome == ("b", "permit_expired", False)
+    assert bench.run(target.address, "c") == ("c", "ended", True)
+    assert b"b" not in received
+
+
 def test_late_response_to_an_earlier_request_is_skipped(bench):
     """Guards against a response to an earlier request on a reused connection."""
 
--- a/papayacrank/routing/_base.py
+++ b/papayacrank/routing/_base.py
@@ -6,6 +6,7 @@
 
 from papayacrank.cache import PrefixIndex
 from papayacrank.config import Goals
+from papayacrank.permits import PermitClient
 
 from ._targets import TargetState, TargetTable
 from ._types import Choice, RoutingRequest
@@ -35,6 +36,8 @@
         Source of random choices.
     now_ms : int
         Current time in milliseconds.
+    permits : PermitClient
+        Request rate limits of the targets.
     """
 
     targets: list[TargetState]
@@ -46,6 +49,11 @@
     instances: int
     random_state: random.Random
     now_ms: int
+    permits: PermitClient
+
+    def permit_wait_ms(self, state: TargetState) -> int:
+        """Return the expected time until a permit of a target is free, in ms."""
+        return self.permits.wait_ms(state.name, self.now_ms)
 
     def match_depths(self) -> dict[str, int]:
         """Return the number of usable matched blocks of each target with a match."""
--- a/papayacrank/routing/_policy.py
+++ b/papayacrank/routing/_policy.py
@@ -163,7 +163,7 @@
         queue_ms = state.queue_tokens(context.now_ms, ms_per_token) * ms_per_token
         if state.view.failure_domain != context.failure_domain:
             queue_ms += CROSS_DOMAIN_MS
-        return queue_ms
+        return queue_ms + context.permit_wait_ms(state)
 
     def _prefill_ms(
         self,
--- a/papayacrank/routing/_router.py
+++ b/papayacrank/routing/_router.py
@@ -9,6 +9,7 @@
 from papayacrank.cache import PrefixIndex, iterate_bits
 from papayacrank.config import Goals
 from papayacrank.kernel import Failure, Verdict, create
+from papayacrank.permits import PermitClient, RetrySpread
 
 from ._base import RoutingContext, RoutingPolicy, count_uncached_tokens, get_match_depth
 from ._targets import Attempt, TargetState, TargetTable
@@ -46,6 +47,8 @@
         Source of all random choices.
     max_blocks : int
         Maximum number of blocks in the prefix index.
+    permits : PermitClient, optional
+        Request rate limits of the targets.
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         failure_domain: str,
         random_state: random.Random,
         max_blocks: int = DEFAULT_MAX_BLOCKS,
+        permits: PermitClient | None = None,
     ):
         self.policy = (
             create(RoutingPolicy, policy) if isinstance(policy, str) else policy
@@ -65,6 +69,8 @@
         self.failure_domain = failure_domain
         self.random_state = random_state
         self.index = PrefixIndex(max_blocks)
+        self._permits = permits or PermitClient(instance)
+        self._spread = RetrySpread(random_state)
         self._instances = 1
         self._tables: dict[str, TargetTable] = {}
         self._service_by_target: dict[str, str] = {}
@@ -129,16 +135,17 @@
         Returns
         -------
         Result of Choice or Failure
-            ``no_target`` with verdict "not run" if no target is eligible.
+            With verdict "not run": ``targets_limited`` if all targets are at the
+            request rate that they accept, otherwise ``no_target``.
         """
         table = self._tables.get(request.service)
         levels = self.index.match_levels(request.blocks)
         targets = []
         if table is not None:
-            candidates = self._candidates(table, levels)
+            candidates = self._candidates(table, levels, request)
             targets = self._filter_eligible(table, candidates, request, now_ms)
         if not targets:
-            return Error(_no_target(request.service))
+            return Error(self._refuse(table, request, now_ms))
         context = RoutingContext(
             targets=targets,
             table=table,
@@ -149,6 +156,7 @@
             instances=self._instances,
             random_state=self.random_state,
             now_ms=now_ms,
+            permits=self._permits,
         )
         return Ok(self.policy.select(request, context))
 
@@ -274,8 +282,30 @@
             if state.report is not None
         }
 
+    def _refuse(
+        self, table: TargetTable | None, request: RoutingRequest, now_ms: int
+    ) -> Failure:
+        """Return the refusal of a request that no target can take."""
+        available = table.available_targets if table is not None else []
+        names = [s.name for s in available if s.name not in request.excluded]
+        rates = [self._permits.rate_of(name) for name in names]
+        if not rates or None in rates:
+            return _no_target(request.service)
+        retry_after_ms = self._spread.retry_after_ms(
+            request.service,
+            min(self._permits.wait_ms(name, now_ms) for name in names),
+            sum(rates),
+            self._instances,
+            now_ms,
+        )
+        text = f"all targets of {request.service!r} are at the rate that they accept"
+        return Failure("targets_limited", Verdict.NOT_RUN, text, 503, retry_after_ms)
+
     def _candidates(
-        self, table: TargetTable, levels: list[tuple[int, int]]
+        self,
+        table: TargetTable,
+        levels: list[tuple[int, int]],
+        request: RoutingRequest,
     ) -> list[TargetState]:
         """Return the targets to compare: all of a small service, otherwise a sample.
 
@@ -283,6 +313,8 @@
         failure domain and random targets of the whole service.
         """
         available_targets = table.available_targets
+        if request.required is not None:
+            return [s for s in available_targets if s.name == request.required]
         if len(available_targets) <= MAX_COMPARED_TARGETS:
             return available_targets
         sample = {}
@@ -328,6 +360,13 @@
     ) -> list[TargetState]:
         if request.excluded:
             targets = [s for s in targets if s.name not in request.excluded]
+        if self._permits.limited_targets:
+            targets = [
+                s
+                for s in targets
+                if self._permits.rate_of(s.name) is None
+                or self._permits.wait_ms(s.name, now_ms) <= request.max_permit_wait_ms
+            ]
         if not table.outlier_detector.ejected:
             return targets
         healthy = [
--- a/papayacrank/routing/_types.py
+++ b/papayacrank/routing/_types.py
@@ -27,6 +27,11 @@
         Priority passed to the engine.
     excluded : frozenset of str
         Targets that must not be selected, for example after a failed attempt.
+    max_permit_wait_ms : int
+        Longest time that the request may wait for a permit of a target with a request
+        rate limit; such targets are not selected if it is negative.
+    required : str or None
+        Only target that may be selected; None for any.
     """
 
     request_id: str
@@ -38,6 +43,8 @@
     deadline_ms: int = 0
     priority: int = 0
     excluded: frozenset[str] = frozenset()
+    max_permit_wait_ms: int = 0
+    required: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/papayacrank/targets/_client.py
+++ b/papayacrank/targets/_client.py
@@ -238,6 +238,11 @@
     # Writing
 
     def _send(self, connection: Connection, attempt: Attempt) -> None:
+        limit_ms = attempt.request.send_before_ms
+        if limit_ms is not None and self._clock.now_ms() >= limit_ms:
+            attempt.connection = connection
+            self._fail(attempt, "permit_expired", "the permit has expired")
+            return
         connection.state = ConnectionState.BUSY
         connection.exchange = attempt
         attempt.connection = connection
@@ -340,6 +345,7 @@
         """Retry once if a reused connection was stale, else fail the attempt."""
         attempt = connection.exchange
         stale = connection.reused and not attempt.response_started
+        stale = stale and attempt.request.send_before_ms is None
         if stale and attempt.request.idempotent and not attempt.reconnected:
             attempt.reconnected = True
             self._close(connection)
--- a/papayacrank/targets/_exchange.py
+++ b/papayacrank/targets/_exchange.py
@@ -10,6 +10,8 @@
 
 EVENT_STREAM = "text/event-stream"
 ID_HEADER = "X-Request-Id"
+# Requests per second that the target accepts from all instances together.
+RATE_LIMIT_HEADER = "X-Request-Rate-Limit"
 MAX_REFUSAL_BODY_BYTES = 4_096
 
 
--- a/papayacrank/targets/_notifications.py
+++ b/papayacrank/targets/_notifications.py
@@ -11,6 +11,15 @@
     """
 
 
+class target_rate(Event):
+    """The response head was received: ``(request_id, statement, is_identified)``.
+
+    ``statement`` is the `RateStatement` in the head, None if there is none, and
+    ``is_identified`` whether the head carries the id of the request. It precedes
+    `target_headers`, and is fired for refused streams too.
+    """
+
+
 class target_data(Event):
     """Part of the body of a plain response: ``(request_id, data)``."""
 
--- a/papayacrank/targets/_request.py
+++ b/papayacrank/targets/_request.py
@@ -88,6 +88,9 @@
         Timeouts of the attempt.
     max_body_bytes : int
         Largest accepted response body.
+    send_before_ms : int or None
+        Time from which the request must not be sent any more, because its permit has
+        expired. Such a request is sent once at most.
     """
 
     request_id: str
@@ -108,6 +111,7 @@
     probe_path: str | None = None
     timeouts: TargetTimeouts = field(default_factory=TargetTimeouts)
     max_body_bytes: int = MAX_RESPONSE_BODY_BYTES
+    send_before_ms: int | None = None
 
     @property
     def expected_id(self) -> str:
@@ -122,7 +126,8 @@
     Parameters
     ----------
     code : str
-        ``"invalid_request"``, ``"overloaded"``, ``"connect_failed"``,
+        ``"invalid_request"``, ``"overloaded"``, ``"permit_expired"``,
+        ``"connect_failed"``,
         ``"connect_timeout"``, ``"write_failed"``, ``"first_byte_timeout"``,
         ``"first_token_timeout"``, ``"progress_timeout"``, ``"connection_lost"``,
         ``"malformed_answer"``, ``"truncated_answer"``, ``"answer_too_large"``,
--- a/papayacrank/targets/_response.py
+++ b/papayacrank/targets/_response.py
@@ -32,8 +32,12 @@
 
     def find(self, name: str) -> str | None:
         """Return the first value of a header, or None if it is missing."""
+        return next(iter(self.find_all(name)), None)
+
+    def find_all(self, name: str) -> list[str]:
+        """Return all values of a header, in order."""
         name = name.lower()
-        return next((v for n, v in self.headers if n.lower() == name), None)
+        return [v for n, v in self.headers if n.lower() == name]
 
 
 class ResponseParser:
--- a/papayacrank/targets/_response_events.py
+++ b/papayacrank/targets/_response_events.py
@@ -2,9 +2,17 @@
 
 from circuits import Event
 
-from ._exchange import EVENT_STREAM, ID_HEADER, MAX_REFUSAL_BODY_BYTES, Attempt
+from papayacrank.permits import read_rate_statement
+
+from ._exchange import (
+    EVENT_STREAM,
+    ID_HEADER,
+    MAX_REFUSAL_BODY_BYTES,
+    RATE_LIMIT_HEADER,
+    Attempt,
+)
 from ._headers import filter_response_headers
-from ._notifications import target_data, target_headers, target_token
+from ._notifications import target_data, target_headers, target_rate, target_token
 from ._stream import StreamError
 
 OK = 200
@@ -47,14 +55,17 @@
 def _process_head(attempt: Attempt) -> list[Event]:
     request, head = attempt.request, attempt.reader.head
     _check_request_id(attempt)
+    statement = read_rate_statement(head.find_all(RATE_LIMIT_HEADER))
+    is_identified = head.find(ID_HEADER) == request.expected_id
+    rate = target_rate(request.request_id, statement, is_identified)
     if attempt.stream is not None and head.status != OK:
         attempt.refused = True
-        return []
+        return [rate]
     content_type = head.find("content-type") or ""
     if attempt.stream is not None and not content_type.startswith(EVENT_STREAM):
         raise StreamError("malformed_answer", "the answer is no event stream")
     headers = filter_response_headers(head.headers)
-    return [target_headers(request.request_id, head.status, headers)]
+    return [rate, target_headers(request.request_id, head.status, headers)]
 
 
 def _check_request_id(attempt: Attempt) -> None:
--- a/papayacrank/targets/tests/_bench.py
+++ b/papayacrank/targets/tests/_bench.py
@@ -26,12 +26,17 @@
         self.data = {}
         self.tokens = {}
         self.outcomes = {}
+        self.rates = {}
         self.on_token = None
 
     @handler("target_headers")
     def _on_headers(self, request_id, status, headers):
         self.heads[request_id] = (status, dict(headers))
 
+    @handler("target_rate")
+    def _on_rate(self, request_id, statement, is_identified):
+        self.rates[request_id] = (statement, is_identified)
+
     @handler("target_data")
     def _on_data(self, request_id, data):
         self.data.setdefault(request_id, bytearray()).extend(data)
--- a/papayacrank/testing/_http_server.py
+++ b/papayacrank/testing/_http_server.py
@@ -28,6 +28,7 @@
         "drop_after",
         "drop_before",
         "freeze",
+        "rate_limit",
         "refuse",
         "silent",
         "silent_connections",
@@ -87,6 +88,7 @@
         ).register(self)
         self._sockets: set[socket.socket] = set()
         self._delays = 0
+        self._rate_limit = ""
         self.connections_accepted_ = 0
 
     @property
@@ -116,6 +118,9 @@
             self._call_later(
                 1, lambda: time.sleep(fault.get_int("ms", 100) / MS_PER_SECOND)
             )
+        elif fault.kind == "rate_limit":
+            self._faults.consume("rate_limit", fault.path)
+            self._rate_limit = str(fault.arguments.get("per_s", ""))
         elif fault.kind == "silent_connections":
             self._faults.consume("silent_connections", fault.path)
             self._call_later(1, self._silence_connections)
@@ -168,11 +173,15 @@
     ):
         res.status = status
         res.headers["Content-Type"] = "application/json"
-        for name, value in (headers or {}).items():
+        for name, value in (self._limit_headers() | (headers or {})).items():
             res.headers[name] = value
         res.body = json.dumps(document)
         return res
 
+    def _limit_headers(self) -> dict[str, str]:
+        """Return the header that states the request rate limit, if one is set."""
+        return {"X-Request-Rate-Limit": self._rate_limit} if self._rate_limit else {}
+
     def _send_response(self, res) -> None:
         """Send a response that the request handler did not return."""
         if self._is_open(res.request.sock):
@@ -180,7 +189,7 @@
 
     def _start_stream(self, res, headers: dict) -> None:
         res.headers = StreamHeaders()
-        for name, value in headers.items():
+        for name, value in (self._limit_headers() | headers).items():
             res.headers[name] = value
         res.headers["Transfer-Encoding"] = "chunked"
         res.stream = True
