Obey a pause that a store requests from the checks of the leader

Found while listing who may tell the system what. Change: the next check waits for the pause, at most 60 s.

--- a/papayacrank/control/_stores.py
+++ b/papayacrank/control/_stores.py
@@ -20,6 +20,8 @@
 # timeout.
 FAILURE_THRESHOLD = 2
 UNAVAILABLE = 0
+# Limits requested pauses; a store that restarts meanwhile is noticed after this time.
+MAX_PAUSE_MS = 60_000
 
 
 @dataclass(slots=True)
@@ -97,6 +99,9 @@
         start = self._protocol.read_store_check(result)
         if isinstance(start, str):
             self._on_failed_check(name, store, start, now_ms)
+            pause_ms = self._protocol.read_signals(result).pause_ms or 0
+            until_ms = now_ms + min(pause_ms, MAX_PAUSE_MS)
+            store.next_ms = max(store.next_ms, until_ms)
             return
         store.failures = 0
         store.next_ms = now_ms + CHECK_INTERVAL_MS
--- a/papayacrank/control/tests/test_rollout.py
+++ b/papayacrank/control/tests/test_rollout.py
@@ -156,6 +156,7 @@
         self.desired_versions = {}
         self.configuration = None
         self.stores = {}
+        self.store_checks = 0
         self.max_loading = 0
         self.pending = []
         self.order_log = []
@@ -185,6 +186,9 @@
             return HttpResult(call.key, status, b"second" if name else b"first")
         if kind == "store":
             start = self.stores[name]
+            self.store_checks += 1
+            if isinstance(start, str):
+                return HttpResult(call.key, 503, headers=(("pause-ms", start),))
             if start is None:
                 return HttpResult(call.key, 0, error="refused")
             return HttpResult(call.key, 200, str(start).encode())
@@ -633,6 +637,22 @@
     assert sim.controller.sequence <= 2
 
 
+def test_store_is_not_checked_during_a_requested_pause():
+    """Guards against calls that an overloaded store has asked this instance to stop."""
+    sim = FleetSimulation()
+    sim.configuration = build_store_configuration(s1="a")
+    sim.stores = {"a": 7}
+    sim.run(900)
+    sim.stores["a"] = "3000"
+    sim.run(300)
+    checks = sim.store_checks
+    sim.run(2_600)
+    assert sim.store_checks == checks
+    assert sim.controller.view([]).stores == {"s1": 7}
+    sim.run(500)
+    assert sim.store_checks > checks
+
+
 def test_removed_store_is_not_checked():
     """Guards against calls to an address that another service may use now."""
     sim = FleetSimulation()
