--- a/papayacrank/admin/_log_explain.py
+++ b/papayacrank/admin/_log_explain.py
@@ -27,6 +27,9 @@
         "weights_ordered",
         "weights_loaded",
         "weights_refused",
+        "rate_limit_stated",
+        "rate_limit_decided",
+        "permits_allocated",
     }
 )
 CONTROL_EVENTS = frozenset(
@@ -39,7 +42,10 @@
         "prompt_store_changed",
     }
 )
-REQUEST_EVENTS = frozenset({"request_ended", "request_refused", "attempt_failed"})
+REQUEST_EVENTS = frozenset(
+    {"request_ended", "request_refused", "attempt_failed", "permit_refused"}
+)
+FINAL_EVENTS = frozenset({"request_ended", "request_refused"})
 REFUSAL_CAUSES = {
     "starting": "the instance had just started and knew no configuration yet",
     "unknown_route": "no route of the configuration in force has the host and path",
@@ -48,6 +54,7 @@
 OUTCOME_CAUSES = {
     "no_target": "no target of the service was available: all left, loaded or failed",
     "targets_full": "all targets that were tried refused it without executing it",
+    "targets_limited": "all targets were at the request rate that they accept",
     "caller_left": "the caller closed its connection first",
     "deadline": "the deadline set by the caller had passed",
 }
@@ -134,7 +141,7 @@
         return None
     explanation = Explanation(request_id, lines=request_lines)
     final = next(
-        (line for line in reversed(request_lines) if line["event"] != "attempt_failed"),
+        (line for line in reversed(request_lines) if line["event"] in FINAL_EVENTS),
         None,
     )
     if final is None:
@@ -178,7 +185,11 @@
     elif final["code"] in OUTCOME_CAUSES:
         causes.append(OUTCOME_CAUSES[final["code"]])
     causes += [
-        _describe_attempt(line, context) for line in request_lines if line is not final
+        _describe_refused_permit(line)
+        if line["event"] == "permit_refused"
+        else _describe_attempt(line, context)
+        for line in request_lines
+        if line is not final
     ]
     causes += _explain_delay(final, context)
     contact_lost = [
@@ -235,10 +246,20 @@
     return text
 
 
+def _describe_refused_permit(line: dict) -> str:
+    target, reason = line["target"], line["reason"]
+    if reason == "no_reply":
+        return f"no permit for {target}, because the leader did not reply"
+    text = f"no permit for {target}, which accepts {line['per_s']:g} requests/s"
+    return f"{text} from all instances; the next was free in {line['free_in_ms']} ms"
+
+
 def _explain_delay(final: dict, context: list[dict]) -> list[str]:
     causes = []
     if final.get("sent_after_ms", 0) > LONG_WAIT_MS:
         reason = "after other attempts" if final["tries"] > 1 else "for a grant"
+        if final.get("permit_wait_ms", 0) > LONG_WAIT_MS:
+            reason = f"{final['permit_wait_ms']} ms of them for permits"
         causes.append(f"sent {final['sent_after_ms']} ms after its arrival, {reason}")
     if final.get("target_prefill", 0) > LARGE_PREFILL_TOKENS:
         causes.append(
@@ -257,14 +278,17 @@
 
 
 def _collect_targets(request_lines: list[dict]) -> set[str]:
-    return {line["target"] for line in request_lines if line.get("target")}
+    targets = {line["target"] for line in request_lines if line.get("target")}
+    for line in request_lines:
+        targets.update(line.get("limited_targets", ()))
+    return targets
 
 
 def _find_context(
     lines: list[dict], final: dict, targets: set[str], process: str
 ) -> list[dict]:
     end = _parse_time_s(final)
-    context = []
+    context = _find_limits_in_force(lines, targets, end)
     for line in lines:
         about_target = line["event"] in TARGET_EVENTS and line.get("target") in targets
         about_control = line["event"] in CONTROL_EVENTS and (
@@ -272,11 +296,26 @@
         )
         if not about_target and not about_control:
             continue
-        if -CONTEXT_AFTER_S <= end - _parse_time_s(line) <= CONTEXT_BEFORE_S:
+        is_near = -CONTEXT_AFTER_S <= end - _parse_time_s(line) <= CONTEXT_BEFORE_S
+        if is_near and line not in context:
             context.append(line)
     return sorted(context, key=_parse_time_s)
 
 
+def _find_limits_in_force(
+    lines: list[dict], targets: set[str], end: float
+) -> list[dict]:
+    """Return the last decision on the rate limit of each target, however old."""
+    latest: dict[str, dict] = {}
+    for line in lines:
+        is_decision = line["event"] == "rate_limit_decided"
+        if is_decision and line["target"] in targets and _parse_time_s(line) <= end:
+            known = latest.get(line["target"])
+            if known is None or _parse_time_s(known) <= _parse_time_s(line):
+                latest[line["target"]] = line
+    return list(latest.values())
+
+
 def _parse_time_s(line: dict) -> float:
     """Return the timestamp of a line in seconds since the epoch; 0 if it has none."""
     try:
--- a/papayacrank/admin/tests/test_log_explain.py
+++ b/papayacrank/admin/tests/test_log_explain.py
@@ -160,3 +160,65 @@
     text = format_explanation(explain_from_lines([build_end()], "r1"))
     assert "nothing unusual" in text
     assert '"request_id": "r1"' in text
+
+
+def test_refusal_at_a_rate_limit_is_explained():
+    """Guards against a refusal whose limit, and who reported it, cannot be found."""
+    lines = [
+        build_line(
+            "rate_limit_decided",
+            1.0,
+            "control-1",
+            target="t1",
+            per_s=1.2,
+            known=None,
+            reported_by="front-2",
+            revision=1,
+        ),
+        build_line(
+            "permits_allocated",
+            29.0,
+            "control-1",
+            target="t1",
+            per_s=1.2,
+            granted={"front-2": 2},
+            refused=7,
+        ),
+        build_line(
+            "permit_refused",
+            request_id="r1",
+            target="t1",
+            reason="refused",
+            per_s=1.2,
+            free_in_ms=640,
+        ),
+        build_end(code="targets_limited", tries=0, limited_targets=["t1"]),
+    ]
+    explanation = explain_from_lines(lines, "r1")
+    text = "; ".join(explanation.causes)
+    assert "all targets were at the request rate that they accept" in text
+    assert "t1, which accepts 1.2 requests/s" in text
+    assert [line["event"] for line in explanation.context] == [
+        "rate_limit_decided",
+        "permits_allocated",
+    ]
+
+
+def test_permit_without_a_reply_of_the_leader_is_explained():
+    """Guards against a limit that is blamed for a leader that is gone."""
+    refused = build_line(
+        "permit_refused",
+        request_id="r1",
+        target="t1",
+        reason="no_reply",
+        per_s=1.2,
+        free_in_ms=250,
+    )
+    lines = [refused, build_end()]
+    assert "the leader did not reply" in join_causes(lines)
+
+
+def test_wait_for_a_permit_explains_a_late_request():
+    """Guards against a late request whose wait is attributed to its rate."""
+    lines = [build_end(sent_after_ms=260, permit_wait_ms=240)]
+    assert "240 ms of them for permits" in join_causes(lines)
--- a/papayacrank/control/tests/test_rollout.py
+++ b/papayacrank/control/tests/test_rollout.py
@@ -348,6 +348,18 @@
     assert len(sim.controller.targets) == 9
 
 
+def test_platform_list_is_read_once_a_second():
+    """Guards against reads beyond the rate that the platform allows to all together."""
+    sim = FleetSimulation()
+    reads = []
+    build = sim.protocol.build_listing
+    sim.protocol.build_listing = lambda key, page: (
+        reads.append(page) or build(key, page)
+    )
+    sim.run(10_000)
+    assert reads.count(None) <= 11
+
+
 def test_leaving_target_changes_the_view():
     """Guards against new requests for a leaving target."""
     sim = FleetSimulation()
--- a/papayacrank/entry/_flow.py
+++ b/papayacrank/entry/_flow.py
@@ -350,6 +350,7 @@
             target,
             max_wait_ms,
             self._make_guarded_callback("on_permit_decision"),
+            self._exchange.public_id,
         )
 
     def on_permit_decision(self, decision: PermitDecision) -> None:
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -465,7 +465,9 @@
                 job.refused_permits.append(target)
             self._dispatch(job)
 
-        self._permits.acquire(_quota_id(job), target, max_wait_ms, on_decision)
+        self._permits.acquire(
+            _quota_id(job), target, max_wait_ms, on_decision, job.request.request_id
+        )
 
     def _give_back(self, permit: Permit | None) -> None:
         if permit is not None:
@@ -480,6 +482,7 @@
         if would_fit is None:
             self._give_up(job, "no_target", "no target can take the request")
             return
+        job.limited_targets = self._selection.list_limited(job.service.name)
         text = "all targets are at the request rate that they accept"
         self._give_up(job, "targets_limited", text)
 
@@ -1032,6 +1035,8 @@
         if job.permit_requests:
             fields["permit_wait_ms"] = job.permit_wait_ms
             fields["refused_permits"] = job.refused_permits
+        if job.limited_targets:
+            fields["limited_targets"] = job.limited_targets
         if job.last_failure:
             fields["last_failure"] = job.last_failure
         if attempt is not None:
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -115,6 +115,8 @@
         Time for which the request has waited for permits, in milliseconds.
     refused_permits : list of str
         Targets for which the request got no permit.
+    limited_targets : list of str
+        Some targets with a request rate limit, if the request was refused for it.
     is_done : bool
         Whether the request has its final outcome.
     """
@@ -141,6 +143,7 @@
     permit_requests: int = 0
     permit_wait_ms: int = 0
     refused_permits: list[str] = field(default_factory=list)
+    limited_targets: list[str] = field(default_factory=list)
     is_done: bool = False
 
     @property
--- a/papayacrank/forwarding/_selection.py
+++ b/papayacrank/forwarding/_selection.py
@@ -18,6 +18,7 @@
 # allow any wait.
 NO_PERMITS = -1
 ANY_PERMIT_WAIT_MS = 1 << 60
+MAX_LOGGED_TARGETS = 5
 
 
 class TargetSelection:
@@ -165,6 +166,12 @@
         jitter_ms = max(MIN_RETRY_JITTER_MS, RETRY_JITTER * remaining_ms)
         return remaining_ms + int(self._random.uniform(0, jitter_ms))
 
+    def list_limited(self, service: str) -> list[str]:
+        """Return some targets of a service with a request rate limit, for the log."""
+        names = [target.name for target in self._available_targets(service)]
+        limited = [name for name in names if self._permits.rate_of(name) is not None]
+        return limited[:MAX_LOGGED_TARGETS]
+
     def _has_permit_within(self, name: str, max_wait_ms: int, now_ms: int) -> bool:
         if self._permits.rate_of(name) is None:
             return True
--- a/papayacrank/permits/_port.py
+++ b/papayacrank/permits/_port.py
@@ -51,7 +51,7 @@
         self._clock = clock
         self._timers = timers
         self.count: Callable[[str], None] = lambda outcome: None
-        self._callbacks: dict[str, Callable[[PermitDecision], None]] = {}
+        self._callbacks: dict[str, tuple[Callable[[PermitDecision], None], str]] = {}
         self._waiting: dict[str, Permit] = {}
 
     @property
@@ -65,22 +65,26 @@
         target: str,
         max_wait_ms: int,
         callback: Callable[[PermitDecision], None],
+        log_id: str,
     ) -> None:
         """Request a permit; the callback gets the decision once it can be used.
 
         Parameters
         ----------
         request_id : str
-            Request, which must not wait for another permit.
+            Identifier of the request in this process. The request must not wait for
+            another permit.
         target : str
             Target with a limit.
         max_wait_ms : int
             Longest time that the request can wait for the permit.
         callback : callable
             Called with the decision, never before this method returns.
+        log_id : str
+            Identifier of the request in the log.
         """
         now_ms = self._clock.now_ms()
-        self._callbacks[request_id] = callback
+        self._callbacks[request_id] = (callback, log_id)
         message = self._client.request(request_id, target, max_wait_ms, now_ms)
         timeout_ms = REPLY_TIMEOUT_MS if self._send(message) else 0
         self._timers.set(
@@ -142,9 +146,10 @@
 
     def _call_back(self, decision: PermitDecision) -> None:
         self._waiting.pop(decision.request_id, None)
-        callback = self._callbacks.pop(decision.request_id, None)
-        if callback is None:
+        known = self._callbacks.pop(decision.request_id, None)
+        if known is None:
             return
+        callback, log_id = known
         permit = decision.permit
         if permit is not None and permit.until_ms <= self._clock.now_ms():
             decision = replace(decision, outcome=PermitOutcome.LAPSED, permit=None)
@@ -153,7 +158,7 @@
             now_ms = self._clock.now_ms()
             log_event(
                 PERMIT_REFUSED,
-                request_id=decision.request_id,
+                request_id=log_id,
                 target=decision.target,
                 reason=decision.outcome.value,
                 per_s=self._client.rate_of(decision.target),
--- a/papayacrank/platform/tests/test_adapter.py
+++ b/papayacrank/platform/tests/test_adapter.py
@@ -269,6 +269,15 @@
     assert read((b"papayacrank-request-id", b"id-2")).status == 400
 
 
+def test_encoded_response_is_not_valid():
+    """Guards against a body that is not the one that the server has signed."""
+    names = [b"papayacrank-request-id", b"papayacrank-server-seal"]
+    headers = [(name, b"x") for name in names]
+    assert PlatformCallerProtocol().read_response(200, headers).is_valid
+    encoded = [*headers, (b"content-encoding", b"gzip")]
+    assert not PlatformCallerProtocol().read_response(200, encoded).is_valid
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "facts"),
     [
