Ignore older knowledge in permit requests and after elections

What targets and callers would have seen: a limit that a target had raised fell back to the lower one with each permit request that was on its way, and stayed there for a second or more; after an election, the first instance to repeat a limit decided, even if it had missed later changes. Cause: what an instance merely knows was treated like what a response has just stated. Change: knowledge of the leader's own term is never applied, and of earlier terms the newest counts (term and revision of the limit). Evidence: three new tests failed before.

--- a/papayacrank/permits/_allocator.py
+++ b/papayacrank/permits/_allocator.py
@@ -38,7 +38,11 @@
 
 @dataclass(slots=True)
 class _Limit:
-    """Limit of one target; `per_s` is None after the limit has ended."""
+    """Limit of one target; `per_s` is None after the limit has ended.
+
+    `inherited` is the term and revision of a limit that was repeated to a new leader,
+    and None once a response has changed it in the term of this leader.
+    """
 
     start: int
     per_s: float | None
@@ -49,6 +53,7 @@
     granted: OrderedDict[tuple[str, int], int] = field(default_factory=OrderedDict)
     granted_by_instance: Counter = field(default_factory=Counter)
     refused: int = 0
+    inherited: tuple[int, int] | None = None
     logged_ms: int = 0
 
 
@@ -114,6 +119,8 @@
             if observation.per_s is None:
                 return False
             return self._set(observation, source, now_ms)
+        if limit.inherited is not None and observation.per_s == limit.per_s:
+            limit.inherited = max(limit.inherited, _position(observation))
         if not self._is_applicable(limit, observation, now_ms):
             return False
         return self._set(observation, source, now_ms)
@@ -171,16 +178,16 @@
         per_s = observation.per_s
         if per_s == limit.per_s:
             return False
+        known = _position(observation)
+        if not observation.is_fresh:
+            inherited = limit.inherited
+            return inherited is not None and inherited < known < (self._term, 0)
         if limit.per_s is None:
-            return observation.is_fresh
+            return True
         if per_s is not None and per_s < limit.per_s:
             return True
-        knows_limit = (observation.term, observation.revision) == (
-            self._term,
-            limit.revision,
-        )
         is_due = now_ms - limit.changed_ms >= MIN_RAISE_INTERVAL_MS
-        return observation.is_fresh and knows_limit and is_due
+        return known == (self._term, limit.revision) and is_due
 
     def _set(self, observation: RateObservation, source: str, now_ms: int) -> bool:
         name, per_s = observation.target, observation.per_s
@@ -196,6 +203,7 @@
         limit.per_s = per_s
         limit.revision = self._revision
         limit.changed_ms = now_ms
+        limit.inherited = None if observation.is_fresh else _position(observation)
         self._update_bucket(limit, now_ms)
         log_event(
             RATE_DECIDED,
@@ -331,3 +339,8 @@
             per_s,
             revision,
         )
+
+
+def _position(observation: RateObservation) -> tuple[int, int]:
+    """Return the term and revision that the observing instance knew."""
+    return observation.term, observation.revision
--- a/papayacrank/permits/tests/test_client.py
+++ b/papayacrank/permits/tests/test_client.py
@@ -153,6 +153,29 @@
     assert pair.leader.rate_of("t") == 1.0
 
 
+def test_permit_request_with_older_knowledge_does_not_lower_a_limit(pair):
+    """Guards against a limit that falls back with each request on its way."""
+    request = pair.client.request("r1", "t", 0, pair.now_ms)
+    pair.state(5.0)
+    pair.deliver([request])
+    assert pair.leader.rate_of("t") == 5.0
+
+
+@pytest.mark.parametrize("is_newest_first", [False, True])
+def test_new_leader_takes_the_newest_of_the_repeated_limits(is_newest_first):
+    """Guards against a limit of an instance that missed the last changes."""
+    pair = Pair()
+    pair.elect(3)
+    reports = [
+        build_observation(2.0, term=1, revision=9, is_fresh=False),
+        build_observation(4.0, term=1, revision=8, is_fresh=False),
+        build_observation(4.0, term=2, revision=1, is_fresh=False),
+    ]
+    for report in reversed(reports) if is_newest_first else reports:
+        pair.leader.observe(report, "i1", pair.now_ms)
+    assert pair.leader.rate_of("t") == 4.0
+
+
 def test_unidentified_response_does_not_end_a_limit(pair):
     """Guards against a late copy of an earlier response."""
     assert pair.observe(None, is_identified=False) == []
