End request rate limits in steps and only by successes

Cause: each response without the header counted as the end of a limit, and the end held at once for the fleet.

Change: only successes to requests raise or end a limit; responses to calls of the leader set or lower it. A limit that is stated no more is raised four-fold twice and then ends, a second apart at least.

--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -86,8 +86,6 @@
             protocol, holder, RunningRequestPolicy.CONTINUE, self._permits
         )
         self._stores = StoreMonitor(protocol, self._permits)
-        # Revision of the limit that was known at each pending call.
-        self._rate_revisions: dict[str, int] = {}
         self._store_starts: dict[str, int] = {}
         self._term = 0
         self._sequence = 0
@@ -148,7 +146,6 @@
         self._stores.reset()
         self._store_starts = {}
         self._leaving.clear()
-        self._rate_revisions.clear()
 
     def view(self, control: list[str]) -> FleetView:
         """Return the complete view for entry processes."""
@@ -209,9 +206,6 @@
         """
         calls = self._rollout.poll(desired_versions, self._total_loads, now_ms)
         calls += self._stores.poll(configuration, now_ms)
-        for call in calls:
-            revision = self._permits.revision_of(_called_name(call.key))
-            self._rate_revisions[call.key] = revision
         if not self._list_pending and now_ms >= self._next_list_ms:
             self._list_pending = True
             self._listed_targets = []
@@ -278,14 +272,14 @@
 
     def _observe_rate(self, result: HttpResult, now_ms: int) -> None:
         """Apply the request rate limit in the response of a target or store."""
-        revision = self._rate_revisions.pop(result.key, None)
-        if revision is None or result.status in (NO_RESPONSE, MISDIRECTED):
+        is_listing = result.key.startswith(LISTING_KEY)
+        if is_listing or result.status in (NO_RESPONSE, MISDIRECTED):
             return
         name = _called_name(result.key)
         target = self._targets.get(name)
         start = target.born_ms if target is not None else 0
         statement = self._protocol.read_signals(result).rate
-        self._permits.observe_response(name, start, statement, revision, now_ms)
+        self._permits.observe_response(name, start, statement, now_ms)
 
     def _apply_signals(self, result: HttpResult, now_ms: int) -> None:
         """Apply the signals that an engine attached to its response."""
--- a/papayacrank/entry/_dispatcher.py
+++ b/papayacrank/entry/_dispatcher.py
@@ -88,8 +88,8 @@
         self._call_attempt(attempt_id, "on_headers", status, headers)
 
     @handler("target_rate")
-    def _on_target_rate(self, attempt_id, statement, is_identified):
-        self._call_attempt(attempt_id, "on_rate", statement, is_identified)
+    def _on_target_rate(self, attempt_id, statement, is_success):
+        self._call_attempt(attempt_id, "on_rate", statement, is_success)
 
     @handler("target_data")
     def _on_target_data(self, attempt_id, data):
--- a/papayacrank/entry/_flow.py
+++ b/papayacrank/entry/_flow.py
@@ -197,14 +197,14 @@
         self._add_step(f"attempt at {target} failed: {failure.code}")
         self._handle_attempt_failure(target, failure)
 
-    def on_rate(self, statement: RateStatement | None, is_identified: bool) -> None:
+    def on_rate(self, statement: RateStatement | None, is_success: bool) -> None:
         """Handle the request rate limit that the head of a response states, if any."""
         self._context.permits.observe(
             self._choice.target,
             0,
             statement,
             self._rate_knowledge,
-            is_identified,
+            is_success,
             self._exchange.public_id,
         )
 
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -754,14 +754,13 @@
             return
         target = self._table.find(name)
         is_own = name == attempt.target.name
+        belongs = is_own and metadata.request_id == job.request.request_id
         self._permits.observe(
             name,
             target.born_ms if target is not None else 0,
             metadata.rate,
             attempt.rate_knowledge if is_own else RateKnowledge(),
-            is_own
-            and metadata.is_valid
-            and metadata.request_id == job.request.request_id,
+            belongs and metadata.is_valid and 200 <= attempt.status < 300,
             job.request.request_id,
         )
 
--- a/papayacrank/permits/_allocator.py
+++ b/papayacrank/permits/_allocator.py
@@ -32,6 +32,11 @@
 # A higher rate is applied at most this often to a target, so that responses with
 # changing limits do not cause a message to all instances each.
 MIN_RAISE_INTERVAL_MS = 1_000
+# A limit that a target states no more is raised by this factor with each further
+# response without it, and ends after this number of responses. Otherwise all instances
+# would send to the target at once.
+RELEASE_FACTOR = 4.0
+RELEASE_STEPS = 3
 MAX_LIMITS = 5_000
 LOG_INTERVAL_MS = 2_000
 
@@ -40,6 +45,7 @@
 class _Limit:
     """Limit of one target; `per_s` is None after the limit has ended.
 
+    `release_step` counts the responses without a limit since the last one with it.
     `inherited` is the term and revision of a limit that was repeated to a new leader,
     and None once a response has changed it in the term of this leader.
     """
@@ -53,6 +59,7 @@
     granted: OrderedDict[tuple[str, int], int] = field(default_factory=OrderedDict)
     granted_by_instance: Counter = field(default_factory=Counter)
     refused: int = 0
+    release_step: int = 0
     inherited: tuple[int, int] | None = None
     logged_ms: int = 0
 
@@ -101,7 +108,7 @@
 
         Responses overtake each other. A limit that is new or lower is therefore
         applied at once, and one that is higher or has ended only if the request was
-        sent after its sender had learned the limit in force.
+        sent after its sender had learned the limit in force. A limit ends in steps.
 
         Parameters
         ----------
@@ -130,10 +137,12 @@
         target: str,
         start: int,
         statement: RateStatement | None,
-        revision: int,
         now_ms: int,
     ) -> bool:
-        """Apply what a response to a call of the leader states.
+        """Apply a new or lower limit in a response to a call of the leader.
+
+        Only responses to requests may raise or end a limit, because a target need not
+        state it in each response to other calls.
 
         Parameters
         ----------
@@ -143,22 +152,17 @@
             Start number of the target.
         statement : RateStatement or None
             Limit in the response; None if it states none.
-        revision : int
-            Result of `revision_of` at the time of the call.
         now_ms : int
             Current time in milliseconds.
         """
-        if statement is not None and statement.per_s is None:
+        if statement is None or statement.per_s is None:
+            return False
+        known = self.rate_of(target)
+        if known is not None and statement.per_s >= known:
             return False
-        per_s = statement.per_s if statement is not None else None
-        observation = RateObservation(target, start, per_s, self._term, revision, True)
+        observation = RateObservation(target, start, statement.per_s, is_fresh=True)
         return self.observe(observation, "leader", now_ms)
 
-    def revision_of(self, target: str) -> int:
-        """Return the revision of the limit of a target, 0 if it never had one."""
-        limit = self._limits.get(target)
-        return limit.revision if limit is not None else 0
-
     def retain(self, starts: Mapping[str, int]) -> None:
         """Remove the limits of targets that are gone or have started again.
 
@@ -193,6 +197,11 @@
         name, per_s = observation.target, observation.per_s
         limit = self._limits.get(name)
         known = limit.per_s if limit is not None else None
+        release_step = 0
+        if per_s is None:
+            release_step = limit.release_step + 1
+            if release_step < RELEASE_STEPS:
+                per_s = RELEASE_FACTOR * max(MIN_RATE_PER_S, known)
         self._revision += 1
         if limit is None:
             limit = _Limit(observation.start, per_s, 0, now_ms, None)
@@ -201,6 +210,7 @@
                 self._limits.popitem(last=False)
         limit.start = max(limit.start, observation.start)
         limit.per_s = per_s
+        limit.release_step = release_step
         limit.revision = self._revision
         limit.changed_ms = now_ms
         limit.inherited = None if observation.is_fresh else _position(observation)
--- a/papayacrank/permits/_client.py
+++ b/papayacrank/permits/_client.py
@@ -177,7 +177,7 @@
         start: int,
         statement: RateStatement | None,
         knowledge: RateKnowledge,
-        is_identified: bool,
+        may_raise: bool,
         request_id: str,
         now_ms: int,
     ) -> list[Any]:
@@ -196,8 +196,9 @@
             Limit in the response; None if it states none.
         knowledge : RateKnowledge
             Result of `knowledge_of` when the request was sent.
-        is_identified : bool
-            Whether the response certainly belongs to that request.
+        may_raise : bool
+            Whether the response may raise or end a limit: it certainly belongs to that
+            request and is a success, which a target states its limit in.
         request_id : str
             Request, for the log.
         now_ms : int
@@ -214,7 +215,7 @@
             return []
         if per_s is not None and (known_per_s is None or per_s < known_per_s):
             return self._adopt(target, start, per_s, request_id, now_ms)
-        is_newer = is_identified and knowledge == known.knowledge
+        is_newer = may_raise and knowledge == known.knowledge
         is_due = now_ms - known.reported_ms >= REPORT_INTERVAL_MS
         if not is_newer or not known.is_confirmed or not is_due:
             return []
--- a/papayacrank/targets/_notifications.py
+++ b/papayacrank/targets/_notifications.py
@@ -12,11 +12,11 @@
 
 
 class target_rate(Event):
-    """The response head was received: ``(request_id, statement, is_identified)``.
+    """The response head was received: ``(request_id, statement, is_success)``.
 
     ``statement`` is the `RateStatement` in the head, None if there is none, and
-    ``is_identified`` whether the head carries the id of the request. It precedes
-    `target_headers`, and is fired for refused streams too.
+    ``is_success`` whether the status is 2xx. It precedes `target_headers`, and is
+    fired for refused streams too.
     """
 
 
--- a/papayacrank/targets/_response_events.py
+++ b/papayacrank/targets/_response_events.py
@@ -56,8 +56,7 @@
     request, head = attempt.request, attempt.reader.head
     _check_request_id(attempt)
     statement = read_rate_statement(head.find_all(RATE_LIMIT_HEADER))
-    is_identified = head.find(ID_HEADER) == request.expected_id
-    rate = target_rate(request.request_id, statement, is_identified)
+    rate = target_rate(request.request_id, statement, 200 <= head.status < 300)
     if attempt.stream is not None and head.status != OK:
         attempt.refused = True
         return [rate]
