Log an unreadable rate limit once for each target

Cause: a target that states an unreadable limit in every other response caused a line for each of them. The new test counted 10 lines before, 1 now.

--- a/papayacrank/permits/_client.py
+++ b/papayacrank/permits/_client.py
@@ -198,7 +198,7 @@
             Result of `knowledge_of` when the request was sent.
         may_raise : bool
             Whether the response may raise or end a limit: it certainly belongs to that
-            request and is a success, which a target states its limit in.
+            request, and it is a success. A target need not state its limit in others.
         request_id : str
             Request, for the log.
         now_ms : int
@@ -207,7 +207,6 @@
         if statement is not None and statement.per_s is None:
             self._log_unreadable(target, statement, request_id)
             return []
-        self._unreadable.discard(target)
         per_s = statement.per_s if statement is not None else None
         known = self._rates.get(target)
         known_per_s = known.per_s if known is not None else None
@@ -262,7 +261,7 @@
     def _log_unreadable(
         self, target: str, statement: RateStatement, request_id: str
     ) -> None:
-        """Log the first unreadable limit of a target since its last readable one."""
+        """Log the first unreadable limit of a target."""
         if target in self._unreadable or len(self._unreadable) >= MAX_LIMITS:
             return
         self._unreadable.add(target)
--- a/papayacrank/permits/tests/test_client.py
+++ b/papayacrank/permits/tests/test_client.py
@@ -1,6 +1,7 @@
 """Tests of the limits and permits of an entry process with a leader."""
 
 import pytest
+from structlog.testing import capture_logs
 
 from papayacrank.permits import PermitOutcome, RateKnowledge, RateStatement
 from papayacrank.permits._allocator import (
@@ -222,6 +223,15 @@
     assert pair.client.rate_of("u") is None
 
 
+def test_unreadable_limit_is_logged_once_for_each_target(pair):
+    """Guards against a log line for each response."""
+    known = pair.client.knowledge_of("t")
+    with capture_logs() as lines:
+        for statement in [RateStatement(None, "x"), None] * 10:
+            pair.client.observe("t", 0, statement, known, True, "r", pair.now_ms)
+    assert [line["event"] for line in lines] == ["rate_limit_unreadable"]
+
+
 def test_changing_limits_cause_few_changes_of_the_table(pair):
     """Guards against a message to all instances for each response."""
     before = pair.leader.position[1]
