--- a/papayacrank/platform/tests/fake_platform.py
+++ b/papayacrank/platform/tests/fake_platform.py
@@ -45,6 +45,13 @@
         self.wfile.write(body)
 
 
+class _QuietServer(ThreadingHTTPServer):
+    request_queue_size = 256
+
+    def handle_error(self, *_):
+        """Ignore callers that have disconnected."""
+
+
 class Server:
     """HTTP server that runs in separate threads.
 
@@ -75,7 +82,7 @@
             def do_POST(self):
                 outer.handle(self)
 
-        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self._server = _QuietServer(("127.0.0.1", 0), Handler)
         self._server.daemon_threads = True
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
@@ -179,11 +186,22 @@
 
 
 class FakePlatform:
-    """Three machines with entry and control processes, and fake servers."""
+    """Machines with entry and control processes, and fake servers.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder for settings, logs and data.
+    entries : int
+        Number of entry processes, at least 3; the first three machines also have
+        control processes.
+    """
 
-    def __init__(self, folder):
+    def __init__(self, folder, entries=3):
         self._folder = folder
-        self._base = _find_ports()
+        self.entry_ips = list(IPS)
+        self.entry_ips += [f"127.0.1.{n}" for n in range(1, entries - len(IPS) + 1)]
+        self._base = _find_ports(self.entry_ips)
         self.cloud = Cloud()
         self.plain = [Server("p-1", "plain"), Server("p-2", "plain")]
         self.engine = Engine("e-1", "llm")
@@ -193,8 +211,9 @@
     def start(self, bootstrap="true"):
         """Start all processes."""
         for ip in IPS:
-            for role in ("control", "entry"):
-                self.start_process(role, ip, bootstrap)
+            self.start_process("control", ip, bootstrap)
+        for ip in self.entry_ips:
+            self.start_process("entry", ip, bootstrap)
 
     def start_process(self, role, ip, bootstrap="false", has_disk=True):
         """Start a process that logs to a file."""
@@ -248,6 +267,10 @@
         lines = (self._folder / f"{role}-{ip}.log").read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
 
+    def connect(self, ip, timeout_s):
+        """Return a connection of a caller to an entry process."""
+        return http.client.HTTPConnection(ip, self._base + 10, timeout=timeout_s)
+
     def call(self, offset, method, path, body=b"", headers=None, ip=IPS[0]):
         """Send an HTTP request to a process; return status, headers and body."""
         connection = http.client.HTTPConnection(ip, self._base + offset, timeout=5)
@@ -300,12 +323,14 @@
         raise AssertionError("condition not met before the timeout")
 
 
-def _find_ports():
+def _find_ports(entry_ips):
     """Return the base of a port range that is free on all addresses."""
     for _ in range(100):
         base = random.randrange(20_000, 30_000, PORTS)
         if all(
-            _is_free(ip, base + n) for ip in (*IPS, DISKLESS_IP) for n in PORT_OFFSETS
+            _is_free(ip, base + n)
+            for ip in (*entry_ips, DISKLESS_IP)
+            for n in PORT_OFFSETS
         ):
             return base
     raise RuntimeError("no free port range found")
--- a/papayacrank/platform/tests/test_rate_limits.py
+++ b/papayacrank/platform/tests/test_rate_limits.py
@@ -6,6 +6,7 @@
 import pytest
 
 from .fake_platform import IPS, FakePlatform
+from .rate_limit_soak import RateLimitSoak
 
 RATE_PER_S = 1.2
 # A server gets at most 1.5 times its limit plus 5 requests in any window of 4 s, from
@@ -68,3 +69,10 @@
     assert max_in_a_window(limited.arrivals) <= 1.5 * RATE_PER_S * WINDOW_S + 5
     assert limited.arrivals
     assert statuses == [200] * len(statuses)
+
+
+@pytest.mark.prove
+@pytest.mark.parametrize("seed", [1, 2])
+def test_limit_holds_while_processes_are_killed_and_suspended(tmp_path, seed):
+    """Guards against requests beyond a limit after restarts, freezes and elections."""
+    assert RateLimitSoak(tmp_path, seed).run() == []
