Do not restore the limit of an earlier start of a target by a permit request

Cause: an instance with an older list named the limit of the former process in its permit request; the leader, which had removed it with the restart, took it for the new one and sent it to all, until its next reading of the list. Change: what an instance knows of the leader's own term is not adopted again. The new test failed before.

--- a/papayacrank/permits/_allocator.py
+++ b/papayacrank/permits/_allocator.py
@@ -123,7 +123,9 @@
         if limit is not None and 0 < observation.start < limit.start:
             return False
         if limit is None or observation.start > limit.start > 0:
-            if observation.per_s is None:
+            # What an instance knows of this term has been removed since.
+            is_removed = not observation.is_fresh and observation.term == self._term
+            if observation.per_s is None or is_removed:
                 return False
             return self._set(observation, source, now_ms)
         if limit.inherited is not None and observation.per_s == limit.per_s:
--- a/papayacrank/permits/tests/test_client.py
+++ b/papayacrank/permits/tests/test_client.py
@@ -301,6 +301,15 @@
     assert pair.leader.rate_of("t") is None
 
 
+def test_limit_of_an_earlier_start_is_not_restored_by_a_permit_request():
+    """Guards against an instance with an older list of the targets."""
+    pair = Pair()
+    pair.deliver(pair.observe(2.0, start=5))
+    pair.leader.retain({"t": 6})
+    assert pair.acquire("r1").outcome is PermitOutcome.UNLIMITED
+    assert pair.leader.rate_of("t") is None
+
+
 def test_late_report_about_an_earlier_start_is_ignored():
     """Guards against a limit of the process that used a name before."""
     pair = Pair()
