Share the constants, the test and the sending of permits between the interfaces

Change: what the forwarding and the completions interface had each of their own (numbers of permits, values for no and any wait, whether a target has a permit in time, sending to the leader) stands once, in permits and in ControlConnector.

--- a/papayacrank/control/_connector.py
+++ b/papayacrank/control/_connector.py
@@ -62,6 +62,14 @@
         """Send a heartbeat at once, before the next one is due."""
         self.set_status(self._contact.status)
 
+    def send_to_leader(self, message: Any) -> bool:
+        """Send a message to the presumed leader; return False if none is known."""
+        leader = self._contact.leader
+        if leader is None:
+            return False
+        self._link.send(leader, message)
+        return True
+
     def submit(
         self,
         command: Any,
--- a/papayacrank/entry/_flow.py
+++ b/papayacrank/entry/_flow.py
@@ -9,6 +9,9 @@
 from papayacrank.config import Service
 from papayacrank.kernel import Failure, Verdict
 from papayacrank.permits import (
+    ANY_PERMIT_WAIT_MS,
+    MAX_PERMIT_REQUESTS,
+    NO_PERMITS,
     Permit,
     PermitDecision,
     PermitOutcome,
@@ -29,12 +32,8 @@
 MAX_ATTEMPTS = 4
 MAX_MESSAGE_CHARACTERS = 200
 DEADLINE_CODE = "deadline_exceeded"
-# Permits of targets with a request rate limit that a request may wait for, and the part
-# of its remaining time that each wait may take.
-MAX_PERMIT_REQUESTS = 3
+# Part of the remaining time of a request that one wait for a permit may take.
 PERMIT_WAIT_DIVISOR = 4
-NO_PERMITS = -1
-ANY_PERMIT_WAIT_MS = 1 << 60
 # The target rejected the content of the request, so a retry would not help.
 CALLER_ERROR_STATUSES = frozenset({400, 413, 422})
 
--- a/papayacrank/entry/_process.py
+++ b/papayacrank/entry/_process.py
@@ -167,7 +167,7 @@
         self._usage = UsageRecorder(settings.instance, self._boot)
         self._permits = PermitPort(
             PermitClient(f"{settings.instance}@{self._boot}"),
-            self._send_to_leader,
+            lambda message: self._port.send_to_leader(message),
             clock,
             timers,
         )
@@ -286,14 +286,6 @@
     def _count_connections(self) -> int:
         return self._front_end.connection_count
 
-    def _send_to_leader(self, message) -> bool:
-        """Send a message to the presumed leader; return False if none is known."""
-        leader = self._contact.leader
-        if leader is None:
-            return False
-        self._link.send(leader, message)
-        return True
-
     # Periodic checks
 
     def _run_periodic_checks(self) -> None:
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -18,6 +18,9 @@
     WorkspaceProfile,
 )
 from papayacrank.permits import (
+    ANY_PERMIT_WAIT_MS,
+    MAX_PERMIT_REQUESTS,
+    NO_PERMITS,
     Permit,
     PermitDecision,
     PermitOutcome,
@@ -45,7 +48,7 @@
 from ._quota import QuotaDecision, QuotaEnforcer
 from ._retry_budget import RetryBudget
 from ._routes import RouteIndex
-from ._selection import ANY_PERMIT_WAIT_MS, NO_PERMITS, TargetSelection
+from ._selection import TargetSelection
 from ._target_port import CallFailure, CallListener, TargetCall, TargetPort
 from ._targets import TargetTable
 
@@ -75,9 +78,8 @@
 FIRST_EVENT_TIMEOUT_FACTOR = 2.5
 STREAM_IDLE_TIMEOUT_MS = 1_200
 # Part of the latency objective for which a request may wait for permits of targets with
-# a request rate limit, and the number of permits that it may request.
+# a request rate limit.
 PERMIT_WAIT_FRACTION = 0.5
-MAX_PERMIT_REQUESTS = 3
 URGENCY_STEPS = 3
 MAX_URGENCY = 9
 SERVER_ERROR = 500
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -158,7 +158,7 @@
         self._target_port = TargetPort(self._clock, self._timers).register(self)
         self._permits = PermitPort(
             PermitClient(settings.forwarding.instance),
-            self._send_to_leader,
+            lambda message: self._control.send_to_leader(message),
             self._clock,
             self._timers,
         )
@@ -304,14 +304,6 @@
 
     # Control group
 
-    def _send_to_leader(self, message) -> bool:
-        """Send a message to the presumed leader; return False if none is known."""
-        leader = self._contact.leader
-        if leader is None:
-            return False
-        self._link.send(leader, message)
-        return True
-
     def _on_feed(self, change: FeedChanged) -> None:
         if change.routing and self._contact.routing is not None:
             self._apply_routing()
--- a/papayacrank/forwarding/_selection.py
+++ b/papayacrank/forwarding/_selection.py
@@ -14,10 +14,6 @@
 # Retry times of refused callers are spread over this fraction of the pause.
 RETRY_JITTER = 0.5
 MIN_RETRY_JITTER_MS = 100
-# Values of `max_permit_wait_ms` that exclude targets with a request rate limit, or
-# allow any wait.
-NO_PERMITS = -1
-ANY_PERMIT_WAIT_MS = 1 << 60
 MAX_LOGGED_TARGETS = 5
 
 
@@ -106,7 +102,7 @@
             for target in self._available_targets(request.service.name)
             if target.name not in excluded
             and only in (None, target.name)
-            and self._has_permit_within(target.name, max_permit_wait_ms, now_ms)
+            and self._permits.has_permit_within(target.name, max_permit_wait_ms, now_ms)
             and self._pauses.may_send(
                 target.name, self._table.own_running(target.name), now_ms
             )
@@ -172,11 +168,6 @@
         limited = [name for name in names if self._permits.rate_of(name) is not None]
         return limited[:MAX_LOGGED_TARGETS]
 
-    def _has_permit_within(self, name: str, max_wait_ms: int, now_ms: int) -> bool:
-        if self._permits.rate_of(name) is None:
-            return True
-        return self._permits.wait_ms(name, now_ms) <= max_wait_ms
-
     def _available_targets(self, service: str) -> list[FleetTarget]:
         return [
             target
--- a/papayacrank/permits/__init__.py
+++ b/papayacrank/permits/__init__.py
@@ -2,6 +2,9 @@
 
 from ._allocator import PermitAllocator
 from ._client import (
+    ANY_PERMIT_WAIT_MS,
+    MAX_PERMIT_REQUESTS,
+    NO_PERMITS,
     Permit,
     PermitClient,
     PermitDecision,
@@ -13,6 +16,9 @@
 from ._spread import RetrySpread
 
 __all__ = [
+    "ANY_PERMIT_WAIT_MS",
+    "MAX_PERMIT_REQUESTS",
+    "NO_PERMITS",
     "Permit",
     "PermitAllocator",
     "PermitClient",
--- a/papayacrank/permits/_allocator.py
+++ b/papayacrank/permits/_allocator.py
@@ -159,9 +159,6 @@
         """
         if statement is None or statement.per_s is None:
             return False
-        known = self.rate_of(target)
-        if known is not None and statement.per_s >= known:
-            return False
         observation = RateObservation(target, start, statement.per_s, is_fresh=True)
         return self.observe(observation, "leader", now_ms)
 
--- a/papayacrank/permits/_client.py
+++ b/papayacrank/permits/_client.py
@@ -27,6 +27,11 @@
 # Without a reply, no permit of the target is requested for this time, so that requests
 # do not wait one after the other for a leader that is gone.
 NO_REPLY_BACKOFF_MS = 250
+# Permits that one request may request, one after the other.
+MAX_PERMIT_REQUESTS = 3
+# Values of `max_wait_ms` that exclude targets with a limit, or allow any wait.
+NO_PERMITS = -1
+ANY_PERMIT_WAIT_MS = 1 << 60
 # A report that the leader has not confirmed is sent again after this time.
 REPORT_INTERVAL_MS = 500
 
@@ -164,6 +169,22 @@
             return 0
         return max(0, self._free_at_ms.get(target, 0) - now_ms)
 
+    def has_permit_within(self, target: str, max_wait_ms: int, now_ms: int) -> bool:
+        """Return whether a target needs no permit or is expected to have one in time.
+
+        Parameters
+        ----------
+        target : str
+            Target.
+        max_wait_ms : int
+            Longest time to wait for a permit; `NO_PERMITS` for none.
+        now_ms : int
+            Current time in milliseconds.
+        """
+        if self.rate_of(target) is None:
+            return True
+        return self.wait_ms(target, now_ms) <= max_wait_ms
+
     def knowledge_of(self, target: str) -> RateKnowledge:
         """Return what is known about a target, to be passed to `observe` later."""
         known = self._rates.get(target)
--- a/papayacrank/routing/_router.py
+++ b/papayacrank/routing/_router.py
@@ -360,13 +360,12 @@
     ) -> list[TargetState]:
         if request.excluded:
             targets = [s for s in targets if s.name not in request.excluded]
-        if self._permits.limited_targets:
-            targets = [
-                s
-                for s in targets
-                if self._permits.rate_of(s.name) is None
-                or self._permits.wait_ms(s.name, now_ms) <= request.max_permit_wait_ms
-            ]
+        max_wait_ms = request.max_permit_wait_ms
+        targets = [
+            s
+            for s in targets
+            if self._permits.has_permit_within(s.name, max_wait_ms, now_ms)
+        ]
         if not table.outlier_detector.ejected:
             return targets
         healthy = [
