Tell senders of permit requests who leads after a hand-over

What callers saw: in a trial (seven of nine engines treated as limited), a planned stop of the leader's machine left 77 permit requests without a reply within 1.1 s, each of which had held its request for 150 ms, although the new leader was active after 0.5 s. Cause: a control process that does not lead ignored permit requests; entry processes look for another leader only when heartbeats have been unanswered for 750 ms. Change: it answers with NotLeader as it does to heartbeats. The new test failed before.

--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -430,7 +430,7 @@
 
     def _on_permit_message(self, sender: str, message, now_ms: int) -> list[Any]:
         if not self._may_serve(now_ms):
-            return []
+            return [Send(sender, NotLeader("", self._other_leader()))]
         replies = self._permits.receive(sender, message, now_ms)
         return [*replies, *self._push_rates(now_ms)]
 
--- a/papayacrank/control/tests/test_permit_service.py
+++ b/papayacrank/control/tests/test_permit_service.py
@@ -3,6 +3,7 @@
 from papayacrank.control._permit_service import PermitService
 from papayacrank.control._push_log import RESEND_DELAY_MS
 from papayacrank.messages import (
+    NotLeader,
     PermitReply,
     PermitRequest,
     RateObservation,
@@ -50,6 +51,14 @@
     assert of_type(harness.receive("entry/i1", REQUEST), PermitReply) == []
 
 
+def test_former_leader_names_the_new_one():
+    """Guards against permit requests that wait for a leader that has handed over."""
+    harness = NodeHarness()
+    harness.raft.is_leader, harness.raft.leader = False, "c2"
+    messages = harness.receive("entry/i1", REQUEST)
+    assert messages == [("entry/i1", NotLeader("", "c2"))]
+
+
 def test_new_leader_starts_without_the_limits_of_the_last_one():
     """Guards against permits of a former term that are granted again."""
     harness = NodeHarness()
