Do not close idle connections whose input was read but not handled

Callers saw: a kept connection that is closed without an answer, although the request on it had reached a target.

Cause: the loop reads a socket in one event and handles the data in a later one. A timer or a stop between the two closed a connection that counted as idle; the peek at the socket's buffer finds nothing, because the data was already taken. The request was then sent on, and the queued `disconnect` withdrew it. Both interfaces had it.

Fix: `CallerServer` knows which connections have input that is not handled yet, and closes none of them as idle, nor one with unread data.

--- a/papayacrank/entry/_front_end.py
+++ b/papayacrank/entry/_front_end.py
@@ -189,8 +189,8 @@
         self._is_keep_alive_disabled = True
         self._listener.stop_listening()
         for sock, connection in list(self._connections.items()):
-            if connection.exchange is None and self._listener.has_no_unread_data(sock):
-                self._listener.end(sock)
+            if connection.exchange is None:
+                self._listener.end_unless_input(sock)
 
     @handler("generate_events", channel="*")
     def _on_loop_iteration(self, event):
@@ -344,7 +344,7 @@
             if idle_ms > limit_ms or elapsed_ms > MAX_BODY_TIMEOUTS * limit_ms:
                 self._refuse_input(sock, connection, _request_timeout())
         elif idle_ms > IDLE_TIMEOUT_MS:
-            self._listener.end(sock)
+            self._listener.end_unless_input(sock)
 
 
 def _request_timeout() -> Failure:
--- a/papayacrank/entry/tests/test_front_end.py
+++ b/papayacrank/entry/tests/test_front_end.py
@@ -7,7 +7,7 @@
 import pytest
 from circuits import BaseComponent, handler
 
-from papayacrank.entry._front_end import FrontEnd
+from papayacrank.entry._front_end import IDLE_TIMEOUT_MS, FrontEnd
 from papayacrank.transport import CallerServer
 
 from .support import connect, exchange, make_settings, receive_all, running, wait_until
@@ -72,6 +72,26 @@
     assert response.startswith(b"HTTP/1.1 200 ") and response.endswith(b"/ok|")
 
 
+@pytest.mark.parametrize("close_idle", ["_sweep", "stop_listening"])
+def test_request_that_was_just_read_is_not_lost_with_an_idle_connection(
+    served, close_idle
+):
+    """Guards against connections closed between reading and handling a request."""
+    front_end, _ = served
+    sock = connect(front_end.address)
+    wait_until(lambda: front_end._connections, "connection")
+
+    def close_after_read():
+        ((accepted, connection),) = front_end._connections.items()
+        connection.last_activity_ms -= IDLE_TIMEOUT_MS + 1
+        sock.sendall(GET % (b"late", b"close"))
+        front_end._listener._read(accepted)
+        getattr(front_end, close_idle)()
+
+    front_end._timers.set("close_after_read", 0, close_after_read)
+    assert receive_all(sock).endswith(b"/late|")
+
+
 def test_answers_pipelined_requests_in_order(served):
     """Guards against lost or reordered responses on one connection."""
     front_end, _ = served
--- a/papayacrank/transport/_caller_server.py
+++ b/papayacrank/transport/_caller_server.py
@@ -55,6 +55,7 @@
         self._max_total_buffered_bytes = max_total_buffered_bytes
         self._buffered_bytes: dict = {}
         self._total_buffered_bytes = 0
+        self._unhandled_reads: set = set()
 
     @property
     def connection_count(self) -> int:
@@ -74,21 +75,19 @@
         if data and sock in self._buffered_bytes:
             self._buffer(sock, data)
 
-    def end(self, sock) -> None:
-        """Close a connection once its send buffer is empty."""
-        if sock in self._buffered_bytes:
-            self.close(sock)
-
     def abort(self, sock) -> None:
         """Close a connection immediately, discarding its send buffer."""
         self._close(sock)
 
-    def has_no_unread_data(self, sock) -> bool:
-        """Return whether the receive buffer of the socket is empty."""
-        try:
-            return not sock.recv(1, MSG_PEEK)
-        except OSError:
-            return True
+    def end_unless_input(self, sock) -> None:
+        """Close a connection once its send buffer is empty, unless input has arrived.
+
+        Input that was read already is handled by a later event of the loop.
+        """
+        if sock not in self._buffered_bytes or sock in self._unhandled_reads:
+            return
+        if self._has_no_unread_data(sock):
+            self.close(sock)
 
     def half_close(self, sock) -> None:
         """Shut down the sending side of a connection and continue to read."""
@@ -110,6 +109,12 @@
             self._sock.close()
             self._sock = None
 
+    def _has_no_unread_data(self, sock) -> bool:
+        try:
+            return not sock.recv(1, MSG_PEEK)
+        except OSError:
+            return True
+
     def _buffer(self, sock, data: bytes) -> None:
         self._buffers[sock].append(data)
         self._buffered_bytes[sock] += len(data)
@@ -143,6 +148,7 @@
         except OSError:
             data = b""
         if data:
+            self._unhandled_reads.add(sock)
             self.fire(read(sock, data))
         else:
             self._close(sock)
@@ -152,6 +158,7 @@
         if buffered is None:
             return
         self._total_buffered_bytes -= buffered
+        self._unhandled_reads.discard(sock)
         self._poller.discard(sock)
         self._buffers.pop(sock, None)
         self._clients.remove(sock)
@@ -166,6 +173,10 @@
         for sock in list(self._buffered_bytes):
             self._close(sock)
 
+    @handler("read", priority=-1)
+    def _on_read_handled(self, sock, data):
+        self._unhandled_reads.discard(sock)
+
     @handler("_read", priority=1, override=True)
     def _on_read(self, sock):
         if sock is self._sock:
--- a/papayacrank/transport/_http_port.py
+++ b/papayacrank/transport/_http_port.py
@@ -267,10 +267,8 @@
             is_idle = caller.exchange is None and caller.request_started_ms is None
             if not is_idle or caller.last_active_ms > active_before_ms:
                 continue
-            if not self._server.buffered_bytes(
-                sock
-            ) and self._server.has_no_unread_data(sock):
-                self._server.end(sock)
+            if not self._server.buffered_bytes(sock):
+                self._server.end_unless_input(sock)
 
     # Responses
 
@@ -510,7 +508,7 @@
             if is_stalled:
                 self._refuse_request(sock, caller, 408, "request timed out")
         elif idle_ms > limits.idle_timeout_ms and not self._server.buffered_bytes(sock):
-            self._server.end(sock)
+            self._server.end_unless_input(sock)
 
 
 def _reason_phrase(status: int) -> bytes:
--- a/papayacrank/transport/tests/test_http_port.py
+++ b/papayacrank/transport/tests/test_http_port.py
@@ -72,10 +72,10 @@
         self.root = BaseComponent()
         install_process_handlers(self.root)
         clock = MonotonicClock()
-        timers = Timers(clock).register(self.root)
+        self.timers = Timers(clock).register(self.root)
         self.echo = Echo()
         self.port = HttpPort(
-            "127.0.0.1:0", "test", self.echo, clock, timers, LIMITS
+            "127.0.0.1:0", "test", self.echo, clock, self.timers, LIMITS
         ).register(self.root)
         self.thread = threading.Thread(target=self.root.run, daemon=True)
         self.thread.start()
@@ -137,6 +137,25 @@
     assert b"POST /a?b=c hello world" in send_and_receive(sock, b"", b"world")
 
 
+@pytest.mark.parametrize("close_idle", ["_sweep", "stop_listening"])
+def test_request_that_was_just_read_is_not_lost_with_an_idle_connection(
+    server, close_idle
+):
+    """Guards against connections closed between reading and handling a request."""
+    sock = server.connect()
+    wait_until(lambda: server.port._callers, "connection")
+
+    def close_after_read():
+        ((accepted, caller),) = server.port._callers.items()
+        caller.last_active_ms -= LIMITS.idle_timeout_ms + 1
+        sock.sendall(b"GET /late HTTP/1.1\r\nHost: h\r\n\r\n")
+        server.port._server._read(accepted)
+        getattr(server.port, close_idle)()
+
+    server.timers.set("close_after_read", 0, close_after_read)
+    assert b"GET /late" in receive_until_closed(sock)
+
+
 def test_connection_serves_requests_one_after_the_other(server):
     """Guards against responses that are sent out of order on a connection."""
     sock = server.connect()
