Refuse requests at once whose engine's queue is longer than they may wait

Cause: a request was refused only if no target could take it. The expected time to the first event was used to compare engines, not to decide whether any is worth the wait.

Change: the time in the queue of the best engine is forecast from the queued tokens, corrected by the ratio of observed to expected times for each service and urgency. Above the objective or the remaining time, the request is refused as "overloaded", not run, with a spread Retry-After. Nothing is refused without observations, for the length of its own prompt, or if it may have run.

--- a/papayacrank/admin/_log_explain.py
+++ b/papayacrank/admin/_log_explain.py
@@ -55,6 +55,7 @@
     "no_target": "no target of the service was available: all left, loaded or failed",
     "targets_full": "all targets that were tried refused it without executing it",
     "targets_limited": "all targets were at the request rate that they accept",
+    "overloaded": "the queue of the best engine was longer than the request may wait",
     "caller_left": "the caller closed its connection first",
     "deadline": "the deadline set by the caller had passed",
 }
--- a/papayacrank/admin/tests/test_log_explain.py
+++ b/papayacrank/admin/tests/test_log_explain.py
@@ -204,6 +204,13 @@
     ]
 
 
+def test_refusal_for_a_long_queue_is_explained():
+    """Guards against a refusal whose cause is only a code."""
+    lines = [build_end(code="overloaded", tries=0, forecast_wait_ms=900)]
+    causes = explain_from_lines(lines, "r1").causes
+    assert "queue of the best engine" in causes[0]
+
+
 def test_permit_without_a_reply_of_the_leader_is_explained():
     """Guards against a limit that is blamed for a leader that is gone."""
     refused = build_line(
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -39,6 +39,7 @@
     STORE_CHANGED,
     TARGET_LEAVING,
 )
+from ._forecast import QueueForecast
 from ._headers import CONNECTION_HEADERS, HeaderList, drop_headers
 from ._health import TargetHealth
 from ._job import Attempt, Job
@@ -48,7 +49,7 @@
 from ._quota import QuotaDecision, QuotaEnforcer
 from ._retry_budget import RetryBudget
 from ._routes import RouteIndex
-from ._selection import TargetSelection
+from ._selection import RETRY_JITTER, TargetSelection
 from ._target_port import CallFailure, CallListener, TargetCall, TargetPort
 from ._targets import TargetTable
 
@@ -167,6 +168,7 @@
         self._retry_budget = RetryBudget(
             settings.retry_ratio, settings.retry_window_ms, settings.retry_slack
         )
+        self._forecast = QueueForecast()
         self._pauses = TargetPauses(settings.max_pause_ms)
         self._selection = TargetSelection(
             self._table,
@@ -441,11 +443,39 @@
         choice = self._selection.choose(request, job.excluded, max_wait_ms, now_ms)
         if choice is None:
             self._give_up_without_target(job, request, now_ms)
+        elif (late_ms := self._forecast_delay_ms(job, choice, remaining_ms)) > 0:
+            job.limited_targets = self._selection.list_limited(job.service.name)
+            text = "the queue is longer than the request may wait"
+            self._give_up(job, "overloaded", text, late_ms)
         elif self._permits.client.rate_of(choice.target.name) is None:
             self._send(job, choice, store, now_ms, remaining_ms)
         else:
             self._request_permit(job, choice.target.name, max_wait_ms, now_ms)
 
+    def _forecast_delay_ms(self, job: Job, choice: Choice, remaining_ms: int) -> int:
+        """Return by how much a queue is too long for a request, 0 if it is not.
+
+        The queue may take the latency objective and no more than the time left. Without
+        a queue, a long prompt gets as long as it needs.
+        """
+        if job.service.engine is None or job.may_have_run:
+            return 0
+        wait_ms = self._forecast.wait_ms(
+            job.service.name, _urgency(job), choice.queue_ms
+        )
+        job.forecast_wait_ms = int(wait_ms)
+        return max(0, int(wait_ms - min(job.route.objective_ms, remaining_ms)))
+
+    def _observe_first_event(self, job: Job, attempt: Attempt, has_event: bool) -> None:
+        if job.service.engine is not None:
+            self._forecast.observe(
+                job.service.name,
+                _urgency(job),
+                attempt.choice.expected_ms,
+                self._clock.now_ms() - attempt.sent_ms,
+                has_event,
+            )
+
     def _max_permit_wait_ms(self, job: Job, now_ms: int) -> int:
         """Return how long a request may wait for a permit, `NO_PERMITS` if not."""
         if job.permit_requests >= MAX_PERMIT_REQUESTS:
@@ -656,6 +686,8 @@
         self._timers.cancel(_response_timer(job))
         if not attempt.has_first_event:
             self._table.end_prefill(attempt.target.name, attempt.prefill_tokens)
+            if attempt.call.bytes_written:
+                self._observe_first_event(job, attempt, False)
         self._table.end(attempt.target.name, attempt.memory_tokens)
         if not attempt.call.bytes_written:
             self._give_back(attempt.permit)
@@ -897,6 +929,7 @@
     def _on_first_event(self, job: Job, attempt: Attempt) -> None:
         now_ms = self._clock.now_ms()
         attempt.has_first_event = True
+        self._observe_first_event(job, attempt, True)
         self._table.end_prefill(attempt.target.name, attempt.prefill_tokens)
         self._health.on_success(attempt.target.name)
         self._record_parts(job, attempt, now_ms)
@@ -973,11 +1006,23 @@
                 job.runs += 1
         self._give_up(job, "deadline", "the time of the request is over")
 
-    def _give_up(self, job: Job, code: str, message: str) -> None:
+    def _give_up(
+        self, job: Job, code: str, message: str, retry_after_ms: int | None = None
+    ) -> None:
         """Fail a request that cannot be served.
 
         The verdict is "may have run" if any attempt may have run, and "not run" with
         a retry time otherwise.
+
+        Parameters
+        ----------
+        job : Job
+            Request.
+        code, message : str
+            Code and text of the failure.
+        retry_after_ms : int, optional
+            Time after which a caller should retry; estimated from the targets of the
+            service if not given.
         """
         if job.may_have_run:
             status = 504 if code == "deadline" else 502
@@ -990,6 +1035,9 @@
         )
         if after_ms is None:
             after_ms = DEFAULT_RETRY_AFTER_MS
+        if retry_after_ms is not None:
+            spread = self._random.uniform(1.0, 1.0 + RETRY_JITTER)
+            after_ms = int(max(after_ms, retry_after_ms) * spread)
         self._fail(job, _refusal(code, message, 503, after_ms))
 
     def _fail(self, job: Job, failure: Failure) -> None:
@@ -1038,6 +1086,8 @@
             fields["refused_permits"] = job.refused_permits
         if job.limited_targets:
             fields["limited_targets"] = job.limited_targets
+        if code == "overloaded":
+            fields["forecast_wait_ms"] = job.forecast_wait_ms
         if job.last_failure:
             fields["last_failure"] = job.last_failure
         if attempt is not None:
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -116,7 +116,9 @@
     refused_permits : list of str
         Targets for which the request got no permit.
     limited_targets : list of str
-        Some targets with a request rate limit, if the request was refused for it.
+        Some targets with a request rate limit, if the request was refused.
+    forecast_wait_ms : int
+        Last forecast of the time in the queue of an engine, in milliseconds.
     is_done : bool
         Whether the request has its final outcome.
     """
@@ -144,6 +146,7 @@
     permit_wait_ms: int = 0
     refused_permits: list[str] = field(default_factory=list)
     limited_targets: list[str] = field(default_factory=list)
+    forecast_wait_ms: int = 0
     is_done: bool = False
 
     @property
--- a/papayacrank/forwarding/_placement.py
+++ b/papayacrank/forwarding/_placement.py
@@ -119,6 +119,8 @@
         Chosen target.
     expected_ms : float
         Expected time to the first event or the response, in milliseconds.
+    queue_ms : float
+        Part of the expected time that other requests take, in milliseconds.
     missing_tokens : int
         Prompt tokens that the target is expected to compute.
     parts_at : PartsLocation
@@ -129,6 +131,7 @@
 
     target: FleetTarget
     expected_ms: float
+    queue_ms: float = 0.0
     missing_tokens: int = 0
     parts_at: PartsLocation = PartsLocation.UNKNOWN
     load: TargetLoad = TargetLoad()
@@ -299,9 +302,8 @@
         fetch_tokens = sum(part.tokens for part in fetched)
         compute_tokens = sum(part.tokens for part in uncached)
         fetch_ms = FETCH_SETUP_MS + fetch_tokens / FETCH_TOKENS_PER_MS if fetched else 0
-        compute_ms = (
-            load.prefill_tokens + own_tokens + compute_tokens
-        ) / PREFILL_TOKENS_PER_MS
+        queue_ms = load.prefill_tokens / PREFILL_TOKENS_PER_MS
+        compute_ms = (own_tokens + compute_tokens) / PREFILL_TOKENS_PER_MS
         recompute_loss = 0.0
         if uncached and preferred[uncached[0].name] != target.name:
             # Parts after the first uncached one are most likely cached nowhere.
@@ -311,7 +313,8 @@
         permit_ms = self.permits.wait_ms(target.name, now_ms)
         choice = Choice(
             target,
-            permit_ms + FIRST_STEP_MS + fetch_ms + compute_ms,
+            permit_ms + FIRST_STEP_MS + fetch_ms + queue_ms + compute_ms,
+            queue_ms,
             own_tokens + compute_tokens,
             PartsLocation.UNKNOWN if uncached else location,
             load,
