Keep a silent attempt until another target has taken the request

The users' rules say that a server's silence is no reason to end an answer sooner.

Cause: when no event came for 1,200 ms (or no response in time), the forwarder cancelled the attempt first and then looked for another target. With none left, all of them full, unreachable or limited, or the retry budget used up by refusals, the request was given up.

Fix: the target is chosen first; without one (or without budget) the attempt goes on. If the new one refuses, fails or cannot be reached, or the silent one speaks first, the request goes on there. Both end with the request.

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -78,6 +78,9 @@
 # Callers give up after 2 s without an event.
 FIRST_EVENT_TIMEOUT_FACTOR = 2.5
 STREAM_IDLE_TIMEOUT_MS = 1_200
+# Time for which a silent attempt goes on beside the one that replaces it. A target that
+# is full refuses within a few milliseconds; the platform allows 400 ms.
+SILENT_OVERLAP_MS = 300
 # Part of the latency objective for which a request may wait for permits of targets with
 # a request rate limit.
 PERMIT_WAIT_FRACTION = 0.5
@@ -585,6 +588,7 @@
             store=store.name if dispatch.save_to is not None else "",
             is_stream=is_stream,
             permit=permit,
+            number=job.tries + 1,
             rate_knowledge=self._permits.client.knowledge_of(target.name),
         )
         job.attempt = attempt
@@ -648,25 +652,69 @@
             wait_ms = FIRST_EVENT_TIMEOUT_FACTOR * objective_ms
         at_ms = self._clock.now_ms() + int(wait_ms)
         self._timers.set(
-            _response_timer(job), at_ms, lambda: self._on_response_timeout(job, attempt)
+            _response_timer(job, attempt),
+            at_ms,
+            lambda: self._on_response_timeout(job, attempt),
         )
 
     def _on_response_timeout(self, job: Job, attempt: Attempt) -> None:
+        """Send a request to another target, if there is one, while this one is silent.
+
+        The silent attempt goes on until the other target takes the request, because a
+        sound target may be silent for a while.
+        """
         if job.is_done or job.attempt is not attempt:
             return
         now_ms = self._clock.now_ms()
-        self._record_target_failure(job, attempt, now_ms)
-        may_have_run = attempt.call.bytes_written
-        if not self._may_run_again(job, runs=job.runs + may_have_run):
+        if not attempt.is_silent:
+            attempt.is_silent = True
+            self._record_target_failure(job, attempt, now_ms)
+        store = self._choose_store(job)
+        request = self._build_placement_request(job, store, now_ms)
+        excluded = job.excluded | {attempt.target.name}
+        choice = self._selection.choose(request, excluded, NO_PERMITS, now_ms)
+        runs = job.runs + attempt.call.bytes_written
+        if choice is None or not self._may_run_again(job, runs):
+            self._set_response_timer(job, attempt)
+            return
+        job.silent_attempt, job.attempt = attempt, None
+        self._timers.set(
+            _overlap_timer(job),
+            now_ms + SILENT_OVERLAP_MS,
+            lambda: self._end_silent_attempt(job, "silent"),
+        )
+        self._send(job, choice, store, now_ms, job.deadline_at_ms - now_ms)
+
+    def _end_silent_attempt(self, job: Job, code: str) -> None:
+        """End the silent attempt of a request that another target has taken."""
+        attempt = job.silent_attempt
+        if attempt is None:
             return
         self._port.cancel(attempt.call)
-        self._end_attempt(job, attempt, "silent", may_have_run)
-        job.runs += may_have_run
-        self._dispatch(job)
+        self._discard_silent_attempt(job, code, attempt.call.bytes_written)
+
+    def _discard_silent_attempt(self, job: Job, code: str, has_run: bool) -> None:
+        attempt, job.silent_attempt = job.silent_attempt, None
+        self._timers.cancel(_overlap_timer(job))
+        self._end_attempt(job, attempt, code, attempt.call.bytes_written)
+        job.runs += has_run
+
+    def _restore_silent_attempt(self, job: Job) -> None:
+        """Continue with the silent attempt, after cancelling the one beside it."""
+        other, job.attempt = job.attempt, job.silent_attempt
+        job.silent_attempt = None
+        self._timers.cancel(_overlap_timer(job))
+        if other is not None:
+            self._port.cancel(other.call)
+            self._end_attempt(job, other, "superseded", other.call.bytes_written)
+            job.runs += other.call.bytes_written
+        job.attempt.is_silent = False
+        self._set_response_timer(job, job.attempt)
 
     def _end_attempt(self, job: Job, attempt: Attempt, code: str, sent: bool) -> None:
         """Record the end of an attempt without a usable response."""
-        job.attempt = None
+        if job.attempt is attempt:
+            job.attempt = None
         job.excluded.add(attempt.target.name)
         job.last_failure = code
         self._close_attempt(job, attempt)
@@ -683,7 +731,7 @@
         )
 
     def _close_attempt(self, job: Job, attempt: Attempt) -> None:
-        self._timers.cancel(_response_timer(job))
+        self._timers.cancel(_response_timer(job, attempt))
         if not attempt.has_first_event:
             self._table.end_prefill(attempt.target.name, attempt.prefill_tokens)
             if attempt.call.bytes_written:
@@ -732,18 +780,23 @@
 
     def on_response(self, call: TargetCall, status: int, headers: HeaderList) -> None:
         """Handle the head of a response."""
-        attempt = call.state.attempt
+        job: Job = call.state
+        attempt = job.attempt_of(call)
         attempt.status = status
         attempt.headers = headers
         attempt.metadata = self._protocol.read_response(status, headers)
-        self._observe_weights(call.state, attempt)
-        self._apply_target_signals(call.state, attempt)
-        if call.state.workspace is not None and 200 <= status < 300:
-            job, now_ms = call.state, self._clock.now_ms()
-            self._quota.spend(_quota_id(job), job.cost, now_ms)
-        if attempt.is_stream and not 200 <= status < 300:
+        self._observe_weights(job, attempt)
+        self._apply_target_signals(job, attempt)
+        is_success = 200 <= status < 300
+        if job.workspace is not None and is_success:
+            self._quota.spend(_quota_id(job), job.cost, self._clock.now_ms())
+        if attempt.is_stream and not is_success:
             attempt.is_stream = False
         call.is_buffered = not attempt.is_stream
+        if is_success and job.silent_attempt is attempt:
+            self._restore_silent_attempt(job)
+        elif is_success and attempt.metadata.is_valid:
+            self._end_silent_attempt(job, "silent")
 
     def _observe_weights(self, job: Job, attempt: Attempt) -> None:
         """Update the version of the weights of a target from its response."""
@@ -801,7 +854,7 @@
     def on_data(self, call: TargetCall, data: bytes) -> None:
         """Handle a chunk of a response body."""
         job: Job = call.state
-        attempt = job.attempt
+        attempt = job.attempt_of(call)
         if not attempt.is_stream:
             attempt.body += data
             return
@@ -812,6 +865,8 @@
             self._on_incomplete_response(job, attempt, str(error))
             return
         for event in events:
+            if event.has_content and job.silent_attempt is attempt:
+                self._restore_silent_attempt(job)
             if job.is_done or job.attempt is not attempt:
                 return
             self._forward_event(job, attempt, event)
@@ -819,7 +874,7 @@
     def on_ended(self, call: TargetCall) -> None:
         """Handle the end of a response."""
         job: Job = call.state
-        attempt = job.attempt
+        attempt = job.attempt_of(call)
         metadata = attempt.metadata
         if metadata.is_leaving:
             self._port.drop_idle(attempt.target.address)
@@ -839,7 +894,7 @@
     def on_failed(self, call: TargetCall, failure: CallFailure) -> None:
         """Handle a call that ended without a complete response."""
         job: Job = call.state
-        attempt = job.attempt
+        attempt = job.attempt_of(call)
         now_ms = self._clock.now_ms()
         name = attempt.target.name
         has_no_connection = failure.code in ("connect_timeout", "connect_failed")
@@ -856,6 +911,8 @@
         if failure.may_have_run:
             self._on_incomplete_response(job, attempt, failure.code)
             return
+        if self._has_other_attempt(job, attempt, failure.code, has_run=False):
+            return
         self._end_attempt(job, attempt, failure.code, sent=False)
         self._retry_or_give_up(job)
 
@@ -863,6 +920,8 @@
         """Retry at another target, since this one did not run the request."""
         metadata = attempt.metadata
         code = "wrong_target" if metadata.wrong_target else f"refused_{attempt.status}"
+        if self._has_other_attempt(job, attempt, code, has_run=False):
+            return
         self._end_attempt(job, attempt, code, sent=True)
         known = self._table.find(attempt.target.name)
         if metadata.wrong_target and known is not None and known != attempt.target:
@@ -876,6 +935,8 @@
 
     def _on_incomplete_response(self, job: Job, attempt: Attempt, code: str) -> None:
         """Handle an attempt that may have run but gave no complete response."""
+        if self._has_other_attempt(job, attempt, code, has_run=True):
+            return
         self._end_attempt(job, attempt, code, sent=True)
         job.runs += 1
         if self._may_run_again(job, job.runs):
@@ -883,20 +944,49 @@
             return
         self._give_up(job, "target_failed", code)
 
+    def _has_other_attempt(
+        self, job: Job, attempt: Attempt, code: str, has_run: bool
+    ) -> bool:
+        """End an attempt if the request has another one, which then goes on alone.
+
+        Parameters
+        ----------
+        job : Job
+            Request.
+        attempt : Attempt
+            Attempt that got no usable response.
+        code : str
+            Reason for the log.
+        has_run : bool
+            Whether its target may have run the request.
+        """
+        if job.silent_attempt is None:
+            return False
+        if attempt is job.silent_attempt:
+            self._discard_silent_attempt(job, code, has_run)
+            return True
+        self._end_attempt(job, attempt, code, attempt.call.bytes_written)
+        job.runs += has_run
+        self._restore_silent_attempt(job)
+        return True
+
     def _complete_plain(self, job: Job, attempt: Attempt) -> None:
         now_ms = self._clock.now_ms()
-        job.runs += 1
         failed = attempt.status >= SERVER_ERROR
         name = attempt.target.name
         if failed:
             self._record_target_failure(job, attempt, now_ms)
         else:
             self._health.on_success(name)
+        code = f"status_{attempt.status}"
+        if self._has_other_attempt(job, attempt, code, has_run=True):
+            return
+        job.runs += 1
         is_retryable = (
             failed and not job.has_events and not job.exchange.response_started
         )
         if is_retryable and self._may_run_again(job, job.runs):
-            self._end_attempt(job, attempt, f"status_{attempt.status}", sent=True)
+            self._end_attempt(job, attempt, code, sent=True)
             self._dispatch(job)
             return
         self._close_attempt(job, attempt)
@@ -989,6 +1079,7 @@
         job: Job | None = exchange.state
         if job is None or job.is_done:
             return
+        self._end_silent_attempt(job, "caller_left")
         attempt = job.attempt
         if attempt is not None:
             self._port.cancel(attempt.call)
@@ -998,6 +1089,7 @@
     def _on_deadline(self, job: Job) -> None:
         if job.is_done:
             return
+        self._end_silent_attempt(job, "deadline")
         attempt = job.attempt
         if attempt is not None:
             self._port.cancel(attempt.call)
@@ -1054,7 +1146,6 @@
         job.attempt = None
         self._jobs.pop(job.number, None)
         self._timers.cancel(_deadline_timer(job))
-        self._timers.cancel(_response_timer(job))
         self._permits.cancel(_quota_id(job))
         now_ms = self._clock.now_ms()
         if job.workspace is not None:
@@ -1177,5 +1268,9 @@
     return f"start:{number}"
 
 
-def _response_timer(job: Job) -> str:
-    return f"job:{job.number}:watch"
+def _response_timer(job: Job, attempt: Attempt) -> str:
+    return f"job:{job.number}:watch:{attempt.number}"
+
+
+def _overlap_timer(job: Job) -> str:
+    return f"job:{job.number}:overlap"
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -49,6 +49,10 @@
         Whether the response is forwarded event by event.
     permit : Permit or None
         Permit of the attempt, if its target has a request rate limit.
+    number : int
+        Number of the attempt within its request, from 1.
+    is_silent : bool
+        Whether the response is overdue.
     rate_knowledge : RateKnowledge
         What was known about the limit of the target at the time of sending.
     """
@@ -69,6 +73,8 @@
     has_first_event: bool = False
     is_stream: bool = False
     permit: Permit | None = None
+    number: int = 1
+    is_silent: bool = False
     rate_knowledge: RateKnowledge = RateKnowledge()
 
 
@@ -98,6 +104,9 @@
         Targets that the request was sent to.
     attempt : Attempt or None
         Attempt in progress.
+    silent_attempt : Attempt or None
+        Earlier attempt without a response, which goes on until the target of `attempt`
+        takes the request.
     last_event_id : str or None
         Id of the last event that the caller received.
     has_events : bool
@@ -137,6 +146,7 @@
     excluded: set[str] = field(default_factory=set)
     sent_to: set[str] = field(default_factory=set)
     attempt: Attempt | None = None
+    silent_attempt: Attempt | None = None
     last_event_id: str | None = None
     has_events: bool = False
     first_event_ms: int | None = None
@@ -153,3 +163,10 @@
     def may_have_run(self) -> bool:
         """Whether a target may have started to run the request."""
         return self.runs > 0
+
+    def attempt_of(self, call: TargetCall) -> Attempt:
+        """Return the attempt of a call that is in progress."""
+        silent = self.silent_attempt
+        if silent is not None and silent.call is call:
+            return silent
+        return self.attempt
--- a/papayacrank/forwarding/tests/test_forwarder.py
+++ b/papayacrank/forwarding/tests/test_forwarder.py
@@ -211,8 +211,9 @@
     unresponsive_call = bench.call
     unresponsive_call.bytes_written = True
     bench.advance(1_000)
-    assert bench.port.cancelled == [unresponsive_call]
+    assert len(bench.port.calls) == 2
     bench.respond(200)
+    assert bench.port.cancelled == [unresponsive_call]
     assert caller.status == 200
 
 
