Answer the requests that are open at the end of a planned stop

Callers saw: at the time limit of a planned stop, a closed connection instead of an answer, also for requests that had not been sent to any target yet. The log named the callers as the cause (`caller_left`), so that cuts by the instance could not be told from callers who left.

Cause: the process stopped its event loop with open requests, and closing the sockets looks like callers who leave. The new tests fail without it (there was no such step).

--- a/papayacrank/admin/_log_explain.py
+++ b/papayacrank/admin/_log_explain.py
@@ -59,6 +59,7 @@
     "targets_limited": "all targets were at the request rate that they accept",
     "overloaded": "the queue of the best engine was longer than the request may wait",
     "caller_left": "the caller closed its connection first",
+    "stopped": "the instance reached the time limit of its planned stop",
     "deadline": "the deadline set by the caller had passed",
 }
 
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -319,6 +319,26 @@
         expected_ms = DURATION_SAFETY_FACTOR * longest_ms if longest_ms else limit_ms
         return expected_ms <= left_ms
 
+    def end_open_requests(self) -> None:
+        """End all requests before the process does.
+
+        Requests without a response get a failure; a stream that has begun is cut.
+        """
+        for job in list(self._jobs.values()):
+            self._end_silent_attempt(job, "stopped")
+            attempt = job.attempt
+            if attempt is not None:
+                self._port.cancel(attempt.call)
+                self._end_attempt(job, attempt, "stopped", attempt.call.bytes_written)
+                job.runs += attempt.call.bytes_written
+            text = "this instance has stopped"
+            self._give_up(job, "stopped", text, RETRY_ELSEWHERE_MS)
+        held, self._held_exchanges = self._held_exchanges, {}
+        for number, exchange in held.items():
+            self._timers.cancel(_start_timer(number))
+            if exchange.is_open:
+                self._refuse_not_ready(exchange, "")
+
     # Admission
 
     def on_exchange(self, exchange: HttpExchange) -> None:
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -227,7 +227,10 @@
                 self.root.stop()
                 return
         if elapsed_ms >= self._settings.stop_timeout_ms:
-            self.root.stop()
+            self._caller_port.close_after_responses()
+            self._forwarder.end_open_requests()
+            # Leaves time to send the responses.
+            self._timers.set("stop", now_ms + STOP_POLL_MS, self.root.stop)
             return
         self._timers.set("stop", now_ms + STOP_POLL_MS, self._continue_stop)
 
--- a/papayacrank/forwarding/tests/test_stop.py
+++ b/papayacrank/forwarding/tests/test_stop.py
@@ -1,5 +1,7 @@
 """Tests of requests during a planned stop of their instance."""
 
+import pytest
+
 from papayacrank.kernel import Verdict
 from papayacrank.messages import RequestKind
 
@@ -88,3 +90,38 @@
     stream(bench, 500)
     stop(bench)
     assert not is_refused(bench)
+
+
+@pytest.mark.parametrize(("sent", "status"), [(True, 502), (False, 503)])
+def test_request_without_a_response_is_answered_at_the_end_of_the_stop(sent, status):
+    """Guards against a request that gets neither an answer nor a refusal."""
+    bench = build_bench()
+    caller = bench.send("/claim/x")
+    bench.call.bytes_written = sent
+    bench.forwarder.end_open_requests()
+    assert caller.status == status
+    assert bench.port.cancelled == [bench.call]
+    assert bench.forwarder.open_jobs == 0
+
+
+def test_request_that_waits_for_a_grant_is_refused_at_the_end_of_the_stop():
+    """Guards against a waiting request that gets neither an answer nor a refusal."""
+    base = build_configuration()
+    limited = type(base.workspaces[0])("w1", base.workspaces[0].key_digests, 10, 100)
+    bench = Bench(*TARGETS, configuration=build_configuration(workspaces=(limited,)))
+    bench.shares.apply_grants([], bench.clock.now_ms(), 3_000)
+    caller = bench.send("/lookup/x")
+    assert caller.status is None
+    bench.forwarder.end_open_requests()
+    assert caller.status == 503
+
+
+def test_cut_stream_is_logged_as_cut_by_the_stop(capsys):
+    """Guards against a cut by the instance that is logged as the caller's."""
+    bench = build_bench()
+    caller = bench.send("/reply/x", "POST", tokens=10)
+    bench.begin(200)
+    bench.event(1)
+    bench.forwarder.end_open_requests()
+    assert caller.aborted
+    assert "code=stopped" in capsys.readouterr().out
