Fire the other due timers if one raises an exception or cancels another

Cause: all due timers were taken off the schedule before the first one fired, so an exception in one discarded the others, periodic ones included; and a timer that an earlier callback had cancelled fired all the same. Fix: each timer leaves the schedule right before its call. Both new tests fail without it.

--- a/papayacrank/transport/_timers.py
+++ b/papayacrank/transport/_timers.py
@@ -1,6 +1,7 @@
 """Named timers on the monotonic clock."""
 
 from collections.abc import Callable
+from itertools import takewhile
 
 from circuits import BaseComponent, handler
 from sortedcontainers import SortedKeyList
@@ -56,23 +57,18 @@
     @handler("generate_events", channel="*")
     def _on_generate_events(self, event):
         now_ms = self._clock.now_ms()
-        due = self._pop_due(now_ms)
-        for name, callback in due:
-            self._by_name.pop(name, None)
-            callback()
+        due = list(takewhile(lambda item: item[0] <= now_ms, self._schedule))
         if due:
             # The callbacks may have fired events, which must be handled before the
             # poller blocks.
             event.reduce_time_left(0)
+        for item in due:
+            _, name, callback = item
+            # An earlier callback may have cancelled or replaced this timer. If one
+            # raises an exception, the others fire in the next iteration of the loop.
+            if self._by_name.get(name) is item:
+                self.cancel(name)
+                callback()
         if self._schedule:
             left_ms = self._schedule[0][0] - self._clock.now_ms()
             event.reduce_time_left(max(0, left_ms) / MS_PER_SECOND)
-
-    def _pop_due(self, now_ms: int) -> list[tuple]:
-        """Remove and return the expired timers, so that callbacks can set new ones."""
-        due = []
-        while self._schedule and self._schedule[0][0] <= now_ms:
-            _, name, callback = self._schedule.pop(0)
-            self._by_name.pop(name, None)
-            due.append((name, callback))
-        return due
--- a/papayacrank/transport/tests/test_transport.py
+++ b/papayacrank/transport/tests/test_transport.py
@@ -147,6 +147,35 @@
     assert fired == ["c2", "a"]
 
 
+def test_exception_of_a_timer_does_not_discard_the_others():
+    """Guards against deadlines and sweeps that stop after an exception elsewhere."""
+    clock = ManualClock(0)
+    root = BaseComponent()
+    timers = Timers(clock).register(root)
+    fired = []
+    timers.set("a", 10, lambda: 1 / 0)
+    timers.set("b", 20, lambda: fired.append("b"))
+    clock.advance(40)
+    root._running = True
+    root.tick(0)
+    root.tick(0)
+    assert fired == ["b"]
+
+
+def test_timer_that_another_one_cancels_does_not_fire():
+    """Guards against a timer of a request that has ended in the same iteration."""
+    clock = ManualClock(0)
+    root = BaseComponent()
+    timers = Timers(clock).register(root)
+    fired = []
+    timers.set("a", 10, lambda: timers.cancel("b"))
+    timers.set("b", 20, lambda: fired.append("b"))
+    clock.advance(40)
+    root._running = True
+    root.tick(0)
+    assert fired == []
+
+
 def test_events_fired_by_a_timer_do_not_wait_for_the_poller():
     """Guards against a poller that blocks while an event of a timer is queued."""
     clock = MonotonicClock()
