--- a/papayacrank/admin/_log_explain.py
+++ b/papayacrank/admin/_log_explain.py
@@ -47,6 +47,8 @@
 )
 FINAL_EVENTS = frozenset({"request_ended", "request_refused"})
 REFUSAL_CAUSES = {
+    "stopping": "the instance was stopping, and requests of the route had taken longer"
+    " than the time that was left",
     "starting": "the instance had just started and knew no configuration yet",
     "unknown_route": "no route of the configuration in force has the host and path",
     "unknown_key": "the key was missing or not in force",
@@ -57,6 +59,7 @@
     "targets_limited": "all targets were at the request rate that they accept",
     "overloaded": "the queue of the best engine was longer than the request may wait",
     "caller_left": "the caller closed its connection first",
+    "stopped": "the instance reached the time limit of its planned stop",
     "deadline": "the deadline set by the caller had passed",
 }
 
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -211,6 +211,8 @@
         """Start a graceful stop: drain callers, then finish open requests."""
         log_event(STOP_STARTED, open_requests=self._forwarder.open_jobs)
         self._stopping_since_ms = self._clock.now_ms()
+        ends_at_ms = self._stopping_since_ms + self._settings.stop_timeout_ms
+        self._forwarder.begin_stop(ends_at_ms)
         self._control.set_status("draining")
         self._continue_stop()
 
@@ -225,7 +227,10 @@
                 self.root.stop()
                 return
         if elapsed_ms >= self._settings.stop_timeout_ms:
-            self.root.stop()
+            self._caller_port.close_after_responses()
+            self._forwarder.end_open_requests()
+            # Leaves time to send the responses.
+            self._timers.set("stop", now_ms + STOP_POLL_MS, self.root.stop)
             return
         self._timers.set("stop", now_ms + STOP_POLL_MS, self._continue_stop)
 
