Forward only valid event streams as events

Callers got: the body of a response that is no event stream in the middle of their stream, if a stream had begun, broke off, and the next server answered 200 with another content type, none, no seal, no id, or a statement that it had not run the request. Before a first event they got a 200 without the server's seal.

Cause: on streaming routes each 2xx response was split into events and forwarded as it arrived. Whether it belongs to the request and is valid was checked at its end, when the caller already had the bytes. An event without an id, such as an error event of the next server, was forwarded into a resumed stream as well.

Change: the head decides. Only a 2xx event stream that is identified, sealed and run is forwarded event by event; anything else is buffered and ends as an incomplete response or, before the first event, as the plain response that it is. In a resumed stream an event without an id fails the attempt, because its place is unknown.

--- a/papayacrank/forwarding/_base.py
+++ b/papayacrank/forwarding/_base.py
@@ -136,6 +136,8 @@
     is_valid : bool
         Whether the head has the form that targets produce; False for a corrupted
         response.
+    is_event_stream : bool
+        Whether the body is declared as a stream of events.
     target_name : str or None
         Target that sent the response, if stated.
     weights_version : int or None
@@ -153,6 +155,7 @@
     not_run: bool = False
     wrong_target: bool = False
     is_valid: bool = True
+    is_event_stream: bool = False
     target_name: str | None = None
     weights_version: int | None = None
     is_leaving: bool = False
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -584,6 +584,7 @@
             salt=salt,
             store=store.name if dispatch.save_to is not None else "",
             is_stream=is_stream,
+            is_resume=job.has_events,
             permit=permit,
             rate_knowledge=self._permits.client.knowledge_of(target.name),
         )
@@ -741,8 +742,7 @@
         if call.state.workspace is not None and 200 <= status < 300:
             job, now_ms = call.state, self._clock.now_ms()
             self._quota.spend(_quota_id(job), job.cost, now_ms)
-        if attempt.is_stream and not 200 <= status < 300:
-            attempt.is_stream = False
+        attempt.is_stream = attempt.is_stream and _is_usable_stream(attempt)
         call.is_buffered = not attempt.is_stream
 
     def _observe_weights(self, job: Job, attempt: Attempt) -> None:
@@ -814,6 +814,11 @@
         for event in events:
             if job.is_done or job.attempt is not attempt:
                 return
+            if attempt.is_resume and event.has_content and event.event_id is None:
+                # Without an id its place in the stream is unknown.
+                self._port.cancel(call)
+                self._on_incomplete_response(job, attempt, "event without an id")
+                return
             self._forward_event(job, attempt, event)
 
     def on_ended(self, call: TargetCall) -> None:
@@ -1158,6 +1163,19 @@
     return min(MAX_URGENCY, max(0, rank))
 
 
+def _is_usable_stream(attempt: Attempt) -> bool:
+    """Whether the head of a response begins a stream that can be forwarded."""
+    metadata = attempt.metadata
+    is_identified = metadata.request_id is not None or not attempt.call.reused
+    return (
+        200 <= attempt.status < 300
+        and metadata.is_event_stream
+        and metadata.is_valid
+        and is_identified
+        and not metadata.not_run
+    )
+
+
 def _is_duplicate(event_id: str, last_id: str | None) -> bool:
     """Whether the caller already received an event."""
     if last_id is None or not (event_id.isdigit() and last_id.isdigit()):
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -47,6 +47,8 @@
         Whether the first event of a stream arrived.
     is_stream : bool
         Whether the response is forwarded event by event.
+    is_resume : bool
+        Whether the attempt continues a stream of which the caller has events.
     permit : Permit or None
         Permit of the attempt, if its target has a request rate limit.
     rate_knowledge : RateKnowledge
@@ -68,6 +70,7 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     has_first_event: bool = False
     is_stream: bool = False
+    is_resume: bool = False
     permit: Permit | None = None
     rate_knowledge: RateKnowledge = RateKnowledge()
 
--- a/papayacrank/forwarding/tests/builders.py
+++ b/papayacrank/forwarding/tests/builders.py
@@ -136,6 +136,7 @@
             "not-run" in known,
             status == 421,
             "spoiled" not in known,
+            "no-stream" not in known,
             known.get("server"),
             int(weights) if weights else None,
             "leaving" in known,
--- a/papayacrank/platform/_caller_protocol.py
+++ b/papayacrank/platform/_caller_protocol.py
@@ -44,6 +44,8 @@
 HOST = b"host"
 RETRY_AFTER = b"retry-after"
 CONTENT_ENCODING = b"content-encoding"
+CONTENT_TYPE = b"content-type"
+EVENT_STREAM = "text/event-stream"
 MISDIRECTED = 421
 MS_PER_SECOND = 1_000
 
@@ -132,6 +134,9 @@
             not_run=NOT_EXECUTED in known,
             wrong_target=status == MISDIRECTED,
             is_valid=CONTENT_ENCODING not in known and (identified or not succeeded),
+            is_event_stream=known.get(CONTENT_TYPE, "")
+            .lower()
+            .startswith(EVENT_STREAM),
             target_name=known.get(INSTANCE_ID),
             weights_version=_read_number(known.get(WEIGHT_VERSIONS)),
             is_leaving=has_leaving_header(pairs),
