Do not trust a refusal without an id behind a stale response

What happened: a faulty server wrote a refusal of another request and one without an id on a new connection, and then ran the request. The second refusal was taken for the response to the request, which was sent to a second server and ran twice.

Cause: a response without an id is trusted on a new connection, because no earlier request can have caused it. A skipped response shows that this connection returns responses to other requests, but the next one was judged as if it were the first.

Change: once a response was skipped, only one with the id of the request is accepted.

test_refusal_behind_a_stale_response_is_not_trusted_without_an_id failed before: two runs.

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -726,10 +726,18 @@
     # Responses of targets
 
     def matches_call(self, call: TargetCall, status: int, headers: HeaderList) -> bool:
-        """Whether a response carries the id of the request of the call, or no id."""
+        """Whether a response carries the id of the request of the call, or no id.
+
+        Behind a response to an earlier request, one without an id is not accepted.
+        """
+        job: Job = call.state
         metadata = self._protocol.read_response(status, headers)
-        request_id = call.state.request.request_id
-        return metadata.request_id is None or metadata.request_id == request_id
+        if metadata.request_id is not None:
+            matches = metadata.request_id == job.request.request_id
+        else:
+            matches = not job.attempt.skipped_response
+        job.attempt.skipped_response |= not matches
+        return matches
 
     def on_response(self, call: TargetCall, status: int, headers: HeaderList) -> None:
         """Handle the head of a response."""
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -49,6 +49,8 @@
         Whether the response is forwarded event by event.
     is_resume : bool
         Whether the attempt continues a stream of which the caller has events.
+    skipped_response : bool
+        Whether the connection returned a response that was not accepted.
     permit : Permit or None
         Permit of the attempt, if its target has a request rate limit.
     rate_knowledge : RateKnowledge
@@ -71,6 +73,7 @@
     has_first_event: bool = False
     is_stream: bool = False
     is_resume: bool = False
+    skipped_response: bool = False
     permit: Permit | None = None
     rate_knowledge: RateKnowledge = RateKnowledge()
 
--- a/papayacrank/platform/tests/faulty_servers.py
+++ b/papayacrank/platform/tests/faulty_servers.py
@@ -30,14 +30,14 @@
     b"HTTP/1.1 200 OK\r\n" + SEALED + b"Content-Type: text/event-stream\r\n%s\r\n"
 )
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
-REFUSAL = b"HTTP/1.1 503 Busy\r\n%sPapayacrank-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nbusy"
+REFUSAL_HEAD = b"HTTP/1.1 503 Busy\r\nPapayacrank-Not-Executed: 1\r\n"
+REFUSAL_END = b"Content-Length: 4\r\n\r\nbusy"
 
 
 def build_refusal(request_id=None):
     """Return a statement that a request was not run, without an id if it is None."""
-    if request_id is None:
-        return REFUSAL % b""
-    return REFUSAL % (b"Papayacrank-Request-Id: %s\r\n" % request_id)
+    named = b"Papayacrank-Request-Id: %s\r\n" % request_id if request_id else b""
+    return REFUSAL_HEAD + named + REFUSAL_END
 
 
 def build_answer(request_id, body=b"whole", length=True):
--- a/papayacrank/platform/tests/test_faulty_servers.py
+++ b/papayacrank/platform/tests/test_faulty_servers.py
@@ -6,7 +6,9 @@
 
 from .faulty_servers import (
     Entry,
+    build_answer,
     build_event,
+    build_refusal,
     build_stream_head,
     chunk,
     end,
@@ -144,3 +146,19 @@
     with Entry(*break_first_stream(serve_stream), service="engines") as entry:
         reply = entry.ask("/reply/x")
     assert (reply.body, reply.complete) == (EVENTS, True)
+
+
+def test_refusal_behind_a_stale_response_is_not_trusted_without_an_id():
+    """Guards against a second stale response on a new connection."""
+    runs = []
+
+    def script(sock, data, number):
+        runs.append(request_id_of(data))
+        sock.sendall(build_refusal(b"earlier") + build_refusal())
+        time.sleep(0.05)
+        sock.sendall(build_answer(request_id_of(data)))
+
+    with Entry(script, script) as entry:
+        reply = entry.ask("/claim/x", "r1")
+    assert runs == [b"r1"]
+    assert reply.status == 200
