Await the response of a request behind one without an id

Callers got: 502 for requests that were served or could have been. A faulty server writes an earlier refusal once more, without its id, and it arrives behind the next request on the connection. It may state that this request was not run, which is false, so the request failed at once although its own response followed. A server whose refusals never carry an id caused a 502 for each request on a kept connection, and a request without an id got 502 for each response on one.

Cause: a response without an id on a kept connection ended the request.

Change: such a response is skipped, and the own response is awaited: until the response timeout of the route, after which a repeatable request is sent to another server as before and any other gets 502.

No promise changes: nothing is reported as not run because of a response without an id on a kept connection, and nothing is sent twice.

New tests with real sockets. Failed before: test_repeated_refusal_is_not_the_response_to_ another_request in its 12 cases without an id (502), test_refusals_without_an_id_are_ repeated_elsewhere, test_request_without_an_id_uses_a_new_connection. The 12 cases with an id passed before.

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -29,7 +29,7 @@
 )
 from papayacrank.transport import ExchangeListener, HttpExchange, Timers
 
-from ._base import CallerProtocol, Dispatch, ForwardRequest
+from ._base import CallerProtocol, Dispatch, ForwardRequest, ResponseMetadata
 from ._event_stream import EventStreamError
 from ._events import (
     ATTEMPT_FAILED,
@@ -52,6 +52,7 @@
 from ._selection import RETRY_JITTER, TargetSelection
 from ._target_port import CallFailure, CallListener, TargetCall, TargetPort
 from ._targets import TargetTable
+from ._unidentified import UnidentifiedResponses
 
 # Attempts per request whatever their outcome; prevents endless loops.
 MAX_TRIES = 5
@@ -170,6 +171,7 @@
         )
         self._forecast = QueueForecast()
         self._pauses = TargetPauses(settings.max_pause_ms)
+        self._unidentified = UnidentifiedResponses()
         self._selection = TargetSelection(
             self._table,
             self._health,
@@ -243,6 +245,7 @@
         for target in removed:
             self._health.forget(target.name)
             self._pauses.forget(target.name)
+            self._unidentified.forget(target.name)
             self._parts.engines.forget_location(target.name)
             self._port.drop_idle(target.address)
         self._permits.client.retain((t.name, t.born_ms) for t in view.targets)
@@ -568,7 +571,7 @@
             job.exchange.body,
             self,
             self._connection_limit(job),
-            needs_new_connection=target.name in job.sent_to,
+            needs_new_connection=self._needs_new_connection(job, target.name, now_ms),
             send_before_ms=permit.until_ms if permit is not None else None,
             state=job,
         )
@@ -636,8 +639,20 @@
         limit = job.service.max_connections
         return max(2, limit // (self._instances + 1)) if limit else 64
 
+    def _needs_new_connection(self, job: Job, target: str, now_ms: int) -> bool:
+        """Whether a response could be taken for one to another sending of a request."""
+        return (
+            target in job.sent_to
+            or not job.request.request_id
+            or self._unidentified.requires_new_connection(target, now_ms)
+        )
+
     def _set_response_timer(self, job: Job, attempt: Attempt) -> None:
-        """Start the timer that retries a repeatable request at another target."""
+        """Start the timer that ends an attempt without a response.
+
+        It is set for repeatable requests, which are then retried at another target, and
+        for those whose connection returned a response without an id.
+        """
         objective_ms = job.route.objective_ms
         if not attempt.is_stream:
             wait_ms = max(
@@ -655,6 +670,10 @@
     def _on_response_timeout(self, job: Job, attempt: Attempt) -> None:
         if job.is_done or job.attempt is not attempt:
             return
+        if not job.route.is_repeatable:
+            self._port.cancel(attempt.call)
+            self._on_incomplete_response(job, attempt, "unidentified_answer")
+            return
         now_ms = self._clock.now_ms()
         self._record_target_failure(job, attempt, now_ms)
         may_have_run = attempt.call.bytes_written
@@ -726,25 +745,41 @@
     # Responses of targets
 
     def matches_call(self, call: TargetCall, status: int, headers: HeaderList) -> bool:
-        """Whether a response carries the id of the request of the call, or no id.
+        """Whether a response belongs to the call and not to an earlier request.
 
-        Behind a response to an earlier request, one without an id is not accepted.
+        A response without an id is accepted only as the first one on a connection.
+        Otherwise the request may have run or may still run, and its own response is
+        awaited for a limited time.
         """
         job: Job = call.state
+        attempt = job.attempt
         metadata = self._protocol.read_response(status, headers)
         if metadata.request_id is not None:
             matches = metadata.request_id == job.request.request_id
         else:
-            matches = not job.attempt.skipped_response
-        job.attempt.skipped_response |= not matches
+            matches = not call.reused and not attempt.skipped_response
+            self._on_unidentified(job, attempt, metadata, matches)
+        attempt.skipped_response |= not matches
         return matches
 
+    def _on_unidentified(
+        self, job: Job, attempt: Attempt, metadata: ResponseMetadata, matches: bool
+    ) -> None:
+        """Handle a response without an id, which may not be the one to the request."""
+        if job.request.request_id and not metadata.wrong_target:
+            self._unidentified.record(attempt.target.name, self._clock.now_ms())
+            self._port.drop_idle(attempt.target.address)
+        if not matches and not job.route.is_repeatable:
+            self._set_response_timer(job, attempt)
+
     def on_response(self, call: TargetCall, status: int, headers: HeaderList) -> None:
         """Handle the head of a response."""
         attempt = call.state.attempt
         attempt.status = status
         attempt.headers = headers
         attempt.metadata = self._protocol.read_response(status, headers)
+        if attempt.skipped_response and not call.state.route.is_repeatable:
+            self._timers.cancel(_response_timer(call.state))
         self._observe_weights(call.state, attempt)
         self._apply_target_signals(call.state, attempt)
         if call.state.workspace is not None and 200 <= status < 300:
--- a/papayacrank/platform/tests/test_faulty_servers.py
+++ b/papayacrank/platform/tests/test_faulty_servers.py
@@ -1,6 +1,7 @@
 """Tests of callers' responses while servers break the protocol, over real sockets."""
 
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -148,6 +149,138 @@
     assert (reply.body, reply.complete) == (EVENTS, True)
 
 
+class RefusingServer:
+    """Server that refuses every third request and writes the refusal once more.
+
+    Parameters
+    ----------
+    when : str
+        When the refusal is written again: ``"at once"``, ``"between requests"`` or
+        ``"into the next request"``.
+    has_id : bool
+        Whether the repeated refusal carries the id of the refused request.
+    is_split : bool
+        Whether refusals arrive in several packets.
+    runs : list of bytes
+        Ids of the requests that this server ran.
+    """
+
+    def __init__(self, when, has_id, is_split, runs):
+        self._when = when
+        self._has_id = has_id
+        self._is_split = is_split
+        self._runs = runs
+        self._pending = {}
+
+    def __call__(self, sock, data, number):
+        """Handle one request."""
+        request_id = request_id_of(data)
+        repeated = self._pending.pop(sock, None)
+        if repeated is not None:
+            self._write(sock, repeated)
+        if number % 3 != 1:
+            self._runs.append(request_id)
+            time.sleep(0.01)
+            sock.sendall(build_answer(request_id, b"served " + request_id))
+            return
+        repeated = build_refusal(request_id if self._has_id else None)
+        self._write(sock, build_refusal(request_id))
+        if self._when == "at once":
+            self._write(sock, repeated)
+        elif self._when == "between requests":
+            time.sleep(0.02)
+            self._write(sock, repeated)
+        else:
+            self._pending[sock] = repeated
+
+    def _write(self, sock, data):
+        if not self._is_split:
+            sock.sendall(data)
+            return
+        for part in (data[:9], data[9:60], data[60:]):
+            sock.sendall(part)
+            time.sleep(0.004)
+
+
+@pytest.mark.parametrize("path", ["/claim/x", "/lookup/x"])
+@pytest.mark.parametrize("is_split", [False, True])
+@pytest.mark.parametrize("has_id", [False, True])
+@pytest.mark.parametrize(
+    "when", ["at once", "between requests", "into the next request"]
+)
+def test_repeated_refusal_is_not_the_response_to_another_request(
+    when, has_id, is_split, path
+):
+    """Guards against "not run" for a request that runs, or a second run of it."""
+    runs = []
+    scripts = [RefusingServer(when, has_id, is_split, runs) for _ in range(2)]
+    with Entry(*scripts) as entry, ThreadPoolExecutor(3) as callers:
+        ids = [f"r{number}" for number in range(45)]
+        replies = list(callers.map(lambda name: entry.ask(path, name), ids))
+    for name, reply in zip(ids, replies, strict=True):
+        count = runs.count(name.encode())
+        assert reply.complete
+        if reply.status == 200:
+            assert reply.body == b"served " + name.encode()
+        elif reply.status in (408, 421, 429, 503):
+            assert count == 0
+        if path == "/claim/x":
+            assert count <= 1
+    assert [reply.status for reply in replies].count(502) == 0
+
+
+def test_refusals_without_an_id_are_repeated_elsewhere():
+    """Guards against failures at a server whose refusals state no request."""
+    runs = []
+
+    def refuse(sock, data, number):
+        sock.sendall(build_refusal())
+
+    def serve(sock, data, number):
+        runs.append(request_id_of(data))
+        sock.sendall(build_answer(request_id_of(data)))
+
+    with Entry(refuse, serve) as entry:
+        statuses = [entry.ask("/claim/x", f"r{n}").status for n in range(12)]
+    assert statuses == [200] * 12
+    assert len(runs) == len(set(runs)) == 12
+
+
+def test_request_that_gets_no_identified_response_is_not_reported_as_not_run():
+    """Guards against "not run" if the refusal on a kept connection has no id."""
+    seen = []
+
+    def script(sock, data, number):
+        seen.append(number)
+        if number == 1:
+            sock.sendall(build_answer(request_id_of(data)))
+        else:
+            sock.sendall(build_refusal())
+
+    with Entry(script) as entry:
+        assert entry.ask("/claim/x", "r1").status == 200
+        began = time.monotonic()
+        assert entry.ask("/claim/x", "r2", deadline_ms=5_000).status == 502
+        assert time.monotonic() - began < 2.5
+    assert len(seen) == 2
+
+
+def test_request_without_an_id_uses_a_new_connection():
+    """Guards against failures of requests whose responses cannot be identified."""
+
+    def script(sock, data, number):
+        request_id = request_id_of(data)
+        if request_id:
+            sock.sendall(build_answer(request_id))
+        else:
+            sock.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 4\r\n\r\nnone")
+
+    with Entry(script) as entry:
+        assert entry.ask("/claim/x", "r1").status == 200
+        reply = entry.ask("/claim/x", "")
+    assert (reply.status, reply.body) == (404, b"none")
+
+
 def test_refusal_behind_a_stale_response_is_not_trusted_without_an_id():
     """Guards against a second stale response on a new connection."""
     runs = []
