Open a new connection to an address that had the request before

Possible outcome: a refusal of the first sending, written once more, is taken for the response to the second one, which is then reported as not run or sent to a third server although it runs. Found by reading, not seen at a caller.

Cause: a second sending of a request uses a new connection, because its id cannot tell both apart. The targets were compared by name, but connections are kept by address, and an address is used again by other servers: after 421 from one, the next target of the list may have the same address.

Change: the addresses are compared. test_second_attempt_at_an_address_uses_a_new_connection failed before.

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -9,6 +9,7 @@
 from papayacrank.kernel import Clock, Failure, Verdict, log_event
 from papayacrank.messages import (
     FleetLoad,
+    FleetTarget,
     FleetView,
     PartLocation,
     RequestKind,
@@ -571,11 +572,11 @@
             job.exchange.body,
             self,
             self._connection_limit(job),
-            needs_new_connection=self._needs_new_connection(job, target.name, now_ms),
+            needs_new_connection=self._needs_new_connection(job, target, now_ms),
             send_before_ms=permit.until_ms if permit is not None else None,
             state=job,
         )
-        job.sent_to.add(target.name)
+        job.sent_to.add(target.address)
         is_stream = job.route.kind is RequestKind.STREAM
         attempt = Attempt(
             target,
@@ -639,12 +640,12 @@
         limit = job.service.max_connections
         return max(2, limit // (self._instances + 1)) if limit else 64
 
-    def _needs_new_connection(self, job: Job, target: str, now_ms: int) -> bool:
+    def _needs_new_connection(self, job: Job, target: FleetTarget, now_ms: int) -> bool:
         """Whether a response could be taken for one to another sending of a request."""
         return (
-            target in job.sent_to
+            target.address in job.sent_to
             or not job.request.request_id
-            or self._unidentified.requires_new_connection(target, now_ms)
+            or self._unidentified.requires_new_connection(target.name, now_ms)
         )
 
     def _set_response_timer(self, job: Job, attempt: Attempt) -> None:
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -101,7 +101,7 @@
     excluded : set of str
         Targets that must not get the request again.
     sent_to : set of str
-        Targets that the request was sent to.
+        Addresses that the request was sent to.
     attempt : Attempt or None
         Attempt in progress.
     last_event_id : str or None
--- a/papayacrank/forwarding/tests/test_forwarder.py
+++ b/papayacrank/forwarding/tests/test_forwarder.py
@@ -531,6 +531,16 @@
     assert bench.call.needs_new_connection
 
 
+def test_second_attempt_at_an_address_uses_a_new_connection():
+    """Guards against a duplicate refusal of the earlier server of an address."""
+    targets = [build_target(name, address="10.0.0.1:80") for name in ("p1", "p2")]
+    bench = Bench(*targets)
+    bench.send("/claim/x")
+    bench.respond(421, b"", server="p9")
+    assert len(bench.port.calls) == 2
+    assert bench.call.needs_new_connection
+
+
 def test_comments_do_not_count_as_progress_of_a_stream():
     """Guards against a stalled stream that comments keep alive."""
     bench = Bench(*ENGINES)
