--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -9,6 +9,7 @@
 from papayacrank.kernel import Clock, Failure, Verdict, log_event
 from papayacrank.messages import (
     FleetLoad,
+    FleetTarget,
     FleetView,
     PartLocation,
     RequestKind,
@@ -29,7 +30,7 @@
 )
 from papayacrank.transport import ExchangeListener, HttpExchange, Timers
 
-from ._base import CallerProtocol, Dispatch, ForwardRequest
+from ._base import CallerProtocol, Dispatch, ForwardRequest, ResponseMetadata
 from ._durations import RouteDurations
 from ._event_stream import EventStreamError
 from ._events import (
@@ -53,6 +54,7 @@
 from ._selection import RETRY_JITTER, TargetSelection
 from ._target_port import CallFailure, CallListener, TargetCall, TargetPort
 from ._targets import TargetTable
+from ._unidentified import UnidentifiedResponses
 
 # Attempts per request whatever their outcome; prevents endless loops.
 MAX_TRIES = 5
@@ -181,6 +183,7 @@
         self._durations = RouteDurations()
         self._stops_at_ms: int | None = None
         self._pauses = TargetPauses(settings.max_pause_ms)
+        self._unidentified = UnidentifiedResponses()
         self._selection = TargetSelection(
             self._table,
             self._health,
@@ -255,6 +258,7 @@
         for target in removed:
             self._health.forget(target.name)
             self._pauses.forget(target.name)
+            self._unidentified.forget(target.name)
             self._parts.engines.forget_location(target.name)
             self._port.drop_idle(target.address)
         self._permits.client.retain((t.name, t.born_ms) for t in view.targets)
@@ -635,11 +639,11 @@
             job.exchange.body,
             self,
             self._connection_limit(job),
-            needs_new_connection=target.name in job.sent_to,
+            needs_new_connection=self._needs_new_connection(job, target, now_ms),
             send_before_ms=permit.until_ms if permit is not None else None,
             state=job,
         )
-        job.sent_to.add(target.name)
+        job.sent_to.add(target.address)
         is_stream = job.route.kind is RequestKind.STREAM
         attempt = Attempt(
             target,
@@ -651,6 +655,7 @@
             salt=salt,
             store=store.name if dispatch.save_to is not None else "",
             is_stream=is_stream,
+            is_resume=job.has_events,
             permit=permit,
             number=job.tries + 1,
             rate_knowledge=self._permits.client.knowledge_of(target.name),
@@ -703,8 +708,20 @@
         limit = job.service.max_connections
         return max(2, limit // (self._instances + 1)) if limit else 64
 
+    def _needs_new_connection(self, job: Job, target: FleetTarget, now_ms: int) -> bool:
+        """Whether a response could be taken for one to another sending of a request."""
+        return (
+            target.address in job.sent_to
+            or not job.request.request_id
+            or self._unidentified.requires_new_connection(target.name, now_ms)
+        )
+
     def _set_response_timer(self, job: Job, attempt: Attempt) -> None:
-        """Start the timer that retries a repeatable request at another target."""
+        """Start the timer that ends an attempt without a response.
+
+        It is set for repeatable requests, which are then retried at another target, and
+        for those whose connection returned a response without an id.
+        """
         objective_ms = job.route.objective_ms
         if not attempt.is_stream:
             wait_ms = max(
@@ -729,6 +746,10 @@
         """
         if job.is_done or job.attempt is not attempt:
             return
+        if not job.route.is_repeatable:
+            self._port.cancel(attempt.call)
+            self._on_incomplete_response(job, attempt, "unidentified_answer")
+            return
         now_ms = self._clock.now_ms()
         if not attempt.is_silent:
             attempt.is_silent = True
@@ -837,10 +858,32 @@
     # Responses of targets
 
     def matches_call(self, call: TargetCall, status: int, headers: HeaderList) -> bool:
-        """Whether a response carries the id of the request of the call, or no id."""
+        """Whether a response belongs to the call and not to an earlier request.
+
+        A response without an id is accepted only as the first one on a connection.
+        Otherwise the request may have run or may still run, and its own response is
+        awaited for a limited time.
+        """
+        job: Job = call.state
+        attempt = job.attempt_of(call)
         metadata = self._protocol.read_response(status, headers)
-        request_id = call.state.request.request_id
-        return metadata.request_id is None or metadata.request_id == request_id
+        if metadata.request_id is not None:
+            matches = metadata.request_id == job.request.request_id
+        else:
+            matches = not call.reused and not attempt.skipped_response
+            self._on_unidentified(job, attempt, metadata, matches)
+        attempt.skipped_response |= not matches
+        return matches
+
+    def _on_unidentified(
+        self, job: Job, attempt: Attempt, metadata: ResponseMetadata, matches: bool
+    ) -> None:
+        """Handle a response without an id, which may not be the one to the request."""
+        if job.request.request_id and not metadata.wrong_target:
+            self._unidentified.record(attempt.target.name, self._clock.now_ms())
+            self._port.drop_idle(attempt.target.address)
+        if not matches and not job.route.is_repeatable:
+            self._set_response_timer(job, attempt)
 
     def on_response(self, call: TargetCall, status: int, headers: HeaderList) -> None:
         """Handle the head of a response."""
@@ -849,17 +892,23 @@
         attempt.status = status
         attempt.headers = headers
         attempt.metadata = self._protocol.read_response(status, headers)
+        if attempt.skipped_response and not job.route.is_repeatable:
+            self._timers.cancel(_response_timer(job, attempt))
         self._observe_weights(job, attempt)
         self._apply_target_signals(job, attempt)
         is_success = 200 <= status < 300
         if job.workspace is not None and is_success:
             self._quota.spend(_quota_id(job), job.cost, self._clock.now_ms())
-        if attempt.is_stream and not is_success:
-            attempt.is_stream = False
+        was_stream = attempt.is_stream
+        attempt.is_stream = was_stream and _is_usable_stream(attempt)
         call.is_buffered = not attempt.is_stream
         if is_success and job.silent_attempt is attempt:
             self._restore_silent_attempt(job)
-        elif is_success and attempt.metadata.is_valid:
+        elif (
+            is_success
+            and attempt.metadata.is_valid
+            and (attempt.is_stream or not was_stream)
+        ):
             self._end_silent_attempt(job, "silent")
 
     def _observe_weights(self, job: Job, attempt: Attempt) -> None:
@@ -933,6 +982,11 @@
                 self._restore_silent_attempt(job)
             if job.is_done or job.attempt is not attempt:
                 return
+            if attempt.is_resume and event.has_content and event.event_id is None:
+                # Without an id its place in the stream is unknown.
+                self._port.cancel(call)
+                self._on_incomplete_response(job, attempt, "event without an id")
+                return
             self._forward_event(job, attempt, event)
 
     def on_ended(self, call: TargetCall) -> None:
@@ -1322,6 +1376,19 @@
     return min(MAX_URGENCY, max(0, rank))
 
 
+def _is_usable_stream(attempt: Attempt) -> bool:
+    """Whether the head of a response begins a stream that can be forwarded."""
+    metadata = attempt.metadata
+    is_identified = metadata.request_id is not None or not attempt.call.reused
+    return (
+        200 <= attempt.status < 300
+        and metadata.is_event_stream
+        and metadata.is_valid
+        and is_identified
+        and not metadata.not_run
+    )
+
+
 def _is_duplicate(event_id: str, last_id: str | None) -> bool:
     """Whether the caller already received an event."""
     if last_id is None or not (event_id.isdigit() and last_id.isdigit()):
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -47,6 +47,10 @@
         Whether the first event of a stream arrived.
     is_stream : bool
         Whether the response is forwarded event by event.
+    is_resume : bool
+        Whether the attempt continues a stream of which the caller has events.
+    skipped_response : bool
+        Whether the connection returned a response that was not accepted.
     permit : Permit or None
         Permit of the attempt, if its target has a request rate limit.
     number : int
@@ -72,6 +76,8 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     has_first_event: bool = False
     is_stream: bool = False
+    is_resume: bool = False
+    skipped_response: bool = False
     permit: Permit | None = None
     number: int = 1
     is_silent: bool = False
@@ -101,7 +107,7 @@
     excluded : set of str
         Targets that must not get the request again.
     sent_to : set of str
-        Targets that the request was sent to.
+        Addresses that the request was sent to.
     attempt : Attempt or None
         Attempt in progress.
     silent_attempt : Attempt or None
--- /dev/null
+++ b/papayacrank/platform/tests/test_faulty_servers.py
@@ -0,0 +1,297 @@
+"""Tests of callers' responses while servers break the protocol, over real sockets."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from .faulty_servers import (
+    Entry,
+    build_answer,
+    build_event,
+    build_refusal,
+    build_stream_head,
+    chunk,
+    end,
+    last_event_of,
+    request_id_of,
+    reset,
+)
+
+EVENTS = b"".join(build_event(number) for number in (1, 2, 3))
+
+
+def serve_stream(sock, data, number):
+    """Serve the rest of a stream of three events."""
+    sock.sendall(build_stream_head(request_id_of(data)))
+    for event in range(last_event_of(data) + 1, 4):
+        sock.sendall(chunk(build_event(event)))
+    sock.sendall(b"0\r\n\r\n")
+
+
+def break_first_stream(answer_again):
+    """Return two scripts: the first request gets an event and a broken stream.
+
+    Parameters
+    ----------
+    answer_again : callable
+        Script of each further request.
+    """
+    seen = []
+
+    def script(sock, data, number):
+        seen.append(1)
+        if len(seen) > 1:
+            answer_again(sock, data, len(seen))
+            return
+        sock.sendall(build_stream_head(request_id_of(data)) + chunk(build_event(1)))
+        time.sleep(0.05)
+        reset(sock)
+
+    return script, script
+
+
+HTML = b"<html>\n\n<h1>out of order</h1>\n\nid: 2\ndata: x\n\n</html>\n\n"
+ID = b"Papayacrank-Request-Id: %s\r\n"
+SEAL = b"Papayacrank-Server-Seal: s\r\n"
+STREAM_TYPE = b"Content-Type: text/event-stream\r\n"
+LENGTH = b"Content-Length: %d\r\n\r\n" % len(HTML)
+ERRORS = {
+    "500": b"HTTP/1.1 500 Fault\r\n" + ID + SEAL + LENGTH + HTML,
+    "500 without a body": b"HTTP/1.1 500 F\r\n"
+    + ID
+    + SEAL
+    + b"Content-Length: 0\r\n\r\n",
+    "503 not run": b"HTTP/1.1 503 B\r\n"
+    + ID
+    + b"Papayacrank-Not-Executed: 1\r\n"
+    + LENGTH
+    + HTML,
+    "503": b"HTTP/1.1 503 B\r\n" + ID + SEAL + LENGTH + HTML,
+    "404": b"HTTP/1.1 404 None\r\n" + ID + SEAL + LENGTH + HTML,
+    "404 that ends with its connection": b"HTTP/1.1 404 N\r\n"
+    + ID
+    + SEAL
+    + b"\r\n"
+    + HTML,
+    "error as a stream": b"HTTP/1.1 500 F\r\n"
+    + ID
+    + SEAL
+    + STREAM_TYPE
+    + LENGTH
+    + HTML,
+    "cut head": b"HTTP/1.1 500 Fault\r\n" + ID + b"Content-Le",
+    "cut head of a stream": b"HTTP/1.1 200 OK\r\n" + ID + SEAL + STREAM_TYPE,
+    "200 of another type": b"HTTP/1.1 200 OK\r\n"
+    + ID
+    + SEAL
+    + b"Content-Type: text/html\r\n"
+    + LENGTH
+    + HTML,
+    "200 without a type": b"HTTP/1.1 200 OK\r\n" + ID + SEAL + LENGTH + HTML,
+    "200 without a seal": b"HTTP/1.1 200 OK\r\n" + ID + STREAM_TYPE + LENGTH + HTML,
+    "200 without an id": b"HTTP/1.1 200 OK\r\n" + SEAL + STREAM_TYPE + LENGTH + HTML,
+    "200 that was not run": b"HTTP/1.1 200 OK\r\n"
+    + ID
+    + SEAL
+    + b"Papayacrank-Not-Executed: 1\r\n"
+    + STREAM_TYPE
+    + LENGTH
+    + HTML,
+    "200 with an error event": b"HTTP/1.1 200 OK\r\n"
+    + ID
+    + SEAL
+    + STREAM_TYPE
+    + b"\r\nevent: error\ndata: out of order\n\n",
+    "no response": b"out of order\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("error", list(ERRORS))
+def test_error_of_the_next_server_is_not_part_of_the_stream(error):
+    """Guards against the text of an error inside a stream or a stream ended by it."""
+    response = ERRORS[error]
+
+    def fail(sock, data, number):
+        filled = response.replace(b"%s", request_id_of(data))
+        sock.sendall(filled)
+        end(sock)
+
+    with Entry(*break_first_stream(fail), service="engines") as entry:
+        reply = entry.ask("/reply/x", deadline_ms=1_500)
+    assert reply.status == 200
+    assert reply.body == build_event(1)
+    assert not reply.complete
+
+
+@pytest.mark.parametrize("error", list(ERRORS))
+def test_first_server_with_an_invalid_stream_starts_no_stream(error):
+    """Guards against a success without a seal, or a stream that is none."""
+    response = ERRORS[error]
+
+    def fail(sock, data, number):
+        sock.sendall(response.replace(b"%s", request_id_of(data)))
+        end(sock)
+
+    with Entry(fail, fail, service="engines") as entry:
+        reply = entry.ask("/appraise/x", deadline_ms=1_500)
+    if 200 <= reply.status < 300 and reply.complete:
+        assert "papayacrank-server-seal" in reply.headers
+        assert b"200 OK" in response and SEAL in response
+    else:
+        assert b"out of order" not in reply.body or reply.status in (404, 500, 503)
+
+
+def test_stream_is_resumed_at_a_sound_server():
+    """Guards against tests of broken streams that would fail for any next server."""
+    with Entry(*break_first_stream(serve_stream), service="engines") as entry:
+        reply = entry.ask("/reply/x")
+    assert (reply.body, reply.complete) == (EVENTS, True)
+
+
+class RefusingServer:
+    """Server that refuses every third request and writes the refusal once more.
+
+    Parameters
+    ----------
+    when : str
+        When the refusal is written again: ``"at once"``, ``"between requests"`` or
+        ``"into the next request"``.
+    has_id : bool
+        Whether the repeated refusal carries the id of the refused request.
+    is_split : bool
+        Whether refusals arrive in several packets.
+    runs : list of bytes
+        Ids of the requests that this server ran.
+    """
+
+    def __init__(self, when, has_id, is_split, runs):
+        self._when = when
+        self._has_id = has_id
+        self._is_split = is_split
+        self._runs = runs
+        self._pending = {}
+
+    def __call__(self, sock, data, number):
+        """Handle one request."""
+        request_id = request_id_of(data)
+        repeated = self._pending.pop(sock, None)
+        if repeated is not None:
+            self._write(sock, repeated)
+        if number % 3 != 1:
+            self._runs.append(request_id)
+            time.sleep(0.01)
+            sock.sendall(build_answer(request_id, b"served " + request_id))
+            return
+        repeated = build_refusal(request_id if self._has_id else None)
+        self._write(sock, build_refusal(request_id))
+        if self._when == "at once":
+            self._write(sock, repeated)
+        elif self._when == "between requests":
+            time.sleep(0.02)
+            self._write(sock, repeated)
+        else:
+            self._pending[sock] = repeated
+
+    def _write(self, sock, data):
+        if not self._is_split:
+            sock.sendall(data)
+            return
+        for part in (data[:9], data[9:60], data[60:]):
+            sock.sendall(part)
+            time.sleep(0.004)
+
+
+@pytest.mark.parametrize("path", ["/claim/x", "/lookup/x"])
+@pytest.mark.parametrize("is_split", [False, True])
+@pytest.mark.parametrize("has_id", [False, True])
+@pytest.mark.parametrize(
+    "when", ["at once", "between requests", "into the next request"]
+)
+def test_repeated_refusal_is_not_the_response_to_another_request(
+    when, has_id, is_split, path
+):
+    """Guards against "not run" for a request that runs, or a second run of it."""
+    runs = []
+    scripts = [RefusingServer(when, has_id, is_split, runs) for _ in range(2)]
+    with Entry(*scripts) as entry, ThreadPoolExecutor(3) as callers:
+        ids = [f"r{number}" for number in range(45)]
+        replies = list(callers.map(lambda name: entry.ask(path, name), ids))
+    for name, reply in zip(ids, replies, strict=True):
+        count = runs.count(name.encode())
+        assert reply.complete
+        if reply.status == 200:
+            assert reply.body == b"served " + name.encode()
+        elif reply.status in (408, 421, 429, 503):
+            assert count == 0
+        if path == "/claim/x":
+            assert count <= 1
+    assert [reply.status for reply in replies].count(502) == 0
+
+
+def test_refusals_without_an_id_are_repeated_elsewhere():
+    """Guards against failures at a server whose refusals state no request."""
+    runs = []
+
+    def refuse(sock, data, number):
+        sock.sendall(build_refusal())
+
+    def serve(sock, data, number):
+        runs.append(request_id_of(data))
+        sock.sendall(build_answer(request_id_of(data)))
+
+    with Entry(refuse, serve) as entry:
+        statuses = [entry.ask("/claim/x", f"r{n}").status for n in range(12)]
+    assert statuses == [200] * 12
+    assert len(runs) == len(set(runs)) == 12
+
+
+def test_request_that_gets_no_identified_response_is_not_reported_as_not_run():
+    """Guards against "not run" if the refusal on a kept connection has no id."""
+    seen = []
+
+    def script(sock, data, number):
+        seen.append(number)
+        if number == 1:
+            sock.sendall(build_answer(request_id_of(data)))
+        else:
+            sock.sendall(build_refusal())
+
+    with Entry(script) as entry:
+        assert entry.ask("/claim/x", "r1").status == 200
+        began = time.monotonic()
+        assert entry.ask("/claim/x", "r2", deadline_ms=5_000).status == 502
+        assert time.monotonic() - began < 2.5
+    assert len(seen) == 2
+
+
+def test_request_without_an_id_uses_a_new_connection():
+    """Guards against failures of requests whose responses cannot be identified."""
+
+    def script(sock, data, number):
+        request_id = request_id_of(data)
+        if request_id:
+            sock.sendall(build_answer(request_id))
+        else:
+            sock.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 4\r\n\r\nnone")
+
+    with Entry(script) as entry:
+        assert entry.ask("/claim/x", "r1").status == 200
+        reply = entry.ask("/claim/x", "")
+    assert (reply.status, reply.body) == (404, b"none")
+
+
+def test_refusal_behind_a_stale_response_is_not_trusted_without_an_id():
+    """Guards against a second stale response on a new connection."""
+    runs = []
+
+    def script(sock, data, number):
+        runs.append(request_id_of(data))
+        sock.sendall(build_refusal(b"earlier") + build_refusal())
+        time.sleep(0.05)
+        sock.sendall(build_answer(request_id_of(data)))
+
+    with Entry(script, script) as entry:
+        reply = entry.ask("/claim/x", "r1")
+    assert runs == [b"r1"]
+    assert reply.status == 200
