Do not take a reset for the end of a response without length

Callers got: the first part of a response as a whole one, framed as complete. A server that had not read the whole request began a response with neither a length nor chunks, and reset the connection.

Cause: a reset is reported once for each socket. If the loop finds the socket readable and writable in one turn, the response is read first, then the rest of the request is sent, and that gets the error. The following read returns an end of file, which ends a response without a length.

Change: an end of file after a failed sending counts as a lost connection. A response with a length or chunks that arrived before is accepted as before.

--- a/papayacrank/forwarding/_target_port.py
+++ b/papayacrank/forwarding/_target_port.py
@@ -321,7 +321,7 @@
         except OSError as error:
             # The response may have arrived before the target closed the connection.
             connection.drop_unsent()
-            connection.reusable = False
+            connection.broken = True
             self._read(connection)
             if call.is_open and connection.call is call:
                 self._on_connection_lost(connection, str(error))
@@ -386,6 +386,10 @@
             return
         if data is None:
             return
+        if not data and connection.broken:
+            # The error that a reset sets on a socket is reported once, here to `send`.
+            self._on_connection_lost(connection, "reset")
+            return
         self._parse(connection, data)
 
     # Responses
@@ -549,7 +553,8 @@
         is_clean = (
             is_idle and not protocol.trailing_data[0] and not connection.has_unsent
         )
-        if not is_clean or not connection.reusable or connection.max_idle_ms <= 0:
+        is_reusable = connection.reusable and not connection.broken
+        if not is_clean or not is_reusable or connection.max_idle_ms <= 0:
             self._close(connection)
             return
         protocol.start_next_cycle()
--- a/papayacrank/forwarding/tests/test_target_port.py
+++ b/papayacrank/forwarding/tests/test_target_port.py
@@ -204,6 +204,22 @@
     assert bench.run(target.address, "a") == ("a", "connection_lost", True)
 
 
+def test_response_without_length_is_incomplete_if_sending_fails(bench):
+    """Guards against a reset that the failed sending of the request hides."""
+
+    def script(sock, data, number):
+        if number == 1:
+            time.sleep(0.05)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nid: a\r\n\r\npart")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            sock.close()
+
+    for _ in range(20):
+        target = ScriptedTarget(script)
+        outcome = bench.run(target.address, "a", b"x" * 8_000_000)
+        assert outcome == ("a", "connection_lost", True)
+
+
 @pytest.mark.parametrize(
     "response",
     [
