Close connections that ended with their response at once

A connection whose response has neither a length nor chunks, and ends with it, went to the idle pool. No caller was affected: the poller reports its end, and it is checked before it is used. It counted towards the limit of connections to the target meanwhile.

Cause: the parser allows a further cycle after such an end of file.

--- a/papayacrank/forwarding/_target_port.py
+++ b/papayacrank/forwarding/_target_port.py
@@ -553,7 +553,9 @@
         is_clean = (
             is_idle and not protocol.trailing_data[0] and not connection.has_unsent
         )
-        is_reusable = connection.reusable and not connection.broken
+        is_reusable = connection.reusable and not (
+            connection.broken or connection.has_eof
+        )
         if not is_clean or not is_reusable or connection.max_idle_ms <= 0:
             self._close(connection)
             return
--- a/papayacrank/platform/tests/faulty_servers.py
+++ b/papayacrank/platform/tests/faulty_servers.py
@@ -11,6 +11,7 @@
 
 from papayacrank.admission import LocalShares
 from papayacrank.forwarding import Forwarder, ForwardingSettings
+from papayacrank.forwarding._health import TargetHealth
 from papayacrank.forwarding._quota import QuotaEnforcer
 from papayacrank.forwarding._target_port import TargetPort
 from papayacrank.forwarding.tests.builders import (
@@ -176,6 +177,11 @@
         self._root.stop()
         self._thread.join(5)
 
+    def forget_failures(self):
+        """Forget the health of all targets and the retries so far."""
+        self.forwarder._health = TargetHealth()
+        self.forwarder._selection._health = self.forwarder._health
+
     def connect(self):
         """Return a connection of a caller."""
         host, port = self._http.address.split(":")
