Answer a request whose handling raises an exception

Callers would see: nothing, on a connection that stays open, because the exchange had been opened and no deadline was set yet when the exception occurred. Fix: the port answers 500, or cuts a response that has begun, and logs exchange_failed. The new test fails without it (the reply does not come).

--- a/papayacrank/transport/_events.py
+++ b/papayacrank/transport/_events.py
@@ -40,7 +40,16 @@
     "by type.",
 )
 
+EXCHANGE_FAILED = LogEvent(
+    1008,
+    "exchange_failed",
+    "error",
+    "The handling of a request raised an exception; its caller got status 500.",
+    "Report the error; the process continues to serve requests.",
+)
+
 declare_events(
+    EXCHANGE_FAILED,
     CALLER_INPUT_REFUSED,
     LINK_TRAFFIC,
     UNDECODABLE_MESSAGE,
--- a/papayacrank/transport/_http_port.py
+++ b/papayacrank/transport/_http_port.py
@@ -11,7 +11,7 @@
 from papayacrank.kernel import Clock, log_event
 
 from ._caller_server import CallerServer
-from ._events import CALLER_INPUT_REFUSED
+from ._events import CALLER_INPUT_REFUSED, EXCHANGE_FAILED
 from ._timers import Timers
 
 SWEEP_INTERVAL_MS = 500
@@ -459,7 +459,22 @@
         caller.request_started_ms = None
         caller.head = None
         caller.body = []
-        self._listener.on_exchange(exchange)
+        try:
+            self._listener.on_exchange(exchange)
+        except Exception as error:
+            text = f"{type(error).__name__}: {error}"
+            log_event(EXCHANGE_FAILED, port=self._name, error=text)
+            self._end_failed(exchange)
+
+    @staticmethod
+    def _end_failed(exchange: HttpExchange) -> None:
+        """Respond to a request whose listener failed, or cut its response."""
+        if not exchange.is_open:
+            return
+        if exchange.response_started:
+            exchange.abort()
+        else:
+            exchange.respond(HTTPStatus.INTERNAL_SERVER_ERROR, [])
 
     def _refuse_request(
         self, sock, caller: _CallerConnection, status: int, reason: str
--- a/papayacrank/transport/tests/test_http_port.py
+++ b/papayacrank/transport/tests/test_http_port.py
@@ -50,6 +50,8 @@
             exchange.send(b"one")
             exchange.send(b"two")
             exchange.end()
+        elif head.target == "/fail":
+            raise ValueError("unexpected request")
         elif head.target == "/large":
             exchange.respond(200, [], b"x" * LARGE_RESPONSE_BYTES)
         elif head.target == "/cut":
@@ -166,6 +168,15 @@
     assert responses.index(b"GET /1") < responses.index(b"GET /2")
 
 
+def test_request_whose_handling_fails_gets_an_error_response(server):
+    """Guards against a request that gets neither an answer nor a refusal."""
+    sock = server.connect()
+    reply = send_and_receive(sock, b"GET /fail HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert reply.startswith(b"HTTP/1.1 500 ")
+    reply = send_and_receive(sock, b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n", b"/next ")
+    assert reply.startswith(b"HTTP/1.1 200 ")
+
+
 @pytest.mark.parametrize(
     ("head", "status"),
     [
