Refuse the other held requests if the handling of one fails

Callers would see: no answer for requests held at the start of an instance, if the handling of one of them raised an exception when the first configuration or target list came, since the timers of all had been cancelled by then. Fix: each is released right before it is handled, so that the others keep their timers, which refuse them. The new test fails without it.

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -394,8 +394,8 @@
         """Process the requests that were held until this process was ready."""
         if not self.is_ready or not self._held_exchanges:
             return
-        held, self._held_exchanges = self._held_exchanges, {}
-        for number, exchange in held.items():
+        for number in list(self._held_exchanges):
+            exchange = self._held_exchanges.pop(number)
             self._timers.cancel(_start_timer(number))
             if exchange.is_open:
                 self.on_exchange(exchange)
--- a/papayacrank/forwarding/tests/test_forwarder.py
+++ b/papayacrank/forwarding/tests/test_forwarder.py
@@ -484,6 +484,18 @@
     assert len(bench.port.calls) == 1
 
 
+def test_held_requests_are_answered_if_the_handling_of_one_fails(monkeypatch):
+    """Guards against held requests that get neither an answer nor a refusal."""
+    bench = Bench()
+    callers = [bench.send(id=f"r{number}") for number in (1, 2)]
+    monkeypatch.setattr(bench.forwarder, "_admit", lambda *_: 1 / 0)
+    bench.forwarder.apply_routing(build_configuration())
+    with pytest.raises(ZeroDivisionError):
+        bench.forwarder.apply_fleet(build_view(*PLAIN))
+    bench.advance(400)
+    assert callers[1].status == 503
+
+
 def test_wait_for_startup_is_limited():
     """Guards against requests that are held although nothing can serve them."""
     bench = build_starting_bench()
