Do not cut a last response that its caller reads slowly

Callers saw: a response cut 2 s after its end was written to the send buffer, if it ended the connection (during a planned stop every response does) and was not read by then. Cause: the time for discarding input began when the response was buffered, and the connection was closed at its end whatever the buffer held. Fix: the time begins again with each part that the caller takes, and the sending side is shut down once all was sent. The native interface has a time-out of its own for slow readers and was right.

--- a/papayacrank/transport/_http_port.py
+++ b/papayacrank/transport/_http_port.py
@@ -20,6 +20,7 @@
 MIN_IDLE_BEFORE_CLOSE_MS = 150
 # After a response that ends the connection, input is discarded for this time: closing a
 # socket with unread input resets the connection, and the caller may lose the response.
+# The time starts again whenever the caller reads a part of the response.
 LINGERING_CLOSE_MS = 2_000
 # Total size of the send buffers of a port. An instance has 128 MB of memory.
 MAX_PORT_BUFFERED_BYTES = 25_165_824
@@ -339,6 +340,12 @@
         if not self._server.buffered_bytes(sock):
             self._server.half_close(sock)
 
+    @handler("caller_progress")
+    def _on_caller_progress(self, sock):
+        caller = self._callers.get(sock)
+        if caller is not None and caller.linger_until_ms is not None:
+            self._lingering_close(sock, caller)
+
     # Requests
 
     @handler("connect")
--- a/papayacrank/transport/tests/test_http_port.py
+++ b/papayacrank/transport/tests/test_http_port.py
@@ -18,6 +18,7 @@
     Timers,
     install_process_handlers,
 )
+from papayacrank.transport._http_port import LINGERING_CLOSE_MS
 
 from .http_messages import REQUESTS, SHARED_PORT_SETTINGS, corrupted_messages
 
@@ -361,6 +362,19 @@
     assert len(response.partition(b"\r\n\r\n")[2]) == LARGE_RESPONSE_BYTES
 
 
+def test_slow_caller_receives_the_complete_last_response(server):
+    """Guards against a response cut 2 s after its end was written to the buffer."""
+    sock = server.connect()
+    sock.sendall(b"GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+    received = 0
+    for _ in range(4):
+        time.sleep(LINGERING_CLOSE_MS / 3_000)
+        for _ in range(8):
+            received += len(sock.recv(65_536))
+    received += len(receive_until_closed(sock))
+    assert received > LARGE_RESPONSE_BYTES
+
+
 def test_total_size_of_request_bodies_is_limited(server, loop_caller):
     """Guards against a process that runs out of memory under large requests."""
     head = b"POST /hold HTTP/1.1\r\nHost: a\r\nContent-Length: 4500\r\n\r\n"
