--- a/papayacrank/transport/tests/test_http_port.py
+++ b/papayacrank/transport/tests/test_http_port.py
@@ -18,6 +18,7 @@
     Timers,
     install_process_handlers,
 )
+from papayacrank.transport._http_port import LINGERING_CLOSE_MS
 
 from .http_messages import REQUESTS, SHARED_PORT_SETTINGS, corrupted_messages
 
@@ -50,6 +51,8 @@
             exchange.send(b"one")
             exchange.send(b"two")
             exchange.end()
+        elif head.target == "/fail":
+            raise ValueError("unexpected request")
         elif head.target == "/large":
             exchange.respond(200, [], b"x" * LARGE_RESPONSE_BYTES)
         elif head.target == "/cut":
@@ -166,6 +169,15 @@
     assert responses.index(b"GET /1") < responses.index(b"GET /2")
 
 
+def test_request_whose_handling_fails_gets_an_error_response(server):
+    """Guards against a request that gets neither an answer nor a refusal."""
+    sock = server.connect()
+    reply = send_and_receive(sock, b"GET /fail HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert reply.startswith(b"HTTP/1.1 500 ")
+    reply = send_and_receive(sock, b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n", b"/next ")
+    assert reply.startswith(b"HTTP/1.1 200 ")
+
+
 @pytest.mark.parametrize(
     ("head", "status"),
     [
@@ -350,6 +362,19 @@
     assert len(response.partition(b"\r\n\r\n")[2]) == LARGE_RESPONSE_BYTES
 
 
+def test_slow_caller_receives_the_complete_last_response(server):
+    """Guards against a response cut 2 s after its end was written to the buffer."""
+    sock = server.connect()
+    sock.sendall(b"GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+    received = 0
+    for _ in range(4):
+        time.sleep(LINGERING_CLOSE_MS / 3_000)
+        for _ in range(8):
+            received += len(sock.recv(65_536))
+    received += len(receive_until_closed(sock))
+    assert received > LARGE_RESPONSE_BYTES
+
+
 def test_total_size_of_request_bodies_is_limited(server, loop_caller):
     """Guards against a process that runs out of memory under large requests."""
     head = b"POST /hold HTTP/1.1\r\nHost: a\r\nContent-Length: 4500\r\n\r\n"
