Reproduce crashes of one server after the other by one prompt part

Callers of engines got errors while requests with one part, at any instance, crashed each engine that began to answer them: nothing collects that the crashed engines had a part in common.

--- /dev/null
+++ b/papayacrank/platform/tests/test_deadly_parts.py
@@ -0,0 +1,184 @@
+"""Integration tests of prompt parts that crash each server which begins to answer."""
+
+import http.client
+import json
+import threading
+import time
+from dataclasses import dataclass
+
+import pytest
+
+from .builders import KEY
+from .crashing_engine import CrashingEngine
+from .fake_platform import IPS, FakePlatform
+
+CONTACT_S = 3.0
+# From `CONTACT_S` after the fifth crash on, at most three requests with the part reach
+# servers; sound ones are compared from twice this time on.
+CRASHES_UNTIL_VERDICT = 5
+MAX_DEADLY_REQUESTS = 3
+MIN_SHARE_OF_BEFORE = 0.5
+BEFORE_S = 4.0
+DURATION_S = 16.0
+SOUND_PER_S = 24
+DEADLY_PER_S = 3
+DEADLY = "dead01"
+COMMON = "c0ffee"
+ENGINES = 4
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """Outcome of one request of a caller."""
+
+    sent_s: float
+    status: int
+    events: int
+    code: str
+
+
+def send_stream(platform, ip, request_id, parts):
+    """Send a streaming request and return its outcome."""
+    prefix = ",".join(f"{part}:100" for part in (*parts, f"own-{request_id}"))
+    headers = {
+        "Host": "h.example",
+        "X-Api-Key": KEY,
+        "Papayacrank-Request-Id": request_id,
+        "Papayacrank-Deadline-Ms": "6000",
+        "Papayacrank-Model": "m1",
+        "Papayacrank-Token-Count": f"{100 * (len(parts) + 1)},20",
+        "Papayacrank-Prompt-Prefix": prefix,
+    }
+    sent_s = time.monotonic()
+    connection = platform.connect(ip, 8)
+    status, body = 0, b""
+    try:
+        connection.request("POST", "/reply/x", b"body", headers)
+        response = connection.getresponse()
+        status = response.status
+        body = response.read()
+    except http.client.IncompleteRead as error:
+        body = error.partial
+    except (OSError, http.client.HTTPException):
+        pass
+    finally:
+        connection.close()
+    code = json.loads(body)["error"] if status >= 400 else ""
+    return Outcome(sent_s, status, body.count(b"data:"), code)
+
+
+def send_steadily(platform, name, rate_per_s, duration_s, choose_parts):
+    """Start threads that send requests to all instances in turn; return them."""
+    outcomes, started = [], time.monotonic()
+    threads = []
+
+    def send(number):
+        wait_s = started + number / rate_per_s - time.monotonic()
+        time.sleep(max(0.0, wait_s))
+        ip = platform.entry_ips[number % len(platform.entry_ips)]
+        parts = choose_parts(number)
+        outcomes.append(send_stream(platform, ip, f"{name}-{number}", parts))
+
+    for number in range(int(duration_s * rate_per_s)):
+        thread = threading.Thread(target=send, args=(number,), daemon=True)
+        thread.start()
+        threads.append(thread)
+    return outcomes, threads
+
+
+def sound_parts(number):
+    """Return the shared parts of a sound request."""
+    return [COMMON, f"middle-{number % 7}", f"late-{number % 3}"]
+
+
+def deadly_parts(number):
+    """Return parts with the deadly one first or in the middle, no two lists alike."""
+    others = [f"middle-{number % 7}", f"extra-{number}"]
+    return [DEADLY, *others] if number % 3 == 0 else [COMMON, DEADLY, *others]
+
+
+def share_of_begun(outcomes, from_s, to_s):
+    """Return the share of requests that began at once, and their number."""
+    chosen = [o for o in outcomes if from_s <= o.sent_s < to_s]
+    begun = sum(o.status == 200 and o.events > 0 for o in chosen)
+    return begun / max(1, len(chosen)), len(chosen)
+
+
+@pytest.fixture
+def platform(tmp_path):
+    """Return a running deployment with engines that crash on a part."""
+    running = FakePlatform(tmp_path)
+    engines = [CrashingEngine(f"x-{n}", {DEADLY}) for n in range(ENGINES)]
+    running.cloud.servers = [*running.plain, *engines]
+    running.engines = engines
+    try:
+        running.start()
+        running.configure()
+        for ip in IPS:
+            running.wait(lambda ip=ip: running.is_ready(ip))
+            running.wait(
+                lambda ip=ip: (
+                    send_stream(running, ip, f"w-{ip}", [COMMON]).status == 200
+                )
+            )
+        yield running
+    finally:
+        running.stop()
+        for engine in engines:
+            engine.close()
+
+
+def collect_crashes(platform):
+    """Return the crashes of all engines as sorted times."""
+    return sorted(at_s for engine in platform.engines for at_s, _ in engine.crashes)
+
+
+def test_requests_with_a_part_that_crashes_servers_are_contained(platform):
+    """Guards against a part that takes down one server after the other."""
+    total_s = BEFORE_S + DURATION_S
+    sound, threads = send_steadily(platform, "s", SOUND_PER_S, total_s, sound_parts)
+    time.sleep(BEFORE_S)
+    from_s = time.monotonic()
+    deadly, others = send_steadily(
+        platform, "d", DEADLY_PER_S, DURATION_S, deadly_parts
+    )
+    for thread in (*threads, *others):
+        thread.join()
+    crashes = collect_crashes(platform)
+    last_s = crashes[:CRASHES_UNTIL_VERDICT][-1]
+    arrivals = [
+        at_s - from_s
+        for engine in platform.engines
+        for at_s, _, parts in engine.arrivals
+        if DEADLY in parts
+    ]
+    late = [at_s for at_s in arrivals if at_s > last_s + CONTACT_S - from_s]
+    before, _ = share_of_begun(sound, 0, from_s)
+    settled_s = last_s + 2 * CONTACT_S
+    after, count = share_of_begun(sound, settled_s, from_s + DURATION_S)
+    middle, middle_count = share_of_begun(sound, from_s, settled_s)
+    print(f"crashes at {[round(at_s - from_s, 2) for at_s in crashes]}")
+    print(f"deadly arrivals {len(arrivals)}, late {len(late)} of {len(deadly)} sent")
+    print(f"begun {before:.3f} before, {middle:.3f} of {middle_count} until settled")
+    print(f"begun {after:.3f} of {count} after")
+    assert len(late) <= MAX_DEADLY_REQUESTS
+    assert count >= 20
+    assert after >= MIN_SHARE_OF_BEFORE * before
+
+
+def test_crashes_of_another_cause_blame_no_part(platform):
+    """Guards against sound requests that are refused for a part they all share."""
+    for engine in platform.engines:
+        engine.deadly_parts.clear()
+    sound, threads = send_steadily(
+        platform, "s", 2 * SOUND_PER_S, DURATION_S / 2, lambda _: [COMMON]
+    )
+    for number in range(6):
+        time.sleep(1.0)
+        platform.engines[number % ENGINES].crash()
+    for thread in threads:
+        thread.join()
+    share, count = share_of_begun(sound, 0, time.monotonic())
+    print(f"begun {share:.3f} of {count}, {len(collect_crashes(platform))} crashes")
+    assert not [o for o in sound if o.code == "quarantined"]
+    assert share >= 0.98
