--- /dev/null
+++ b/papayacrank/quarantine/_events.py
@@ -0,0 +1,89 @@
+"""Log events of the quarantine of prompt parts."""
+
+from collections.abc import Iterable
+
+from papayacrank.kernel import LogEvent, declare_events
+
+# Part names are texts of callers: their share of a log line is bounded.
+MAX_LOGGED_PARTS = 8
+MAX_LOGGED_PART_CHARS = 64
+
+
+def format_parts(parts: Iterable[str]) -> list[str]:
+    """Return part names as they appear in log lines."""
+    return [name[:MAX_LOGGED_PART_CHARS] for name in sorted(parts)[:MAX_LOGGED_PARTS]]
+
+
+CRASH_SEEN = LogEvent(
+    2211,
+    "target_crash_seen",
+    "warning",
+    "A target has crashed while it held requests of this process that it had not begun"
+    " to answer; their prompt parts are reported to the leader.",
+)
+PART_SUSPECTED = LogEvent(
+    2212,
+    "parts_suspected",
+    "info",
+    "The leader counts a crash against prompt parts; `on_trial` lists those of which"
+    " only one request at a time may be sent.",
+)
+PARTS_CLEARED = LogEvent(
+    2213,
+    "parts_cleared",
+    "info",
+    "Prompt parts are not suspected any more: a target has answered a request with"
+    " them, or a verdict explains the crashes.",
+)
+TRIAL_GRANTED = LogEvent(
+    2214,
+    "trial_granted",
+    "info",
+    "The leader grants a request with suspected prompt parts.",
+)
+TRIAL_ENDED = LogEvent(
+    2215,
+    "trial_ended",
+    "info",
+    "A request with suspected prompt parts has ended: `crash`, `success`, `none` (ended"
+    " otherwise) or `lost` (its instance did not report the end).",
+)
+VERDICT = LogEvent(
+    2216,
+    "parts_quarantined",
+    "warning",
+    "Requests with these prompt parts crash targets and are refused from now on.",
+    "Inform the owner of the workspaces. `papayacrank-admin quarantine` lists and lifts"
+    " verdicts.",
+)
+VERDICT_CHANGED = LogEvent(
+    2217,
+    "quarantine_changed",
+    "warning",
+    "A verdict on prompt parts was narrowed to fewer parts, widened to more"
+    " workspaces, or confirmed by a failed trial.",
+)
+VERDICT_LIFTED = LogEvent(
+    2218,
+    "quarantine_lifted",
+    "warning",
+    "Requests with these prompt parts are accepted again.",
+)
+REQUEST_REFUSED = LogEvent(
+    2219,
+    "quarantine_refused",
+    "info",
+    "A request was refused because of its prompt parts.",
+)
+
+declare_events(
+    CRASH_SEEN,
+    PART_SUSPECTED,
+    PARTS_CLEARED,
+    TRIAL_GRANTED,
+    TRIAL_ENDED,
+    VERDICT,
+    VERDICT_CHANGED,
+    VERDICT_LIFTED,
+    REQUEST_REFUSED,
+)
--- /dev/null
+++ b/papayacrank/quarantine/_inquest.py
@@ -0,0 +1,172 @@
+"""Search for the parts that explain crashes, without I/O."""
+
+from collections.abc import Iterable
+
+from ._suspicions import Crash, Suspect, Suspicion, SuspicionTable
+
+# Crashes of a part that lead to a verdict if the last one was of a trial.
+CRASHES_WITH_TRIAL = 3
+# Crashes that lead to a verdict without a trial, and at how many distinct times.
+CRASHES_WITHOUT_TRIAL = 5
+DISTINCT_TIMES = 3
+DISTINCT_MS = 500
+# A crash within this time of crashes of so many other targets that have nothing to do
+# with its parts is taken as part of a common failure.
+COMMON_FAILURE_MS = 1_000
+COMMON_FAILURE_TARGETS = 2
+
+
+class Inquest:
+    """Finds the combination of parts that explains a crash.
+
+    Parameters
+    ----------
+    suspicions : SuspicionTable
+        Crashes and evidence against parts.
+    """
+
+    def __init__(self, suspicions: SuspicionTable):
+        self._suspicions = suspicions
+
+    def find_cause(self, crash: Crash) -> frozenset[str]:
+        """Return the parts that explain a crash; empty if that is not certain."""
+        return self._find_by_trial(crash) or self._find_by_number(crash)
+
+    def count(self, parts: Iterable[str]) -> int:
+        """Return the most crashes that are counted against one of some parts."""
+        known = (self._suspicions.get(name) for name in parts)
+        return max((s.count for s in known if s is not None), default=0)
+
+    def list_workspaces(self, parts: frozenset[str]) -> set[str]:
+        """Return the workspaces whose requests with some parts were in crashes."""
+        numbers = set()
+        for name in parts:
+            suspicion = self._suspicions.get(name)
+            numbers |= suspicion.crashes.keys() if suspicion is not None else set()
+        crashes = (self._suspicions.get_crash(number) for number in sorted(numbers))
+        return {
+            suspect.workspace
+            for crash in crashes
+            if crash is not None
+            for suspect in crash.suspects
+            if parts <= suspect.parts
+        }
+
+    def is_rival(self, parts: frozenset[str], suspect: Suspect) -> bool:
+        """Whether a request may have caused the crashes that parts are blamed for."""
+        return self.count(suspect.parts) >= max(2, self.count(parts))
+
+    def _evidence(self, crash: Crash, suspect: Suspect) -> list[Suspicion]:
+        """Return the suspicions of a request that a crash is counted against."""
+        known = (self._suspicions.get(name) for name in suspect.parts)
+        return [s for s in known if s is not None and crash.number in s.crashes]
+
+    def _find_by_trial(self, crash: Crash) -> frozenset[str]:
+        """Return the parts that a failed trial proves guilty.
+
+        No other request that was part of the crash may be a possible cause: it must
+        have no part with repeated crashes, or with any crash as long as those of the
+        trial's parts have not been at distinct times, because they may be those of one
+        common failure.
+        """
+        cores = []
+        for suspect in crash.suspects:
+            if suspect.trial:
+                evidence = self._evidence(crash, suspect)
+                core = {s for s in map(_key, evidence) if self._is_on_trial(s)}
+                if core:
+                    cores.append(core)
+        if not cores:
+            return frozenset()
+        common = set.intersection(*cores)
+        is_repeated = any(
+            _distinct_times(self._suspicions.get(name)) >= DISTINCT_TIMES
+            for name in common
+        )
+        min_rival = 2 if is_repeated else 1
+        for suspect in crash.suspects:
+            evidence = self._evidence(crash, suspect)
+            if any(s.count >= min_rival for s in evidence):
+                common &= suspect.parts
+        if not common or self._is_common_failure(crash, common):
+            for name in set.union(*cores):
+                self._suspicions.get(name).is_exclusive = True
+            return frozenset()
+        return self._keep_most_frequent(common)
+
+    def _is_on_trial(self, name: str) -> bool:
+        return self._suspicions.get(name).count >= CRASHES_WITH_TRIAL
+
+    def _keep_most_frequent(self, names: Iterable[str]) -> frozenset[str]:
+        """Return those parts that were in all crashes of the others."""
+        count = self.count(names)
+        return frozenset(n for n in names if self._suspicions.get(n).count == count)
+
+    def _is_common_failure(self, crash: Crash, parts: set[str]) -> bool:
+        targets = {
+            other.target
+            for other in self._suspicions.list_crashes()
+            if abs(other.at_ms - crash.at_ms) <= COMMON_FAILURE_MS
+            and not other.explained_by
+            and not any(parts & suspect.parts for suspect in other.suspects)
+        }
+        return len(targets - {crash.target}) >= COMMON_FAILURE_TARGETS
+
+    def _find_by_number(self, crash: Crash) -> frozenset[str]:
+        """Return the parts of so many crashes that chance does not explain them."""
+        names = {name for suspect in crash.suspects for name in suspect.parts}
+        known = (self._suspicions.get(name) for name in sorted(names))
+        candidates = [
+            s
+            for s in known
+            if s is not None
+            and s.count >= CRASHES_WITHOUT_TRIAL
+            and crash.number in s.crashes
+            and _distinct_times(s) >= DISTINCT_TIMES
+        ]
+        for candidate in sorted(candidates, key=lambda s: -s.count):
+            parts = self._find_companions(candidate)
+            if parts:
+                return parts
+        return frozenset()
+
+    def _find_companions(self, candidate: Suspicion) -> frozenset[str]:
+        """Return a part and those that were always with it.
+
+        Returns
+        -------
+        frozenset of str
+            Empty if parts of other requests explain the crashes as well.
+        """
+        common: set[str] | None = None
+        for number in candidate.crashes:
+            crash = self._suspicions.get_crash(number)
+            if crash is None:
+                continue
+            for suspect in crash.suspects:
+                if candidate.name in suspect.parts:
+                    together = set(suspect.parts)
+                    common = together if common is None else common & together
+                elif self.count(suspect.parts) >= candidate.count:
+                    return frozenset()
+        if common is None:
+            return frozenset()
+        return frozenset(
+            name
+            for name in common
+            if name == candidate.name or self.count([name]) == candidate.count
+        )
+
+
+def _key(suspicion: Suspicion) -> str:
+    return suspicion.name
+
+
+def _distinct_times(suspicion: Suspicion) -> int:
+    """Return at how many distinct times the crashes of a part were."""
+    distinct, last_ms = 0, None
+    for at_ms in sorted(suspicion.crashes.values()):
+        if last_ms is None or at_ms - last_ms >= DISTINCT_MS:
+            distinct += 1
+            last_ms = at_ms
+    return distinct + suspicion.inherited
