Collect evidence against prompt parts on the leader and distribute it

Serves crash reports, clearings and trial requests with the registry of the quarantine package, like permits: changes are pushed to all entry processes at once, heartbeats carry the position in the table, and a starting process gets the table before its first acknowledgement. A leader without a lease grants no trials.

--- a/papayacrank/control/_contact.py
+++ b/papayacrank/control/_contact.py
@@ -155,6 +155,7 @@
         self._weights: dict[str, int] = {}
         self._fleet_position = (0, 0)
         self._rates_position = (0, 0)
+        self._quarantine_position = (0, 0)
 
     @property
     def term(self) -> int:
@@ -252,6 +253,10 @@
         """Set the position of the table of request rates, which heartbeats report."""
         self._rates_position = (term, revision)
 
+    def set_quarantine_position(self, term: int, revision: int) -> None:
+        """Set the position of the table of suspected parts, which heartbeats report."""
+        self._quarantine_position = (term, revision)
+
     def start(self, now_ms: int) -> list[Effect]:
         """Send the first heartbeat."""
         return self._send_heartbeat(now_ms)
@@ -304,6 +309,7 @@
             shares,
             *self._fleet_position,
             *self._rates_position,
+            *self._quarantine_position,
         )
         interval_ms = self._settings.heartbeat_interval_ms
         if self._is_searching(now_ms):
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -23,6 +23,7 @@
     ReplaceMember,
 )
 from papayacrank.permits import PermitAllocator
+from papayacrank.quarantine import QuarantineRegistry
 from papayacrank.state import (
     CommandEntry,
     Entry,
@@ -53,6 +54,7 @@
 from ._permit_service import PERMIT_MESSAGES, PermitService
 from ._platform_list import PLATFORM_LIST_KEY, PlatformListPoller
 from ._publisher import FeedPublisher
+from ._quarantine_service import QUARANTINE_MESSAGES, QuarantineService
 from ._requests import RequestHandler, build_change_notices
 
 RAFT_TIMER_PREFIX = "raft."
@@ -111,6 +113,7 @@
         self._fleet = fleet
         permits = fleet.permits if fleet is not None else PermitAllocator()
         self._permits = PermitService(permits)
+        self._quarantine = QuarantineService(QuarantineRegistry())
         self._leases = EntryLeases(settings.entry_lease_ms, settings.clock_drift)
         self._publisher = FeedPublisher(machine)
         self._requests = RequestHandler(raft, machine, settings.instance)
@@ -174,6 +177,8 @@
             return self._on_heartbeat(sender, message, now_ms)
         if isinstance(message, PERMIT_MESSAGES):
             return self._on_permit_message(sender, message, now_ms)
+        if isinstance(message, QUARANTINE_MESSAGES):
+            return self._on_quarantine_message(sender, message, now_ms)
         if isinstance(message, EntryLoad) and self.is_active and self._fleet:
             self._fleet.observe_load(message, now_ms)
         return []
@@ -285,6 +290,7 @@
         self._orders.reset(self._raft.term, now_ms)
         self._platform_list.reset()
         self._permits.reset(self._raft.term)
+        self._quarantine.reset(self._raft.term)
         if self._fleet is not None:
             self._fleet.reset(self._raft.term, now_ms)
         self._propose(
@@ -376,6 +382,8 @@
         # The limits come before the view, after which a new process sends requests.
         position = (heartbeat.rates_term, heartbeat.rates_revision)
         missing_updates += self._permits.resend(sender, *position, now_ms)
+        position = (heartbeat.quarantine_term, heartbeat.quarantine_revision)
+        missing_updates += self._quarantine.resend(sender, *position, now_ms)
         missing_updates += self._resend_fleet_view(heartbeat, sender, now_ms)
         if not self._machine.needs_entry(heartbeat):
             return [*missing_updates, self._acknowledge(heartbeat, lease)]
@@ -434,6 +442,12 @@
         replies = self._permits.receive(sender, message, now_ms)
         return [*replies, *self._push_rates(now_ms)]
 
+    def _on_quarantine_message(self, sender: str, message, now_ms: int) -> list[Any]:
+        if not self._may_serve(now_ms):
+            return [Send(sender, NotLeader("", self._other_leader()))]
+        replies = self._quarantine.receive(sender, message, now_ms)
+        return [*self._quarantine.push(self._entry_names, now_ms), *replies]
+
     def _push_rates(self, now_ms: int) -> list[Any]:
         return self._permits.push(self._entry_names, now_ms)
 
@@ -453,6 +467,8 @@
         effects += self._poll_fleet(now_ms)
         effects += self._push_load(now_ms)
         effects += self._push_rates(now_ms)
+        self._quarantine.tick(now_ms)
+        effects += self._quarantine.push(self._entry_names, now_ms)
         return effects + self._requests.poll()
 
     def _poll_fleet(self, now_ms: int) -> list[Any]:
--- a/papayacrank/messages/_requests.py
+++ b/papayacrank/messages/_requests.py
@@ -146,6 +146,8 @@
         Term and sequence of the newest `FleetView` of the sender.
     rates_term, rates_revision : int
         Term and revision of the newest `TargetRates` that the sender has in full.
+    quarantine_term, quarantine_revision : int
+        Term and revision of the newest `QuarantineTable` that the sender has in full.
     """
 
     instance: str
@@ -161,6 +163,8 @@
     fleet_sequence: int = 0
     rates_term: int = 0
     rates_revision: int = 0
+    quarantine_term: int = 0
+    quarantine_revision: int = 0
 
 
 class HeartbeatAck(msgspec.Struct, tag=True, frozen=True):
