Refuse forwarded requests with prompt parts that crash engines

Callers got errors while requests with one part crashed each engine that began to answer them, one after the other: no process knew that the crashes had a part in common, and each deadly request was sent to two engines.

An attempt whose connection is lost before the second event is a suspect now. One connection attempt to the engine's address tells a crash from a single reset; the suspects of a crash are reported to the leader. Requests whose parts are on trial are sent under a trial of the leader, quarantined ones are refused at once, and a request that has taken part in two crashes is not repeated. The second event or a complete response clears its parts. The end of a connection proves no complete response, because it may be that of the engine.

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -27,6 +27,7 @@
     PermitPort,
     RateKnowledge,
 )
+from papayacrank.quarantine import PartsAdmission
 from papayacrank.transport import ExchangeListener, HttpExchange, Timers
 
 from ._base import CallerProtocol, Dispatch, ForwardRequest
@@ -50,6 +51,7 @@
 from ._retry_budget import RetryBudget
 from ._routes import RouteIndex
 from ._selection import RETRY_JITTER, TargetSelection
+from ._suspects import SuspectTracker
 from ._target_port import CallFailure, CallListener, TargetCall, TargetPort
 from ._targets import TargetTable
 
@@ -132,6 +134,8 @@
         Rate limits of the workspaces.
     permits : PermitPort
         Permits for targets with a request rate limit.
+    suspects : SuspectTracker
+        Quarantine of prompt parts that crash targets.
     clock : Clock
         Clock of `timers`.
     timers : Timers
@@ -147,6 +151,7 @@
         port: TargetPort,
         quota: QuotaEnforcer,
         permits: PermitPort,
+        suspects: SuspectTracker,
         clock: Clock,
         timers: Timers,
         random_state: random.Random,
@@ -156,6 +161,7 @@
         self._port = port
         self._quota = quota
         self._permits = permits
+        self._suspects = suspects
         self._clock = clock
         self._timers = timers
         self._random = random_state
@@ -429,6 +435,9 @@
             self._give_back(permit)
             self._give_up(job, "deadline", "no time is left")
             return
+        if not self._may_send_parts(job):
+            self._give_back(permit)
+            return
         store = self._choose_store(job)
         request = self._build_placement_request(job, store, now_ms)
         if permit is not None:
@@ -452,6 +461,28 @@
         else:
             self._request_permit(job, choice.target.name, max_wait_ms, now_ms)
 
+    def _may_send_parts(self, job: Job) -> bool:
+        """Whether a request may be sent now; otherwise refuse it or request a trial."""
+        decision = self._suspects.check(job)
+        if decision.admission is PartsAdmission.REFUSED:
+            self._refuse_parts(job, decision.retry_after_ms)
+        elif decision.admission is PartsAdmission.NEEDS_TRIAL:
+            self._suspects.request_trial(
+                job,
+                lambda: self._dispatch(job),
+                lambda retry_after_ms: self._refuse_parts(job, retry_after_ms),
+            )
+        return decision.admission is PartsAdmission.ALLOWED
+
+    def _refuse_parts(self, job: Job, retry_after_ms: int | None) -> None:
+        text = "a part of the prompt is suspected to crash targets"
+        if job.may_have_run:
+            self._give_up(job, "quarantined", text)
+            return
+        if retry_after_ms is None:
+            retry_after_ms = DEFAULT_RETRY_AFTER_MS
+        self._fail(job, _refusal("quarantined", text, 503, retry_after_ms))
+
     def _forecast_delay_ms(self, job: Job, choice: Choice, remaining_ms: int) -> int:
         """Return by how much a queue is too long for a request, 0 if it is not.
 
@@ -588,6 +619,7 @@
             rate_knowledge=self._permits.client.knowledge_of(target.name),
         )
         job.attempt = attempt
+        self._suspects.begin_attempt(job, attempt)
         job.tries += 1
         self._table.begin(target.name, attempt.prefill_tokens, attempt.memory_tokens)
         if job.route.is_repeatable:
@@ -684,6 +716,7 @@
 
     def _close_attempt(self, job: Job, attempt: Attempt) -> None:
         self._timers.cancel(_response_timer(job))
+        self._suspects.on_attempt_closed(attempt)
         if not attempt.has_first_event:
             self._table.end_prefill(attempt.target.name, attempt.prefill_tokens)
             if attempt.call.bytes_written:
@@ -701,7 +734,7 @@
             return False
         if job.has_events and job.last_event_id is None:
             return False
-        if runs + 1 > job.route.max_attempts:
+        if runs + 1 > job.route.max_attempts or not self._suspects.may_repeat(job):
             return False
         remaining_ms = job.deadline_at_ms - self._clock.now_ms()
         return remaining_ms > 2 * MIN_REMAINING_MS and self._consume_retry(job)
@@ -846,6 +879,10 @@
         is_unreachable = (
             failure.code == "connect_timeout" or failure.message == "ETIMEDOUT"
         )
+        known = self._table.find(name)
+        if known is None or not known.leaving:
+            # A target that is restarted as planned may end its open requests.
+            self._suspects.on_lost(job, attempt, failure)
         if failure.may_have_run and not has_no_connection:
             self._record_target_failure(job, attempt, now_ms)
         if is_unreachable:
@@ -888,6 +925,7 @@
         job.runs += 1
         failed = attempt.status >= SERVER_ERROR
         name = attempt.target.name
+        self._suspects.on_complete(job, attempt)
         if failed:
             self._record_target_failure(job, attempt, now_ms)
         else:
@@ -914,6 +952,7 @@
         if event.has_content:
             if not attempt.has_first_event:
                 self._on_first_event(job, attempt)
+            self._suspects.on_event(job, attempt)
             if job.route.is_repeatable:
                 self._set_response_timer(job, attempt)
         if event.event_id is not None:
@@ -975,9 +1014,11 @@
 
     def _complete_stream(self, job: Job, attempt: Attempt) -> None:
         if attempt.splitter.has_partial or not attempt.has_first_event:
+            self._suspects.on_truncated(job, attempt)
             self._on_incomplete_response(job, attempt, "truncated_stream")
             return
         job.runs += 1
+        self._suspects.on_complete(job, attempt)
         self._close_attempt(job, attempt)
         job.exchange.end()
         self._finish(job, attempt, "served", attempt.status)
@@ -1056,6 +1097,7 @@
         self._timers.cancel(_deadline_timer(job))
         self._timers.cancel(_response_timer(job))
         self._permits.cancel(_quota_id(job))
+        self._suspects.on_finished(job)
         now_ms = self._clock.now_ms()
         if job.workspace is not None:
             if self._awaiting_grant.pop(_quota_id(job), None) is not None:
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -51,6 +51,14 @@
         Permit of the attempt, if its target has a request rate limit.
     rate_knowledge : RateKnowledge
         What was known about the limit of the target at the time of sending.
+    events : int
+        Number of events of the stream so far.
+    is_begun : bool
+        Whether the response was written past its beginning.
+    is_suspect : bool
+        Whether the request may have crashed the target.
+    trial : int
+        Number of the trial under which the request was sent; 0 if none.
     """
 
     target: FleetTarget
@@ -70,6 +78,10 @@
     is_stream: bool = False
     permit: Permit | None = None
     rate_knowledge: RateKnowledge = RateKnowledge()
+    events: int = 0
+    is_begun: bool = False
+    is_suspect: bool = False
+    trial: int = 0
 
 
 @dataclass(eq=False)
@@ -119,6 +131,12 @@
         Some targets with a request rate limit, if the request was refused.
     forecast_wait_ms : int
         Last forecast of the time in the queue of an engine, in milliseconds.
+    is_begun : bool
+        Whether any response to the request was written past its beginning.
+    crashes : int
+        Number of crashes of targets that the request may have caused.
+    trial : int
+        Number of the trial for the next attempt; 0 if none.
     is_done : bool
         Whether the request has its final outcome.
     """
@@ -147,6 +165,9 @@
     refused_permits: list[str] = field(default_factory=list)
     limited_targets: list[str] = field(default_factory=list)
     forecast_wait_ms: int = 0
+    is_begun: bool = False
+    crashes: int = 0
+    trial: int = 0
     is_done: bool = False
 
     @property
--- a/papayacrank/forwarding/_metrics.py
+++ b/papayacrank/forwarding/_metrics.py
@@ -45,6 +45,13 @@
             ["outcome"],
             registry=self._registry,
         )
+        self._quarantine = Counter(
+            "papayacrank_quarantine",
+            "Decisions on requests with prompt parts that are suspected to crash"
+            " targets, by outcome",
+            ["outcome"],
+            registry=self._registry,
+        )
         self._ttft = Histogram(
             "papayacrank_forwarding_ttft_seconds",
             "Time from the arrival of a request to its first event",
@@ -106,6 +113,10 @@
         """Count a decision on a permit, or a returned permit."""
         self._permits.labels(outcome).inc()
 
+    def on_quarantine(self, outcome: str) -> None:
+        """Count a decision on suspected parts, a reported crash or cleared parts."""
+        self._quarantine.labels(outcome).inc()
+
     def on_first_event(self, service: str, ttft_ms: int) -> None:
         """Observe the time to the first event of a stream."""
         self._ttft.labels(service).observe(ttft_ms / MS_PER_SECOND)
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -19,6 +19,7 @@
 from papayacrank.kernel import MonotonicClock, log_event
 from papayacrank.messages import CONTROL_MESSAGES, FleetChange, FleetLoad, FleetView
 from papayacrank.permits import PermitClient, PermitPort
+from papayacrank.quarantine import QuarantineClient, QuarantinePort
 from papayacrank.transport import (
     ExchangeListener,
     HttpExchange,
@@ -33,6 +34,7 @@
 )
 
 from ._base import CallerProtocol
+from ._crash_check import ConnectionCheck
 from ._directory import choose_addresses
 from ._events import (
     CONTROL_LOST,
@@ -43,6 +45,7 @@
 )
 from ._forwarder import Forwarder, ForwardingSettings
 from ._quota import QuotaEnforcer
+from ._suspects import SuspectTracker
 from ._target_port import TargetPort
 
 TICK_INTERVAL_MS = 100
@@ -162,17 +165,26 @@
             self._clock,
             self._timers,
         )
+        self._quarantine = QuarantinePort(
+            QuarantineClient(settings.forwarding.instance),
+            lambda message: self._control.send_to_leader(message),
+            self._clock,
+            self._timers,
+        )
+        crash_check = ConnectionCheck(self._clock, self._timers).register(self)
         self._forwarder = Forwarder(
             settings.forwarding,
             protocol,
             self._target_port,
             self._quota,
             self._permits,
+            SuspectTracker(self._quarantine, crash_check, self._clock),
             self._clock,
             self._timers,
             self._random,
         )
         self._permits.count = self._forwarder.metrics.on_permit
+        self._quarantine.count = self._forwarder.metrics.on_quarantine
         self._forwarder.on_quota_wait = self._poll_quota
         self._build_control()
         self._build_ports()
@@ -301,6 +313,16 @@
             "Targets with a request rate limit",
             lambda: self._permits.client.limited_targets,
         )
+        metrics.add_gauge(
+            "suspected_parts",
+            "Prompt parts that are suspected to crash targets",
+            lambda: self._quarantine.client.suspected_parts,
+        )
+        metrics.add_gauge(
+            "quarantined_parts",
+            "Prompt parts whose requests are refused because they crash targets",
+            lambda: self._quarantine.client.quarantined_parts,
+        )
 
     # Control group
 
@@ -340,6 +362,8 @@
         elif isinstance(message, FleetLoad):
             self._forwarder.apply_load(message)
         else:
+            self._quarantine.receive(message)
+            self._contact.set_quarantine_position(*self._quarantine.client.position)
             self._permits.receive(message)
             self._contact.set_rates_position(*self._permits.client.position)
 
@@ -373,6 +397,7 @@
         self._send_load()
         self._update_contact(now_ms)
         self._permits.poll(self._contact.term)
+        self._quarantine.poll(self._contact.term)
         if self._shares.needs_report(now_ms):
             self._control.send_heartbeat()
         if self._ticks % SWEEP_TICKS == 0:
--- /dev/null
+++ b/papayacrank/forwarding/_suspects.py
@@ -0,0 +1,217 @@
+"""Requests whose prompt parts are suspected to crash targets."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from papayacrank.kernel import Clock
+from papayacrank.messages import SuspectRequest
+from papayacrank.quarantine import (
+    PartsAdmission,
+    PartsDecision,
+    QuarantinePort,
+    TrialDecision,
+    TrialOutcome,
+)
+
+from ._crash_check import CrashCheck
+from ._job import Attempt, Job
+from ._target_port import CallFailure
+
+# A stream is written past its beginning with this event.
+BEGUN_EVENTS = 2
+# A request that has taken part in this many crashes is not repeated.
+MAX_CRASHES = 2
+# Losses that show a broken path rather than the end of the target.
+PATH_ERRORS = frozenset({"ETIMEDOUT", "EHOSTUNREACH", "ENETUNREACH", "ENETDOWN"})
+_ALLOWED = PartsDecision(PartsAdmission.ALLOWED)
+
+
+@dataclass(eq=False)
+class _LostTarget:
+    """Requests that lost their connections to a target that is being checked."""
+
+    start: int
+    lost_ms: int
+    suspects: list[tuple[Job, SuspectRequest]] = field(default_factory=list)
+
+
+class SuspectTracker:
+    """Applies the quarantine to the attempts of requests, and reports suspects.
+
+    A request is a suspect if its connection was lost before the response was written
+    past its beginning. The target has crashed if its address refuses connections then;
+    otherwise the loss counts for nothing.
+
+    Parameters
+    ----------
+    quarantine : QuarantinePort
+        Suspected and quarantined parts.
+    crash_check : CrashCheck
+        Check of a target's address.
+    clock : Clock
+        Clock of the process.
+    """
+
+    def __init__(
+        self, quarantine: QuarantinePort, crash_check: CrashCheck, clock: Clock
+    ):
+        self._quarantine = quarantine
+        self._crash_check = crash_check
+        self._clock = clock
+        self._lost: dict[tuple[str, str], _LostTarget] = {}
+
+    # Admission
+
+    def check(self, job: Job) -> PartsDecision:
+        """Return whether a request may be sent now, unless it has a trial already."""
+        parts = _names(job)
+        if not parts:
+            return _ALLOWED
+        now_ms = self._clock.now_ms()
+        decision = self._quarantine.client.check(_workspace(job), parts, now_ms)
+        if decision.admission is PartsAdmission.REFUSED:
+            self._quarantine.note_refused(
+                _workspace(job), parts, decision, job.request.request_id
+            )
+        elif decision.admission is PartsAdmission.NEEDS_TRIAL and job.trial:
+            return _ALLOWED
+        return decision
+
+    def request_trial(
+        self,
+        job: Job,
+        on_granted: Callable[[], None],
+        on_refused: Callable[[int | None], None],
+    ) -> None:
+        """Request a trial for a request.
+
+        Parameters
+        ----------
+        job : Job
+            Request.
+        on_granted : callable
+            Called if the request may be sent.
+        on_refused : callable
+            Called with the retry time in milliseconds otherwise, None if unknown.
+        """
+
+        def on_decision(decision: TrialDecision) -> None:
+            if decision.outcome is TrialOutcome.GRANTED:
+                job.trial = decision.trial
+                on_granted()
+            elif decision.outcome is TrialOutcome.NOT_NEEDED:
+                on_granted()
+            else:
+                on_refused(decision.retry_after_ms)
+
+        self._quarantine.acquire_trial(
+            str(job.number),
+            _workspace(job),
+            _names(job),
+            on_decision,
+            job.request.request_id,
+        )
+
+    def begin_attempt(self, job: Job, attempt: Attempt) -> None:
+        """Move the trial of a request to the attempt that is sent under it."""
+        attempt.trial, job.trial = job.trial, 0
+
+    # Responses
+
+    def on_event(self, job: Job, attempt: Attempt) -> None:
+        """Record an event of a stream."""
+        attempt.events += 1
+        if attempt.events == BEGUN_EVENTS:
+            self._on_begun(job, attempt)
+
+    def on_complete(self, job: Job, attempt: Attempt) -> None:
+        """Record a complete response.
+
+        The end of the connection is no proof that a response is complete, because it
+        may be that of the target. Only empty responses and streams of one event are
+        checked then, since each check opens a connection.
+        """
+        if attempt.is_begun or not 200 <= attempt.status < 300:
+            return
+        if not attempt.call.ended_by_close:
+            self._on_begun(job, attempt)
+        elif attempt.is_stream or not attempt.body:
+            self._suspect(job, attempt)
+
+    def _on_begun(self, job: Job, attempt: Attempt) -> None:
+        attempt.is_begun = job.is_begun = True
+        parts = _names(job)
+        if parts:
+            self._quarantine.on_begun(parts)
+        self._end_trial(attempt)
+
+    def on_lost(self, job: Job, attempt: Attempt, failure: CallFailure) -> None:
+        """Record a lost connection."""
+        is_lost = failure.code == "connection_lost" and failure.may_have_run
+        if is_lost and failure.message not in PATH_ERRORS:
+            self._suspect(job, attempt)
+
+    def on_truncated(self, job: Job, attempt: Attempt) -> None:
+        """Record a response that ended too early with its connection."""
+        if attempt.call.ended_by_close:
+            self._suspect(job, attempt)
+
+    def _suspect(self, job: Job, attempt: Attempt) -> None:
+        parts = _names(job)
+        if not parts or attempt.is_begun or job.is_begun or attempt.is_suspect:
+            return
+        attempt.is_suspect = True
+        job.crashes += 1
+        target = attempt.target
+        key = (target.name, target.address)
+        lost = self._lost.get(key)
+        if lost is None:
+            lost = _LostTarget(target.born_ms, self._clock.now_ms())
+            self._lost[key] = lost
+            self._crash_check.start(
+                target.address, lambda is_refused: self._on_checked(key, is_refused)
+            )
+        suspect = SuspectRequest(_workspace(job), list(parts), attempt.trial)
+        attempt.trial = 0
+        lost.suspects.append((job, suspect))
+
+    def _on_checked(self, key: tuple[str, str], is_refused: bool) -> None:
+        lost = self._lost.pop(key)
+        suspects = [suspect for _, suspect in lost.suspects]
+        if is_refused:
+            self._quarantine.report_crash(key[0], lost.start, lost.lost_ms, suspects)
+            return
+        for job, suspect in lost.suspects:
+            job.crashes -= 1
+            if suspect.trial:
+                self._quarantine.end_trial(suspect.trial)
+
+    def may_repeat(self, job: Job) -> bool:
+        """Whether a request has taken part in few enough crashes to be repeated."""
+        return job.crashes < MAX_CRASHES
+
+    # End
+
+    def on_attempt_closed(self, attempt: Attempt) -> None:
+        """End the trial of an attempt that has ended without a crash."""
+        self._end_trial(attempt)
+
+    def _end_trial(self, attempt: Attempt) -> None:
+        if attempt.trial:
+            self._quarantine.end_trial(attempt.trial)
+            attempt.trial = 0
+
+    def on_finished(self, job: Job) -> None:
+        """Cancel the trial that a finished request waits for or has not used."""
+        self._quarantine.cancel(str(job.number))
+        if job.trial:
+            self._quarantine.end_trial(job.trial)
+            job.trial = 0
+
+
+def _workspace(job: Job) -> str:
+    return job.workspace.name if job.workspace is not None else ""
+
+
+def _names(job: Job) -> tuple[str, ...]:
+    return tuple(part.name for part in job.request.shared_parts)
--- a/papayacrank/forwarding/_target_port.py
+++ b/papayacrank/forwarding/_target_port.py
@@ -139,6 +139,8 @@
         Whether the listener still expects a result.
     reused : bool
         Whether the call was sent over a reused connection.
+    ended_by_close : bool
+        Whether the end of the connection was the end of the response.
     """
 
     address: str
@@ -155,6 +157,7 @@
     bytes_written: bool = False
     is_open: bool = True
     reused: bool = False
+    ended_by_close: bool = False
 
 
 class ResponseLimitError(Exception):
@@ -519,6 +522,7 @@
         self._by_call.pop(call, None)
         connection.call = None
         call.is_open = False
+        call.ended_by_close = connection.has_eof
         self._release_buffer(connection, call)
         self._release(connection)
         call.listener.on_ended(call)
--- a/papayacrank/forwarding/tests/builders.py
+++ b/papayacrank/forwarding/tests/builders.py
@@ -13,7 +13,9 @@
     PromptPart,
     ResponseMetadata,
 )
+from papayacrank.forwarding._crash_check import CrashCheck
 from papayacrank.forwarding._quota import QuotaEnforcer
+from papayacrank.forwarding._suspects import SuspectTracker
 from papayacrank.kernel import ManualClock
 from papayacrank.messages import (
     EngineProfile,
@@ -30,6 +32,7 @@
     WorkspaceProfile,
 )
 from papayacrank.permits import PermitClient, PermitPort, read_rate_statement
+from papayacrank.quarantine import QuarantineClient, QuarantinePort
 from papayacrank.transport import HttpExchange, RequestHead
 
 KEY = "secret-1"
@@ -183,6 +186,25 @@
         self.dropped.append(address)
 
 
+class FakeCrashCheck(CrashCheck):
+    """Check that records addresses; the test supplies the results."""
+
+    def __init__(self):
+        self.addresses = []
+        self._callbacks = []
+
+    def start(self, address, callback):
+        """Record a check."""
+        self.addresses.append(address)
+        self._callbacks.append(callback)
+
+    def finish(self, is_refused):
+        """End all open checks with a result."""
+        callbacks, self._callbacks = self._callbacks, []
+        for callback in callbacks:
+            callback(is_refused)
+
+
 class FakeTimers:
     """Timers that `Bench.advance` fires."""
 
@@ -247,12 +269,17 @@
         self.permits = PermitPort(
             PermitClient("i1"), self._send_to_leader, self.clock, self.timers
         )
+        self.quarantine = QuarantinePort(
+            QuarantineClient("i1@1"), self._send_to_leader, self.clock, self.timers
+        )
+        self.crash_check = FakeCrashCheck()
         self.forwarder = Forwarder(
             ForwardingSettings("i1", "east"),
             self.protocol,
             self.port,
             self.quota,
             self.permits,
+            SuspectTracker(self.quarantine, self.crash_check, self.clock),
             self.clock,
             self.timers,
             random.Random(1),
