--- a/papayacrank/platform/tests/faulty_servers.py
+++ b/papayacrank/platform/tests/faulty_servers.py
@@ -11,8 +11,10 @@
 
 from papayacrank.admission import LocalShares
 from papayacrank.forwarding import Forwarder, ForwardingSettings
+from papayacrank.forwarding._crash_check import ConnectionCheck
 from papayacrank.forwarding._health import TargetHealth
 from papayacrank.forwarding._quota import QuotaEnforcer
+from papayacrank.forwarding._suspects import SuspectTracker
 from papayacrank.forwarding._target_port import TargetPort
 from papayacrank.forwarding.tests.builders import (
     MODEL,
@@ -23,6 +25,7 @@
 from papayacrank.kernel import MonotonicClock
 from papayacrank.permits import PermitClient, PermitPort
 from papayacrank.platform._caller_protocol import PlatformCallerProtocol
+from papayacrank.quarantine import QuarantineClient, QuarantinePort
 from papayacrank.testing import ScriptedTarget
 from papayacrank.transport import HttpPort, Timers, install_process_handlers
 
@@ -136,12 +139,17 @@
         timers = Timers(clock).register(self._root)
         self.port = TargetPort(clock, timers).register(self._root)
         permits = PermitPort(PermitClient("i1"), lambda _: True, clock, timers)
+        quarantine = QuarantinePort(
+            QuarantineClient("i1"), lambda _: True, clock, timers
+        )
+        crash_check = ConnectionCheck(clock, timers).register(self._root)
         self.forwarder = Forwarder(
             ForwardingSettings("i1", "east", retry_slack=1_000.0),
             PlatformCallerProtocol(),
             self.port,
             QuotaEnforcer(LocalShares()),
             permits,
+            SuspectTracker(quarantine, crash_check, clock),
             clock,
             timers,
             random.Random(1),
