Answer 503 on connections above the limit of the port

Callers would see: a connection that is closed at once without an answer, if a port has 2,000 open connections. Cause: the refusal of the port's server was empty; the native interface sends 503. The new test fails without the change (no bytes).

--- a/papayacrank/transport/_http_port.py
+++ b/papayacrank/transport/_http_port.py
@@ -27,6 +27,10 @@
 # Retry-After of a request that is refused because the request bodies in memory are at
 # their limit. Most running requests end within this time.
 BODY_MEMORY_RETRY_S = 1
+TOO_MANY_CONNECTIONS = (
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+    b"Retry-After: 1\r\nConnection: close\r\n\r\n"
+)
 CLOSE_HEADER = (b"connection", b"close")
 CONFLICTING_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
@@ -218,7 +222,7 @@
         self._server = CallerServer(
             (host, int(port)),
             self._limits.max_connections,
-            b"",
+            TOO_MANY_CONNECTIONS,
             MAX_PORT_BUFFERED_BYTES,
             channel=name,
         ).register(self)
--- a/papayacrank/transport/tests/test_http_port.py
+++ b/papayacrank/transport/tests/test_http_port.py
@@ -3,6 +3,7 @@
 import socket
 import threading
 import time
+from dataclasses import replace
 
 import pytest
 from circuits import BaseComponent, Event, handler
@@ -71,14 +72,14 @@
 class Server:
     """HTTP port whose event loop runs in a separate thread."""
 
-    def __init__(self):
+    def __init__(self, limits=LIMITS):
         self.root = BaseComponent()
         install_process_handlers(self.root)
         clock = MonotonicClock()
         self.timers = Timers(clock).register(self.root)
         self.echo = Echo()
         self.port = HttpPort(
-            "127.0.0.1:0", "test", self.echo, clock, self.timers, LIMITS
+            "127.0.0.1:0", "test", self.echo, clock, self.timers, limits
         ).register(self.root)
         self.thread = threading.Thread(target=self.root.run, daemon=True)
         self.thread.start()
@@ -178,6 +179,19 @@
     assert reply.startswith(b"HTTP/1.1 200 ")
 
 
+def test_connection_above_the_limit_is_refused_with_a_response():
+    """Guards against a caller that gets neither an answer nor a refusal."""
+    server = Server(replace(LIMITS, max_connections=1))
+    try:
+        first = server.connect()
+        send_and_receive(first, b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        response = receive_until_closed(server.connect())
+        assert response.startswith(b"HTTP/1.1 503 ")
+        assert b"Retry-After: 1\r\n" in response
+    finally:
+        server.stop()
+
+
 @pytest.mark.parametrize(
     ("head", "status"),
     [
