Reproduce engines that exit one after the other on one prompt part

Callers of the completions interface saw sound requests fail: a part of a prompt on which each engine exits as soon as it begins to write the output is tried on up to four engines by each request, and nothing is learned from it. The stand-in engine gets an option for such a part.

--- a/papayacrank/testing/_builders.py
+++ b/papayacrank/testing/_builders.py
@@ -10,6 +10,7 @@
     plain_addresses: tuple[str, ...] = ("127.0.0.1:9101",),
     events_addresses: tuple[str, ...] = (),
     replay_addresses: tuple[str, ...] = (),
+    block_tokens: int = 2_048,
     **overrides,
 ) -> Questionnaire:
     """Build a small valid questionnaire.
@@ -20,6 +21,8 @@
         Addresses of the servers; failure domains are assigned round-robin.
     events_addresses, replay_addresses : tuple of str
         Cache event addresses of the engines, in the same order; may be empty.
+    block_tokens : int
+        Size of a cache block of the engines, in tokens.
     **overrides : Any
         Top-level fields that replace the defaults.
     """
@@ -31,7 +34,14 @@
     answers = {
         "deployment": "sample",
         "failure_domains": [{"name": name} for name in FAILURE_DOMAINS],
-        "engines": [{"name": "sample-llm", "model": "sample", "servers": engines}],
+        "engines": [
+            {
+                "name": "sample-llm",
+                "model": "sample",
+                "block_tokens": block_tokens,
+                "servers": engines,
+            }
+        ],
         "plain_services": [
             {
                 "name": "shop-app",
--- a/papayacrank/testing/_engine.py
+++ b/papayacrank/testing/_engine.py
@@ -1,6 +1,7 @@
 """Stand-in engine: HTTP interface, cache events and fault injection."""
 
 import json
+import os
 import time
 from collections import OrderedDict, deque
 from dataclasses import asdict, dataclass, field
@@ -28,6 +29,7 @@
 MAX_ORDERS = 1_000
 BYTES_PER_TOKEN = 4
 END_OF_STREAM = b"data: [DONE]\n\n"
+CRASH_EXIT_CODE = 70
 ENGINE_FAULTS = frozenset(
     {
         "crash",
@@ -91,6 +93,9 @@
         Whether orders with an old fencing token are refused.
     load_lag_ms : int
         Time for which a load report is reused, in milliseconds.
+    crash_text : str
+        Text in a prompt on which the process exits as soon as it begins to write the
+        output; empty for none.
     """
 
     def __init__(
@@ -106,8 +111,10 @@
         role: str = "both",
         checks_fencing: bool = True,
         load_lag_ms: int = 0,
+        crash_text: str = "",
     ):
         super().__init__(clock, timers, port, ENGINE_FAULTS)
+        self._crash_text = crash_text
         self._model = EngineModel(speed or EngineSpeed(), model, weights_version)
         self._publisher = CachePublisher(events_port, replay_port).register(self)
         self._client = TargetClient(clock, timers).register(self)
@@ -341,6 +348,8 @@
         return self._model.speed.block_tokens
 
     def _process_token(self, stream: _Stream, offset, token, chunks) -> None:
+        if self._crash_text and self._crash_text in stream.job.prompt:
+            os._exit(CRASH_EXIT_CODE)
         if stream.stalled or self._must_stop(stream, offset):
             stream.stalled = True
             return
--- a/papayacrank/testing/engine.py
+++ b/papayacrank/testing/engine.py
@@ -25,6 +25,7 @@
     load_weights_ms: int = 600,
     import_tokens_per_s: float = 500_000.0,
     load_lag_ms: int = 0,
+    crash_text: str = "",
 ) -> None:
     """Run a stand-in engine on loopback.
 
@@ -49,6 +50,8 @@
         load_weights_ms: Time to load weights, in milliseconds.
         import_tokens_per_s: Tokens imported per second from another engine.
         load_lag_ms: Time for which a load report is reused, in milliseconds.
+        crash_text: Text in a prompt on which the process exits as soon as it begins to
+            write the output.
     """
     speed = EngineSpeed(
         prefill_tokens_per_s,
@@ -75,6 +78,7 @@
             role,
             checks_fencing,
             load_lag_ms,
+            str(crash_text),
         )
 
     names = ("address", "events_address", "replay_address")
--- /dev/null
+++ b/proofs/test_deadly_prompts.py
@@ -0,0 +1,156 @@
+"""Failure tests: a prompt part on which engines exit reaches few of them."""
+
+import http.client
+import random
+import threading
+import time
+from dataclasses import dataclass, field
+
+import pytest
+
+from papayacrank.testing import DeploymentSize
+
+pytestmark = pytest.mark.prove
+
+DEADLY = "the listing that engines cannot read"
+RESTART_S = 1.0
+PLAY_S = 12.0
+CONTACT_S = 3.0
+# The rule: three requests later than `contact_ms` after the fifth crash.
+ALLOWED_CRASHES = 5
+ALLOWED_LATE_CRASHES = 3
+BLOCK_TOKENS = 16
+HOT = "You answer questions on listings of a flea market. " * 8
+
+
+def build_messages(number, is_deadly):
+    """Build a conversation whose first message all requests share."""
+    part = DEADLY if is_deadly else f"listing {number % 3}: a lamp with a green shade"
+    return [
+        {"role": "system", "content": HOT},
+        {"role": "user", "content": part},
+        {"role": "user", "content": f"question {number}"},
+    ]
+
+
+def build_single_message(number, is_deadly):
+    """Build one message whose leading blocks all requests share."""
+    part = DEADLY if is_deadly else f"listing {number % 3}: a lamp with a green shade"
+    padding = "." * (BLOCK_TOKENS * 8 - len(part))
+    return [{"role": "user", "content": f"{HOT}{part}{padding} question {number}"}]
+
+
+@dataclass
+class Outcomes:
+    """Outcomes of requests, with the times of their starts in seconds."""
+
+    sound: list = field(default_factory=list)
+    deadly: list = field(default_factory=list)
+
+
+class Play:
+    """Sends sound and deadly requests to all entry processes and restarts engines."""
+
+    def __init__(self, deployment, build):
+        self._deployment = deployment
+        self._build = build
+        self._stop = threading.Event()
+        self._random = random.Random(7)
+        self.outcomes = Outcomes()
+        self.crashes = []
+        self._threads = [threading.Thread(target=self._restart_engines)]
+        for address in deployment.entry_addresses:
+            for number in range(3):
+                is_deadly = number == 0
+                self._threads.append(
+                    threading.Thread(target=self._send, args=(address, is_deadly))
+                )
+
+    def run(self, duration_s):
+        """Run the play for a time in seconds."""
+        self.started = time.monotonic()
+        for thread in self._threads:
+            thread.start()
+        time.sleep(duration_s)
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _send(self, address, is_deadly):
+        while not self._stop.is_set():
+            number = self._random.randrange(1_000_000)
+            document = {
+                "model": "sample",
+                "stream": bool(number % 2),
+                "max_tokens": 8,
+                "messages": self._build(number, is_deadly),
+            }
+            started = time.monotonic()
+            try:
+                response = self._deployment.fleet.request(
+                    address,
+                    "POST",
+                    "/v1/chat/completions",
+                    document,
+                    self._deployment.headers("team-a"),
+                    20.0,
+                )
+                outcome = (started, response.status, response)
+            except (OSError, http.client.HTTPException):
+                outcome = (started, 0, None)
+            sink = self.outcomes.deadly if is_deadly else self.outcomes.sound
+            sink.append(outcome)
+            time.sleep(0.2 if is_deadly else 0.05)
+
+    def _restart_engines(self):
+        fleet = self._deployment.fleet
+        due = {}
+        while not self._stop.is_set():
+            now = time.monotonic()
+            for name, process in fleet.processes.items():
+                if not name.startswith("engine-"):
+                    continue
+                if not process.is_running and name not in due:
+                    self.crashes.append(now)
+                    due[name] = now + RESTART_S
+                elif name in due and now >= due[name]:
+                    del due[name]
+                    fleet.restart(name)
+            time.sleep(0.01)
+
+
+def share_served(outcomes):
+    """Return the share of the responses with status 200."""
+    return sum(status == 200 for _, status, _ in outcomes) / len(outcomes)
+
+
+@pytest.mark.parametrize("build", [build_messages, build_single_message])
+def test_deadly_part_reaches_few_engines(start_deployment, build):
+    """Guards against requests with a part that crash one engine after the other."""
+    deployment = start_deployment(
+        {"block_tokens": BLOCK_TOKENS},
+        size=DeploymentSize(engines=4, services=1),
+        engine_options={"crash_text": DEADLY, "block_tokens": BLOCK_TOKENS},
+    )
+    play = Play(deployment, build)
+    play.run(PLAY_S)
+    outcomes, crashes = play.outcomes, play.crashes
+    served = share_served(outcomes.sound)
+    times = [round(at - play.started, 2) for at in crashes]
+    print(f"crashes at {times} s, sound served {served:.3f} of {len(outcomes.sound)}")
+    late_after = (
+        crashes[ALLOWED_CRASHES - 1] + CONTACT_S
+        if len(crashes) >= ALLOWED_CRASHES
+        else float("inf")
+    )
+    assert sum(at > late_after for at in crashes) <= ALLOWED_LATE_CRASHES
+    assert len(crashes) <= ALLOWED_CRASHES + ALLOWED_LATE_CRASHES
+    refused = [r for at, _, r in outcomes.deadly if at > play.started + PLAY_S / 2]
+    assert refused
+    for response in refused:
+        assert response.status == 503
+        error = response.json()["error"]
+        assert (error["code"], error["verdict"]) == ("quarantined", "not-run")
+        assert int(response.headers["Retry-After"]) >= 1
+    after = [o for o in outcomes.sound if o[0] > play.started + PLAY_S / 2]
+    assert share_served(after) >= 0.98
