Keep requests with a deadly prompt part away from engines in the completions interface

Callers saw sound requests fail: each request with a part on which engines exit was tried on up to four engines, by any instance, without end. Nothing collected what the requests on the crashed engines had in common.

A prompt is named by its messages except the last, wherever they stand and whoever sends them, and by its prefixes at 20 lengths by the hashes of the prefix index: at most 32 names. Each attempt asks the quarantine first, waits for a trial if a part is suspected, and is refused as `quarantined` under a verdict. Two tokens or a complete response clear the parts. A connection lost before that is checked by one connection attempt, two if the first is accepted; only a refused one counts as a crash. A request on which two engines have crashed gets no third one.

--- a/papayacrank/entry/_completion_flow.py
+++ b/papayacrank/entry/_completion_flow.py
@@ -21,7 +21,8 @@
 from ._context import EntryContext
 from ._engine_body import EngineFields, encode_engine_body
 from ._exchange import Exchange
-from ._flow import CALLER_ERROR_STATUSES, FLOW_CHANNEL, RequestFlow
+from ._flow import CALLER_ERROR_STATUSES, FLOW_CHANNEL, MAX_CRASHES, RequestFlow
+from ._prompt_parts import name_shared_parts
 from ._responses import JSON_TYPE, Headers
 
 COMPLETIONS_PATH = "/v1/chat/completions"
@@ -29,6 +30,8 @@
 LOAD_PATH = "/v1/load"
 TOKEN_BYTES = 4
 CACHED_TOKEN_COST = 0.1
+# The first token may be written just before a crash, which then loses the second one.
+TOKENS_PAST_BEGINNING = 2
 RESUME_REASON = "resume"
 # An engine that still has the stream resumes it immediately. A hung one must not use up
 # the whole first-token timeout before the stream moves to another engine.
@@ -87,6 +90,10 @@
             tokens,
             service.block_tokens,
         )
+        self._shared_parts = name_shared_parts(
+            service.model, completion.document["messages"], self._prompt_blocks
+        )
+        self._attempt_tokens = 0
         self._assembler = StreamAssembler(self._max_output)
         self._encoder = CompletionEncoder(exchange.public_id, completion.model)
         self._usage: TargetUsage | None = None
@@ -109,6 +116,11 @@
         """Whether reading from the engine is paused because the caller is slow."""
         return self._is_paused
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Names of the prompt parts that other requests may share."""
+        return self._shared_parts
+
     @property
     def _admission(self) -> AdmissionPolicy:
         return self._context.engine_admission
@@ -142,6 +154,7 @@
         )
 
     def _build_attempt(self, attempt_id: str, choice: Choice) -> TargetRequest:
+        self._attempt_tokens = 0
         resume_point = self._assembler.resume_point
         fields = EngineFields(
             request_id=self.request_id,
@@ -187,6 +200,9 @@
 
     def on_token(self, offset: int, text: str) -> None:
         """Send a token to the caller, exactly once and in order."""
+        self._attempt_tokens += 1
+        if self._attempt_tokens == TOKENS_PAST_BEGINNING:
+            self._on_begun()
         delivery = self._assembler.accept(offset, text)
         if delivery is Delivery.DUPLICATE:
             return
@@ -230,6 +246,8 @@
         if failure.status in CALLER_ERROR_STATUSES:
             text = f"the engine refused the request with status {failure.status}"
             self.fail(self._state.fail("refused_by_target", text, 400))
+        elif self._possible_crashes >= MAX_CRASHES:
+            self._fail_with_target_error(target, failure)
         elif self._assembler.next_offset:
             self._resume(target, failure)
         elif self._may_retry(failure):
@@ -250,7 +268,7 @@
         step = self._assembler.next_step(target, may_reuse_engine)
         if step is ResumeStep.SAME_ENGINE:
             self._context.metrics.on_repeated(self._service.name, "resume")
-            self._resume_on_same_engine(target)
+            self._admit_parts(lambda _: self._resume_on_same_engine(target))
         elif step is ResumeStep.OTHER_ENGINE:
             self._retry_on_other_target(target, "move")
         else:
--- a/papayacrank/entry/_context.py
+++ b/papayacrank/entry/_context.py
@@ -10,8 +10,9 @@
 from papayacrank.control import ControlContact
 from papayacrank.kernel import Clock
 from papayacrank.permits import PermitPort
+from papayacrank.quarantine import QuarantinePort
 from papayacrank.routing import RetryPolicy, Router
-from papayacrank.targets import TargetClient
+from papayacrank.targets import CrashChecks, TargetClient
 from papayacrank.transport import Timers
 
 from ._metrics import EntryMetrics
@@ -44,6 +45,8 @@
     targets: TargetClient
     router: Router
     permits: PermitPort
+    quarantine: QuarantinePort
+    crash_checks: CrashChecks
     shares: LocalShares
     engine_admission: AdmissionPolicy
     plain_admission: AdmissionPolicy
--- a/papayacrank/entry/_flow.py
+++ b/papayacrank/entry/_flow.py
@@ -8,6 +8,7 @@
 from papayacrank.admission import AdmissionPolicy, AdmissionRequest
 from papayacrank.config import Service
 from papayacrank.kernel import Failure, Verdict
+from papayacrank.messages import SuspectRequest
 from papayacrank.permits import (
     ANY_PERMIT_WAIT_MS,
     MAX_PERMIT_REQUESTS,
@@ -18,6 +19,7 @@
     RateKnowledge,
     RateStatement,
 )
+from papayacrank.quarantine import PartsAdmission, TrialDecision, TrialOutcome
 from papayacrank.routing import Choice, RoutingRequest
 from papayacrank.targets import TargetFailure, TargetRequest, TargetUsage
 
@@ -34,6 +36,12 @@
 DEADLINE_CODE = "deadline_exceeded"
 # Part of the remaining time of a request that one wait for a permit may take.
 PERMIT_WAIT_DIVISOR = 4
+# A request on which this many targets have crashed gets no further attempt.
+MAX_CRASHES = 2
+# The connection ended although no deadline had passed.
+LOST_CONNECTION_CODES = frozenset(
+    {"connect_failed", "connection_lost", "truncated_answer", "write_failed"}
+)
 # The target rejected the content of the request, so a retry would not help.
 CALLER_ERROR_STATUSES = frozenset({400, 413, 422})
 
@@ -85,6 +93,11 @@
         self._permit_requests = 0
         self._on_permit_decision: Callable[[PermitDecision], None] | None = None
         self._rate_knowledge = RateKnowledge()
+        self._trial = 0
+        self._on_trial_decision: Callable[[TrialDecision], None] | None = None
+        self._target_start = 0
+        self._has_begun = False
+        self._possible_crashes = 0
         self._is_admitted = False
         self._is_outcome_recorded = False
         self._ended = False
@@ -117,6 +130,14 @@
         """Whether reading from the target is paused because the caller is slow."""
         return False
 
+    @property
+    def shared_parts(self) -> tuple[str, ...] | None:
+        """Names of the prompt parts that other requests may share; None if no prompt.
+
+        A prompt may have none that can be named.
+        """
+        return None
+
     # Steps implemented by subclasses
 
     @property
@@ -194,6 +215,8 @@
         self._context.router.on_finished(self._attempt_id, ok, self._now_ms())
         self._clear_attempt()
         self._add_step(f"attempt at {target} failed: {failure.code}")
+        self._check_crash(target, failure)
+        self._end_trial()
         self._handle_attempt_failure(target, failure)
 
     def on_rate(self, statement: RateStatement | None, is_success: bool) -> None:
@@ -265,6 +288,10 @@
             text = "control contact was lost before the request was sent"
             self._give_up(self._state.fail("no_control_contact", text, 503))
             return
+        self._admit_parts(self._place_attempt, permit)
+
+    def _place_attempt(self, permit: Permit | None) -> None:
+        """Choose a target for a request whose prompt parts may be sent."""
         if permit is not None and self._send_with_permit(permit):
             return
         routing = self._limit_wait(self._build_routing())
@@ -356,6 +383,104 @@
         """Continue with the decision on a permit."""
         self._on_permit_decision(decision)
 
+    def _admit_parts(
+        self,
+        on_allowed: Callable[[Permit | None], None],
+        permit: Permit | None = None,
+    ) -> None:
+        """Continue once the prompt parts may be sent, or refuse the request.
+
+        Parameters
+        ----------
+        on_allowed : callable
+            Called with the permit, or None if it was returned while the request waited
+            for a trial.
+        permit : Permit, optional
+            Permit that the request holds.
+        """
+        parts = self.shared_parts
+        if not parts or self._trial:
+            on_allowed(permit)
+            return
+        quarantine = self._context.quarantine
+        decision = quarantine.client.check(self.workspace, parts, self._now_ms())
+        if decision.admission is PartsAdmission.ALLOWED:
+            on_allowed(permit)
+            return
+        self._give_back(permit)
+        if decision.admission is PartsAdmission.REFUSED:
+            log_id = self._exchange.public_id
+            quarantine.note_refused(self.workspace, parts, decision, log_id)
+            self._add_step(f"has parts that are quarantined: {decision.verdict}")
+            self._refuse_parts(decision.retry_after_ms)
+            return
+        self._add_step("has parts that crashed targets, and waits for a trial")
+        self._request_trial(on_allowed)
+
+    def _request_trial(self, on_allowed: Callable[[None], None]) -> None:
+        def on_decision(decision: TrialDecision) -> None:
+            if decision.outcome in (TrialOutcome.REFUSED, TrialOutcome.NO_REPLY):
+                self._add_step(f"no trial: {decision.outcome.value}")
+                self._refuse_parts(decision.retry_after_ms)
+                return
+            self._trial = decision.trial
+            if self._trial:
+                self._add_step(f"runs as trial {self._trial}")
+            on_allowed(None)
+
+        self._on_trial_decision = on_decision
+        self._context.quarantine.acquire_trial(
+            self.request_id,
+            self.workspace,
+            self.shared_parts,
+            self._make_guarded_callback("on_trial_decision"),
+            self._exchange.public_id,
+        )
+
+    def on_trial_decision(self, decision: TrialDecision) -> None:
+        """Continue with the decision on a trial."""
+        self._on_trial_decision(decision)
+
+    def _refuse_parts(self, retry_after_ms: int | None) -> None:
+        text = "the prompt has parts on which targets have crashed"
+        self._give_up(self._state.fail("quarantined", text, 503, retry_after_ms))
+
+    def _end_trial(self) -> None:
+        """End the trial of the current attempt, unless a crash is being checked."""
+        trial, self._trial = self._trial, 0
+        self._context.quarantine.end_trial(trial)
+
+    def _on_begun(self) -> None:
+        """Clear the prompt parts once the response is past its beginning."""
+        if self._has_begun or self.shared_parts is None:
+            return
+        self._has_begun = True
+        self._context.quarantine.on_begun(self.shared_parts)
+        self._end_trial()
+
+    def _check_crash(self, target: str, failure: TargetFailure) -> None:
+        """Check whether a target has crashed on the request, and report it if so."""
+        is_lost = failure.bytes_written and failure.code in LOST_CONNECTION_CODES
+        if not is_lost or self._has_begun or self.shared_parts is None:
+            return
+        trial, self._trial = self._trial, 0
+        self._possible_crashes += 1
+
+        def on_checked(has_crashed: bool) -> None:
+            if has_crashed:
+                self._add_step(f"{target} has crashed")
+                return
+            self._possible_crashes -= 1
+            self._context.quarantine.end_trial(trial)
+
+        self._context.crash_checks.on_lost(
+            target,
+            self._find_target_address(target),
+            self._target_start,
+            SuspectRequest(self.workspace, list(self.shared_parts), trial),
+            on_checked,
+        )
+
     def _give_back(self, permit: Permit | None) -> None:
         if permit is not None:
             self._context.permits.give_back(permit)
@@ -369,6 +494,8 @@
         self._permit = permit
         self._rate_knowledge = self._context.permits.client.knowledge_of(choice.target)
         self._attempt_id = routing.request_id
+        self._has_begun = False
+        self._target_start = self._context.router.index.incarnation(choice.target) or 0
         self._add_step(
             f"sent to {choice.target}: {choice.reason}, "
             f"{choice.matched_blocks} blocks cached"
@@ -397,6 +524,7 @@
     def _finish_attempt(self) -> None:
         """Record an attempt that returned a complete response."""
         self._state.on_response_complete()
+        self._on_begun()
         self._context.router.on_finished(self._attempt_id, True, self._now_ms())
         self._clear_attempt()
 
@@ -418,6 +546,7 @@
         ok = False if is_past_deadline else None
         self._context.router.on_finished(self._attempt_id, ok, self._now_ms())
         self._clear_attempt()
+        self._end_trial()
 
     def _clear_attempt(self) -> None:
         self._context.flows.remove_attempt(self._attempt_id)
@@ -472,6 +601,8 @@
             self._admission.on_served(self.request_id, cached * ran, computed, now_ms)
         self._cancel_timer("deadline")
         self._context.permits.cancel(self.request_id)
+        self._context.quarantine.cancel(self.request_id)
+        self._end_trial()
         if verdict is not Verdict.NOT_RUN:
             metrics = self._context.metrics
             metrics.on_tokens(self._service.name, prompt, cached, output)
--- a/papayacrank/entry/_metrics.py
+++ b/papayacrank/entry/_metrics.py
@@ -42,6 +42,12 @@
             ["outcome"],
             registry=self._registry,
         )
+        self._quarantine = Counter(
+            "papayacrank_quarantine",
+            "Requests and reports on prompt parts that crash targets, by outcome",
+            ["outcome"],
+            registry=self._registry,
+        )
         self._tokens = Counter(
             "papayacrank_tokens",
             "Tokens, by service and kind (prompt, cached, output)",
@@ -60,6 +66,10 @@
         """Count a decision on a permit, or a returned permit."""
         self._permits.labels(outcome).inc()
 
+    def on_quarantine(self, outcome: str) -> None:
+        """Count a refusal, a decision on a trial, a crash report or a clearing."""
+        self._quarantine.labels(outcome).inc()
+
     def add_gauge(self, name: str, text: str, read) -> None:
         """Add a gauge whose value is read when the metrics are rendered."""
         gauge = Gauge(f"papayacrank_{name}", text, registry=self._registry)
--- a/papayacrank/entry/_process.py
+++ b/papayacrank/entry/_process.py
@@ -28,8 +28,9 @@
     WarmupRequest,
 )
 from papayacrank.permits import PermitClient, PermitPort
+from papayacrank.quarantine import QuarantineClient, QuarantinePort
 from papayacrank.routing import RetryPolicy, Router
-from papayacrank.targets import TargetClient
+from papayacrank.targets import CrashChecks, TargetClient
 from papayacrank.transport import (
     Link,
     LinkSettings,
@@ -165,13 +166,15 @@
         self._build_control()
         self._metrics = EntryMetrics()
         self._usage = UsageRecorder(settings.instance, self._boot)
+        name = f"{settings.instance}@{self._boot}"
         self._permits = PermitPort(
-            PermitClient(f"{settings.instance}@{self._boot}"),
-            lambda message: self._port.send_to_leader(message),
-            clock,
-            timers,
+            PermitClient(name), self._port.send_to_leader, clock, timers
         )
         self._permits.count = self._metrics.on_permit
+        self._quarantine = QuarantinePort(
+            QuarantineClient(name), self._port.send_to_leader, clock, timers
+        )
+        self._quarantine.count = self._metrics.on_quarantine
         self._router = Router(
             "papayacrank",
             None,
@@ -199,6 +202,8 @@
             targets=TargetClient(clock, timers).register(self),
             router=self._router,
             permits=self._permits,
+            quarantine=self._quarantine,
+            crash_checks=CrashChecks(clock, timers, self._quarantine.report_crash),
             shares=self._shares,
             engine_admission=self._engine_admission,
             plain_admission=plain_admission,
@@ -279,6 +284,14 @@
                 "Targets with a request rate limit",
                 lambda: self._permits.client.limited_targets,
             ),
+            "suspected_parts": (
+                "Prompt parts that may crash targets",
+                lambda: self._quarantine.client.suspected_parts,
+            ),
+            "quarantined_parts": (
+                "Prompt parts whose requests are refused",
+                lambda: self._quarantine.client.quarantined_parts,
+            ),
         }
         for name, (text, read) in gauges.items():
             self._metrics.add_gauge(name, text, read)
@@ -296,6 +309,7 @@
         )
         self._check_contact(now_ms)
         self._permits.poll(self._contact.term)
+        self._quarantine.poll(self._contact.term)
         self._advance_start(now_ms)
         self._report_usage(now_ms)
         self._advance_drain(now_ms)
@@ -455,6 +469,8 @@
         else:
             self._permits.receive(message)
             self._contact.set_rates_position(*self._permits.client.position)
+            self._quarantine.receive(message)
+            self._contact.set_quarantine_position(*self._quarantine.client.position)
 
     # Planned stop
 
--- /dev/null
+++ b/papayacrank/targets/tests/test_crash_checks.py
@@ -0,0 +1,124 @@
+"""Tests of the difference between crashes and single lost connections."""
+
+import pytest
+
+from papayacrank.kernel import ManualClock
+from papayacrank.messages import SuspectRequest
+from papayacrank.targets import CrashChecks
+from papayacrank.transport import ConnectOutcome
+
+
+class Timers:
+    """Timers that run when the test says so."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.due = {}
+
+    def set(self, name, at_ms, callback):
+        """Keep a timer."""
+        self.due[name] = (at_ms, callback)
+
+    def run_next(self):
+        """Advance the clock to the next timer and run it."""
+        name = min(self.due, key=lambda item: self.due[item][0])
+        at_ms, callback = self.due.pop(name)
+        self._clock.advance(max(0, at_ms - self._clock.now_ms()))
+        callback()
+
+
+class Bench:
+    """Crash checks with scripted outcomes of connection attempts."""
+
+    def __init__(self, *outcomes):
+        self.clock = ManualClock()
+        self.timers = Timers(self.clock)
+        self.reports = []
+        self.results = []
+        self.outcomes = list(outcomes)
+        self.checked = []
+        self.checks = CrashChecks(
+            self.clock, self.timers, lambda *report: self.reports.append(report)
+        )
+        self.checks._check = self
+
+    def start(self, address, callback):
+        """Report the next outcome, as `ConnectCheck.start`."""
+        self.checked.append(address)
+        callback(self.outcomes.pop(0))
+
+    def lose(self, target="e1", start=1, parts=("p",), trial=0):
+        """Lose an attempt."""
+        suspect = SuspectRequest("team-a", list(parts), trial)
+        self.checks.on_lost(target, "127.0.0.1:9", start, suspect, self.results.append)
+
+    def run(self):
+        """Run all timers."""
+        while self.timers.due:
+            self.timers.run_next()
+
+
+def test_lost_attempts_of_one_crash_are_reported_together():
+    """Guards against several crashes counted for one."""
+    bench = Bench(ConnectOutcome.REFUSED)
+    lost_ms = bench.clock.now_ms()
+    bench.lose(parts=("p", "q"))
+    bench.lose(parts=("p", "r"), trial=4)
+    bench.run()
+    [(target, start, reported_ms, suspects)] = bench.reports
+    assert (target, start, reported_ms) == ("e1", 1, lost_ms)
+    assert [s.trial for s in suspects] == [0, 4]
+    assert bench.results == [True, True]
+    assert len(bench.checked) == 1
+
+
+def test_starts_of_a_target_are_checked_apart():
+    """Guards against a second crash that is taken for the first one."""
+    bench = Bench(ConnectOutcome.REFUSED, ConnectOutcome.REFUSED)
+    bench.lose(start=1)
+    bench.lose(start=2)
+    bench.run()
+    assert [report[1] for report in bench.reports] == [1, 2]
+
+
+def test_target_that_accepts_connections_has_not_crashed():
+    """Guards against parts blamed for one reset connection."""
+    bench = Bench(ConnectOutcome.ACCEPTED, ConnectOutcome.ACCEPTED)
+    bench.lose()
+    bench.run()
+    assert (bench.reports, bench.results) == ([], [False])
+
+
+def test_socket_that_closes_last_hides_no_crash():
+    """Guards against a crash missed because the process was still exiting."""
+    bench = Bench(ConnectOutcome.ACCEPTED, ConnectOutcome.REFUSED)
+    bench.lose()
+    bench.run()
+    assert (len(bench.reports), bench.results) == (1, [True])
+
+
+def test_silent_target_has_not_crashed():
+    """Guards against parts blamed for a cut path."""
+    bench = Bench(ConnectOutcome.SILENT)
+    bench.lose()
+    bench.run()
+    assert (bench.reports, bench.results) == ([], [False])
+
+
+def test_request_without_parts_is_not_reported():
+    """Guards against reports that name nothing; the crash still counts."""
+    bench = Bench(ConnectOutcome.REFUSED)
+    bench.lose(parts=())
+    bench.run()
+    assert (bench.reports, bench.results) == ([], [True])
+
+
+@pytest.mark.parametrize("outcome", list(ConnectOutcome))
+def test_later_loss_is_checked_again(outcome):
+    """Guards against a target that is never checked again after its first check."""
+    outcomes = [outcome] * (2 if outcome is ConnectOutcome.ACCEPTED else 1)
+    bench = Bench(*outcomes * 2)
+    for _ in range(2):
+        bench.lose()
+        bench.run()
+    assert len(bench.results) == 2
--- a/papayacrank/transport/__init__.py
+++ b/papayacrank/transport/__init__.py
@@ -2,6 +2,7 @@
 
 from ._caller_server import CallerServer, caller_progress
 from ._codec import MessageCodec, MessageDecodeError
+from ._connect_check import ConnectCheck, ConnectOutcome
 from ._connection import Connection, ConnectionState, IdlePool
 from ._http_port import (
     ExchangeListener,
@@ -17,6 +18,8 @@
 
 __all__ = [
     "CallerServer",
+    "ConnectCheck",
+    "ConnectOutcome",
     "Connection",
     "ConnectionState",
     "ExchangeListener",
