Let operators list and lift verdicts on prompt parts

A wrong verdict refuses sound requests for ten minutes at least, and operators had no way to see or end it. `papayacrank-admin quarantine list` shows the verdicts and the suspected parts from the leader's memory, `quarantine lift NUMBER` lifts a verdict and clears its parts. Other members redirect both to the leader. Unknown numbers end with exit code 1, bad ones with 2.

--- a/papayacrank/admin/_commands.py
+++ b/papayacrank/admin/_commands.py
@@ -36,6 +36,7 @@
 from ._explain import ExplainError, explain_request
 from ._log_explain import explain_from_lines, format_explanation, read_lines
 from ._output import EXIT_FAILED, EXIT_INVALID, EXIT_UNKNOWN, Output
+from ._quarantine_commands import QuarantineCommands
 from ._settings import AdminSettings, load_admin_settings
 from ._views import join_targets, summarize_usage
 
@@ -75,6 +76,9 @@
         self._request_id = request_id
         self._timeout_ms = timeout_ms
         self._output = Output(bool(json))
+        self.quarantine = QuarantineCommands(
+            self._read, self._run, self._operator_name, self._output
+        )
 
     @SetParseFn(str)
     def generate(self, questionnaire, out=None):
--- a/papayacrank/admin/tests/test_admin.py
+++ b/papayacrank/admin/tests/test_admin.py
@@ -3,14 +3,17 @@
 import http.server
 import json
 import threading
+import time
 
 import pytest
 import structlog
 
+from papayacrank.admin import BlockingControlClient
 from papayacrank.admin import _commands as commands_module
 from papayacrank.admin.__main__ import main
 from papayacrank.control import digest_key
 from papayacrank.control.tests.group import ControlGroup
+from papayacrank.messages import CrashReport, ReadState, SuspectRequest
 from papayacrank.testing import build_questionnaire
 
 
@@ -195,3 +198,61 @@
     output = commands_module.Output(as_json=False)
     output.show([{"a": 1, "b": [1, 2]}, {"a": 22, "b": {"c": 3}}])
     assert capsys.readouterr().out == "a   b\n1   1, 2\n22  c=3\n"
+
+
+def test_quarantine_without_a_verdict(admin):
+    """Guards against a list or a lift that fails before the first verdict."""
+    empty = {"verdicts": [], "suspicions": []}
+    assert admin("quarantine", "list") == (0, empty)
+    code, refused = admin("quarantine", "lift", "1000001")
+    assert (code, refused["error"]["code"]) == (1, "unknown_verdict")
+    assert "1000001" in refused["error"]["message"]
+
+
+@pytest.mark.parametrize("number", ["0", "-1", "1.5", "all", "1e3", "", "9" * 40, "٣"])
+def test_invalid_number_of_a_verdict_exits_with_2(admin, number):
+    """Guards against a lift of another verdict than the operator meant."""
+    code, refused = admin("quarantine", "lift", f"--number={number}")
+    assert (code, refused["error"]["code"]) == (2, "invalid_argument")
+
+
+def test_quarantine_without_a_leader_exits_with_4(admin, group):
+    """Guards against an empty list that stands for an unreachable control group."""
+    address = group.free_address()
+    for arguments in (("list",), ("lift", "1000001")):
+        code, refused = admin(
+            "quarantine", *arguments, "--timeout-ms=400", control=address
+        )
+        assert (code, refused["error"]["code"]) == (4, "control_timeout")
+
+
+def test_verdict_is_listed_and_lifted_by_its_number(admin, group, capsys):
+    """Guards against numbers in the list that cannot be lifted."""
+    crash_targets(group, ["message-1"])
+    capsys.readouterr()
+    _, listed = admin("quarantine", "list")
+    [verdict] = listed["verdicts"]
+    assert verdict["parts"] == ["message-1"]
+    number = str(verdict["number"])
+    code, lifted = admin("quarantine", "lift", number)
+    assert (code, lifted["lifted"]) == (0, verdict["number"])
+    assert admin("quarantine", "list")[1]["verdicts"] == []
+    assert admin("quarantine", "lift", number)[0] == 1
+    resend = f"--request-id={lifted['request_id']}"
+    assert admin("quarantine", "lift", number, resend) == (0, lifted)
+
+
+def crash_targets(group, parts):
+    """Report crashes as an entry process does, until there is a verdict."""
+    client = BlockingControlClient(group.peers, 5_000)
+    try:
+        client.run_command(ReadState("status"))
+        for number in range(5):
+            suspect = SuspectRequest("team-a", parts)
+            report = CrashReport("i1@1", f"t{number}", 1, 0, [suspect])
+            client._link.send("c1", report)
+            wait_s = time.monotonic() + 0.6
+            while time.monotonic() < wait_s:
+                client.run_command(ReadState("status"))
+    finally:
+        client.close()
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -18,6 +18,7 @@
     EntryLoad,
     Heartbeat,
     HeartbeatAck,
+    LiftVerdict,
     NotLeader,
     ObserveTargets,
     ReplaceMember,
@@ -54,6 +55,7 @@
 from ._permit_service import PERMIT_MESSAGES, PermitService
 from ._platform_list import PLATFORM_LIST_KEY, PlatformListPoller
 from ._publisher import FeedPublisher
+from ._quarantine_calls import QuarantineCalls
 from ._quarantine_service import QUARANTINE_MESSAGES, QuarantineService
 from ._requests import RequestHandler, build_change_notices
 
@@ -116,7 +118,12 @@
         self._quarantine = QuarantineService(QuarantineRegistry())
         self._leases = EntryLeases(settings.entry_lease_ms, settings.clock_drift)
         self._publisher = FeedPublisher(machine)
-        self._requests = RequestHandler(raft, machine, settings.instance)
+        self._requests = RequestHandler(
+            raft,
+            machine,
+            settings.instance,
+            QuarantineCalls(self._quarantine.registry),
+        )
         self._orders = OrderRunner(machine, self._takeover_delay_ms())
         self._platform_list = PlatformListPoller(
             settings.platform_list_url, settings.platform_poll_interval_ms, machine
@@ -344,6 +351,8 @@
             return [Send(sender, NotLeader(request.request_id, self._other_leader()))]
         replies = self._requests.accept(sender, request, now_ms)
         self._has_proposals |= isinstance(request.command, ReplaceMember)
+        if isinstance(request.command, LiftVerdict):
+            return [*self._quarantine.push(self._entry_names, now_ms), *replies]
         if replies is not None:
             return replies
         entry = CommandEntry(*self._entry_times(now_ms), request)
--- a/papayacrank/control/_requests.py
+++ b/papayacrank/control/_requests.py
@@ -13,6 +13,7 @@
     FailureRecord,
     GrantKey,
     KeyChanged,
+    LiftVerdict,
     NameWeights,
     NotLeader,
     ReadState,
@@ -29,6 +30,7 @@
     ROUTING_ACCEPTED,
     WEIGHTS_NAMED,
 )
+from ._quarantine_calls import QuarantineCalls
 
 MAX_PENDING_REQUESTS = 2_000
 MAX_PENDING_REPLACEMENTS = 16
@@ -46,12 +48,21 @@
         Replicated state.
     instance : str
         Name of this member.
+    quarantine : QuarantineCalls
+        Commands on the quarantine of prompt parts.
     """
 
-    def __init__(self, raft: RaftNode, machine: StateMachine, instance: str):
+    def __init__(
+        self,
+        raft: RaftNode,
+        machine: StateMachine,
+        instance: str,
+        quarantine: QuarantineCalls,
+    ):
         self._raft = raft
         self._machine = machine
         self._instance = instance
+        self._quarantine = quarantine
         self._pending: dict[str, list[str]] = {}
         self._pending_replacements: dict[str, tuple[ReplaceMember, list[str]]] = {}
 
@@ -66,7 +77,9 @@
             Replies; None if the request must be proposed to the log.
         """
         if isinstance(request.command, ReadState):
-            return [Send(sender, self._read(request))]
+            return [Send(sender, self._read(request, now_ms))]
+        if isinstance(request.command, LiftVerdict):
+            return [Send(sender, self._quarantine.lift(request, now_ms))]
         if isinstance(request.command, ReplaceMember):
             return self._start_replacement(sender, request, now_ms)
         recorded = self._machine.find_outcome(request.request_id)
@@ -111,10 +124,13 @@
                 sends += [Send(sender, reply) for sender in senders]
         return sends
 
-    def _read(self, request: ControlRequest) -> ControlReply:
+    def _read(self, request: ControlRequest, now_ms: int) -> ControlReply:
         what = request.command.what
         if what == "members":
             return _build_view_reply(request, what, self._members())
+        if what == "quarantine":
+            document = self._quarantine.describe(now_ms)
+            return _build_view_reply(request, what, document)
         view = self._machine.read(what)
         if isinstance(view, FailureRecord):
             return ControlReply(request.request_id, failure=view)
--- a/papayacrank/messages/_commands.py
+++ b/papayacrank/messages/_commands.py
@@ -241,6 +241,24 @@
     operator: str
 
 
+class LiftVerdict(msgspec.Struct, tag=True, frozen=True):
+    """Lift a verdict on prompt parts and clear the evidence against them.
+
+    It is executed by the leader without an entry of the log, as verdicts are kept in
+    its memory.
+
+    Attributes
+    ----------
+    number : int
+        Number of the verdict.
+    operator : str
+        Operator who lifts it.
+    """
+
+    number: int
+    operator: str
+
+
 class ReadState(msgspec.Struct, tag=True, frozen=True):
     """Read one part of the state.
 
@@ -249,7 +267,7 @@
     what : str
         ``"configuration"``, ``"routing"``, ``"keys"``, ``"targets"``,
         ``"instances"``, ``"budgets"``, ``"actions"``, ``"orders"``, ``"members"``,
-        ``"usage"`` or ``"status"``.
+        ``"usage"``, ``"quarantine"`` or ``"status"``.
     """
 
     what: str
@@ -270,5 +288,6 @@
     | PlaceOrder
     | ConfirmOrder
     | ReplaceMember
+    | LiftVerdict
     | ReadState
 )
