Keep a trial until a target gets its request

While all engines were down, each refused connection of a request on trial ended its trial and the next attempt asked for another one: the leader granted five trials for each request, about 150 in 2 s in a test of two deadly parts. An attempt without a written byte is no experiment, so the next attempt is sent under the same trial.

Adds proofs with a new leader, restarted instances, two deadly parts at a time and a deadly part beside the parts of sound requests.

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -716,7 +716,7 @@
 
     def _close_attempt(self, job: Job, attempt: Attempt) -> None:
         self._timers.cancel(_response_timer(job))
-        self._suspects.on_attempt_closed(attempt)
+        self._suspects.on_attempt_closed(job, attempt)
         if not attempt.has_first_event:
             self._table.end_prefill(attempt.target.name, attempt.prefill_tokens)
             if attempt.call.bytes_written:
--- a/papayacrank/forwarding/_suspects.py
+++ b/papayacrank/forwarding/_suspects.py
@@ -192,9 +192,12 @@
 
     # End
 
-    def on_attempt_closed(self, attempt: Attempt) -> None:
-        """End the trial of an attempt that has ended without a crash."""
-        self._end_trial(attempt)
+    def on_attempt_closed(self, job: Job, attempt: Attempt) -> None:
+        """End the trial of an attempt, or keep it if the target got no request."""
+        if attempt.call.bytes_written:
+            self._end_trial(attempt)
+        elif attempt.trial:
+            job.trial, attempt.trial = attempt.trial, 0
 
     def _end_trial(self, attempt: Attempt) -> None:
         if attempt.trial:
--- a/papayacrank/forwarding/tests/test_suspects.py
+++ b/papayacrank/forwarding/tests/test_suspects.py
@@ -294,3 +294,15 @@
     bench.forwarder.table.mark_leaving(bench.target_of(bench.call))
     bench.fail()
     assert bench.crash_check.addresses == []
+
+
+def test_trial_is_kept_until_a_target_gets_the_request(bench):
+    """Guards against a trial for each target that refuses connections."""
+    suspect(bench)
+    caller = send(bench)
+    reply(bench)
+    for _ in ENGINES:
+        bench.fail("connect_failed", sent=False, message="ECONNREFUSED")
+    assert len(sent(bench, TrialRequest)) == 1
+    assert caller.status == 503
+    assert len(sent(bench, TrialEnded)) == 1
--- a/papayacrank/platform/tests/test_deadly_parts.py
+++ b/papayacrank/platform/tests/test_deadly_parts.py
@@ -31,6 +31,7 @@
 class Outcome:
     """Outcome of one request of a caller."""
 
+    ip: str
     sent_s: float
     status: int
     events: int
@@ -64,7 +65,7 @@
     finally:
         connection.close()
     code = json.loads(body)["error"] if status >= 400 else ""
-    return Outcome(sent_s, status, body.count(b"data:"), code)
+    return Outcome(ip, sent_s, status, body.count(b"data:"), code)
 
 
 def send_steadily(platform, name, rate_per_s, duration_s, choose_parts):
@@ -133,26 +134,41 @@
     return sorted(at_s for engine in platform.engines for at_s, _ in engine.crashes)
 
 
-def test_requests_with_a_part_that_crashes_servers_are_contained(platform):
-    """Guards against a part that takes down one server after the other."""
+def run_outbreak(platform, choose_deadly=deadly_parts, disturb=None, left_out=()):
+    """Send sound and then deadly requests as well, and check the rules.
+
+    Parameters
+    ----------
+    platform : FakePlatform
+        Running deployment.
+    choose_deadly : callable
+        Returns the parts of a deadly request, given its number.
+    disturb : callable, optional
+        Called while deadly requests are sent.
+    left_out : collection of str
+        Addresses of instances that are disturbed; their sound requests are not counted.
+    """
     total_s = BEFORE_S + DURATION_S
     sound, threads = send_steadily(platform, "s", SOUND_PER_S, total_s, sound_parts)
     time.sleep(BEFORE_S)
     from_s = time.monotonic()
     deadly, others = send_steadily(
-        platform, "d", DEADLY_PER_S, DURATION_S, deadly_parts
+        platform, "d", DEADLY_PER_S, DURATION_S, choose_deadly
     )
+    if disturb is not None:
+        disturb()
     for thread in (*threads, *others):
         thread.join()
     crashes = collect_crashes(platform)
     last_s = crashes[:CRASHES_UNTIL_VERDICT][-1]
     arrivals = [
-        at_s - from_s
+        at_s
         for engine in platform.engines
         for at_s, _, parts in engine.arrivals
-        if DEADLY in parts
+        if engine.deadly_parts & set(parts)
     ]
-    late = [at_s for at_s in arrivals if at_s > last_s + CONTACT_S - from_s]
+    late = [at_s for at_s in arrivals if at_s > last_s + CONTACT_S]
+    sound = [outcome for outcome in sound if outcome.ip not in left_out]
     before, _ = share_of_begun(sound, 0, from_s)
     settled_s = last_s + 2 * CONTACT_S
     after, count = share_of_begun(sound, settled_s, from_s + DURATION_S)
@@ -166,6 +182,73 @@
     assert after >= MIN_SHARE_OF_BEFORE * before
 
 
+def find_leader(platform):
+    """Return the address of the control process that became the leader last."""
+    return max(
+        (line["timestamp"], ip)
+        for ip in IPS
+        for line in platform.log("control", ip)
+        if line["event"] == "leader_active"
+    )[1]
+
+
+def restart(platform, role, ip):
+    """Kill a process and start it again."""
+    process = platform.processes[(role, ip)]
+    process.kill()
+    process.wait(10)
+    platform.start_process(role, ip)
+
+
+def test_requests_with_a_part_that_crashes_servers_are_contained(platform):
+    """Guards against a part that takes down one server after the other."""
+    run_outbreak(platform)
+
+
+@pytest.mark.prove
+@pytest.mark.parametrize("after_s", [0.2, 1.0, 5.0])
+def test_containment_survives_a_new_leader(platform, after_s):
+    """Guards against evidence and verdicts that end with an election."""
+
+    def disturb():
+        time.sleep(after_s)
+        restart(platform, "control", find_leader(platform))
+
+    run_outbreak(platform, disturb=disturb)
+
+
+@pytest.mark.prove
+def test_containment_survives_restarts_of_instances(platform):
+    """Guards against a started instance that sends quarantined requests."""
+
+    def disturb():
+        for _ in range(3):
+            time.sleep(2.0)
+            restart(platform, "entry", IPS[1])
+
+    run_outbreak(platform, disturb=disturb, left_out={IPS[1]})
+
+
+@pytest.mark.prove
+def test_two_deadly_parts_are_contained(platform):
+    """Guards against a second deadly part that hides behind the first."""
+    for engine in platform.engines:
+        engine.deadly_parts.add("dead02")
+
+    def choose(number):
+        parts = deadly_parts(number)
+        second = [part.replace(DEADLY, "dead02") for part in parts]
+        return second if number % 2 else parts
+
+    run_outbreak(platform, choose)
+
+
+@pytest.mark.prove
+def test_deadly_part_that_shares_all_other_parts_is_contained(platform):
+    """Guards against verdicts on the parts of sound requests."""
+    run_outbreak(platform, lambda n: [*sound_parts(n), DEADLY])
+
+
 def test_crashes_of_another_cause_blame_no_part(platform):
     """Guards against sound requests that are refused for a part they all share."""
     for engine in platform.engines:
