Blame parts that were sound before a crash only if no new part explains it

A part on which no target has answered yet is the likelier cause. Instances now report responses before the crash once a part is on trial.

--- a/papayacrank/quarantine/_client.py
+++ b/papayacrank/quarantine/_client.py
@@ -20,9 +20,9 @@
 
 # Names of the shared parts of a request that are reported to the leader.
 MAX_PARTS_PER_REQUEST = 32
-# A response that was begun this long ago still clears its parts of an earlier crash;
-# reports of a crash arrive within a second or two.
-BEGUN_KEPT_MS = 10_000
+# Time for which responses on parts are remembered. Those after a crash clear a part of
+# it; those before tell parts that were sound until then from new ones.
+BEGUN_KEPT_MS = 60_000
 MAX_BEGUN_PARTS = 4_096
 # A clearing is repeated with the next response if the leader has not confirmed it.
 CLEAR_INTERVAL_MS = 200
@@ -102,7 +102,7 @@
     crashed_ms: int
     term: int
     revision: int
-    cleared_ms: int | None = None
+    reported_ms: int | None = None
 
 
 @dataclass(slots=True)
@@ -237,8 +237,13 @@
             self._suspicions.pop(name, None)
             return
         crashed_ms = now_ms - suspicion.age_ms
+        is_same = known is not None and known.crashes >= suspicion.crashes
         self._suspicions[name] = _KnownSuspicion(
-            suspicion.crashes, suspicion.needs_trial, crashed_ms, *stated
+            suspicion.crashes,
+            suspicion.needs_trial,
+            crashed_ms,
+            *stated,
+            known.reported_ms if is_same else None,
         )
 
     def _apply_verdict(self, verdict: Verdict, now_ms: int) -> None:
@@ -338,24 +343,27 @@
         return part in self._begun
 
     def _clear_begun(self, names: Iterable[str], now_ms: int) -> list[Any]:
-        """Return the clearings of suspected parts with a response after the crash."""
-        cleared: dict[int, list[str]] = {}
+        """Return messages on the suspected parts on which a response was begun.
+
+        A response before the crash does not clear a part. It is reported once the part
+        is on trial, because such a part is less likely to be the cause than a new one.
+        """
+        begun: dict[int, list[str]] = {}
         for name in names:
             known, begun_ms = self._suspicions.get(name), self._begun.get(name)
-            if known is None or begun_ms is None or begun_ms <= known.crashed_ms:
+            if known is None or begun_ms is None or now_ms - begun_ms > BEGUN_KEPT_MS:
                 continue
-            age_ms = now_ms - begun_ms
-            was_sent = (
-                known.cleared_ms is not None
-                and now_ms - known.cleared_ms < CLEAR_INTERVAL_MS
-            )
-            if age_ms > BEGUN_KEPT_MS or was_sent:
+            is_after = begun_ms > known.crashed_ms
+            if not is_after and not known.needs_trial:
+                continue
+            sent_ms = known.reported_ms
+            if sent_ms is not None and now_ms - sent_ms < CLEAR_INTERVAL_MS:
                 continue
-            known.cleared_ms = now_ms
-            cleared.setdefault(age_ms, []).append(name)
+            known.reported_ms = now_ms
+            begun.setdefault(now_ms - begun_ms, []).append(name)
         return [
             PartsCleared(self._instance, parts, age_ms)
-            for age_ms, parts in cleared.items()
+            for age_ms, parts in begun.items()
         ]
 
     # Trials
--- a/papayacrank/quarantine/_inquest.py
+++ b/papayacrank/quarantine/_inquest.py
@@ -6,6 +6,9 @@
 
 # Crashes of a part that lead to a verdict if the last one was of a trial.
 CRASHES_WITH_TRIAL = 3
+# The same for parts that were sound before the crashes: they are only blamed if no
+# other part explains the crash.
+SOUND_CRASHES_WITH_TRIAL = 5
 # Crashes that lead to a verdict without a trial, and at how many distinct times.
 CRASHES_WITHOUT_TRIAL = 5
 DISTINCT_TIMES = 3
@@ -54,7 +57,12 @@
 
     def is_rival(self, parts: frozenset[str], suspect: Suspect) -> bool:
         """Whether a request may have caused the crashes that parts are blamed for."""
-        return self.count(suspect.parts) >= max(2, self.count(parts))
+        return self._count_new(suspect.parts) >= max(2, self.count(parts))
+
+    def _count_new(self, parts: Iterable[str]) -> int:
+        """Return the most crashes of a part that was not sound before."""
+        known = (self._suspicions.get(name) for name in parts)
+        return max((s.count for s in known if s and not s.was_sound), default=0)
 
     def _evidence(self, crash: Crash, suspect: Suspect) -> list[Suspicion]:
         """Return the suspicions of a request that a crash is counted against."""
@@ -64,18 +72,18 @@
     def _find_by_trial(self, crash: Crash) -> frozenset[str]:
         """Return the parts that a failed trial proves guilty.
 
-        No other request that was part of the crash may be a possible cause: it must
-        have no part with repeated crashes, or with any crash as long as those of the
-        trial's parts have not been at distinct times, because they may be those of one
-        common failure.
+        No other request that was part of the crash may be a possible cause: none of its
+        parts may have nearly as many crashes as those of the trial, or any crash as
+        long as those of the trial's parts have not been at distinct times, because they
+        may be those of one common failure. Parts that were sound before are considered
+        only if the trial had no others.
         """
-        cores = []
-        for suspect in crash.suspects:
-            if suspect.trial:
-                evidence = self._evidence(crash, suspect)
-                core = {s for s in map(_key, evidence) if self._is_on_trial(s)}
-                if core:
-                    cores.append(core)
+        evidence = {s: self._evidence(crash, s) for s in crash.suspects}
+        trials = [known for suspect, known in evidence.items() if suspect.trial]
+        new = [{s.name for s in known if _is_on_trial(s, False)} for known in trials]
+        sound = [{s.name for s in known if _is_on_trial(s, True)} for known in trials]
+        ignores_sound = any(new)
+        cores = [core for core in (new if ignores_sound else sound) if core]
         if not cores:
             return frozenset()
         common = set.intersection(*cores)
@@ -83,10 +91,10 @@
             _distinct_times(self._suspicions.get(name)) >= DISTINCT_TIMES
             for name in common
         )
-        min_rival = 2 if is_repeated else 1
-        for suspect in crash.suspects:
-            evidence = self._evidence(crash, suspect)
-            if any(s.count >= min_rival for s in evidence):
+        min_rival = max(2, self.count(common) - 1) if is_repeated else 1
+        for suspect, known in evidence.items():
+            rivals = (s for s in known if not (ignores_sound and s.was_sound))
+            if any(s.count >= min_rival for s in rivals):
                 common &= suspect.parts
         if not common or self._is_common_failure(crash, common):
             for name in set.union(*cores):
@@ -94,9 +102,6 @@
             return frozenset()
         return self._keep_most_frequent(common)
 
-    def _is_on_trial(self, name: str) -> bool:
-        return self._suspicions.get(name).count >= CRASHES_WITH_TRIAL
-
     def _keep_most_frequent(self, names: Iterable[str]) -> frozenset[str]:
         """Return those parts that were in all crashes of the others."""
         count = self.count(names)
@@ -120,6 +125,7 @@
             s
             for s in known
             if s is not None
+            and not s.was_sound
             and s.count >= CRASHES_WITHOUT_TRIAL
             and crash.number in s.crashes
             and _distinct_times(s) >= DISTINCT_TIMES
@@ -147,19 +153,20 @@
                 if candidate.name in suspect.parts:
                     together = set(suspect.parts)
                     common = together if common is None else common & together
-                elif self.count(suspect.parts) >= candidate.count:
+                elif self._count_new(suspect.parts) >= candidate.count:
                     return frozenset()
         if common is None:
             return frozenset()
         return frozenset(
             name
             for name in common
-            if name == candidate.name or self.count([name]) == candidate.count
+            if name == candidate.name or self._count_new([name]) == candidate.count
         )
 
 
-def _key(suspicion: Suspicion) -> str:
-    return suspicion.name
+def _is_on_trial(suspicion: Suspicion, was_sound: bool) -> bool:
+    limit = SOUND_CRASHES_WITH_TRIAL if was_sound else CRASHES_WITH_TRIAL
+    return suspicion.was_sound is was_sound and suspicion.count >= limit
 
 
 def _distinct_times(suspicion: Suspicion) -> int:
--- a/papayacrank/quarantine/_suspicions.py
+++ b/papayacrank/quarantine/_suspicions.py
@@ -11,7 +11,10 @@
 # Reports on the same start of a target within this time tell of the same crash; a
 # target takes some seconds to start again.
 SAME_CRASH_MS = 3_000
+# Crashes after which a part is on trial: one that no response is known for, and one
+# that was sound before. Hot parts are in many crashes of other causes.
 CRASHES_ON_TRIAL = 2
+SOUND_CRASHES_ON_TRIAL = 3
 # A part without a further crash is forgotten after this time.
 SUSPICION_KEPT_MS = 600_000
 MAX_SUSPICIONS = 2_000
@@ -19,8 +22,8 @@
 MAX_REQUESTS_PER_CRASH = 512
 # Crashes kept as evidence against one part.
 MAX_CRASHES_PER_PART = 64
-MAX_CLEARED = 4_000
-CLEARED_KEPT_MS = 30_000
+MAX_BEGUN = 4_000
+BEGUN_KEPT_MS = 600_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +63,8 @@
 
     `crashes` are the times of the crashes by number. `inherited` is the number of
     crashes that entry processes have repeated after an election; they include those
-    before `inherited_ms`. `is_exclusive` is set once a trial of the part has crashed
+    before `inherited_ms`. `was_sound` is set if a response on the part was begun before
+    the crashes. `is_exclusive` is set once a trial of the part has crashed
     together with another suspected request.
     """
 
@@ -70,6 +74,7 @@
     crashes: dict[int, int] = field(default_factory=dict)
     inherited: int = 0
     inherited_ms: int = 0
+    was_sound: bool = False
     is_exclusive: bool = False
     is_named: bool = False
 
@@ -91,7 +96,8 @@
     @property
     def needs_trial(self) -> bool:
         """Whether requests with the part may only be sent under a trial."""
-        return self.is_named or self.count >= CRASHES_ON_TRIAL
+        limit = SOUND_CRASHES_ON_TRIAL if self.was_sound else CRASHES_ON_TRIAL
+        return self.is_named or self.count >= limit
 
 
 class SuspicionTable:
@@ -100,7 +106,7 @@
     def __init__(self):
         self._crashes: OrderedDict[int, Crash] = OrderedDict()
         self._suspicions: dict[str, Suspicion] = {}
-        self._cleared: OrderedDict[str, int] = OrderedDict()
+        self._begun: OrderedDict[str, int] = OrderedDict()
         self._changed: set[str] = set()
         self._last_crash = 0
 
@@ -114,7 +120,7 @@
         """Forget everything."""
         self._crashes.clear()
         self._suspicions.clear()
-        self._cleared.clear()
+        self._begun.clear()
         self._changed.clear()
 
     def get(self, name: str) -> Suspicion | None:
@@ -181,16 +187,17 @@
             if crash.number not in suspicion.crashes:
                 continue
             suspicion.crashes[crash.number] = at_ms
-            if at_ms < self._cleared.get(suspicion.name, at_ms):
+            if at_ms < self._begun.get(suspicion.name, at_ms):
                 self._remove_crashes(suspicion, [crash.number])
 
     def suspect(self, crash: Crash, name: str, workspace: str) -> Suspicion | None:
         """Count a crash against a part, unless a response has cleared it since."""
-        if crash.at_ms < self._cleared.get(name, crash.at_ms):
+        if crash.at_ms < self._begun.get(name, crash.at_ms):
             return None
         suspicion = self._suspicions.get(name)
         if suspicion is None:
             suspicion = self._suspicions[name] = Suspicion(name, workspace)
+            suspicion.was_sound = name in self._begun
         if crash.number in suspicion.crashes:
             return suspicion
         suspicion.crashes[crash.number] = crash.at_ms
@@ -202,7 +209,7 @@
     def learn(self, known: PartSuspicion, crashed_ms: int) -> None:
         """Apply evidence that an entry process repeats after an election."""
         self._changed.add(known.name)
-        if crashed_ms < self._cleared.get(known.name, crashed_ms):
+        if crashed_ms < self._begun.get(known.name, crashed_ms):
             return
         suspicion = self._suspicions.get(known.name)
         if suspicion is None:
@@ -244,22 +251,26 @@
         bool
             Whether the part was suspected and is not any more.
         """
-        self._cleared[name] = max(at_ms, self._cleared.get(name, at_ms))
-        self._cleared.move_to_end(name)
-        while len(self._cleared) > MAX_CLEARED:
-            self._cleared.popitem(last=False)
+        self._begun[name] = max(at_ms, self._begun.get(name, at_ms))
+        self._begun.move_to_end(name)
+        while len(self._begun) > MAX_BEGUN:
+            self._begun.popitem(last=False)
         suspicion = self._suspicions.get(name)
         if suspicion is None:
             return False
-        if suspicion.inherited_ms < at_ms:
+        if not suspicion.was_sound:
+            suspicion.was_sound = True
+            self._changed.add(name)
+        if 0 < suspicion.inherited_ms < at_ms:
             suspicion.inherited = suspicion.inherited_ms = 0
+            self._changed.add(name)
         earlier = [n for n, ms in suspicion.crashes.items() if ms < at_ms]
         return self._remove_crashes(suspicion, earlier)
 
     def _remove_crashes(self, suspicion: Suspicion, numbers: Iterable[int]) -> bool:
         for number in numbers:
             del suspicion.crashes[number]
-        self._changed.add(suspicion.name)
+            self._changed.add(suspicion.name)
         if suspicion.count == 0 and not suspicion.is_named:
             del self._suspicions[suspicion.name]
             return True
@@ -272,8 +283,9 @@
             if not is_named:
                 return
             suspicion = self._suspicions[name] = Suspicion(name, "")
-        suspicion.is_named = is_named
-        self._changed.add(name)
+        if suspicion.is_named is not is_named:
+            suspicion.is_named = is_named
+            self._changed.add(name)
         if not is_named and suspicion.count == 0:
             del self._suspicions[name]
 
@@ -294,11 +306,11 @@
             is_old = now_ms - suspicion.last_ms >= SUSPICION_KEPT_MS
             if is_old and not suspicion.is_named:
                 self.forget(suspicion.name)
-        while self._cleared:
-            name, at_ms = next(iter(self._cleared.items()))
-            if now_ms - at_ms < CLEARED_KEPT_MS:
+        while self._begun:
+            name, at_ms = next(iter(self._begun.items()))
+            if now_ms - at_ms < BEGUN_KEPT_MS:
                 break
-            del self._cleared[name]
+            del self._begun[name]
 
     def evict(self) -> None:
         """Evict the weakest evidence beyond the size of the table.
