End trials at the leader that their requests no longer wait for

A lost reply left the trial of a part running for its lease of 6 s, in which no other request with the part was sent and no crash was decided. A crash waits only for trials that may be another cause of it.

--- a/papayacrank/quarantine/_client.py
+++ b/papayacrank/quarantine/_client.py
@@ -165,6 +165,8 @@
         self._begun: OrderedDict[str, int] = OrderedDict()
         self._pending: dict[int, _Pending] = {}
         self._running: set[int] = set()
+        # Trial requests that were given up; the leader may have granted them.
+        self._withdrawn: list[int] = []
         self._numbers = itertools.count(1)
         self._former = _Knowledge()
 
@@ -428,8 +430,14 @@
         numbers = [n for n, p in self._pending.items() if p.request_id == request_id]
         for number in numbers:
             del self._pending[number]
+        self._withdrawn += numbers
         return bool(numbers)
 
+    def withdraw_trials(self) -> list[Any]:
+        """Return messages that end trials whose requests do not wait any more."""
+        withdrawn, self._withdrawn = self._withdrawn, []
+        return [TrialEnded(self._instance, number) for number in withdrawn]
+
     def end_trial(self, trial: int) -> list[Any]:
         """Return the message that ends a trial without a crash; 0 is no trial."""
         if trial not in self._running:
@@ -456,14 +464,15 @@
 
     def poll(self, now_ms: int) -> list[Any]:
         """Return the knowledge that the leader has not confirmed, if due."""
+        messages = self.withdraw_trials()
         former = self._former
         if not former.unconfirmed:
-            return []
+            return messages
         is_due = (
             former.sent_ms is None or now_ms - former.sent_ms >= KNOWLEDGE_INTERVAL_MS
         )
         if not is_due:
-            return []
+            return messages
         former.sent_ms = now_ms
         suspicions = [
             PartSuspicion(
@@ -483,7 +492,7 @@
             if number in former.unconfirmed
         ]
         verdicts += [Verdict(n, [], [], 0, 0, 0, 0) for n in self._lifted]
-        return [
+        messages.append(
             QuarantineKnowledge(
                 self._instance,
                 former.term,
@@ -491,7 +500,8 @@
                 suspicions[:MAX_KNOWN_PER_MESSAGE],
                 verdicts,
             )
-        ]
+        )
+        return messages
 
 
 def _state_verdict(known: _KnownVerdict, now_ms: int) -> Verdict:
--- a/papayacrank/quarantine/_inquest.py
+++ b/papayacrank/quarantine/_inquest.py
@@ -59,6 +59,17 @@
         """Whether a request may have caused the crashes that parts are blamed for."""
         return self._count_new(suspect.parts) >= max(2, self.count(parts))
 
+    def may_rival(self, crash: Crash, parts: Iterable[str]) -> bool:
+        """Whether parts would count as a cause if they were found in a crash."""
+        if self._count_new(parts):
+            return True
+        return not any(
+            _is_on_trial(known, False)
+            for suspect in crash.suspects
+            if suspect.trial
+            for known in self._evidence(crash, suspect)
+        )
+
     def _count_new(self, parts: Iterable[str]) -> int:
         """Return the most crashes of a part that was not sound before."""
         known = (self._suspicions.get(name) for name in parts)
--- a/papayacrank/quarantine/_port.py
+++ b/papayacrank/quarantine/_port.py
@@ -174,15 +174,20 @@
         """Forget a request that needs no trial any more; unknown ones are ignored."""
         if self._waiting.pop(request_id, None) is None:
             return
-        self._client.cancel(request_id)
-        self._timers.cancel(_trial_timer(request_id))
+        self._withdraw(request_id)
 
     def end_trial(self, trial: int) -> None:
         """End a trial without a crash; 0 and unknown trials are ignored."""
         self._send_all(self._client.end_trial(trial))
 
+    def _withdraw(self, request_id: str) -> None:
+        self._client.cancel(request_id)
+        self._timers.cancel(_trial_timer(request_id))
+        self._send_all(self._client.withdraw_trials())
+
     def _abandon(self, request_id: str) -> None:
         decision = self._client.abandon(request_id, self._clock.now_ms())
+        self._send_all(self._client.withdraw_trials())
         if decision is not None:
             self._on_decision(decision)
 
@@ -217,8 +222,7 @@
             return False
         is_allowed = known.admission is PartsAdmission.ALLOWED
         outcome = TrialOutcome.NOT_NEEDED if is_allowed else TrialOutcome.REFUSED
-        self._client.cancel(waiting.request_id)
-        self._timers.cancel(_trial_timer(waiting.request_id))
+        self._withdraw(waiting.request_id)
         self._call_back(
             waiting, TrialDecision(waiting.request_id, outcome, 0, known.retry_after_ms)
         )
--- a/papayacrank/quarantine/_registry.py
+++ b/papayacrank/quarantine/_registry.py
@@ -203,11 +203,17 @@
             waited_ms = now_ms - crash.seen_ms
             if waited_ms < SETTLING_MS:
                 continue
-            is_open = crash.has_trial() and self._trials.has_undecided(crash.at_ms)
-            if is_open and waited_ms < TRIAL_LEASE_MS:
+            if waited_ms < TRIAL_LEASE_MS and self._is_open(crash):
                 continue
             self._decide(crash, now_ms)
 
+    def _is_open(self, crash: Crash) -> bool:
+        """Whether another trial may turn out to be a possible cause of a crash."""
+        if crash.explained_by or not crash.has_trial():
+            return False
+        others = self._trials.list_open(crash.at_ms)
+        return any(self._inquest.may_rival(crash, t.suspected) for t in others)
+
     def _decide(self, crash: Crash, now_ms: int) -> None:
         crash.is_decided = True
         if not crash.explained_by:
--- a/papayacrank/quarantine/_trials.py
+++ b/papayacrank/quarantine/_trials.py
@@ -76,12 +76,13 @@
                     del self._by_part[name]
         return trial
 
-    def has_undecided(self, crashed_ms: int) -> bool:
-        """Return whether a trial that began before a crash may still be part of it."""
-        return any(
-            not trial.crash and trial.granted_ms < crashed_ms
+    def list_open(self, crashed_ms: int) -> list[Trial]:
+        """Return the trials from before a crash that may still be part of it."""
+        return [
+            trial
             for trial in self._trials.values()
-        )
+            if not trial.crash and trial.granted_ms < crashed_ms
+        ]
 
     def of_part(self, name: str) -> Trial | None:
         """Return the running trial of a part, None if there is none."""
