Explain refusals, trials and crashes of prompt parts from a request's id

An operator who asks why a request was refused as `quarantined` had to read the lines of all processes by hand. The instance that sends a request under a trial logs it with the request's id, because the leader's lines know none.

--- a/papayacrank/admin/_log_explain.py
+++ b/papayacrank/admin/_log_explain.py
@@ -7,6 +7,9 @@
 from datetime import datetime
 from typing import Any
 
+from ._quarantine_explain import REFUSED_EVENT, QuarantineEvidence
+from ._quarantine_explain import REQUEST_EVENTS as QUARANTINE_REQUEST_EVENTS
+
 # Log lines about a target or a rate are considered from this long before the end of the
 # request until shortly after it, because the clocks of machines differ.
 CONTEXT_BEFORE_S = 12.0
@@ -42,9 +45,12 @@
         "prompt_store_changed",
     }
 )
-REQUEST_EVENTS = frozenset(
-    {"request_ended", "request_refused", "attempt_failed", "permit_refused"}
-)
+REQUEST_EVENTS = QUARANTINE_REQUEST_EVENTS | {
+    "request_ended",
+    "request_refused",
+    "attempt_failed",
+    "permit_refused",
+}
 FINAL_EVENTS = frozenset({"request_ended", "request_refused"})
 REFUSAL_CAUSES = {
     "starting": "the instance had just started and knew no configuration yet",
@@ -56,6 +62,7 @@
     "targets_full": "all targets that were tried refused it without executing it",
     "targets_limited": "all targets were at the request rate that they accept",
     "overloaded": "the queue of the best engine was longer than the request may wait",
+    "quarantined": "its prompt has parts on which targets have crashed",
     "caller_left": "the caller closed its connection first",
     "deadline": "the deadline set by the caller had passed",
 }
@@ -141,25 +148,48 @@
     if not request_lines:
         return None
     explanation = Explanation(request_id, lines=request_lines)
+    evidence = QuarantineEvidence(lines, request_lines, _parse_time_s)
     final = next(
         (line for line in reversed(request_lines) if line["event"] in FINAL_EVENTS),
         None,
     )
     if final is None:
-        text = "attempts failed, and no final line was written: the process ended"
-        explanation.causes.append(text)
-        explanation.context = _find_context(
-            lines, request_lines[-1], _collect_targets(request_lines), ""
-        )
+        _explain_without_end(explanation, lines, evidence)
         return explanation
     explanation.outcome = final["code"]
     process = final.get("process", "")
     context = _find_context(lines, final, _collect_targets(request_lines), process)
-    explanation.context = context
-    explanation.causes += _find_causes(lines, request_lines, final, context)
+    causes = _find_causes(lines, request_lines, final, context, evidence)
+    explanation.causes += causes
+    explanation.context = _merge(context, evidence.context)
     return explanation
 
 
+def _explain_without_end(
+    explanation: Explanation, lines: list[dict], evidence: QuarantineEvidence
+) -> None:
+    """Explain a request without a final line.
+
+    The completions interface writes none; its refusals have lines of their own.
+    """
+    request_lines = explanation.lines
+    if request_lines[-1]["event"] == REFUSED_EVENT:
+        explanation.outcome = "quarantined"
+        explanation.causes.append(OUTCOME_CAUSES["quarantined"])
+    elif any(line["event"] == "attempt_failed" for line in request_lines):
+        text = "attempts failed, and no final line was written: the process ended"
+        explanation.causes.append(text)
+    explanation.causes += evidence.explain()
+    targets = _collect_targets(request_lines)
+    context = _find_context(lines, request_lines[-1], targets, "")
+    explanation.context = _merge(context, evidence.context)
+
+
+def _merge(context: list[dict], more: list[dict]) -> list[dict]:
+    added = [line for line in more if line not in context]
+    return sorted([*context, *added], key=_parse_time_s)
+
+
 def format_explanation(explanation: Explanation) -> str:
     """Format an explanation as text: outcome, causes and the supporting lines."""
     rows = [f"{explanation.request_id}: {explanation.outcome}"]
@@ -175,7 +205,11 @@
 
 
 def _find_causes(
-    lines: list[dict], request_lines: list[dict], final: dict, context: list[dict]
+    lines: list[dict],
+    request_lines: list[dict],
+    final: dict,
+    context: list[dict],
+    evidence: QuarantineEvidence,
 ) -> list[str]:
     if final["event"] == "request_refused":
         cause = REFUSAL_CAUSES.get(final["code"], "see the code")
@@ -185,12 +219,13 @@
         causes.append(_compare_rate(lines, final))
     elif final["code"] in OUTCOME_CAUSES:
         causes.append(OUTCOME_CAUSES[final["code"]])
+    causes += evidence.explain()
     causes += [
         _describe_refused_permit(line)
         if line["event"] == "permit_refused"
         else _describe_attempt(line, context)
         for line in request_lines
-        if line is not final
+        if line["event"] in ("permit_refused", "attempt_failed")
     ]
     causes += _explain_delay(final, context)
     contact_lost = [
--- a/papayacrank/admin/tests/test_log_explain.py
+++ b/papayacrank/admin/tests/test_log_explain.py
@@ -229,3 +229,139 @@
     """Guards against a late request whose wait is attributed to its rate."""
     lines = [build_end(sent_after_ms=260, permit_wait_ms=240)]
     assert "240 ms of them for permits" in join_causes(lines)
+
+
+def build_evidence(**lift):
+    """Build the lines from two crashes to the verdict, and the lift if there is one."""
+    lines = [
+        build_line("target_crash_seen", 1.0, target="e1", requests=2, parts=["p", "q"]),
+        build_line("parts_suspected", 1.1, process="c1", parts=["p"], crashes=1),
+        build_line(
+            "trial_granted", 2.0, process="c1", instance="i1@1", trial=4, parts=["p"]
+        ),
+        build_line(
+            "trial_ended",
+            3.0,
+            process="c1",
+            instance="i1@1",
+            trial=4,
+            result="crash",
+            parts=["p"],
+        ),
+        build_line(
+            "parts_quarantined",
+            3.0,
+            process="c1",
+            verdict=1000001,
+            parts=["p"],
+            workspaces=["w1"],
+            crashes=3,
+        ),
+        build_line(
+            "parts_quarantined", 3.5, process="c1", verdict=1000002, parts=["z"]
+        ),
+    ]
+    if lift:
+        lines.append(
+            build_line(
+                "quarantine_lifted",
+                50.0,
+                process="c1",
+                verdict=1000001,
+                parts=["p"],
+                **lift,
+            )
+        )
+    return lines
+
+
+def build_refusal(**fields):
+    """Build the line of a request that the quarantine has refused."""
+    return build_line(
+        "quarantine_refused",
+        30.0,
+        request_id="r1",
+        workspace="w1",
+        parts=["p", "x"],
+        **fields,
+    )
+
+
+@pytest.mark.parametrize("has_final_line", [False, True])
+def test_refused_request_leads_to_evidence_verdict_and_lift(has_final_line):
+    """Guards against a refusal that cannot be verified, on both interfaces."""
+    lines = build_evidence(operator="ann", reason="operator")
+    lines.append(build_refusal(reason="verdict", verdict=1000001))
+    if has_final_line:
+        lines.append(build_end(code="quarantined", status=503, tries=0))
+    explanation = explain_from_lines(lines, "r1")
+    assert explanation.outcome == "quarantined"
+    text = "; ".join(explanation.causes)
+    assert "verdict 1000001 names parts" in text
+    assert "after 3 crashes, on p, for w1" in text
+    assert "lifted" in text and "by ann" in text
+    events = [line["event"] for line in explanation.context]
+    assert events[0] == "target_crash_seen" and events[-1] == "quarantine_lifted"
+    assert all(line.get("verdict") != 1000002 for line in explanation.context)
+
+
+@pytest.mark.parametrize(
+    ("reason", "expected"),
+    [
+        ("trial_refused", "another request with suspected parts"),
+        ("trial_no_reply", "the leader did not reply"),
+    ],
+)
+def test_request_without_a_trial_is_explained(reason, expected):
+    """Guards against a refusal without a verdict that looks like one."""
+    lines = [*build_evidence(), build_refusal(reason=reason)]
+    causes = join_causes(lines)
+    assert expected in causes
+    assert "verdict 1000001 names" not in causes
+
+
+def test_trial_of_a_request_is_led_to_its_end():
+    """Guards against a request whose trial crashed a target without a trace."""
+    own = build_line(
+        "trial_granted",
+        2.0,
+        request_id="r1",
+        instance="i1@1",
+        trial=4,
+        parts=["p"],
+    )
+    other = build_line(
+        "trial_ended", 2.5, process="c1", instance="i2@1", trial=4, result="success"
+    )
+    causes = join_causes([*build_evidence(), other, own, build_end(second=4.0)])
+    assert "sent as trial 4" in causes
+    assert "the target crashed on it" in causes
+
+
+def test_request_on_a_crashed_target_is_led_to_the_verdict():
+    """Guards against a crash explained as a lost connection of this request only."""
+    failed = build_line(
+        "attempt_failed",
+        0.9,
+        request_id="r1",
+        target="e1",
+        code="connection_lost",
+        after_ms=50,
+    )
+    lines = [*build_evidence(), failed, build_end(second=1.2, code="served", tries=2)]
+    explanation = explain_from_lines(lines, "r1")
+    assert "e1 crashed before it had begun" in "; ".join(explanation.causes)
+    verdicts = [line.get("verdict") for line in explanation.context]
+    assert 1000001 in verdicts and 1000002 not in verdicts
+
+
+def test_evidence_is_bounded():
+    """Guards against a page of evidence on a part that was suspected for hours."""
+    many = [
+        build_line("parts_suspected", n / 100, process="c1", parts=["p"], crashes=n)
+        for n in range(1_000)
+    ]
+    lines = [*build_evidence(), *many, build_refusal(reason="verdict", verdict=1000001)]
+    explanation = explain_from_lines(lines, "r1")
+    assert len(explanation.context) <= 24
+    assert any(n["event"] == "parts_quarantined" for n in explanation.context)
--- a/papayacrank/quarantine/_port.py
+++ b/papayacrank/quarantine/_port.py
@@ -23,7 +23,7 @@
     TrialDecision,
     TrialOutcome,
 )
-from ._events import CRASH_SEEN, REQUEST_REFUSED, format_parts
+from ._events import CRASH_SEEN, REQUEST_REFUSED, TRIAL_GRANTED, format_parts
 
 # A trial request without a reply after this time is abandoned.
 REPLY_TIMEOUT_MS = 150
@@ -231,7 +231,16 @@
     def _call_back(self, waiting: _Waiting, decision: TrialDecision) -> None:
         del self._waiting[waiting.request_id]
         outcome = decision.outcome
-        if outcome in (TrialOutcome.REFUSED, TrialOutcome.NO_REPLY):
+        if outcome is TrialOutcome.GRANTED:
+            log_event(
+                TRIAL_GRANTED,
+                request_id=waiting.log_id,
+                instance=self._client.instance,
+                trial=decision.trial,
+                workspace=waiting.workspace,
+                parts=format_parts(waiting.parts),
+            )
+        elif outcome in (TrialOutcome.REFUSED, TrialOutcome.NO_REPLY):
             log_event(
                 REQUEST_REFUSED,
                 request_id=waiting.log_id,
