--- a/papayacrank/quarantine/_port.py
+++ b/papayacrank/quarantine/_port.py
@@ -23,7 +23,7 @@
     TrialDecision,
     TrialOutcome,
 )
-from ._events import CRASH_SEEN, REQUEST_REFUSED, format_parts
+from ._events import CRASH_SEEN, REQUEST_REFUSED, TRIAL_GRANTED, format_parts
 
 # A trial request without a reply after this time is abandoned.
 REPLY_TIMEOUT_MS = 150
@@ -174,15 +174,20 @@
         """Forget a request that needs no trial any more; unknown ones are ignored."""
         if self._waiting.pop(request_id, None) is None:
             return
-        self._client.cancel(request_id)
-        self._timers.cancel(_trial_timer(request_id))
+        self._withdraw(request_id)
 
     def end_trial(self, trial: int) -> None:
         """End a trial without a crash; 0 and unknown trials are ignored."""
         self._send_all(self._client.end_trial(trial))
 
+    def _withdraw(self, request_id: str) -> None:
+        self._client.cancel(request_id)
+        self._timers.cancel(_trial_timer(request_id))
+        self._send_all(self._client.withdraw_trials())
+
     def _abandon(self, request_id: str) -> None:
         decision = self._client.abandon(request_id, self._clock.now_ms())
+        self._send_all(self._client.withdraw_trials())
         if decision is not None:
             self._on_decision(decision)
 
@@ -217,8 +222,7 @@
             return False
         is_allowed = known.admission is PartsAdmission.ALLOWED
         outcome = TrialOutcome.NOT_NEEDED if is_allowed else TrialOutcome.REFUSED
-        self._client.cancel(waiting.request_id)
-        self._timers.cancel(_trial_timer(waiting.request_id))
+        self._withdraw(waiting.request_id)
         self._call_back(
             waiting, TrialDecision(waiting.request_id, outcome, 0, known.retry_after_ms)
         )
@@ -227,7 +231,16 @@
     def _call_back(self, waiting: _Waiting, decision: TrialDecision) -> None:
         del self._waiting[waiting.request_id]
         outcome = decision.outcome
-        if outcome in (TrialOutcome.REFUSED, TrialOutcome.NO_REPLY):
+        if outcome is TrialOutcome.GRANTED:
+            log_event(
+                TRIAL_GRANTED,
+                request_id=waiting.log_id,
+                instance=self._client.instance,
+                trial=decision.trial,
+                workspace=waiting.workspace,
+                parts=format_parts(waiting.parts),
+            )
+        elif outcome in (TrialOutcome.REFUSED, TrialOutcome.NO_REPLY):
             log_event(
                 REQUEST_REFUSED,
                 request_id=waiting.log_id,
