Try the next target at once if one refuses a silent request

Now the next target is chosen at once, within tries and budget, while the silent attempt goes on. The new test fails without it (two calls instead of three).

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -717,6 +717,7 @@
             return
         now_ms = self._clock.now_ms()
         if not attempt.is_silent:
+            # Counts once for each silence, however many other targets refuse.
             attempt.is_silent = True
             self._record_target_failure(job, attempt, now_ms)
         store = self._choose_store(job)
@@ -758,7 +759,6 @@
             self._port.cancel(other.call)
             self._end_attempt(job, other, "superseded", other.call.bytes_written)
             job.runs += other.call.bytes_written
-        job.attempt.is_silent = False
         self._set_response_timer(job, job.attempt)
 
     def _end_attempt(self, job: Job, attempt: Attempt, code: str, sent: bool) -> None:
@@ -1018,6 +1018,8 @@
         self._end_attempt(job, attempt, code, attempt.call.bytes_written)
         job.runs += has_run
         self._restore_silent_attempt(job)
+        # The next target may take the request at once.
+        self._on_response_timeout(job, job.attempt)
         return True
 
     def _complete_plain(self, job: Job, attempt: Attempt) -> None:
@@ -1052,6 +1054,7 @@
 
     def _forward_event(self, job: Job, attempt: Attempt, event) -> None:
         if event.has_content:
+            attempt.is_silent = False
             if not attempt.has_first_event:
                 self._on_first_event(job, attempt)
             if job.route.is_repeatable:
--- a/papayacrank/forwarding/tests/test_silence.py
+++ b/papayacrank/forwarding/tests/test_silence.py
@@ -77,6 +77,20 @@
     finish(bench, caller, silent, 2)
 
 
+def test_next_target_is_tried_at_once_if_one_refuses_a_silent_request():
+    """Guards against a request that waits at a silent target though others are free."""
+    bench = Bench(*(build_target(f"e{n}", "engines") for n in range(1, 4)))
+    caller = open_stream(bench)
+    silent = bench.call
+    bench.advance(SILENCE_MS)
+    bench.respond(503, b"", not_run="1")
+    assert len(bench.port.calls) == 3
+    assert silent not in bench.port.cancelled
+    bench.begin(200)
+    assert bench.port.cancelled == [silent]
+    finish(bench, caller, bench.call, 2)
+
+
 def test_silent_stream_goes_on_if_it_speaks_before_the_other_target():
     """Guards against a mix of two runs, or a sound run that is thrown away."""
     bench = Bench(*ENGINES)
