Do not deliver a response without an id to another request

Callers of plain services could get: the response to another request, or a refusal of one that ran. A faulty target that repeats request ids writes an earlier response once more, without its id, and it arrives behind the next idempotent request on the connection.

Cause: ids are optional for targets, so a response without one was accepted on any connection, even if earlier responses on it had carried them.

Change: if they did, a response without an id is not delivered; the request, which is idempotent, is sent again on a new connection, where any response is its own. If that one has no id either, the target repeats ids only in some responses, and its responses are accepted as before. A connection to a target that never repeats ids is kept as before; there a repeated response can't be told from the own one. Streams carry the id in each chunk.

--- a/papayacrank/targets/_client.py
+++ b/papayacrank/targets/_client.py
@@ -17,11 +17,11 @@
     TARGET_ATTEMPT_FAILED,
     WRONG_ANSWER,
 )
-from ._exchange import Attempt, Probe, encode_probe
+from ._exchange import ID_HEADER, Attempt, Probe, encode_probe
 from ._notifications import target_failed, target_finished
 from ._request import TargetClientLimits, TargetFailure, TargetRequest
 from ._response import MalformedResponseError, ResponseParser
-from ._response_events import process_received_bytes
+from ._response_events import UnidentifiedResponseError, process_received_bytes
 from ._stream import StreamError
 
 # Time for the last chunk of the transfer encoding, which usually arrives together
@@ -64,6 +64,7 @@
         self._connections: dict[object, Connection] = {}
         self._cancels = CancelBarrier()
         self._pool = IdlePool(self._limits.max_idle_per_target, self._limits.max_idle)
+        self._omitting_ids: set[str] = set()
         self._serial_numbers = itertools.count(1)
 
     @property
@@ -246,6 +247,7 @@
         connection.state = ConnectionState.BUSY
         connection.exchange = attempt
         attempt.connection = connection
+        attempt.expects_id = self._expects_id(connection, attempt)
         connection.queue(attempt.encoded_request)
         if attempt.paused:
             self._poller.removeReader(connection.sock)
@@ -347,12 +349,28 @@
         stale = connection.reused and not attempt.response_started
         stale = stale and attempt.request.send_before_ms is None
         if stale and attempt.request.idempotent and not attempt.reconnected:
-            attempt.reconnected = True
+            attempt.restart()
             self._close(connection)
             self._open(attempt)
             return
         self._fail(attempt, code, message)
 
+    def _expects_id(self, connection: Connection, attempt: Attempt) -> bool:
+        """Whether a response without an id may belong to an earlier request.
+
+        The chunks of a stream are identified by themselves. Other requests are sent
+        again on a new connection, if that is possible.
+        """
+        request = attempt.request
+        return (
+            connection.returned_ids
+            and request.idempotent
+            and request.send_before_ms is None
+            and not request.stream
+            and not attempt.reconnected
+            and connection.address not in self._omitting_ids
+        )
+
     def _on_response_data(self, connection: Connection, data: bytes) -> None:
         attempt = connection.exchange
         try:
@@ -363,6 +381,11 @@
         except StreamError as error:
             self._fail(attempt, error.code, str(error))
             return
+        except UnidentifiedResponseError:
+            attempt.restart()
+            self._close(connection)
+            self._open(attempt)
+            return
         for event in events:
             self.fire(event, attempt.request.channel)
         self._after_response_data(connection, attempt)
@@ -389,6 +412,7 @@
         return timeouts.first_token_ms
 
     def _on_complete(self, connection: Connection, attempt: Attempt) -> None:
+        self._observe_id(connection, attempt)
         if attempt.refused:
             self._fail(attempt, "target_status", "the target refused the request")
             return
@@ -398,6 +422,13 @@
         self._finish(attempt)
         self._return_or_close(connection, attempt)
 
+    def _observe_id(self, connection: Connection, attempt: Attempt) -> None:
+        has_id = attempt.reader.head.find(ID_HEADER) is not None
+        connection.returned_ids = has_id
+        if not has_id and not connection.reused and attempt.reconnected:
+            # The target repeats the id only in some of its responses.
+            self._omitting_ids.add(connection.address)
+
     def _finish(self, attempt: Attempt) -> None:
         self._attempts.pop(attempt.request.request_id, None)
         attempt.connection = None
--- a/papayacrank/targets/_exchange.py
+++ b/papayacrank/targets/_exchange.py
@@ -24,10 +24,13 @@
     response_started : bool
         Whether any byte of the response was received.
     reconnected : bool
-        Whether the request was sent again after a reused connection turned out to be
-        closed.
+        Whether the request was sent again, because a reused connection turned out to
+        be closed or returned a response without an id.
     refused : bool
         Whether a stream was requested and the response status is not 200.
+    expects_id : bool
+        Whether earlier responses on the connection carried ids, so that one without an
+        id may belong to an earlier request.
     made_progress : bool
         Whether the last received bytes were progress: the response head, a token of
         a stream or a piece of a plain body. Other bytes do not extend a timeout.
@@ -44,6 +47,7 @@
     paused: bool = False
     reconnected: bool = False
     refused: bool = False
+    expects_id: bool = False
     first_token_received: bool = False
     made_progress: bool = False
     body_bytes: int = 0
@@ -66,6 +70,14 @@
             request, encode_request(request), ResponseParser(request.method), stream
         )
 
+    def restart(self) -> None:
+        """Prepare the request for a second sending, on a new connection."""
+        self.reconnected = True
+        self.response_started = False
+        self.expects_id = False
+        self.encoded_request = encode_request(self.request)
+        self.reader = ResponseParser(self.request.method)
+
 
 @dataclass(slots=True, eq=False)
 class Probe:
--- a/papayacrank/targets/_response_events.py
+++ b/papayacrank/targets/_response_events.py
@@ -18,6 +18,10 @@
 OK = 200
 
 
+class UnidentifiedResponseError(Exception):
+    """Raised if a response may belong to an earlier request on its connection."""
+
+
 def process_received_bytes(attempt: Attempt, data: bytes) -> list[Event]:
     """Parse and check received bytes, and return the events to fire for them.
 
@@ -37,6 +41,8 @@
     ------
     StreamError, MalformedResponseError
         If the response is invalid; then none of the bytes is delivered.
+    UnidentifiedResponseError
+        If the response may belong to an earlier request on the connection.
     """
     attempt.response_started = True
     # A request whose response has started is not sent again; release its bytes.
@@ -70,6 +76,8 @@
 def _check_request_id(attempt: Attempt) -> None:
     request = attempt.request
     echo = attempt.reader.head.find(ID_HEADER)
+    if echo is None and attempt.expects_id:
+        raise UnidentifiedResponseError
     if echo is None and request.require_echo:
         raise StreamError("wrong_answer", "the answer carries no request id")
     if request.check_echo and echo not in (None, request.expected_id):
--- a/papayacrank/transport/_connection.py
+++ b/papayacrank/transport/_connection.py
@@ -39,6 +39,7 @@
         self.exchange = None
         self.reused = False
         self.broken = False
+        self.returned_ids = False
         self.idle_since_ms = 0
         self.deadline_ms: int | None = None
         self.timer_at_ms: int | None = None
