--- a/papayacrank/quarantine/_events.py
+++ b/papayacrank/quarantine/_events.py
@@ -39,8 +39,8 @@
     2214,
     "trial_granted",
     "info",
-    "The leader grants a request with suspected prompt parts; the instance that sends it"
-    " adds the id of the request.",
+    "The leader grants a request with suspected prompt parts; the instance that sends"
+    " it adds the id of the request.",
 )
 TRIAL_ENDED = LogEvent(
     2215,
--- a/proofs/test_deadly_prompts.py
+++ b/proofs/test_deadly_prompts.py
@@ -1,6 +1,7 @@
 """Failure tests: a prompt part on which engines exit reaches few of them."""
 
 import http.client
+import json
 import random
 import threading
 import time
@@ -8,6 +9,7 @@
 
 import pytest
 
+from papayacrank.admin.__main__ import main
 from papayacrank.testing import DeploymentSize
 
 pytestmark = pytest.mark.prove
@@ -153,3 +155,128 @@
         assert int(response.headers["Retry-After"]) >= 1
     later = [o for o in outcomes.sound if o[0] > crashes[-1] + RECOVERY_S]
     assert share_served(later) >= 0.98
+
+
+ENGINE_OPTIONS = {"crash_text": DEADLY, "block_tokens": BLOCK_TOKENS}
+
+
+def count_running(deployment):
+    """Return the number of engines that run."""
+    processes = deployment.fleet.processes
+    return sum(
+        process.is_running
+        for name, process in processes.items()
+        if name.startswith("engine-")
+    )
+
+
+def send(deployment, number, is_deadly, entry=0, max_tokens=8):
+    """Send one conversation to an entry process."""
+    document = {
+        "model": "sample",
+        "max_tokens": max_tokens,
+        "messages": build_messages(number, is_deadly),
+    }
+    return deployment.fleet.request(
+        deployment.entry_addresses[entry],
+        "POST",
+        "/v1/chat/completions",
+        document,
+        deployment.headers("team-a"),
+        20.0,
+    )
+
+
+def run_admin(deployment, capsys, *arguments):
+    """Run the operator's command line; return its exit code and JSON output."""
+    capsys.readouterr()
+    control = f"--control={','.join(deployment.control_addresses)}"
+    code = 0
+    try:
+        main([*arguments, "--json", "--operator=ann", control])
+    except SystemExit as stop:
+        code = stop.code
+    lines = capsys.readouterr().out.splitlines()
+    return code, json.loads(lines[-1])
+
+
+def test_request_without_shared_parts_crashes_two_engines_at_most(start_deployment):
+    """Guards against one request that takes all engines down by its repeats."""
+    deployment = start_deployment(
+        size=DeploymentSize(entries=1, engines=4), engine_options=ENGINE_OPTIONS
+    )
+    response = deployment.complete(
+        deployment.entry_addresses[0], "team-a", DEADLY, timeout_s=20
+    )
+    assert response.status == 502
+    assert response.json()["error"]["verdict"] == "may-have-run"
+    assert count_running(deployment) == 2
+
+
+def test_crash_blames_no_part_of_streams_in_progress(start_deployment):
+    """Guards against hot parts suspected because an engine with their streams ended."""
+    deployment = start_deployment(
+        size=DeploymentSize(entries=1, engines=2),
+        engine_options={"output_tokens": 200, "decode_tokens_per_s": 50},
+    )
+    fleet = deployment.fleet
+    statuses = []
+
+    def run(number):
+        response = send(deployment, number, is_deadly=False, max_tokens=100)
+        statuses.append(response.status)
+
+    threads = [threading.Thread(target=run, args=(n,)) for n in range(6)]
+    for thread in threads:
+        thread.start()
+    engines = ("engine-1", "engine-2")
+
+    def have_all_begun():
+        records = [r for name in engines for r in fleet.stats(name)["requests"]]
+        return len(records) == 6 and all(r["tokens_sent"] >= 5 for r in records)
+
+    fleet.wait_until(have_all_begun, 10)
+    fleet.kill("engine-1")
+    for thread in threads:
+        thread.join()
+    assert statuses == [200] * 6
+    events = {line["event"] for line in fleet.log_lines("entry-e1")}
+    assert not events & {"target_crash_seen", "quarantine_refused"}
+    assert any(r["first_offset"] > 0 for r in fleet.stats("engine-2")["requests"])
+
+
+def test_lift_reaches_all_instances_and_survives_the_leader(start_deployment, capsys):
+    """Guards against a wrong verdict that some instances keep, or that comes back."""
+    deployment = start_deployment(
+        {"block_tokens": BLOCK_TOKENS},
+        size=DeploymentSize(engines=8),
+        engine_options=ENGINE_OPTIONS,
+    )
+    fleet = deployment.fleet
+    assert run_admin(deployment, capsys, "quarantine", "list")[1]["verdicts"] == []
+
+    def find_verdicts():
+        number = random.randrange(1_000_000)
+        send(deployment, number, is_deadly=True, entry=number % 3)
+        return run_admin(deployment, capsys, "quarantine", "list")[1]["verdicts"]
+
+    [verdict] = fleet.wait_until(find_verdicts, 15)
+    assert 3 <= 8 - count_running(deployment) <= 5
+    fleet.kill(deployment.find_leader())
+    kept = fleet.wait_until(
+        lambda: run_admin(deployment, capsys, "quarantine", "list")[1]["verdicts"], 15
+    )
+    number = verdict["number"]
+    assert [item["number"] for item in kept] == [number]
+    for entry in range(3):
+        error = send(deployment, entry, is_deadly=True, entry=entry).json()["error"]
+        assert (error["code"], error["verdict"]) == ("quarantined", "not-run")
+    code, lifted = run_admin(deployment, capsys, "quarantine", "lift", str(number))
+    assert (code, lifted["lifted"]) == (0, number)
+    listed = run_admin(deployment, capsys, "quarantine", "list")[1]
+    assert listed["verdicts"] == []
+    # The next request with the part is sent again, without a trial.
+    running = count_running(deployment)
+    assert send(deployment, 9, is_deadly=True, entry=1).status == 502
+    fleet.wait_until(lambda: count_running(deployment) < running, 5)
+    assert run_admin(deployment, capsys, "quarantine", "lift", str(number))[0] == 1
