--- a/papayacrank/quarantine/_client.py
+++ b/papayacrank/quarantine/_client.py
@@ -466,7 +466,8 @@
         """Return the knowledge that the leader has not confirmed, if due."""
         messages = self.withdraw_trials()
         former = self._former
-        if not former.unconfirmed:
+        has_lifted = bool(self._lifted) and former.sent_ms is None and former.term
+        if not former.unconfirmed and not has_lifted:
             return messages
         is_due = (
             former.sent_ms is None or now_ms - former.sent_ms >= KNOWLEDGE_INTERVAL_MS
--- a/papayacrank/quarantine/_inquest.py
+++ b/papayacrank/quarantine/_inquest.py
@@ -1,8 +1,10 @@
 """Search for the parts that explain crashes, without I/O."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 from ._suspicions import Crash, Suspect, Suspicion, SuspicionTable
+from ._verdicts import HeldVerdict
 
 # Crashes of a part that lead to a verdict if the last one was of a trial.
 CRASHES_WITH_TRIAL = 3
@@ -55,9 +57,17 @@
             if parts <= suspect.parts
         }
 
-    def is_rival(self, parts: frozenset[str], suspect: Suspect) -> bool:
-        """Whether a request may have caused the crashes that parts are blamed for."""
-        return self._count_new(suspect.parts) >= max(2, self.count(parts))
+    def is_rival(self, verdict: HeldVerdict, suspect: Suspect) -> bool:
+        """Whether a request explains as many crashes as a verdict does."""
+        counted: Counter[str] = Counter()
+        for crash in self._suspicions.list_crashes():
+            if crash.explained_by in (0, verdict.number):
+                counted.update({name for s in crash.suspects for name in s.parts})
+        return any(
+            counted[name] >= max(2, verdict.crashes)
+            and not self._suspicions.was_begun(name)
+            for name in suspect.parts
+        )
 
     def may_rival(self, crash: Crash, parts: Iterable[str]) -> bool:
         """Whether parts would count as a cause if they were found in a crash."""
@@ -83,6 +93,8 @@
     def _find_by_trial(self, crash: Crash) -> frozenset[str]:
         """Return the parts that a failed trial proves guilty.
 
+        These are all parts of it with enough crashes, not only the one with most: a
+        sound part that came with two deadly ones has more crashes than either.
         No other request that was part of the crash may be a possible cause: none of its
         parts may have nearly as many crashes as those of the trial, or any crash as
         long as those of the trial's parts have not been at distinct times, because they
@@ -98,25 +110,20 @@
         if not cores:
             return frozenset()
         common = set.intersection(*cores)
-        is_repeated = any(
-            _distinct_times(self._suspicions.get(name)) >= DISTINCT_TIMES
-            for name in common
+        times = max(
+            (_distinct_times(self._suspicions.get(name)) for name in common), default=0
         )
+        is_repeated = times >= DISTINCT_TIMES
         min_rival = max(2, self.count(common) - 1) if is_repeated else 1
         for suspect, known in evidence.items():
             rivals = (s for s in known if not (ignores_sound and s.was_sound))
             if any(s.count >= min_rival for s in rivals):
                 common &= suspect.parts
-        if not common or self._is_common_failure(crash, common):
+        if not common or times < 2 or self._is_common_failure(crash, common):
             for name in set.union(*cores):
                 self._suspicions.get(name).is_exclusive = True
             return frozenset()
-        return self._keep_most_frequent(common)
-
-    def _keep_most_frequent(self, names: Iterable[str]) -> frozenset[str]:
-        """Return those parts that were in all crashes of the others."""
-        count = self.count(names)
-        return frozenset(n for n in names if self._suspicions.get(n).count == count)
+        return frozenset(common)
 
     def _is_common_failure(self, crash: Crash, parts: set[str]) -> bool:
         targets = {
--- a/papayacrank/quarantine/_registry.py
+++ b/papayacrank/quarantine/_registry.py
@@ -296,9 +296,7 @@
         """Count crashes of requests that a verdict names against no other part."""
         removed: list[str] = []
         for crash in self._suspicions.list_crashes():
-            if crash.explained_by == verdict.number or not any(
-                verdict.matches(suspect.parts) for suspect in crash.suspects
-            ):
+            if not any(verdict.matches(s.parts) for s in crash.suspects):
                 continue
             removed += self._suspicions.explain(crash, verdict.number, verdict.parts)
             self._lift_explained(crash, verdict)
@@ -328,7 +326,7 @@
             if verdict.crash != crash.number:
                 continue
             rivals = [s for s in added if not verdict.matches(s.parts)]
-            if any(self._inquest.is_rival(verdict.parts, s) for s in rivals):
+            if any(self._inquest.is_rival(verdict, s) for s in rivals):
                 crash.explained_by = 0
                 for suspect in crash.suspects:
                     self._count(crash, suspect, crash.seen_ms)
--- a/papayacrank/quarantine/_suspicions.py
+++ b/papayacrank/quarantine/_suspicions.py
@@ -127,6 +127,10 @@
         """Return the evidence against a part, None if there is none."""
         return self._suspicions.get(name)
 
+    def was_begun(self, name: str) -> bool:
+        """Whether a response on a part is known."""
+        return name in self._begun
+
     def pop_changed(self) -> set[str]:
         """Return the names of parts with changed evidence since the last call."""
         changed, self._changed = self._changed, set()
