--- a/papayacrank/entry/tests/test_actions.py
+++ b/papayacrank/entry/tests/test_actions.py
@@ -9,7 +9,7 @@
 import pytest
 
 from .support import wait_until
-from .system import Response, inject_fault, running_system
+from .system import Response, fetch_json, inject_fault, running_system
 
 pytestmark = pytest.mark.prove
 
@@ -140,6 +140,25 @@
     assert len(system.read_journal()) == 1
 
 
+def test_action_on_a_server_that_crashes_is_not_repeated(tmp_path):
+    """Guards against an action that runs again elsewhere after a crash."""
+    options = {"engines": 0, "services": 2, "service_args": ("--work_ms", "2000")}
+    with running_system(tmp_path, **options) as system:
+        connection = start_claim(system)
+        busy = next(
+            number
+            for number, address in enumerate(system.service_addresses)
+            if fetch_json(address, "/journal")["entries"]
+        )
+        system.services[busy].kill()
+        system.service_addresses.pop(busy)
+        lost = Response(connection.getresponse())
+        assert (lost.status, lost.error["verdict"]) == (502, "may-have-run")
+        repeat = system.claim(headers=HEADERS)
+        assert (repeat.status, repeat.error["verdict"]) == (409, "may-have-run")
+        assert system.read_journal() == []
+
+
 def test_swapped_response_is_not_delivered(system):
     """Guards against recording the response to another action."""
     inject_fault(system.service_addresses[0], kind="swap_answers", path="/claims")
