Keep the quarantine of one request's prompt parts apart from its flow

The base class of the request flows had grown by 130 lines of state that only concern prompt parts; they are now a class of their own, without a change of behaviour.

--- a/papayacrank/entry/_completion_flow.py
+++ b/papayacrank/entry/_completion_flow.py
@@ -21,7 +21,7 @@
 from ._context import EntryContext
 from ._engine_body import EngineFields, encode_engine_body
 from ._exchange import Exchange
-from ._flow import CALLER_ERROR_STATUSES, FLOW_CHANNEL, MAX_CRASHES, RequestFlow
+from ._flow import CALLER_ERROR_STATUSES, FLOW_CHANNEL, RequestFlow
 from ._prompt_parts import name_shared_parts
 from ._responses import JSON_TYPE, Headers
 
@@ -90,7 +90,7 @@
             tokens,
             service.block_tokens,
         )
-        self._shared_parts = name_shared_parts(
+        self._parts.names = name_shared_parts(
             service.model, completion.document["messages"], self._prompt_blocks
         )
         self._attempt_tokens = 0
@@ -116,11 +116,6 @@
         """Whether reading from the engine is paused because the caller is slow."""
         return self._is_paused
 
-    @property
-    def shared_parts(self) -> tuple[str, ...]:
-        """Names of the prompt parts that other requests may share."""
-        return self._shared_parts
-
     @property
     def _admission(self) -> AdmissionPolicy:
         return self._context.engine_admission
@@ -202,7 +197,7 @@
         """Send a token to the caller, exactly once and in order."""
         self._attempt_tokens += 1
         if self._attempt_tokens == TOKENS_PAST_BEGINNING:
-            self._on_begun()
+            self._parts.on_begun()
         delivery = self._assembler.accept(offset, text)
         if delivery is Delivery.DUPLICATE:
             return
@@ -246,7 +241,7 @@
         if failure.status in CALLER_ERROR_STATUSES:
             text = f"the engine refused the request with status {failure.status}"
             self.fail(self._state.fail("refused_by_target", text, 400))
-        elif self._possible_crashes >= MAX_CRASHES:
+        elif not self._parts.may_repeat:
             self._fail_with_target_error(target, failure)
         elif self._assembler.next_offset:
             self._resume(target, failure)
--- a/papayacrank/entry/_flow.py
+++ b/papayacrank/entry/_flow.py
@@ -8,7 +8,6 @@
 from papayacrank.admission import AdmissionPolicy, AdmissionRequest
 from papayacrank.config import Service
 from papayacrank.kernel import Failure, Verdict
-from papayacrank.messages import SuspectRequest
 from papayacrank.permits import (
     ANY_PERMIT_WAIT_MS,
     MAX_PERMIT_REQUESTS,
@@ -19,13 +18,14 @@
     RateKnowledge,
     RateStatement,
 )
-from papayacrank.quarantine import PartsAdmission, TrialDecision, TrialOutcome
+from papayacrank.quarantine import TrialDecision
 from papayacrank.routing import Choice, RoutingRequest
 from papayacrank.targets import TargetFailure, TargetRequest, TargetUsage
 
 from ._authentication import Caller
 from ._context import EntryContext
 from ._exchange import Exchange
+from ._part_trials import PartTrials
 from ._request_state import Phase, RequestStateMachine
 from ._responses import Headers
 
@@ -36,8 +36,6 @@
 DEADLINE_CODE = "deadline_exceeded"
 # Part of the remaining time of a request that one wait for a permit may take.
 PERMIT_WAIT_DIVISOR = 4
-# A request on which this many targets have crashed gets no further attempt.
-MAX_CRASHES = 2
 # The connection ended although no deadline had passed.
 LOST_CONNECTION_CODES = frozenset(
     {"connect_failed", "connection_lost", "truncated_answer", "write_failed"}
@@ -93,17 +91,21 @@
         self._permit_requests = 0
         self._on_permit_decision: Callable[[PermitDecision], None] | None = None
         self._rate_knowledge = RateKnowledge()
-        self._trial = 0
-        self._on_trial_decision: Callable[[TrialDecision], None] | None = None
-        self._target_start = 0
-        self._has_begun = False
-        self._possible_crashes = 0
         self._is_admitted = False
         self._is_outcome_recorded = False
         self._ended = False
         self._record = context.records.open(
             exchange.public_id, self.workspace, service.name, self._arrived_ms
         )
+        self._parts = PartTrials(
+            context.quarantine,
+            context.crash_checks,
+            context.clock,
+            self.request_id,
+            exchange.public_id,
+            self.workspace,
+            self._add_step,
+        )
 
     @property
     def request_id(self) -> str:
@@ -130,14 +132,6 @@
         """Whether reading from the target is paused because the caller is slow."""
         return False
 
-    @property
-    def shared_parts(self) -> tuple[str, ...] | None:
-        """Names of the prompt parts that other requests may share; None if no prompt.
-
-        A prompt may have none that can be named.
-        """
-        return None
-
     # Steps implemented by subclasses
 
     @property
@@ -216,7 +210,7 @@
         self._clear_attempt()
         self._add_step(f"attempt at {target} failed: {failure.code}")
         self._check_crash(target, failure)
-        self._end_trial()
+        self._parts.end_trial()
         self._handle_attempt_failure(target, failure)
 
     def on_rate(self, statement: RateStatement | None, is_success: bool) -> None:
@@ -398,88 +392,28 @@
         permit : Permit, optional
             Permit that the request holds.
         """
-        parts = self.shared_parts
-        if not parts or self._trial:
-            on_allowed(permit)
-            return
-        quarantine = self._context.quarantine
-        decision = quarantine.client.check(self.workspace, parts, self._now_ms())
-        if decision.admission is PartsAdmission.ALLOWED:
+        if self._parts.may_send():
             on_allowed(permit)
             return
         self._give_back(permit)
-        if decision.admission is PartsAdmission.REFUSED:
-            log_id = self._exchange.public_id
-            quarantine.note_refused(self.workspace, parts, decision, log_id)
-            self._add_step(f"has parts that are quarantined: {decision.verdict}")
-            self._refuse_parts(decision.retry_after_ms)
-            return
-        self._add_step("has parts that crashed targets, and waits for a trial")
-        self._request_trial(on_allowed)
-
-    def _request_trial(self, on_allowed: Callable[[None], None]) -> None:
-        def on_decision(decision: TrialDecision) -> None:
-            if decision.outcome in (TrialOutcome.REFUSED, TrialOutcome.NO_REPLY):
-                self._add_step(f"no trial: {decision.outcome.value}")
-                self._refuse_parts(decision.retry_after_ms)
-                return
-            self._trial = decision.trial
-            if self._trial:
-                self._add_step(f"runs as trial {self._trial}")
-            on_allowed(None)
-
-        self._on_trial_decision = on_decision
-        self._context.quarantine.acquire_trial(
-            self.request_id,
-            self.workspace,
-            self.shared_parts,
+        self._parts.acquire(
+            lambda: on_allowed(None),
+            self._refuse_parts,
             self._make_guarded_callback("on_trial_decision"),
-            self._exchange.public_id,
         )
 
     def on_trial_decision(self, decision: TrialDecision) -> None:
         """Continue with the decision on a trial."""
-        self._on_trial_decision(decision)
+        self._parts.on_decision(decision)
 
     def _refuse_parts(self, retry_after_ms: int | None) -> None:
         text = "the prompt has parts on which targets have crashed"
         self._give_up(self._state.fail("quarantined", text, 503, retry_after_ms))
 
-    def _end_trial(self) -> None:
-        """End the trial of the current attempt, unless a crash is being checked."""
-        trial, self._trial = self._trial, 0
-        self._context.quarantine.end_trial(trial)
-
-    def _on_begun(self) -> None:
-        """Clear the prompt parts once the response is past its beginning."""
-        if self._has_begun or self.shared_parts is None:
-            return
-        self._has_begun = True
-        self._context.quarantine.on_begun(self.shared_parts)
-        self._end_trial()
-
     def _check_crash(self, target: str, failure: TargetFailure) -> None:
-        """Check whether a target has crashed on the request, and report it if so."""
-        is_lost = failure.bytes_written and failure.code in LOST_CONNECTION_CODES
-        if not is_lost or self._has_begun or self.shared_parts is None:
-            return
-        trial, self._trial = self._trial, 0
-        self._possible_crashes += 1
-
-        def on_checked(has_crashed: bool) -> None:
-            if has_crashed:
-                self._add_step(f"{target} has crashed")
-                return
-            self._possible_crashes -= 1
-            self._context.quarantine.end_trial(trial)
-
-        self._context.crash_checks.on_lost(
-            target,
-            self._find_target_address(target),
-            self._target_start,
-            SuspectRequest(self.workspace, list(self.shared_parts), trial),
-            on_checked,
-        )
+        """Check whether a target has crashed on the request."""
+        if failure.bytes_written and failure.code in LOST_CONNECTION_CODES:
+            self._parts.on_lost(target, self._find_target_address(target))
 
     def _give_back(self, permit: Permit | None) -> None:
         if permit is not None:
@@ -494,8 +428,7 @@
         self._permit = permit
         self._rate_knowledge = self._context.permits.client.knowledge_of(choice.target)
         self._attempt_id = routing.request_id
-        self._has_begun = False
-        self._target_start = self._context.router.index.incarnation(choice.target) or 0
+        self._parts.begin(self._context.router.index.incarnation(choice.target) or 0)
         self._add_step(
             f"sent to {choice.target}: {choice.reason}, "
             f"{choice.matched_blocks} blocks cached"
@@ -524,7 +457,7 @@
     def _finish_attempt(self) -> None:
         """Record an attempt that returned a complete response."""
         self._state.on_response_complete()
-        self._on_begun()
+        self._parts.on_begun()
         self._context.router.on_finished(self._attempt_id, True, self._now_ms())
         self._clear_attempt()
 
@@ -546,7 +479,7 @@
         ok = False if is_past_deadline else None
         self._context.router.on_finished(self._attempt_id, ok, self._now_ms())
         self._clear_attempt()
-        self._end_trial()
+        self._parts.end_trial()
 
     def _clear_attempt(self) -> None:
         self._context.flows.remove_attempt(self._attempt_id)
@@ -601,8 +534,7 @@
             self._admission.on_served(self.request_id, cached * ran, computed, now_ms)
         self._cancel_timer("deadline")
         self._context.permits.cancel(self.request_id)
-        self._context.quarantine.cancel(self.request_id)
-        self._end_trial()
+        self._parts.close()
         if verdict is not Verdict.NOT_RUN:
             metrics = self._context.metrics
             metrics.on_tokens(self._service.name, prompt, cached, output)
--- a/papayacrank/entry/tests/test_prompt_trials.py
+++ b/papayacrank/entry/tests/test_prompt_trials.py
@@ -7,7 +7,7 @@
 from expression import Ok
 
 from papayacrank.admission import AdmissionRequest
-from papayacrank.entry._flow import MAX_CRASHES, RequestFlow
+from papayacrank.entry._flow import RequestFlow
 from papayacrank.kernel import ManualClock, Verdict
 from papayacrank.messages import (
     CrashReport,
@@ -30,7 +30,6 @@
 class PromptFlow(RequestFlow):
     """Flow of a request with a prompt of two shared parts."""
 
-    shared_parts = PARTS
     _admission = MagicMock()
 
     def _build_admission(self):
@@ -51,7 +50,7 @@
         self._end("served", None)
 
     def _handle_attempt_failure(self, target, failure):
-        if self._possible_crashes >= MAX_CRASHES:
+        if not self._parts.may_repeat:
             self._fail_with_target_error(target, failure)
         else:
             self._retry_on_other_target(target)
@@ -90,6 +89,7 @@
         service = SimpleNamespace(name="llm", targets=())
         caller = SimpleNamespace(workspace="team-a")
         self.flow = PromptFlow(context, exchange, caller, service, True, 10_000)
+        self.flow._parts.names = PARTS
         self.flow._find_target_address = lambda target: f"address of {target}"
 
     def send(self, message):
@@ -179,7 +179,7 @@
     """Guards against sound parts that stay on trial."""
     bench.run_trial()
     bench.clock.advance(10)
-    bench.flow._on_begun()
+    bench.flow._parts.on_begun()
     assert (bench.count(PartsCleared), bench.count(TrialEnded)) == (1, 1)
     bench.flow.on_finished(None)
     assert bench.count(TrialEnded) == 1
@@ -259,7 +259,7 @@
 def test_response_past_its_beginning_is_no_suspect(bench):
     """Guards against parts blamed for the crash of an engine that wrote on them."""
     bench.start()
-    bench.flow._on_begun()
+    bench.flow._parts.on_begun()
     bench.flow.on_failed(LOST)
     assert bench.checks == []
 
