Convict no part by a trial that another cause may have ended

A new leader now decides nothing for 1 s, only trials that the leader has granted itself prove anything, a trial whose end is unknown makes a crash unclear, and a third crash convicts only if no other new part was in it.

--- a/papayacrank/quarantine/_inquest.py
+++ b/papayacrank/quarantine/_inquest.py
@@ -33,9 +33,18 @@
     def __init__(self, suspicions: SuspicionTable):
         self._suspicions = suspicions
 
-    def find_cause(self, crash: Crash) -> frozenset[str]:
-        """Return the parts that explain a crash; empty if that is not certain."""
-        return self._find_by_trial(crash) or self._find_by_number(crash)
+    def find_cause(self, crash: Crash, is_unclear: bool) -> frozenset[str]:
+        """Return the parts that explain a crash; empty if that is not certain.
+
+        Parameters
+        ----------
+        crash : Crash
+            Crash of which all reports are expected to have arrived.
+        is_unclear : bool
+            Whether the end of another trial is unknown, so that one proves nothing.
+        """
+        parts = self._find_by_trial(crash, is_unclear)
+        return parts or self._find_by_number(crash)
 
     def count(self, parts: Iterable[str]) -> int:
         """Return the most crashes that are counted against one of some parts."""
@@ -75,8 +84,7 @@
             return True
         return not any(
             _is_on_trial(known, False)
-            for suspect in crash.suspects
-            if suspect.trial
+            for suspect in crash.trials
             for known in self._evidence(crash, suspect)
         )
 
@@ -90,19 +98,21 @@
         known = (self._suspicions.get(name) for name in suspect.parts)
         return [s for s in known if s is not None and crash.number in s.crashes]
 
-    def _find_by_trial(self, crash: Crash) -> frozenset[str]:
+    def _find_by_trial(self, crash: Crash, is_unclear: bool) -> frozenset[str]:
         """Return the parts that a failed trial proves guilty.
 
         These are all parts of it with enough crashes, not only the one with most: a
         sound part that came with two deadly ones has more crashes than either.
         No other request that was part of the crash may be a possible cause: none of its
-        parts may have nearly as many crashes as those of the trial, or any crash as
-        long as those of the trial's parts have not been at distinct times, because they
-        may be those of one common failure. Parts that were sound before are considered
+        parts may have nearly as many crashes as those of the trial. As long as these
+        are few or not at distinct times, they may be those of other causes, and no
+        part of another request may be new. Parts that were sound before are considered
         only if the trial had no others.
         """
         evidence = {s: self._evidence(crash, s) for s in crash.suspects}
-        trials = [known for suspect, known in evidence.items() if suspect.trial]
+        trials = [
+            evidence[suspect] for suspect in crash.suspects if suspect in crash.trials
+        ]
         new = [{s.name for s in known if _is_on_trial(s, False)} for known in trials]
         sound = [{s.name for s in known if _is_on_trial(s, True)} for known in trials]
         ignores_sound = any(new)
@@ -113,13 +123,16 @@
         times = max(
             (_distinct_times(self._suspicions.get(name)) for name in common), default=0
         )
-        is_repeated = times >= DISTINCT_TIMES
+        is_repeated = (
+            times >= DISTINCT_TIMES and self.count(common) > CRASHES_WITH_TRIAL
+        )
         min_rival = max(2, self.count(common) - 1) if is_repeated else 1
         for suspect, known in evidence.items():
             rivals = (s for s in known if not (ignores_sound and s.was_sound))
             if any(s.count >= min_rival for s in rivals):
                 common &= suspect.parts
-        if not common or times < 2 or self._is_common_failure(crash, common):
+        is_alone = bool(common) and times >= 2 and not is_unclear
+        if not is_alone or self._is_common_failure(crash, common):
             for name in set.union(*cores):
                 self._suspicions.get(name).is_exclusive = True
             return frozenset()
--- a/papayacrank/quarantine/_registry.py
+++ b/papayacrank/quarantine/_registry.py
@@ -34,8 +34,8 @@
 # A crash is decided after this time, so that the reports of all instances and the
 # responses on hot parts have arrived.
 SETTLING_MS = 300
-# Trials are refused for this time after an election, in which entry processes repeat
-# what they know.
+# No trial is granted and no crash decided for this time after an election, in which
+# entry processes repeat what they know.
 LEARNING_MS = 1_000
 # Time after which a request whose trial was refused may find one.
 TRIAL_RETRY_MS = 100
@@ -94,7 +94,7 @@
 
     def report_crash(self, report: CrashReport, now_ms: int) -> None:
         """Count a crash against the parts of the requests that may have caused it."""
-        self._end_replaced_trials(report.instance)
+        self._end_replaced_trials(report.instance, now_ms)
         crash, added = self._suspicions.record(report, now_ms)
         if not added:
             return
@@ -103,6 +103,7 @@
             trial = self._trials.get((suspect.instance, suspect.trial))
             if trial is not None:
                 trial.crash = crash.number
+                crash.trials.add(suspect)
             counted |= self._count(crash, suspect, now_ms)
         if crash.is_decided:
             self._review(crash, added)
@@ -154,7 +155,7 @@
 
     def clear(self, message: PartsCleared, now_ms: int) -> None:
         """Discard evidence against parts on which a response was begun since."""
-        self._end_replaced_trials(message.instance)
+        self._end_replaced_trials(message.instance, now_ms)
         at_ms = now_ms - max(0, message.age_ms)
         cleared = [name for name in message.parts if self._clear(name, message, at_ms)]
         if cleared:
@@ -195,6 +196,8 @@
     # Verdicts
 
     def _decide_crashes(self, now_ms: int) -> None:
+        if now_ms < self._learning_until_ms:
+            return
         for number in sorted(self._undecided):
             crash = self._suspicions.get_crash(number)
             if crash is None:
@@ -209,7 +212,7 @@
 
     def _is_open(self, crash: Crash) -> bool:
         """Whether another trial may turn out to be a possible cause of a crash."""
-        if crash.explained_by or not crash.has_trial():
+        if crash.explained_by or not crash.trials:
             return False
         others = self._trials.list_open(crash.at_ms)
         return any(self._inquest.may_rival(crash, t.suspected) for t in others)
@@ -217,7 +220,9 @@
     def _decide(self, crash: Crash, now_ms: int) -> None:
         crash.is_decided = True
         if not crash.explained_by:
-            parts = self._inquest.find_cause(crash)
+            lost = self._trials.list_lost(crash.at_ms)
+            is_unclear = any(self._inquest.may_rival(crash, t.suspected) for t in lost)
+            parts = self._inquest.find_cause(crash, is_unclear)
             if parts:
                 self._convict(parts, crash, now_ms)
         self._end_crash(crash.number)
@@ -374,7 +379,7 @@
 
     def request_trial(self, request: TrialRequest, now_ms: int) -> TrialReply:
         """Grant or refuse a request with suspected parts."""
-        self._end_replaced_trials(request.instance)
+        self._end_replaced_trials(request.instance, now_ms)
         retry_after_ms = self._find_trial_wait_ms(request, now_ms)
         if retry_after_ms is None:
             self._start_trial(request, now_ms)
@@ -439,8 +444,8 @@
             self._trials.end(trial.key)
             self._log_trial_ended(trial, "none")
 
-    def _end_replaced_trials(self, instance: str) -> None:
-        for trial in self._trials.pop_replaced(instance):
+    def _end_replaced_trials(self, instance: str, now_ms: int) -> None:
+        for trial in self._trials.pop_replaced(instance, now_ms):
             self._log_trial_ended(trial, "lost")
 
     def tick(self, now_ms: int) -> None:
--- a/papayacrank/quarantine/_suspicions.py
+++ b/papayacrank/quarantine/_suspicions.py
@@ -40,7 +40,9 @@
 class Crash:
     """Crash of a target with the requests that may have caused it.
 
-    `explained_by` is the number of the verdict that names its cause, 0 if none does.
+    `trials` are the requests whose trials the leader has granted itself; of those of an
+    earlier leader it does not know which others ran. `explained_by` is the number of
+    the verdict that names the cause, 0 if none does.
     """
 
     number: int
@@ -49,13 +51,10 @@
     at_ms: int
     seen_ms: int
     suspects: dict[Suspect, None] = field(default_factory=dict)
+    trials: set[Suspect] = field(default_factory=set)
     explained_by: int = 0
     is_decided: bool = False
 
-    def has_trial(self) -> bool:
-        """Whether a request under a trial was part of the crash."""
-        return any(suspect.trial for suspect in self.suspects)
-
 
 @dataclass(slots=True)
 class Suspicion:
--- a/papayacrank/quarantine/_trials.py
+++ b/papayacrank/quarantine/_trials.py
@@ -1,5 +1,6 @@
 """Trials that the leader has granted, without I/O."""
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -8,6 +9,8 @@
 TRIAL_LEASE_MS = 6_000
 MAX_TRIALS = 2_000
 
+MAX_LOST = 256
+
 TrialKey = tuple[str, int]
 
 
@@ -40,6 +43,8 @@
     def __init__(self):
         self._trials: dict[TrialKey, Trial] = {}
         self._by_part: dict[str, TrialKey] = {}
+        # Trials whose end is unknown, with the time at which they were given up.
+        self._lost: deque[tuple[Trial, int]] = deque(maxlen=MAX_LOST)
 
     def __len__(self) -> int:
         return len(self._trials)
@@ -48,6 +53,7 @@
         """Forget all trials."""
         self._trials.clear()
         self._by_part.clear()
+        self._lost.clear()
 
     def get(self, key: TrialKey) -> Trial | None:
         """Return a running trial, None if it is not known."""
@@ -84,6 +90,14 @@
             if not trial.crash and trial.granted_ms < crashed_ms
         ]
 
+    def list_lost(self, crashed_ms: int) -> list[Trial]:
+        """Return the trials that may have ended by a crash that nobody reported."""
+        return [
+            trial
+            for trial, lost_ms in self._lost
+            if trial.granted_ms < crashed_ms <= lost_ms
+        ]
+
     def of_part(self, name: str) -> Trial | None:
         """Return the running trial of a part, None if there is none."""
         key = self._by_part.get(name)
@@ -103,11 +117,10 @@
             for trial in self._trials.values()
             if not trial.crash and now_ms - trial.granted_ms >= TRIAL_LEASE_MS
         ]
-        for trial in lost:
-            self.end(trial.key)
+        self._lose(lost, now_ms)
         return lost
 
-    def pop_replaced(self, instance: str) -> list[Trial]:
+    def pop_replaced(self, instance: str, now_ms: int) -> list[Trial]:
         """Remove and return the trials of earlier starts of an instance."""
         if not self._trials:
             return []
@@ -119,10 +132,14 @@
             and _split(trial.instance)[0] == name
             and _split(trial.instance)[1] < boot
         ]
-        for trial in replaced:
-            self.end(trial.key)
+        self._lose(replaced, now_ms)
         return replaced
 
+    def _lose(self, trials: list[Trial], now_ms: int) -> None:
+        for trial in trials:
+            self.end(trial.key)
+            self._lost.append((trial, now_ms))
+
 
 def _split(instance: str) -> tuple[str, int]:
     """Return the name of an instance and the number of its start, 0 if it has none."""
