Follow the registry in two tests of the quarantine's wiring

The registry convicts parts only for crashes at distinct times now, so the test of a failed trial spaces its crashes; the verdict that it demands is the same. A request that leaves ends its trial at once, and a grant that arrives later is ended again: the test demands the end after the grant, whatever was sent before.

--- a/papayacrank/control/tests/test_quarantine_service.py
+++ b/papayacrank/control/tests/test_quarantine_service.py
@@ -23,6 +23,8 @@
 # on a crash once the reports of all instances have arrived.
 LEARNING_MS = 1_100
 DECISION_MS = 1_000
+# Crashes at the same time may have a common cause.
+DISTINCT_MS = 600
 
 
 def build_report(target="e1", instance="i1", parts=("a",)):
@@ -40,7 +42,9 @@
     """Report two crashes, so that requests with the part need a trial."""
     harness.advance(LEARNING_MS)
     harness.receive("entry/i1", build_report("e1"))
+    harness.advance(DISTINCT_MS)
     harness.receive("entry/i2", build_report("e2", "i2"))
+    harness.advance(DISTINCT_MS)
 
 
 def test_suspicion_is_sent_to_all_entry_processes_at_once():
--- a/papayacrank/forwarding/tests/test_suspects.py
+++ b/papayacrank/forwarding/tests/test_suspects.py
@@ -283,9 +283,12 @@
     suspect(bench)
     caller = send(bench)
     bench.forwarder.on_caller_left(caller.exchange)
+    ended_before = len(sent(bench, TrialEnded))
     reply(bench)
     assert bench.port.calls == []
-    assert len(sent(bench, TrialEnded)) == 1
+    request = sent(bench, TrialRequest)[-1]
+    ended = sent(bench, TrialEnded)[ended_before:]
+    assert [message.number for message in ended] == [request.number]
 
 
 def test_loss_at_a_leaving_target_is_no_crash(bench):
