Answer any number of pipelined requests

Callers saw: of 801 pipelined requests that are answered at once (refused, for example), 140 got an answer, the others nothing, and the connection stayed open. Cause: each response read the next request within the handling of the one before, until Python's recursion limit raised an exception. Fix: the loop that reads requests goes on instead. The native interface queues an event for each request and is not affected.

--- a/papayacrank/transport/_http_port.py
+++ b/papayacrank/transport/_http_port.py
@@ -176,6 +176,7 @@
     body_bytes: int = 0
     exchange: HttpExchange | None = None
     close_requested: bool = False
+    is_reading: bool = False
     linger_until_ms: int | None = None
 
 
@@ -390,6 +391,16 @@
             self._server.abort(sock)
 
     def _read_requests(self, sock, caller: _CallerConnection) -> None:
+        if caller.is_reading:
+            # A listener has responded at once; the loop below goes on.
+            return
+        caller.is_reading = True
+        try:
+            self._read_next_requests(sock, caller)
+        finally:
+            caller.is_reading = False
+
+    def _read_next_requests(self, sock, caller: _CallerConnection) -> None:
         while caller.exchange is None and caller.linger_until_ms is None:
             try:
                 event = caller.protocol.next_event()
--- a/papayacrank/transport/tests/test_http_port.py
+++ b/papayacrank/transport/tests/test_http_port.py
@@ -179,6 +179,17 @@
     assert reply.startswith(b"HTTP/1.1 200 ")
 
 
+def test_many_pipelined_requests_are_all_answered(server):
+    """Guards against a recursion for each request that is answered at once."""
+    count = 800
+    sock = server.connect()
+    last = b"GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    sock.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n" * count + last)
+    data = receive_until_closed(sock)
+    assert data.count(b"HTTP/1.1 200 ") == count + 1
+    assert data.endswith(b"GET /last ")
+
+
 def test_connection_above_the_limit_is_refused_with_a_response():
     """Guards against a caller that gets neither an answer nor a refusal."""
     server = Server(replace(LIMITS, max_connections=1))
