Count a request as sent if its sending fails midway

Callers could get: "not run" for a request that a server had begun to read and may have run, and such a request could run at a second server. It needs a request larger than the free send buffer, and a server that resets the connection while it is being sent.

Cause: the request is written in a loop. If a write in the loop fails, the number of bytes that earlier writes handed to the operating system was lost with the exception, and the attempt counted as never sent. Both interfaces use the same loop.

Change: the connection itself remembers whether it has sent any byte of the request.

--- a/papayacrank/forwarding/_target_port.py
+++ b/papayacrank/forwarding/_target_port.py
@@ -316,9 +316,10 @@
     def _write(self, connection: _HttpConnection) -> None:
         call = connection.call
         try:
-            if connection.send():
-                call.bytes_written = True
+            connection.send()
+            call.bytes_written |= connection.has_sent
         except OSError as error:
+            call.bytes_written |= connection.has_sent
             # The response may have arrived before the target closed the connection.
             connection.drop_unsent()
             connection.broken = True
--- a/papayacrank/forwarding/tests/test_target_port.py
+++ b/papayacrank/forwarding/tests/test_target_port.py
@@ -220,6 +220,20 @@
         assert outcome == ("a", "connection_lost", True)
 
 
+def test_request_that_was_sent_in_part_may_have_run(bench):
+    """Guards against "not run" for a request whose sending fails midway."""
+
+    def script(sock, data, number):
+        if number == 1:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            sock.close()
+
+    for _ in range(20):
+        target = ScriptedTarget(script)
+        outcome = bench.run(target.address, "a", b"x" * 8_000_000)
+        assert outcome == ("a", "connection_lost", True)
+
+
 @pytest.mark.parametrize(
     "response",
     [
--- a/papayacrank/targets/_client.py
+++ b/papayacrank/targets/_client.py
@@ -281,6 +281,7 @@
         connection.drop_unsent()
         connection.broken = True
         attempt = connection.exchange
+        attempt.bytes_written = attempt.bytes_written or connection.has_sent
         self._read(connection)
         if attempt.connection is connection and not attempt.response_started:
             self._retry_or_fail(connection, "write_failed", str(error))
--- a/papayacrank/targets/tests/test_faults.py
+++ b/papayacrank/targets/tests/test_faults.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import struct
 import time
 from dataclasses import replace
 
@@ -264,6 +265,27 @@
     assert service.journal == []
 
 
+def test_request_that_was_sent_in_part_may_have_run(bench):
+    """Guards against "not run" for a request whose sending fails midway."""
+
+    def script(sock, data, number):
+        if number == 1:
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            sock.close()
+
+    for number in range(20):
+        target = ScriptedTarget(script)
+        request = plain_request(
+            target.address,
+            f"r{number}",
+            method="POST",
+            body=b"x" * 8_000_000,
+            idempotent=False,
+        )
+        assert bench.run_request(request).bytes_written
+
+
 def test_write_to_a_target_that_does_not_read_times_out(bench):
     """Guards against a request that hangs while being written."""
     with ScriptedServer(["hold"]) as server:
--- a/papayacrank/transport/_connection.py
+++ b/papayacrank/transport/_connection.py
@@ -40,6 +40,7 @@
         self.reused = False
         self.broken = False
         self.returned_ids = False
+        self.has_sent = False
         self.idle_since_ms = 0
         self.deadline_ms: int | None = None
         self.timer_at_ms: int | None = None
@@ -102,8 +103,9 @@
         return False
 
     def queue(self, data: bytes) -> None:
-        """Replace the send buffer with `data`."""
+        """Replace the send buffer with `data`, of which nothing has been sent."""
         self._unsent = memoryview(data)
+        self.has_sent = False
 
     def drop_unsent(self) -> None:
         """Clear the send buffer."""
@@ -115,7 +117,7 @@
         Raises
         ------
         OSError
-            If the connection is broken.
+            If the connection is broken; `has_sent` tells whether any byte was sent.
         """
         sent = 0
         while len(self._unsent):
@@ -124,6 +126,7 @@
             except (BlockingIOError, InterruptedError):
                 break
             sent += count
+            self.has_sent = True
             self._unsent = self._unsent[count:]
         return sent
 
