Accept responses of targets that end with their connection

Callers of the completions interface got 502 for each response of a target with neither a length nor chunks: it failed as malformed_answer.

Cause: they were refused, because an orderly end can cut a body. A reset can be told from it, and the issue asks for that.

Change: such a response is complete with the orderly end of its connection; after a reset, or an end behind a failed sending, it is not. Its connection is not reused. A token stream needs its last event, whatever its framing.

A changed test: test_ambiguous_responses_are_rejected had this response in its list. It is replaced by test_response_without_length_is_complete_only_after_its_connection (nothing is complete before the end, the connection is not kept) and by the property tests of test_cut_responses.py: five framings, plain and streamed, cut at any byte, with an orderly end and with a reset. These failed before for the whole response without a length; cut heads and framed bodies were right before. Without the check for a failed sending, test_response_without_length_is_incomplete_if_sending_fails fails.

--- a/papayacrank/targets/_client.py
+++ b/papayacrank/targets/_client.py
@@ -324,7 +324,7 @@
         if data is None:
             return
         if not data:
-            self._on_connection_lost(connection, "the target closed the connection")
+            self._on_connection_ended(connection)
         elif connection.state is ConnectionState.BUSY:
             self._on_response_data(connection, data)
         elif connection.state is ConnectionState.PROBING:
@@ -334,6 +334,17 @@
         else:
             self._close(connection)
 
+    def _on_connection_ended(self, connection: Connection) -> None:
+        # After a failed sending, an end of file may be that of a reset, which the
+        # operating system reports once.
+        if connection.state is ConnectionState.BUSY and not connection.broken:
+            attempt = connection.exchange
+            attempt.reader.end_connection()
+            if attempt.reader.complete:
+                self._on_complete(connection, attempt)
+                return
+        self._on_connection_lost(connection, "the target closed the connection")
+
     def _on_connection_lost(self, connection: Connection, message: str) -> None:
         if connection.state is ConnectionState.BUSY:
             attempt = connection.exchange
--- a/papayacrank/targets/_response.py
+++ b/papayacrank/targets/_response.py
@@ -48,8 +48,9 @@
     backslash escapes in header values, which lets a target insert line breaks into
     forwarded headers. Headers are parsed by the standard library.
 
-    A response delimited by the end of the connection is rejected, because its end
-    cannot be distinguished from a lost connection.
+    A response with neither a length nor chunks ends with its connection, which
+    `end_connection` reports. The caller of this class distinguishes an orderly end from
+    a lost connection.
 
     Parameters
     ----------
@@ -72,6 +73,11 @@
         """Whether bytes were received after the end of the response."""
         return self.complete and bool(self._buffer)
 
+    def end_connection(self) -> None:
+        """Handle the orderly end of the connection, which may complete the response."""
+        if self._read_next == self._read_until_end:
+            self.complete = True
+
     def feed(self, data: bytes) -> bytes:
         """Parse received bytes and return the part of the body that they contain.
 
@@ -127,6 +133,9 @@
             if lengths or [e.strip().lower() for e in encodings] != ["chunked"]:
                 raise MalformedResponseError("unsupported transfer encoding")
             self._read_next = self._read_chunk_size
+        elif not lengths:
+            self.keep_alive = False
+            self._read_next = self._read_until_end
         else:
             self._remaining_bytes = _parse_length(lengths)
             self._read_next = self._read_sized_body
@@ -138,6 +147,10 @@
         self.complete = self._remaining_bytes == 0
         return False
 
+    def _read_until_end(self, body: list[bytes]) -> bool:
+        body.append(self._consume(len(self._buffer)))
+        return False
+
     def _read_chunk_size(self, body: list[bytes]) -> bool:
         end = self._buffer.find(LINE_END)
         if end > MAX_CHUNK_LINE_BYTES or (
@@ -212,8 +225,6 @@
 
 
 def _parse_length(lengths: set[str]) -> int:
-    if not lengths:
-        raise MalformedResponseError("the end of the answer is not marked")
     value = lengths.pop()
     if lengths or not (value.isascii() and value.isdigit()):
         raise MalformedResponseError("invalid content length")
