--- a/papayacrank/targets/_client.py
+++ b/papayacrank/targets/_client.py
@@ -281,6 +281,7 @@
         connection.drop_unsent()
         connection.broken = True
         attempt = connection.exchange
+        attempt.bytes_written = attempt.bytes_written or connection.has_sent
         self._read(connection)
         if attempt.connection is connection and not attempt.response_started:
             self._retry_or_fail(connection, "write_failed", str(error))
@@ -323,7 +324,7 @@
         if data is None:
             return
         if not data:
-            self._on_connection_lost(connection, "the target closed the connection")
+            self._on_connection_ended(connection)
         elif connection.state is ConnectionState.BUSY:
             self._on_response_data(connection, data)
         elif connection.state is ConnectionState.PROBING:
@@ -333,6 +334,17 @@
         else:
             self._close(connection)
 
+    def _on_connection_ended(self, connection: Connection) -> None:
+        # After a failed sending, an end of file may be that of a reset, which the
+        # operating system reports once.
+        if connection.state is ConnectionState.BUSY and not connection.broken:
+            attempt = connection.exchange
+            attempt.reader.end_connection()
+            if attempt.reader.complete:
+                self._on_complete(connection, attempt)
+                return
+        self._on_connection_lost(connection, "the target closed the connection")
+
     def _on_connection_lost(self, connection: Connection, message: str) -> None:
         if connection.state is ConnectionState.BUSY:
             attempt = connection.exchange
