--- a/papayacrank/quarantine/_suspicions.py
+++ b/papayacrank/quarantine/_suspicions.py
@@ -17,6 +17,7 @@
 SOUND_CRASHES_ON_TRIAL = 3
 # A part without a further crash is forgotten after this time.
 SUSPICION_KEPT_MS = 600_000
+EXPIRY_INTERVAL_MS = 1_000
 MAX_SUSPICIONS = 2_000
 MAX_CRASHES = 512
 MAX_REQUESTS_PER_CRASH = 512
@@ -108,6 +109,7 @@
         self._begun: OrderedDict[str, int] = OrderedDict()
         self._changed: set[str] = set()
         self._last_crash = 0
+        self._expired_ms = 0
 
     def __len__(self) -> int:
         return len(self._suspicions)
@@ -300,7 +302,10 @@
     # Bounds
 
     def expire(self, now_ms: int) -> None:
-        """Forget old crashes and clearings."""
+        """Forget old crashes and clearings, at most once in an interval."""
+        if now_ms - self._expired_ms < EXPIRY_INTERVAL_MS:
+            return
+        self._expired_ms = now_ms
         for crash in list(self._crashes.values()):
             if now_ms - crash.at_ms < SUSPICION_KEPT_MS:
                 break
--- a/papayacrank/quarantine/tests/test_registry.py
+++ b/papayacrank/quarantine/tests/test_registry.py
@@ -333,6 +333,60 @@
     assert group.check("q") is NEEDS_TRIAL
 
 
+def test_trial_hit_by_the_first_crash_of_another_part_proves_nothing(group):
+    """Guards against a verdict on a sound part because the true cause is new."""
+    for number in range(2):
+        group.crash(["q", f"a{number}"])
+        group.advance(1_000)
+    trial = group.try_parts("q")
+    group.advance(100)
+    group.crash(trial, ["rules", "x"])
+    group.advance(SETTLING_MS)
+    assert group.verdicts() == []
+    group.pass_trial("q")
+    assert group.check("q") is ALLOWED
+
+
+def test_trial_beside_one_of_a_killed_instance_proves_nothing(group):
+    """Guards against a verdict although the cause died with its instance."""
+    for _ in range(2):
+        group.crash(["q"], ["x"])
+        group.advance(1_000)
+    sound = group.try_parts("q", instance=0)
+    assert group.try_parts("x", instance=1) is not None
+    group.advance(100)
+    group.crash(sound, target="t", instance=0)
+    group.deliver([PartsCleared("i1@2", ["other"])])
+    group.advance(TRIAL_LEASE_MS)
+    assert group.verdicts() == []
+
+
+def test_trial_granted_by_an_earlier_leader_proves_nothing(group):
+    """Guards against a verdict without knowledge of the other trials."""
+    for _ in range(2):
+        group.crash(["q"], ["x"])
+        group.advance(1_000)
+    sound = group.try_parts("q", instance=0)
+    group.advance(100)
+    group.elect(2)
+    group.repeat_knowledge(2)
+    group.crash(sound, target="t", instance=0)
+    group.advance(LEARNING_MS)
+    group.advance(SETTLING_MS)
+    assert group.verdicts() == []
+    assert group.check("q") is NEEDS_TRIAL
+
+
+def test_sound_part_of_two_deadly_ones_is_not_refused_alone(group):
+    """Guards against a verdict on the part that was in most crashes."""
+    for deadly in ("x", "y", "x", "y"):
+        group.crash(["both", deadly])
+        group.advance(1_000)
+    group.fail_trial("both", "x")
+    assert group.verdicts() == [["both", "x"]]
+    assert group.check("both") is NEEDS_TRIAL
+
+
 def test_late_report_of_another_cause_revokes_a_verdict(group):
     """Guards against a wrong verdict that stays after the cause is known."""
     for _ in range(2):
@@ -523,6 +577,19 @@
     assert group.try_parts("x") is None
 
 
+def test_new_leader_waits_for_the_reports_of_all_instances(group):
+    """Guards against a verdict on what the first instance has repeated."""
+    for _ in range(2):
+        group.crash(["q"], ["x"])
+        group.advance(1_000)
+    group.elect(2)
+    group.repeat_knowledge(2)
+    for number in range(5):
+        group.crash(["q"], target=f"r{number}", age_ms=4_000 - 700 * number)
+    group.advance(LEARNING_MS - 1)
+    assert group.verdicts() == []
+
+
 def test_lifted_verdict_does_not_come_back(group):
     """Guards against an instance that missed the lift and repeats the verdict."""
     group.convict("x")
