Test several faults of servers at once over real sockets

Three servers refuse, write refusals once more with and without the id, cut and reset responses at any byte and send responses without length, at the same time, for requests of all kinds.

--- a/papayacrank/platform/tests/test_faulty_servers.py
+++ b/papayacrank/platform/tests/test_faulty_servers.py
@@ -1,5 +1,7 @@
 """Tests of callers' responses while servers break the protocol, over real sockets."""
 
+import random
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -295,3 +297,94 @@
         reply = entry.ask("/claim/x", "r1")
     assert runs == [b"r1"]
     assert reply.status == 200
+
+
+class ChaoticServer:
+    """Server with several faults at once, chosen by a seed.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the faults.
+    runs : list of bytes
+        Ids of the requests that any server began to run.
+    """
+
+    def __init__(self, seed, runs):
+        self._random = random.Random(seed)
+        self._lock = threading.Lock()
+        self._runs = runs
+        self._pending = {}
+
+    def __call__(self, sock, data, number):
+        """Handle one request."""
+        request_id = request_id_of(data)
+        with self._lock:
+            draw, cut, again, is_named, is_slow = (
+                self._random.random() for _ in "12345"
+            )
+        repeated = self._pending.pop(sock, None)
+        if repeated is not None:
+            sock.sendall(repeated[:17])
+            time.sleep(0.003 * (is_slow < 0.5))
+            sock.sendall(repeated[17:])
+        if draw < 0.25:
+            refusal = build_refusal(request_id)
+            repeated = build_refusal(request_id if is_named < 0.5 else None)
+            if again < 0.4:
+                self._pending[sock] = repeated
+                sock.sendall(refusal)
+            else:
+                sock.sendall(refusal + repeated * (again < 0.7))
+            return
+        self._runs.append(request_id)
+        response, has_length = self._build_response(data, is_named)
+        if draw < 0.5:
+            sock.sendall(response[: int(cut * len(response))])
+            reset(sock)
+        else:
+            sock.sendall(response)
+            if not has_length:
+                sock.close()
+
+    @staticmethod
+    def _build_response(data, draw):
+        request_id = request_id_of(data)
+        if b"papayacrank-model" not in data.lower():
+            body = b"served " + request_id
+            return build_answer(request_id, body, draw < 0.5), draw < 0.5
+        events = [build_event(n) for n in range(last_event_of(data) + 1, 4)]
+        if draw < 0.5:
+            framed = b"".join(map(chunk, events)) + b"0\r\n\r\n"
+            return build_stream_head(request_id) + framed, True
+        return build_stream_head(request_id, b"") + b"".join(events), False
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("service", ["plain", "engines"])
+def test_several_faults_at_once_break_no_promise(service, seed):
+    """Guards against faults that are handled alone and not together."""
+    runs = []
+    servers = [ChaoticServer(3 * seed + n, runs) for n in range(3)]
+    kinds = ("claim", "lookup") if service == "plain" else ("appraise", "reply")
+    requests = [(f"/{kinds[n % 2]}/x", f"r{n}") for n in range(60)]
+    with (
+        Entry(*servers, service=service) as entry,
+        ThreadPoolExecutor(4) as callers,
+    ):
+        replies = list(callers.map(lambda r: entry.ask(*r, 2_000), requests))
+    for (path, name), reply in zip(requests, replies, strict=True):
+        is_repeatable = path in ("/lookup/x", "/reply/x")
+        whole = b"served " + name.encode() if service == "plain" else EVENTS
+        if reply.status == 200 and reply.complete:
+            assert reply.body == whole
+            assert reply.headers["papayacrank-request-id"] == name
+        elif reply.status == 200:
+            assert service == "engines" and EVENTS.startswith(reply.body)
+        else:
+            assert reply.status in (502, 503, 504) and reply.complete
+        if not is_repeatable:
+            assert runs.count(name.encode()) <= 1
+        if reply.status == 503:
+            assert runs.count(name.encode()) == 0
+    assert sum(reply.complete and reply.status == 200 for reply in replies) >= 30
