Reset connections of HTTP/1.0 callers if their response breaks off

HTTP/1.0 callers got a broken stream that looked complete: without chunks the end of the connection completes the response, and a response that cannot be completed was closed in an orderly way.

Change: while such a response is not complete, closing the socket resets the connection, whatever closes it: the forwarder, a limit of the send buffers or the end of the process.

test_broken_stream_does_not_look_complete_to_an_http_1_0_caller failed before for the broken stream; the whole one ends in an orderly way as before.

--- a/papayacrank/platform/tests/test_faulty_servers.py
+++ b/papayacrank/platform/tests/test_faulty_servers.py
@@ -388,3 +388,33 @@
         if reply.status == 503:
             assert runs.count(name.encode()) == 0
     assert sum(reply.complete and reply.status == 200 for reply in replies) >= 30
+
+
+@pytest.mark.parametrize("is_broken", [False, True])
+def test_broken_stream_does_not_look_complete_to_an_http_1_0_caller(is_broken):
+    """Guards against an orderly end of a response that is delimited by it."""
+
+    def script(sock, data, number):
+        if not is_broken:
+            serve_stream(sock, data, number)
+            return
+        sock.sendall(build_stream_head(request_id_of(data)) + chunk(build_event(1)))
+        time.sleep(0.05)
+        reset(sock)
+
+    head = (
+        b"GET /appraise/x HTTP/1.0\r\nHost: h\r\nPapayacrank-Request-Id: r1\r\n"
+        b"Papayacrank-Model: model-1\r\nPapayacrank-Token-Count: 10,10\r\n\r\n"
+    )
+    received = b""
+    has_reset = False
+    with Entry(script, service="engines") as entry, entry.connect() as sock:
+        sock.sendall(head)
+        try:
+            while data := sock.recv(65_536):
+                received += data
+        except ConnectionResetError:
+            has_reset = True
+    assert b"transfer-encoding" not in received.lower()
+    assert build_event(1) in received
+    assert has_reset is is_broken
--- a/papayacrank/transport/_http_port.py
+++ b/papayacrank/transport/_http_port.py
@@ -1,5 +1,7 @@
 """HTTP/1.1 server for circuits that parses and frames messages with h11."""
 
+import socket
+import struct
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -281,6 +283,9 @@
             headers = [*headers, CLOSE_HEADER]
         reason = _reason_phrase(status)
         response = h11.Response(status_code=status, headers=headers, reason=reason)
+        if caller.protocol.their_http_version == b"1.0":
+            # Without chunks, the end of the connection completes the response.
+            _set_reset_on_close(exchange.sock, True)
         self._write(exchange.sock, caller, response)
 
     def send_body(self, exchange: HttpExchange, data: bytes) -> None:
@@ -305,6 +310,8 @@
             return
         sock = exchange.sock
         self._write(sock, caller, h11.EndOfMessage())
+        if caller.protocol.their_http_version == b"1.0":
+            _set_reset_on_close(sock, False)
         exchange.is_open = False
         caller.exchange = None
         self._set_body_size(caller, 0)
@@ -511,6 +518,17 @@
             self._server.end_unless_input(sock)
 
 
+def _set_reset_on_close(sock, value: bool) -> None:
+    """Set whether closing a socket resets its connection and drops unsent data."""
+    try:
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", value, 0)
+        )
+    except OSError:
+        # The caller has closed the connection.
+        return
+
+
 def _reason_phrase(status: int) -> bytes:
     try:
         return HTTPStatus(status).phrase.encode()
