Keep the trial of a request whose attempt sent nothing

While targets restart after a crash, a request under a trial met refused addresses, ended its trial at each and asked for the next one: 30 trials within a second in one play of the deadly part. An attempt of which no byte was written leaves the trial to the next one of the request. The lift's test reads the gauges of all instances before and after it.

--- a/papayacrank/entry/_flow.py
+++ b/papayacrank/entry/_flow.py
@@ -210,7 +210,8 @@
         self._clear_attempt()
         self._add_step(f"attempt at {target} failed: {failure.code}")
         self._check_crash(target, failure)
-        self._parts.end_trial()
+        if failure.bytes_written:
+            self._parts.end_trial()
         self._handle_attempt_failure(target, failure)
 
     def on_rate(self, statement: RateStatement | None, is_success: bool) -> None:
--- a/proofs/test_deadly_prompts.py
+++ b/proofs/test_deadly_prompts.py
@@ -187,6 +187,16 @@
     )
 
 
+def read_metric(deployment, name):
+    """Return the value of a metric of each entry process."""
+    values = []
+    for address in deployment.entry_addresses:
+        text = deployment.fleet.request(address, "GET", "/metrics").body.decode()
+        lines = [line for line in text.splitlines() if line.startswith(f"{name} ")]
+        values += [float(line.split()[-1]) for line in lines]
+    return values
+
+
 def run_admin(deployment, capsys, *arguments):
     """Run the operator's command line; return its exit code and JSON output."""
     capsys.readouterr()
@@ -271,10 +281,14 @@
     for entry in range(3):
         error = send(deployment, entry, is_deadly=True, entry=entry).json()["error"]
         assert (error["code"], error["verdict"]) == ("quarantined", "not-run")
+    assert min(read_metric(deployment, "papayacrank_quarantined_parts")) >= 1
+    refused = 'papayacrank_quarantine_total{outcome="refused"}'
+    assert min(read_metric(deployment, refused)) >= 1
     code, lifted = run_admin(deployment, capsys, "quarantine", "lift", str(number))
     assert (code, lifted["lifted"]) == (0, number)
     listed = run_admin(deployment, capsys, "quarantine", "list")[1]
     assert listed["verdicts"] == []
+    assert read_metric(deployment, "papayacrank_quarantined_parts") == [0.0] * 3
     # The next request with the part is sent again, without a trial.
     running = count_running(deployment)
     assert send(deployment, 9, is_deadly=True, entry=1).status == 502
