Take a server's error as the answer while another attempt is silent

Callers would see: 502 or a late answer instead of a server's 404, if the request had been sent to a second target because the first was silent, since any answer but a success counted as a failed attempt there. Now an answer below 500 ends the request unless a stream has begun, as it does without a silent attempt. The new test fails without the change (both cases).

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -1031,8 +1031,13 @@
         else:
             self._health.on_success(name)
         code = f"status_{attempt.status}"
-        if self._has_other_attempt(job, attempt, code, has_run=True):
+        is_usable = not failed and not job.exchange.response_started
+        if not is_usable and self._has_other_attempt(job, attempt, code, has_run=True):
             return
+        if attempt is job.silent_attempt:
+            self._restore_silent_attempt(job)
+        else:
+            self._end_silent_attempt(job, "silent")
         job.runs += 1
         is_retryable = (
             failed and not job.has_events and not job.exchange.response_started
--- a/papayacrank/forwarding/tests/test_silence.py
+++ b/papayacrank/forwarding/tests/test_silence.py
@@ -56,7 +56,9 @@
     finish(bench, caller, silent, 2)
 
 
-@pytest.mark.parametrize("outcome", ["refused", "unsent", "lost", "error", "limited"])
+@pytest.mark.parametrize(
+    "outcome", ["refused", "unsent", "lost", "error", "rejected", "limited"]
+)
 def test_silent_stream_goes_on_if_the_other_target_does_not_take_it(outcome):
     """Guards against a stream cut off when its silent target is replaced in vain."""
     bench = Bench(*ENGINES)
@@ -72,7 +74,7 @@
     elif outcome == "limited":
         bench.respond(503, b"", not_run="1", pause_ms="5000")
     else:
-        bench.respond(500, b"oops")
+        bench.respond(400 if outcome == "rejected" else 500, b"oops")
     assert silent not in bench.port.cancelled
     finish(bench, caller, silent, 2)
 
@@ -186,6 +188,22 @@
     assert bench.forwarder.open_jobs == 0
 
 
+@pytest.mark.parametrize("is_late", [True, False])
+def test_error_of_a_server_is_a_final_answer(is_late):
+    """Guards against an answer such as 404 that is taken for a failed attempt."""
+    bench = Bench(*PLAIN)
+    caller = bench.send()
+    silent = bench.call
+    silent.bytes_written = True
+    bench.advance(1_100)
+    other = bench.call
+    answering, ended = (silent, other) if is_late else (other, silent)
+    bench.respond(404, b"none", call=answering)
+    assert (caller.status, caller.body) == (404, b"none")
+    assert bench.port.cancelled == [ended]
+    assert bench.forwarder.open_jobs == 0
+
+
 def test_request_whose_silent_target_fails_stays_with_the_other():
     """Guards against a failure of the silent attempt that ends the new one."""
     bench = Bench(*PLAIN)
