End the other attempt if a silent stream ends as complete

Callers saw a complete stream, but the attempt beside the silent one went on at its target: its call was not cancelled and its load not ended, and its next response raised an exception. The timer of the overlap then ended the load of the silent attempt twice.

Cause: a stream may end with no event after its silence, for example with the end of its connection, and only an event or a head made the silent attempt the current one again. It now becomes the current one before the stream is completed.

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -1215,6 +1215,8 @@
             self._suspects.on_truncated(job, attempt)
             self._on_incomplete_response(job, attempt, "truncated_stream")
             return
+        if job.silent_attempt is attempt:
+            self._restore_silent_attempt(job)
         job.runs += 1
         self._suspects.on_complete(job, attempt)
         self._close_attempt(job, attempt)
--- a/papayacrank/forwarding/tests/test_silence.py
+++ b/papayacrank/forwarding/tests/test_silence.py
@@ -209,3 +209,19 @@
     assert len(bench.port.calls) == 1
     assert bench.call.state.route.kind is RequestKind.STREAM
     finish(bench, caller, bench.call, 2)
+
+
+def test_silent_stream_that_ends_without_a_further_event_ends_both_attempts():
+    """Guards against a run that goes on, and a load that never ends (GONE)."""
+    bench = Bench(*ENGINES)
+    caller = open_stream(bench)
+    silent = bench.call
+    bench.advance(SILENCE_MS)
+    other = bench.call
+    other.bytes_written = True
+    bench.end(silent)
+    assert caller.ended
+    assert bench.port.cancelled == [other]
+    assert not bench.timers.set_timers
+    assert bench.forwarder.table.own_running("e1") == 0
+    assert bench.forwarder.table.own_running("e2") == 0
