Deliver events that follow a comment of a silent target

A caller's stream had a gap (ORDER): if the first bytes after a silence were a comment and an event in one chunk, the event was dropped and the stream went on with the next one.

Cause: a comment does not make the silent attempt the current one again, and the first event of an attempt that is not the current one ended the handling of the whole chunk. Now only the comment is skipped.

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -1000,8 +1000,11 @@
         for event in events:
             if event.has_content and job.silent_attempt is attempt:
                 self._restore_silent_attempt(job)
-            if job.is_done or job.attempt is not attempt:
+            if job.is_done:
                 return
+            if job.attempt is not attempt:
+                # A comment of a silent target does not end its silence.
+                continue
             if attempt.is_resume and event.has_content and event.event_id is None:
                 # Without an id its place in the stream is unknown.
                 self._port.cancel(call)
--- a/papayacrank/forwarding/tests/test_silence.py
+++ b/papayacrank/forwarding/tests/test_silence.py
@@ -225,3 +225,13 @@
     assert not bench.timers.set_timers
     assert bench.forwarder.table.own_running("e1") == 0
     assert bench.forwarder.table.own_running("e2") == 0
+
+
+def test_event_behind_a_comment_of_a_silent_stream_is_delivered():
+    """Guards against a gap in a stream whose target ends its silence (ORDER)."""
+    bench = Bench(*ENGINES)
+    caller = open_stream(bench)
+    silent = bench.call
+    bench.advance(SILENCE_MS)
+    bench.forwarder.on_data(silent, b": ping\n\nid: 2\ndata: x2\n\n")
+    finish(bench, caller, silent, 3)
