Keep the other attempt if the head of a silent target is of no use

A caller got 502, or an empty 200, though another target was running the request.

Cause: each head with a 2xx status from the silent target cancelled the attempt beside it, also a spoiled one, one that states "not run", and one that is no event stream; the opposite direction checked all but "not run". Both directions now use the same conditions.

The three cases of the test failed on.

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -922,13 +922,13 @@
         was_stream = attempt.is_stream
         attempt.is_stream = was_stream and _is_usable_stream(attempt)
         call.is_buffered = not attempt.is_stream
-        if is_success and job.silent_attempt is attempt:
+        metadata = attempt.metadata
+        is_usable = is_success and metadata.is_valid and not metadata.not_run
+        if not is_usable or attempt.is_stream != was_stream:
+            return
+        if job.silent_attempt is attempt:
             self._restore_silent_attempt(job)
-        elif (
-            is_success
-            and attempt.metadata.is_valid
-            and (attempt.is_stream or not was_stream)
-        ):
+        else:
             self._end_silent_attempt(job, "silent")
 
     def _observe_weights(self, job: Job, attempt: Attempt) -> None:
--- a/papayacrank/forwarding/tests/test_silence.py
+++ b/papayacrank/forwarding/tests/test_silence.py
@@ -235,3 +235,20 @@
     bench.advance(SILENCE_MS)
     bench.forwarder.on_data(silent, b": ping\n\nid: 2\ndata: x2\n\n")
     finish(bench, caller, silent, 3)
+
+
+@pytest.mark.parametrize("flaw", ["spoiled", "not_run", "no_stream"])
+def test_unusable_head_of_a_silent_target_does_not_end_the_other_attempt(flaw):
+    """Guards against a sound run that is ended for a response that is no use."""
+    bench = Bench(*ENGINES)
+    caller = bench.send("/reply/x", "POST", tokens=10)
+    silent = bench.call
+    silent.bytes_written = True
+    bench.advance(SILENCE_MS)
+    other = bench.call
+    assert other is not silent
+    other.bytes_written = True
+    bench.respond(200, b"", silent, **{flaw: "1"})
+    assert other not in bench.port.cancelled
+    bench.begin(200, other)
+    finish(bench, caller, other, 1)
