Count a silent attempt that is still to be sent as a run

A request could run once more than its route allows (BUDGET), and at two targets at the same time after a first run.

Cause: a silent attempt counted as a run only if bytes of it had been sent. One that waits for its connection, for example with a response timeout as short as that of the connection, was sent afterwards beside the attempt that replaced it. It now counts in any case; without an attempt to spare the request waits for the connection.

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -777,9 +777,8 @@
         request = self._build_placement_request(job, store, now_ms)
         excluded = job.excluded | {attempt.target.name}
         choice = self._selection.choose(request, excluded, NO_PERMITS, now_ms)
-        runs = job.runs + attempt.call.bytes_written
         is_possible = choice is not None and self._suspects.is_unrestricted(job)
-        if not is_possible or not self._may_run_again(job, runs):
+        if not is_possible or not self._may_run_again(job, job.runs + 1):
             self._set_response_timer(job, attempt)
             return
         job.silent_attempt, job.attempt = attempt, None
--- a/papayacrank/forwarding/tests/test_silence.py
+++ b/papayacrank/forwarding/tests/test_silence.py
@@ -252,3 +252,14 @@
     assert other not in bench.port.cancelled
     bench.begin(200, other)
     finish(bench, caller, other, 1)
+
+
+def test_silent_request_that_is_still_to_be_sent_counts_as_a_run():
+    """Guards against more runs than the route allows (BUDGET)."""
+    bench = Bench(*(build_target(f"p{n}") for n in (1, 2, 3)))
+    bench.send()
+    bench.respond(500, b"")
+    bench.advance(1_100)
+    for call in bench.port.calls[1:]:
+        call.bytes_written = True
+    assert len(bench.port.calls) == 2
