--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -777,9 +777,8 @@
         request = self._build_placement_request(job, store, now_ms)
         excluded = job.excluded | {attempt.target.name}
         choice = self._selection.choose(request, excluded, NO_PERMITS, now_ms)
-        runs = job.runs + attempt.call.bytes_written
         is_possible = choice is not None and self._suspects.is_unrestricted(job)
-        if not is_possible or not self._may_run_again(job, runs):
+        if not is_possible or not self._may_run_again(job, job.runs + 1):
             self._set_response_timer(job, attempt)
             return
         job.silent_attempt, job.attempt = attempt, None
@@ -922,13 +921,13 @@
         was_stream = attempt.is_stream
         attempt.is_stream = was_stream and _is_usable_stream(attempt)
         call.is_buffered = not attempt.is_stream
-        if is_success and job.silent_attempt is attempt:
+        metadata = attempt.metadata
+        is_usable = is_success and metadata.is_valid and not metadata.not_run
+        if not is_usable or attempt.is_stream != was_stream:
+            return
+        if job.silent_attempt is attempt:
             self._restore_silent_attempt(job)
-        elif (
-            is_success
-            and attempt.metadata.is_valid
-            and (attempt.is_stream or not was_stream)
-        ):
+        else:
             self._end_silent_attempt(job, "silent")
 
     def _observe_weights(self, job: Job, attempt: Attempt) -> None:
@@ -1000,8 +999,11 @@
         for event in events:
             if event.has_content and job.silent_attempt is attempt:
                 self._restore_silent_attempt(job)
-            if job.is_done or job.attempt is not attempt:
+            if job.is_done:
                 return
+            if job.attempt is not attempt:
+                # A comment of a silent target does not end its silence.
+                continue
             if attempt.is_resume and event.has_content and event.event_id is None:
                 # Without an id its place in the stream is unknown.
                 self._port.cancel(call)
@@ -1220,6 +1222,8 @@
             self._suspects.on_truncated(job, attempt)
             self._on_incomplete_response(job, attempt, "truncated_stream")
             return
+        if job.silent_attempt is attempt:
+            self._restore_silent_attempt(job)
         job.runs += 1
         self._suspects.on_complete(job, attempt)
         self._close_attempt(job, attempt)
--- a/papayacrank/forwarding/tests/test_silence.py
+++ b/papayacrank/forwarding/tests/test_silence.py
@@ -227,3 +227,57 @@
     assert len(bench.port.calls) == 1
     assert bench.call.state.route.kind is RequestKind.STREAM
     finish(bench, caller, bench.call, 2)
+
+
+def test_silent_stream_that_ends_without_a_further_event_ends_both_attempts():
+    """Guards against a run that goes on, and a load that never ends (GONE)."""
+    bench = Bench(*ENGINES)
+    caller = open_stream(bench)
+    silent = bench.call
+    bench.advance(SILENCE_MS)
+    other = bench.call
+    other.bytes_written = True
+    bench.end(silent)
+    assert caller.ended
+    assert bench.port.cancelled == [other]
+    assert not bench.timers.set_timers
+    assert bench.forwarder.table.own_running("e1") == 0
+    assert bench.forwarder.table.own_running("e2") == 0
+
+
+def test_event_behind_a_comment_of_a_silent_stream_is_delivered():
+    """Guards against a gap in a stream whose target ends its silence (ORDER)."""
+    bench = Bench(*ENGINES)
+    caller = open_stream(bench)
+    silent = bench.call
+    bench.advance(SILENCE_MS)
+    bench.forwarder.on_data(silent, b": ping\n\nid: 2\ndata: x2\n\n")
+    finish(bench, caller, silent, 3)
+
+
+@pytest.mark.parametrize("flaw", ["spoiled", "not_run", "no_stream"])
+def test_unusable_head_of_a_silent_target_does_not_end_the_other_attempt(flaw):
+    """Guards against a sound run that is ended for a response that is no use."""
+    bench = Bench(*ENGINES)
+    caller = bench.send("/reply/x", "POST", tokens=10)
+    silent = bench.call
+    silent.bytes_written = True
+    bench.advance(SILENCE_MS)
+    other = bench.call
+    assert other is not silent
+    other.bytes_written = True
+    bench.respond(200, b"", silent, **{flaw: "1"})
+    assert other not in bench.port.cancelled
+    bench.begin(200, other)
+    finish(bench, caller, other, 1)
+
+
+def test_silent_request_that_is_still_to_be_sent_counts_as_a_run():
+    """Guards against more runs than the route allows (BUDGET)."""
+    bench = Bench(*(build_target(f"p{n}") for n in (1, 2, 3)))
+    bench.send()
+    bench.respond(500, b"")
+    bench.advance(1_100)
+    for call in bench.port.calls[1:]:
+        call.bytes_written = True
+    assert len(bench.port.calls) == 2
