--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -1126,7 +1126,9 @@
         else:
             self._health.on_success(name)
         code = f"status_{attempt.status}"
-        is_usable = not failed and not job.exchange.response_started
+        is_success = 200 <= attempt.status < 300
+        lacks_stream = is_success and job.route.kind is RequestKind.STREAM
+        is_usable = not (failed or lacks_stream or job.exchange.response_started)
         if not is_usable and self._has_other_attempt(job, attempt, code, has_run=True):
             return
         if attempt is job.silent_attempt:
