--- a/papayacrank/quarantine/tests/test_registry.py
+++ b/papayacrank/quarantine/tests/test_registry.py
@@ -123,6 +123,17 @@
     assert group.check("rules", "q") is ALLOWED
 
 
+def test_trial_in_the_moment_of_the_other_crashes_convicts_no_part(group):
+    """Guards against a verdict on one common failure that takes some time."""
+    group.crash(["q"])
+    group.crash(["q"])
+    group.fail_trial("q")
+    assert group.verdicts() == []
+    group.advance(1_000)
+    group.fail_trial("q")
+    assert group.verdicts() == [["q"]]
+
+
 def test_trial_hit_by_a_failed_domain_convicts_no_part(group):
     """Guards against a verdict on a sound part whose trial ran in a failed domain."""
     group.crash(["q"])
@@ -205,7 +216,7 @@
     group.advance(100)
     group.begin("q")
     group.advance(2_000)
-    group.crash(["q"], target="t", instance=1, age_ms=0)
+    group.deliver([build_report(["q"], target="t", instance="i1@1")])
     names = [s.name for s in group.leader.table(group.now_ms).suspicions]
     assert "q" not in names
 
@@ -367,10 +378,11 @@
         group.crash(["q"], ["x"])
         group.advance(1_000)
     sound = group.try_parts("q", instance=0)
-    group.advance(100)
+    group.advance(4_000)
     group.elect(2)
     group.repeat_knowledge(2)
     group.crash(sound, target="t", instance=0)
+    assert group.leader.table(group.now_ms).suspicions[0].crashes == 3
     group.advance(LEARNING_MS)
     group.advance(SETTLING_MS)
     assert group.verdicts() == []
