--- a/papayacrank/quarantine/tests/test_registry.py
+++ b/papayacrank/quarantine/tests/test_registry.py
@@ -516,7 +516,7 @@
             )
             for n in range(4)
         ]
-        group.leader.report_crash(build_report(*requests, target=f"f{number}"), 1)
+        group.deliver([build_report(*requests, target=f"f{number}")])
     group.push()
     assert len(group.leader.table(group.now_ms).suspicions) <= MAX_SUSPICIONS
     group.crash(SuspectRequest("w", ["x"]))
@@ -602,13 +602,16 @@
     assert group.verdicts() == []
 
 
-def test_lifted_verdict_does_not_come_back(group):
+@pytest.mark.parametrize("is_newer_first", [False, True])
+def test_lifted_verdict_does_not_come_back(group, is_newer_first):
     """Guards against an instance that missed the lift and repeats the verdict."""
     group.convict("x")
     number = group.clients[0].list_verdicts(group.now_ms)[0].number
     group.leader.lift(number, "ops", group.now_ms)
     change = group.leader.pop_change(group.now_ms)
     group.clients[1].apply(change, group.now_ms)
+    if is_newer_first:
+        group.clients.reverse()
     group.elect(2)
     group.repeat_knowledge(2)
     assert group.verdicts() == []
