Retry requests whose target has left the configuration

A completion failed with 500, or its stream was cut, if it lost the connection to a target that was added to the configuration after the request came and removed again before the loss.

Cause: the check for a crash looks up the address of the target in the configuration now and at the time of the request; neither has it, and the exception ended the request before its retry. The same holds for a resume on such a target. A flow now keeps the addresses that it has used.

--- a/papayacrank/entry/_flow.py
+++ b/papayacrank/entry/_flow.py
@@ -85,6 +85,7 @@
         self._arrived_ms = context.clock.now_ms()
         self._deadline_at_ms = self._arrived_ms + deadline_ms
         self._excluded: frozenset[str] = frozenset()
+        self._addresses: dict[str, str] = {}
         self._choice: Choice | None = None
         self._attempt_id: str | None = None
         self._permit: Permit | None = None
@@ -448,11 +449,15 @@
         return f"{self.request_id}.{self._state.attempts + 1}"
 
     def _find_target_address(self, target: str) -> str:
-        """Return the address of a target, also of one configured after the request."""
+        """Return the address of a target, also of one that is configured no longer."""
         configuration = self._context.contact.configuration
         current = configuration.find_service(self._service.name) or self._service
         known = (*current.targets, *self._service.targets)
-        return next(t.address for t in known if t.name == target)
+        for item in known:
+            if item.name == target:
+                self._addresses[target] = item.address
+                break
+        return self._addresses[target]
 
     def _finish_attempt(self) -> None:
         """Record an attempt that returned a complete response."""
--- a/papayacrank/entry/tests/test_prompt_trials.py
+++ b/papayacrank/entry/tests/test_prompt_trials.py
@@ -280,3 +280,22 @@
     permit = object()
     bench.flow._admit_parts(lambda _: None, permit)
     bench.context.permits.give_back.assert_called_once_with(permit)
+
+
+def test_lost_target_that_was_configured_only_meanwhile_is_replaced(bench):
+    """Guards against a request that fails because its target left the configuration."""
+    del bench.flow._find_target_address
+    targets = [SimpleNamespace(name="e1", address="10.0.0.1:80")]
+    configuration = bench.context.contact.configuration
+    configuration.find_service.return_value = SimpleNamespace(targets=targets)
+    build = bench.flow._build_attempt
+    bench.flow._build_attempt = lambda attempt_id, choice: (
+        bench.flow._find_target_address(choice.target) and build(attempt_id, choice)
+    )
+    bench.start()
+    configuration.find_service.return_value.targets = [
+        SimpleNamespace(name="e2", address="10.0.0.2:80")
+    ]
+    bench.flow.on_failed(LOST)
+    assert bench.checks[0][:2] == ("e1", "10.0.0.1:80")
+    assert bench.attempts == 2
