Use one connection check in both interfaces

Forwarding and the completions interface each had a component that opens a connection to learn whether a target refuses it. Forwarding now uses transport.ConnectCheck, with its own delay and limit. Names the search for the cause of a crash after what it does (CrashAttribution). No behaviour changes.

--- a/papayacrank/forwarding/_crash_check.py
+++ b/papayacrank/forwarding/_crash_check.py
@@ -4,20 +4,13 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
-from circuits import BaseComponent, handler
-from circuits.core.pollers import BasePoller
-from circuits.core.utils import findcmp
-
 from papayacrank.kernel import Clock
-from papayacrank.transport import Connection, Timers
+from papayacrank.transport import ConnectCheck, ConnectOutcome, Timers
 
 # A process that ends may close its connections before its listening socket. The delay
 # also joins the connections that are lost with the same crash.
 CHECK_DELAY_MS = 20
-# A listening socket on the same network answers within a few milliseconds.
-CHECK_TIMEOUT_MS = 250
 MAX_CHECKS = 64
-REFUSED = "ECONNREFUSED"
 
 
 class CrashCheck(ABC):
@@ -37,8 +30,8 @@
         """
 
 
-class ConnectionCheck(BaseComponent, CrashCheck):
-    """Component that opens one connection for a check and closes it again.
+class ConnectionCheck(CrashCheck):
+    """Check that opens one connection after a short delay and closes it again.
 
     Parameters
     ----------
@@ -48,78 +41,29 @@
         Timers of the process.
     """
 
-    channel = "crash-check"
-
     def __init__(self, clock: Clock, timers: Timers):
-        super().__init__()
         self._clock = clock
         self._timers = timers
-        self._poller: BasePoller | None = None
+        self._check = ConnectCheck(clock, timers)
         self._numbers = itertools.count(1)
-        self._open: dict[object, tuple[Connection, Callable[[bool], None]]] = {}
+        self._open_checks = 0
 
     def start(self, address: str, callback: Callable[[bool], None]) -> None:
         """Check an address after a short delay."""
-        number = next(self._numbers)
-        at_ms = self._clock.now_ms() + CHECK_DELAY_MS
         self._timers.set(
-            _timer(number), at_ms, lambda: self._connect(number, address, callback)
+            f"crash-check:{next(self._numbers)}",
+            self._clock.now_ms() + CHECK_DELAY_MS,
+            lambda: self._connect(address, callback),
         )
 
-    def _connect(
-        self, number: int, address: str, callback: Callable[[bool], None]
-    ) -> None:
-        if len(self._open) >= MAX_CHECKS:
+    def _connect(self, address: str, callback: Callable[[bool], None]) -> None:
+        if self._open_checks >= MAX_CHECKS:
             callback(False)
             return
-        if self._poller is None:
-            self._poller = findcmp(self.root, BasePoller)
-        connection = Connection(number, address)
-        try:
-            connection.connect()
-        except OSError as error:
-            connection.close()
-            callback(_is_refused(error))
-            return
-        self._open[connection.sock] = (connection, callback)
-        self._poller.addWriter(self, connection.sock)
-        at_ms = self._clock.now_ms() + CHECK_TIMEOUT_MS
-        self._timers.set(
-            _timer(number), at_ms, lambda: self._finish(connection.sock, False)
-        )
-
-    @handler("_write")
-    def _on_write(self, sock):
-        if sock not in self._open:
-            return
-        connection, _ = self._open[sock]
-        try:
-            connection.check_connected()
-        except OSError as error:
-            self._finish(sock, _is_refused(error))
-            return
-        self._finish(sock, False)
-
-    @handler("_disconnect", "_error")
-    def _on_poller_error(self, sock, *_):
-        if sock in self._open:
-            connection, _ = self._open[sock]
-            self._finish(sock, connection.error_name() == REFUSED)
-
-    def _finish(self, sock, is_refused: bool) -> None:
-        known = self._open.pop(sock, None)
-        if known is None:
-            return
-        connection, callback = known
-        self._timers.cancel(_timer(connection.number))
-        self._poller.discard(sock)
-        connection.close()
-        callback(is_refused)
-
-
-def _is_refused(error: OSError) -> bool:
-    return isinstance(error, ConnectionRefusedError) or REFUSED in str(error)
+        self._open_checks += 1
 
+        def on_outcome(outcome: ConnectOutcome) -> None:
+            self._open_checks -= 1
+            callback(outcome is ConnectOutcome.REFUSED)
 
-def _timer(number: int) -> str:
-    return f"crash-check:{number}"
+        self._check.start(address, on_outcome)
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -171,7 +171,7 @@
             self._clock,
             self._timers,
         )
-        crash_check = ConnectionCheck(self._clock, self._timers).register(self)
+        crash_check = ConnectionCheck(self._clock, self._timers)
         self._forwarder = Forwarder(
             settings.forwarding,
             protocol,
--- a/papayacrank/forwarding/tests/test_crash_check.py
+++ b/papayacrank/forwarding/tests/test_crash_check.py
@@ -28,7 +28,7 @@
         install_process_handlers(self)
         clock = MonotonicClock()
         timers = Timers(clock).register(self)
-        self._check = ConnectionCheck(clock, timers).register(self)
+        self._check = ConnectionCheck(clock, timers)
         self.results = queue.Queue()
 
     @handler("start_check")
--- a/papayacrank/platform/tests/faulty_servers.py
+++ b/papayacrank/platform/tests/faulty_servers.py
@@ -142,7 +142,7 @@
         quarantine = QuarantinePort(
             QuarantineClient("i1"), lambda _: True, clock, timers
         )
-        crash_check = ConnectionCheck(clock, timers).register(self._root)
+        crash_check = ConnectionCheck(clock, timers)
         self.forwarder = Forwarder(
             ForwardingSettings("i1", "east", retry_slack=1_000.0),
             PlatformCallerProtocol(),
--- a/papayacrank/quarantine/_inquest.py
+++ b/papayacrank/quarantine/_attribution.py
@@ -21,7 +21,7 @@
 COMMON_FAILURE_TARGETS = 2
 
 
-class Inquest:
+class CrashAttribution:
     """Finds the combination of parts that explains a crash.
 
     Parameters
--- a/papayacrank/quarantine/_registry.py
+++ b/papayacrank/quarantine/_registry.py
@@ -15,6 +15,7 @@
     Verdict,
 )
 
+from ._attribution import CrashAttribution
 from ._client import MAX_PARTS_PER_REQUEST
 from ._events import (
     PART_SUSPECTED,
@@ -26,7 +27,6 @@
     VERDICT_LIFTED,
     format_parts,
 )
-from ._inquest import Inquest
 from ._suspicions import Crash, Suspect, SuspicionTable
 from ._trials import TRIAL_LEASE_MS, Trial, TrialTable
 from ._verdicts import LAPSE_MS, HeldVerdict, LiftedVerdicts, VerdictTable
@@ -65,7 +65,7 @@
         self._suspicions = SuspicionTable()
         self._verdicts = VerdictTable()
         self._trials = TrialTable()
-        self._inquest = Inquest(self._suspicions)
+        self._attribution = CrashAttribution(self._suspicions)
         self._undecided: set[int] = set()
         self._changed_verdicts: set[int] = set()
         self._lifted = LiftedVerdicts()
@@ -215,14 +215,16 @@
         if crash.explained_by or not crash.trials:
             return False
         others = self._trials.list_open(crash.at_ms)
-        return any(self._inquest.may_rival(crash, t.suspected) for t in others)
+        return any(self._attribution.may_rival(crash, t.suspected) for t in others)
 
     def _decide(self, crash: Crash, now_ms: int) -> None:
         crash.is_decided = True
         if not crash.explained_by:
             lost = self._trials.list_lost(crash.at_ms)
-            is_unclear = any(self._inquest.may_rival(crash, t.suspected) for t in lost)
-            parts = self._inquest.find_cause(crash, is_unclear)
+            is_unclear = any(
+                self._attribution.may_rival(crash, t.suspected) for t in lost
+            )
+            parts = self._attribution.find_cause(crash, is_unclear)
             if parts:
                 self._convict(parts, crash, now_ms)
         self._end_crash(crash.number)
@@ -234,7 +236,7 @@
 
     def _convict(self, parts: frozenset[str], crash: Crash, now_ms: int) -> None:
         """Decide that a combination of parts has caused a crash."""
-        workspaces = self._inquest.list_workspaces(parts)
+        workspaces = self._attribution.list_workspaces(parts)
         verdict = self._find_narrowed(parts)
         if verdict is None:
             verdict = HeldVerdict(
@@ -247,7 +249,7 @@
                 crash.number,
                 crash.at_ms,
             )
-            verdict.crashes = self._inquest.count(parts)
+            verdict.crashes = self._attribution.count(parts)
             self._verdicts.add(verdict)
             self._log_verdict(verdict)
         else:
@@ -331,7 +333,7 @@
             if verdict.crash != crash.number:
                 continue
             rivals = [s for s in added if not verdict.matches(s.parts)]
-            if any(self._inquest.is_rival(verdict, s) for s in rivals):
+            if any(self._attribution.is_rival(verdict, s) for s in rivals):
                 crash.explained_by = 0
                 for suspect in crash.suspects:
                     self._count(crash, suspect, crash.seen_ms)
