End the connection of a request that a stopping instance refuses

A caller that is told to come back in 20 ms on its kept connection got the same stopping instance again, up to 55 times until the instance announced the close 1.1 s later. Found in the review of the lost requests. The refusal now carries Connection: close. The new test failed before.

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -29,7 +29,12 @@
     RateKnowledge,
 )
 from papayacrank.quarantine import PartsAdmission
-from papayacrank.transport import ExchangeListener, HttpExchange, Timers
+from papayacrank.transport import (
+    CLOSE_HEADER,
+    ExchangeListener,
+    HttpExchange,
+    Timers,
+)
 
 from ._base import CallerProtocol, Dispatch, ForwardRequest, ResponseMetadata
 from ._event_stream import EventStreamError
@@ -354,7 +359,7 @@
         if not self._fits_before_stop(request, route):
             text = "this instance is stopping, and the request may take longer"
             failure = _refusal("stopping", text, 503, RETRY_ELSEWHERE_MS)
-            self._refuse(exchange, failure, request.request_id)
+            self._refuse(exchange, failure, request.request_id, closes=True)
             return
         self._admit(exchange, request, route, workspace)
 
@@ -1359,9 +1364,13 @@
         log_event(REQUEST_ENDED, **fields)
 
     def _refuse(
-        self, exchange: HttpExchange, failure: Failure, request_id: str
+        self,
+        exchange: HttpExchange,
+        failure: Failure,
+        request_id: str,
+        closes: bool = False,
     ) -> None:
-        self._send_failure(exchange, failure, request_id)
+        self._send_failure(exchange, failure, request_id, closes)
         self._metrics.on_refused(failure.code)
         log_event(
             REQUEST_REFUSED,
@@ -1372,10 +1381,29 @@
         )
 
     def _send_failure(
-        self, exchange: HttpExchange, failure: Failure, request_id: str
+        self,
+        exchange: HttpExchange,
+        failure: Failure,
+        request_id: str,
+        closes: bool = False,
     ) -> None:
+        """Send the response of a failure.
+
+        Parameters
+        ----------
+        exchange : HttpExchange
+            Exchange without a response.
+        failure : Failure
+            Failure.
+        request_id : str
+            Identifier of the request; empty if unknown.
+        closes : bool
+            Whether the connection ends with the response, so that the caller continues
+            at another instance.
+        """
         response = self._protocol.build_failure(failure, request_id)
-        exchange.respond(response.status, response.headers, response.body)
+        headers = [*response.headers, CLOSE_HEADER] if closes else response.headers
+        exchange.respond(response.status, headers, response.body)
 
 
 def _refusal(
--- a/papayacrank/forwarding/tests/test_stop.py
+++ b/papayacrank/forwarding/tests/test_stop.py
@@ -53,6 +53,15 @@
     assert is_refused(bench)
 
 
+def test_refusal_of_a_stopping_instance_ends_its_connection():
+    """Guards against a caller that returns to the stopping instance each time."""
+    bench = build_bench()
+    stop(bench)
+    caller = bench.send("/reply/x", "POST", tokens=10)
+    assert caller.status == 503
+    assert caller.headers["connection"] == "close"
+
+
 def test_requests_that_end_before_the_stop_are_served():
     """Guards against an instance that refuses all requests from the start of a stop."""
     bench = build_bench()
--- a/papayacrank/transport/__init__.py
+++ b/papayacrank/transport/__init__.py
@@ -5,6 +5,7 @@
 from ._connect_check import ConnectCheck, ConnectOutcome
 from ._connection import Connection, ConnectionState, IdlePool
 from ._http_port import (
+    CLOSE_HEADER,
     ExchangeListener,
     HttpExchange,
     HttpLimits,
@@ -17,6 +18,7 @@
 from ._timers import Timers
 
 __all__ = [
+    "CLOSE_HEADER",
     "CallerServer",
     "ConnectCheck",
     "ConnectOutcome",
