--- a/papayacrank/control/_permit_service.py
+++ b/papayacrank/control/_permit_service.py
@@ -74,9 +74,7 @@
         now_ms : int
             Current time in milliseconds.
         """
-        own_term, own_revision = self._allocator.position
-        if own_revision == 0 or (term, revision) >= (own_term, own_revision):
-            return []
-        if term == own_term and not self._pushes.is_overdue(revision, now_ms):
+        own = self._allocator.position
+        if not self._pushes.lacks_change(own, (term, revision), now_ms):
             return []
         return [Send(sender, self._allocator.table())]
--- a/papayacrank/control/_push_log.py
+++ b/papayacrank/control/_push_log.py
@@ -23,6 +23,23 @@
         """Record a push; versions increase."""
         self._recent.append((now_ms, version))
 
+    def lacks_change(
+        self, own: tuple[int, int], known: tuple[int, int], now_ms: int
+    ) -> bool:
+        """Whether a receiver needs the whole table.
+
+        Parameters
+        ----------
+        own, known : tuple of int
+            Term and revision of the table here and at the receiver. A revision of 0
+            means that the table is empty.
+        now_ms : int
+            Current time in milliseconds.
+        """
+        if own[1] == 0 or known >= own:
+            return False
+        return known[0] != own[0] or self.is_overdue(known[1], now_ms)
+
     def is_overdue(self, version: int, now_ms: int) -> bool:
         """Whether a receiver at this version has missed an earlier push."""
         while self._recent and self._recent[0][0] <= now_ms - RESEND_DELAY_MS:
--- a/papayacrank/control/_quarantine_service.py
+++ b/papayacrank/control/_quarantine_service.py
@@ -101,9 +101,7 @@
         now_ms : int
             Current time in milliseconds.
         """
-        own_term, own_revision = self._registry.position
-        if own_revision == 0 or (term, revision) >= (own_term, own_revision):
-            return []
-        if term == own_term and not self._pushes.is_overdue(revision, now_ms):
+        own = self._registry.position
+        if not self._pushes.lacks_change(own, (term, revision), now_ms):
             return []
         return [Send(sender, self._registry.table(now_ms))]
