Tell the verdict on prompt parts from the verdict on requests by its name

kernel.Verdict says whether a request may have run; the message on refused parts is now QuarantineVerdict, and counts confirmations.

--- a/benchmarks/prompt_parts.py
+++ b/benchmarks/prompt_parts.py
@@ -14,8 +14,8 @@
     CrashReport,
     PartSuspicion,
     QuarantineTable,
+    QuarantineVerdict,
     SuspectRequest,
-    Verdict,
 )
 from papayacrank.quarantine import MAX_PARTS_PER_REQUEST, QuarantineClient
 from papayacrank.targets import encode_tokens, render_prompt
@@ -42,7 +42,9 @@
         1,
         [PartSuspicion(f"prefix-{n:032x}", 2, True, 0, 1) for n in range(suspicions)],
         [
-            Verdict(n + 1, [f"message-{n:032x}"], ["team-a"], 3, 600_000, 1, 1)
+            QuarantineVerdict(
+                n + 1, [f"message-{n:032x}"], ["team-a"], 3, 600_000, 1, 1
+            )
             for n in range(verdicts)
         ],
     )
--- a/papayacrank/admin/_quarantine_explain.py
+++ b/papayacrank/admin/_quarantine_explain.py
@@ -21,7 +21,7 @@
 VERDICT_EVENTS = frozenset(
     {"parts_quarantined", "quarantine_changed", "quarantine_lifted"}
 )
-# A crash is seen within this time of the failure of the attempt; the clocks of machines
+# A crash is seen within this time of the failure of the attempt. Clocks of instances
 # differ, but an instance sees the crashes of its own attempts.
 CRASH_SEEN_S = 2.0
 MAX_EVIDENCE_LINES = 24
--- a/papayacrank/control/_quarantine_calls.py
+++ b/papayacrank/control/_quarantine_calls.py
@@ -75,7 +75,7 @@
             "part_count": len(verdict.parts),
             "workspaces": list(verdict.workspaces) or ["(all)"],
             "crashes": verdict.crashes,
-            "convictions": verdict.convictions,
+            "confirmations": verdict.confirmations,
             "next_trial_in_s": verdict.lapses_in_ms // 1_000,
         }
         for verdict in sorted(table.verdicts, key=lambda item: item.number)
--- a/papayacrank/entry/tests/test_prompt_trials.py
+++ b/papayacrank/entry/tests/test_prompt_trials.py
@@ -14,11 +14,11 @@
     PartsCleared,
     PartSuspicion,
     QuarantineTable,
+    QuarantineVerdict,
     TrialEnded,
     TrialReply,
     TrialRequest,
 )
-from papayacrank.messages import Verdict as PartsVerdict
 from papayacrank.quarantine import QuarantineClient, QuarantinePort
 from papayacrank.routing import Choice, RoutingRequest
 from papayacrank.targets import TargetFailure
@@ -139,7 +139,7 @@
 
 def test_quarantined_request_is_refused_unsent(bench):
     """Guards against one more crash, and callers who come back too soon."""
-    bench.tell(verdict=PartsVerdict(7, ["deadly"], ["team-a"], 3, 60_000, 1, 1))
+    bench.tell(verdict=QuarantineVerdict(7, ["deadly"], ["team-a"], 3, 60_000, 1, 1))
     bench.start()
     [failure] = bench.failures
     assert (failure.code, failure.status) == ("quarantined", 503)
@@ -150,7 +150,7 @@
 
 def test_verdict_on_another_workspace_refuses_nothing(bench):
     """Guards against a workspace that blocks parts of another one."""
-    bench.tell(verdict=PartsVerdict(7, ["hot"], ["team-b"], 3, 60_000, 1, 1))
+    bench.tell(verdict=QuarantineVerdict(7, ["hot"], ["team-b"], 3, 60_000, 1, 1))
     bench.start()
     assert bench.attempts == 1
 
@@ -278,7 +278,7 @@
 def test_repeat_of_a_request_that_ran_is_not_called_unsent(bench):
     """Guards against "not run" for a request that a target has begun."""
     bench.start()
-    bench.tell(verdict=PartsVerdict(7, ["deadly"], ["team-a"], 3, 60_000, 1, 1))
+    bench.tell(verdict=QuarantineVerdict(7, ["deadly"], ["team-a"], 3, 60_000, 1, 1))
     bench.flow.on_failed(LOST)
     [failure] = bench.failures
     assert (failure.code, failure.verdict) == ("quarantined", Verdict.MAY_HAVE_RUN)
--- a/papayacrank/forwarding/tests/test_suspects.py
+++ b/papayacrank/forwarding/tests/test_suspects.py
@@ -7,11 +7,11 @@
     PartsCleared,
     PartSuspicion,
     QuarantineTable,
+    QuarantineVerdict,
     SuspectRequest,
     TrialEnded,
     TrialReply,
     TrialRequest,
-    Verdict,
 )
 
 from .builders import Bench, build_target
@@ -37,9 +37,9 @@
     bench.quarantine.receive(QuarantineTable(1, revision - 1, revision, items, []))
 
 
-def convict(bench, *parts, lapses_in_ms=60_000, workspaces=("w1",)):
+def quarantine(bench, *parts, lapses_in_ms=60_000, workspaces=("w1",)):
     """Put parts into quarantine, as the leader has decided."""
-    verdict = Verdict(9, list(parts), list(workspaces), 3, lapses_in_ms, 1, 1)
+    verdict = QuarantineVerdict(9, list(parts), list(workspaces), 3, lapses_in_ms, 1, 1)
     bench.quarantine.receive(QuarantineTable(1, 0, 1, [], [verdict]))
 
 
@@ -171,7 +171,7 @@
 
 def test_quarantined_request_is_refused_at_once(bench):
     """Guards against requests that reach a target after the verdict."""
-    convict(bench, "a", "b", lapses_in_ms=60_000)
+    quarantine(bench, "a", "b", lapses_in_ms=60_000)
     caller = send(bench)
     assert bench.port.calls == []
     assert (caller.status, caller.headers["code"]) == (503, "quarantined")
@@ -181,7 +181,7 @@
 
 def test_request_with_other_parts_is_served(bench):
     """Guards against sound requests that share a part with a quarantined one."""
-    convict(bench, "a", "x")
+    quarantine(bench, "a", "x")
     send(bench)
     assert len(bench.port.calls) == 1
 
@@ -189,7 +189,7 @@
 def test_repeat_is_not_sent_after_the_verdict(bench):
     """Guards against a retry that crashes one more target."""
     caller = send(bench)
-    convict(bench, "a")
+    quarantine(bench, "a")
     bench.fail()
     assert len(bench.port.calls) == 1
     assert caller.status == 502
--- a/papayacrank/messages/__init__.py
+++ b/papayacrank/messages/__init__.py
@@ -59,11 +59,11 @@
     PartSuspicion,
     QuarantineKnowledge,
     QuarantineTable,
+    QuarantineVerdict,
     SuspectRequest,
     TrialEnded,
     TrialReply,
     TrialRequest,
-    Verdict,
 )
 from ._requests import (
     ControlReply,
@@ -175,6 +175,7 @@
     "PlaceOrder",
     "QuarantineKnowledge",
     "QuarantineTable",
+    "QuarantineVerdict",
     "RateObservation",
     "RateReport",
     "ReadState",
@@ -202,7 +203,6 @@
     "TrialReply",
     "TrialRequest",
     "UsageDelta",
-    "Verdict",
     "WarmupReply",
     "WarmupRequest",
     "WeightsChange",
--- a/papayacrank/messages/_quarantine.py
+++ b/papayacrank/messages/_quarantine.py
@@ -80,7 +80,7 @@
     revision: int
 
 
-class Verdict(msgspec.Struct, frozen=True, array_like=True):
+class QuarantineVerdict(msgspec.Struct, frozen=True, array_like=True):
     """Decision to refuse requests with a combination of prompt parts.
 
     Attributes
@@ -96,7 +96,7 @@
         Crashes that led to the verdict.
     lapses_in_ms : int
         Time in milliseconds until one request may be sent as a trial.
-    convictions : int
+    confirmations : int
         Number of times the verdict was confirmed by a failed trial.
     """
 
@@ -105,7 +105,7 @@
     workspaces: list[str]
     crashes: int
     lapses_in_ms: int
-    convictions: int
+    confirmations: int
     revision: int
 
 
@@ -123,7 +123,7 @@
     base: int
     revision: int
     suspicions: list[PartSuspicion]
-    verdicts: list[Verdict]
+    verdicts: list[QuarantineVerdict]
 
 
 class QuarantineKnowledge(msgspec.Struct, tag=True, frozen=True):
@@ -133,7 +133,7 @@
     term: int
     revision: int
     suspicions: list[PartSuspicion]
-    verdicts: list[Verdict]
+    verdicts: list[QuarantineVerdict]
 
 
 class TrialRequest(msgspec.Struct, tag=True, frozen=True):
--- a/papayacrank/quarantine/_attribution.py
+++ b/papayacrank/quarantine/_attribution.py
@@ -99,7 +99,7 @@
         return [s for s in known if s is not None and crash.number in s.crashes]
 
     def _find_by_trial(self, crash: Crash, is_unclear: bool) -> frozenset[str]:
-        """Return the parts that a failed trial proves guilty.
+        """Return the parts that a failed trial shows to be the cause.
 
         These are all parts of it with enough crashes, not only the one with most: a
         sound part that came with two deadly ones has more crashes than either.
--- a/papayacrank/quarantine/_client.py
+++ b/papayacrank/quarantine/_client.py
@@ -12,10 +12,10 @@
     PartSuspicion,
     QuarantineKnowledge,
     QuarantineTable,
+    QuarantineVerdict,
     TrialEnded,
     TrialReply,
     TrialRequest,
-    Verdict,
 )
 
 # Names of the shared parts of a request that are reported to the leader.
@@ -107,14 +107,14 @@
 
 @dataclass(slots=True)
 class _KnownVerdict:
-    """Verdict of the leader of a term."""
+    """QuarantineVerdict of the leader of a term."""
 
     number: int
     parts: frozenset[str]
     workspaces: frozenset[str]
     crashes: int
     lapses_ms: int
-    convictions: int
+    confirmations: int
     term: int
     revision: int
 
@@ -248,7 +248,7 @@
             known.reported_ms if is_same else None,
         )
 
-    def _apply_verdict(self, verdict: Verdict, now_ms: int) -> None:
+    def _apply_verdict(self, verdict: QuarantineVerdict, now_ms: int) -> None:
         number = verdict.number
         known = self._verdicts.get(number)
         stated = (self._term, verdict.revision)
@@ -265,7 +265,7 @@
             frozenset(verdict.workspaces),
             verdict.crashes,
             now_ms + verdict.lapses_in_ms,
-            verdict.convictions,
+            verdict.confirmations,
             *stated,
         )
         for name in verdict.parts:
@@ -286,7 +286,7 @@
         while len(self._lifted) > MAX_LIFTED_VERDICTS:
             self._lifted.popitem(last=False)
 
-    def list_verdicts(self, now_ms: int) -> list[Verdict]:
+    def list_verdicts(self, now_ms: int) -> list[QuarantineVerdict]:
         """Return the verdicts that are known here."""
         return [
             _state_verdict(known, now_ms) for _, known in sorted(self._verdicts.items())
@@ -492,7 +492,7 @@
             for number, known in self._verdicts.items()
             if number in former.unconfirmed
         ]
-        verdicts += [Verdict(n, [], [], 0, 0, 0, 0) for n in self._lifted]
+        verdicts += [QuarantineVerdict(n, [], [], 0, 0, 0, 0) for n in self._lifted]
         messages.append(
             QuarantineKnowledge(
                 self._instance,
@@ -505,13 +505,13 @@
         return messages
 
 
-def _state_verdict(known: _KnownVerdict, now_ms: int) -> Verdict:
-    return Verdict(
+def _state_verdict(known: _KnownVerdict, now_ms: int) -> QuarantineVerdict:
+    return QuarantineVerdict(
         known.number,
         sorted(known.parts),
         sorted(known.workspaces),
         known.crashes,
         max(0, known.lapses_ms - now_ms),
-        known.convictions,
+        known.confirmations,
         known.revision,
     )
--- a/papayacrank/quarantine/_registry.py
+++ b/papayacrank/quarantine/_registry.py
@@ -9,10 +9,10 @@
     PartSuspicion,
     QuarantineKnowledge,
     QuarantineTable,
+    QuarantineVerdict,
     TrialEnded,
     TrialReply,
     TrialRequest,
-    Verdict,
 )
 
 from ._attribution import CrashAttribution
@@ -226,7 +226,7 @@
             )
             parts = self._attribution.find_cause(crash, is_unclear)
             if parts:
-                self._convict(parts, crash, now_ms)
+                self._add_verdict(parts, crash, now_ms)
         self._end_crash(crash.number)
 
     def _end_crash(self, number: int) -> None:
@@ -234,7 +234,7 @@
         for trial in self._trials.pop_of_crash(number):
             self._log_trial_ended(trial, "crash")
 
-    def _convict(self, parts: frozenset[str], crash: Crash, now_ms: int) -> None:
+    def _add_verdict(self, parts: frozenset[str], crash: Crash, now_ms: int) -> None:
         """Decide that a combination of parts has caused a crash."""
         workspaces = self._attribution.list_workspaces(parts)
         verdict = self._find_narrowed(parts)
@@ -485,7 +485,7 @@
         self._suspicions.evict()
 
     def _learn_verdict(
-        self, stated: Verdict, position: tuple[int, int], now_ms: int
+        self, stated: QuarantineVerdict, position: tuple[int, int], now_ms: int
     ) -> None:
         number = stated.number
         known = self._verdicts.get(number)
@@ -527,7 +527,9 @@
                 verdict.revision = self._revision
                 verdicts.append(verdict.state(now_ms))
             else:
-                verdicts.append(Verdict(number, [], [], 0, 0, 0, self._revision))
+                verdicts.append(
+                    QuarantineVerdict(number, [], [], 0, 0, 0, self._revision)
+                )
         return QuarantineTable(self._term, base, self._revision, suspicions, verdicts)
 
     def table(self, now_ms: int) -> QuarantineTable:
@@ -571,7 +573,7 @@
             parts=format_parts(verdict.parts),
             workspaces=sorted(verdict.workspaces)[:8],
             crashes=verdict.crashes,
-            convictions=verdict.convictions,
+            confirmations=verdict.confirmations,
         )
 
     def _log_trial_ended(self, trial: Trial, result: str) -> None:
--- a/papayacrank/quarantine/_verdicts.py
+++ b/papayacrank/quarantine/_verdicts.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from papayacrank.messages import Verdict
+from papayacrank.messages import QuarantineVerdict
 
 # A verdict lapses after this time, and after twice the time with each failed trial.
 LAPSE_MS = 600_000
@@ -40,7 +40,7 @@
     workspaces: set[str]
     crashes: int
     lapses_ms: int
-    convictions: int
+    confirmations: int
     crash: int
     crashed_ms: int
     revision: int = 0
@@ -51,18 +51,18 @@
 
     @classmethod
     def learn(
-        cls, stated: Verdict, position: tuple[int, int], now_ms: int
+        cls, stated: QuarantineVerdict, position: tuple[int, int], now_ms: int
     ) -> "HeldVerdict":
         """Return a verdict that an entry process repeats after an election."""
         lapses_ms = now_ms + stated.lapses_in_ms
-        crashed_ms = min(now_ms, lapses_ms - _lapse_ms(stated.convictions))
+        crashed_ms = min(now_ms, lapses_ms - _lapse_ms(stated.confirmations))
         return cls(
             stated.number,
             frozenset(stated.parts),
             set(stated.workspaces),
             stated.crashes,
             lapses_ms,
-            stated.convictions,
+            stated.confirmations,
             0,
             crashed_ms,
             position=position,
@@ -82,8 +82,8 @@
 
     def prolong(self, now_ms: int) -> None:
         """Start the next time of the verdict, after a failed trial."""
-        self.convictions += 1
-        self.lapses_ms = now_ms + _lapse_ms(self.convictions)
+        self.confirmations += 1
+        self.lapses_ms = now_ms + _lapse_ms(self.confirmations)
 
     def add_workspace(self, workspace: str) -> bool:
         """Extend the verdict to a workspace; with the second one it binds all."""
@@ -92,21 +92,21 @@
         self.workspaces = set()
         return True
 
-    def state(self, now_ms: int) -> Verdict:
+    def state(self, now_ms: int) -> QuarantineVerdict:
         """Return the message that describes the verdict."""
-        return Verdict(
+        return QuarantineVerdict(
             self.number,
             sorted(self.parts),
             sorted(self.workspaces),
             self.crashes,
             max(0, self.lapses_ms - now_ms),
-            self.convictions,
+            self.confirmations,
             self.revision,
         )
 
 
-def _lapse_ms(convictions: int) -> int:
-    return min(MAX_LAPSE_MS, LAPSE_MS << min(max(0, convictions - 1), 10))
+def _lapse_ms(confirmations: int) -> int:
+    return min(MAX_LAPSE_MS, LAPSE_MS << min(max(0, confirmations - 1), 10))
 
 
 class LiftedVerdicts:
--- a/papayacrank/quarantine/tests/builders.py
+++ b/papayacrank/quarantine/tests/builders.py
@@ -112,7 +112,7 @@
         self.deliver(self.clients[instance].end_trial(suspect.trial))
         self.push()
 
-    def convict(self, *parts, workspace="w"):
+    def quarantine(self, *parts, workspace="w"):
         """Lead to a verdict by two crashes and a failed trial."""
         for _ in range(2):
             self.crash(SuspectRequest(workspace, list(parts)))
--- a/papayacrank/quarantine/tests/test_client.py
+++ b/papayacrank/quarantine/tests/test_client.py
@@ -7,9 +7,9 @@
     PartSuspicion,
     QuarantineKnowledge,
     QuarantineTable,
+    QuarantineVerdict,
     TrialEnded,
     TrialReply,
-    Verdict,
 )
 from papayacrank.quarantine import (
     MAX_PARTS_PER_REQUEST,
@@ -35,7 +35,9 @@
 
 def build_verdict(*parts, number=1, workspaces=(), lapses_in_ms=600_000, revision=1):
     """Return a verdict; without parts it is lifted."""
-    return Verdict(number, list(parts), list(workspaces), 3, lapses_in_ms, 1, revision)
+    return QuarantineVerdict(
+        number, list(parts), list(workspaces), 3, lapses_in_ms, 1, revision
+    )
 
 
 def build_table(suspicions=(), verdicts=(), base=0, revision=1, term=1):
--- a/papayacrank/quarantine/tests/test_port.py
+++ b/papayacrank/quarantine/tests/test_port.py
@@ -7,11 +7,11 @@
     PartsCleared,
     PartSuspicion,
     QuarantineTable,
+    QuarantineVerdict,
     SuspectRequest,
     TrialEnded,
     TrialReply,
     TrialRequest,
-    Verdict,
 )
 from papayacrank.quarantine import QuarantineClient, QuarantinePort, TrialOutcome
 from papayacrank.quarantine._port import (
@@ -161,7 +161,7 @@
     """Guards against a wait for a trial that will not be granted."""
     setup.acquire()
     setup.reply(False, 100)
-    setup.suspect("x", 3, [Verdict(1, ["x"], [], 3, 600_000, 1, 2)])
+    setup.suspect("x", 3, [QuarantineVerdict(1, ["x"], [], 3, 600_000, 1, 2)])
     assert setup.outcomes() == [TrialOutcome.REFUSED]
     assert setup.decisions[0].retry_after_ms == 600_000
 
--- a/papayacrank/quarantine/tests/test_registry.py
+++ b/papayacrank/quarantine/tests/test_registry.py
@@ -7,8 +7,8 @@
     PartsCleared,
     PartSuspicion,
     QuarantineKnowledge,
+    QuarantineVerdict,
     SuspectRequest,
-    Verdict,
 )
 from papayacrank.quarantine import MAX_PARTS_PER_REQUEST, PartsAdmission
 from papayacrank.quarantine._events import MAX_LOGGED_PART_CHARS, MAX_LOGGED_PARTS
@@ -123,7 +123,7 @@
     assert group.check("rules", "q") is ALLOWED
 
 
-def test_trial_in_the_moment_of_the_other_crashes_convicts_no_part(group):
+def test_trial_in_the_moment_of_the_other_crashes_blames_no_part(group):
     """Guards against a verdict on one common failure that takes some time."""
     group.crash(["q"])
     group.crash(["q"])
@@ -134,7 +134,7 @@
     assert group.verdicts() == [["q"]]
 
 
-def test_trial_hit_by_a_failed_domain_convicts_no_part(group):
+def test_trial_hit_by_a_failed_domain_blames_no_part(group):
     """Guards against a verdict on a sound part whose trial ran in a failed domain."""
     group.crash(["q"])
     group.advance(1_000)
@@ -176,7 +176,7 @@
 
 def test_crash_of_a_refused_request_is_held_against_no_other_part(group):
     """Guards against blame by requests of an instance that was cut off."""
-    group.convict("x")
+    group.quarantine("x")
     for _ in range(4):
         group.advance(1_000)
         group.crash(["q"], ["x"])
@@ -308,7 +308,7 @@
     assert group.try_parts("q", instance=1) is not None
 
 
-def test_trials_of_two_parts_in_one_crash_convict_neither_until_tried_alone(group):
+def test_trials_of_two_parts_in_one_crash_blame_neither_until_tried_alone(group):
     """Guards against a verdict on a sound part whose trial shared a target."""
     for _ in range(2):
         group.crash(["q"], ["x"])
@@ -418,7 +418,7 @@
 
 def test_parts_that_always_come_together_are_refused_only_together(group):
     """Guards against sound requests that are refused with one part of a verdict."""
-    group.convict("c", "x")
+    group.quarantine("c", "x")
     assert group.verdicts() == [["c", "x"]]
     assert group.check("rules", "c", "x") is REFUSED
     assert group.check("rules", "c") is NEEDS_TRIAL
@@ -431,7 +431,7 @@
 
 def test_failed_trial_narrows_a_verdict(group):
     """Guards against a deadly part that is sent on without its companions."""
-    group.convict("c", "d", "x")
+    group.quarantine("c", "d", "x")
     group.fail_trial("x", "other")
     assert group.verdicts() == [["x"]]
     assert group.check("c", "d") is ALLOWED
@@ -440,7 +440,7 @@
 
 def test_trials_beside_a_verdict_become_rarer_with_each_failure(group):
     """Guards against a crash for each set of companions of a deadly part."""
-    group.convict("c", "d", "e", "x")
+    group.quarantine("c", "d", "e", "x")
     group.fail_trial("d", "e", "x")
     assert group.try_parts("e", "x") is None
     group.advance(5_000)
@@ -451,7 +451,7 @@
 
 def test_verdict_binds_the_workspace_and_at_the_second_one_all(group):
     """Guards against one workspace that has a part blocked for others by its labels."""
-    group.convict("x", workspace="w")
+    group.quarantine("x", workspace="w")
     assert group.check("x", workspace="w") is REFUSED
     assert group.check("x", workspace="v") is NEEDS_TRIAL
     group.fail_trial("x", workspace="v")
@@ -461,7 +461,7 @@
 
 def test_success_of_another_workspace_frees_it_and_not_the_culprit(group):
     """Guards against a verdict lifted by a part that only shares its name."""
-    group.convict("x", workspace="w")
+    group.quarantine("x", workspace="w")
     group.advance(1_000)
     group.pass_trial("x", workspace="v")
     assert group.check("x", workspace="w") is REFUSED
@@ -469,7 +469,7 @@
 
 def test_response_after_the_crash_lifts_a_verdict(group):
     """Guards against a verdict that stays although targets answer the part."""
-    group.convict("x")
+    group.quarantine("x")
     group.advance(100)
     group.begin("x", instance=1)
     assert group.verdicts() == []
@@ -478,7 +478,7 @@
 
 def test_verdict_lapses_and_a_failed_trial_doubles_its_time(group):
     """Guards against repeated crashes, or a part that is refused for ever."""
-    group.convict("x")
+    group.quarantine("x")
     group.advance(LAPSE_MS - SETTLING_MS)
     assert group.check("x") is REFUSED
     group.advance(SETTLING_MS)
@@ -493,7 +493,7 @@
 
 def test_operator_lifts_a_verdict(group):
     """Guards against a wrong verdict that an operator cannot end."""
-    group.convict("x")
+    group.quarantine("x")
     number = group.clients[0].list_verdicts(group.now_ms)[0].number
     assert not group.leader.lift(number + 1, "ops", group.now_ms)
     assert group.leader.lift(number, "ops", group.now_ms)
@@ -538,7 +538,7 @@
 def test_log_lines_are_bounded(group):
     """Guards against log lines as long as callers choose the names of parts."""
     with capture_logs() as lines:
-        group.convict(*(f"{n}" * 500 for n in range(30)))
+        group.quarantine(*(f"{n}" * 500 for n in range(30)))
     assert lines
     for line in lines:
         for key in ("parts", "on_trial"):
@@ -565,7 +565,7 @@
 
 def test_new_leader_keeps_verdicts_and_evidence(group):
     """Guards against further crashes after each election."""
-    group.convict("x")
+    group.quarantine("x")
     group.crash(["y"])
     group.advance(1_000)
     group.crash(["y"])
@@ -581,7 +581,7 @@
 
 def test_new_leader_grants_no_trial_before_it_has_learned(group):
     """Guards against a trial of what the new leader does not know of yet."""
-    group.convict("x")
+    group.quarantine("x")
     group.elect(2)
     assert group.try_parts("x") is None
     group.repeat_knowledge(2)
@@ -605,7 +605,7 @@
 @pytest.mark.parametrize("is_newer_first", [False, True])
 def test_lifted_verdict_does_not_come_back(group, is_newer_first):
     """Guards against an instance that missed the lift and repeats the verdict."""
-    group.convict("x")
+    group.quarantine("x")
     number = group.clients[0].list_verdicts(group.now_ms)[0].number
     group.leader.lift(number, "ops", group.now_ms)
     change = group.leader.pop_change(group.now_ms)
@@ -637,8 +637,8 @@
 def test_newer_state_of_a_verdict_wins(group):
     """Guards against the parts that a verdict had before it was narrowed."""
     group.elect(3)
-    wide = Verdict(1_000_001, ["c", "x"], ["w"], 3, 1_000, 1, 4)
-    narrow = Verdict(1_000_001, ["x"], [], 4, 2_000, 1, 6)
+    wide = QuarantineVerdict(1_000_001, ["c", "x"], ["w"], 3, 1_000, 1, 4)
+    narrow = QuarantineVerdict(1_000_001, ["x"], [], 4, 2_000, 1, 6)
     for verdict in (wide, narrow, wide):
         group.deliver([QuarantineKnowledge("i0@1", 1, verdict.revision, [], [verdict])])
     assert [v.parts for v in group.leader.table(group.now_ms).verdicts] == [["x"]]
