Reproduce requests that crash server after server

What callers see: a request that crashes each server which begins to run it is sent to server after server; sound requests fail with the servers.

--- a/papayacrank/platform/tests/crashing_engine.py
+++ b/papayacrank/platform/tests/crashing_engine.py
@@ -1,4 +1,4 @@
-"""Engine that crashes on prompts with a given part, and comes back later."""
+"""Servers that crash on given prompt parts or requests, and come back later."""
 
 import asyncio
 import json
@@ -29,14 +29,18 @@
         ID in the target list.
     deadly_parts : set of str
         Parts that crash the engine once it would begin a response.
+    deadly_bodies : set of bytes
+        Bodies that crash the engine in the same way.
     """
 
     service = "llm"
 
-    def __init__(self, name, deadly_parts):
+    def __init__(self, name, deadly_parts=(), deadly_bodies=()):
         self.name = name
-        self.deadly_parts = deadly_parts
+        self.deadly_parts = set(deadly_parts)
+        self.deadly_bodies = set(deadly_bodies)
         self.arrivals = []
+        self.bodies = []
         self.crashes = []
         self.resets = False
         self._version = 1
@@ -158,7 +162,8 @@
             own = [("Papayacrank-Instance-Id", self.name)]
             self._reply(connection, writer, 421, b"", own)
         else:
-            await self._stream(connection, writer, headers)
+            self.bodies.append((time.monotonic(), body))
+            await self._stream(connection, writer, headers, body)
 
     @staticmethod
     def _reply(connection, writer, status, body, headers=()):
@@ -167,13 +172,15 @@
         for event in (response, h11.Data(data=body), h11.EndOfMessage()):
             writer.write(connection.send(event))
 
-    async def _stream(self, connection, writer, headers):
+    async def _stream(self, connection, writer, headers, body):
         entries = headers.get("papayacrank-prompt-prefix", "").split(",")
         parts = [entry.strip().partition(":")[0] for entry in entries]
         request_id = headers["papayacrank-request-id"]
         self.arrivals.append((time.monotonic(), request_id, parts))
         await asyncio.sleep(PREFILL_S)
         deadly = next((part for part in parts if part in self.deadly_parts), None)
+        if body in self.deadly_bodies:
+            deadly = body
         if writer not in self._writers:
             return
         point = CRASH_POINTS[len(self.crashes) % len(CRASH_POINTS)]
@@ -199,3 +206,27 @@
             writer.write(connection.send(h11.Data(data=data)))
             await asyncio.sleep(EVENT_INTERVAL_S)
         writer.write(connection.send(h11.EndOfMessage()))
+
+
+class CrashingService(CrashingEngine):
+    """Server of a plain service that crashes on given bodies."""
+
+    service = "plain"
+
+    def entry(self):
+        """Return the entry of the server in the target list."""
+        return super().entry() | {"slots": 6, "models": []}
+
+    async def _respond(self, connection, writer, path, headers, body):
+        self.bodies.append((time.monotonic(), body))
+        await asyncio.sleep(PREFILL_S)
+        if writer not in self._writers:
+            return
+        if body in self.deadly_bodies:
+            await self._crash(body)
+            return
+        own = [
+            ("Papayacrank-Request-Id", headers["papayacrank-request-id"]),
+            ("Papayacrank-Server-Seal", "seal"),
+        ]
+        self._reply(connection, writer, 200, b"served", own)
