Group lost attempts and check addresses in one place for both interfaces

The platform's interface and the completions interface each grouped the attempts that were lost with a target, checked its address and reported the crash. CrashChecks and the check of an address are now part of the quarantine and serve both; the number of connections that a check opens stays as it was in each interface. No change of behaviour: tests moved, with the same assertions.

--- a/papayacrank/entry/_context.py
+++ b/papayacrank/entry/_context.py
@@ -10,9 +10,9 @@
 from papayacrank.control import ControlContact
 from papayacrank.kernel import Clock
 from papayacrank.permits import PermitPort
-from papayacrank.quarantine import QuarantinePort
+from papayacrank.quarantine import CrashChecks, QuarantinePort
 from papayacrank.routing import RetryPolicy, Router
-from papayacrank.targets import CrashChecks, TargetClient
+from papayacrank.targets import TargetClient
 from papayacrank.transport import Timers
 
 from ._metrics import EntryMetrics
--- a/papayacrank/entry/_part_trials.py
+++ b/papayacrank/entry/_part_trials.py
@@ -5,13 +5,13 @@
 from papayacrank.kernel import Clock
 from papayacrank.messages import SuspectRequest
 from papayacrank.quarantine import (
+    CrashChecks,
     PartsAdmission,
     PartsDecision,
     QuarantinePort,
     TrialDecision,
     TrialOutcome,
 )
-from papayacrank.targets import CrashChecks
 
 # A request on which this many targets have crashed gets no further attempt.
 MAX_CRASHES = 2
--- a/papayacrank/entry/_process.py
+++ b/papayacrank/entry/_process.py
@@ -28,9 +28,14 @@
     WarmupRequest,
 )
 from papayacrank.permits import PermitClient, PermitPort
-from papayacrank.quarantine import QuarantineClient, QuarantinePort
+from papayacrank.quarantine import (
+    ConnectionCheck,
+    CrashChecks,
+    QuarantineClient,
+    QuarantinePort,
+)
 from papayacrank.routing import RetryPolicy, Router
-from papayacrank.targets import CrashChecks, TargetClient
+from papayacrank.targets import TargetClient
 from papayacrank.transport import (
     Link,
     LinkSettings,
@@ -70,6 +75,8 @@
 )
 
 CHECK_INTERVAL_MS = 100
+# An engine that exits may close its listening socket last, so it is checked once more.
+ADDRESS_CHECK_DELAYS_MS = (10, 150)
 USAGE_INTERVAL_MS = 2_000
 USAGE_TIMEOUT_MS = 3_000
 # Limits the wait for the confirmation of the last usage report.
@@ -203,7 +210,11 @@
             router=self._router,
             permits=self._permits,
             quarantine=self._quarantine,
-            crash_checks=CrashChecks(clock, timers, self._quarantine.report_crash),
+            crash_checks=CrashChecks(
+                ConnectionCheck(clock, timers, ADDRESS_CHECK_DELAYS_MS),
+                clock,
+                self._quarantine.report_crash,
+            ),
             shares=self._shares,
             engine_admission=self._engine_admission,
             plain_admission=plain_admission,
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -19,7 +19,11 @@
 from papayacrank.kernel import MonotonicClock, log_event
 from papayacrank.messages import CONTROL_MESSAGES, FleetChange, FleetLoad, FleetView
 from papayacrank.permits import PermitClient, PermitPort
-from papayacrank.quarantine import QuarantineClient, QuarantinePort
+from papayacrank.quarantine import (
+    ConnectionCheck,
+    QuarantineClient,
+    QuarantinePort,
+)
 from papayacrank.transport import (
     ExchangeListener,
     HttpExchange,
@@ -34,7 +38,6 @@
 )
 
 from ._base import CallerProtocol
-from ._crash_check import ConnectionCheck
 from ._directory import choose_addresses
 from ._events import (
     CONTROL_LOST,
@@ -171,14 +174,14 @@
             self._clock,
             self._timers,
         )
-        crash_check = ConnectionCheck(self._clock, self._timers)
+        address_check = ConnectionCheck(self._clock, self._timers)
         self._forwarder = Forwarder(
             settings.forwarding,
             protocol,
             self._target_port,
             self._quota,
             self._permits,
-            SuspectTracker(self._quarantine, crash_check, self._clock),
+            SuspectTracker(self._quarantine, address_check, self._clock),
             self._clock,
             self._timers,
             self._random,
--- a/papayacrank/forwarding/_suspects.py
+++ b/papayacrank/forwarding/_suspects.py
@@ -1,11 +1,12 @@
 """Requests whose prompt parts are suspected to crash targets."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from papayacrank.kernel import Clock
 from papayacrank.messages import SuspectRequest
 from papayacrank.quarantine import (
+    AddressCheck,
+    CrashChecks,
     PartsAdmission,
     PartsDecision,
     QuarantinePort,
@@ -13,7 +14,6 @@
     TrialOutcome,
 )
 
-from ._crash_check import CrashCheck
 from ._job import Attempt, Job
 from ._target_port import CallFailure
 
@@ -26,15 +26,6 @@
 _ALLOWED = PartsDecision(PartsAdmission.ALLOWED)
 
 
-@dataclass(eq=False)
-class _LostTarget:
-    """Requests that lost their connections to a target that is being checked."""
-
-    start: int
-    lost_ms: int
-    suspects: list[tuple[Job, SuspectRequest]] = field(default_factory=list)
-
-
 class SuspectTracker:
     """Applies the quarantine to the attempts of requests, and reports suspects.
 
@@ -46,19 +37,18 @@
     ----------
     quarantine : QuarantinePort
         Suspected and quarantined parts.
-    crash_check : CrashCheck
+    address_check : AddressCheck
         Check of a target's address.
     clock : Clock
         Clock of the process.
     """
 
     def __init__(
-        self, quarantine: QuarantinePort, crash_check: CrashCheck, clock: Clock
+        self, quarantine: QuarantinePort, address_check: AddressCheck, clock: Clock
     ):
         self._quarantine = quarantine
-        self._crash_check = crash_check
         self._clock = clock
-        self._lost: dict[tuple[str, str], _LostTarget] = {}
+        self._checks = CrashChecks(address_check, clock, quarantine.report_crash)
 
     # Admission
 
@@ -168,29 +158,18 @@
             return
         attempt.is_suspect = True
         job.crashes += 1
-        target = attempt.target
-        key = (target.name, target.address)
-        lost = self._lost.get(key)
-        if lost is None:
-            lost = _LostTarget(target.born_ms, self._clock.now_ms())
-            self._lost[key] = lost
-            self._crash_check.start(
-                target.address, lambda is_refused: self._on_checked(key, is_refused)
-            )
-        suspect = SuspectRequest(_workspace(job), list(parts), attempt.trial)
+        target, trial = attempt.target, attempt.trial
         attempt.trial = 0
-        lost.suspects.append((job, suspect))
 
-    def _on_checked(self, key: tuple[str, str], is_refused: bool) -> None:
-        lost = self._lost.pop(key)
-        suspects = [suspect for _, suspect in lost.suspects]
-        if is_refused:
-            self._quarantine.report_crash(key[0], lost.start, lost.lost_ms, suspects)
-            return
-        for job, suspect in lost.suspects:
-            job.crashes -= 1
-            if suspect.trial:
-                self._quarantine.end_trial(suspect.trial)
+        def on_checked(has_crashed: bool) -> None:
+            if not has_crashed:
+                job.crashes -= 1
+                self._quarantine.end_trial(trial)
+
+        suspect = SuspectRequest(_workspace(job), list(parts), trial)
+        self._checks.on_lost(
+            target.name, target.address, target.born_ms, suspect, on_checked
+        )
 
     def may_repeat(self, job: Job) -> bool:
         """Whether a request has taken part in few enough crashes to be repeated."""
--- a/papayacrank/forwarding/tests/builders.py
+++ b/papayacrank/forwarding/tests/builders.py
@@ -13,7 +13,6 @@
     PromptPart,
     ResponseMetadata,
 )
-from papayacrank.forwarding._crash_check import CrashCheck
 from papayacrank.forwarding._quota import QuotaEnforcer
 from papayacrank.forwarding._suspects import SuspectTracker
 from papayacrank.kernel import ManualClock
@@ -32,7 +31,7 @@
     WorkspaceProfile,
 )
 from papayacrank.permits import PermitClient, PermitPort, read_rate_statement
-from papayacrank.quarantine import QuarantineClient, QuarantinePort
+from papayacrank.quarantine import AddressCheck, QuarantineClient, QuarantinePort
 from papayacrank.transport import HttpExchange, RequestHead
 
 KEY = "secret-1"
@@ -187,7 +186,7 @@
         self.dropped.append(address)
 
 
-class FakeCrashCheck(CrashCheck):
+class FakeAddressCheck(AddressCheck):
     """Check that records addresses; the test supplies the results."""
 
     def __init__(self):
@@ -273,14 +272,14 @@
         self.quarantine = QuarantinePort(
             QuarantineClient("i1@1"), self._send_to_leader, self.clock, self.timers
         )
-        self.crash_check = FakeCrashCheck()
+        self.address_check = FakeAddressCheck()
         self.forwarder = Forwarder(
             ForwardingSettings("i1", "east"),
             self.protocol,
             self.port,
             self.quota,
             self.permits,
-            SuspectTracker(self.quarantine, self.crash_check, self.clock),
+            SuspectTracker(self.quarantine, self.address_check, self.clock),
             self.clock,
             self.timers,
             random.Random(1),
--- a/papayacrank/forwarding/tests/test_random_flows.py
+++ b/papayacrank/forwarding/tests/test_random_flows.py
@@ -154,7 +154,7 @@
                 self.bench.quarantine.receive(reply)
 
     def crash(self):
-        self.bench.crash_check.finish(self.chance.random() < 0.5)
+        self.bench.address_check.finish(self.chance.random() < 0.5)
 
     def act(self):
         """Let something happen to an open call."""
@@ -288,7 +288,7 @@
             bench.advance(6_000)
         self.check()
         assert bench.forwarder.open_jobs == 0
-        bench.crash_check.finish(False)
+        bench.address_check.finish(False)
         bench.advance(1_000)
         left = [n for n in bench.timers.set_timers if not n.startswith("quarantine:")]
         assert left == []
--- a/papayacrank/forwarding/tests/test_suspects.py
+++ b/papayacrank/forwarding/tests/test_suspects.py
@@ -67,10 +67,10 @@
         for number in range(events):
             bench.event(number + 1)
     bench.fail()
-    assert bench.crash_check.addresses == [first.address]
+    assert bench.address_check.addresses == [first.address]
     assert sent(bench, CrashReport) == []
     bench.advance(20)
-    bench.crash_check.finish(is_refused=True)
+    bench.address_check.finish(is_refused=True)
     (report,) = sent(bench, CrashReport)
     assert (report.start, report.age_ms) == (7, 20)
     assert report.suspects == [SuspectRequest("w1", ["a", "b"])]
@@ -83,7 +83,7 @@
     bench.event(1)
     bench.event(2)
     bench.fail()
-    assert bench.crash_check.addresses == []
+    assert bench.address_check.addresses == []
 
 
 def test_resumed_stream_is_no_suspect(bench):
@@ -95,7 +95,7 @@
     bench.fail()
     assert len(bench.port.calls) == 2
     bench.fail()
-    assert bench.crash_check.addresses == []
+    assert bench.address_check.addresses == []
 
 
 @pytest.mark.parametrize(
@@ -112,7 +112,7 @@
     """Guards against parts that are blamed for cut links or planned restarts."""
     send(bench)
     bench.fail(code, sent=not code.startswith("connect_"), message=message)
-    assert bench.crash_check.addresses == []
+    assert bench.address_check.addresses == []
 
 
 def test_expired_deadline_and_left_caller_are_no_crash(bench):
@@ -121,7 +121,7 @@
     caller = send(bench)
     bench.forwarder.on_caller_left(caller.exchange)
     bench.advance(1_000)
-    assert bench.crash_check.addresses == []
+    assert bench.address_check.addresses == []
 
 
 def test_reset_of_a_target_that_accepts_connections_is_no_crash(bench):
@@ -131,7 +131,7 @@
     reply(bench)
     bench.fail("connection_lost", message="ECONNRESET")
     assert sent(bench, TrialEnded) == []
-    bench.crash_check.finish(is_refused=False)
+    bench.address_check.finish(is_refused=False)
     assert sent(bench, CrashReport) == []
     assert len(sent(bench, TrialEnded)) == 1
 
@@ -143,8 +143,8 @@
         send(bench, parts=f"a:10,p{number}:10,own:5")
     for call in list(bench.port.calls):
         bench.fail(call=call)
-    assert len(bench.crash_check.addresses) == 1
-    bench.crash_check.finish(is_refused=True)
+    assert len(bench.address_check.addresses) == 1
+    bench.address_check.finish(is_refused=True)
     (report,) = sent(bench, CrashReport)
     assert [s.parts[1] for s in report.suspects] == ["p0", "p1", "p2"]
 
@@ -153,7 +153,7 @@
     """Guards against the last part, which is of one request, as a suspect."""
     send(bench, parts="own:5")
     bench.fail()
-    assert bench.crash_check.addresses == []
+    assert bench.address_check.addresses == []
 
 
 def test_request_takes_part_in_two_crashes_at_most():
@@ -164,7 +164,7 @@
     caller = send(bench)
     for _ in range(2):
         bench.fail()
-        bench.crash_check.finish(is_refused=True)
+        bench.address_check.finish(is_refused=True)
     assert len(bench.port.calls) == 2
     assert caller.status == 502
 
@@ -203,7 +203,7 @@
     reply(bench)
     assert len(bench.port.calls) == 1
     bench.fail()
-    bench.crash_check.finish(is_refused=True)
+    bench.address_check.finish(is_refused=True)
     (report,) = sent(bench, CrashReport)
     assert report.suspects[0].trial == sent(bench, TrialRequest)[0].number
     assert sent(bench, TrialEnded) == []
@@ -255,7 +255,7 @@
     bench.call.ended_by_close = True
     bench.end()
     assert sent(bench, PartsCleared) == []
-    assert len(bench.crash_check.addresses) == 1
+    assert len(bench.address_check.addresses) == 1
 
 
 def test_stream_cut_inside_an_event_by_its_end_is_a_suspect(bench):
@@ -266,7 +266,7 @@
     bench.forwarder.on_data(call, b"id: 1\nda")
     call.ended_by_close = True
     bench.end(call)
-    assert len(bench.crash_check.addresses) == 1
+    assert len(bench.address_check.addresses) == 1
 
 
 def test_left_caller_ends_its_trial(bench):
@@ -296,7 +296,7 @@
     send(bench)
     bench.forwarder.table.mark_leaving(bench.target_of(bench.call))
     bench.fail()
-    assert bench.crash_check.addresses == []
+    assert bench.address_check.addresses == []
 
 
 def test_trial_is_kept_until_a_target_gets_the_request(bench):
--- a/papayacrank/platform/tests/faulty_servers.py
+++ b/papayacrank/platform/tests/faulty_servers.py
@@ -11,7 +11,6 @@
 
 from papayacrank.admission import LocalShares
 from papayacrank.forwarding import Forwarder, ForwardingSettings
-from papayacrank.forwarding._crash_check import ConnectionCheck
 from papayacrank.forwarding._health import TargetHealth
 from papayacrank.forwarding._quota import QuotaEnforcer
 from papayacrank.forwarding._suspects import SuspectTracker
@@ -25,7 +24,7 @@
 from papayacrank.kernel import MonotonicClock
 from papayacrank.permits import PermitClient, PermitPort
 from papayacrank.platform._caller_protocol import PlatformCallerProtocol
-from papayacrank.quarantine import QuarantineClient, QuarantinePort
+from papayacrank.quarantine import ConnectionCheck, QuarantineClient, QuarantinePort
 from papayacrank.testing import ScriptedTarget
 from papayacrank.transport import HttpPort, Timers, install_process_handlers
 
@@ -142,14 +141,14 @@
         quarantine = QuarantinePort(
             QuarantineClient("i1"), lambda _: True, clock, timers
         )
-        crash_check = ConnectionCheck(clock, timers)
+        address_check = ConnectionCheck(clock, timers)
         self.forwarder = Forwarder(
             ForwardingSettings("i1", "east", retry_slack=1_000.0),
             PlatformCallerProtocol(),
             self.port,
             QuotaEnforcer(LocalShares()),
             permits,
-            SuspectTracker(quarantine, crash_check, clock),
+            SuspectTracker(quarantine, address_check, clock),
             clock,
             timers,
             random.Random(1),
--- a/papayacrank/quarantine/__init__.py
+++ b/papayacrank/quarantine/__init__.py
@@ -1,5 +1,6 @@
 """Quarantine of prompt parts that crash targets."""
 
+from ._address_check import AddressCheck, ConnectionCheck
 from ._client import (
     MAX_PARTS_PER_REQUEST,
     PartsAdmission,
@@ -8,11 +9,15 @@
     TrialDecision,
     TrialOutcome,
 )
+from ._crash_checks import CrashChecks
 from ._port import QuarantinePort
 from ._registry import QuarantineRegistry
 
 __all__ = [
     "MAX_PARTS_PER_REQUEST",
+    "AddressCheck",
+    "ConnectionCheck",
+    "CrashChecks",
     "PartsAdmission",
     "PartsDecision",
     "QuarantineClient",
--- a/papayacrank/targets/_crash_checks.py
+++ b/papayacrank/quarantine/_crash_checks.py
@@ -5,11 +5,8 @@
 
 from papayacrank.kernel import Clock
 from papayacrank.messages import SuspectRequest
-from papayacrank.transport import ConnectCheck, ConnectOutcome, Timers
 
-# A process that exits closes its connections and its listening socket in any order, so
-# an accepted connection is checked once more.
-CHECK_DELAYS_MS = (10, 150)
+from ._address_check import AddressCheck
 
 
 @dataclass(slots=True)
@@ -17,7 +14,6 @@
     """Lost attempts of one start of a target whose check is pending."""
 
     target: str
-    address: str
     start: int
     lost_ms: int
     suspects: list[SuspectRequest] = field(default_factory=list)
@@ -32,25 +28,24 @@
 
     Parameters
     ----------
+    check : AddressCheck
+        Check of one address.
     clock : Clock
-        Clock of `timers`.
-    timers : Timers
-        Timers of the process.
+        Clock of the process.
     report : callable
         ``report(target, start, lost_ms, suspects)`` reports a crash.
     """
 
     def __init__(
         self,
+        check: AddressCheck,
         clock: Clock,
-        timers: Timers,
         report: Callable[[str, int, int, list[SuspectRequest]], None],
     ):
+        self._check = check
         self._clock = clock
-        self._timers = timers
         self._report = report
-        self._check = ConnectCheck(clock, timers)
-        self._losses: dict[tuple[str, int], _Loss] = {}
+        self._losses: dict[tuple[str, str, int], _Loss] = {}
 
     def on_lost(
         self,
@@ -73,32 +68,21 @@
         callback : callable
             Called with whether the target has crashed, after the report.
         """
-        loss = self._losses.get((target, start))
+        key = (target, address, start)
+        loss = self._losses.get(key)
         if loss is None:
-            loss = _Loss(target, address, start, self._clock.now_ms())
-            self._losses[target, start] = loss
-            self._schedule(loss, 0)
+            loss = _Loss(target, start, self._clock.now_ms())
+            self._losses[key] = loss
+            self._check.start(
+                address, lambda is_refused: self._on_checked(key, is_refused)
+            )
         if suspect.parts:
             loss.suspects.append(suspect)
         loss.callbacks.append(callback)
 
-    def _schedule(self, loss: _Loss, number: int) -> None:
-        self._timers.set(
-            f"crash-check/{loss.target}/{loss.start}",
-            self._clock.now_ms() + CHECK_DELAYS_MS[number],
-            lambda: self._check.start(
-                loss.address, lambda outcome: self._on_checked(loss, number, outcome)
-            ),
-        )
-
-    def _on_checked(self, loss: _Loss, number: int, outcome: ConnectOutcome) -> None:
-        is_last = number + 1 == len(CHECK_DELAYS_MS)
-        if outcome is ConnectOutcome.ACCEPTED and not is_last:
-            self._schedule(loss, number + 1)
-            return
-        del self._losses[loss.target, loss.start]
-        has_crashed = outcome is ConnectOutcome.REFUSED
-        if has_crashed and loss.suspects:
+    def _on_checked(self, key: tuple[str, str, int], is_refused: bool) -> None:
+        loss = self._losses.pop(key)
+        if is_refused and loss.suspects:
             self._report(loss.target, loss.start, loss.lost_ms, loss.suspects)
         for callback in loss.callbacks:
-            callback(has_crashed)
+            callback(is_refused)
--- a/papayacrank/forwarding/tests/test_crash_check.py
+++ b/papayacrank/quarantine/tests/test_address_check.py
@@ -7,8 +7,8 @@
 import pytest
 from circuits import BaseComponent, Event, handler
 
-from papayacrank.forwarding._crash_check import ConnectionCheck
 from papayacrank.kernel import MonotonicClock
+from papayacrank.quarantine import ConnectionCheck
 from papayacrank.transport import Timers, install_process_handlers
 
 TIMEOUT_S = 5
--- a/papayacrank/targets/tests/test_crash_checks.py
+++ b/papayacrank/quarantine/tests/test_crash_checks.py
@@ -4,7 +4,7 @@
 
 from papayacrank.kernel import ManualClock
 from papayacrank.messages import SuspectRequest
-from papayacrank.targets import CrashChecks
+from papayacrank.quarantine import ConnectionCheck, CrashChecks
 from papayacrank.transport import ConnectOutcome
 
 
@@ -37,10 +37,11 @@
         self.results = []
         self.outcomes = list(outcomes)
         self.checked = []
+        address_check = ConnectionCheck(self.clock, self.timers, (10, 150))
+        address_check._check = self
         self.checks = CrashChecks(
-            self.clock, self.timers, lambda *report: self.reports.append(report)
+            address_check, self.clock, lambda *report: self.reports.append(report)
         )
-        self.checks._check = self
 
     def start(self, address, callback):
         """Report the next outcome, as `ConnectCheck.start`."""
--- a/papayacrank/targets/__init__.py
+++ b/papayacrank/targets/__init__.py
@@ -3,7 +3,6 @@
 from ._assembler import Delivery, ResumePoint, ResumeStep, StreamAssembler
 from ._cache_events import CacheEventSource, CacheEventSubscriber
 from ._client import TargetClient
-from ._crash_checks import CrashChecks
 from ._headers import filter_request_headers, filter_response_headers
 from ._load import LoadPoller
 from ._notifications import (
@@ -31,7 +30,6 @@
 __all__ = [
     "CacheEventSource",
     "CacheEventSubscriber",
-    "CrashChecks",
     "Delivery",
     "LoadPoller",
     "ResumePoint",
