Quarantine whole requests that crash targets

Cause: only the shared parts of prompts had names under which crashes were counted. Sound requests on the same parts cleared them; requests without shared parts and plain services left no evidence (in the logs, 2213 follows each 2211 within 0.3 s; none for plain ones).

The request itself is now one more name: a digest of workspace, method, target and body. It goes through the same evidence, trials and verdicts in both interfaces, also for requests that may run only once. A verdict on a request refuses that request alone, and no part is blamed for the crashes of one request. Single crashes of requests are kept by the leader and not sent to all instances.

--- a/papayacrank/entry/_action_flow.py
+++ b/papayacrank/entry/_action_flow.py
@@ -5,7 +5,7 @@
 from expression import Result
 
 from papayacrank.config import Service
-from papayacrank.kernel import Failure, Verdict
+from papayacrank.kernel import Failure, Verdict, hash_fields
 from papayacrank.messages import (
     AbandonAction,
     ActionRecord,
@@ -13,6 +13,7 @@
     FinishAction,
 )
 from papayacrank.permits import PermitDecision
+from papayacrank.quarantine import TrialDecision
 from papayacrank.targets import TargetFailure
 
 from ._authentication import Caller
@@ -42,9 +43,7 @@
     another request.
     """
     digest = hashlib.blake2b(digest_size=32)
-    for part in (service.encode(), method.encode(), target.encode(), body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
+    hash_fields(digest, service.encode(), method.encode(), target.encode(), body)
     return digest.hexdigest()
 
 
@@ -153,6 +152,15 @@
         else:
             super().on_permit_decision(decision)
 
+    def on_trial_decision(self, decision: TrialDecision) -> None:
+        """Continue with the decision on a trial, unless the caller is gone."""
+        if self._is_detached:
+            self._context.quarantine.end_trial(decision.trial)
+            self._add_step("not sent: the caller is gone")
+            self._end("not_sent", None)
+        else:
+            super().on_trial_decision(decision)
+
     def _handle_begin_failure(self, failure: Failure) -> None:
         if failure.verdict is Verdict.NOT_RUN:
             self._state.on_record_refused()
--- a/papayacrank/entry/_completion_flow.py
+++ b/papayacrank/entry/_completion_flow.py
@@ -3,6 +3,7 @@
 from papayacrank.admission import AdmissionPolicy, AdmissionRequest
 from papayacrank.cache import hash_prompt
 from papayacrank.config import Assistant, Service, Workspace
+from papayacrank.quarantine import name_request
 from papayacrank.routing import Choice, RoutingRequest
 from papayacrank.targets import (
     Delivery,
@@ -90,8 +91,12 @@
             tokens,
             service.block_tokens,
         )
-        self._parts.names = name_shared_parts(
-            service.model, completion.document["messages"], self._prompt_blocks
+        request = exchange.request
+        self._parts.names = (
+            name_request(self.workspace, request.method, request.path, request.body),
+            *name_shared_parts(
+                service.model, completion.document["messages"], self._prompt_blocks
+            ),
         )
         self._attempt_tokens = 0
         self._assembler = StreamAssembler(self._max_output)
--- a/papayacrank/entry/_flow.py
+++ b/papayacrank/entry/_flow.py
@@ -409,7 +409,7 @@
         self._parts.on_decision(decision)
 
     def _refuse_parts(self, retry_after_ms: int | None) -> None:
-        text = "the prompt has parts on which targets have crashed"
+        text = "targets have crashed on the request or on parts of its prompt"
         self._give_up(self._state.fail("quarantined", text, 503, retry_after_ms))
 
     def _check_crash(self, target: str, failure: TargetFailure) -> None:
--- a/papayacrank/entry/_part_trials.py
+++ b/papayacrank/entry/_part_trials.py
@@ -1,4 +1,4 @@
-"""Quarantine of the prompt parts of one request."""
+"""Quarantine of one request and its prompt parts."""
 
 from collections.abc import Callable
 
@@ -18,7 +18,7 @@
 
 
 class PartTrials:
-    """Trials, clearings and crashes of the prompt parts of one request.
+    """Trials, clearings and crashes of one request and its prompt parts.
 
     Parameters
     ----------
@@ -37,9 +37,8 @@
 
     Attributes
     ----------
-    names : tuple of str or None
-        Names of the shared parts; None for a request without a prompt. A prompt may
-        have none that can be named.
+    names : tuple of str
+        Names of the request and of the shared parts of its prompt.
     """
 
     def __init__(
@@ -52,7 +51,7 @@
         workspace: str,
         add_step: Callable[[str], None],
     ):
-        self.names: tuple[str, ...] | None = None
+        self.names: tuple[str, ...] = ()
         self._quarantine = quarantine
         self._crash_checks = crash_checks
         self._clock = clock
@@ -74,7 +73,7 @@
 
     def may_send(self) -> bool:
         """Return whether the request may be sent now, under its trial if it has one."""
-        if not self.names or self._trial:
+        if self._trial:
             return True
         return self._check().admission is PartsAdmission.ALLOWED
 
@@ -104,10 +103,10 @@
             self._quarantine.note_refused(
                 self._workspace, self.names, decision, self._log_id
             )
-            self._add_step(f"has parts that are quarantined: {decision.verdict}")
+            self._add_step(f"is quarantined: {decision.verdict}")
             on_refused(decision.retry_after_ms)
             return
-        self._add_step("has parts that crashed targets, and waits for a trial")
+        self._add_step("is suspected to crash targets, and waits for a trial")
         self._on_granted, self._on_refused = on_granted, on_refused
         self._quarantine.acquire_trial(
             self._request_id, self._workspace, self.names, callback, self._log_id
@@ -131,7 +130,7 @@
 
     def on_begun(self) -> None:
         """Clear the parts once the response is past its beginning."""
-        if self._has_begun or self.names is None:
+        if self._has_begun:
             return
         self._has_begun = True
         self._quarantine.on_begun(self.names)
@@ -142,7 +141,7 @@
 
         The trial of the attempt goes on until the crash is reported.
         """
-        if self._has_begun or self.names is None:
+        if self._has_begun:
             return
         trial, self._trial = self._trial, 0
         self._possible_crashes += 1
--- a/papayacrank/entry/_service_flow.py
+++ b/papayacrank/entry/_service_flow.py
@@ -2,6 +2,7 @@
 
 from papayacrank.admission import AdmissionPolicy, AdmissionRequest
 from papayacrank.config import Service
+from papayacrank.quarantine import name_request
 from papayacrank.routing import Choice, RoutingRequest
 from papayacrank.targets import (
     TargetFailure,
@@ -60,6 +61,10 @@
         super().__init__(
             context, exchange, caller, service, idempotent, SERVICE_DEADLINE_MS
         )
+        request = exchange.request
+        self._parts.names = (
+            name_request(self.workspace, request.method, target_path, request.body),
+        )
         self._target_path = target_path
         self._idempotent = idempotent
         self._status = 0
@@ -162,7 +167,7 @@
         self._end("served", None)
 
     def _handle_attempt_failure(self, target: str, failure: TargetFailure) -> None:
-        if self._may_retry(failure):
+        if self._parts.may_repeat and self._may_retry(failure):
             self._retry_on_other_target(target)
         else:
             self._fail_with_target_error(target, failure)
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -537,7 +537,7 @@
         return decision.admission is PartsAdmission.ALLOWED
 
     def _refuse_parts(self, job: Job, retry_after_ms: int | None) -> None:
-        text = "a part of the prompt is suspected to crash targets"
+        text = "the request or a part of its prompt is suspected to crash targets"
         if job.may_have_run:
             self._give_up(job, "quarantined", text)
             return
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -1,9 +1,11 @@
 """State of one forwarded request."""
 
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from papayacrank.messages import FleetTarget, Route, ServiceProfile, WorkspaceProfile
 from papayacrank.permits import Permit, RateKnowledge
+from papayacrank.quarantine import name_request
 from papayacrank.transport import HttpExchange
 
 from ._base import ForwardRequest, ResponseMetadata
@@ -191,6 +193,16 @@
         """Whether a target may have started to run the request."""
         return self.runs > 0
 
+    @cached_property
+    def suspect_names(self) -> tuple[str, ...]:
+        """Names of the request and of its shared parts, for the quarantine."""
+        request = self.request
+        workspace = self.workspace.name if self.workspace is not None else ""
+        return (
+            name_request(workspace, request.method, request.target, self.exchange.body),
+            *(part.name for part in request.shared_parts),
+        )
+
     def attempt_of(self, call: TargetCall) -> Attempt:
         """Return the attempt of a call that is in progress."""
         silent = self.silent_attempt
--- a/papayacrank/forwarding/_suspects.py
+++ b/papayacrank/forwarding/_suspects.py
@@ -1,4 +1,4 @@
-"""Requests whose prompt parts are suspected to crash targets."""
+"""Requests that are suspected to crash targets."""
 
 from collections.abc import Callable
 
@@ -54,14 +54,12 @@
 
     def check(self, job: Job) -> PartsDecision:
         """Return whether a request may be sent now, unless it has a trial already."""
-        parts = _names(job)
-        if not parts:
-            return _ALLOWED
+        names = job.suspect_names
         now_ms = self._clock.now_ms()
-        decision = self._quarantine.client.check(_workspace(job), parts, now_ms)
+        decision = self._quarantine.client.check(_workspace(job), names, now_ms)
         if decision.admission is PartsAdmission.REFUSED:
             self._quarantine.note_refused(
-                _workspace(job), parts, decision, job.request.request_id
+                _workspace(job), names, decision, job.request.request_id
             )
         elif decision.admission is PartsAdmission.NEEDS_TRIAL and job.trial:
             return _ALLOWED
@@ -70,7 +68,9 @@
     def is_unrestricted(self, job: Job) -> bool:
         """Whether a second attempt may run beside a silent one."""
         now_ms = self._clock.now_ms()
-        decision = self._quarantine.client.check(_workspace(job), _names(job), now_ms)
+        decision = self._quarantine.client.check(
+            _workspace(job), job.suspect_names, now_ms
+        )
         return decision.admission is PartsAdmission.ALLOWED
 
     def request_trial(
@@ -103,7 +103,7 @@
         self._quarantine.acquire_trial(
             str(job.number),
             _workspace(job),
-            _names(job),
+            job.suspect_names,
             on_decision,
             job.request.request_id,
         )
@@ -136,9 +136,7 @@
 
     def _on_begun(self, job: Job, attempt: Attempt) -> None:
         attempt.is_begun = job.is_begun = True
-        parts = _names(job)
-        if parts:
-            self._quarantine.on_begun(parts)
+        self._quarantine.on_begun(job.suspect_names)
         self._end_trial(attempt)
 
     def on_lost(self, job: Job, attempt: Attempt, failure: CallFailure) -> None:
@@ -153,8 +151,7 @@
             self._suspect(job, attempt)
 
     def _suspect(self, job: Job, attempt: Attempt) -> None:
-        parts = _names(job)
-        if not parts or attempt.is_begun or job.is_begun or attempt.is_suspect:
+        if attempt.is_begun or job.is_begun or attempt.is_suspect:
             return
         attempt.is_suspect = True
         job.crashes += 1
@@ -166,7 +163,7 @@
                 job.crashes -= 1
                 self._quarantine.end_trial(trial)
 
-        suspect = SuspectRequest(_workspace(job), list(parts), trial)
+        suspect = SuspectRequest(_workspace(job), list(job.suspect_names), trial)
         self._checks.on_lost(
             target.name, target.address, target.born_ms, suspect, on_checked
         )
@@ -199,7 +196,3 @@
 
 def _workspace(job: Job) -> str:
     return job.workspace.name if job.workspace is not None else ""
-
-
-def _names(job: Job) -> tuple[str, ...]:
-    return tuple(part.name for part in job.request.shared_parts)
--- a/papayacrank/forwarding/tests/test_silence.py
+++ b/papayacrank/forwarding/tests/test_silence.py
@@ -16,7 +16,7 @@
 
 def open_stream(bench):
     """Start a resumable stream and deliver its first event."""
-    caller = bench.send("/reply/x", "POST", tokens=10)
+    caller = bench.send("/reply/x", b"POST", tokens=10)
     bench.begin(200)
     bench.event(1)
     return caller
@@ -146,7 +146,7 @@
 def test_both_runs_end_with_the_request(ending):
     """Guards against a run that goes on after its request has ended (GONE)."""
     bench = Bench(*ENGINES)
-    caller = bench.send("/reply/x", "POST", tokens=10, deadline=1_500)
+    caller = bench.send("/reply/x", b"POST", tokens=10, deadline=1_500)
     bench.begin(200)
     bench.event(1)
     bench.advance(SILENCE_MS)
@@ -220,7 +220,7 @@
 def test_stream_that_must_not_run_again_stays_with_its_target():
     """Guards against a second run of a stream that cannot be resumed (TWICE)."""
     bench = Bench(*ENGINES)
-    caller = bench.send("/appraise/x", "POST", tokens=10)
+    caller = bench.send("/appraise/x", b"POST", tokens=10)
     bench.begin(200)
     bench.event(1)
     bench.advance(SILENCE_MS)
@@ -259,7 +259,7 @@
 def test_unusable_head_of_a_silent_target_does_not_end_the_other_attempt(flaw):
     """Guards against a sound run that is ended for a response that is no use."""
     bench = Bench(*ENGINES)
-    caller = bench.send("/reply/x", "POST", tokens=10)
+    caller = bench.send("/reply/x", b"POST", tokens=10)
     silent = bench.call
     silent.bytes_written = True
     bench.advance(SILENCE_MS)
--- a/papayacrank/forwarding/tests/test_stop.py
+++ b/papayacrank/forwarding/tests/test_stop.py
@@ -27,7 +27,7 @@
 
 def stream(bench, took_ms):
     """Run a stream that takes a given time."""
-    caller = bench.send("/reply/x", "POST", tokens=10)
+    caller = bench.send("/reply/x", b"POST", tokens=10)
     bench.begin(200)
     bench.event(1)
     bench.clock.advance(took_ms)
@@ -38,7 +38,7 @@
 def is_refused(bench, path="/reply/x"):
     """Return whether a new request is refused as not run, without a call."""
     count = len(bench.port.calls)
-    caller = bench.send(path, "POST", tokens=10)
+    caller = bench.send(path, b"POST", tokens=10)
     refused = (
         caller.status == 503 and caller.headers["verdict"] == Verdict.NOT_RUN.value
     )
@@ -57,7 +57,7 @@
     """Guards against a caller that returns to the stopping instance each time."""
     bench = build_bench()
     stop(bench)
-    caller = bench.send("/reply/x", "POST", tokens=10)
+    caller = bench.send("/reply/x", b"POST", tokens=10)
     assert caller.status == 503
     assert caller.headers["connection"] == "close"
 
@@ -101,7 +101,7 @@
 def test_cut_stream_is_logged_as_cut_by_the_stop(capsys):
     """Guards against a cut by the instance that is logged as the caller's."""
     bench = build_bench()
-    caller = bench.send("/reply/x", "POST", tokens=10)
+    caller = bench.send("/reply/x", b"POST", tokens=10)
     bench.begin(200)
     bench.event(1)
     bench.forwarder.end_open_requests()
--- a/papayacrank/forwarding/tests/test_suspects.py
+++ b/papayacrank/forwarding/tests/test_suspects.py
@@ -13,11 +13,13 @@
     TrialReply,
     TrialRequest,
 )
+from papayacrank.quarantine import name_request
 
 from .builders import Bench, build_target
 
 ENGINES = tuple(build_target(f"e{n}", "engines", born_ms=7) for n in (1, 2, 3))
 PARTS = "a:10,b:10,own:5"
+REQUEST = name_request("w1", "GET", "/reply/x", b"")
 PATH_ERRORS = ("ETIMEDOUT", "EHOSTUNREACH")
 
 
@@ -73,7 +75,7 @@
     bench.address_check.finish(is_refused=True)
     (report,) = sent(bench, CrashReport)
     assert (report.start, report.age_ms) == (7, 20)
-    assert report.suspects == [SuspectRequest("w1", ["a", "b"])]
+    assert report.suspects == [SuspectRequest("w1", [REQUEST, "a", "b"])]
 
 
 def test_begun_response_is_no_suspect(bench):
@@ -146,14 +148,39 @@
     assert len(bench.address_check.addresses) == 1
     bench.address_check.finish(is_refused=True)
     (report,) = sent(bench, CrashReport)
-    assert [s.parts[1] for s in report.suspects] == ["p0", "p1", "p2"]
+    assert [s.parts[2] for s in report.suspects] == ["p0", "p1", "p2"]
 
 
-def test_request_without_shared_parts_is_not_reported(bench):
+def test_last_part_is_no_suspect(bench):
     """Guards against the last part, which is of one request, as a suspect."""
     send(bench, parts="own:5")
     bench.fail()
-    assert bench.address_check.addresses == []
+    bench.address_check.finish(is_refused=True)
+    (report,) = sent(bench, CrashReport)
+    assert report.suspects == [SuspectRequest("w1", [REQUEST])]
+
+
+@pytest.mark.parametrize("path", ["/lookup/x", "/claim/x"])
+def test_request_without_a_prompt_is_reported(bench, path):
+    """Guards against crashes of plain services that no leader hears of."""
+    bench = Bench(build_target("p1", "plain", born_ms=7))
+    bench.send(path, b"body")
+    bench.fail()
+    bench.address_check.finish(is_refused=True)
+    (report,) = sent(bench, CrashReport)
+    name = name_request("w1", "GET", path, b"body")
+    assert report.suspects == [SuspectRequest("w1", [name])]
+
+
+@pytest.mark.parametrize("path", ["/lookup/x", "/claim/x"])
+def test_quarantined_request_to_a_plain_service_is_not_sent(bench, path):
+    """Guards against a verdict that binds only prompts."""
+    bench = Bench(build_target("p1", "plain"))
+    quarantine(bench, name_request("w1", "GET", path, b"deadly"))
+    caller = bench.send(path, b"deadly")
+    assert (caller.status, caller.headers["verdict"]) == (503, "not-run")
+    bench.send(path, b"sound")
+    assert len(bench.port.calls) == 1
 
 
 def test_request_takes_part_in_two_crashes_at_most():
--- a/papayacrank/kernel/__init__.py
+++ b/papayacrank/kernel/__init__.py
@@ -1,6 +1,7 @@
 """Clocks, failures, plug-in registry, effects and numbered log events."""
 
 from ._clock import Clock, ManualClock, MonotonicClock
+from ._digest import Digest, hash_fields
 from ._effects import CancelTimer, Effect, Send, SetTimer
 from ._events import (
     LogEvent,
@@ -18,6 +19,7 @@
     "GuardedLogStream",
     "CancelTimer",
     "Clock",
+    "Digest",
     "Effect",
     "Failure",
     "LogEvent",
@@ -26,6 +28,7 @@
     "Send",
     "SetTimer",
     "Verdict",
+    "hash_fields",
     "list_registered",
     "configure_logging",
     "create",
--- a/papayacrank/quarantine/__init__.py
+++ b/papayacrank/quarantine/__init__.py
@@ -1,8 +1,7 @@
-"""Quarantine of prompt parts that crash targets."""
+"""Quarantine of requests and prompt parts that crash targets."""
 
 from ._address_check import AddressCheck, ConnectionCheck
 from ._client import (
-    MAX_PARTS_PER_REQUEST,
     PartsAdmission,
     PartsDecision,
     QuarantineClient,
@@ -10,6 +9,7 @@
     TrialOutcome,
 )
 from ._crash_checks import CrashChecks
+from ._names import MAX_PARTS_PER_REQUEST, name_request
 from ._port import QuarantinePort
 from ._registry import QuarantineRegistry
 
@@ -25,4 +25,5 @@
     "QuarantineRegistry",
     "TrialDecision",
     "TrialOutcome",
+    "name_request",
 ]
--- a/papayacrank/quarantine/_attribution.py
+++ b/papayacrank/quarantine/_attribution.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from ._names import is_request
 from ._suspicions import Crash, Suspect, Suspicion, SuspicionTable
 from ._verdicts import HeldVerdict
 
@@ -13,6 +14,7 @@
 SOUND_CRASHES_WITH_TRIAL = 5
 # Crashes that lead to a verdict without a trial, and at how many distinct times.
 CRASHES_WITHOUT_TRIAL = 5
+REQUEST_CRASHES_WITHOUT_TRIAL = 4
 DISTINCT_TIMES = 3
 DISTINCT_MS = 500
 # A crash within this time of crashes of so many other targets that have nothing to do
@@ -91,7 +93,10 @@
     def _count_new(self, parts: Iterable[str]) -> int:
         """Return the most crashes of a part that was not sound before."""
         known = (self._suspicions.get(name) for name in parts)
-        return max((s.count for s in known if s and not s.was_sound), default=0)
+        return max(
+            (s.count for s in known if s and not s.was_sound and _is_rival(s, 1)),
+            default=0,
+        )
 
     def _evidence(self, crash: Crash, suspect: Suspect) -> list[Suspicion]:
         """Return the suspicions of a request that a crash is counted against."""
@@ -127,11 +132,17 @@
             times >= DISTINCT_TIMES and self.count(common) > CRASHES_WITH_TRIAL
         )
         min_rival = max(2, self.count(common) - 1) if is_repeated else 1
+        has_request = any(is_request(name) for name in common)
         for suspect, known in evidence.items():
             rivals = (s for s in known if not (ignores_sound and s.was_sound))
-            if any(s.count >= min_rival for s in rivals):
+            if any(_is_rival(s, min_rival) for s in rivals):
                 common &= suspect.parts
-        is_alone = bool(common) and times >= 2 and not is_unclear
+        # A part is not blamed for the crashes of one request that contains it.
+        is_ambiguous = has_request and not any(is_request(name) for name in common)
+        min_times = 2 if ignores_sound else DISTINCT_TIMES
+        is_alone = (
+            bool(common) and times >= min_times and not (is_unclear or is_ambiguous)
+        )
         if not is_alone or self._is_common_failure(crash, common):
             for name in set.union(*cores):
                 self._suspicions.get(name).is_exclusive = True
@@ -157,7 +168,7 @@
             for s in known
             if s is not None
             and not s.was_sound
-            and s.count >= CRASHES_WITHOUT_TRIAL
+            and s.count >= _crashes_without_trial(s)
             and crash.number in s.crashes
             and _distinct_times(s) >= DISTINCT_TIMES
         ]
@@ -200,6 +211,22 @@
     return suspicion.was_sound is was_sound and suspicion.count >= limit
 
 
+def _crashes_without_trial(suspicion: Suspicion) -> int:
+    if suspicion.is_request:
+        return REQUEST_CRASHES_WITHOUT_TRIAL
+    return CRASHES_WITHOUT_TRIAL
+
+
+def _is_rival(suspicion: Suspicion, min_crashes: int) -> bool:
+    """Whether a name of another request may be the cause of a crash.
+
+    Nearly all requests are new, so that a single crash tells nothing of one.
+    """
+    if suspicion.is_request:
+        min_crashes = max(2, min_crashes)
+    return suspicion.count >= min_crashes
+
+
 def _distinct_times(suspicion: Suspicion) -> int:
     """Return at how many distinct times the crashes of a part were."""
     distinct, last_ms = 0, None
--- a/papayacrank/quarantine/_client.py
+++ b/papayacrank/quarantine/_client.py
@@ -1,4 +1,7 @@
-"""Suspected and quarantined parts as known by one entry process, without I/O."""
+"""Suspected and quarantined names as known by one entry process, without I/O.
+
+Names are those of requests and of the shared parts of prompts.
+"""
 
 import itertools
 from collections import OrderedDict
@@ -18,12 +21,13 @@
     TrialRequest,
 )
 
-# Names of the shared parts of a request that are reported to the leader.
-MAX_PARTS_PER_REQUEST = 32
-# Time for which responses on parts are remembered. Those after a crash clear a part of
-# it; those before tell parts that were sound until then from new ones.
+from ._names import MAX_PARTS_PER_REQUEST, is_request
+
+# Time for which responses on parts and to requests are remembered. Those after a crash
+# clear a name of it; those before tell names that were sound until then from new ones.
 BEGUN_KEPT_MS = 60_000
 MAX_BEGUN_PARTS = 4_096
+MAX_BEGUN_REQUESTS = 4_096
 # A clearing is repeated with the next response if the leader has not confirmed it.
 CLEAR_INTERVAL_MS = 200
 # Knowledge that a new leader has not confirmed is sent again after this time.
@@ -141,6 +145,34 @@
     unconfirmed: set[Any] = field(default_factory=set)
 
 
+class _BegunNames:
+    """Times of the last responses that were written past their beginnings.
+
+    Requests have a bound of their own: each is new to the table, so they would displace
+    the parts.
+    """
+
+    def __init__(self):
+        self._parts: OrderedDict[str, int] = OrderedDict()
+        self._requests: OrderedDict[str, int] = OrderedDict()
+
+    def __contains__(self, name: str) -> bool:
+        return self.get(name) is not None
+
+    def get(self, name: str) -> int | None:
+        """Return the time in milliseconds, None if no response is known."""
+        return (self._requests if is_request(name) else self._parts).get(name)
+
+    def add(self, name: str, now_ms: int) -> None:
+        """Note a response."""
+        is_whole = is_request(name)
+        table = self._requests if is_whole else self._parts
+        table[name] = now_ms
+        table.move_to_end(name)
+        if len(table) > (MAX_BEGUN_REQUESTS if is_whole else MAX_BEGUN_PARTS):
+            table.popitem(last=False)
+
+
 class QuarantineClient:
     """Knows the suspected and quarantined parts and requests trials for them.
 
@@ -161,8 +193,7 @@
         self._verdicts_by_part: dict[str, set[int]] = {}
         # Numbers of lifted verdicts, oldest first.
         self._lifted: OrderedDict[int, None] = OrderedDict()
-        # Time of the last response that was written past its beginning, by part.
-        self._begun: OrderedDict[str, int] = OrderedDict()
+        self._begun = _BegunNames()
         self._pending: dict[int, _Pending] = {}
         self._running: set[int] = set()
         # Trial requests that were given up; the leader may have granted them.
@@ -334,10 +365,7 @@
         """Handle a response that was written past its beginning."""
         names = list(parts)
         for name in names:
-            self._begun[name] = now_ms
-            self._begun.move_to_end(name)
-        while len(self._begun) > MAX_BEGUN_PARTS:
-            self._begun.popitem(last=False)
+            self._begun.add(name, now_ms)
         return self._clear_begun(names, now_ms) if self._suspicions else []
 
     def was_begun(self, part: str) -> bool:
@@ -381,15 +409,17 @@
         )
 
     def select_parts(self, parts: Iterable[str]) -> list[str]:
-        """Return the parts of a request that are reported to the leader.
+        """Return the names of a request that are reported to the leader.
 
-        If there are too many, those of which least is known to be sound are kept:
-        suspected ones, then those on which no response was begun.
+        If there are too many, the request itself is kept and the parts of which least
+        is known to be sound: suspected ones, then those on which no response was begun.
         """
         names = list(dict.fromkeys(parts))
-        if len(names) > MAX_PARTS_PER_REQUEST:
-            names.sort(key=lambda n: (n not in self._suspicions, n in self._begun))
-        return names[:MAX_PARTS_PER_REQUEST]
+        requests = [name for name in names if is_request(name)]
+        others = [name for name in names if not is_request(name)]
+        if len(others) > MAX_PARTS_PER_REQUEST:
+            others.sort(key=lambda n: (n not in self._suspicions, n in self._begun))
+        return requests[:1] + others[:MAX_PARTS_PER_REQUEST]
 
     def receive(
         self, reply: TrialReply, now_ms: int
--- a/papayacrank/quarantine/_registry.py
+++ b/papayacrank/quarantine/_registry.py
@@ -16,7 +16,6 @@
 )
 
 from ._attribution import CrashAttribution
-from ._client import MAX_PARTS_PER_REQUEST
 from ._events import (
     PART_SUSPECTED,
     PARTS_CLEARED,
@@ -27,6 +26,7 @@
     VERDICT_LIFTED,
     format_parts,
 )
+from ._names import MAX_NAMES_PER_REQUEST
 from ._suspicions import Crash, Suspect, SuspicionTable
 from ._trials import TRIAL_LEASE_MS, Trial, TrialTable
 from ._verdicts import LAPSE_MS, HeldVerdict, LiftedVerdicts, VerdictTable
@@ -396,7 +396,7 @@
     def _find_trial_wait_ms(self, request: TrialRequest, now_ms: int) -> int | None:
         """Return the time until a trial may be free; None if it is now."""
         self._note_time(now_ms)
-        parts = frozenset(request.parts[:MAX_PARTS_PER_REQUEST])
+        parts = frozenset(request.parts[:MAX_NAMES_PER_REQUEST])
         for verdict in self._verdicts.matching(parts):
             if verdict.binds(request.workspace) and verdict.is_in_force(now_ms):
                 return verdict.lapses_ms - now_ms
@@ -412,7 +412,7 @@
         return None if is_free else TRIAL_RETRY_MS
 
     def _start_trial(self, request: TrialRequest, now_ms: int) -> None:
-        suspected = self._list_suspected(request.parts[:MAX_PARTS_PER_REQUEST])
+        suspected = self._list_suspected(request.parts[:MAX_NAMES_PER_REQUEST])
         if not suspected:
             return
         trial = Trial(
@@ -538,7 +538,7 @@
             self._term,
             0,
             self._revision,
-            [self._state(s.name, now_ms) for s in self._suspicions],
+            [self._state(name, now_ms) for name in self._suspicions.list_stated()],
             [verdict.state(now_ms) for verdict in self._verdicts],
         )
 
--- a/papayacrank/quarantine/_suspicions.py
+++ b/papayacrank/quarantine/_suspicions.py
@@ -6,13 +6,13 @@
 
 from papayacrank.messages import CrashReport, PartSuspicion
 
-from ._client import MAX_PARTS_PER_REQUEST
+from ._names import MAX_NAMES_PER_REQUEST, is_request
 
 # Reports on the same start of a target within this time tell of the same crash; a
 # target takes some seconds to start again.
 SAME_CRASH_MS = 3_000
-# Crashes after which a part is on trial: one that no response is known for, and one
-# that was sound before. Hot parts are in many crashes of other causes.
+# Crashes after which a request or a part is on trial, and the same for a part that was
+# sound before. Hot parts are in many crashes of other causes.
 CRASHES_ON_TRIAL = 2
 SOUND_CRASHES_ON_TRIAL = 3
 # A part without a further crash is forgotten after this time.
@@ -96,9 +96,15 @@
     @property
     def needs_trial(self) -> bool:
         """Whether requests with the part may only be sent under a trial."""
-        limit = SOUND_CRASHES_ON_TRIAL if self.was_sound else CRASHES_ON_TRIAL
+        is_sound_part = self.was_sound and not self.is_request
+        limit = SOUND_CRASHES_ON_TRIAL if is_sound_part else CRASHES_ON_TRIAL
         return self.is_named or self.count >= limit
 
+    @property
+    def is_request(self) -> bool:
+        """Whether the name is that of a whole request."""
+        return is_request(self.name)
+
 
 class SuspicionTable:
     """Crashes of targets and the parts that are suspected of them."""
@@ -108,6 +114,8 @@
         self._suspicions: dict[str, Suspicion] = {}
         self._begun: OrderedDict[str, int] = OrderedDict()
         self._changed: set[str] = set()
+        # Requests that entry processes were told of.
+        self._stated_requests: set[str] = set()
         self._last_crash = 0
         self._expired_ms = 0
 
@@ -123,6 +131,7 @@
         self._suspicions.clear()
         self._begun.clear()
         self._changed.clear()
+        self._stated_requests.clear()
 
     def get(self, name: str) -> Suspicion | None:
         """Return the evidence against a part, None if there is none."""
@@ -133,9 +142,30 @@
         return name in self._begun
 
     def pop_changed(self) -> set[str]:
-        """Return the names of parts with changed evidence since the last call."""
+        """Return the names with changed evidence since the last call.
+
+        Requests that are not on trial are left out unless entry processes know of them:
+        each crash has many, and nearly none of them comes again.
+        """
         changed, self._changed = self._changed, set()
-        return changed
+        return {name for name in changed if self._must_state(name)}
+
+    def _must_state(self, name: str) -> bool:
+        if not is_request(name):
+            return True
+        suspicion = self._suspicions.get(name)
+        if suspicion is not None and suspicion.needs_trial:
+            self._stated_requests.add(name)
+        is_stated = name in self._stated_requests
+        if suspicion is None:
+            self._stated_requests.discard(name)
+        return is_stated
+
+    def list_stated(self) -> list[str]:
+        """Return the names that entry processes are told of."""
+        return [
+            s.name for s in self if not s.is_request or s.name in self._stated_requests
+        ]
 
     # Crashes
 
@@ -169,7 +199,7 @@
             self._move_back(crash, at_ms)
         added = []
         for request in report.suspects:
-            parts = frozenset(request.parts[:MAX_PARTS_PER_REQUEST])
+            parts = frozenset(request.parts[:MAX_NAMES_PER_REQUEST])
             suspect = Suspect(report.instance, request.workspace, parts, request.trial)
             is_full = len(crash.suspects) >= MAX_REQUESTS_PER_CRASH
             if suspect in crash.suspects or (is_full and not suspect.trial):
@@ -213,7 +243,7 @@
 
     def learn(self, known: PartSuspicion, crashed_ms: int) -> None:
         """Apply evidence that an entry process repeats after an election."""
-        self._changed.add(known.name)
+        self.decline(known.name)
         if crashed_ms < self._begun.get(known.name, crashed_ms):
             return
         suspicion = self._suspicions.get(known.name)
@@ -224,8 +254,10 @@
             suspicion.inherited_ms = max(suspicion.inherited_ms, crashed_ms)
 
     def decline(self, name: str) -> None:
-        """State the evidence against a part again, to a process with another one."""
+        """State the evidence against a name again, to a process with another one."""
         self._changed.add(name)
+        if is_request(name):
+            self._stated_requests.add(name)
 
     def explain(self, crash: Crash, verdict: int, kept: frozenset[str]) -> list[str]:
         """Record the cause of a crash, so that it counts against no other part.
@@ -336,7 +368,8 @@
         }
         total = len(self._suspicions) - MAX_SUSPICIONS - sum(excess.values())
         ordered = sorted(
-            (s for s in self if not s.is_named), key=lambda s: (s.count, s.last_ms)
+            (s for s in self if not s.is_named),
+            key=lambda s: (s.count, not s.is_request, s.last_ms),
         )
         for suspicion in ordered:
             if excess.get(suspicion.workspace, 0) > 0:
--- a/papayacrank/quarantine/tests/fleet.py
+++ b/papayacrank/quarantine/tests/fleet.py
@@ -33,8 +33,9 @@
 # Time from a start to the first view of the targets.
 START_MS = 600
 CONTACT_MS = 3_000
-# Crashes of one part after which requests with it are counted.
+# Crashes of one part, and of one request, after which requests with it are counted.
 FREE_CRASHES = 5
+FREE_CRASHES_OF_REQUEST = 3
 
 
 @dataclass
@@ -45,6 +46,14 @@
     ----------
     deadly : dict of str to float
         Share of all requests by part that crashes targets.
+    deadly_requests : dict of str to float
+        Share of all requests by name of a repeated request that crashes targets.
+    deadly_request_parts : tuple of str
+        Shared parts of the deadly requests.
+    hot_requests : int
+        Number of sound requests without parts that are repeated.
+    hot_ms : int
+        Time between two repeats of one of these.
     companions : dict of str to list of str
         Parts that always come with a deadly one.
     rare_ms : int
@@ -53,7 +62,11 @@
         Share of the requests whose response is only seen when it is complete.
     """
 
-    deadly: dict[str, float]
+    deadly: dict[str, float] = field(default_factory=dict)
+    deadly_requests: dict[str, float] = field(default_factory=dict)
+    deadly_request_parts: tuple[str, ...] = ("rules", "station-1")
+    hot_requests: int = 0
+    hot_ms: int = 1_000
     companions: dict[str, list[str]] = field(default_factory=dict)
     position: str = "any"
     workspaces: int = 6
@@ -67,7 +80,7 @@
 class _Request:
     number: int
     workspace: str
-    parts: tuple[str, ...]
+    names: tuple[str, ...]
     deadly: str | None
     is_slow: bool
     attempts: int = 0
@@ -178,10 +191,11 @@
         self.messages = Counter()
         self.message_bytes = Counter()
         self.outcomes = Counter()
-        # Crash times and arrivals at targets by deadly part; an arrival is its time
+        # Crash times and arrivals at targets by deadly name; an arrival is its time
         # and whether the sender was in touch.
-        self.crashes = {part: [] for part in mix.deadly}
-        self.arrivals = {part: [] for part in mix.deadly}
+        deadly = [*mix.deadly, *mix.deadly_requests]
+        self.crashes = {name: [] for name in deadly}
+        self.arrivals = {name: [] for name in deadly}
         # Arrival time of sound requests and whether they began at the first attempt.
         self.sound = []
         self.verdicts = {}
@@ -205,6 +219,12 @@
             self.at(
                 self.random.randint(0, mix.rare_ms), self._arrive_rare, f"rare-{number}"
             )
+        for number in range(mix.hot_requests):
+            self.at(
+                self.random.randint(0, mix.hot_ms),
+                self._arrive_hot,
+                f"request:hot-{number}",
+            )
 
     # Schedule
 
@@ -231,14 +251,16 @@
         Parameters
         ----------
         part : str
-            Deadly part.
+            Deadly part or request.
         in_touch : bool
             Whether only those of undisturbed instances are counted.
         """
         times = self.crashes[part]
-        if len(times) < FREE_CRASHES:
+        is_whole = part in self.mix.deadly_requests
+        free = FREE_CRASHES_OF_REQUEST if is_whole else FREE_CRASHES
+        if len(times) < free:
             return 0
-        from_ms = times[FREE_CRASHES - 1] + CONTACT_MS
+        from_ms = times[free - 1] + CONTACT_MS
         return sum(
             at_ms > from_ms and (was_in_touch or not in_touch)
             for at_ms, was_in_touch in self.arrivals[part]
@@ -246,7 +268,7 @@
 
     def false_verdicts(self):
         """Return the verdicts that refuse sound requests."""
-        deadly = set(self.mix.deadly)
+        deadly = self.crashes.keys()
         return [parts for parts in self.verdicts.values() if not parts & deadly]
 
     def sound_share(self, from_ms):
@@ -499,6 +521,11 @@
             draw -= share
             if draw < 0:
                 return self._build_deadly(part)
+        for name, share in self.mix.deadly_requests.items():
+            draw -= share
+            if draw < 0:
+                parts = self.mix.deadly_request_parts
+                return self._request(parts, name, name, "w0")
         parts = ["rules", f"station-{self._draw_station()}"]
         if self.random.random() < 0.3:
             parts.append(f"history-{next(self._numbers)}")
@@ -524,11 +551,16 @@
         parts[at:at] = [part, *mix.companions.get(part, [])]
         return self._request(parts, part)
 
-    def _request(self, parts, deadly):
+    def _arrive_hot(self, name):
+        self.after(self.mix.hot_ms, self._arrive_hot, name)
+        self._offer(self._request([], None, name, "w0"))
+
+    def _request(self, parts, deadly, name=None, workspace=None):
+        number = next(self._numbers)
         return _Request(
-            next(self._numbers),
-            f"w{self.random.randrange(self.mix.workspaces)}",
-            tuple(parts),
+            number,
+            workspace or f"w{self.random.randrange(self.mix.workspaces)}",
+            (name or f"request:{number}", *parts),
             deadly,
             self.random.random() < self.mix.slow_share,
             arrived_ms=self.now_ms,
@@ -541,7 +573,7 @@
 
     def _admit(self, instance, request):
         port = instance.port
-        known = port.client.check(request.workspace, request.parts, self.now_ms)
+        known = port.client.check(request.workspace, request.names, self.now_ms)
         if known.admission is PartsAdmission.REFUSED:
             self._end(request, "refused")
         elif known.admission is PartsAdmission.ALLOWED:
@@ -550,7 +582,7 @@
             port.acquire_trial(
                 str(request.number),
                 request.workspace,
-                request.parts,
+                request.names,
                 lambda decision: self._on_trial(instance, request, decision),
                 "r",
             )
@@ -633,7 +665,7 @@
 
     def _on_begun(self, attempt):
         attempt.is_known_begun = True
-        attempt.instance.port.on_begun(attempt.request.parts)
+        attempt.instance.port.on_begun(attempt.request.names)
         attempt.instance.port.end_trial(attempt.trial)
         self._end(attempt.request, "begun")
 
@@ -679,7 +711,7 @@
     def _on_checked(self, instance, target, start, lost_ms):
         attempts = instance.lost.pop((target.name, start), [])
         suspects = [
-            SuspectRequest(a.request.workspace, list(a.request.parts), a.trial)
+            SuspectRequest(a.request.workspace, list(a.request.names), a.trial)
             for a in attempts
         ]
         instance.port.report_crash(target.name, start, lost_ms, suspects)
