--- a/benchmarks/quarantine.py
+++ b/benchmarks/quarantine.py
@@ -1,4 +1,6 @@
-"""Crashes, late requests and false verdicts of simulated fleets with deadly parts.
+"""Crashes, late requests and false verdicts of simulated fleets.
+
+Parts of prompts or whole requests crash targets.
 
 Prints one JSON object a line.
 ``python benchmarks/quarantine.py [--instances 9] [--seeds 50] [--cases NAME ...]``
@@ -19,27 +21,42 @@
 FAULT_INTERVAL_MS = 1_500
 SINGLE_CRASHES_MS = range(2_000, DURATION_MS, 2_500)
 DOMAIN_CRASHES_MS = range(4_000, DURATION_MS, 12_000)
-# Deadly parts, number of targets if not the usual one, crashes of another cause.
+PART = {"x": 0.03}
+REQUEST = {"request:d": 0.03}
+TWO_REQUESTS = REQUEST | {"request:e": 0.03}
+# Requests, number of targets if not the usual one, crashes of another cause.
 CASES = {
-    "one": ({"x": 0.03}, None, None),
-    "many": ({"x": 0.1}, None, None),
-    "few": ({"x": 0.002}, None, None),
-    "two": ({"x": 0.03, "y": 0.03}, None, None),
-    "single": ({"x": 0.03}, None, "single"),
-    "domain": ({"x": 0.03}, None, "domain"),
-    "only-single": ({}, None, "single"),
-    "only-domain": ({}, None, "domain"),
-    "3-targets": ({"x": 0.03}, 3, None),
-    "3-targets-two": ({"x": 0.03, "y": 0.02}, 3, None),
+    "one": (Mix(PART), None, None),
+    "many": (Mix({"x": 0.1}), None, None),
+    "few": (Mix({"x": 0.002}), None, None),
+    "two": (Mix({"x": 0.03, "y": 0.03}), None, None),
+    "single": (Mix(PART), None, "single"),
+    "domain": (Mix(PART), None, "domain"),
+    "only-single": (Mix(), None, "single"),
+    "only-domain": (Mix(), None, "domain"),
+    "3-targets": (Mix(PART), 3, None),
+    "3-targets-two": (Mix({"x": 0.03, "y": 0.02}), 3, None),
+    "request": (Mix(deadly_requests=REQUEST), None, None),
+    "request-without-parts": (
+        Mix(deadly_requests=REQUEST, deadly_request_parts=()),
+        None,
+        None,
+    ),
+    "request-single": (Mix(deadly_requests=REQUEST), None, "single"),
+    "two-requests": (Mix(deadly_requests=TWO_REQUESTS), None, None),
+    "request-and-part": (Mix(PART, REQUEST), None, None),
+    "5-targets-two-requests": (Mix(deadly_requests=TWO_REQUESTS), 5, None),
+    "hot-single": (Mix(hot_requests=8), 5, "single"),
+    "hot-domain": (Mix(hot_requests=8), 5, "domain"),
 }
 
 
 def run_fleet(instances, case, seed):
     """Return a simulated fleet after its run."""
-    deadly, targets, other = CASES[case]
+    mix, targets, other = CASES[case]
     targets = targets or TARGETS[instances]
     rate = max(30, 2 * instances)
-    fleet = SimulatedFleet(instances, targets, rate, Mix(dict(deadly)), seed, 0.01)
+    fleet = SimulatedFleet(instances, targets, rate, mix, seed, 0.01)
     for at_ms in range(FIRST_FAULT_MS, DURATION_MS, FAULT_INTERVAL_MS):
         fleet.at(at_ms, fleet.cause_fault)
     if other == "single":
@@ -56,8 +73,8 @@
     """Return the figures of a case over seeds."""
     fleets = [run_fleet(instances, case, seed) for seed in range(seeds)]
     until = [n for f in fleets for n in f.crashes_until_verdict.values()]
-    late = [f.late_arrivals(part) for f in fleets for part in f.crashes]
-    parts = sum(len(f.crashes) for f in fleets)
+    late = [f.late_arrivals(name) for f in fleets for name in f.crashes]
+    names = sum(len(f.crashes) for f in fleets)
     messages = [sum(f.messages.values()) * 1_000 / DURATION_MS for f in fleets]
     return {
         "instances": instances,
@@ -65,7 +82,7 @@
         "seeds": seeds,
         "crashes_until_verdict_median": statistics.median(until) if until else None,
         "crashes_until_verdict_max": max(until, default=None),
-        "parts_without_verdict": parts - len(until),
+        "names_without_verdict": names - len(until),
         "late_max": max(late, default=0),
         "false_verdicts": sum(len(f.false_verdicts()) for f in fleets),
         "sound_share_mean": round(statistics.mean(f.sound_share(0) for f in fleets), 3),
--- a/papayacrank/admin/_quarantine_explain.py
+++ b/papayacrank/admin/_quarantine_explain.py
@@ -28,7 +28,7 @@
 # Lines with this many parts may have been cut.
 MAX_LOGGED_PARTS = 8
 _REFUSALS = {
-    "trial_refused": "another request with suspected parts of its prompt was on trial",
+    "trial_refused": "another request with the same suspected names was on trial",
     "trial_no_reply": "the leader did not reply to its request for a trial",
 }
 _RESULTS = {
@@ -151,7 +151,7 @@
             text = _REFUSALS.get(reason, f"no trial: {reason}")
             return [f"refused: {text}"]
         number = line.get("verdict")
-        causes = [f"refused: verdict {number} names parts of its prompt"]
+        causes = [f"refused: verdict {number} names it or parts of its prompt"]
         for found in self._lines:
             if found.get("verdict") == number and found["event"] in VERDICT_EVENTS:
                 causes.append(_describe_verdict(found))
