--- a/papayacrank/admin/_log_explain.py
+++ b/papayacrank/admin/_log_explain.py
@@ -64,7 +64,7 @@
     "targets_full": "all targets that were tried refused it without executing it",
     "targets_limited": "all targets were at the request rate that they accept",
     "overloaded": "the queue of the best engine was longer than the request may wait",
-    "quarantined": "its prompt has parts on which targets have crashed",
+    "quarantined": "targets have crashed on it or on parts of its prompt",
     "caller_left": "the caller closed its connection first",
     "stopped": "the instance reached the time limit of its planned stop",
     "deadline": "the deadline set by the caller had passed",
