Reproduce streams that are joined from two software versions

What callers see: a stream goes on at a server of another software version than the one that began it, within one response or after a take-up, with nothing that shows it.

--- a/papayacrank/platform/tests/crashing_engine.py
+++ b/papayacrank/platform/tests/crashing_engine.py
@@ -31,11 +31,17 @@
         Parts that crash the engine once it would begin a response.
     deadly_bodies : set of bytes
         Bodies that crash the engine in the same way.
+    release : str
+        Version of the software, which each event of a stream tells.
+    events : int
+        Number of events of a stream.
     """
 
     service = "llm"
 
-    def __init__(self, name, deadly_parts=(), deadly_bodies=()):
+    def __init__(
+        self, name, deadly_parts=(), deadly_bodies=(), release="v1", events=EVENTS
+    ):
         self.name = name
         self.deadly_parts = set(deadly_parts)
         self.deadly_bodies = set(deadly_bodies)
@@ -43,6 +49,8 @@
         self.bodies = []
         self.crashes = []
         self.resets = False
+        self.release = release
+        self.events = events
         self._version = 1
         self._orders = 0
         self._born = 1_700_000_000_000
@@ -60,6 +68,7 @@
             "service": self.service,
             "address": f"127.0.0.1:{self._port}",
             "zone": "a",
+            "version": self.release,
             "slots": 16,
             "state": "ready",
             "models": [{"name": "m1", "version": self._version}],
@@ -199,10 +208,11 @@
                 writer.write(connection.send(h11.Data(data=text[point])))
             await self._crash(deadly)
             return
-        for number in range(1, EVENTS + 1):
-            if writer not in self._writers:
+        last = int(headers.get("last-event-id", 0))
+        for number in range(last + 1, self.events + 1):
+            if writer not in self._writers or writer.is_closing():
                 return
-            data = f"id: {number}\ndata: t{number}\n\n".encode()
+            data = f"id: {number}\ndata: {self.release}\n\n".encode()
             writer.write(connection.send(h11.Data(data=data)))
             await asyncio.sleep(EVENT_INTERVAL_S)
         writer.write(connection.send(h11.EndOfMessage()))
--- a/papayacrank/platform/tests/fake_platform.py
+++ b/papayacrank/platform/tests/fake_platform.py
@@ -99,6 +99,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "a",
+            "version": "v1",
             "slots": 6,
             "state": "ready",
             "models": models if self.service == "llm" else [],
--- /dev/null
+++ b/papayacrank/platform/tests/test_releases.py
@@ -0,0 +1,235 @@
+"""Integration tests of streams while servers of two software versions serve."""
+
+import http.client
+import threading
+import time
+from dataclasses import dataclass, field
+
+import pytest
+
+from .builders import KEY
+from .crashing_engine import CrashingEngine
+from .fake_platform import IPS, FakePlatform
+
+STREAMS = 24
+EVENTS = 60
+DEADLINE_S = 14.0
+MIN_SHARE = 0.95
+OLD, NEW = "v1", "v2"
+
+
+@dataclass
+class Stream:
+    """Stream of a caller that takes it up again after each break.
+
+    Parameters
+    ----------
+    number : int
+        Number of the stream, which selects the instance of the first attempt.
+    """
+
+    platform: FakePlatform
+    number: int
+    events: list = field(default_factory=list)
+    statuses: list = field(default_factory=list)
+
+    @property
+    def is_joined(self):
+        """Whether events of two software versions were received."""
+        return len({release for _, release in self.events}) > 1
+
+    @property
+    def is_whole(self):
+        """Whether all events were received once and in order."""
+        return [number for number, _ in self.events] == list(range(1, EVENTS + 1))
+
+    @property
+    def was_taken_up(self):
+        """Whether the stream had events when it was sent again."""
+        return len(self.statuses) > 1
+
+    def run(self):
+        """Send the stream until it is complete, refused for good or too late."""
+        ends_s = time.monotonic() + DEADLINE_S
+        while time.monotonic() < ends_s and not self.is_whole:
+            ip = IPS[(self.number + len(self.statuses)) % len(IPS)]
+            retry_s = self.attempt(ip, ends_s - time.monotonic())
+            time.sleep(min(retry_s, 1.0))
+
+    def attempt(self, ip, remaining_s, events=EVENTS):
+        """Send the stream once; return the time in s after which to send it again."""
+        had_events = bool(self.events)
+        headers = {
+            "Host": "h.example",
+            "X-Api-Key": KEY,
+            "Papayacrank-Request-Id": f"s{self.number}-{time.monotonic_ns()}",
+            "Papayacrank-Deadline-Ms": str(int(remaining_s * 1_000)),
+            "Papayacrank-Model": "m1",
+            "Papayacrank-Token-Count": "300,20",
+            "Papayacrank-Prompt-Prefix": f"{self.number:04x}:300",
+        }
+        if had_events:
+            headers["Last-Event-Id"] = str(self.events[-1][0])
+            headers["Resumes"] = self._first_id
+        connection = self.platform.connect(ip, remaining_s)
+        try:
+            connection.request("POST", "/reply/x", b"%d" % self.number, headers)
+            response = connection.getresponse()
+            if had_events or response.status == 200:
+                self.statuses.append(response.status)
+            if response.status != 200:
+                response.read()
+                return float(response.headers.get("Retry-After", 0.3))
+            while len(self.events) < events and (line := response.readline()):
+                name, _, value = line.decode().strip().partition(": ")
+                if name == "id":
+                    number = int(value)
+                elif name == "data":
+                    if not self.events:
+                        self._first_id = headers["Papayacrank-Request-Id"]
+                    self.events.append((number, value))
+        except (OSError, http.client.HTTPException):
+            return 0.1
+        finally:
+            connection.close()
+        return 0.1
+
+
+@pytest.fixture
+def platform(tmp_path):
+    """Return a running deployment with two engines of each software version."""
+    running = FakePlatform(tmp_path)
+    running.engines = [
+        CrashingEngine(f"x-{n}", release=release, events=EVENTS)
+        for n, release in enumerate((OLD, OLD, NEW, NEW))
+    ]
+    running.cloud.servers = [*running.plain, *running.engines[:2]]
+    try:
+        running.start()
+        running.configure()
+        for ip in IPS:
+            running.wait(lambda ip=ip: running.is_ready(ip))
+        yield running
+    finally:
+        running.stop()
+        for engine in running.engines:
+            engine.close()
+
+
+def add_new_servers(platform):
+    """Add the servers of the new version, and wait until they serve."""
+    platform.cloud.servers = [*platform.plain, *platform.engines]
+    deadline = time.monotonic() + 8
+    number = 0
+    while time.monotonic() < deadline:
+        stream = Stream(platform, 10_000 + number)
+        stream.attempt(IPS[number % 3], 1.0, events=1)
+        if stream.events and stream.events[0][1] == NEW:
+            return
+        number += 1
+    raise AssertionError("the new servers do not serve")
+
+
+def run_streams(platform, disturb, count=STREAMS):
+    """Run streams, disturb them in the middle, and return them."""
+    streams = [Stream(platform, number) for number in range(count)]
+    threads = [threading.Thread(target=s.run, daemon=True) for s in streams]
+    for thread in threads:
+        thread.start()
+        time.sleep(0.02)
+    time.sleep(0.2)
+    disturb()
+    for thread in threads:
+        thread.join()
+    taken = [s for s in streams if s.was_taken_up]
+    whole = sum(s.is_whole for s in taken)
+    print(f"{sum(s.is_joined for s in streams)} joined, {len(taken)} taken up,")
+    print(f"{whole} of them whole, {sum(s.is_whole for s in streams)} whole in all")
+    return streams
+
+
+def restart_all(platform):
+    """Kill all processes at once, and start them again."""
+    for process in platform.processes.values():
+        process.kill()
+    for process in platform.processes.values():
+        process.wait(10)
+    platform.start(bootstrap="false")
+
+
+def kill_entry(platform, ip=IPS[0]):
+    """Kill an entry process, and start it again."""
+    process = platform.processes[("entry", ip)]
+    process.kill()
+    process.wait(10)
+    platform.start_process("entry", ip)
+
+
+def assert_no_stream_is_joined(streams):
+    """Check the rule on streams of two software versions."""
+    assert [s.events for s in streams if s.is_joined] == []
+
+
+def share_of_taken_up(streams):
+    """Return the share of the streams that were taken up and came to their end."""
+    taken = [s for s in streams if s.was_taken_up]
+    return sum(s.is_whole for s in taken) / max(1, len(taken))
+
+
+@pytest.mark.prove
+@pytest.mark.parametrize("number", [0, 2])
+def test_stream_does_not_go_on_at_another_release_within_a_response(platform, number):
+    """Guards against a response that is joined from two software versions."""
+    add_new_servers(platform)
+    streams = run_streams(platform, platform.engines[number].crash)
+    assert_no_stream_is_joined(streams)
+    assert sum(s.is_whole for s in streams) >= MIN_SHARE * STREAMS
+
+
+@pytest.mark.prove
+def test_stream_is_taken_up_at_the_release_that_began_it(platform):
+    """Guards against a take-up that is joined after its instance was killed."""
+    add_new_servers(platform)
+    streams = run_streams(platform, lambda: kill_entry(platform))
+    assert_no_stream_is_joined(streams)
+    assert share_of_taken_up(streams) >= MIN_SHARE
+
+
+@pytest.mark.prove
+@pytest.mark.parametrize("leaves", [False, True])
+def test_stream_is_not_joined_after_all_instances_were_killed(platform, leaves):
+    """Guards against take-ups that are joined since no instance knows their begin."""
+
+    def disturb():
+        if leaves:
+            platform.cloud.servers = [*platform.plain, *platform.engines[2:]]
+        restart_all(platform)
+
+    add_new_servers(platform)
+    time.sleep(1.0)
+    streams = run_streams(platform, disturb)
+    assert_no_stream_is_joined(streams)
+    if not leaves:
+        assert share_of_taken_up(streams) >= 0.5
+
+
+@pytest.mark.prove
+def test_stream_begun_before_a_release_is_taken_up_during_it(platform):
+    """Guards against a release that joins the streams in progress."""
+
+    def disturb():
+        add_new_servers(platform)
+        kill_entry(platform)
+
+    streams = run_streams(platform, disturb)
+    assert_no_stream_is_joined(streams)
+    assert share_of_taken_up(streams) >= MIN_SHARE
+
+
+@pytest.mark.prove
+def test_stream_of_the_only_release_is_taken_up_after_a_restart_of_all(platform):
+    """Guards against refused take-ups where only one version ever served."""
+    time.sleep(1.0)
+    streams = run_streams(platform, lambda: restart_all(platform))
+    assert_no_stream_is_joined(streams)
+    assert share_of_taken_up(streams) == 1.0
