Keep streams at targets of the release that began them

Cause: the version of a server's software was never read, and nothing kept which version began a stream. Each way on which a stream goes on chose among all targets.

The leader commits each release of a service to the log before entry processes may use its targets, and removes it once no stream of it can be taken up. While a service has one release, that one began all its streams; while it has several, entry processes report the streams they begin and the leader commits them in batches, so that they survive the loss of all instances. A request that takes a stream up asks the leader, and is refused at once if the release is not known. A stream goes on only at targets of its release.

--- a/papayacrank/control/_events.py
+++ b/papayacrank/control/_events.py
@@ -145,8 +145,31 @@
     "A store of cached prompt parts does not respond; prompts are not fetched from it.",
     "Check the store and the network to it.",
 )
+RELEASE_LISTED = LogEvent(
+    3031,
+    "release_listed",
+    "info",
+    "The list shows targets of a release that is new to their service; they are used"
+    " once the log has it.",
+)
+RELEASE_ENDED = LogEvent(
+    3032,
+    "release_ended",
+    "info",
+    "No stream that a release began can be taken up any more.",
+)
+RELEASE_NOT_FOUND = LogEvent(
+    3033,
+    "stream_release_not_found",
+    "info",
+    "A caller takes up a stream of which it is not known which of several releases"
+    " began it; the request is refused.",
+)
 
 declare_events(
+    RELEASE_LISTED,
+    RELEASE_ENDED,
+    RELEASE_NOT_FOUND,
     PROMPT_STORE_RESPONSIVE,
     PROMPT_STORE_UNRESPONSIVE,
     TARGET_LISTED,
--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -26,6 +26,7 @@
     TARGET_SILENT,
 )
 from ._push_log import PushLog
+from ._releases import ReleaseMonitor
 from ._rollout import ORDER_KEY, STATUS_KEY, WeightsRollout
 from ._stores import STORE_KEY, StoreMonitor
 from ._target_protocol import ListedTarget, RunningRequestPolicy, TargetProtocol
@@ -107,6 +108,12 @@
         self._new_pauses: dict[str, int] = {}
         # Targets that have reported that they are leaving, by name and start time.
         self._leaving: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._releases: ReleaseMonitor | None = None
+        self._mixed: list[str] = []
+
+    def set_releases(self, releases: ReleaseMonitor) -> None:
+        """Show only targets of releases that the log has."""
+        self._releases = releases
 
     @property
     def permits(self) -> PermitAllocator:
@@ -145,12 +152,20 @@
         self._rollout.reset(term, now_ms + self._order_delay_ms)
         self._stores.reset()
         self._store_starts = {}
+        self._mixed = []
         self._leaving.clear()
+        if self._releases is not None:
+            self._releases.reset(term)
 
     def view(self, control: list[str]) -> FleetView:
         """Return the complete view for entry processes."""
         return FleetView(
-            self._term, self._sequence, self._view, control, self._store_starts
+            self._term,
+            self._sequence,
+            self._view,
+            control,
+            self._store_starts,
+            self._mixed,
         )
 
     def pop_change(
@@ -179,6 +194,7 @@
             [number for number in known if number not in present],
             control if control != base.control else [],
             self._store_starts,
+            self._mixed,
         )
 
     def needs_view(self, term: int, sequence: int, now_ms: int) -> bool:
@@ -406,6 +422,8 @@
             log_event(TARGET_LEFT, target=name)
         self._targets = targets
         self._has_list = True
+        if self._releases is not None:
+            self._releases.observe(targets.values(), now_ms)
         self._rollout.update_targets(targets, now_ms)
         starts = {name: target.born_ms for name, target in targets.items()}
         self._permits.retain(dict.fromkeys(self._stores.names, 0) | starts)
@@ -430,13 +448,17 @@
                 target.born_ms,
                 self._rollout.weights(target),
                 self._target_number(target.name),
+                target.release,
             )
             for target in self._targets.values()
+            if self._releases is None or self._releases.is_usable(target)
         ]
         starts = self._stores.starts
-        if view != self._view or starts != self._store_starts:
+        mixed = [] if self._releases is None else self._releases.mixed
+        if (view, starts, mixed) != (self._view, self._store_starts, self._mixed):
             self._view = view
             self._store_starts = starts
+            self._mixed = mixed
             self._sequence += 1
 
 
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -13,6 +13,7 @@
 )
 from papayacrank.kernel import Send, SetTimer
 from papayacrank.messages import (
+    ChangeReleases,
     ConfirmOrder,
     ControlRequest,
     EntryLoad,
@@ -21,6 +22,7 @@
     LiftVerdict,
     NotLeader,
     ObserveTargets,
+    RecordStreams,
     ReplaceMember,
 )
 from papayacrank.permits import PermitAllocator
@@ -57,6 +59,7 @@
 from ._publisher import FeedPublisher
 from ._quarantine_calls import QuarantineCalls
 from ._quarantine_service import QUARANTINE_MESSAGES, QuarantineService
+from ._releases import RELEASE_MESSAGES, ReleaseMonitor
 from ._requests import RequestHandler, build_change_notices
 
 RAFT_TIMER_PREFIX = "raft."
@@ -116,6 +119,9 @@
         permits = fleet.permits if fleet is not None else PermitAllocator()
         self._permits = PermitService(permits)
         self._quarantine = QuarantineService(QuarantineRegistry())
+        self._releases = ReleaseMonitor(machine.releases)
+        if fleet is not None:
+            fleet.set_releases(self._releases)
         self._leases = EntryLeases(settings.entry_lease_ms, settings.clock_drift)
         self._publisher = FeedPublisher(machine)
         self._requests = RequestHandler(
@@ -186,6 +192,8 @@
             return self._on_permit_message(sender, message, now_ms)
         if isinstance(message, QUARANTINE_MESSAGES):
             return self._on_quarantine_message(sender, message, now_ms)
+        if isinstance(message, RELEASE_MESSAGES) and self._may_serve(now_ms):
+            return self._releases.receive(sender, message)
         if isinstance(message, EntryLoad) and self.is_active and self._fleet:
             self._fleet.observe_load(message, now_ms)
         return []
@@ -264,6 +272,8 @@
             if reply is None:
                 return []
             notices = build_change_notices(entry.request.command, reply)
+            if isinstance(entry.request.command, ChangeReleases):
+                notices += self._poll_fleet(now_ms)
             return [*self._requests.complete(reply), *notices]
         if isinstance(entry, HeartbeatEntry):
             return self._acknowledge_all(entry, now_ms)
@@ -365,7 +375,9 @@
         return "" if leader == self._settings.instance else leader
 
     def _submit_internally(
-        self, command: ObserveTargets | ConfirmOrder, now_ms: int
+        self,
+        command: ObserveTargets | ConfirmOrder | ChangeReleases | RecordStreams,
+        now_ms: int,
     ) -> bool:
         """Propose a command of this process; return whether the log accepted it."""
         self._internal_request_count += 1
@@ -483,12 +495,11 @@
     def _poll_fleet(self, now_ms: int) -> list[Any]:
         if self._fleet is None or not self._may_serve(now_ms):
             return []
+        configuration = self._machine.routing.configuration
+        for command in self._releases.poll(configuration, now_ms):
+            self._submit_internally(command, now_ms)
         effects: list[Any] = [
-            *self._fleet.poll(
-                self._machine.weights.versions,
-                self._machine.routing.configuration,
-                now_ms,
-            ),
+            *self._fleet.poll(self._machine.weights.versions, configuration, now_ms),
             *self._push_fleet(now_ms),
         ]
         next_ms = self._fleet.next_ms()
--- a/papayacrank/control/_target_protocol.py
+++ b/papayacrank/control/_target_protocol.py
@@ -22,6 +22,8 @@
         name.
     weights : dict of str to int
         Version of the loaded weights by model; empty for plain services.
+    release : str
+        Release of the target's software.
     """
 
     name: str
@@ -32,6 +34,7 @@
     slots: int = 0
     born_ms: int = 0
     weights: dict[str, int] = field(default_factory=dict)
+    release: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/papayacrank/forwarding/_base.py
+++ b/papayacrank/forwarding/_base.py
@@ -56,6 +56,8 @@
         Parts of the prompt in order; the last one is not shared with other requests.
     resume_after : str or None
         Id of the last event that the caller received.
+    resumes : str or None
+        Identifier of the caller's attempt that brought the first event.
     """
 
     request_id: str
@@ -71,6 +73,7 @@
     output_tokens: int | None = None
     parts: tuple[PromptPart, ...] = ()
     resume_after: str | None = None
+    resumes: str | None = None
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
--- /dev/null
+++ b/papayacrank/forwarding/_continuity.py
@@ -0,0 +1,89 @@
+"""Keeps streams at targets of the release that began them."""
+
+from collections.abc import Callable
+
+from papayacrank.releases import (
+    ReleaseDecision,
+    ReleaseOutcome,
+    ReleasePort,
+    name_stream,
+)
+
+from ._job import Attempt, Job
+
+
+class StreamContinuity:
+    """Finds and keeps the release of each stream.
+
+    Targets of different releases write streams that do not fit together. A stream has
+    the release of the target that sent its first event; a request that takes a stream
+    up asks the leader for it.
+
+    Parameters
+    ----------
+    releases : ReleasePort
+        Streams and releases as known by the leader.
+    """
+
+    def __init__(self, releases: ReleasePort):
+        self._releases = releases
+
+    @staticmethod
+    def needs_release(job: Job) -> bool:
+        """Whether a request takes up a stream whose release is not known yet."""
+        return job.release is None and job.request.resume_after is not None
+
+    def find_release(
+        self,
+        job: Job,
+        on_found: Callable[[], None],
+        on_refused: Callable[[int | None], None],
+    ) -> None:
+        """Find the release of the stream that a request takes up.
+
+        Parameters
+        ----------
+        job : Job
+            Request.
+        on_found : callable
+            Called once `job.release` is set.
+        on_refused : callable
+            Called if the release is not known, with the time in milliseconds after
+            which it may be; None if it will not.
+        """
+
+        def on_decision(decision: ReleaseDecision) -> None:
+            if decision.outcome is ReleaseOutcome.KNOWN:
+                job.release = decision.release
+                on_found()
+            else:
+                on_refused(decision.retry_after_ms)
+
+        first_id = job.request.resumes
+        stream = name_stream(_workspace(job), first_id) if first_id else ""
+        self._releases.find(str(job.number), job.service.name, stream, on_decision)
+
+    def on_first_event(self, job: Job, attempt: Attempt) -> None:
+        """Note the release that begins a stream."""
+        if job.release is not None:
+            return
+        job.release = attempt.target.release
+        if job.route.resumable:
+            self._releases.on_begun(
+                name_stream(_workspace(job), job.request.request_id),
+                job.service.name,
+                job.release,
+            )
+
+    @staticmethod
+    def fits(job: Job, attempt: Attempt) -> bool:
+        """Whether an event of an attempt may be added to the stream of a request."""
+        return job.release in (None, attempt.target.release)
+
+    def on_finished(self, job: Job) -> None:
+        """Forget the question of a request that has ended."""
+        self._releases.cancel(str(job.number))
+
+
+def _workspace(job: Job) -> str:
+    return job.workspace.name if job.workspace is not None else ""
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -37,6 +37,7 @@
 )
 
 from ._base import CallerProtocol, Dispatch, ForwardRequest, ResponseMetadata
+from ._continuity import StreamContinuity
 from ._event_stream import EventStreamError
 from ._events import (
     ATTEMPT_FAILED,
@@ -147,7 +148,9 @@
     permits : PermitPort
         Permits for targets with a request rate limit.
     suspects : SuspectTracker
-        Quarantine of prompt parts that crash targets.
+        Quarantine of requests and prompt parts that crash targets.
+    continuity : StreamContinuity
+        Releases of the targets that began streams.
     clock : Clock
         Clock of `timers`.
     timers : Timers
@@ -164,6 +167,7 @@
         quota: QuotaEnforcer,
         permits: PermitPort,
         suspects: SuspectTracker,
+        continuity: StreamContinuity,
         clock: Clock,
         timers: Timers,
         random_state: random.Random,
@@ -174,6 +178,7 @@
         self._quota = quota
         self._permits = permits
         self._suspects = suspects
+        self._continuity = continuity
         self._clock = clock
         self._timers = timers
         self._random = random_state
@@ -497,7 +502,7 @@
             self._give_back(permit)
             self._give_up(job, "deadline", "no time is left")
             return
-        if not self._may_send_parts(job):
+        if not (self._knows_release(job) and self._may_send_parts(job)):
             self._give_back(permit)
             return
         store = self._choose_store(job)
@@ -523,6 +528,21 @@
         else:
             self._request_permit(job, choice.target.name, max_wait_ms, now_ms)
 
+    def _knows_release(self, job: Job) -> bool:
+        """Whether targets for a request are known; otherwise find out or refuse it."""
+        if not self._continuity.needs_release(job):
+            return True
+        self._continuity.find_release(
+            job,
+            lambda: self._dispatch(job),
+            lambda retry_after_ms: self._refuse_take_up(job, retry_after_ms),
+        )
+        return False
+
+    def _refuse_take_up(self, job: Job, retry_after_ms: int | None) -> None:
+        text = "it is not known which release began the stream"
+        self._fail(job, _refusal("unknown_release", text, 503, retry_after_ms))
+
     def _may_send_parts(self, job: Job) -> bool:
         """Whether a request may be sent now; otherwise refuse it or request a trial."""
         decision = self._suspects.check(job)
@@ -624,7 +644,7 @@
     ) -> PlacementRequest:
         request = job.request
         if job.service.engine is None:
-            return PlacementRequest(job.service)
+            return PlacementRequest(job.service, release=job.release)
         newest = self._weights.get(request.model, 0)
         since_ms = self._weights_since_ms.get(request.model, now_ms)
         return PlacementRequest(
@@ -640,6 +660,7 @@
             job.route.objective_ms,
             now_ms - job.arrived_ms,
             store.name if store is not None else "",
+            job.release,
         )
 
     def _send(
@@ -1009,6 +1030,10 @@
             if job.attempt is not attempt:
                 # A comment of a silent target does not end its silence.
                 continue
+            if not self._continuity.fits(job, attempt):
+                self._port.cancel(call)
+                self._on_incomplete_response(job, attempt, "other_release")
+                return
             if attempt.is_resume and event.has_content and event.event_id is None:
                 # Without an id its place in the stream is unknown.
                 self._port.cancel(call)
@@ -1180,6 +1205,7 @@
     def _on_first_event(self, job: Job, attempt: Attempt) -> None:
         now_ms = self._clock.now_ms()
         attempt.has_first_event = True
+        self._continuity.on_first_event(job, attempt)
         self._observe_first_event(job, attempt, True)
         self._table.end_prefill(attempt.target.name, attempt.prefill_tokens)
         self._health.on_success(attempt.target.name)
@@ -1313,6 +1339,7 @@
         self._timers.cancel(_deadline_timer(job))
         self._permits.cancel(_quota_id(job))
         self._suspects.on_finished(job)
+        self._continuity.on_finished(job)
         now_ms = self._clock.now_ms()
         if job.workspace is not None:
             if self._awaiting_grant.pop(_quota_id(job), None) is not None:
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -148,6 +148,8 @@
         Some targets with a request rate limit, if the request was refused.
     forecast_wait_ms : int
         Last forecast of the time in the queue of an engine, in milliseconds.
+    release : str or None
+        Release that began the stream of the request; None before its first event.
     is_begun : bool
         Whether any response to the request was written past its beginning.
     crashes : int
@@ -183,6 +185,7 @@
     refused_permits: list[str] = field(default_factory=list)
     limited_targets: list[str] = field(default_factory=list)
     forecast_wait_ms: int = 0
+    release: str | None = None
     is_begun: bool = False
     crashes: int = 0
     trial: int = 0
--- a/papayacrank/forwarding/_metrics.py
+++ b/papayacrank/forwarding/_metrics.py
@@ -52,6 +52,13 @@
             ["outcome"],
             registry=self._registry,
         )
+        self._releases = Counter(
+            "papayacrank_releases",
+            "Requests that take up streams by whether the release that began them is"
+            " known, and reports of begun streams",
+            ["outcome"],
+            registry=self._registry,
+        )
         self._ttft = Histogram(
             "papayacrank_forwarding_ttft_seconds",
             "Time from the arrival of a request to its first event",
@@ -117,6 +124,10 @@
         """Count a decision on suspected parts, a reported crash or cleared parts."""
         self._quarantine.labels(outcome).inc()
 
+    def on_release(self, outcome: str) -> None:
+        """Count a decision on a stream that is taken up, or a report of streams."""
+        self._releases.labels(outcome).inc()
+
     def on_first_event(self, service: str, ttft_ms: int) -> None:
         """Observe the time to the first event of a stream."""
         self._ttft.labels(service).observe(ttft_ms / MS_PER_SECOND)
--- a/papayacrank/forwarding/_placement.py
+++ b/papayacrank/forwarding/_placement.py
@@ -93,6 +93,8 @@
         Time since arrival in milliseconds.
     store : str
         Store service that the shared parts are fetched from; empty if none.
+    release : str or None
+        Release of the targets that may get the request; None for any.
     """
 
     service: ServiceProfile
@@ -107,6 +109,7 @@
     objective_ms: int = 500
     elapsed_ms: int = 0
     store: str = ""
+    release: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -17,13 +17,20 @@
     LeaderHint,
 )
 from papayacrank.kernel import MonotonicClock, log_event
-from papayacrank.messages import CONTROL_MESSAGES, FleetChange, FleetLoad, FleetView
+from papayacrank.messages import (
+    CONTROL_MESSAGES,
+    FleetChange,
+    FleetLoad,
+    FleetView,
+    ReleaseFound,
+)
 from papayacrank.permits import PermitClient, PermitPort
 from papayacrank.quarantine import (
     ConnectionCheck,
     QuarantineClient,
     QuarantinePort,
 )
+from papayacrank.releases import ReleasePort
 from papayacrank.transport import (
     ExchangeListener,
     HttpExchange,
@@ -38,6 +45,7 @@
 )
 
 from ._base import CallerProtocol
+from ._continuity import StreamContinuity
 from ._directory import choose_addresses
 from ._events import (
     CONTROL_LOST,
@@ -174,6 +182,12 @@
             self._clock,
             self._timers,
         )
+        self._releases = ReleasePort(
+            settings.forwarding.instance,
+            lambda message: self._control.send_to_leader(message),
+            self._clock,
+            self._timers,
+        )
         address_check = ConnectionCheck(self._clock, self._timers)
         self._forwarder = Forwarder(
             settings.forwarding,
@@ -182,12 +196,14 @@
             self._quota,
             self._permits,
             SuspectTracker(self._quarantine, address_check, self._clock),
+            StreamContinuity(self._releases),
             self._clock,
             self._timers,
             self._random,
         )
         self._permits.count = self._forwarder.metrics.on_permit
         self._quarantine.count = self._forwarder.metrics.on_quarantine
+        self._releases.count = self._forwarder.metrics.on_release
         self._forwarder.on_quota_wait = self._poll_quota
         self._build_control()
         self._build_ports()
@@ -369,6 +385,8 @@
                 self._on_fleet(view)
         elif isinstance(message, FleetLoad):
             self._forwarder.apply_load(message)
+        elif isinstance(message, ReleaseFound):
+            self._releases.receive(message)
         else:
             self._quarantine.receive(message)
             self._contact.set_quarantine_position(*self._quarantine.client.position)
@@ -378,6 +396,7 @@
     def _on_fleet(self, view: FleetView) -> None:
         if not self._forwarder.apply_fleet(view):
             return
+        self._releases.set_mixed(view.mixed)
         self._contact.set_fleet_position(view.term, view.sequence)
         self._leader_hint.extend(view.control)
         log_event(
@@ -406,6 +425,7 @@
         self._update_contact(now_ms)
         self._permits.poll(self._contact.term)
         self._quarantine.poll(self._contact.term)
+        self._releases.poll(self._contact.term)
         if self._shares.needs_report(now_ms):
             self._control.send_heartbeat()
         if self._ticks % SWEEP_TICKS == 0:
--- a/papayacrank/forwarding/_selection.py
+++ b/papayacrank/forwarding/_selection.py
@@ -102,6 +102,7 @@
             for target in self._available_targets(request.service.name)
             if target.name not in excluded
             and only in (None, target.name)
+            and request.release in (None, target.release)
             and self._permits.has_permit_within(target.name, max_permit_wait_ms, now_ms)
             and self._pauses.may_send(
                 target.name, self._table.own_running(target.name), now_ms
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -129,6 +129,7 @@
             list(targets.values()),
             change.control or self._view.control,
             change.stores,
+            change.mixed,
         )
 
     def name_of(self, number: int) -> str | None:
--- a/papayacrank/forwarding/tests/builders.py
+++ b/papayacrank/forwarding/tests/builders.py
@@ -13,6 +13,7 @@
     PromptPart,
     ResponseMetadata,
 )
+from papayacrank.forwarding._continuity import StreamContinuity
 from papayacrank.forwarding._quota import QuotaEnforcer
 from papayacrank.forwarding._suspects import SuspectTracker
 from papayacrank.kernel import ManualClock
@@ -32,6 +33,7 @@
 )
 from papayacrank.permits import PermitClient, PermitPort, read_rate_statement
 from papayacrank.quarantine import AddressCheck, QuarantineClient, QuarantinePort
+from papayacrank.releases import ReleasePort
 from papayacrank.transport import HttpExchange, RequestHead
 
 KEY = "secret-1"
@@ -272,6 +274,9 @@
         self.quarantine = QuarantinePort(
             QuarantineClient("i1@1"), self._send_to_leader, self.clock, self.timers
         )
+        self.releases = ReleasePort(
+            "i1@1", self._send_to_leader, self.clock, self.timers
+        )
         self.address_check = FakeAddressCheck()
         self.forwarder = Forwarder(
             ForwardingSettings("i1", "east"),
@@ -280,6 +285,7 @@
             self.quota,
             self.permits,
             SuspectTracker(self.quarantine, self.address_check, self.clock),
+            StreamContinuity(self.releases),
             self.clock,
             self.timers,
             random.Random(1),
--- a/papayacrank/messages/__init__.py
+++ b/papayacrank/messages/__init__.py
@@ -3,6 +3,7 @@
 from ._commands import (
     AbandonAction,
     BeginAction,
+    ChangeReleases,
     Command,
     ConfirmOrder,
     FileConfiguration,
@@ -14,6 +15,7 @@
     ObserveTargets,
     PlaceOrder,
     ReadState,
+    RecordStreams,
     ReplaceMember,
     ReportUsage,
     SetInstanceState,
@@ -65,6 +67,7 @@
     TrialReply,
     TrialRequest,
 )
+from ._releases import BegunStream, FindRelease, ReleaseFound, StreamsBegun
 from ._requests import (
     ControlReply,
     ControlRequest,
@@ -98,6 +101,9 @@
 from ._warmup import WarmupReply, WarmupRequest
 
 CONTROL_MESSAGES = (
+    StreamsBegun,
+    FindRelease,
+    ReleaseFound,
     ControlRequest,
     ControlReply,
     NotLeader,
@@ -126,6 +132,12 @@
 )
 
 __all__ = [
+    "BegunStream",
+    "ChangeReleases",
+    "FindRelease",
+    "RecordStreams",
+    "ReleaseFound",
+    "StreamsBegun",
     "CONTROL_MESSAGES",
     "AbandonAction",
     "ActionRecord",
--- a/papayacrank/messages/_commands.py
+++ b/papayacrank/messages/_commands.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ._releases import BegunStream
 from ._routing import RoutingConfiguration
 
 
@@ -259,6 +260,33 @@
     operator: str
 
 
+class ChangeReleases(msgspec.Struct, tag=True, frozen=True):
+    """Add releases that may serve a service, or remove those that ended.
+
+    Attributes
+    ----------
+    ended : list of str
+        Releases whose streams cannot be taken up any more.
+    """
+
+    service: str
+    added: list[str] = []
+    ended: list[str] = []
+
+
+class RecordStreams(msgspec.Struct, tag=True, frozen=True):
+    """Record which releases began streams.
+
+    Attributes
+    ----------
+    kept_ms : int
+        Time in milliseconds for which the streams may be taken up.
+    """
+
+    streams: list[BegunStream]
+    kept_ms: int
+
+
 class ReadState(msgspec.Struct, tag=True, frozen=True):
     """Read one part of the state.
 
@@ -267,7 +295,7 @@
     what : str
         ``"configuration"``, ``"routing"``, ``"keys"``, ``"targets"``,
         ``"instances"``, ``"budgets"``, ``"actions"``, ``"orders"``, ``"members"``,
-        ``"usage"``, ``"quarantine"`` or ``"status"``.
+        ``"usage"``, ``"releases"``, ``"quarantine"`` or ``"status"``.
     """
 
     what: str
@@ -289,5 +317,7 @@
     | ConfirmOrder
     | ReplaceMember
     | LiftVerdict
+    | ChangeReleases
+    | RecordStreams
     | ReadState
 )
--- a/papayacrank/messages/_fleet.py
+++ b/papayacrank/messages/_fleet.py
@@ -18,6 +18,8 @@
         Whether the target loads weights or is about to.
     weights : dict of str to int
         Active version of the weights, by model.
+    release : str
+        Release of the target's software.
     """
 
     name: str
@@ -30,6 +32,7 @@
     born_ms: int = 0
     weights: dict[str, int] = {}
     number: int = 0
+    release: str = ""
 
 
 class FleetView(msgspec.Struct, tag=True, frozen=True):
@@ -42,6 +45,8 @@
     stores : dict of str to int
         Start number of each store, by its service; 0 for a store that does not
         respond. Stores that were not checked yet are missing.
+    mixed : list of str
+        Services of which several releases may have begun streams.
     """
 
     term: int
@@ -49,6 +54,7 @@
     targets: list[FleetTarget]
     control: list[str] = []
     stores: dict[str, int] = {}
+    mixed: list[str] = []
 
 
 class FleetChange(msgspec.Struct, tag=True, frozen=True):
@@ -76,6 +82,7 @@
     gone: list[int] = []
     control: list[str] = []
     stores: dict[str, int] = {}
+    mixed: list[str] = []
 
 
 class TargetLoad(msgspec.Struct, frozen=True, array_like=True):
--- a/papayacrank/platform/_caller_protocol.py
+++ b/papayacrank/platform/_caller_protocol.py
@@ -28,6 +28,8 @@
 # Comma-separated parts of the prompt, each as ID:TOKENS.
 PROMPT_PREFIX = b"papayacrank-prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
+# Request id of the caller's attempt that brought the first event of a stream.
+RESUMES = b"resumes"
 # Signature that a server adds to each of its own responses.
 SERVER_SEAL = b"papayacrank-server-seal"
 NOT_EXECUTED = b"papayacrank-not-executed"
@@ -99,6 +101,7 @@
             output_tokens,
             _read_parts(known.get(PROMPT_PREFIX)),
             known.get(LAST_EVENT_ID),
+            known.get(RESUMES),
         )
 
     def target_headers(self, request: ForwardRequest, dispatch: Dispatch) -> HeaderList:
--- a/papayacrank/platform/_target_protocol.py
+++ b/papayacrank/platform/_target_protocol.py
@@ -54,6 +54,8 @@
     service: str
     address: str
     zone: str
+    # Version of the server's software.
+    version: str
     state: str
     slots: int = 0
     models: list[_LoadedModel] = []
@@ -209,4 +211,5 @@
         listed.slots,
         listed.born,
         {model.name: model.version for model in listed.models},
+        listed.version,
     )
--- a/papayacrank/platform/tests/faulty_servers.py
+++ b/papayacrank/platform/tests/faulty_servers.py
@@ -11,6 +11,7 @@
 
 from papayacrank.admission import LocalShares
 from papayacrank.forwarding import Forwarder, ForwardingSettings
+from papayacrank.forwarding._continuity import StreamContinuity
 from papayacrank.forwarding._health import TargetHealth
 from papayacrank.forwarding._quota import QuotaEnforcer
 from papayacrank.forwarding._suspects import SuspectTracker
@@ -25,6 +26,7 @@
 from papayacrank.permits import PermitClient, PermitPort
 from papayacrank.platform._caller_protocol import PlatformCallerProtocol
 from papayacrank.quarantine import ConnectionCheck, QuarantineClient, QuarantinePort
+from papayacrank.releases import ReleasePort
 from papayacrank.testing import ScriptedTarget
 from papayacrank.transport import HttpPort, Timers, install_process_handlers
 
@@ -149,6 +151,7 @@
             QuotaEnforcer(LocalShares()),
             permits,
             SuspectTracker(quarantine, address_check, clock),
+            StreamContinuity(ReleasePort("i1", lambda _: True, clock, timers)),
             clock,
             timers,
             random.Random(1),
--- a/papayacrank/state/__init__.py
+++ b/papayacrank/state/__init__.py
@@ -14,6 +14,7 @@
 )
 from ._machine import SnapshotError, StateMachine
 from ._orders import MAX_WEIGHT_LOADS, OrderRow
+from ._releases import ReleaseTable
 
 __all__ = [
     "MAX_WEIGHT_LOADS",
@@ -25,6 +26,7 @@
     "LeaderEntry",
     "OrderEntry",
     "OrderRow",
+    "ReleaseTable",
     "SnapshotError",
     "StateMachine",
     "check_command",
--- a/papayacrank/state/_machine.py
+++ b/papayacrank/state/_machine.py
@@ -11,6 +11,7 @@
     AbandonAction,
     ActionRecord,
     BeginAction,
+    ChangeReleases,
     ConfigurationFiled,
     ConfirmOrder,
     ControlReply,
@@ -31,6 +32,7 @@
     NameWeights,
     ObserveTargets,
     PlaceOrder,
+    RecordStreams,
     ReportUsage,
     RoutingFiled,
     SetInstanceState,
@@ -56,6 +58,7 @@
 from ._keys import KeysDump, KeyTable
 from ._orders import OrdersDump, OrderTable
 from ._outcomes import OutcomesDump, RequestOutcomes
+from ._releases import ReleasesDump, ReleaseTable
 from ._routing import RoutingDump, RoutingTable, WeightsDump, WeightsTable
 from ._targets import TargetsDump, TargetTable
 from ._usage import UsageDump, UsageTable
@@ -95,6 +98,7 @@
     ledger: bytes
     routing: RoutingDump = msgspec.field(default_factory=RoutingDump)
     weights: WeightsDump = msgspec.field(default_factory=WeightsDump)
+    releases: ReleasesDump = msgspec.field(default_factory=ReleasesDump)
 
 
 class StateMachine:
@@ -119,6 +123,7 @@
         self._published_instances: dict[str, EntryAddress] = {}
         self._routing = RoutingTable()
         self._weights = WeightsTable()
+        self._releases = ReleaseTable()
         self._ledger = BudgetLedger()
 
     @property
@@ -151,6 +156,11 @@
         """Named versions of weights."""
         return self._weights
 
+    @property
+    def releases(self) -> ReleaseTable:
+        """Releases of targets and the streams that they began."""
+        return self._releases
+
     @property
     def keys(self) -> KeyTable:
         """Live and withdrawn keys."""
@@ -337,6 +347,7 @@
             "feed": self._feed,
             "routing": self._routing,
             "weights": self._weights,
+            "releases": self._releases,
         }
 
     def _apply_request(self, request: ControlRequest, wall_ms: int) -> ControlReply:
@@ -366,7 +377,9 @@
             outcome, ActionRecord
         ):
             return outcome.state != "finished"
-        return not isinstance(request.command, ReportUsage)
+        return not isinstance(
+            request.command, (ReportUsage, ChangeReleases, RecordStreams)
+        )
 
     def _execute_guarded(self, request: ControlRequest, wall_ms: int):
         """Execute a command and convert an exception to a failure.
@@ -414,6 +427,10 @@
                 return self._orders.place(command, order_id, self._applied_index)
             case ConfirmOrder():
                 return self._orders.confirm(command)
+            case ChangeReleases():
+                return self._releases.change(command)
+            case RecordStreams():
+                return self._releases.record(command, self._now_ms)
         return refuse("invalid_command", "the command does not change the state", 400)
 
     def _replace_configuration(
--- a/papayacrank/state/_views.py
+++ b/papayacrank/state/_views.py
@@ -99,6 +99,11 @@
     return rows[::-1]
 
 
+def _releases(state: "StateMachine") -> dict:
+    table = state.releases
+    return {"possible": dict(table.possible), "streams": table.stream_count}
+
+
 def _status(state: "StateMachine") -> dict:
     return {
         "applied_index": state.applied_index,
@@ -125,5 +130,6 @@
     "actions": _actions,
     "orders": _orders,
     "usage": _usage,
+    "releases": _releases,
     "status": _status,
 }
