--- a/papayacrank/forwarding/tests/builders.py
+++ b/papayacrank/forwarding/tests/builders.py
@@ -106,7 +106,11 @@
         self.dispatches = []
 
     def read_request(self, head):
-        """Parse ``id``, ``key``, ``deadline``, ``tokens``, ``parts`` and ``after``."""
+        """Parse the headers that `build_head` writes.
+
+        These are ``id``, ``host``, ``key``, ``deadline``, ``tokens``, ``parts``,
+        ``after`` and ``first``.
+        """
         known = {n.decode(): v.decode() for n, v in head.headers}
         tokens = known.get("tokens")
         parts = [p.split(":") for p in known.get("parts", "").split(",") if p]
@@ -124,6 +128,7 @@
             0 if tokens else None,
             tuple(PromptPart(name, int(count)) for name, count in parts),
             known.get("after"),
+            known.get("first"),
         )
 
     def target_headers(self, request, dispatch):
--- /dev/null
+++ b/papayacrank/forwarding/tests/test_continuity.py
@@ -0,0 +1,151 @@
+"""Tests of streams while targets of several releases serve."""
+
+import pytest
+
+from papayacrank.messages import FindRelease, ReleaseFound, StreamsBegun
+from papayacrank.releases import name_stream
+
+from .builders import Bench, build_target, build_view
+
+OLD = tuple(build_target(f"o{n}", "engines", release="v1") for n in (1, 2))
+NEW = tuple(build_target(f"n{n}", "engines", release="v2") for n in (3, 4))
+
+
+@pytest.fixture
+def bench():
+    """Return a bench with two targets of each release."""
+    bench = Bench(*OLD, *NEW)
+    bench.releases.set_mixed(["engines"])
+    return bench
+
+
+def open_stream(bench, **fields):
+    """Start a stream and deliver its first event."""
+    caller = bench.send("/reply/x", tokens=10, **fields)
+    bench.begin()
+    bench.event(1)
+    return caller
+
+
+def take_up(bench, **fields):
+    """Send a request that takes a stream up after its third event."""
+    return bench.send("/reply/x", tokens=10, **({"after": 3, "first": "r0"} | fields))
+
+
+def questions(bench):
+    """Return the questions to the leader."""
+    return [m for m in bench.leader_messages if isinstance(m, FindRelease)]
+
+
+def reply(bench, release):
+    """Reply to the last question."""
+    bench.releases.receive(ReleaseFound(1, questions(bench)[-1].number, release))
+
+
+def release_of(bench):
+    """Return the release of the target of the last call."""
+    return bench.call.state.attempt.target.release
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_stream_goes_on_at_its_release_within_a_response(bench, seed):
+    """Guards against a response that is joined from two releases."""
+    bench.forwarder._random.seed(seed)
+    open_stream(bench)
+    began = release_of(bench)
+    bench.fail()
+    assert len(bench.port.calls) == 2
+    assert release_of(bench) == began
+
+
+def test_stream_ends_if_no_target_of_its_release_is_left(bench):
+    """Guards against a stream that goes on at another release for want of its own."""
+    caller = open_stream(bench)
+    others = NEW if release_of(bench) == "v1" else OLD
+    bench.forwarder.apply_fleet(build_view(*others, sequence=2))
+    bench.fail()
+    assert len(bench.port.calls) == 1
+    assert caller.aborted
+
+
+@pytest.mark.parametrize("release", ["v1", "v2"])
+def test_stream_is_taken_up_at_the_release_that_began_it(bench, release):
+    """Guards against a take-up that is joined from two releases."""
+    for _ in range(6):
+        take_up(bench)
+        question = questions(bench)[-1]
+        assert question.stream == name_stream("w1", "r0")
+        assert question.service == "engines"
+        count = len(bench.port.calls)
+        reply(bench, release)
+        assert len(bench.port.calls) == count + 1
+        assert release_of(bench) == release
+
+
+def test_take_up_of_an_unknown_stream_is_refused_at_once(bench):
+    """Guards against a guess, and against callers that wait for nothing."""
+    caller = take_up(bench)
+    reply(bench, "")
+    assert bench.port.calls == []
+    assert (caller.status, caller.headers["code"]) == (503, "unknown_release")
+    assert caller.headers["verdict"] == "not-run"
+
+
+def test_take_up_without_a_reply_is_refused_with_a_retry_time(bench):
+    """Guards against take-ups that are lost since there is no leader for a moment."""
+    caller = take_up(bench)
+    bench.advance(150)
+    bench.advance(150)
+    assert (caller.status, caller.headers["code"]) == (503, "unknown_release")
+    assert int(caller.headers["retry-after-ms"]) > 0
+    assert bench.port.calls == []
+
+
+def test_take_up_that_does_not_name_its_stream_asks_for_its_service(bench):
+    """Guards against refusals where one release began all streams."""
+    take_up(bench, first=None)
+    assert questions(bench)[-1].stream == ""
+    reply(bench, "v1")
+    assert release_of(bench) == "v1"
+
+
+def test_reply_for_a_caller_that_has_left_sends_nothing(bench):
+    """Guards against requests that run for nobody."""
+    caller = take_up(bench)
+    bench.forwarder.on_caller_left(caller.exchange)
+    reply(bench, "v1")
+    assert bench.port.calls == []
+
+
+def test_begun_stream_is_reported_once_and_a_take_up_is_not(bench):
+    """Guards against a take-up that is recorded as a stream of its own."""
+    open_stream(bench)
+    began = release_of(bench)
+    bench.event(2)
+    take_up(bench, id="r2")
+    reply(bench, "v1")
+    bench.begin()
+    bench.event(4)
+    bench.advance(10)
+    reports = [m for m in bench.leader_messages if isinstance(m, StreamsBegun)]
+    streams = [begun for report in reports for begun in report.streams]
+    assert [(s.stream, s.release) for s in streams] == [
+        (name_stream("w1", "r1"), began)
+    ]
+
+
+def test_event_of_another_release_ends_its_attempt():
+    """Guards against two attempts side by side that both write to one stream."""
+    bench = Bench(OLD[0], NEW[0])
+    caller = bench.send("/reply/x", tokens=10)
+    first = bench.call
+    job = first.state
+    bench.advance(1_300)
+    second = bench.call
+    assert job.silent_attempt.call is first
+    job.release = job.silent_attempt.target.release
+    assert job.attempt.target.release != job.release
+    bench.begin(call=second)
+    bench.event(1, call=second)
+    assert caller.body == b""
+    assert second in bench.port.cancelled
