Reserve the ports of test deployments and fail tests whose processes end

A proof had failed after 15 s with 'timed out: entry-1 serves': its process had ended with 'Address already in use', because the deployments of platform tests looked for free ports and bound them later. They now hold their ports as the other test systems do, and both fail at once, with the last log lines, if a process ends by itself.

--- a/papayacrank/entry/tests/system.py
+++ b/papayacrank/entry/tests/system.py
@@ -94,6 +94,12 @@
         """Return the JSON line that a stand-in prints."""
         return json.loads(self.process.stdout.readline())
 
+    def check(self) -> None:
+        """Fail if the process has ended by itself."""
+        is_over = self.process.poll() is not None and self.process.returncode > 0
+        last = "\n".join(self.log.splitlines()[-5:])
+        assert not is_over, f"{self.name} has ended:\n{last}"
+
     def kill(self) -> None:
         """Kill the process with SIGKILL."""
         self.process.send_signal(signal.SIGKILL)
@@ -251,6 +257,7 @@
 
     def is_serving(self, name: str = "entry-1") -> bool:
         """Return whether an entry process serves callers."""
+        self.entries[name].check()
         try:
             return self.get("/health", name=name).status == 200
         except OSError:
--- a/papayacrank/platform/tests/fake_platform.py
+++ b/papayacrank/platform/tests/fake_platform.py
@@ -5,7 +5,6 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -14,6 +13,7 @@
 from pathlib import Path
 
 import papayacrank
+from papayacrank.testing._fleet import _reserve_port
 
 from .builders import KEY, build_document, build_settings, encode
 
@@ -202,7 +202,7 @@
         self._folder = folder
         self.entry_ips = list(IPS)
         self.entry_ips += [f"127.0.1.{n}" for n in range(1, entries - len(IPS) + 1)]
-        self._base = _find_ports(self.entry_ips)
+        self._base, self._reserved = _reserve_ports(self.entry_ips)
         self.cloud = Cloud()
         self.plain = [Server("p-1", "plain"), Server("p-2", "plain")]
         self.engine = Engine("e-1", "llm")
@@ -262,6 +262,8 @@
             process.wait(10)
         for server in (self.cloud, *self.plain, self.engine):
             server.close()
+        for sock in self._reserved:
+            sock.close()
 
     def log(self, role, ip):
         """Return the log lines of a process."""
@@ -306,15 +308,23 @@
         extra = {name.replace("_", "-"): value for name, value in headers.items()}
         return self.call(10, method, path, b"body", base | extra, ip)
 
+    def _check_processes(self):
+        """Fail if a process has ended by itself."""
+        for (role, ip), process in self.processes.items():
+            if process.poll() is not None and process.returncode > 0:
+                lines = (self._folder / f"{role}-{ip}.log").read_text().splitlines()
+                last = "\n".join(lines[-5:])
+                raise AssertionError(f"the {role} process of {ip} has ended:\n{last}")
+
     def is_ready(self, ip=IPS[0]):
         """Return whether an entry process reports that it is ready."""
         return self.call(11, "GET", "/v1/readiness", ip=ip)[0] == 200
 
-    @staticmethod
-    def wait(condition, limit_s=15):
+    def wait(self, condition, limit_s=15):
         """Wait until a condition holds; connection errors count as false."""
         deadline = time.monotonic() + limit_s
         while time.monotonic() < deadline:
+            self._check_processes()
             try:
                 if condition():
                     return
@@ -324,23 +334,18 @@
         raise AssertionError("condition not met before the timeout")
 
 
-def _find_ports(entry_ips):
-    """Return the base of a port range that is free on all addresses."""
+def _reserve_ports(entry_ips):
+    """Return the base of a port range, and sockets that reserve it on all addresses."""
     for _ in range(100):
         base = random.randrange(20_000, 30_000, PORTS)
-        if all(
-            _is_free(ip, base + n)
+        sockets = [
+            _reserve_port(base + n, ip)
             for ip in (*entry_ips, DISKLESS_IP)
             for n in PORT_OFFSETS
-        ):
-            return base
+        ]
+        if None not in sockets:
+            return base, sockets
+        for sock in sockets:
+            if sock is not None:
+                sock.close()
     raise RuntimeError("no free port range found")
-
-
-def _is_free(ip, port):
-    with socket.socket() as sock:
-        try:
-            sock.bind((ip, port))
-        except OSError:
-            return False
-    return True
--- a/papayacrank/testing/_fleet.py
+++ b/papayacrank/testing/_fleet.py
@@ -455,7 +455,7 @@
     ]
 
 
-def _reserve_port(port: int) -> socket.socket | None:
+def _reserve_port(port: int, ip: str = LOOPBACK) -> socket.socket | None:
     """Return a socket that reserves the port, or None if the port is taken.
 
     The port is first bound without SO_REUSEADDR. After the option is set, a process of
@@ -464,7 +464,7 @@
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        sock.bind((LOOPBACK, port))
+        sock.bind((ip, port))
     except OSError:
         sock.close()
         return None
