Keep completions at engines of their release; show releases to operators

The completions interface continued a response at any engine of the service. A target may now state the release of its software, and a stream goes on only at targets of the release that began it. papayacrank-admin releases lists the possible releases and the number of recorded streams; request_ended and target_listed name releases, and explain the refusal of a take-up. test_stream_continues_only_on_an_engine_of_its_release[releases1] ended with [DONE] before.

--- a/papayacrank/admin/_commands.py
+++ b/papayacrank/admin/_commands.py
@@ -203,6 +203,10 @@
         """Show the counts of non-idempotent actions, and list the unfinished ones."""
         self._output.show(self._read("actions"))
 
+    def releases(self):
+        """Show the releases that may have begun streams, and the recorded streams."""
+        self._output.show(self._read("releases"))
+
     def orders(self):
         """List open and recent orders to targets."""
         self._output.show(self._read("orders"))
--- a/papayacrank/admin/_log_explain.py
+++ b/papayacrank/admin/_log_explain.py
@@ -65,6 +65,8 @@
     "targets_limited": "all targets were at the request rate that they accept",
     "overloaded": "the queue of the best engine was longer than the request may wait",
     "quarantined": "targets have crashed on it or on parts of its prompt",
+    "unknown_release": "it takes up a stream of which it is not known which release of"
+    " the targets' software began it, or no leader replied",
     "caller_left": "the caller closed its connection first",
     "stopped": "the instance reached the time limit of its planned stop",
     "deadline": "the deadline set by the caller had passed",
--- a/papayacrank/admin/tests/test_admin.py
+++ b/papayacrank/admin/tests/test_admin.py
@@ -95,6 +95,7 @@
     """Guards against views that cannot be printed, and lost draining states."""
     for what in ("status", "fleet", "targets", "budgets", "actions", "orders"):
         assert admin(what)[0] == 0
+    assert admin("releases")[1] == {"possible": {}, "streams": 0}
     assert admin("members")[1][0]["role"] == "voter"
     assert admin("usage")[1] == []
     assert admin("drain", "i1")[0] == 0
--- a/papayacrank/config/_configuration.py
+++ b/papayacrank/config/_configuration.py
@@ -8,6 +8,7 @@
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,63}$")]
 Address = Annotated[str, Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
+Release = Annotated[str, Field(max_length=64)]
 
 MAX_TOKENS_PER_REQUEST = 1_000_000
 
@@ -41,6 +42,9 @@
         ZeroMQ addresses of the cache event stream and its replay; engines only.
     checks_fencing : bool
         Whether the target rejects orders with an outdated fencing token.
+    release : str
+        Release of the target's software; a stream goes on only at targets of the
+        release that began it.
     """
 
     name: Name
@@ -49,6 +53,7 @@
     events_address: Address | None = None
     replay_address: Address | None = None
     checks_fencing: bool = False
+    release: Release = ""
 
 
 class PathRule(StrictModel):
--- a/papayacrank/config/_questionnaire.py
+++ b/papayacrank/config/_questionnaire.py
@@ -10,6 +10,7 @@
     Goals,
     Name,
     PathRule,
+    Release,
     Service,
     ServiceKind,
     StrictModel,
@@ -26,6 +27,7 @@
     events_address: Address | None = None
     replay_address: Address | None = None
     checks_fencing: bool = False
+    release: Release = ""
 
 
 class EngineAnswer(StrictModel):
--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -417,6 +417,7 @@
                 address=listed.address,
                 service=listed.service,
                 weights=listed.weights,
+                release=listed.release,
             )
         for name in self._targets.keys() - targets.keys():
             log_event(TARGET_LEFT, target=name)
--- a/papayacrank/entry/_completion_flow.py
+++ b/papayacrank/entry/_completion_flow.py
@@ -99,6 +99,7 @@
             ),
         )
         self._attempt_tokens = 0
+        self._release: str | None = None
         self._assembler = StreamAssembler(self._max_output)
         self._encoder = CompletionEncoder(exchange.public_id, completion.model)
         self._usage: TargetUsage | None = None
@@ -150,7 +151,18 @@
             max_output_tokens=self._max_output,
             deadline_ms=self._deadline_at_ms,
             priority=self._assistant.priority,
-            excluded=self._excluded,
+            excluded=self._excluded | self._list_other_releases(),
+        )
+
+    def _list_other_releases(self) -> frozenset[str]:
+        """Return the engines whose release differs from the one that began the stream.
+
+        Engines of different releases write streams that do not fit together.
+        """
+        if self._release is None:
+            return frozenset()
+        return frozenset(
+            item.name for item in self._list_targets() if item.release != self._release
         )
 
     def _build_attempt(self, attempt_id: str, choice: Choice) -> TargetRequest:
@@ -209,6 +221,9 @@
         if delivery is not Delivery.DELIVER:
             self._reject_attempt("offset_gap", f"token {offset} is out of order")
             return
+        if self._release is None:
+            target = self._find_target(self._choice.target)
+            self._release = target.release if target is not None else ""
         self._observe_token()
         if not self._completion.stream:
             return
--- a/papayacrank/entry/_flow.py
+++ b/papayacrank/entry/_flow.py
@@ -6,7 +6,7 @@
 from functools import partial
 
 from papayacrank.admission import AdmissionPolicy, AdmissionRequest
-from papayacrank.config import Service
+from papayacrank.config import Service, TargetAddress
 from papayacrank.kernel import Failure, Verdict
 from papayacrank.permits import (
     ANY_PERMIT_WAIT_MS,
@@ -451,14 +451,20 @@
 
     def _find_target_address(self, target: str) -> str:
         """Return the address of a target, also of one that is configured no longer."""
+        found = self._find_target(target)
+        if found is not None:
+            self._addresses[target] = found.address
+        return self._addresses[target]
+
+    def _list_targets(self) -> tuple[TargetAddress, ...]:
+        """Return the targets now configured, and those when the request began."""
         configuration = self._context.contact.configuration
         current = configuration.find_service(self._service.name) or self._service
-        known = (*current.targets, *self._service.targets)
-        for item in known:
-            if item.name == target:
-                self._addresses[target] = item.address
-                break
-        return self._addresses[target]
+        return (*current.targets, *self._service.targets)
+
+    def _find_target(self, name: str) -> TargetAddress | None:
+        """Return the configuration of a target, None if it has none any more."""
+        return next((t for t in self._list_targets() if t.name == name), None)
 
     def _finish_attempt(self) -> None:
         """Record an attempt that returned a complete response."""
--- a/papayacrank/entry/tests/test_streams.py
+++ b/papayacrank/entry/tests/test_streams.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from papayacrank.testing import expected_output
+from papayacrank.testing import build_questionnaire, expected_output
 
 from .support import wait_until
 from .system import completion_body, inject_fault, read_sse, running_system
@@ -49,6 +49,28 @@
     assert_complete(read_sse(head + response.read()), "kill")
 
 
+@pytest.mark.parametrize("releases", [("v1", "v1"), ("v1", "v2")])
+def test_stream_continues_only_on_an_engine_of_its_release(tmp_path, releases):
+    """Guards against a response that is joined from two releases of the engines."""
+    with running_system(tmp_path, engines=2, engine_args=ENGINE_ARGS) as system:
+        answers = build_questionnaire(
+            engine_addresses=tuple(e["address"] for e in system.engine_addresses),
+        ).model_dump(mode="json")["engines"]
+        for server, release in zip(answers[0]["servers"], releases, strict=True):
+            server["release"] = release
+        system.configure(expected_version=1, engines=answers)
+        wait_until(lambda: system.complete(max_tokens=1).status == 200, "served")
+        response = system.open_stream(prompt="kill", max_tokens=MAX_TOKENS)
+        head = b"".join(response.readline() for _ in range(10))
+        system.engines[find_busy_engine(system)].kill()
+        events = read_sse(head + response.read())
+        if releases[0] == releases[1]:
+            assert_complete(events, "kill")
+        else:
+            assert events[-1] != "[DONE]"
+            assert events[-1]["error"]["verdict"] == "may-have-run"
+
+
 @pytest.mark.parametrize("how", ["reset", "end"])
 def test_stream_is_resumed_on_the_same_engine(system, how):
     """Guards against moving a stream although only the connection was lost."""
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -99,6 +99,7 @@
 URGENCY_STEPS = 3
 MAX_URGENCY = 9
 SERVER_ERROR = 500
+MAX_LOGGED_ID_CHARS = 64
 # The port to the caller adds its own framing headers.
 DROPPED_RESPONSE_HEADERS = CONNECTION_HEADERS | {b"content-length"}
 
@@ -1374,6 +1375,10 @@
             fields["forecast_wait_ms"] = job.forecast_wait_ms
         if job.last_failure:
             fields["last_failure"] = job.last_failure
+        if job.release is not None:
+            fields["release"] = job.release
+        if job.request.resumes:
+            fields["resumes"] = job.request.resumes[:MAX_LOGGED_ID_CHARS]
         if attempt is not None:
             choice = attempt.choice
             fields |= {
