Check list entries, reports and page tokens in full at the border

What operators saw: one odd entry of another writer among those of the servers, and the machines stopped following the list. In the regression test the server that joined later was never used.

Cause: values reached code behind the border before they were checked in full: a nested text ended the parser (RecursionError, after which the list was never read again), numbers above 64 bits ended the codec of the link, and ports, host names and ids with odd characters reached sockets and headers.

Entries, reports, store events and page tokens are now validated in the adapter: visible ASCII, IPv4 addresses with a port, bounded integers. An entry that no JSON library reads is left out and the others hold; an entry with the name of another server does not move it. Numbers in headers of callers are bounded as well.

--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -406,9 +406,7 @@
     # View
 
     def _apply_list(self, now_ms: int) -> None:
-        targets = {
-            target.name: self._apply_leaving(target) for target in self._listed_targets
-        }
+        targets = self._unique_targets()
         for name in targets.keys() - self._targets.keys():
             listed = targets[name]
             log_event(
@@ -430,6 +428,20 @@
         self._permits.retain(dict.fromkeys(self._stores.names, 0) | starts)
         self._refresh_view()
 
+    def _unique_targets(self) -> dict[str, ListedTarget]:
+        """Return the listed targets by name.
+
+        If another writer has used the name of a target, the entry with the known
+        address is kept, or else the first one.
+        """
+        targets: dict[str, ListedTarget] = {}
+        for listed in self._listed_targets:
+            first, known = targets.get(listed.name), self._targets.get(listed.name)
+            is_known = known is not None and known.address == listed.address
+            if first is None or (is_known and first.address != listed.address):
+                targets[listed.name] = self._apply_leaving(listed)
+        return targets
+
     def _target_number(self, name: str) -> int:
         return self._target_numbers.setdefault(name, len(self._target_numbers) + 1)
 
--- a/papayacrank/platform/_caller_protocol.py
+++ b/papayacrank/platform/_caller_protocol.py
@@ -50,6 +50,8 @@
 EVENT_STREAM = "text/event-stream"
 MISDIRECTED = 421
 MS_PER_SECOND = 1_000
+# Longer numbers exceed the integers of messages between processes.
+MAX_DIGITS = 15
 
 # Headers that only the system may set, and connection-specific or framing headers.
 _NOT_FORWARDED = CONNECTION_HEADERS | frozenset(
@@ -176,7 +178,8 @@
 
 def _read_number(text: str | None) -> int | None:
     text = (text or "").strip()
-    return int(text) if text.isascii() and text.isdigit() else None
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+    return int(text) if is_number else None
 
 
 def _read_token_count(text: str | None) -> tuple[int | None, int | None]:
--- a/papayacrank/platform/_target_protocol.py
+++ b/papayacrank/platform/_target_protocol.py
@@ -1,9 +1,10 @@
 """Wire format of the platform's target list, of engine reports and of orders."""
 
 import json
+from typing import Literal
 from urllib.parse import quote
 
-from pydantic import TypeAdapter, ValidationError
+from pydantic import Field, TypeAdapter, ValidationError
 
 from papayacrank.control import (
     EngineStatus,
@@ -18,8 +19,16 @@
     TargetSignals,
 )
 
+from ._listing import ListingError, read_page
 from ._signals import has_leaving_header, read_pause_ms, read_rate
-from ._wire_model import StrictWireModel
+from ._wire_model import (
+    MAX_MODELS,
+    Count,
+    Slots,
+    SocketAddress,
+    StrictWireModel,
+    WireName,
+)
 
 CALL_TIMEOUT_MS = 600
 ORDER_TIMEOUT_MS = 250
@@ -45,35 +54,35 @@
 
 
 class _LoadedModel(StrictWireModel):
-    name: str
-    version: int
+    name: WireName
+    version: Count
 
 
 class _ListEntry(StrictWireModel):
-    id: str
-    service: str
-    address: str
-    zone: str
+    id: WireName
+    service: WireName
+    address: SocketAddress
+    zone: WireName
     # Version of the server's software.
-    version: str
-    state: str
-    slots: int = 0
-    models: list[_LoadedModel] = []
+    version: WireName
+    state: Literal["ready", "draining"]
+    slots: Slots = 0
+    models: list[_LoadedModel] = Field(default=[], max_length=MAX_MODELS)
     # Start time of the process in Unix milliseconds.
-    born: int = 0
+    born: Count = 0
 
 
 class _EngineReport(StrictWireModel):
     busy: bool
     # Number of orders accepted since the start of the process.
-    sequence: int
-    models: list[_LoadedModel] = []
-    born: int = 0
+    sequence: Count
+    models: list[_LoadedModel] = Field(default=[], max_length=MAX_MODELS)
+    born: Count = 0
 
 
 class _StoreEvents(StrictWireModel):
     # Changes at each start of the store.
-    boot_epoch: int
+    boot_epoch: Count
 
 
 _LIST_ENTRY_ADAPTER = TypeAdapter(_ListEntry)
@@ -112,15 +121,11 @@
         if result.status != 200:
             return result.error or f"status {result.status}"
         try:
-            document = json.loads(result.body.decode("utf-8", "replace"))
-            entries = document["instances"]
-            next_page = document.get("next")
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            entries, next_page = read_page(result.body)
+        except ListingError as error:
             return f"unreadable list: {error}"
-        if not isinstance(entries, list):
-            return "the list has no entries"
         targets = [t for t in map(_read_entry, entries) if t is not None]
-        return ListingPage(tuple(targets), next_page or None)
+        return ListingPage(tuple(targets), next_page)
 
     def build_status(self, key: str, target: str, address: str) -> HttpCall:
         """Return the call that reads the report of an engine."""
@@ -200,8 +205,6 @@
         listed = _LIST_ENTRY_ADAPTER.validate_python(entry)
     except ValidationError:
         return None
-    if listed.state not in ("ready", "draining"):
-        return None
     return ListedTarget(
         listed.id,
         listed.address,
--- a/papayacrank/platform/_wire_model.py
+++ b/papayacrank/platform/_wire_model.py
@@ -1,6 +1,37 @@
-"""Base classes of the pydantic models for data that the platform writes."""
+"""Base classes and bounded types of the pydantic models for data of the platform."""
 
-from pydantic import BaseModel, ConfigDict
+from typing import Annotated
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+
+MAX_NAME_CHARS = 256
+MAX_MODELS = 64
+# The largest integer that JSON libraries exchange without loss.
+MAX_INTEGER = 2**53
+MAX_SLOTS = 1_000_000
+MAX_PORT = 65_535
+MAX_OCTET = 255
+
+
+def _check_address(address: str) -> str:
+    host, _, port = address.partition(":")
+    if any(int(octet) > MAX_OCTET for octet in host.split(".")):
+        raise ValueError("expected an IPv4 address")
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError("expected a port from 1 to 65535")
+    return address
+
+
+# Visible ASCII characters, which can be sent in a header.
+WireName = Annotated[str, Field(pattern=rf"^[!-~]{{1,{MAX_NAME_CHARS}}}\z")]
+# Numbers of versions, starts and orders.
+Count = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
+Slots = Annotated[int, Field(ge=0, le=MAX_SLOTS)]
+SocketAddress = Annotated[
+    str,
+    Field(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}\z"),
+    AfterValidator(_check_address),
+]
 
 
 class WireModel(BaseModel):
