Refuse numbers beyond 64 bits in operators' calls and configurations

An operator who named weights with version 2**70 got a 500 after the codec of the log had failed, and infinite rates overflowed. Such numbers are now refused with 400, and the configuration in force stays.

--- a/papayacrank/platform/_configuration.py
+++ b/papayacrank/platform/_configuration.py
@@ -18,7 +18,7 @@
     WorkspaceProfile,
 )
 
-from ._wire_model import WireModel
+from ._wire_model import MAX_INTEGER, Integer, WireModel
 
 _KINDS = {
     "safe": RequestKind.IDEMPOTENT,
@@ -67,7 +67,7 @@
 
 class _Split(WireModel):
     service: str
-    weight: int = Field(ge=0)
+    weight: Integer = Field(ge=0)
 
 
 class _Route(WireModel):
@@ -75,15 +75,15 @@
     host: str
     path_prefix: str
     kind: Literal["safe", "unsafe", "streaming"]
-    timeout_ms: int = Field(ge=1)
-    target_latency_ms: int = 500
-    priority: int = 0
+    timeout_ms: Integer = Field(ge=1)
+    target_latency_ms: Integer = 500
+    priority: Integer = 0
     service: str | None = None
     traffic_split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: Integer = 1
     public: bool = False
     resumable: bool = False
-    target_gap_ms: int = 0
+    target_gap_ms: Integer = 0
 
     @model_validator(mode="after")
     def _check_shares(self):
@@ -111,9 +111,9 @@
 
 
 class _Engine(WireModel):
-    slots: int = 1
-    kv_capacity_tokens: int = 0
-    kv_token_bytes: int = 0
+    slots: Integer = 1
+    kv_capacity_tokens: Integer = 0
+    kv_token_bytes: Integer = 0
     link_mbps: float = 0.0
     models: list[_ModelName] = []
 
@@ -121,35 +121,35 @@
 class _Service(WireModel):
     name: str
     health_path: str = ""
-    max_connections: int = 0
+    max_connections: Integer = 0
     engine: _Engine | None = None
     # Address of a store of cached prompt parts, which is not in the target list.
     kv_store_addr: str | None = None
     zone: str = ""
-    kv_capacity_tokens: int = 0
+    kv_capacity_tokens: Integer = 0
 
 
 class _Limits(WireModel):
-    max_header_bytes: int = Field(default=16_384, ge=1)
-    max_body_bytes: int = Field(default=4_194_304, ge=1)
-    header_timeout_ms: int = Field(default=3_000, ge=1)
-    idle_timeout_ms: int = Field(default=15_000, ge=1)
+    max_header_bytes: Integer = Field(default=16_384, ge=1)
+    max_body_bytes: Integer = Field(default=4_194_304, ge=1)
+    header_timeout_ms: Integer = Field(default=3_000, ge=1)
+    idle_timeout_ms: Integer = Field(default=15_000, ge=1)
 
 
 class _Tenant(WireModel):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Integer | None = None
     unit: str = ""
     # Cost of a request without a token count.
-    uncached_tokens: int = 1
+    uncached_tokens: Integer = 1
     isolated: bool = False
-    rate_per_s: float = Field(default=0, ge=0)
-    burst: float = Field(default=0, ge=0)
+    rate_per_s: float = Field(default=0, ge=0, le=MAX_INTEGER)
+    burst: float = Field(default=0, ge=0, le=MAX_INTEGER)
 
 
 class _Document(WireModel):
-    version: int = Field(ge=1)
+    version: Integer = Field(ge=1)
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
--- a/papayacrank/platform/_control_api.py
+++ b/papayacrank/platform/_control_api.py
@@ -17,7 +17,7 @@
     read_configuration,
 )
 from ._events import CONFIGURATION_REFUSED, OPERATOR_ANSWERED
-from ._wire_model import StrictWireModel
+from ._wire_model import Integer, StrictWireModel
 
 # Operators retry on another machine after 1 s without a response.
 SUBMIT_TIMEOUT_MS = 850
@@ -27,7 +27,7 @@
 
 class _VersionRequest(StrictWireModel):
     model: str
-    version: int = Field(ge=1)
+    version: Integer = Field(ge=1)
 
 
 class ControlApi(ExchangeListener):
--- a/papayacrank/platform/_wire_model.py
+++ b/papayacrank/platform/_wire_model.py
@@ -22,8 +22,15 @@
     return address
 
 
+def _check_integer(number: int) -> int:
+    if abs(number) > MAX_INTEGER:
+        raise ValueError(f"expected a number from -{MAX_INTEGER} to {MAX_INTEGER}")
+    return number
+
+
 # Visible ASCII characters, which can be sent in a header.
 WireName = Annotated[str, Field(pattern=rf"^[!-~]{{1,{MAX_NAME_CHARS}}}\z")]
+Integer = Annotated[int, AfterValidator(_check_integer)]
 # Numbers of versions, starts and orders.
 Count = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
 Slots = Annotated[int, Field(ge=0, le=MAX_SLOTS)]
@@ -37,7 +44,7 @@
 class WireModel(BaseModel):
     """Immutable model that ignores unknown fields, which the platform may add."""
 
-    model_config = ConfigDict(extra="ignore", frozen=True)
+    model_config = ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
 
 
 class StrictWireModel(WireModel):
--- a/papayacrank/platform/tests/test_odd_entries.py
+++ b/papayacrank/platform/tests/test_odd_entries.py
@@ -182,6 +182,29 @@
         handler.reply(200, render(*self.texts, *good))
 
 
+def test_numbers_beyond_64_bits_are_refused_and_nothing_is_lost(tmp_path):
+    """Guards against operators' calls that end without an answer."""
+    platform = FakePlatform(tmp_path)
+    try:
+        platform.start()
+        document = platform.configure()
+        named = {"model": "m1", "version": 2**70}
+        assert platform.operate("POST", "/v1/version-put", named)[0] == 400
+        for odd in (
+            {"version": 2**70},
+            {"limits": {"max_body_bytes": 2**70}},
+            {"tenants": [document["tenants"][0] | {"rate_per_s": 1e300}]},
+        ):
+            changed = document | {"version": 2} | odd
+            status = platform.operate("POST", "/v1/configuration/put", changed)[0]
+            assert status in (400, 422)
+        status, _, body = platform.operate("GET", "/v1/configuration/get")
+        assert (status, json.loads(body)) == (200, document)
+        platform.configure(2)
+    finally:
+        platform.stop()
+
+
 @pytest.mark.prove
 def test_list_with_odd_entries_is_followed(tmp_path):
     """Guards against machines that end or stop following the list."""
