--- a/papayacrank/quarantine/_registry.py
+++ b/papayacrank/quarantine/_registry.py
@@ -26,7 +26,7 @@
     VERDICT_LIFTED,
     format_parts,
 )
-from ._names import MAX_NAMES_PER_REQUEST
+from ._names import MAX_NAMES_PER_REQUEST, is_request
 from ._suspicions import Crash, Suspect, SuspicionTable
 from ._trials import TRIAL_LEASE_MS, Trial, TrialTable
 from ._verdicts import LAPSE_MS, HeldVerdict, LiftedVerdicts, VerdictTable
@@ -45,6 +45,15 @@
 MAX_NARROWING_DOUBLINGS = 6
 
 
+def _min_narrowings(named: frozenset[str], parts: frozenset[str]) -> int:
+    """Return how many failed trials narrow a verdict to some of its names.
+
+    A verdict without the name of a request refuses other requests as well.
+    """
+    is_of_request = any(map(is_request, named))
+    return 2 if is_of_request and not any(map(is_request, parts)) else 1
+
+
 class QuarantineRegistry:
     """Finds the prompt parts that crash targets and decides which requests to refuse.
 
@@ -285,7 +294,9 @@
         verdict.trials_from_ms = now_ms + (NARROWING_INTERVAL_MS << doublings)
         if any(verdict.add_workspace(workspace) for workspace in workspaces):
             self._log_changed(verdict, "widened")
-        if parts < verdict.parts:
+        if parts < verdict.parts and verdict.narrowings >= _min_narrowings(
+            verdict.parts, parts
+        ):
             self._narrow(verdict, parts)
 
     def _narrow(self, verdict: HeldVerdict, parts: frozenset[str]) -> None:
--- a/papayacrank/quarantine/tests/test_whole_requests.py
+++ b/papayacrank/quarantine/tests/test_whole_requests.py
@@ -10,7 +10,7 @@
     name_request,
 )
 from papayacrank.quarantine._client import MAX_BEGUN_PARTS, MAX_BEGUN_REQUESTS
-from papayacrank.quarantine._registry import SETTLING_MS
+from papayacrank.quarantine._registry import NARROWING_INTERVAL_MS, SETTLING_MS
 from papayacrank.quarantine._suspicions import MAX_SUSPICIONS
 
 from .builders import START_MS, Group, build_report
@@ -108,9 +108,24 @@
     group.fail_trial(DEADLY, "rules", "x")
     assert group.check(DEADLY, "x") is REFUSED
     group.fail_trial(name(b"2"), "x")
+    assert group.verdicts() == [sorted([DEADLY, "x"])]
+    group.advance(NARROWING_INTERVAL_MS)
+    group.fail_trial(name(b"3"), "x")
     assert group.verdicts() == [["x"]]
 
 
+def test_one_crash_of_another_cause_does_not_widen_a_verdict_to_a_part(group):
+    """Guards against sound requests refused for a part of a deadly one."""
+    for _ in range(2):
+        group.crash([DEADLY, "own"])
+        group.advance(1_000)
+    group.fail_trial(DEADLY, "own")
+    group.fail_trial(name(b"sound"), "own")
+    group.advance(NARROWING_INTERVAL_MS)
+    group.pass_trial(name(b"sound"), "own")
+    assert group.verdicts() == [[DEADLY]]
+
+
 def test_new_part_of_another_request_does_not_shift_the_blame(group):
     """Guards against a part refused since another request has a part in common."""
     for _ in range(2):
