--- a/papayacrank/messages/_quarantine.py
+++ b/papayacrank/messages/_quarantine.py
@@ -1,4 +1,4 @@
-"""Messages on prompt parts that are suspected to crash targets."""
+"""Messages on requests and prompt parts that are suspected to crash targets."""
 
 import msgspec
 
@@ -11,8 +11,8 @@
     workspace : str
         Workspace of the caller; empty on routes without a key.
     parts : list of str
-        Names of the shared parts of the prompt, at most
-        `papayacrank.quarantine.MAX_PARTS_PER_REQUEST`.
+        Name of the request itself, and names of the shared parts of its prompt, at most
+        `papayacrank.quarantine.MAX_PARTS_PER_REQUEST` of them.
     trial : int
         Number of the trial under which the request was sent; 0 if none.
     """
@@ -47,7 +47,7 @@
 
 
 class PartsCleared(msgspec.Struct, tag=True, frozen=True):
-    """Suspected parts on which a response was written past its beginning.
+    """Suspected names on which a response was written past its beginning.
 
     Attributes
     ----------
@@ -61,7 +61,7 @@
 
 
 class PartSuspicion(msgspec.Struct, frozen=True, array_like=True):
-    """Evidence against a prompt part.
+    """Evidence against a request or a prompt part.
 
     Attributes
     ----------
@@ -81,15 +81,15 @@
 
 
 class QuarantineVerdict(msgspec.Struct, frozen=True, array_like=True):
-    """Decision to refuse requests with a combination of prompt parts.
+    """Decision to refuse requests with a combination of names.
 
     Attributes
     ----------
     number : int
         Identifier, unique in the fleet.
     parts : list of str
-        A request is refused if it contains all of these parts; empty if the verdict
-        has been lifted.
+        A request is refused if it has all of these names, its own and those of its
+        parts; empty if the verdict has been lifted.
     workspaces : list of str
         Workspaces whose requests are refused; empty for all.
     crashes : int
@@ -110,7 +110,7 @@
 
 
 class QuarantineTable(msgspec.Struct, tag=True, frozen=True):
-    """Changes of the leader's table of suspected and quarantined parts.
+    """Changes of the leader's table of suspected and quarantined names.
 
     Attributes
     ----------
@@ -137,7 +137,7 @@
 
 
 class TrialRequest(msgspec.Struct, tag=True, frozen=True):
-    """Asks to send one request with suspected parts.
+    """Asks to send one request that is suspected or has suspected parts.
 
     Attributes
     ----------
@@ -146,7 +146,7 @@
     sent_ms : int
         Sender's monotonic clock in milliseconds, returned in the reply.
     parts : list of str
-        Names of the shared parts of the prompt.
+        Names of the request and of the shared parts of its prompt.
     """
 
     instance: str
--- a/papayacrank/quarantine/_attribution.py
+++ b/papayacrank/quarantine/_attribution.py
@@ -1,4 +1,4 @@
-"""Search for the parts that explain crashes, without I/O."""
+"""Search for the requests and parts that explain crashes, without I/O."""
 
 from collections import Counter
 from collections.abc import Iterable
--- a/papayacrank/quarantine/_registry.py
+++ b/papayacrank/quarantine/_registry.py
@@ -1,4 +1,4 @@
-"""Decisions of the leader on prompt parts that crash targets, without I/O."""
+"""Decisions of the leader on requests and parts that crash targets, without I/O."""
 
 from collections.abc import Iterable
 
@@ -55,7 +55,10 @@
 
 
 class QuarantineRegistry:
-    """Finds the prompt parts that crash targets and decides which requests to refuse.
+    """Finds what crashes targets and decides which requests to refuse.
+
+    A request has several names that can be blamed: its own and those of the shared
+    parts of its prompt. In names of methods and messages, parts stands for all of them.
 
     The evidence is the set of requests that a target had not begun to answer when it
     crashed; a later response on a part clears it. A part with repeated crashes is on
--- a/papayacrank/quarantine/_suspicions.py
+++ b/papayacrank/quarantine/_suspicions.py
@@ -1,4 +1,4 @@
-"""Crashes and the prompt parts that they are counted against, without I/O."""
+"""Crashes and the names that they are counted against, without I/O."""
 
 from collections import Counter, OrderedDict
 from collections.abc import Iterable, Iterator
