--- a/papayacrank/forwarding/_base.py
+++ b/papayacrank/forwarding/_base.py
@@ -56,7 +56,7 @@
         Parts of the prompt in order; the last one is not shared with other requests.
     resume_after : str or None
         Id of the last event that the caller received.
-    resumes : str or None
+    begun_by : str or None
         Identifier of the caller's attempt that brought the first event.
     """
 
@@ -73,7 +73,7 @@
     output_tokens: int | None = None
     parts: tuple[PromptPart, ...] = ()
     resume_after: str | None = None
-    resumes: str | None = None
+    begun_by: str | None = None
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
--- a/papayacrank/forwarding/_continuity.py
+++ b/papayacrank/forwarding/_continuity.py
@@ -59,7 +59,7 @@
             else:
                 on_refused(decision.retry_after_ms)
 
-        first_id = job.request.resumes
+        first_id = job.request.begun_by
         stream = name_stream(_workspace(job), first_id) if first_id else ""
         self._releases.find(str(job.number), job.service.name, stream, on_decision)
 
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -1377,8 +1377,8 @@
             fields["last_failure"] = job.last_failure
         if job.release is not None:
             fields["release"] = job.release
-        if job.request.resumes:
-            fields["resumes"] = job.request.resumes[:MAX_LOGGED_ID_CHARS]
+        if job.request.begun_by:
+            fields["begun_by"] = job.request.begun_by[:MAX_LOGGED_ID_CHARS]
         if attempt is not None:
             choice = attempt.choice
             fields |= {
