Name the workspace of a job and encode texts of digests in one place

The empty name for routes without a key stood in three places of forwarding, and the encoding of callers' texts in both functions that name requests and streams. Job and hash_fields now have them. No change of behaviour: the names of a sample request and stream are the same before and after; linter and the tests of forwarding, quarantine, releases and kernel pass.

--- a/papayacrank/forwarding/_continuity.py
+++ b/papayacrank/forwarding/_continuity.py
@@ -60,7 +60,7 @@
                 on_refused(decision.retry_after_ms)
 
         first_id = job.request.begun_by
-        stream = name_stream(_workspace(job), first_id) if first_id else ""
+        stream = name_stream(job.workspace_name, first_id) if first_id else ""
         self._releases.find(str(job.number), job.service.name, stream, on_decision)
 
     def on_first_event(self, job: Job, attempt: Attempt) -> None:
@@ -70,7 +70,7 @@
         job.release = attempt.target.release
         if job.route.resumable:
             self._releases.on_begun(
-                name_stream(_workspace(job), job.request.request_id),
+                name_stream(job.workspace_name, job.request.request_id),
                 job.service.name,
                 job.release,
             )
@@ -83,7 +83,3 @@
     def on_finished(self, job: Job) -> None:
         """Forget the question of a request that has ended."""
         self._releases.cancel(str(job.number))
-
-
-def _workspace(job: Job) -> str:
-    return job.workspace.name if job.workspace is not None else ""
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -196,13 +196,19 @@
         """Whether a target may have started to run the request."""
         return self.runs > 0
 
+    @property
+    def workspace_name(self) -> str:
+        """Name of the caller's workspace; empty on routes without a key."""
+        return self.workspace.name if self.workspace is not None else ""
+
     @cached_property
     def suspect_names(self) -> tuple[str, ...]:
         """Names of the request and of its shared parts, for the quarantine."""
         request = self.request
-        workspace = self.workspace.name if self.workspace is not None else ""
         return (
-            name_request(workspace, request.method, request.target, self.exchange.body),
+            name_request(
+                self.workspace_name, request.method, request.target, self.exchange.body
+            ),
             *(part.name for part in request.shared_parts),
         )
 
--- a/papayacrank/forwarding/_suspects.py
+++ b/papayacrank/forwarding/_suspects.py
@@ -56,10 +56,10 @@
         """Return whether a request may be sent now, unless it has a trial already."""
         names = job.suspect_names
         now_ms = self._clock.now_ms()
-        decision = self._quarantine.client.check(_workspace(job), names, now_ms)
+        decision = self._quarantine.client.check(job.workspace_name, names, now_ms)
         if decision.admission is PartsAdmission.REFUSED:
             self._quarantine.note_refused(
-                _workspace(job), names, decision, job.request.request_id
+                job.workspace_name, names, decision, job.request.request_id
             )
         elif decision.admission is PartsAdmission.NEEDS_TRIAL and job.trial:
             return _ALLOWED
@@ -69,7 +69,7 @@
         """Whether a second attempt may run beside a silent one."""
         now_ms = self._clock.now_ms()
         decision = self._quarantine.client.check(
-            _workspace(job), job.suspect_names, now_ms
+            job.workspace_name, job.suspect_names, now_ms
         )
         return decision.admission is PartsAdmission.ALLOWED
 
@@ -102,7 +102,7 @@
 
         self._quarantine.acquire_trial(
             str(job.number),
-            _workspace(job),
+            job.workspace_name,
             job.suspect_names,
             on_decision,
             job.request.request_id,
@@ -163,7 +163,7 @@
                 job.crashes -= 1
                 self._quarantine.end_trial(trial)
 
-        suspect = SuspectRequest(_workspace(job), list(job.suspect_names), trial)
+        suspect = SuspectRequest(job.workspace_name, list(job.suspect_names), trial)
         self._checks.on_lost(
             target.name, target.address, target.born_ms, suspect, on_checked
         )
@@ -192,7 +192,3 @@
         if job.trial:
             self._quarantine.end_trial(job.trial)
             job.trial = 0
-
-
-def _workspace(job: Job) -> str:
-    return job.workspace.name if job.workspace is not None else ""
--- a/papayacrank/kernel/_digest.py
+++ b/papayacrank/kernel/_digest.py
@@ -10,8 +10,11 @@
         """Add data."""
 
 
-def hash_fields(digest: Digest, *fields: bytes) -> None:
+def hash_fields(digest: Digest, *fields: str | bytes) -> None:
     """Add fields with their lengths, so that equal digests mean equal fields."""
     for field in fields:
+        if isinstance(field, str):
+            # Text of callers may hold lone surrogates.
+            field = field.encode("utf-8", "surrogatepass")
         digest.update(len(field).to_bytes(8, "big"))
         digest.update(field)
--- a/papayacrank/quarantine/_names.py
+++ b/papayacrank/quarantine/_names.py
@@ -31,14 +31,7 @@
         Whole body.
     """
     digest = hashlib.sha256()
-    hash_fields(
-        digest,
-        *(
-            text.encode("utf-8", "surrogatepass")
-            for text in (workspace, method, target)
-        ),
-        body,
-    )
+    hash_fields(digest, workspace, method, target, body)
     return _REQUEST_PREFIX + digest.hexdigest()[:DIGEST_CHARS]
 
 
--- a/papayacrank/releases/_names.py
+++ b/papayacrank/releases/_names.py
@@ -13,9 +13,5 @@
     The workspace is part of it, because request ids are chosen by callers.
     """
     digest = hashlib.sha256()
-    hash_fields(
-        digest,
-        workspace.encode("utf-8", "surrogatepass"),
-        request_id.encode("utf-8", "surrogatepass"),
-    )
+    hash_fields(digest, workspace, request_id)
     return digest.hexdigest()[:DIGEST_CHARS]
