--- a/review/harness.py
+++ b/review/harness.py
@@ -20,7 +20,8 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[1]
-CORE_IPS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
+CORE_MACHINES = 3
+SEEDS = 3
 # Commands of deploy/system.toml; the first word is the interpreter of this script.
 COMMANDS = {
     "control": ["-m", "papayacrank.platform", "control"],
@@ -50,9 +51,7 @@
 heartbeat_ms = 1200
 config_mode = "highest"
 [zones]
-a = "r"
-b = "r"
-c = "r"
+{zones}
 [listen]
 front = "{ip}:{front}"
 ready = "{ip}:{ready}"
@@ -63,7 +62,7 @@
 max_fds = 4100
 disk_mb = 64
 [fault_tolerance]
-machines = 1
+machines = {tolerance}
 zones = 0
 regions = 0
 [bounds]
@@ -408,35 +407,79 @@
 class Deployment:
     """Machines with the processes of the deploy file.
 
-    The first three machines have a disk and run both roles, the others only ``entry``.
+    The core machines have a disk and run both roles, the others only ``entry``.
 
     Parameters
     ----------
     record : Record
         Record of the case.
     machines : int
-        Number of machines, at least 3.
+        Number of machines.
+    core : int
+        Number of core machines, at least 3.
+    zones : int
+        Number of zones; the machines are spread over them.
+    tolerance : int
+        Number of core machines that may be lost at the same time.
+    diskless_control : int
+        Number of machines without a disk that run ``control`` as well, as where the
+        share of the deploy file covers more than the first machine of a zone.
     """
 
-    def __init__(self, record, machines=3):
+    def __init__(
+        self,
+        record,
+        machines=3,
+        core=CORE_MACHINES,
+        zones=3,
+        tolerance=1,
+        diskless_control=0,
+    ):
         self._record = record
+        self._zones = "abcdefgh"[:zones]
+        self._tolerance = tolerance
         self._folder = Path(tempfile.mkdtemp(prefix="papayacrank-review-"))
-        extra = [f"127.0.1.{number}" for number in range(1, machines - 2)]
-        self.ips = [*CORE_IPS, *extra]
+        self.core_ips = [f"127.0.0.{number + 1}" for number in range(core)]
+        extra = [f"127.0.1.{number + 1}" for number in range(machines - core)]
+        self.ips = [*self.core_ips, *extra]
+        self.diskless_control_ips = extra[:diskless_control]
+        self.seeds = self.core_ips[:SEEDS]
         self.base = _find_free_ports(self.ips)
         self.cloud = Cloud()
         self.processes = {}
 
     def start(self):
         """Start all processes for the first time."""
-        for ip in CORE_IPS:
+        for ip in (*self.core_ips, *self.diskless_control_ips):
             self.start_process("control", ip, bootstrap=True)
         for ip in self.ips:
             self.start_process("entry", ip, bootstrap=True)
 
     def start_process(self, role, ip, bootstrap=False):
         """Start a process with its settings file."""
-        has_disk = ip in CORE_IPS
+        path = self._write_settings(role, ip, bootstrap)
+        kept = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
+        environment = kept | {
+            "PYTHONPATH": f"{ROOT / 'target' / 'deps'}:{ROOT}",
+            "PAPAYACRANK_CONFIG": str(path),
+        }
+        with (self._folder / f"{role}-{ip}.log").open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, *COMMANDS[role]],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+        self.processes[(role, ip)] = process
+
+    def write_settings(self):
+        """Write the settings files of all running processes again, without a signal."""
+        for role, ip in self.processes:
+            self._write_settings(role, ip, bootstrap=False)
+
+    def _write_settings(self, role, ip, bootstrap):
+        has_disk = ip in self.core_ips
         data = self._folder / f"data-{role}-{ip}"
         if has_disk:
             data.mkdir(exist_ok=True)
@@ -446,10 +489,12 @@
             ip=ip,
             role=role,
             serves=", ".join(json.dumps(name) for name in serves),
-            zone="abc"[self.ips.index(ip) % 3],
+            zone=self._zones[self.ips.index(ip) % len(self._zones)],
+            zones="\n".join(f'{zone} = "r"' for zone in self._zones),
+            tolerance=self._tolerance,
             base=self.base,
             last=self.base + 9,
-            seeds=", ".join(f'"{peer}:{control}"' for peer in CORE_IPS),
+            seeds=", ".join(f'"{peer}:{control}"' for peer in self.seeds),
             bootstrap=str(bootstrap).lower(),
             has_disk=str(has_disk).lower(),
             data=data if has_disk else "",
@@ -461,20 +506,7 @@
         )
         path = self._folder / f"{role}-{ip}.toml"
         path.write_text(text, encoding="utf-8")
-        kept = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
-        environment = kept | {
-            "PYTHONPATH": f"{ROOT / 'target' / 'deps'}:{ROOT}",
-            "PAPAYACRANK_CONFIG": str(path),
-        }
-        with (self._folder / f"{role}-{ip}.log").open("ab") as log:
-            process = subprocess.Popen(
-                [sys.executable, *COMMANDS[role]],
-                cwd=ROOT,
-                env=environment,
-                stdout=log,
-                stderr=log,
-            )
-        self.processes[(role, ip)] = process
+        return path
 
     def kill(self, role, ip):
         """Kill a process."""
@@ -483,6 +515,27 @@
         process.wait(10)
         self._record.write(f"{role} process of {ip} was killed")
 
+    def lose_disk(self, ip):
+        """Empty the data folder of the control process of a machine that is down."""
+        shutil.rmtree(self._folder / f"data-control-{ip}")
+        self._record.write(f"the disk of {ip} was lost")
+
+    def read_configuration(self, ip):
+        """Read the configuration at a machine; return its version, None if none came.
+
+        An answer with a failure counts as none.
+        """
+        try:
+            status, _, body = self.call(ip, 12, "GET", "/v1/configuration/get")
+        except (OSError, http.client.HTTPException) as error:
+            status, body = type(error).__name__, b""
+        version = json.loads(body)["version"] if status == 200 else None
+        self._record.write(
+            f"operator: GET /v1/configuration/get at {ip} -> {status},"
+            f" version {version}"
+        )
+        return version
+
     def wait_until_ready(self, limit_s=20):
         """Wait until each machine counts as ready; return whether all do."""
         ends_s = time.monotonic() + limit_s
@@ -523,7 +576,7 @@
         ends_s = time.monotonic() + limit_s
         tries = 0
         while time.monotonic() < ends_s:
-            ip = CORE_IPS[tries % len(CORE_IPS)]
+            ip = self.core_ips[tries % len(self.core_ips)]
             tries += 1
             try:
                 status = self.call(ip, 12, "POST", path, body)[0]
@@ -664,7 +717,7 @@
     }
 
 
-def run_case(folder, play, machines=3):
+def run_case(folder, play, **layout):
     """Play a case on a new deployment; return the exit code of the script.
 
     Parameters
@@ -674,15 +727,19 @@
     play : callable
         Plays the case, given deployment, record and whether the disruption is on.
         Returns whether the rule was kept, None if the case could not run.
-    machines : int
-        Number of machines.
+    layout
+        Further parameters of `Deployment`.
     """
     record = Record(folder)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"disruption: {'on' if has_trouble else 'off'}")
-    deployment = Deployment(record, machines)
+    deployment = Deployment(record, **layout)
     try:
         is_kept = play(deployment, record, has_trouble)
+    except Exception as error:
+        # The case could not run, which says nothing about the rule.
+        record.write(f"{type(error).__name__}: {error}")
+        is_kept = None
     finally:
         deployment.stop()
     text = {True: "the rule held", False: "the rule was broken", None: "not run"}
