--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,8 @@
-"""Cached parts of a tenant that a configuration isolates."""
+"""Take-up of streams on a route that is split over three services."""
 
+import http.client
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -8,61 +10,136 @@
 
 import harness
 
-SERVERS = 3
-PARTS = 30
-CONFIG_APPLY_S = 2.0
+SERVICES = ("llm-a", "llm-b", "llm-c")
+STREAMS = 90
+EVENTS = 120
+EVENT_S = 0.05
+MIN_TAKEN_UP = 12
 
 
-def play(deployment, record, has_trouble):
-    """Isolate a tenant whose requests have filled the caches of the servers."""
-    engines = [harness.Engine(f"e-{n}", "llm", record, {}) for n in range(SERVERS)]
-    deployment.cloud.servers = engines
-    deployment.start()
-    service = harness.build_engine_service("llm")
-    shares = [{"service": "llm", "weight": 1}]
+class Stream:
+    """Stream of a client that takes it up once if its connection breaks.
 
-    def configure(version, isolated):
-        tenants = [
-            harness.build_tenant("t1", harness.KEY, isolated),
-            harness.build_tenant("t2", harness.OTHER_KEY),
-        ]
-        document = harness.build_document(version, [service], shares, tenants)
-        record.write(f"configuration {version}: t1 isolated: {isolated}")
-        return deployment.operate("/v1/configuration/put", document, 20)
+    Parameters
+    ----------
+    deployment : Deployment
+        Deployment to call.
+    record : Record
+        Record of the case.
+    number : int
+        Number of the stream.
+    """
 
-    def send(name, key):
-        statuses = []
-        for number in range(PARTS):
-            parts = f"{0xA000 + number:x}:2000,{name}{number:04d}:300"
-            headers = harness.build_headers(
-                f"{name}-{number}", key=key, parts=parts, deadline_ms=4_000
-            )
-            ip = deployment.ips[number % len(deployment.ips)]
-            statuses.append(deployment.request(ip, "/reply/x", headers, 4.0)[0])
-        return statuses.count(200)
+    def __init__(self, deployment, record, number):
+        self._deployment = deployment
+        self._record = record
+        self._number = number
+        self.last_id = 0
+        self.sources = set()
+        self.first_status = None
+        self.take_up_status = None
 
-    if not configure(1, False) or not deployment.wait_until_ready():
-        return None
-    if send("a", harness.KEY) < PARTS:
+    def run(self, first_ip, other_ips):
+        """Send the stream, and send it once more if it breaks."""
+        ends_s = time.monotonic() + 14.0
+        first_id = f"s{self._number}"
+        self.first_status = self._attempt(first_ip, first_id, ends_s)
+        if self.first_status != 200 or self.last_id in (0, EVENTS):
+            return
+        time.sleep(0.3)
+        before = self.last_id
+        ip = other_ips[self._number % len(other_ips)]
+        self.take_up_status = self._attempt(ip, f"s{self._number}-2", ends_s, first_id)
+        self._record.write(
+            f"client: s{self._number} taken up at {ip} after event {before}"
+            f" -> {self.take_up_status}, last event {self.last_id},"
+            f" events from {sorted(self.sources)}"
+        )
+
+    def _attempt(self, ip, request_id, ends_s, first_id=None):
+        remaining_s = ends_s - time.monotonic()
+        headers = harness.build_headers(request_id, deadline_ms=int(remaining_s * 1000))
+        if first_id is not None:
+            headers["Last-Event-Id"] = str(self.last_id)
+            headers["Resumes"] = first_id
+        port = self._deployment.base + 10
+        connection = http.client.HTTPConnection(ip, port, timeout=remaining_s)
+        status = 0
+        try:
+            connection.request("POST", "/reply/x", b"%d" % self._number, headers)
+            response = connection.getresponse()
+            status = response.status
+            if status != 200:
+                self._record.write(
+                    f"client: {request_id} -> {status} {response.read()}"
+                )
+                return status
+            number = 0
+            while line := response.readline():
+                name, _, value = line.decode().strip().partition(": ")
+                if name == "id":
+                    number = int(value)
+                elif name == "data":
+                    self.last_id = number
+                    self.sources.add(value)
+        except (OSError, http.client.HTTPException) as error:
+            self._record.write(f"client: {request_id}: {type(error).__name__}")
+        finally:
+            connection.close()
+        return status
+
+
+def play(deployment, record, has_trouble):
+    """Kill the machine that serves the streams; the clients take them up elsewhere."""
+    releases = ("v1", "v1", "v2", "v2") if has_trouble else ("v1",) * 4
+    deployment.cloud.servers = [
+        harness.Engine(
+            f"e-{service}-{n}",
+            service,
+            record,
+            {},
+            release=release,
+            events=EVENTS,
+            event_s=EVENT_S,
+        )
+        for service in SERVICES
+        for n, release in enumerate(releases)
+    ]
+    deployment.start()
+    document = harness.build_document(
+        1,
+        [harness.build_engine_service(name) for name in SERVICES],
+        [{"service": name, "weight": 1} for name in SERVICES],
+        [harness.build_tenant("t1", harness.KEY)],
+    )
+    if not deployment.operate("/v1/configuration/put", document, 20):
         return None
-    isolated_s = configure(2, has_trouble)
-    if not isolated_s:
+    if not deployment.wait_until_ready():
         return None
-    time.sleep(CONFIG_APPLY_S + 0.5)
-    from_s = time.monotonic()
-    served = send("b", harness.OTHER_KEY)
-    reuses = [
-        (request_id, tenant, maker)
-        for engine in engines
-        for at_s, request_id, tenant, maker in engine.reuses
-        if at_s >= from_s and tenant != maker
+    time.sleep(5.0)
+    victim, others = deployment.ips[-1], deployment.ips[:-1]
+    streams = [Stream(deployment, record, number) for number in range(STREAMS)]
+    threads = [
+        threading.Thread(target=stream.run, args=(victim, others)) for stream in streams
     ]
-    record.write(f"requests of t2 that were served: {served}")
-    record.write(f"uses of parts that a request of t1 made: {len(reuses)}")
-    if served < PARTS // 2:
+    for thread in threads:
+        thread.start()
+        time.sleep(0.02)
+    time.sleep(1.5)
+    deployment.kill("entry", victim)
+    for thread in threads:
+        thread.join()
+    begun = sum(stream.first_status == 200 for stream in streams)
+    taken_up = [stream for stream in streams if stream.take_up_status is not None]
+    gone_on = sum(stream.take_up_status == 200 for stream in taken_up)
+    joined = sum(len({s.split()[1] for s in stream.sources}) > 1 for stream in streams)
+    record.write(f"streams: {STREAMS}, begun at the first attempt: {begun}")
+    record.write(f"taken up: {len(taken_up)}, of which went on: {gone_on}")
+    record.write(f"streams with events of two software versions: {joined}")
+    if len(taken_up) < MIN_TAKEN_UP:
         return None
-    return not (has_trouble and reuses)
+    return gone_on / len(taken_up) >= 0.5 * begun / STREAMS
 
 
 if __name__ == "__main__":
-    sys.exit(harness.run_case(Path(__file__).parent, play))
+    sys.exit(harness.run_case(Path(__file__).parent, play, machines=7))
