Derive the number of voters from the tolerated losses

Cause: fault_tolerance of the settings was never read. With fewer live members than the target of seven, the group stayed at three voters, so two lost disks could take the majority.

Why the fix works: the rule (the remaining votes are a majority after each tolerated loss of instances, failure domains or regions) is written once, in LossTolerance, and the leader promotes learners until it is met. Where the core is too small it logs 4012 and goes on serving.

--- a/papayacrank/config/_settings.py
+++ b/papayacrank/config/_settings.py
@@ -83,6 +83,11 @@
     initial_voters : list of str
         Names of the voters of a new group; used only while no member has a log. Empty
         for a process that only joins an existing group.
+    tolerated_instances, tolerated_failure_domains, tolerated_regions : int
+        Instances, failure domains and regions whose data folders may all be lost at the
+        same time; each number is tolerated on its own.
+    region_of_domain : dict of str to str
+        Region of each failure domain.
     platform_list_url : str or None
         URL at which the platform publishes its list of live and leaving targets.
     """
@@ -95,6 +100,10 @@
     peers: list[PeerAddress] = []
     initial_voters: list[Name] = []
     target_voters: int = Field(default=5, ge=1, le=7)
+    tolerated_instances: int = Field(default=1, ge=0, le=11)
+    tolerated_failure_domains: int = Field(default=0, ge=0, le=11)
+    tolerated_regions: int = Field(default=0, ge=0, le=11)
+    region_of_domain: dict[str, str] = {}
     platform_list_url: str | None = None
     platform_poll_interval_ms: int = Field(default=1_000, ge=50)
     log_level: str = Field(default="info", pattern="^(debug|info|warning|error)$")
--- a/papayacrank/consensus/__init__.py
+++ b/papayacrank/consensus/__init__.py
@@ -65,6 +65,7 @@
 from ._node import RaftNode
 from ._settings import Protections, RaftSettings
 from ._store import LogStore, LogStoreError
+from ._tolerance import LossTolerance
 
 __all__ = [
     "CONSENSUS_MESSAGES",
@@ -75,6 +76,7 @@
     "InstallState",
     "LogStore",
     "LogStoreError",
+    "LossTolerance",
     "MemoryFiles",
     "Member",
     "MemberChange",
--- a/papayacrank/consensus/_events.py
+++ b/papayacrank/consensus/_events.py
@@ -62,7 +62,19 @@
     "info",
     "The data folder was verified against the other members; the member may vote.",
 )
-
+LOSS_TOLERANCE_UNMET = LogEvent(
+    4012,
+    "loss_tolerance_unmet",
+    "warning",
+    "The voters do not survive the losses that the settings name.",
+    "Add instances with a disk, in other failure domains if those have most votes.",
+)
+LOSS_TOLERANCE_MET = LogEvent(
+    4013,
+    "loss_tolerance_met",
+    "info",
+    "The voters survive the losses that the settings name.",
+)
 declare_events(
     TORN_TAIL_TRUNCATED,
     IDENTITY_CREATED,
@@ -75,4 +87,6 @@
     WAITING_TO_FOUND,
     SNAPSHOT_INSTALLED,
     START_CHECKED,
+    LOSS_TOLERANCE_UNMET,
+    LOSS_TOLERANCE_MET,
 )
--- a/papayacrank/consensus/_membership.py
+++ b/papayacrank/consensus/_membership.py
@@ -9,7 +9,7 @@
 from papayacrank.kernel import Failure, Verdict
 
 from ._core import NodeCore, Role
-from ._events import VOTER_SILENT
+from ._events import LOSS_TOLERANCE_MET, LOSS_TOLERANCE_UNMET, VOTER_SILENT
 from ._log import encode_membership
 from ._messages import KIND_MEMBERSHIP, Entry, JoinRequest, Member, Membership
 
@@ -73,6 +73,7 @@
 
     _replacement_identity = ""
     _is_rebalancing = False
+    _meets_loss_tolerance: bool | None = None
 
     def _change_member(self, change: MemberChange) -> Result[int, Failure]:
         if self._role is not Role.LEADER:
@@ -178,6 +179,7 @@
 
     def _reconcile_members(self) -> None:
         """Start at most one change that brings the members closer to the target."""
+        self._report_loss_tolerance()
         if not self._may_change_members() or not self._holds_lease():
             return
         if (silent := self._find_silent_member()) is not None:
@@ -197,6 +199,21 @@
         elif self._all_voters_responsive():
             self._rebalance_domains()
 
+    def _report_loss_tolerance(self) -> None:
+        """Log when the voters begin or cease to survive the tolerated losses."""
+        tolerance = self._settings.loss_tolerance
+        is_met = tolerance.is_met_by(self._voters)
+        if is_met == self._meets_loss_tolerance:
+            return
+        self._meets_loss_tolerance = is_met
+        self._log_event(
+            LOSS_TOLERANCE_MET if is_met else LOSS_TOLERANCE_UNMET,
+            voters=[f"{m.failure_domain}/{m.name}" for m in self._voters],
+            instances=tolerance.instances,
+            failure_domains=tolerance.failure_domains,
+            regions=tolerance.regions,
+        )
+
     def _find_ineligible_learner(self) -> Member | None:
         """Return a volatile learner; ineligible because others are durable."""
         learners = (m for m in self._members if not m.voter)
@@ -209,7 +226,7 @@
     def _replace_volatile_voter(self, voter: Member) -> None:
         """Promote learners with a durable folder, then remove the volatile voter."""
         learners = self._promotable_learners()
-        if learners and len(self._voters) < self._settings.target_voters:
+        if learners and len(self._voters) < self._target_voters:
             self._promote(min(learners, key=lambda m: m.name))
             return
         has_others = learners or not all(m.volatile for m in self._voters)
@@ -225,7 +242,7 @@
         excess = len(self._voters) - self._desired_voter_count()
         if self._is_rebalancing and excess <= 0:
             self._is_rebalancing = False
-        if len(self._voters) > self._settings.target_voters or self._is_rebalancing:
+        if len(self._voters) > self._target_voters or self._is_rebalancing:
             self._remove(self._select_excess_voter())
             self._is_rebalancing = False
         elif excess == 0 and (learner := self._find_rebalancing_learner()) is not None:
@@ -315,14 +332,25 @@
         voters = Counter(m.failure_domain for m in self._voters)
         return min(learners, key=lambda m: (voters[m.failure_domain], m.name))
 
+    @property
+    def _target_voters(self) -> int:
+        required = self._settings.loss_tolerance.required_voters
+        return max(self._settings.target_voters, required)
+
     def _desired_voter_count(self) -> int:
-        target = self._settings.target_voters
+        """Return the number of voters for the number of live members.
+
+        It is odd, because an even number tolerates no more losses than one less.
+        """
         live = sum(
             not self._is_silent(member)
             for member in self._members
             if self._is_eligible_voter(member)
         )
-        return target if live >= target else min(target, MIN_VOTERS)
+        if live >= self._target_voters:
+            return self._target_voters
+        required = self._settings.loss_tolerance.required_voters
+        return min(required, live - 1 + live % 2)
 
     def _is_eligible_voter(self, member: Member) -> bool:
         """Whether a member may be a voter.
--- a/papayacrank/consensus/_settings.py
+++ b/papayacrank/consensus/_settings.py
@@ -4,6 +4,8 @@
 
 from papayacrank.config import ControlSettings
 
+from ._tolerance import LossTolerance
+
 
 @dataclass(frozen=True)
 class Protections:
@@ -57,7 +59,10 @@
     initial_voters : tuple of str
         Names of the voters with which a new group is bootstrapped.
     target_voters : int
-        Number of voters if at least as many members are live; otherwise there are 3.
+        Number of voters if at least as many members are live; otherwise there are as
+        many as the loss tolerance requires.
+    loss_tolerance : LossTolerance
+        Losses of data folders that the group has to survive.
     heartbeat_interval_ms : int
         Interval between the heartbeats of the leader, in milliseconds.
     election_timeout_ms : int
@@ -80,6 +85,7 @@
     volatile: bool = False
     initial_voters: tuple[str, ...] = ()
     target_voters: int = 5
+    loss_tolerance: LossTolerance = field(default_factory=LossTolerance)
     heartbeat_interval_ms: int = 100
     election_timeout_ms: int = 600
     leader_lease_ms: int = 500
@@ -108,6 +114,12 @@
             volatile=settings.volatile,
             initial_voters=tuple(settings.initial_voters),
             target_voters=settings.target_voters,
+            loss_tolerance=LossTolerance(
+                settings.tolerated_instances,
+                settings.tolerated_failure_domains,
+                settings.tolerated_regions,
+                settings.region_of_domain,
+            ),
             heartbeat_interval_ms=settings.heartbeat_interval_ms,
             election_timeout_ms=settings.election_timeout_ms,
             leader_lease_ms=settings.leader_lease_ms,
--- a/papayacrank/platform/_settings.py
+++ b/papayacrank/platform/_settings.py
@@ -59,6 +59,14 @@
     rate_per_s: float = 40.0
 
 
+class FaultTolerance(WireModel):
+    """Number of machines, zones or regions that may be lost at the same time."""
+
+    machines: int = 1
+    zones: int = 0
+    regions: int = 0
+
+
 class PlatformSettings(WireModel):
     """Settings file that the platform writes for each process.
 
@@ -70,6 +78,8 @@
         Whether the whole system starts for the first time.
     data_dir : str
         Folder on the disk of the machine; empty on a machine without a disk.
+    zones : dict of str to str
+        Region of each zone.
     internal_ports : list of int
         First and last port of the range for traffic between instances.
     """
@@ -85,6 +95,8 @@
     listen: Listen = Listen()
     bounds: Bounds = Bounds()
     cloud: Cloud = Cloud()
+    zones: dict[str, str] = {}
+    fault_tolerance: FaultTolerance = FaultTolerance()
 
     @property
     def control_names(self) -> tuple[str, ...]:
@@ -129,6 +141,10 @@
             peers=peers,
             initial_voters=list(self.control_names) if self.bootstrap else [],
             target_voters=MAX_VOTERS,
+            tolerated_instances=self.fault_tolerance.machines,
+            tolerated_failure_domains=self.fault_tolerance.zones,
+            tolerated_regions=self.fault_tolerance.regions,
+            region_of_domain=self.zones,
             voter_silence_ms=VOTER_SILENCE_MS,
             election_timeout_ms=ELECTION_TIMEOUT_MS,
             leader_lease_ms=LEADER_LEASE_MS,
