Keep silent votes that the tolerated losses need

Cause: the leader's half removed voters after 3 s of silence down to three, whatever the settings ask for. Seven votes became four within 0.4 s, and two lost folders took the majority of four.

Why the fix works: a silent vote is removed only if the others still meet the loss tolerance. Where a caught-up learner is there, the vote is exchanged in one entry under joint consensus, so no set of voters in between is smaller than before, and commits do not depend on the learner. Replacements, balancing and volatile voters use the same exchange; an operator's removal that breaks the tolerance is refused.

--- a/papayacrank/consensus/_core.py
+++ b/papayacrank/consensus/_core.py
@@ -34,6 +34,12 @@
 QUERY_TIMER = "raft.query"
 
 
+def _describe_role(member: Member) -> str:
+    if member.joining or member.leaving:
+        return "joining voter" if member.joining else "leaving voter"
+    return "voter" if member.voter else "learner"
+
+
 class Role(Enum):
     """Role of a member in its term."""
 
@@ -123,9 +129,8 @@
         return any(m.identity == self._identity for m in self._voters)
 
     def _is_majority(self, identities: set[str]) -> bool:
-        voters = self._voters
-        count = sum(member.identity in identities for member in voters)
-        return bool(voters) and count >= len(voters) // 2 + 1
+        membership = self._log.membership
+        return membership.has_majority(lambda voter: voter.identity in identities)
 
     # Effects
 
@@ -210,8 +215,7 @@
         self._records.append(AppendEntry(entry))
         if entry.kind == KIND_MEMBERSHIP:
             members = [
-                f"{m.name}/{m.identity}/{'voter' if m.voter else 'learner'}"
-                for m in self._members
+                f"{m.name}/{m.identity}/{_describe_role(m)}" for m in self._members
             ]
             self._log_event(MEMBERSHIP_CHANGED, index=entry.index, members=members)
 
--- a/papayacrank/consensus/_membership.py
+++ b/papayacrank/consensus/_membership.py
@@ -12,10 +12,10 @@
 from ._events import LOSS_TOLERANCE_MET, LOSS_TOLERANCE_UNMET, VOTER_SILENT
 from ._log import encode_membership
 from ._messages import KIND_MEMBERSHIP, Entry, JoinRequest, Member, Membership
+from ._tolerance import majority
 
 MAX_MEMBERS = 24
 MAX_PENDING_LEARNERS = 16
-MIN_VOTERS = 3
 # A learner with at most this lag catches up in about one round trip.
 MAX_CAUGHT_UP_LAG_ENTRIES = 256
 MAX_RESPONSE_AGE_MS = 2_000
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True)
 class Replace:
-    """Remove the voter `old` and then promote the caught-up learner `new`."""
+    """Exchange the voter `old` for the caught-up learner `new`."""
 
     old: str
     new: str
@@ -71,14 +71,12 @@
 class MembershipControl(NodeCore):
     """Mixin of `RaftNode` that changes the members of the group."""
 
-    _replacement_identity = ""
-    _is_rebalancing = False
     _meets_loss_tolerance: bool | None = None
 
     def _change_member(self, change: MemberChange) -> Result[int, Failure]:
         if self._role is not Role.LEADER:
             return refuse("not_leader", f"the leader is {self._leader!r}", 503)
-        if not self._may_change_members():
+        if not self._may_change_members() or self._log.membership.is_joint:
             return refuse("change_in_progress", "another change is not committed yet")
         match change:
             case AddLearner(name, identity, domain):
@@ -121,18 +119,24 @@
             return refuse("last_voter", "the last voter cannot be removed")
         if member.voter and not self._has_quorum_without(member):
             return refuse("too_few_voters", f"without {name}, no majority answers")
+        if member.voter and self._breaks_loss_tolerance(member):
+            return refuse(
+                "too_few_voters",
+                f"without {name}, the group does not survive the losses that the"
+                " settings name; replace it instead",
+            )
         return Ok(self._remove(member))
 
     def _replace(self, old: str, new: str) -> Result[int, Failure]:
         learner = self._find_learner(new)
-        if not any(m.name == old and m.voter for m in self._members):
+        voter = next((m for m in self._voters if m.name == old), None)
+        if voter is None:
             return refuse("not_a_voter", f"{old} is not a voter")
         if learner is None or not self._is_caught_up(learner):
             return refuse("not_caught_up", f"{new} is not a caught-up learner")
-        result = self._remove_by_name(old)
-        if result.is_ok():
-            self._replacement_identity = learner.identity
-        return result
+        if not self._is_responsive_majority(self._voters_after(voter, learner)):
+            return refuse("too_few_voters", f"without {old}, no majority answers")
+        return Ok(self._exchange(voter, learner))
 
     def _find_learner(self, name: str) -> Member | None:
         named = [m for m in self._members if m.name == name and not m.voter]
@@ -147,6 +151,26 @@
         others = (m for m in self._members if m.identity != member.identity)
         return self._append_membership(tuple(others))
 
+    def _exchange(self, old: Member, new: Member) -> int:
+        """Start the exchange of a voter for a learner.
+
+        Removing first would leave fewer voters than the loss tolerance requires, and
+        promoting first would make the group depend on the new voter.
+        """
+        changed = {
+            old.identity: msgspec.structs.replace(old, leaving=True),
+            new.identity: msgspec.structs.replace(new, voter=True, joining=True),
+        }
+        return self._append_membership(
+            tuple(changed.get(m.identity, m) for m in self._members)
+        )
+
+    def _complete_exchange(self) -> None:
+        remaining = (m for m in self._members if not m.leaving)
+        self._append_membership(
+            tuple(msgspec.structs.replace(m, joining=False) for m in remaining)
+        )
+
     def _append_membership(self, members: tuple[Member, ...]) -> int:
         index = self._log.last_index + 1
         payload = encode_membership(Membership(index, members))
@@ -155,9 +179,12 @@
         return index
 
     def _on_committed_membership(self) -> None:
-        """Step down if the removal of this leader is committed."""
-        committed = self._log.membership.index <= self._commit_index
-        if committed and not self._is_voter:
+        """Complete an exchange, or step down after the removal of this leader."""
+        if self._log.membership.index > self._commit_index:
+            return
+        if self._log.membership.is_joint and self._may_change_members():
+            self._complete_exchange()
+        elif not self._is_voter:
             self._become_follower(self._term, "", "removed from the voters")
 
     # Automatic changes
@@ -182,13 +209,13 @@
         self._report_loss_tolerance()
         if not self._may_change_members() or not self._holds_lease():
             return
-        if (silent := self._find_silent_member()) is not None:
-            progress = self._progress[silent.identity]
-            silent_ms = self._now_ms - progress.last_reply_ms
-            self._log_event(VOTER_SILENT, member=silent.name, silent_ms=silent_ms)
-            self._remove(silent)
+        if self._log.membership.is_joint:
+            self._complete_exchange()
+        elif (learner := self._find_silent_learner()) is not None:
+            self._remove_silent(learner)
+        elif self._replace_silent_voter():
+            return
         elif (learner := self._find_learner_to_promote()) is not None:
-            self._replacement_identity = ""
             self._promote(learner)
         elif self._pending_learners:
             self._add_pending_learner()
@@ -202,7 +229,7 @@
     def _report_loss_tolerance(self) -> None:
         """Log when the voters begin or cease to survive the tolerated losses."""
         tolerance = self._settings.loss_tolerance
-        is_met = tolerance.is_met_by(self._voters)
+        is_met = tolerance.is_met_by(self._log.membership.voters_after_exchange)
         if is_met == self._meets_loss_tolerance:
             return
         self._meets_loss_tolerance = is_met
@@ -224,30 +251,26 @@
         return next((m for m in self._voters if not self._is_eligible_voter(m)), None)
 
     def _replace_volatile_voter(self, voter: Member) -> None:
-        """Promote learners with a durable folder, then remove the volatile voter."""
-        learners = self._promotable_learners()
-        if learners and len(self._voters) < self._target_voters:
-            self._promote(min(learners, key=lambda m: m.name))
+        """Exchange a volatile voter for a learner with a durable folder.
+
+        Without such a learner, the voter is removed, unless all are volatile.
+        """
+        learner = self._select_learner_for(voter)
+        if learner is not None:
+            if self._is_responsive_majority(self._voters_after(voter, learner)):
+                self._exchange(voter, learner)
             return
-        has_others = learners or not all(m.volatile for m in self._voters)
-        if has_others and self._has_quorum_without(voter):
+        if not all(m.volatile for m in self._voters) and self._has_quorum_without(
+            voter
+        ):
             self._remove(voter)
 
     def _rebalance_domains(self) -> None:
-        """Move a vote from the domain with most voters to one with at least 2 fewer.
-
-        The learner is promoted before the voter is removed, so that the group never
-        tolerates fewer failures than before.
-        """
-        excess = len(self._voters) - self._desired_voter_count()
-        if self._is_rebalancing and excess <= 0:
-            self._is_rebalancing = False
-        if len(self._voters) > self._target_voters or self._is_rebalancing:
+        """Move a vote from the domain with most voters to one with at least 2 fewer."""
+        if len(self._voters) > self._target_voters:
             self._remove(self._select_excess_voter())
-            self._is_rebalancing = False
-        elif excess == 0 and (learner := self._find_rebalancing_learner()) is not None:
-            self._is_rebalancing = True
-            self._promote(learner)
+        elif (learner := self._find_rebalancing_learner()) is not None:
+            self._exchange(self._select_excess_voter(), learner)
 
     def _find_rebalancing_learner(self) -> Member | None:
         """Return a learner whose domain has at least 2 voters fewer than another."""
@@ -273,34 +296,78 @@
 
     def _has_quorum_without(self, member: Member) -> bool:
         """Whether a majority of the other voters has replied recently."""
-        others = [m for m in self._voters if m.identity != member.identity]
+        return self._is_responsive_majority(self._voters_after(member))
+
+    def _breaks_loss_tolerance(self, old: Member, new: Member | None = None) -> bool:
+        """Whether the group survives the tolerated losses only without the change."""
+        tolerance = self._settings.loss_tolerance
+        return tolerance.is_met_by(self._voters) and not tolerance.is_met_by(
+            self._voters_after(old, new)
+        )
+
+    def _voters_after(self, old: Member, new: Member | None = None) -> list[Member]:
+        """Return the voters after the removal of one and the addition of another."""
+        others = [m for m in self._voters if m.identity != old.identity]
+        return others if new is None else [*others, new]
+
+    def _is_responsive_majority(self, voters: list[Member]) -> bool:
         limit_ms = self._settings.election_timeout_ms
         responsive = [
-            m for m in others if self._now_ms - self._last_reply_ms_of(m) <= limit_ms
+            m for m in voters if self._now_ms - self._last_reply_ms_of(m) <= limit_ms
         ]
-        return len(responsive) > len(others) // 2
+        return len(responsive) >= majority(len(voters))
 
     def _all_voters_responsive(self) -> bool:
-        return all(
-            self._now_ms - self._last_reply_ms_of(voter) <= MAX_RESPONSE_AGE_MS
-            for voter in self._voters
+        return all(map(self._is_responsive, self._voters))
+
+    def _is_responsive(self, member: Member) -> bool:
+        return self._now_ms - self._last_reply_ms_of(member) <= MAX_RESPONSE_AGE_MS
+
+    def _find_silent_learner(self) -> Member | None:
+        return next(
+            (m for m in self._members if not m.voter and self._is_silent(m)), None
         )
 
-    def _find_silent_member(self) -> Member | None:
-        """Return a silent member that may be removed, learners first.
+    def _replace_silent_voter(self) -> bool:
+        """Start the replacement of a silent voter; return whether one was started.
+
+        Without a learner, the vote is kept as long as the loss tolerance needs it,
+        because the voter may return, for example after a network partition.
+        """
+        silent = [voter for voter in self._voters if self._is_silent(voter)]
+        silent.sort(key=lambda voter: not self._is_superseded(voter))
+        tolerance = self._settings.loss_tolerance
+        for voter in silent:
+            learner = self._select_learner_for(voter)
+            if learner is not None and not self._breaks_loss_tolerance(voter, learner):
+                self._log_silent(voter)
+                self._exchange(voter, learner)
+                return True
+            if tolerance.is_met_by(self._voters_after(voter)):
+                self._remove_silent(voter)
+                return True
+        return False
+
+    def _remove_silent(self, member: Member) -> None:
+        self._log_silent(member)
+        self._remove(member)
+
+    def _log_silent(self, member: Member) -> None:
+        silent_ms = self._now_ms - self._last_reply_ms_of(member)
+        self._log_event(VOTER_SILENT, member=member.name, silent_ms=silent_ms)
+
+    def _select_learner_for(self, voter: Member) -> Member | None:
+        """Return the learner that is to take over the vote of a voter.
 
-        A voter is removed only if a learner can be promoted or 3 voters remain. A group
-        of 2 voters would not tolerate more failures than one of 3, and the silent voter
-        may return.
+        This is the new folder of the same instance if there is one, otherwise a learner
+        of the failure domain with the fewest other voters.
         """
-        silent = [m for m in self._members if self._is_silent(m)]
-        for member in sorted(silent, key=lambda m: m.voter):
-            if not member.voter:
-                return member
-            keeps_min_voters = len(self._voters) - 1 >= MIN_VOTERS
-            if keeps_min_voters or self._promotable_learners():
-                return member
-        return None
+        others = Counter(m.failure_domain for m in self._voters_after(voter))
+        return min(
+            self._promotable_learners(),
+            key=lambda m: (m.name != voter.name, others[m.failure_domain], m.name),
+            default=None,
+        )
 
     def _is_silent(self, member: Member) -> bool:
         if self._is_superseded(member):
@@ -318,17 +385,16 @@
         )
 
     def _find_learner_to_promote(self) -> Member | None:
-        """Return the next learner to promote.
+        """Return a learner of the domain with the fewest voters if more are needed.
 
-        This is the replacement that an operator named or, if there are too few voters,
-        a learner of the domain with the fewest voters.
+        The promotion waits while it could only be committed by the new voter itself.
         """
         learners = self._promotable_learners()
-        planned = [m for m in learners if m.identity == self._replacement_identity]
-        if planned:
-            return planned[0]
         if not learners or len(self._voters) >= self._desired_voter_count():
             return None
+        responsive = sum(map(self._is_responsive, self._voters))
+        if responsive < majority(len(self._voters) + 1) and len(self._voters) > 1:
+            return None
         voters = Counter(m.failure_domain for m in self._voters)
         return min(learners, key=lambda m: (voters[m.failure_domain], m.name))
 
--- a/papayacrank/consensus/_messages.py
+++ b/papayacrank/consensus/_messages.py
@@ -1,6 +1,7 @@
 """Log entries, memberships, durable records and messages between members."""
 
 from base64 import urlsafe_b64encode
+from collections.abc import Callable
 from typing import NamedTuple
 
 import msgspec
@@ -62,6 +63,9 @@
         False for a learner, which receives the log but has no vote.
     volatile : bool
         Whether the data folder is lost when the process ends.
+    joining, leaving : bool
+        Whether the voter is the incoming or the outgoing one of an exchange that is in
+        progress.
     """
 
     name: str
@@ -69,10 +73,16 @@
     failure_domain: str
     voter: bool
     volatile: bool = False
+    joining: bool = False
+    leaving: bool = False
 
 
 class Membership(msgspec.Struct, frozen=True, array_like=True):
-    """Members of the group, in effect from a log index on."""
+    """Members of the group, in effect from a log index on.
+
+    While a voter is exchanged for another one, elections and commits need a majority of
+    the voters before the exchange as well as of those after it (joint consensus).
+    """
 
     index: int = 0
     members: tuple[Member, ...] = ()
@@ -82,6 +92,32 @@
         """Members that have a vote."""
         return [member for member in self.members if member.voter]
 
+    @property
+    def is_joint(self) -> bool:
+        """Whether an exchange of a voter is in progress."""
+        return any(member.joining or member.leaving for member in self.members)
+
+    @property
+    def electorates(self) -> tuple[list[Member], ...]:
+        """Sets of voters of which a majority each is needed."""
+        voters = self.voters
+        if not self.is_joint:
+            return (voters,)
+        before = [voter for voter in voters if not voter.joining]
+        return before, self.voters_after_exchange
+
+    @property
+    def voters_after_exchange(self) -> list[Member]:
+        """Voters once the exchange in progress is complete."""
+        return [voter for voter in self.voters if not voter.leaving]
+
+    def has_majority(self, is_counted: Callable[[Member], bool]) -> bool:
+        """Whether the counted voters are a majority of each electorate."""
+        return all(
+            sum(map(is_counted, voters)) > len(voters) // 2
+            for voters in self.electorates
+        )
+
 
 class Snapshot(msgspec.Struct, frozen=True, array_like=True):
     """Encoded state of the state machine after the entry at `index`."""
--- a/papayacrank/consensus/_node.py
+++ b/papayacrank/consensus/_node.py
@@ -94,6 +94,11 @@
         """Members in the newest membership of the log, committed or not."""
         return self._members
 
+    @property
+    def electorates(self) -> tuple[list[Member], ...]:
+        """Sets of voters in the newest membership, each of which must agree."""
+        return self._log.membership.electorates
+
     @property
     def wants_snapshot(self) -> bool:
         """Whether `compact` should be called with the state at `commit_index`."""
--- a/papayacrank/consensus/_recovery.py
+++ b/papayacrank/consensus/_recovery.py
@@ -212,17 +212,19 @@
         """
         if self._is_verified:
             return
-        voters = self._newest_membership().voters
+        membership = self._newest_membership()
+        voters = membership.voters
         if not voters:
             self._bootstrap_group()
             return
-        replied = [member for member in voters if self._has_identity_replied(member)]
         max_wait_ms = self._settings.election_timeout_ms // 2
         timed_out = self._now_ms - self._started_ms >= max_wait_ms
         # A process that replies under another identity has lost its folder, and no
         # reply for the old identity will arrive.
         all_replied = all(self._has_process_replied(member) for member in voters)
-        if (all_replied or timed_out) and len(replied) > len(voters) // 2:
+        if (all_replied or timed_out) and membership.has_majority(
+            self._has_identity_replied
+        ):
             self._finish_verification()
 
     def _has_identity_replied(self, member: Member) -> bool:
--- a/papayacrank/consensus/_replication.py
+++ b/papayacrank/consensus/_replication.py
@@ -207,15 +207,19 @@
         return progress.match_index if progress else 0
 
     def _quorum_value(self, value_of) -> int:
-        """Return the highest value that a majority of the voters has reached.
+        """Return the highest value that a majority of each electorate has reached.
 
         Parameters
         ----------
         value_of : Callable
             Function that returns the value of a voter.
         """
-        values = sorted((value_of(m) for m in self._voters), reverse=True)
-        return values[len(values) // 2] if values else 0
+        return min(
+            sorted(map(value_of, voters), reverse=True)[len(voters) // 2]
+            if voters
+            else 0
+            for voters in self._log.membership.electorates
+        )
 
     # Lease and check-quorum
 
