Let an empty process find its group through others

Cause: an empty process queried the names of its settings only. Processes outside the group knew the leader but named nobody in their replies, the sender of messages to the old identity was not queried, nor were members that a reply named, and a running control process ignored new seeds. A simulation found two related faults: a member removed while cut off was never called again, and a removed learner asked a former leader to join for ever.

Why the fix works: replies, messages and new settings add names to ask. A folder is still verified only by a majority of the voters, and a group is founded only if all configured processes replied and none has found a group.

--- a/papayacrank/consensus/_core.py
+++ b/papayacrank/consensus/_core.py
@@ -29,6 +29,7 @@
 from ._settings import RaftSettings
 
 MAX_PEER_RECORDS = 64
+MAX_FORMER_MEMBERS = 8
 ELECTION_TIMER = "raft.election"
 HEARTBEAT_TIMER = "raft.heartbeat"
 QUERY_TIMER = "raft.query"
@@ -100,6 +101,8 @@
         self._role = Role.FOLLOWER
         self._leader = ""
         self._votes: set[str] = set()
+        self._discovered_peers: dict[str, None] = {}
+        self._former_members: dict[str, int] = {}
         self._progress: dict[str, Progress] = {}
         self._peer_records: dict[str, PeerRecord] = {}
         self._term_start_index = 0
@@ -211,6 +214,7 @@
     # Log
 
     def _append_entry(self, entry: Entry) -> None:
+        names_before = {m.name for m in self._members}
         self._log.append(entry)
         self._records.append(AppendEntry(entry))
         if entry.kind == KIND_MEMBERSHIP:
@@ -218,6 +222,16 @@
                 f"{m.name}/{m.identity}/{_describe_role(m)}" for m in self._members
             ]
             self._log_event(MEMBERSHIP_CHANGED, index=entry.index, members=members)
+            self._remember_former_members(names_before)
+
+    def _remember_former_members(self, names_before: set[str]) -> None:
+        names = {m.name for m in self._members}
+        for name in names_before - names:
+            self._former_members[name] = self._now_ms
+        for name in names & self._former_members.keys():
+            del self._former_members[name]
+        while len(self._former_members) > MAX_FORMER_MEMBERS:
+            del self._former_members[next(iter(self._former_members))]
 
     def _advance_commit(self, index: int) -> None:
         """Raise the commit index and emit `Committed` for each new data entry."""
--- a/papayacrank/consensus/_events.py
+++ b/papayacrank/consensus/_events.py
@@ -75,6 +75,13 @@
     "info",
     "The voters survive the losses that the settings name.",
 )
+PEER_DISCOVERED = LogEvent(
+    4014,
+    "peer_discovered",
+    "info",
+    "Another process named a process that is not in the settings; it is queried.",
+)
+
 declare_events(
     TORN_TAIL_TRUNCATED,
     IDENTITY_CREATED,
@@ -89,4 +96,5 @@
     START_CHECKED,
     LOSS_TOLERANCE_UNMET,
     LOSS_TOLERANCE_MET,
+    PEER_DISCOVERED,
 )
--- a/papayacrank/consensus/_messages.py
+++ b/papayacrank/consensus/_messages.py
@@ -402,6 +402,8 @@
         Newest membership in its log.
     volatile : bool
         Whether its data folder is lost when the process ends.
+    known_peers : tuple of str
+        Names of processes that a process outside the group has found in it.
     """
 
     identity: str
@@ -415,6 +417,7 @@
     leader: str
     membership: Membership
     volatile: bool = False
+    known_peers: tuple[str, ...] = ()
 
 
 class JoinRequest(_Message, frozen=True, tag="rj"):
--- a/papayacrank/consensus/_node.py
+++ b/papayacrank/consensus/_node.py
@@ -1,5 +1,6 @@
 """Raft state machine of a member of the replicated log."""
 
+from collections.abc import Iterable
 from random import Random
 from typing import Any
 
@@ -171,7 +172,7 @@
             case StatusReply():
                 self._on_status_reply(sender, message)
             case _ if not self._group:
-                self._on_unknown_group()
+                self._on_unknown_group(sender)
             case _ if message.group == self._group:
                 self._receive_in_group(sender, message)
         return self._take_effects()
@@ -191,6 +192,25 @@
             case JoinRequest():
                 self._on_join_request(sender, message)
 
+    def add_peers(self, names: Iterable[str], now_ms: int) -> list[Any]:
+        """Query further processes for the group, for example after new settings.
+
+        Parameters
+        ----------
+        names : iterable of str
+            Names of processes that may belong to the group.
+        now_ms : int
+            Current time in milliseconds.
+
+        Returns
+        -------
+        list
+            Effects.
+        """
+        self._now_ms = max(self._now_ms, now_ms)
+        self._discover_peers(names)
+        return self._take_effects()
+
     def tick(self, timer_name: str, now_ms: int) -> list[Any]:
         """Handle a timer that fired.
 
--- a/papayacrank/consensus/tests/test_loss_tolerance.py
+++ b/papayacrank/consensus/tests/test_loss_tolerance.py
@@ -7,6 +7,7 @@
 
 from papayacrank.consensus.tests._core_simulation import (
     RECOVERY_MS,
+    CoreSimulation,
     build_core,
     check_recovery,
     check_tolerance,
@@ -16,6 +17,7 @@
 # Number of members, and how many of their folders may be lost at the same time.
 LOSSES_BY_SIZE = [(3, 1), (4, 1), (5, 2), (6, 2), (7, 3), (8, 2), (11, 3)]
 MAX_DRAWN_LOSSES = 20
+SIMULATED_STEPS = 8
 
 
 def draw_losses(size: int, losses: int) -> list[tuple[int, ...]]:
@@ -62,3 +64,13 @@
     cluster.run(random.uniform(0, 2_000))
     cluster.heal()
     check_recovery(cluster)
+
+
+@pytest.mark.parametrize(("size", "losses"), LOSSES_BY_SIZE)
+@pytest.mark.parametrize("seed", range(6))
+def test_membership_changes_in_series_keep_the_tolerance(size, losses, seed):
+    """Guards against a series of membership changes that makes a loss fatal."""
+    simulation = CoreSimulation(seed, size, losses)
+    for _ in range(SIMULATED_STEPS):
+        simulation.step()
+    simulation.finish()
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -216,6 +216,10 @@
         """Handle the completion of a `Persist` effect."""
         return self._advance(self._raft.persisted, token, now_ms=now_ms)
 
+    def add_peers(self, names: tuple[str, ...], now_ms: int) -> list[Any]:
+        """Query further processes for the control group."""
+        return self._advance(self._raft.add_peers, names, now_ms=now_ms)
+
     def flush(self, now_ms: int) -> list[Any]:
         """Replicate the proposed entries, and take a snapshot if one is due."""
         self._has_proposals = False
--- a/papayacrank/control/_process.py
+++ b/papayacrank/control/_process.py
@@ -146,6 +146,10 @@
         for effect in self._local_client.submit(command, callback, timeout_ms, now_ms):
             self._execute(effect)
 
+    def add_peers(self, names: tuple[str, ...]) -> None:
+        """Query further processes for the control group."""
+        self._run_step(partial(self._node.add_peers, names))
+
     def _has_lease(self) -> bool:
         return self._node.raft.has_lease(self._clock.now_ms())
 
--- a/papayacrank/platform/__main__.py
+++ b/papayacrank/platform/__main__.py
@@ -59,7 +59,7 @@
         process = _start_control(settings)
         if process is None:
             sys.exit(EXIT_FAILED)
-        _watch(process, settings, lambda new: None)
+        _watch(process, settings, lambda new: process.add_peers(new.control_names))
         run_process(process, name, "info", process.begin_stop, log_stream=stream)
         if process.failed:
             sys.exit(EXIT_FAILED)
--- a/papayacrank/platform/_reload.py
+++ b/papayacrank/platform/_reload.py
@@ -12,6 +12,8 @@
 from ._settings import PlatformSettings, load_platform_settings
 
 CHECK_INTERVAL_MS = 1_000
+# Settings that take effect while a process runs, or that only its first start uses.
+FOLLOWED_FIELDS = frozenset({"seeds", "bootstrap"})
 
 
 class SettingsWatcher:
@@ -69,11 +71,22 @@
         except SettingsError as error:
             log_event(SETTINGS_UNUSABLE, error=str(error))
             return
-        if settings != self._settings:
+        changed = self._find_changed_fields(settings)
+        if changed:
             self._settings = settings
-            log_event(SETTINGS_RELOADED, seeds=settings.seeds)
+            needs_restart = sorted(changed - FOLLOWED_FIELDS)
+            log_event(
+                SETTINGS_RELOADED, seeds=settings.seeds, needs_restart=needs_restart
+            )
             self._on_change(settings)
 
+    def _find_changed_fields(self, settings: PlatformSettings) -> set[str]:
+        return {
+            name
+            for name in PlatformSettings.model_fields
+            if getattr(settings, name) != getattr(self._settings, name)
+        }
+
     def _read_file_state(self) -> tuple[int, int, int] | None:
         try:
             status = self._path.stat()
--- /dev/null
+++ b/papayacrank/platform/tests/test_reload.py
@@ -0,0 +1,60 @@
+"""Tests of settings that change while a process runs."""
+
+import signal
+
+import pytest
+import structlog
+
+from papayacrank.platform._reload import SettingsWatcher
+from papayacrank.platform._settings import load_platform_settings
+
+SETTINGS = """
+node_name = "front-1"
+ip = "10.1.0.24"
+zone = "east"
+internal_ports = [7600, 7615]
+seeds = {seeds}
+[cloud]
+address = "{list_address}"
+"""
+
+
+class StubTimers:
+    """Timers that fire when a test says so."""
+
+    def set(self, name, at_ms, callback):
+        self.fire = callback
+
+
+class StubClock:
+    def now_ms(self) -> int:
+        return 0
+
+
+@pytest.fixture
+def hangup_handler():
+    """Restore the handler of SIGHUP."""
+    handler = signal.getsignal(signal.SIGHUP)
+    yield
+    signal.signal(signal.SIGHUP, handler)
+
+
+def write_settings(path, seeds: list[str], list_address: str) -> None:
+    text = SETTINGS.format(seeds=seeds, list_address=list_address)
+    path.write_text(text.replace("'", '"'), encoding="utf-8")
+
+
+def test_new_seeds_are_passed_on_and_other_changes_are_named(tmp_path, hangup_handler):
+    """Guards against a process that keeps stale seeds, or says nothing of the rest."""
+    path = tmp_path / "local.toml"
+    write_settings(path, ["10.1.0.1:8608"], "10.9.0.1:80")
+    changes, timers = [], StubTimers()
+    watcher = SettingsWatcher(
+        path, load_platform_settings(path), changes.append, StubClock(), timers
+    )
+    watcher.start()
+    write_settings(path, ["10.2.0.1:8608", "10.3.0.1:8608"], "10.9.0.2:80")
+    with structlog.testing.capture_logs() as lines:
+        timers.fire()
+    assert [change.control_names for change in changes] == [("10.2.0.1", "10.3.0.1")]
+    assert [line["needs_restart"] for line in lines] == [["cloud"]]
