Keep a version for each model in the rollout of weights

What callers saw: six servers hold two models.

Cause: the rollout ordered the first model with a named version, behind or not; a finished load raised the version of all models in the view; a status was compared by the lowest version of all models. Besides, an entry process kept the version that it concluded from a 421 as long as the server was listed.

Before the change, 4 of the 5 new tests of the rollout and the 3 of the concluded version fail; the fifth (a model that a server dropped) guards the new selection.

Why the fix works: the ordered model is kept beside the version and compared by itself. Outdated models take turns, so none starves. A concluded version ends after 2 s, with a stated version, or when it is refused as well.

--- a/papayacrank/control/_rollout.py
+++ b/papayacrank/control/_rollout.py
@@ -1,7 +1,7 @@
 """Rollout of model weights to the engines."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from papayacrank.kernel import log_event
@@ -64,7 +64,9 @@
     orders: int | None = None
     weights: dict[str, int] | None = None
     observed_ms: int = 0
+    ordered_model: str = ""
     ordered_version: int = 0
+    ordered_ms: dict[str, int] = field(default_factory=dict)
     blocked_until_ms: int = 0
     paused_until_ms: int = 0
     is_replaced: bool = False
@@ -76,19 +78,48 @@
         self.next_ms = now_ms + delay_ms
 
     def mark_loaded(self, now_ms: int) -> None:
-        """Record that the engine runs the ordered version."""
-        known = self.weights if self.weights is not None else self.target.weights
-        self.weights = {m: max(v, self.ordered_version) for m, v in known.items()}
+        """Record that the engine runs the ordered version of the ordered model."""
+        weights = dict(self.known_weights)
+        known_version = weights.get(self.ordered_model)
+        if known_version is not None:
+            weights[self.ordered_model] = max(known_version, self.ordered_version)
+        self.weights = weights
         self.observed_ms = now_ms
 
+    @property
+    def known_weights(self) -> dict[str, int]:
+        """Version by model, observed at the engine or taken from the list."""
+        return self.target.weights if self.weights is None else self.weights
+
+    def find_lags(self, desired_versions: dict[str, int]) -> dict[str, int]:
+        """Return how many versions each outdated model is behind the desired one."""
+        return {
+            model: desired_versions[model] - version
+            for model, version in self.known_weights.items()
+            if version < desired_versions.get(model, 0)
+        }
+
+    def select_model(self, desired_versions: dict[str, int]) -> str | None:
+        """Return the outdated model that was ordered longest ago; None if none is.
+
+        Models take turns, so that one with frequent new versions delays no other.
+        """
+        lags = self.find_lags(desired_versions)
+        return min(
+            lags,
+            key=lambda model: (self.ordered_ms.get(model, 0), -lags[model], model),
+            default=None,
+        )
+
 
 class WeightsRollout:
     """Loads the desired versions, on a third of a service's engines at a time.
 
-    An engine is first drained, then receives the order, and its status is polled until
-    it runs the new version. Engines with the lowest version and the fewest running
-    requests are loaded first. Each order carries the number of orders that the engine
-    has accepted so far, so that a duplicate delivered late has no effect.
+    An engine is first drained, then receives the order for one of its models, and its
+    status is polled until it runs the new version. Engines with a model that is most
+    versions behind come first, then those with the fewest running requests. Each order
+    carries the number of orders that the engine has accepted so far, so that a
+    duplicate delivered late has no effect.
 
     Parameters
     ----------
@@ -179,9 +210,7 @@
     def weights(self, target: ListedTarget) -> dict[str, int]:
         """Return the version by model that a target was last known to run."""
         engine = self._engines.get(target.name)
-        if engine is None or engine.weights is None:
-            return target.weights
-        return engine.weights
+        return target.weights if engine is None else engine.known_weights
 
     def poll(
         self,
@@ -215,10 +244,11 @@
             if wait_ms:
                 engine.next_ms = now_ms + wait_ms
                 continue
-            model = next(m for m in engine.target.weights if m in desired_versions)
-            calls.append(
-                self._next_call(engine, model, desired_versions[model], now_ms)
-            )
+            call = self._next_call(engine, desired_versions, now_ms)
+            if call is None:
+                engine.enter(Phase.IDLE, now_ms)
+            else:
+                calls.append(call)
         return calls
 
     def next_ms(self) -> int | None:
@@ -265,7 +295,10 @@
                 e for e in engines if self._needs_load(e, desired_versions, now_ms)
             ]
             outdated.sort(
-                key=lambda e: (self._lowest_version(e), _work_key(loads, e.target.name))
+                key=lambda e: (
+                    -max(e.find_lags(desired_versions).values()),
+                    _work_key(loads, e.target.name),
+                )
             )
             for engine in outdated[: max(0, free_slots)]:
                 engine.enter(Phase.DRAINING, now_ms, DRAIN_MS)
@@ -278,21 +311,23 @@
         blocked_until_ms = max(engine.blocked_until_ms, engine.paused_until_ms)
         if engine.is_replaced or now_ms < blocked_until_ms:
             return False
-        weights = self.weights(engine.target)
-        return any(weights[m] < desired_versions.get(m, 0) for m in weights)
-
-    def _lowest_version(self, engine: _Engine) -> int:
-        """Return the lowest version, the sort key so that no engine is starved."""
-        return min(self.weights(engine.target).values())
+        return bool(engine.find_lags(desired_versions))
 
     def _next_call(
-        self, engine: _Engine, model: str, version: int, now_ms: int
-    ) -> HttpCall:
-        engine.call_pending = True
+        self, engine: _Engine, desired_versions: dict[str, int], now_ms: int
+    ) -> HttpCall | None:
+        """Return the next status request or order; None if no model is outdated."""
         name, address = engine.target.name, engine.target.address
         if engine.orders is None or engine.phase is not Phase.DRAINING:
+            engine.call_pending = True
             return self._protocol.build_status(STATUS_KEY + name, name, address)
-        engine.ordered_version = version
+        model = engine.select_model(desired_versions)
+        if model is None:
+            return None
+        version = desired_versions[model]
+        engine.call_pending = True
+        engine.ordered_model, engine.ordered_version = model, version
+        engine.ordered_ms[model] = now_ms
         order = LoadOrder(
             name,
             address,
@@ -306,6 +341,7 @@
         log_event(
             WEIGHTS_ORDERED,
             target=name,
+            model=model,
             version=version,
             fencing_token=self._fencing_token,
             expected_orders=engine.orders,
@@ -345,7 +381,7 @@
         engine.orders = status.orders
         engine.weights = dict(status.weights)
         engine.observed_ms = now_ms
-        running_version = min(status.weights.values(), default=0)
+        running_version = status.weights.get(engine.ordered_model, 0)
         if (
             engine.ordered_version
             and running_version >= engine.ordered_version
@@ -380,6 +416,7 @@
         log_event(
             WEIGHTS_LOADED,
             target=engine.target.name,
+            model=engine.ordered_model,
             version=engine.ordered_version,
             took_ms=now_ms - engine.since_ms,
         )
--- a/papayacrank/control/tests/test_rollout.py
+++ b/papayacrank/control/tests/test_rollout.py
@@ -32,9 +32,9 @@
 class SimulatedEngine:
     """Engine that loads weights in simulated time."""
 
-    def __init__(self, name, version=1):
+    def __init__(self, name, models=(MODEL,)):
         self.name = name
-        self.versions = {MODEL: version}
+        self.versions = dict.fromkeys(models, 1)
         self.orders = 0
         self.fencing_token = 0
         self.loading = None
@@ -49,20 +49,22 @@
         """Finish a load that is due."""
         is_due = self.loading is not None and now_ms >= self.loading[0]
         if is_due and not self.is_stuck:
-            self.versions = {MODEL: self.loading[1]}
+            self.versions = self.versions | self.loading[1]
             self.loading = None
 
     def handle_order(self, order, now_ms):
         """Return the outcome of an order."""
         if order.fencing_token < self.fencing_token:
             return OrderOutcome.FENCED
-        if self.versions[MODEL] == order.version:
+        if order.model not in self.versions:
+            return OrderOutcome.REFUSED
+        if self.versions[order.model] == order.version:
             return OrderOutcome.ALREADY_LOADED
         if self.loading or order.expected_orders != self.orders:
             return OrderOutcome.CONFLICT
         self.fencing_token = order.fencing_token
         self.orders += 1
-        self.loading = (now_ms + LOAD_MS, order.version)
+        self.loading = (now_ms + LOAD_MS, {order.model: order.version})
         return OrderOutcome.ACCEPTED
 
 
@@ -147,8 +149,9 @@
 class FleetSimulation:
     """Fleet controller with simulated engines; each call takes 5 ms."""
 
-    def __init__(self, count=9, delay_ms=0):
-        self.engines = {f"e{n}": SimulatedEngine(f"e{n}") for n in range(count)}
+    def __init__(self, count=9, delay_ms=0, models=(MODEL,)):
+        names = [f"e{n}" for n in range(count)]
+        self.engines = {name: SimulatedEngine(name, models) for name in names}
         self.protocol = FakeProtocol(self.engines)
         self.controller = FleetController(self.protocol, "leader", delay_ms)
         self.now_ms = 10_000
@@ -241,6 +244,69 @@
     assert sim.versions() == [5] * 9
 
 
+def test_each_model_of_an_engine_gets_its_new_weights():
+    """Guards against versions of one model that are taken for those of another."""
+    sim = FleetSimulation(6, models=("m1", "m2", "m3"))
+    sim.run(100)
+    sim.desired_versions = {"m1": 2}
+    sim.run(3_000)
+    assert all(t.weights["m2"] == 1 for t in sim.controller.targets)
+    sim.desired_versions = {"m1": 2, "m2": 7, "m3": 1}
+    sim.run(4_000)
+    expected = {"m1": 2, "m2": 7, "m3": 1}
+    assert [e.versions for e in sim.engines.values()] == [expected] * 6
+    assert [t.weights for t in sim.controller.targets] == [expected] * 6
+    assert [e.orders for e in sim.engines.values()] == [2] * 6
+
+
+def test_three_models_are_updated_within_the_limit():
+    """Guards against models that stay behind while orders for others go on."""
+    models = ("m1", "m2", "m3")
+    sim = FleetSimulation(6, models=models)
+    sim.run(100)
+    sim.desired_versions = dict.fromkeys(models, 2)
+    sim.run(8_000)
+    expected = dict.fromkeys(models, 2)
+    assert [e.versions for e in sim.engines.values()] == [expected] * 6
+    assert [e.orders for e in sim.engines.values()] == [3] * 6
+    assert sim.max_loading == 2
+
+
+def test_frequent_versions_of_one_model_do_not_starve_another():
+    """Guards against a model that waits until another one has no newer version."""
+    sim = FleetSimulation(3, models=("m1", "m2"))
+    sim.run(100)
+    for version in range(2, 8):
+        sim.desired_versions = {"m1": version, "m2": 2}
+        sim.run(1_200)
+    assert [e.versions["m2"] for e in sim.engines.values()] == [2] * 3
+
+
+def test_leader_change_between_the_orders_for_two_models():
+    """Guards against a second load, or none, by a new leader."""
+    sim = FleetSimulation(3, models=("m1", "m2"))
+    sim.run(100)
+    sim.desired_versions = {"m1": 2, "m2": 2}
+    sim.run(900)
+    sim.controller.reset(2, sim.now_ms)
+    sim.run(8_000)
+    assert [e.versions for e in sim.engines.values()] == [{"m1": 2, "m2": 2}] * 3
+    assert [e.orders for e in sim.engines.values()] == [2] * 3
+
+
+def test_model_that_an_engine_dropped_is_not_ordered():
+    """Guards against repeated orders, or none for other models, after a drop."""
+    sim = FleetSimulation(3, models=("m1", "m2"))
+    sim.run(100)
+    sim.desired_versions = {"m1": 2, "m2": 2}
+    sim.run(170)
+    for engine in sim.engines.values():
+        engine.versions.pop("m2")
+    sim.run(8_000)
+    assert [e.versions for e in sim.engines.values()] == [{"m1": 2}] * 3
+    assert max(e.orders for e in sim.engines.values()) == 1
+
+
 def test_idle_engines_are_loaded_first():
     """Guards against loads that disturb running requests although engines are idle."""
     sim = FleetSimulation()
--- a/papayacrank/forwarding/_events.py
+++ b/papayacrank/forwarding/_events.py
@@ -68,6 +68,13 @@
     "info",
     "A target refused a request and accepts none from this instance for a while.",
 )
+WEIGHTS_ASSUMED = LogEvent(
+    2114,
+    "weights_assumed",
+    "info",
+    "A target refused the version of its weights that the view shows; for some time it"
+    " is taken to run the named one.",
+)
 TARGET_LEAVING = LogEvent(
     2113,
     "target_says_leaving",
@@ -78,6 +85,7 @@
 declare_events(
     TARGET_PAUSED,
     TARGET_LEAVING,
+    WEIGHTS_ASSUMED,
     STORE_CHANGED,
     REQUEST_ENDED,
     ATTEMPT_FAILED,
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -46,6 +46,7 @@
     ROUTING_APPLIED,
     STORE_CHANGED,
     TARGET_LEAVING,
+    WEIGHTS_ASSUMED,
 )
 from ._forecast import QueueForecast
 from ._headers import CONNECTION_HEADERS, HeaderList, drop_headers
@@ -74,6 +75,9 @@
 # failure: machines start within 0.4 s; links, election and target list take 0.4 s.
 EXPECTED_START_MS = 1_000
 MIN_RETRY_AFTER_MS = 400
+# Time for which a refusal shows that a target runs the named version of its weights.
+# After it, the view of the leader is up to date.
+ASSUMED_WEIGHTS_MS = 2_000
 # Requests that arrive before readiness are held for this long, but for no more than
 # their deadline divided by START_WAIT_DIVISOR.
 START_WAIT_MS = 350
@@ -963,13 +967,21 @@
         model, name = job.request.model, attempt.target.name
         if model is None or metadata.target_name not in (None, name):
             return
-        version = metadata.weights_version
-        if version is None and metadata.wrong_target and metadata.target_name == name:
-            # The engine refuses the version that the table shows for it; assume that
-            # it runs the current one.
-            version = self._weights.get(model)
-        if version is not None:
-            self._table.observe_weights(name, model, version)
+        if metadata.weights_version is not None:
+            self._table.observe_weights(name, model, metadata.weights_version)
+            return
+        if not metadata.wrong_target or metadata.target_name != name:
+            return
+        # The engine refuses the version that the table shows for it; assume for some
+        # time that it runs the current one.
+        version = self._weights.get(model)
+        if version is not None and self._table.assume_weights(name, model, version):
+            log_event(WEIGHTS_ASSUMED, target=name, model=model, version=version)
+            self._timers.set(
+                f"assumed-weights {name} {model}",
+                self._clock.now_ms() + ASSUMED_WEIGHTS_MS,
+                lambda: self._table.forget_assumed_weights(name, model),
+            )
 
     def _apply_target_signals(self, job: Job, attempt: Attempt) -> None:
         """Apply the removal notice, pause or rate limit that a response carries."""
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -58,6 +58,8 @@
         self._newly_unreachable: set[str] = set()
         self._new_parts: list[PartLocation] = []
         self._observed_weights: dict[tuple[str, str], int] = {}
+        # Versions that were concluded from a refusal, which does not state one.
+        self._assumed_weights: dict[tuple[str, str], int] = {}
         # Name and start time of targets that announced their removal. They are kept
         # because a view may lag behind or come from a new leader that does not know.
         self._leaving: OrderedDict[tuple[str, int], None] = OrderedDict()
@@ -107,9 +109,9 @@
         self._names = {target.number: target.name for target in view.targets}
         self._targets = {t.name: self._with_observations(t) for t in view.targets}
         self._group_by_service()
-        self._observed_weights = {
-            k: v for k, v in self._observed_weights.items() if k[0] in self._targets
-        }
+        for versions in (self._observed_weights, self._assumed_weights):
+            for key in [k for k in versions if k[0] not in self._targets]:
+                del versions[key]
         self._own_loads = {
             n: o for n, o in self._own_loads.items() if o.running or n in self._targets
         }
@@ -140,16 +142,49 @@
         """Record the weights version of a response; return whether it is newer.
 
         A response may be ahead of the view during a leader change. Versions only
-        increase.
+        increase, so that a stated version also ends an assumption of another one.
+        """
+        key = (name, model)
+        is_assumed = self._assumed_weights.pop(key, version) != version
+        if version > self._observed_weights.get(key, 0):
+            self._observed_weights[key] = version
+        before = self._targets.get(name)
+        if before is None or (
+            not is_assumed and before.weights.get(model, version) >= version
+        ):
+            return False
+        self._refresh_target(name)
+        return self._targets[name].weights.get(model, 0) > before.weights.get(model, 0)
+
+    def assume_weights(self, name: str, model: str, version: int) -> bool:
+        """Record a version that a refusal suggests; return whether it is newer.
+
+        The assumption holds until the target states a version, refuses the assumed one
+        as well, or `forget_assumed_weights` is called.
         """
         target = self._targets.get(name)
-        if target is None or target.weights.get(model, version) >= version:
+        key = (name, model)
+        if target is None or key in self._assumed_weights:
+            self.forget_assumed_weights(name, model)
             return False
-        self._observed_weights[(name, model)] = version
-        self._targets[name] = self._with_observations(target)
-        self._group_by_service()
+        if target.weights.get(model, version) >= version:
+            return False
+        self._assumed_weights[key] = version
+        self._refresh_target(name)
         return True
 
+    def forget_assumed_weights(self, name: str, model: str) -> None:
+        """Use the version of the view and of responses again."""
+        if self._assumed_weights.pop((name, model), None) is not None:
+            self._refresh_target(name)
+
+    def _refresh_target(self, name: str) -> None:
+        """Build a target anew from the view and the observations."""
+        target = next((t for t in self._view.targets if t.name == name), None)
+        if target is not None:
+            self._targets[name] = self._with_observations(target)
+            self._group_by_service()
+
     def mark_leaving(self, name: str) -> bool:
         """Record that a target announced its removal; return whether that is new.
 
@@ -182,7 +217,11 @@
         if (target.name, target.born_ms) in self._leaving and not target.leaving:
             target = msgspec.structs.replace(target, leaving=True)
         weights = {
-            model: max(version, self._observed_weights.get((target.name, model), 0))
+            model: max(
+                version,
+                self._observed_weights.get((target.name, model), 0),
+                self._assumed_weights.get((target.name, model), 0),
+            )
             for model, version in target.weights.items()
         }
         if weights == target.weights:
--- a/papayacrank/forwarding/tests/test_forwarder.py
+++ b/papayacrank/forwarding/tests/test_forwarder.py
@@ -296,6 +296,37 @@
     assert caller.ended
 
 
+def send_with_refused_version(bench):
+    """Send a request whose expected version the engine refuses once."""
+    caller = bench.send("/appraise/x", tokens=100)
+    bench.respond(421, b"", server="e1")
+    return caller
+
+
+def test_version_concluded_from_a_refusal_expires():
+    """Guards against a wrong version that is expected as long as a target is listed."""
+    bench = Bench(build_target("e1", "engines"), weights={MODEL: 2})
+    caller = send_with_refused_version(bench)
+    bench.begin()
+    bench.event(1)
+    bench.end()
+    assert caller.ended
+    bench.advance(2_100)
+    bench.send("/appraise/x", tokens=100)
+    assert [d.weights_version for d in bench.protocol.dispatches] == [1, 2, 1]
+
+
+@pytest.mark.parametrize("stated", [{}, {"weights": 1}])
+def test_version_concluded_from_a_refusal_ends_with_the_next_response(stated):
+    """Guards against a concluded version that the target does not run either."""
+    bench = Bench(build_target("e1", "engines"), weights={MODEL: 2})
+    send_with_refused_version(bench)
+    bench.respond(421, b"", server="e1", **stated)
+    bench.send("/appraise/x", tokens=100)
+    assert bench.protocol.dispatches[1].weights_version == 2
+    assert bench.protocol.dispatches[-1].weights_version == 1
+
+
 def test_target_with_another_identity_is_not_used():
     """Guards against a request that runs at another service with a reused address."""
     bench = Bench(*ENGINES)
