Bound what all open responses of targets hold together

Cause here: each response had bounds, and so had all buffered bodies together, but incomplete events, heads, trailers and chunk extensions were in no sum. Besides, the response that got data when the sum was reached was ended, so that sound ones ended beside endless ones.

Why the fix works: one sum counts all that open responses hold, and the largest holder is ended when it is reached.

--- a/papayacrank/forwarding/_event_stream.py
+++ b/papayacrank/forwarding/_event_stream.py
@@ -45,9 +45,9 @@
         self._bytes_without_content = 0
 
     @property
-    def has_partial(self) -> bool:
-        """Whether the buffer holds an incomplete event."""
-        return bool(self._buffer)
+    def partial_bytes(self) -> int:
+        """Size of the incomplete event in the buffer."""
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes and return the events that they complete.
--- a/papayacrank/forwarding/_events.py
+++ b/papayacrank/forwarding/_events.py
@@ -81,11 +81,19 @@
     "info",
     "A response of a target announces its removal; it gets no further requests.",
 )
+RESPONSES_TOO_LARGE = LogEvent(
+    2115,
+    "responses_too_large",
+    "warning",
+    "All open responses of targets together reached the limit; the largest was ended.",
+    "Check the target at `address`: it may send bytes without end.",
+)
 
 declare_events(
     TARGET_PAUSED,
     TARGET_LEAVING,
     WEIGHTS_ASSUMED,
+    RESPONSES_TOO_LARGE,
     STORE_CHANGED,
     REQUEST_ENDED,
     ATTEMPT_FAILED,
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -1031,6 +1031,7 @@
             return
         try:
             events = attempt.splitter.feed(data)
+            call.held_bytes = attempt.splitter.partial_bytes
         except EventStreamError as error:
             self._port.cancel(call)
             self._on_incomplete_response(job, attempt, str(error))
@@ -1264,7 +1265,7 @@
                     self._record_location(location, now_ms)
 
     def _complete_stream(self, job: Job, attempt: Attempt) -> None:
-        if attempt.splitter.has_partial or not attempt.has_first_event:
+        if attempt.splitter.partial_bytes or not attempt.has_first_event:
             self._suspects.on_truncated(job, attempt)
             self._on_incomplete_response(job, attempt, "truncated_stream")
             return
--- a/papayacrank/forwarding/_target_port.py
+++ b/papayacrank/forwarding/_target_port.py
@@ -12,7 +12,7 @@
 from circuits.core.pollers import BasePoller
 from circuits.core.utils import findcmp
 
-from papayacrank.kernel import Clock
+from papayacrank.kernel import Clock, log_event
 from papayacrank.transport import (
     Connection,
     ConnectionState,
@@ -21,6 +21,7 @@
     encode_request,
 )
 
+from ._events import RESPONSES_TOO_LARGE
 from ._headers import HeaderList
 
 # Targets complete a handshake within a few milliseconds. Several lost packets in a row
@@ -47,9 +48,10 @@
 # Limits on stale responses, which belong to earlier requests and precede the response.
 MAX_STALE_RESPONSES = 4
 MAX_STALE_BYTES = 256 * 1024
-# Limit on all bodies buffered at the same time. An instance has 128 MB of memory, of
-# which an idle process uses 40 MB.
-MAX_BUFFERED_BYTES = 24 * 1024 * 1024
+# Limit on what all open responses hold at the same time: unparsed bytes, buffered
+# bodies and incomplete events. An instance has 128 MB of memory, of which an idle
+# process uses 40 MB.
+MAX_HELD_BYTES = 24 * 1024 * 1024
 # Number of h11 events of one connection that are handled in one iteration of the event
 # loop, which takes about 1 ms, and the delay before the next ones are handled.
 MAX_EVENTS_PER_TURN = 64
@@ -128,6 +130,9 @@
         attempt of the same request could not be distinguished from one to this.
     is_buffered : bool
         Whether the listener buffers the body until it is complete.
+    held_bytes : int
+        Bytes of a body that is not buffered which the listener holds, such as an
+        incomplete event.
     send_before_ms : int or None
         Time from which the request must not be sent any more, because its permit has
         expired, for example while the process was suspended.
@@ -152,6 +157,7 @@
     max_connections: int = 64
     needs_new_connection: bool = False
     is_buffered: bool = False
+    held_bytes: int = 0
     send_before_ms: int | None = None
     state: Any = None
     bytes_written: bool = False
@@ -182,6 +188,7 @@
         self.call = call
         self.reusable = True
         self.body_bytes = 0
+        self.held_bytes = 0
         self.event_count = 0
         self.interim_responses = 0
         self.stale_responses = 0
@@ -215,7 +222,7 @@
         self._by_call: dict[TargetCall, _HttpConnection] = {}
         self._connection_counts: dict[str, int] = {}
         self._pool = IdlePool(MAX_IDLE_PER_TARGET, MAX_IDLE)
-        self._buffered_bytes = 0
+        self._held_bytes = 0
         self._numbers = itertools.count(1)
 
     @property
@@ -223,6 +230,11 @@
         """Number of connections, including idle ones."""
         return len(self._connections)
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes that all open responses hold."""
+        return self._held_bytes
+
     def submit(self, call: TargetCall) -> None:
         """Send a request; the listener may be called before this method returns."""
         if self._poller is None:
@@ -248,7 +260,7 @@
         if connection is not None:
             connection.call = None
             self._close(connection)
-            self._release_buffer(connection, call)
+            self._release_held(connection)
 
     def drop_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
@@ -416,6 +428,33 @@
         except ResponseLimitError as error:
             failure = CallFailure("answer_too_large", call.bytes_written, str(error))
             self._drop(connection, failure)
+        else:
+            self._limit_held_bytes(connection, call)
+
+    def _limit_held_bytes(self, connection: _HttpConnection, call: TargetCall) -> None:
+        """Update what a response holds; end the largest one if all hold too much.
+
+        Ending the response that received data last would end sound ones beside others
+        that never end.
+        """
+        if connection.call is not call:
+            return
+        held = len(connection.protocol.trailing_data[0]) + call.held_bytes
+        if call.is_buffered and connection.state is not ConnectionState.ENDING:
+            held += connection.body_bytes
+        self._held_bytes += held - connection.held_bytes
+        connection.held_bytes = held
+        while self._held_bytes > MAX_HELD_BYTES:
+            largest = max(self._by_call.values(), key=lambda c: c.held_bytes)
+            message = "all open responses together are too large"
+            log_event(
+                RESPONSES_TOO_LARGE,
+                address=largest.address,
+                bytes=largest.held_bytes,
+                all_bytes=self._held_bytes,
+            )
+            may_have_run = largest.call.bytes_written
+            self._drop(largest, CallFailure("answer_too_large", may_have_run, message))
 
     def _process_events(self, connection: _HttpConnection, call: TargetCall) -> None:
         """Handle parsed events, up to the limit of one loop iteration."""
@@ -476,12 +515,6 @@
                 raise ResponseLimitError("responses to earlier requests are too large")
             return
         connection.body_bytes += len(data)
-        if call.is_buffered:
-            self._buffered_bytes += len(data)
-            if self._buffered_bytes > MAX_BUFFERED_BYTES:
-                raise ResponseLimitError(
-                    "buffered bodies of all open responses are too large"
-                )
         if connection.body_bytes > MAX_RESPONSE_BODY_BYTES:
             raise ResponseLimitError("response body is too large")
         call.listener.on_data(call, data)
@@ -498,11 +531,10 @@
         elif now_ms - connection.head_started_ms > HEAD_TIMEOUT_MS:
             raise ResponseLimitError("response head timed out")
 
-    def _release_buffer(self, connection: _HttpConnection, call: TargetCall) -> None:
-        """Subtract a body that its listener no longer buffers."""
-        if call.is_buffered:
-            self._buffered_bytes -= connection.body_bytes
-        connection.body_bytes = 0
+    def _release_held(self, connection: _HttpConnection) -> None:
+        """Subtract what a response held that has ended."""
+        self._held_bytes -= connection.held_bytes
+        connection.held_bytes = 0
 
     def _process_head(
         self, connection: _HttpConnection, call: TargetCall, event
@@ -528,7 +560,7 @@
         connection.call = None
         call.is_open = False
         call.ended_by_close = connection.has_eof
-        self._release_buffer(connection, call)
+        self._release_held(connection)
         self._release(connection)
         call.listener.on_ended(call)
 
@@ -581,7 +613,7 @@
         connection.call = None
         self._by_call.pop(call, None)
         self._close(connection)
-        self._release_buffer(connection, call)
+        self._release_held(connection)
         self._fail(call, failure)
 
     @staticmethod
--- a/papayacrank/platform/tests/test_faulty_servers.py
+++ b/papayacrank/platform/tests/test_faulty_servers.py
@@ -7,6 +7,9 @@
 
 import pytest
 
+from papayacrank.forwarding import _target_port as target_port
+from papayacrank.transport._connection import RECEIVE_BYTES
+
 from .faulty_servers import (
     Entry,
     build_answer,
@@ -53,6 +56,32 @@
     return script, script
 
 
+def test_streams_with_endless_events_hold_a_bounded_total(monkeypatch):
+    """Guards against incomplete events of many streams that exhaust memory together."""
+    limit = 1_000_000
+    monkeypatch.setattr(target_port, "MAX_HELD_BYTES", limit)
+    held = []
+
+    def serve_endless_event(sock, data, number):
+        sock.sendall(build_stream_head(request_id_of(data)) + chunk(build_event(1)))
+        while True:
+            sock.sendall(chunk(b"data: " + b"x" * 20_000))
+            time.sleep(0.02)
+
+    with (
+        Entry(*[serve_endless_event] * 8, service="engines") as entry,
+        ThreadPoolExecutor(16) as pool,
+    ):
+        replies = [
+            pool.submit(entry.ask, "/reply/x", deadline_ms=2_000) for _ in range(16)
+        ]
+        while not all(reply.done() for reply in replies):
+            held.append(entry.port.held_bytes)
+            time.sleep(0.002)
+    assert limit / 2 < max(held) <= limit + RECEIVE_BYTES
+    assert entry.port.held_bytes == 0
+
+
 HTML = b"<html>\n\n<h1>out of order</h1>\n\nid: 2\ndata: x\n\n</html>\n\n"
 ID = b"Papayacrank-Request-Id: %s\r\n"
 SEAL = b"Papayacrank-Server-Seal: s\r\n"
