Check the start of a target before a stream goes on there

But the release of a target was known by its name, and a server may restart under its id with another version, which the list shows later.

Why the fix works: the release of one start never changes and a connection does not outlive its process. A stream goes on only over a connection on which the target has stated the start that the view shows. An instance out of step continues no stream whose connection is younger than its last contact, and streams begun before a restart was seen are reported as uncertain.

Open: a begin at such a server that is taken up within about 2.5 s.

--- a/papayacrank/control/_contact.py
+++ b/papayacrank/control/_contact.py
@@ -218,6 +218,11 @@
         own = self._instances_by_name.get(self._settings.instance)
         return own is not None and own.status == "draining"
 
+    @property
+    def contacted_ms(self) -> int | None:
+        """Time of the last contact with the leader; None before the first one."""
+        return self._contact_from_ms
+
     def has_contact(self, now_ms: int) -> bool:
         """Return whether keys may be used at `now_ms`."""
         if self._contact_from_ms is None:
--- a/papayacrank/forwarding/__init__.py
+++ b/papayacrank/forwarding/__init__.py
@@ -7,6 +7,7 @@
     ForwardRequest,
     PromptPart,
     ResponseMetadata,
+    StartQuery,
 )
 from ._forwarder import Forwarder, ForwardingSettings
 from ._headers import CONNECTION_HEADERS, HeaderList, drop_headers
@@ -25,5 +26,6 @@
     "ForwardingSettings",
     "HeaderList",
     "PromptPart",
+    "StartQuery",
     "drop_headers",
 ]
--- a/papayacrank/forwarding/_base.py
+++ b/papayacrank/forwarding/_base.py
@@ -175,6 +175,15 @@
     body: bytes = b""
 
 
+@dataclass(frozen=True, slots=True)
+class StartQuery:
+    """Request by which a target states when it was started."""
+
+    method: str
+    target: str
+    headers: HeaderList
+
+
 class CallerProtocol(ABC):
     """Interface of the HTTP representation used by callers and targets."""
 
@@ -190,6 +199,14 @@
     def read_response(self, status: int, headers: HeaderList) -> ResponseMetadata:
         """Parse the head of a target's response."""
 
+    def build_start_query(self, target_name: str) -> StartQuery | None:
+        """Return the request for the start time of a target; None if there is none."""
+        return None
+
+    def read_start(self, status: int, body: bytes) -> int | None:
+        """Return the start time in a response to a `StartQuery`, None if unknown."""
+        return None
+
     @abstractmethod
     def build_failure(self, failure: Failure, request_id: str) -> CallerResponse:
         """Return the response that reports a failure."""
--- a/papayacrank/forwarding/_continuity.py
+++ b/papayacrank/forwarding/_continuity.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from papayacrank.releases import (
+    VIEW_LAG_MS,
     ReleaseDecision,
     ReleaseOutcome,
     ReleasePort,
@@ -11,6 +12,10 @@
 
 from ._job import Attempt, Job
 
+# Age of the last contact up to which an instance is in step; heartbeats are more
+# frequent.
+IN_STEP_MS = 1_500
+
 
 class StreamContinuity:
     """Finds and keeps the release of each stream.
@@ -23,16 +28,36 @@
     ----------
     releases : ReleasePort
         Streams and releases as known by the leader.
+    contacted_ms : callable, optional
+        Returns when this instance was last in step with the leader, in milliseconds;
+        None before that.
     """
 
-    def __init__(self, releases: ReleasePort):
+    def __init__(
+        self,
+        releases: ReleasePort,
+        contacted_ms: Callable[[], int | None] = lambda: None,
+    ):
         self._releases = releases
+        self._contacted_ms = contacted_ms
 
     @staticmethod
     def needs_release(job: Job) -> bool:
         """Whether a request takes up a stream whose release is not known yet."""
         return job.release is None and job.request.resume_after is not None
 
+    def is_begin_certain(self, job: Job, now_ms: int) -> bool:
+        """Whether the target that began a stream had the release that the view shows.
+
+        While this instance is out of step, a target may have restarted with another
+        release before the connection of the stream was opened.
+        """
+        contacted_ms = self._contacted_ms()
+        if job.begun_on_ms is None or contacted_ms is None:
+            return True
+        is_in_step = now_ms - contacted_ms <= IN_STEP_MS
+        return is_in_step or job.begun_on_ms + VIEW_LAG_MS <= contacted_ms
+
     def find_release(
         self,
         job: Job,
@@ -67,12 +92,15 @@
         """Note the release that begins a stream."""
         if job.release is not None:
             return
-        job.release = attempt.target.release
+        target = attempt.target
+        job.release = target.release
+        job.begun_on_ms = attempt.call.opened_ms
         if job.route.resumable:
             self._releases.on_begun(
                 name_stream(job.workspace_name, job.request.request_id),
                 job.service.name,
                 job.release,
+                (target.name, target.born_ms),
             )
 
     @staticmethod
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -60,7 +60,13 @@
 from ._routes import RouteIndex
 from ._selection import RETRY_JITTER, TargetSelection
 from ._suspects import SuspectTracker
-from ._target_port import CallFailure, CallListener, TargetCall, TargetPort
+from ._target_port import (
+    CallFailure,
+    CallListener,
+    StartCheck,
+    TargetCall,
+    TargetPort,
+)
 from ._targets import TargetTable
 from ._unidentified import UnidentifiedResponses
 
@@ -535,6 +541,10 @@
 
     def _knows_release(self, job: Job) -> bool:
         """Whether targets for a request are known; otherwise find out or refuse it."""
+        if not self._continuity.is_begin_certain(job, self._clock.now_ms()):
+            text = "the release that began the stream is not certain"
+            self._give_up(job, "unknown_release", text)
+            return False
         if not self._continuity.needs_release(job):
             return True
         self._continuity.find_release(
@@ -689,6 +699,7 @@
             self._connection_limit(job),
             needs_new_connection=self._needs_new_connection(job, target, now_ms),
             send_before_ms=permit.until_ms if permit is not None else None,
+            start_check=self._build_start_check(job, target),
             state=job,
         )
         job.sent_to.add(target.address)
@@ -718,6 +729,25 @@
             self._metrics.on_sent_to_limited(job.service.name)
         self._port.submit(call)
 
+    def _build_start_check(self, job: Job, target: FleetTarget) -> StartCheck | None:
+        """Return the check of a target at which a stream goes on.
+
+        A target may have restarted with another release since the view was built.
+        """
+        if job.release is None or not target.born_ms:
+            return None
+        query = self._protocol.build_start_query(target.name)
+        if query is None:
+            return None
+        return StartCheck(
+            target.name,
+            target.born_ms,
+            query.method,
+            query.target,
+            query.headers,
+            self._protocol.read_start,
+        )
+
     def _build_dispatch(
         self, job: Job, choice: Choice, store: ServiceProfile | None, remaining_ms: int
     ) -> tuple[Dispatch, str]:
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -150,6 +150,9 @@
         Last forecast of the time in the queue of an engine, in milliseconds.
     release : str or None
         Release that began the stream of the request; None before its first event.
+    begun_on_ms : int or None
+        Time at which the connection was opened that brought the first event of the
+        stream; None if another request began it.
     is_begun : bool
         Whether any response to the request was written past its beginning.
     crashes : int
@@ -186,6 +189,7 @@
     limited_targets: list[str] = field(default_factory=list)
     forecast_wait_ms: int = 0
     release: str | None = None
+    begun_on_ms: int | None = None
     is_begun: bool = False
     crashes: int = 0
     trial: int = 0
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -196,7 +196,7 @@
             self._quota,
             self._permits,
             SuspectTracker(self._quarantine, address_check, self._clock),
-            StreamContinuity(self._releases),
+            StreamContinuity(self._releases, lambda: self._contact.contacted_ms),
             self._clock,
             self._timers,
             self._random,
@@ -396,6 +396,7 @@
     def _on_fleet(self, view: FleetView) -> None:
         if not self._forwarder.apply_fleet(view):
             return
+        self._releases.observe_targets(view.targets)
         self._releases.set_mixed(view.mixed)
         self._contact.set_fleet_position(view.term, view.sequence)
         self._leader_hint.extend(view.control)
@@ -425,7 +426,7 @@
         self._update_contact(now_ms)
         self._permits.poll(self._contact.term)
         self._quarantine.poll(self._contact.term)
-        self._releases.poll(self._contact.term)
+        self._releases.poll(self._contact.term, self._contact.contacted_ms)
         if self._shares.needs_report(now_ms):
             self._control.send_heartbeat()
         if self._ticks % SWEEP_TICKS == 0:
--- a/papayacrank/forwarding/_target_port.py
+++ b/papayacrank/forwarding/_target_port.py
@@ -4,6 +4,7 @@
 import itertools
 import socket
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -66,8 +67,8 @@
     ----------
     code : str
         ``"connect_failed"``, ``"connect_timeout"``, ``"connection_lost"``,
-        ``"malformed_answer"``, ``"answer_too_large"``, ``"too_many_connections"`` or
-        ``"permit_expired"``.
+        ``"malformed_answer"``, ``"answer_too_large"``, ``"too_many_connections"``,
+        ``"permit_expired"`` or ``"other_start"``.
     may_have_run : bool
         Whether any byte of the request was handed to the operating system.
     message : str
@@ -79,6 +80,33 @@
     message: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class StartCheck:
+    """Check that the process at an address is a known start of a target.
+
+    A connection cannot outlive the process that accepted it, so each connection is
+    checked once, before the first call that needs it.
+
+    Parameters
+    ----------
+    name : str
+        Name of the target.
+    started_ms : int
+        Start time of the target as listed, in milliseconds.
+    method, target, headers : str, str, list of (bytes, bytes)
+        Request for the start time, without framing headers.
+    read_start : callable
+        Returns the start time for the status and body of the response, or None.
+    """
+
+    name: str
+    started_ms: int
+    method: str
+    target: str
+    headers: HeaderList
+    read_start: Callable[[int, bytes], int | None]
+
+
 class CallListener(ABC):
     """Callback interface for the response to a call."""
 
@@ -136,6 +164,10 @@
     send_before_ms : int or None
         Time from which the request must not be sent any more, because its permit has
         expired, for example while the process was suspended.
+    start_check : StartCheck or None
+        Check of the process at the address before the request is sent.
+    opened_ms : int or None
+        Time at which the connection of the call was opened, once it was sent.
     state : object
         Data of the listener.
     bytes_written : bool
@@ -159,6 +191,8 @@
     is_buffered: bool = False
     held_bytes: int = 0
     send_before_ms: int | None = None
+    start_check: StartCheck | None = None
+    opened_ms: int | None = None
     state: Any = None
     bytes_written: bool = False
     is_open: bool = True
@@ -179,6 +213,9 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self.call: TargetCall | None = None
+        self.opened_ms = 0
+        # Name and start time of the target that was checked on this connection.
+        self.checked_start: tuple[str, int] | None = None
         self.max_idle_ms = DEFAULT_IDLE_TIMEOUT_MS
         self.reusable = True
         self.begin_call(None)
@@ -220,6 +257,8 @@
         self._poller: BasePoller | None = None
         self._connections: dict[object, _HttpConnection] = {}
         self._by_call: dict[TargetCall, _HttpConnection] = {}
+        # Check in progress by the call that waits for it.
+        self._checks: dict[TargetCall, TargetCall] = {}
         self._connection_counts: dict[str, int] = {}
         self._pool = IdlePool(MAX_IDLE_PER_TARGET, MAX_IDLE)
         self._held_bytes = 0
@@ -244,7 +283,7 @@
             connection = self._take_idle(call.address)
         if connection is not None:
             call.reused = True
-            self._send(connection, call)
+            self._begin(connection, call)
             return
         if self._connection_counts.get(call.address, 0) >= call.max_connections:
             call.is_open = False
@@ -256,6 +295,9 @@
     def cancel(self, call: TargetCall) -> None:
         """Cancel a call and close its connection; its listener is not called again."""
         call.is_open = False
+        check = self._checks.pop(call, None)
+        if check is not None:
+            self.cancel(check)
         connection = self._by_call.pop(call, None)
         if connection is not None:
             connection.call = None
@@ -317,8 +359,49 @@
         if call is not None and connection.state is ConnectionState.CONNECTING:
             self._drop(connection, CallFailure("connect_timeout", False))
 
+    def _begin(self, connection: _HttpConnection, call: TargetCall) -> None:
+        """Send a call, after the check that it needs."""
+        needed = call.start_check
+        if needed is None or connection.checked_start == (
+            needed.name,
+            needed.started_ms,
+        ):
+            self._send(connection, call)
+            return
+        self._by_call.pop(call, None)
+        check = TargetCall(
+            call.address,
+            needed.method,
+            needed.target,
+            needed.headers,
+            b"",
+            _StartCheckListener(self, connection, call),
+            is_buffered=True,
+            send_before_ms=call.send_before_ms,
+        )
+        self._checks[call] = check
+        self._send(connection, check)
+
+    def finish_start_check(
+        self,
+        connection: _HttpConnection,
+        call: TargetCall,
+        failure: CallFailure | None,
+    ) -> None:
+        """Send the call that waited for a check, or report why it was not sent."""
+        self._checks.pop(call, None)
+        if failure is None and not self._pool.remove(connection):
+            failure = CallFailure("connection_lost", False, "closed after the check")
+        if failure is not None:
+            self._fail(call, failure)
+            return
+        needed = call.start_check
+        connection.checked_start = (needed.name, needed.started_ms)
+        self._send(connection, call)
+
     def _send(self, connection: _HttpConnection, call: TargetCall) -> None:
         connection.begin_call(call)
+        call.opened_ms = connection.opened_ms
         connection.state = ConnectionState.BUSY
         self._by_call[call] = connection
         limit_ms = call.send_before_ms
@@ -363,7 +446,8 @@
             self._drop(connection, CallFailure("connect_failed", False, str(error)))
             return
         self._poller.addReader(self, sock)
-        self._send(connection, connection.call)
+        connection.opened_ms = self._clock.now_ms()
+        self._begin(connection, connection.call)
 
     @handler("_read")
     def _on_read(self, sock):
@@ -633,6 +717,44 @@
         connection.close()
 
 
+class _StartCheckListener(CallListener):
+    """Receives the response to the check that a call waits for."""
+
+    def __init__(self, port: TargetPort, connection: _HttpConnection, call: TargetCall):
+        self._port = port
+        self._connection = connection
+        self._call = call
+        self._status = 0
+        self._body = bytearray()
+
+    def matches_call(self, call, status, headers) -> bool:
+        """Accept each response; one to an earlier request states no start time."""
+        return True
+
+    def on_response(self, call, status, headers) -> None:
+        """Note the status."""
+        self._status = status
+
+    def on_data(self, call, data) -> None:
+        """Collect the body."""
+        self._body += data
+
+    def on_ended(self, call) -> None:
+        """Compare the start time."""
+        needed = self._call.start_check
+        started_ms = needed.read_start(self._status, bytes(self._body))
+        failure = None
+        if started_ms != needed.started_ms:
+            text = f"started at {started_ms}, not {needed.started_ms}"
+            failure = CallFailure("other_start", False, text)
+        self._port.finish_start_check(self._connection, self._call, failure)
+
+    def on_failed(self, call, failure) -> None:
+        """Report that the check got no response."""
+        failed = CallFailure(failure.code, False, failure.message)
+        self._port.finish_start_check(self._connection, self._call, failed)
+
+
 def _timer(connection: _HttpConnection) -> str:
     return f"target-port:{connection.number}"
 
--- a/papayacrank/forwarding/tests/builders.py
+++ b/papayacrank/forwarding/tests/builders.py
@@ -12,6 +12,7 @@
     ForwardRequest,
     PromptPart,
     ResponseMetadata,
+    StartQuery,
 )
 from papayacrank.forwarding._continuity import StreamContinuity
 from papayacrank.forwarding._quota import QuotaEnforcer
@@ -153,6 +154,10 @@
             read_rate_statement([known["rate"]] if "rate" in known else []),
         )
 
+    def build_start_query(self, target_name):
+        """Return a request for the start time."""
+        return StartQuery("GET", "/start", [(b"host", target_name.encode())])
+
     def build_failure(self, failure, request_id):
         """Return code, verdict and retry time as headers."""
         headers = [
--- a/papayacrank/forwarding/tests/test_continuity.py
+++ b/papayacrank/forwarding/tests/test_continuity.py
@@ -149,3 +149,36 @@
     bench.event(1, call=second)
     assert caller.body == b""
     assert second in bench.port.cancelled
+
+
+@pytest.mark.parametrize(
+    ("opened_ms_ago", "contact_ms_ago", "goes_on"),
+    [(0, 100, True), (0, 2_000, False), (10_000, 2_000, True), (4_000, 2_000, False)],
+)
+def test_stream_that_began_out_of_step_does_not_go_on(
+    bench, opened_ms_ago, contact_ms_ago, goes_on
+):
+    """Guards against a release taken from a view that was too old at the begin."""
+    now_ms = bench.clock.now_ms()
+    bench.forwarder._continuity._contacted_ms = lambda: now_ms - contact_ms_ago
+    caller = bench.send("/reply/x", tokens=10)
+    bench.call.opened_ms = now_ms - opened_ms_ago
+    bench.begin()
+    bench.event(1)
+    bench.fail()
+    assert (len(bench.port.calls) == 2) == goes_on
+    assert caller.aborted != goes_on
+
+
+def test_stream_goes_on_only_at_a_checked_start_of_a_target(bench):
+    """Guards against a target that restarted with another release under its name."""
+    targets = [
+        build_target(f"e{n}", "engines", born_ms=n, release="v1") for n in (1, 2)
+    ]
+    bench.forwarder.apply_fleet(build_view(*targets, sequence=2))
+    open_stream(bench)
+    assert bench.call.start_check is None
+    bench.fail()
+    check = bench.call.start_check
+    target = bench.call.state.attempt.target
+    assert (check.name, check.started_ms) == (target.name, target.born_ms)
--- a/papayacrank/forwarding/tests/test_target_port.py
+++ b/papayacrank/forwarding/tests/test_target_port.py
@@ -12,7 +12,12 @@
 from structlog.testing import capture_logs
 
 from papayacrank.forwarding import _target_port as port_module
-from papayacrank.forwarding._target_port import CallListener, TargetCall, TargetPort
+from papayacrank.forwarding._target_port import (
+    CallListener,
+    StartCheck,
+    TargetCall,
+    TargetPort,
+)
 from papayacrank.kernel import MonotonicClock
 from papayacrank.testing import ScriptedTarget, build_endless_script
 from papayacrank.transport import Timers, install_process_handlers
@@ -306,6 +311,62 @@
     assert target.connections == 2
 
 
+# Checks of the start time
+
+START = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+
+
+def serve_start(started_ms):
+    """Return a script that states a start time and serves other requests."""
+
+    def script(sock, data, number):
+        if data.startswith(b"GET /start"):
+            sock.sendall(START % (len(started_ms), started_ms))
+        else:
+            sock.sendall(OK % request_id_of(data))
+
+    return script
+
+
+def build_start_check(started_ms=7):
+    """Return a check of a target."""
+    headers = [(b"host", b"h")]
+    return StartCheck("t", started_ms, "GET", "/start", headers, lambda s, b: int(b))
+
+
+def test_each_connection_is_checked_once(bench):
+    """Guards against requests to a process that took over the name of a target."""
+    target = ScriptedTarget(serve_start(b"7"))
+    for request_id in ("a", "b"):
+        outcome = bench.run(target.address, request_id, start_check=build_start_check())
+        assert outcome == (request_id, "ended", True)
+    assert (target.connections, len(target.requests)) == (1, 3)
+
+
+def test_call_is_not_sent_to_another_start_of_a_target(bench):
+    """Guards against a stream that goes on at a target with another release."""
+    target = ScriptedTarget(serve_start(b"8"))
+    outcome = bench.run(target.address, "a", start_check=build_start_check())
+    assert outcome == ("a", "other_start", False)
+    assert all(data.startswith(b"GET /start") for data in target.requests)
+
+
+@pytest.mark.parametrize("response", [b"", b"no response\r\n\r\n"])
+def test_call_is_not_sent_after_a_check_without_a_response(bench, response):
+    """Guards against a request that is sent although nothing is known."""
+
+    def script(sock, data, number):
+        sock.sendall(response)
+        sock.close()
+
+    target = ScriptedTarget(script)
+    name, code, may_have_run = bench.run(
+        target.address, "a", start_check=build_start_check()
+    )
+    assert code in ("connection_lost", "malformed_answer")
+    assert not may_have_run
+
+
 # Endless responses
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nid: a\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/papayacrank/platform/_caller_protocol.py
+++ b/papayacrank/platform/_caller_protocol.py
@@ -12,6 +12,7 @@
     HeaderList,
     PromptPart,
     ResponseMetadata,
+    StartQuery,
     drop_headers,
 )
 from papayacrank.kernel import Failure, Verdict
@@ -19,6 +20,8 @@
 
 from ._signals import has_leaving_header, read_pause_ms, read_rate
 
+REPORT_PATH = "/v1/report"
+OK = 200
 REQUEST_ID = b"papayacrank-request-id"
 DEADLINE_MS = b"papayacrank-deadline-ms"
 API_KEY = b"x-api-key"
@@ -149,6 +152,21 @@
             rate=read_rate(pairs),
         )
 
+    def build_start_query(self, target_name: str) -> StartQuery | None:
+        """Return the request for the report of a server."""
+        headers = [(b"host", b"server"), (EXPECT_INSTANCE, target_name.encode())]
+        return StartQuery("GET", REPORT_PATH, headers)
+
+    def read_start(self, status: int, body: bytes) -> int | None:
+        """Return the start time in the report of a server, None if it has none."""
+        try:
+            report = json.loads(body) if status == OK else None
+        except ValueError:
+            return None
+        started_ms = report.get("born") if isinstance(report, dict) else None
+        is_number = isinstance(started_ms, int) and not isinstance(started_ms, bool)
+        return started_ms if is_number else None
+
     def build_failure(self, failure: Failure, request_id: str) -> CallerResponse:
         """Return the response that reports a failure."""
         body = {
--- a/papayacrank/platform/tests/crashing_engine.py
+++ b/papayacrank/platform/tests/crashing_engine.py
@@ -54,6 +54,8 @@
         self._version = 1
         self._orders = 0
         self._born = 1_700_000_000_000
+        self._stale_entry = None
+        self._down_s = DOWN_S
         self._server = None
         self._port = 0
         self._writers = set()
@@ -63,7 +65,7 @@
 
     def entry(self):
         """Return the entry of the engine in the target list."""
-        return {
+        return self._stale_entry or {
             "id": self.name,
             "service": self.service,
             "address": f"127.0.0.1:{self._port}",
@@ -79,6 +81,26 @@
         """Crash for a cause outside the requests."""
         self._run(self._crash(""))
 
+    def upgrade(self, release, down_s=0.1):
+        """Restart with another release under the same id; the list does not show it.
+
+        Parameters
+        ----------
+        release : str
+            Release after the restart.
+        down_s : float
+            Time in s for which the engine is down.
+        """
+        self._stale_entry = self.entry()
+        self._down_s = down_s
+        self.crash()
+        self.release = release
+        time.sleep(down_s + 0.1)
+
+    def update_list(self):
+        """Let the list show the engine as it is."""
+        self._stale_entry = None
+
     def reset_connections(self):
         """Reset all connections and keep on accepting new ones."""
         self._loop.call_soon_threadsafe(self._close_all)
@@ -116,7 +138,9 @@
         self._server.close()
         self.resets = not self.resets
         self._close_all()
-        self._loop.call_later(DOWN_S, lambda: self._loop.create_task(self._restart()))
+        self._loop.call_later(
+            self._down_s, lambda: self._loop.create_task(self._restart())
+        )
 
     async def _restart(self):
         self._born += 5_000
--- a/papayacrank/platform/tests/test_releases.py
+++ b/papayacrank/platform/tests/test_releases.py
@@ -1,6 +1,7 @@
 """Integration tests of streams while servers of two software versions serve."""
 
 import http.client
+import signal
 import threading
 import time
 from dataclasses import dataclass, field
@@ -116,14 +117,19 @@
             engine.close()
 
 
-def add_new_servers(platform):
+def add_new_servers_at(platform, ip):
+    """Add the servers of the new version, and wait until one instance uses them."""
+    add_new_servers(platform, (ip,))
+
+
+def add_new_servers(platform, ips=IPS):
     """Add the servers of the new version, and wait until they serve."""
     platform.cloud.servers = [*platform.plain, *platform.engines]
     deadline = time.monotonic() + 8
     number = 0
     while time.monotonic() < deadline:
         stream = Stream(platform, 10_000 + number)
-        stream.attempt(IPS[number % 3], 1.0, events=1)
+        stream.attempt(ips[number % len(ips)], 1.0, events=1)
         if stream.events and stream.events[0][1] == NEW:
             return
         number += 1
@@ -148,6 +154,14 @@
     return streams
 
 
+def freeze_entry(platform, ip, duration_s):
+    """Suspend an entry process for some time."""
+    process = platform.processes[("entry", ip)]
+    process.send_signal(signal.SIGSTOP)
+    time.sleep(duration_s)
+    process.send_signal(signal.SIGCONT)
+
+
 def restart_all(platform):
     """Kill all processes at once, and start them again."""
     for process in platform.processes.values():
@@ -233,3 +247,57 @@
     streams = run_streams(platform, lambda: restart_all(platform))
     assert_no_stream_is_joined(streams)
     assert share_of_taken_up(streams) == 1.0
+
+
+@pytest.mark.prove
+@pytest.mark.parametrize("restarts", [False, True])
+def test_stream_is_not_joined_at_an_instance_that_is_out_of_step(platform, restarts):
+    """Guards against an instance that does not know of the servers of a new version."""
+
+    def disturb():
+        stalled = threading.Thread(target=freeze_entry, args=(platform, IPS[1], 3.0))
+        stalled.start()
+        add_new_servers_at(platform, IPS[2])
+        if restarts:
+            kill_entry(platform, IPS[1])
+        kill_entry(platform, IPS[0])
+        for engine in platform.engines[2:]:
+            engine.reset_connections()
+        stalled.join()
+
+    streams = run_streams(platform, disturb)
+    assert_no_stream_is_joined(streams)
+    assert sum(s.is_whole for s in streams) >= STREAMS / 2
+
+
+@pytest.mark.prove
+def test_stream_does_not_go_on_at_a_server_with_the_same_id_and_another_release(
+    platform,
+):
+    """Guards against a restart with another release that the list does not show yet."""
+    first, second = platform.engines[:2]
+
+    def disturb():
+        second.upgrade(NEW)
+        time.sleep(0.3)
+        first.crash()
+        time.sleep(2.0)
+        second.update_list()
+
+    streams = run_streams(platform, disturb)
+    assert_no_stream_is_joined(streams)
+
+
+@pytest.mark.prove
+def test_stream_goes_on_at_a_server_with_the_same_id_and_release(platform):
+    """Guards against streams that end because each restart makes a server doubtful."""
+    first, second = platform.engines[:2]
+
+    def disturb():
+        second.upgrade(OLD)
+        second.update_list()
+        time.sleep(2.5)
+
+    streams = run_streams(platform, disturb)
+    assert_no_stream_is_joined(streams)
+    assert sum(s.is_whole for s in streams) >= MIN_SHARE * STREAMS
--- a/papayacrank/releases/_port.py
+++ b/papayacrank/releases/_port.py
@@ -7,10 +7,16 @@
 from typing import Any
 
 from papayacrank.kernel import Clock
-from papayacrank.messages import BegunStream, FindRelease, ReleaseFound, StreamsBegun
+from papayacrank.messages import (
+    BegunStream,
+    FindRelease,
+    FleetTarget,
+    ReleaseFound,
+    StreamsBegun,
+)
 from papayacrank.transport import Timers
 
-from ._begun import BegunStreams
+from ._begun import VIEW_LAG_MS, BegunStreams
 
 # Streams that begin within this time are reported together.
 REPORT_DELAY_MS = 10
@@ -92,6 +98,8 @@
         self._timers = timers
         self._term = 0
         self._begun = BegunStreams()
+        # Times of the last two contacts. The view may be older than the last one.
+        self._contacts_ms = (0, 0)
         self._waiting: dict[str, _Waiting] = {}
         self._numbers = itertools.count(1)
         self._is_report_due = False
@@ -99,9 +107,31 @@
 
     # Begun streams
 
-    def on_begun(self, stream: str, service: str, release: str) -> None:
-        """Note that the first event of a stream was sent to its caller."""
-        self._begun.add(BegunStream(stream, service, release), self._clock.now_ms())
+    def on_begun(
+        self,
+        stream: str,
+        service: str,
+        release: str,
+        target: tuple[str, int] = ("", 0),
+    ) -> None:
+        """Note that the first event of a stream was sent to its caller.
+
+        Parameters
+        ----------
+        stream : str
+            Name of the stream.
+        service, release : str
+            Service and release of the target that sent the event.
+        target : (str, int)
+            Name and start time of the target.
+        """
+        begun = BegunStream(stream, service, release)
+        self._begun.add(begun, self._clock.now_ms(), target)
+        self._schedule_report()
+
+    def observe_targets(self, targets: Iterable[FleetTarget]) -> None:
+        """Apply a new view of the targets."""
+        self._begun.observe(targets, self._contacts_ms[0] - VIEW_LAG_MS)
         self._schedule_report()
 
     def set_mixed(self, services: Iterable[str]) -> None:
@@ -109,8 +139,18 @@
         self._begun.set_mixed(services)
         self._schedule_report()
 
-    def poll(self, term: int) -> None:
-        """Report the streams again to the leader of a new term."""
+    def poll(self, term: int, contacted_ms: int | None = None) -> None:
+        """Report the streams again to the leader of a new term.
+
+        Parameters
+        ----------
+        term : int
+            Term of the leader.
+        contacted_ms : int or None
+            Time of the last contact with the leader in milliseconds.
+        """
+        if contacted_ms is not None and contacted_ms > self._contacts_ms[1]:
+            self._contacts_ms = (self._contacts_ms[1], contacted_ms)
         if term > self._term:
             self._term = term
             self._begun.report_again()
--- a/papayacrank/releases/tests/test_port.py
+++ b/papayacrank/releases/tests/test_port.py
@@ -3,7 +3,13 @@
 import pytest
 
 from papayacrank.kernel import ManualClock
-from papayacrank.messages import BegunStream, FindRelease, ReleaseFound, StreamsBegun
+from papayacrank.messages import (
+    BegunStream,
+    FindRelease,
+    FleetTarget,
+    ReleaseFound,
+    StreamsBegun,
+)
 from papayacrank.releases import ReleaseOutcome, ReleasePort, name_stream
 from papayacrank.releases._begun import BEGUN_KEPT_MS, MAX_BEGUN
 
@@ -166,3 +172,45 @@
     """Guards against a workspace that names the stream of another one."""
     names = {name_stream("a", "bc"), name_stream("ab", "c"), name_stream("", "abc")}
     assert len(names) == 3
+
+
+def build_view(release, born_ms):
+    """Return the targets of a view with one target."""
+    return [
+        FleetTarget("t1", "a:1", "llm", "east", release=release, born_ms=born_ms),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("release", "born_ms", "is_certain"),
+    [("v2", 2, False), ("v1", 2, True), ("v1", 1, True)],
+)
+def test_stream_of_a_target_that_restarted_with_another_release_is_uncertain(
+    release, born_ms, is_certain
+):
+    """Guards against a stream that is reported with the release of an old view."""
+    bench = Bench()
+    bench.port.set_mixed(["llm"])
+    bench.port.poll(1, bench.clock.now_ms())
+    bench.port.on_begun("s1", "llm", "v1", ("t1", 1))
+    bench.advance(100)
+    bench.port.observe_targets(build_view(release, born_ms))
+    bench.advance(100)
+    streams = [stream for message in bench.sent for stream in message.streams]
+    reports = [BegunStream("s1", "llm", "v1"), BegunStream("s1", "llm", "")]
+    assert streams == (reports[:1] if is_certain else reports)
+
+
+def test_stream_that_began_well_before_a_restart_stays_certain():
+    """Guards against refused take-ups of streams that the restart has ended."""
+    bench = Bench()
+    bench.port.set_mixed(["llm"])
+    bench.port.poll(1)
+    bench.port.on_begun("s1", "llm", "v1", ("t1", 1))
+    for _ in range(10):
+        bench.advance(500)
+        bench.port.poll(1, bench.clock.now_ms())
+    bench.port.observe_targets(build_view("v2", 2))
+    bench.advance(100)
+    streams = [stream for message in bench.sent for stream in message.streams]
+    assert streams == [BegunStream("s1", "llm", "v1")]
--- a/papayacrank/testing/_scripted.py
+++ b/papayacrank/testing/_scripted.py
@@ -19,7 +19,7 @@
         self._script = script
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.connections = 0
-        self._request_count = 0
+        self.requests = []
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
@@ -40,8 +40,8 @@
     def _serve(self, sock):
         try:
             while data := sock.recv(65_536):
-                self._request_count += 1
-                self._script(sock, data, self._request_count)
+                self.requests.append(data)
+                self._script(sock, data, len(self.requests))
         except OSError:
             return
 
--- a/papayacrank/transport/_connection.py
+++ b/papayacrank/transport/_connection.py
@@ -188,15 +188,16 @@
         self.remove(connection)
         return connection
 
-    def remove(self, connection: Connection) -> None:
-        """Remove a connection; unknown connections are ignored."""
+    def remove(self, connection: Connection) -> bool:
+        """Remove a connection; return False if the pool does not have it."""
         if connection not in self._oldest_first:
-            return
+            return False
         del self._oldest_first[connection]
         idle = self._idle[connection.address]
         idle.remove(connection)
         if not idle:
             del self._idle[connection.address]
+        return True
 
     def take_all(self, address: str) -> list[Connection]:
         """Remove and return all connections to an address."""
