--- a/papayacrank/consensus/tests/_disk.py
+++ b/papayacrank/consensus/tests/_disk.py
@@ -1,5 +1,6 @@
 """Simulated folder that loses unsynced changes in a crash."""
 
+import errno
 from random import Random
 
 from papayacrank.consensus._files import Files
@@ -30,6 +31,7 @@
         self._synced: dict[str, _Content] = {}
         self.syncs = 0
         self.crash_at_sync: int | None = None
+        self.is_full = False
 
     def open_folder(self):
         pass
@@ -44,6 +46,12 @@
         return bytes(self._live[name].data)
 
     def append(self, name, data):
+        if self.is_full:
+            # A write may still fit in part.
+            data = data[: self._random.choice((0, len(data) // 2))]
+            if data or name in self._live:
+                self._live.setdefault(name, _Content()).data += data
+            raise OSError(errno.ENOSPC, "no space left")
         self._live.setdefault(name, _Content()).data += data
 
     def truncate(self, name, size):
--- a/papayacrank/consensus/tests/_simulation.py
+++ b/papayacrank/consensus/tests/_simulation.py
@@ -12,6 +12,7 @@
     Committed,
     InstallState,
     LogStore,
+    LogStoreError,
     Persist,
     Promote,
     RaftNode,
@@ -24,6 +25,8 @@
 SETTINGS = RaftSettings(name="", voter_silence_ms=3_000, snapshot_every_entries=25)
 DOMAINS = ("east", "west", "north")
 SEGMENT_BYTES = 4_096
+# Time after which a process that has ended is started again.
+RESTART_DELAY_MS = 500
 
 
 class ViolationError(AssertionError):
@@ -115,6 +118,9 @@
         except SimulatedCrashError:
             self.crash()
             return
+        except LogStoreError:
+            self.cluster.after(RESTART_DELAY_MS, self.start)
+            return
         self.lost_identity = ""
         random_state = Random(self.cluster.random.random())
         self.node = RaftNode(self.settings, loaded, random_state)
@@ -172,6 +178,11 @@
             self.crash()
             self.cluster.after(self.cluster.random.uniform(50, 2_000), self.start)
             return
+        except LogStoreError:
+            # The process ends, and the platform starts it again.
+            self.crash(power_failure=False)
+            self.cluster.after(RESTART_DELAY_MS, self.start)
+            return
         self.call("persisted", effect.token)
 
     def _apply(self, index: int, term: int, data: bytes) -> None:
@@ -360,6 +371,11 @@
         host.crash(self.random.random() < 0.5)
         self.after(down_ms, host.start)
 
+    def fill_disk(self, host: Host, duration_ms: float) -> None:
+        """Let the disk of a host refuse all writes for some time."""
+        host.files.is_full = True
+        self.after(duration_ms, lambda: setattr(host.files, "is_full", False))
+
     def lose_disk(self, host: Host, copy: dict | None = None) -> None:
         """Restart a host with an empty folder, or with an old copy of it."""
         host.crash()
