Refuse changes that are too large for the log at once

Cause: a rejected proposal was answered with a redirect, whatever the reason. For one that is too large the redirect names the same leader.

Why the fix works: the log's refusal "too_large" is final, so it is the reply (413, not run). Other rejections are redirected as before.

--- a/papayacrank/consensus/__init__.py
+++ b/papayacrank/consensus/__init__.py
@@ -62,13 +62,14 @@
     Snapshot,
     StoreState,
 )
-from ._node import RaftNode
+from ._node import ENTRY_TOO_LARGE, RaftNode
 from ._settings import Protections, RaftSettings
 from ._store import LogStore, LogStoreError
 from ._tolerance import LossTolerance
 
 __all__ = [
     "CONSENSUS_MESSAGES",
+    "ENTRY_TOO_LARGE",
     "AddLearner",
     "Committed",
     "Entry",
--- a/papayacrank/consensus/_node.py
+++ b/papayacrank/consensus/_node.py
@@ -32,6 +32,7 @@
 from ._settings import RaftSettings
 
 MAX_ENTRY_BYTES = 1024 * 1024
+ENTRY_TOO_LARGE = "too_large"
 MAX_UNCOMMITTED_ENTRIES = 4_096
 MAX_LOG_BYTES_BEFORE_SNAPSHOT = 16 * 1024 * 1024
 MAX_LOG_BYTES = 48 * 1024 * 1024
@@ -274,7 +275,7 @@
         if self._role is not Role.LEADER:
             return refuse("not_leader", f"the leader is {self._leader!r}", 503)
         if len(data) > MAX_ENTRY_BYTES:
-            return refuse("too_large", f"the limit is {MAX_ENTRY_BYTES} bytes", 413)
+            return refuse(ENTRY_TOO_LARGE, f"the limit is {MAX_ENTRY_BYTES} bytes", 413)
         stable_index = min(self._commit_index, self._durable_index)
         if self._log.last_index - stable_index >= MAX_UNCOMMITTED_ENTRIES:
             return refuse("overloaded", "too many entries wait for a sync", 503)
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -3,20 +3,25 @@
 from collections.abc import Callable
 from typing import Any
 
+from expression import Result
+
 from papayacrank.config import ControlSettings
 from papayacrank.consensus import (
     CONSENSUS_MESSAGES,
+    ENTRY_TOO_LARGE,
     Committed,
     EmitEvent,
     InstallState,
     RaftNode,
 )
-from papayacrank.kernel import Send, SetTimer
+from papayacrank.kernel import Failure, Send, SetTimer
 from papayacrank.messages import (
     ChangeReleases,
     ConfirmOrder,
+    ControlReply,
     ControlRequest,
     EntryLoad,
+    FailureRecord,
     Heartbeat,
     HeartbeatAck,
     LiftVerdict,
@@ -325,9 +330,9 @@
         leader = self._raft.leader
         return [*self._requests.redirect_all(leader), EmitEvent(LEADER_INACTIVE, {})]
 
-    def _propose(self, entry: Entry, now_ms: int) -> bool:
+    def _propose(self, entry: Entry, now_ms: int) -> Result[int, Failure]:
         self._has_proposals = True
-        return self._raft.propose(encode_entry(entry), now_ms).is_ok()
+        return self._raft.propose(encode_entry(entry), now_ms)
 
     def _entry_times(self, now_ms: int) -> tuple[int, int]:
         """Return the group time and the wall clock for an entry, in ms."""
@@ -370,9 +375,15 @@
         if replies is not None:
             return replies
         entry = CommandEntry(*self._entry_times(now_ms), request)
-        if not self._propose(entry, now_ms):
-            return self._requests.redirect(request.request_id, self._raft.leader)
-        return []
+        outcome = self._propose(entry, now_ms)
+        if outcome.is_ok():
+            return []
+        if outcome.error.code == ENTRY_TOO_LARGE:
+            failure = FailureRecord.from_failure(outcome.error)
+            return self._requests.complete(
+                ControlReply(request.request_id, failure=failure)
+            )
+        return self._requests.redirect(request.request_id, self._raft.leader)
 
     def _other_leader(self) -> str:
         leader = self._raft.leader
@@ -388,7 +399,8 @@
         name = self._settings.instance
         request_id = f"{name}/{self._raft.term}/{self._internal_request_count}"
         request = ControlRequest(request_id, name, self._raft.term, command)
-        return self._propose(CommandEntry(*self._entry_times(now_ms), request), now_ms)
+        entry = CommandEntry(*self._entry_times(now_ms), request)
+        return self._propose(entry, now_ms).is_ok()
 
     # Heartbeats and feed
 
@@ -572,7 +584,7 @@
     def _propose_order(self, decision: ProposeOrder, now_ms: int) -> EmitEvent:
         times = self._entry_times(now_ms)
         entry = OrderEntry(*times, decision.order_id, decision.issue, decision.observed)
-        if not self._propose(entry, now_ms):
+        if self._propose(entry, now_ms).is_error():
             self._orders.proposal_rejected(decision.order_id)
         fields = {"order_id": decision.order_id, "observed": decision.observed}
         if not decision.issue:
--- a/papayacrank/control/tests/test_node.py
+++ b/papayacrank/control/tests/test_node.py
@@ -5,7 +5,7 @@
 from expression import Error, Ok
 
 from papayacrank.config import ControlSettings
-from papayacrank.consensus import Committed, EmitEvent, Member
+from papayacrank.consensus import ENTRY_TOO_LARGE, Committed, EmitEvent, Member
 from papayacrank.control import _requests as requests_module
 from papayacrank.control._node import ControlNode, NodeError
 from papayacrank.kernel import Failure, Send, Verdict
@@ -44,6 +44,7 @@
         self.members = (Member("c1", "x", "east", True), Member("c2", "y", "w", False))
         self.wants_snapshot = False
         self.rejects_proposals = False
+        self.max_entry_bytes = 1_000_000
         self.entries = []
         self._buffer = []
 
@@ -56,6 +57,8 @@
     def propose(self, data, now_ms):
         if self.rejects_proposals or not self.is_leader:
             return Error(Failure("not_leader", Verdict.NOT_RUN, "no"))
+        if len(data) > self.max_entry_bytes:
+            return Error(Failure(ENTRY_TOO_LARGE, Verdict.NOT_RUN, "no", 413))
         self._buffer.append(data)
         return Ok(len(self.entries) + len(self._buffer))
 
@@ -316,3 +319,14 @@
     """
     with pytest.raises(NodeError):
         harness.node._advance(lambda now_ms: [Committed(99, 1, b"?")], now_ms=0)
+
+
+def test_change_that_is_too_large_for_the_log_is_refused_at_once(harness):
+    """Guards against a configuration that is neither acknowledged nor refused."""
+    harness.raft.max_entry_bytes = 10
+    [(sender, reply)] = harness.receive("a", build_request(GRANT))
+    assert (sender, reply.failure.code, reply.failure.status) == ("a", "too_large", 413)
+    assert reply.failure.verdict == Verdict.NOT_RUN.value
+    harness.raft.max_entry_bytes = 1_000_000
+    [(_, reply)] = harness.receive("a", build_request(GRANT))
+    assert reply.failure is None
