Keep the limit of tenants with less than one request a second

Cause: the rate was cut to a whole number, and 0 means no limit.

Evidence: test_low_rate_is_not_taken_for_no_limit[0.4-1] failed before.

Why the fix works: a positive rate becomes at least 1. Budgets of the replicated ledger count whole tokens, so that rates are still rounded down to whole numbers.

--- a/papayacrank/platform/_configuration.py
+++ b/papayacrank/platform/_configuration.py
@@ -249,7 +249,8 @@
         tuple(digest_key(key) for key in tenant.api_keys),
         tenant.priority,
         tenant.isolated,
-        int(tenant.rate_per_s),
+        # A rate of 0 means no limit.
+        max(1, int(tenant.rate_per_s)) if tenant.rate_per_s else 0,
         int(tenant.burst),
         max(1, tenant.uncached_tokens),
         tenant.unit == "tokens",
--- a/papayacrank/platform/tests/test_adapter.py
+++ b/papayacrank/platform/tests/test_adapter.py
@@ -132,6 +132,16 @@
     assert read_configuration(encode(document)).workspaces[0].tolerance == 0
 
 
+@pytest.mark.parametrize(
+    ("rate_per_s", "limit"), [(0, 0), (0.4, 1), (1.9, 1), (1_000, 1_000)]
+)
+def test_low_rate_is_not_taken_for_no_limit(rate_per_s, limit):
+    """Guards against a tenant with less than one request a second without a limit."""
+    document = build_document(3)
+    document["tenants"][0].update(rate_per_s=rate_per_s, burst=5)
+    assert read_configuration(encode(document)).workspaces[0].rate_per_s == limit
+
+
 def modified(change):
     """Return an encoded document with a change applied."""
     document = copy.deepcopy(build_document())
