--- a/papayacrank/platform/_configuration.py
+++ b/papayacrank/platform/_configuration.py
@@ -215,7 +215,7 @@
         _KINDS[route.kind],
         route.shares(),
         route.timeout_ms,
-        route.target_latency_ms,
+        max(1, route.target_latency_ms),
         max(1, route.max_attempts),
         route.priority,
         route.public,
--- a/papayacrank/platform/tests/test_adapter.py
+++ b/papayacrank/platform/tests/test_adapter.py
@@ -132,6 +132,14 @@
     assert read_configuration(encode(document)).workspaces[0].tolerance == 0
 
 
+@pytest.mark.parametrize("target_latency_ms", [0, -5])
+def test_route_without_a_latency_objective_has_a_positive_one(target_latency_ms):
+    """Guards against a division by zero in the placement of each request."""
+    document = build_document(3)
+    document["routes"][1].update(target_latency_ms=target_latency_ms)
+    assert read_configuration(encode(document)).routes[1].objective_ms == 1
+
+
 @pytest.mark.parametrize(
     ("rate_per_s", "limit"), [(0, 0), (0.4, 1), (1.9, 1), (1_000, 1_000)]
 )
