Forget old requests of the retry budget and loads sent to ended instances

RetryBudget drops requests before its window only when a retry is asked for; FleetController keeps the last load sent to each start of an entry process until the next election.

Evidence: the two new tests fail before (1,000 in place of 100 requests kept, 50 in place of one instance).

Why the fix works: requests before the window are dropped with each new one, and instances that are no receivers any more with each load that is sent.

--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -355,6 +355,8 @@
         parts = self._pop_grouped_parts()
         pauses = self._pop_new_pauses(now_ms)
         sends = []
+        for instance in self._last_sent.keys() - receivers.keys():
+            del self._last_sent[instance]
         for instance, sender in receivers.items():
             report = self._reports.get(instance)
             reported = report.load.sequence if report is not None else 0
--- a/papayacrank/control/tests/test_rollout.py
+++ b/papayacrank/control/tests/test_rollout.py
@@ -736,3 +736,15 @@
     sim.stores = {}
     sim.run(2_500)
     assert sim.controller.view([]).stores == {}
+
+
+def test_load_sent_to_ended_instances_is_forgotten():
+    """Guards against memory that grows with each start of an instance."""
+    sim = FleetSimulation(1)
+    sim.run(100)
+    for boot in range(50):
+        instance = f"i1@{boot}"
+        load = EntryLoad(instance, 1, {"e0": TargetLoad(1, 0, 100)})
+        sim.controller.observe_load(load, sim.now_ms)
+        sim.controller.push_load({instance: "x"}, sim.now_ms)
+    assert len(sim.controller._last_sent) == 1
--- a/papayacrank/forwarding/_retry_budget.py
+++ b/papayacrank/forwarding/_retry_budget.py
@@ -31,8 +31,14 @@
         self._retries: dict[str, deque[int]] = {}
 
     def on_request(self, service: str, now_ms: int) -> None:
-        """Count a first attempt."""
+        """Count a first attempt, and forget those before the window."""
         self._add(self._requests, service, now_ms)
+        self._count(self._requests, service, now_ms)
+
+    @property
+    def counted_requests(self) -> int:
+        """Number of requests that are kept."""
+        return sum(map(len, self._requests.values()))
 
     def try_consume(self, service: str, instances: int, now_ms: int) -> bool:
         """Return whether a retry is allowed now, and count it if so.
--- a/papayacrank/forwarding/tests/test_parts.py
+++ b/papayacrank/forwarding/tests/test_parts.py
@@ -71,6 +71,14 @@
     assert budget.try_consume("s", 10, 30_000)
 
 
+def test_requests_before_the_window_are_forgotten():
+    """Guards against memory that grows with each request while nothing is retried."""
+    budget = RetryBudget(0.2, 10_000, 50)
+    for now_ms in range(0, 100_000, 100):
+        budget.on_request("s", now_ms)
+    assert budget.counted_requests == 100
+
+
 def test_unreachable_target_is_ejected_with_exponential_backoff():
     """Guards against many requests that fail at the same unreachable target."""
     health = TargetHealth()
