Survive a SIGHUP during the start, and notice settings changed meanwhile

Besides, a change between the load of the settings and the start of the watcher was not noticed until the next one.

Evidence: both new tests fail before.

Why the fix works: the program ignores SIGHUP first thing, and the first check of the watcher reads the file whatever its state. Left open: a SIGHUP while Python itself and the package are imported.

--- a/papayacrank/platform/__main__.py
+++ b/papayacrank/platform/__main__.py
@@ -1,5 +1,6 @@
 """Command line of the programs ``entry`` and ``control`` on the platform."""
 
+import signal
 import sys
 import time
 
@@ -171,6 +172,8 @@
 
 def main() -> None:
     """Run the command line."""
+    # The default action would end a process that is starting.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     names = sys.argv[1:]
     if names in (["entry"], ["control"]):
         # Importing fire would take a sixth of the start time.
--- a/papayacrank/platform/_reload.py
+++ b/papayacrank/platform/_reload.py
@@ -46,7 +46,8 @@
         self._on_change = on_change
         self._clock = clock
         self._timers = timers
-        self._file_state = self._read_file_state()
+        # The file may have changed since the settings were loaded.
+        self._file_state: tuple[int, int, int] | None = None
 
     def start(self) -> None:
         """Start polling the file; SIGHUP no longer terminates the process."""
--- a/papayacrank/platform/tests/test_reload.py
+++ b/papayacrank/platform/tests/test_reload.py
@@ -5,6 +5,7 @@
 import pytest
 import structlog
 
+from papayacrank.platform import __main__ as programs
 from papayacrank.platform._reload import SettingsWatcher
 from papayacrank.platform._settings import load_platform_settings
 
@@ -44,6 +45,31 @@
     path.write_text(text.replace("'", '"'), encoding="utf-8")
 
 
+def test_change_during_the_start_is_noticed(tmp_path, hangup_handler):
+    """Guards against a change between the load and the first check that is lost."""
+    path = tmp_path / "local.toml"
+    write_settings(path, ["10.1.0.1:8608"], "10.9.0.1:80")
+    loaded, changes, timers = load_platform_settings(path), [], StubTimers()
+    write_settings(path, ["10.2.0.1:8608"], "10.9.0.1:80")
+    SettingsWatcher(path, loaded, changes.append, StubClock(), timers).start()
+    timers.fire()
+    timers.fire()
+    assert [change.control_names for change in changes] == [("10.2.0.1",)]
+
+
+def test_hangup_during_the_start_is_ignored(monkeypatch, hangup_handler):
+    """Guards against a process that ends because its settings change as it starts."""
+    seen = []
+
+    def run(self):
+        seen.append(signal.getsignal(signal.SIGHUP))
+
+    monkeypatch.setattr(programs.Programs, "control", run)
+    monkeypatch.setattr(programs.sys, "argv", ["program", "control"])
+    programs.main()
+    assert seen == [signal.SIG_IGN]
+
+
 def test_new_seeds_are_passed_on_and_other_changes_are_named(tmp_path, hangup_handler):
     """Guards against a process that keeps stale seeds, or says nothing of the rest."""
     path = tmp_path / "local.toml"
