Take streams of a split route up at the service that began them

Cause: a take-up drew its service by lot, and the leader looked for the record of the stream in that service only.

The tests of the table and of the forwarder need the new fields.

Why the fix works: the question names all services of the route, the reply the one that began the stream, and the request goes there.

--- a/papayacrank/control/_releases.py
+++ b/papayacrank/control/_releases.py
@@ -126,7 +126,7 @@
             for begun in message.streams[: max(0, free)]:
                 self._queue(begun)
             return []
-        release = self._find(message.service, message.stream)
+        service, release = self._find(message)
         if not release:
             log_event(
                 RELEASE_NOT_FOUND,
@@ -135,7 +135,8 @@
                 stream=message.stream,
                 releases=list(self._table.possible.get(message.service, ())),
             )
-        return [Send(sender, ReleaseFound(self._term, message.number, release))]
+        found = ReleaseFound(self._term, message.number, release, service)
+        return [Send(sender, found)]
 
     def _queue(self, begun: BegunStream) -> None:
         queued = self._queued.get(begun.stream)
@@ -144,13 +145,23 @@
             begun = BegunStream(begun.stream, begun.service, "")
         self._queued[begun.stream] = begun
 
-    def _find(self, service: str, stream: str) -> str:
-        release = self._table.find(service, stream)
-        queued = self._queued.get(stream)
-        if queued is None or service not in self.mixed:
-            return release
-        is_same = queued.service == service and release in ("", queued.release)
-        return queued.release if is_same else ""
+    def _find(self, question: FindRelease) -> tuple[str, str]:
+        """Return the service and the release that began a stream, empty if unknown.
+
+        A report that waits for the log counts, unless the log contradicts it.
+        """
+        services = {question.service, *question.services}
+        recorded = self._table.find_in_services(
+            question.stream, question.service, services
+        )
+        queued = self._queued.get(question.stream)
+        if queued is None or services.isdisjoint(self.mixed):
+            return recorded
+        reported = (queued.service, queued.release)
+        is_recorded = self._table.has_stream(question.stream)
+        if queued.service not in services or (is_recorded and recorded != reported):
+            return question.service, ""
+        return reported
 
 
 def _take_up_ms(configuration: RoutingConfiguration | None) -> int | None:
--- a/papayacrank/forwarding/_continuity.py
+++ b/papayacrank/forwarding/_continuity.py
@@ -61,7 +61,7 @@
     def find_release(
         self,
         job: Job,
-        on_found: Callable[[], None],
+        on_found: Callable[[str], None],
         on_refused: Callable[[int | None], None],
     ) -> None:
         """Find the release of the stream that a request takes up.
@@ -71,7 +71,7 @@
         job : Job
             Request.
         on_found : callable
-            Called once `job.release` is set.
+            Called with the service that began the stream once `job.release` is set.
         on_refused : callable
             Called if the release is not known, with the time in milliseconds after
             which it may be; None if it will not.
@@ -80,13 +80,19 @@
         def on_decision(decision: ReleaseDecision) -> None:
             if decision.outcome is ReleaseOutcome.KNOWN:
                 job.release = decision.release
-                on_found()
+                on_found(decision.service)
             else:
                 on_refused(decision.retry_after_ms)
 
         first_id = job.request.begun_by
         stream = name_stream(job.workspace_name, first_id) if first_id else ""
-        self._releases.find(str(job.number), job.service.name, stream, on_decision)
+        self._releases.find(
+            str(job.number),
+            job.service.name,
+            stream,
+            on_decision,
+            [share.service for share in job.route.shares],
+        )
 
     def on_first_event(self, job: Job, attempt: Attempt) -> None:
         """Note the release that begins a stream."""
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -549,11 +549,16 @@
             return True
         self._continuity.find_release(
             job,
-            lambda: self._dispatch(job),
+            lambda service: self._take_up_at(job, service),
             lambda retry_after_ms: self._refuse_take_up(job, retry_after_ms),
         )
         return False
 
+    def _take_up_at(self, job: Job, service: str) -> None:
+        """Send a request to the service that began its stream, not one drawn by lot."""
+        job.service = self._index.find_service(service) or job.service
+        self._dispatch(job)
+
     def _refuse_take_up(self, job: Job, retry_after_ms: int | None) -> None:
         text = "it is not known which release began the stream"
         self._fail(job, _refusal("unknown_release", text, 503, retry_after_ms))
--- a/papayacrank/forwarding/tests/test_continuity.py
+++ b/papayacrank/forwarding/tests/test_continuity.py
@@ -1,11 +1,24 @@
 """Tests of streams while targets of several releases serve."""
 
+import msgspec
 import pytest
 
-from papayacrank.messages import FindRelease, ReleaseFound, StreamsBegun
+from papayacrank.messages import (
+    FindRelease,
+    ReleaseFound,
+    RequestKind,
+    ServiceShare,
+    StreamsBegun,
+)
 from papayacrank.releases import name_stream
 
-from .builders import Bench, build_target, build_view
+from .builders import (
+    Bench,
+    build_configuration,
+    build_route,
+    build_target,
+    build_view,
+)
 
 OLD = tuple(build_target(f"o{n}", "engines", release="v1") for n in (1, 2))
 NEW = tuple(build_target(f"n{n}", "engines", release="v2") for n in (3, 4))
@@ -182,3 +195,25 @@
     check = bench.call.start_check
     target = bench.call.state.attempt.target
     assert (check.name, check.started_ms) == (target.name, target.born_ms)
+
+
+def test_take_up_on_a_split_route_goes_to_the_service_that_began_the_stream():
+    """Guards against take-ups whose service is drawn by lot."""
+    services = ("engines", "others")
+    shares = tuple(ServiceShare(service, 1) for service in services)
+    stream = RequestKind.STREAM
+    route = build_route("reply", stream, shares=shares, resumable=True)
+    profile = next(s for s in build_configuration().services if s.engine is not None)
+    other = msgspec.structs.replace(profile, name="others")
+    configuration = build_configuration(routes=(route,), services=(profile, other))
+    target = build_target("x5", "engines", release="v2")
+    targets = (*OLD, msgspec.structs.replace(target, service="others"))
+    for seed in range(8):
+        bench = Bench(*targets, configuration=configuration)
+        bench.forwarder._random.seed(seed)
+        take_up(bench)
+        question = questions(bench)[-1]
+        assert sorted(question.services) == sorted(services)
+        found = ReleaseFound(1, question.number, "v2", "others")
+        bench.releases.receive(found)
+        assert bench.call.state.attempt.target.name == "x5"
--- a/papayacrank/messages/_releases.py
+++ b/papayacrank/messages/_releases.py
@@ -33,14 +33,19 @@
     ----------
     number : int
         Number of the question, unique in the sending process.
+    service : str
+        Service that the request would use.
     stream : str
         Name of the stream; empty if the caller does not name it.
+    services : list of str
+        All services of the route, any of which may have begun the stream.
     """
 
     instance: str
     number: int
     service: str
     stream: str
+    services: list[str] = []
 
 
 class ReleaseFound(msgspec.Struct, tag=True, frozen=True):
@@ -50,8 +55,11 @@
     ----------
     release : str
         Release that began the stream; empty if that is not known.
+    service : str
+        Service that began the stream; empty if the leader does not name it.
     """
 
     term: int
     number: int
     release: str
+    service: str = ""
--- a/papayacrank/releases/_port.py
+++ b/papayacrank/releases/_port.py
@@ -44,12 +44,15 @@
     ----------
     release : str
         Release; empty unless it is known.
+    service : str
+        Service that began the stream; empty unless it is known.
     retry_after_ms : int or None
         Time in milliseconds after which the leader may reply, if it did not.
     """
 
     outcome: ReleaseOutcome
     release: str = ""
+    service: str = ""
     retry_after_ms: int | None = None
 
 
@@ -60,6 +63,7 @@
     service: str
     stream: str
     callback: Callable[[ReleaseDecision], None]
+    services: list[str]
     number: int = 0
     questions: int = 0
 
@@ -176,8 +180,9 @@
         service: str,
         stream: str,
         callback: Callable[[ReleaseDecision], None],
+        services: Iterable[str] = (),
     ) -> None:
-        """Ask for the release that began a stream.
+        """Ask for the service and the release that began a stream.
 
         Parameters
         ----------
@@ -189,8 +194,10 @@
             Name of the stream; empty if the caller does not name it.
         callback : callable
             Called once with the decision, never before this method returns.
+        services : iterable of str
+            All services of the route, any of which may have begun the stream.
         """
-        waiting = _Waiting(service, stream, callback)
+        waiting = _Waiting(service, stream, callback, list(services))
         if len(self._waiting) >= MAX_WAITING:
             waiting.questions = MAX_QUESTIONS
         self._waiting[request_id] = waiting
@@ -203,7 +210,11 @@
         timeout_ms = 0
         if waiting.questions <= MAX_QUESTIONS:
             message = FindRelease(
-                self._instance, waiting.number, waiting.service, waiting.stream
+                self._instance,
+                waiting.number,
+                waiting.service,
+                waiting.stream,
+                waiting.services,
             )
             timeout_ms = REPLY_TIMEOUT_MS if self._send(message) else 0
         self._timers.set(
@@ -238,7 +249,9 @@
                 outcome = ReleaseOutcome.UNKNOWN
                 if message.release:
                     outcome = ReleaseOutcome.KNOWN
-                self._decide(request_id, ReleaseDecision(outcome, message.release))
+                service = message.service or waiting.service
+                decision = ReleaseDecision(outcome, message.release, service)
+                self._decide(request_id, decision)
 
     def _decide(self, request_id: str, decision: ReleaseDecision) -> None:
         waiting = self._waiting.pop(request_id)
--- a/papayacrank/state/_releases.py
+++ b/papayacrank/state/_releases.py
@@ -1,7 +1,7 @@
 """Releases of targets that may have begun streams, and the streams they began."""
 
 from collections import OrderedDict
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
@@ -56,6 +56,10 @@
         """Number of recorded streams."""
         return len(self._streams)
 
+    def has_stream(self, stream: str) -> bool:
+        """Whether a stream of this name is recorded."""
+        return stream in self._streams
+
     def is_possible(self, service: str, release: str) -> bool:
         """Whether targets of a release may serve a service."""
         return release in self._possible.get(service, ())
@@ -66,13 +70,33 @@
 
     def find(self, service: str, stream: str) -> str:
         """Return the release that began a stream, empty if that is not known."""
-        possible = self._possible.get(service, [])
-        if len(possible) == 1:
-            return possible[0]
+        return self.find_in_services(stream, service, [service])[1]
+
+    def find_in_services(
+        self, stream: str, service: str, services: Sequence[str]
+    ) -> tuple[str, str]:
+        """Find the service and the release that began a stream.
+
+        Parameters
+        ----------
+        stream : str
+            Name of the stream.
+        service : str
+            Service to assume if no stream of this name is recorded.
+        services : sequence of str
+            Services that may have begun the stream.
+
+        Returns
+        -------
+        (str, str)
+            Service and release; the release is empty if it is not known.
+        """
         row = self._streams.get(stream)
-        if row is None or row.service != service or row.release not in possible:
-            return ""
-        return row.release
+        if row is not None and row.service in services:
+            is_possible = row.release in self._possible.get(row.service, ())
+            return row.service, row.release if is_possible else ""
+        possible = self._possible.get(service, [])
+        return service, possible[0] if len(possible) == 1 else ""
 
     def change(self, command: ChangeReleases) -> Done | FailureRecord:
         """Add possible releases of a service, or remove ended ones."""
--- a/papayacrank/state/tests/test_releases.py
+++ b/papayacrank/state/tests/test_releases.py
@@ -98,3 +98,13 @@
     restored.restore(machine.snapshot())
     assert restored.releases.find("llm", "s") == "v2"
     assert restored.releases.find("llm", "t") == ""
+
+
+def test_stream_of_a_split_route_is_found_in_the_service_that_began_it(table):
+    """Guards against a stream that is unknown because another service was drawn."""
+    table.change(ChangeReleases("other", added=["v1"]))
+    record(table, ("s", "v2"))
+    for service in ("llm", "other"):
+        assert table.find_in_services("s", service, ["llm", "other"]) == ("llm", "v2")
+    assert table.find_in_services("s", "other", ["other"]) == ("other", "v1")
+    assert table.find_in_services("t", "llm", ["llm", "other"]) == ("llm", "")
