--- a/papayacrank/consensus/__init__.py
+++ b/papayacrank/consensus/__init__.py
@@ -50,7 +50,7 @@
 
 from ._effects import Committed, EmitEvent, InstallState, Persist
 from ._files import MemoryFiles
-from ._membership import AddLearner, MemberChange, Promote, Remove, Replace
+from ._member_changes import AddLearner, MemberChange, Promote, Remove, Replace
 from ._messages import (
     CONSENSUS_MESSAGES,
     Entry,
--- a/papayacrank/consensus/_membership.py
+++ b/papayacrank/consensus/_membership.py
@@ -1,16 +1,23 @@
 """Single-member changes and automatic replacement of unresponsive voters."""
 
 from collections import Counter
-from dataclasses import dataclass
 
 import msgspec
-from expression import Error, Ok, Result
+from expression import Ok, Result
 
-from papayacrank.kernel import Failure, Verdict
+from papayacrank.kernel import Failure
 
 from ._core import NodeCore, Role
 from ._events import LOSS_TOLERANCE_MET, LOSS_TOLERANCE_UNMET, VOTER_SILENT
 from ._log import encode_membership
+from ._member_changes import (
+    AddLearner,
+    MemberChange,
+    Promote,
+    Remove,
+    Replace,
+    refuse,
+)
 from ._messages import KIND_MEMBERSHIP, Entry, JoinRequest, Member, Membership
 from ._tolerance import majority
 
@@ -21,53 +28,6 @@
 MAX_RESPONSE_AGE_MS = 2_000
 
 
-@dataclass(frozen=True)
-class AddLearner:
-    """Add a learner, which receives the log but has no vote."""
-
-    name: str
-    identity: str
-    failure_domain: str
-
-
-@dataclass(frozen=True)
-class Promote:
-    """Make a caught-up learner a voter."""
-
-    name: str
-
-
-@dataclass(frozen=True)
-class Remove:
-    """Remove a member; if it is still running, it rejoins as a learner."""
-
-    name: str
-
-
-@dataclass(frozen=True)
-class Replace:
-    """Exchange the voter `old` for the caught-up learner `new`."""
-
-    old: str
-    new: str
-
-
-MemberChange = AddLearner | Promote | Remove | Replace
-
-
-def refuse(code: str, message: str, status: int = 409) -> Result[int, Failure]:
-    """Return the failure of a refused input that had no effect.
-
-    Parameters
-    ----------
-    code, message : str
-        Error code and explanation for the caller.
-    status : int
-        HTTP status code.
-    """
-    return Error(Failure(code, Verdict.NOT_RUN, message, status))
-
-
 class MembershipControl(NodeCore):
     """Mixin of `RaftNode` that changes the members of the group."""
 
--- a/papayacrank/consensus/_node.py
+++ b/papayacrank/consensus/_node.py
@@ -10,7 +10,8 @@
 
 from ._core import ELECTION_TIMER, HEARTBEAT_TIMER, QUERY_TIMER, Role
 from ._election import Election
-from ._membership import MemberChange, MembershipControl, refuse
+from ._member_changes import MemberChange, refuse
+from ._membership import MembershipControl
 from ._messages import (
     KIND_DATA,
     AppendReply,
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -60,13 +60,8 @@
 from ._routes import RouteIndex
 from ._selection import RETRY_JITTER, TargetSelection
 from ._suspects import SuspectTracker
-from ._target_port import (
-    CallFailure,
-    CallListener,
-    StartCheck,
-    TargetCall,
-    TargetPort,
-)
+from ._target_call import CallFailure, CallListener, StartCheck, TargetCall
+from ._target_port import TargetPort
 from ._targets import TargetTable
 from ._unidentified import UnidentifiedResponses
 
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -12,7 +12,7 @@
 from ._event_stream import EventSplitter
 from ._headers import HeaderList
 from ._placement import Choice
-from ._target_port import TargetCall
+from ._target_call import TargetCall
 
 
 @dataclass(eq=False)
--- a/papayacrank/forwarding/_suspects.py
+++ b/papayacrank/forwarding/_suspects.py
@@ -15,7 +15,7 @@
 )
 
 from ._job import Attempt, Job
-from ._target_port import CallFailure
+from ._target_call import CallFailure
 
 # A stream is written past its beginning with this event.
 BEGUN_EVENTS = 2
--- a/papayacrank/forwarding/tests/builders.py
+++ b/papayacrank/forwarding/tests/builders.py
@@ -358,7 +358,7 @@
 
     def fail(self, code="connection_lost", sent=True, message="", call=None):
         """Fail a call."""
-        from papayacrank.forwarding._target_port import CallFailure
+        from papayacrank.forwarding._target_call import CallFailure
 
         call = call or self.call
         call.bytes_written = sent
--- a/papayacrank/forwarding/tests/test_random_flows.py
+++ b/papayacrank/forwarding/tests/test_random_flows.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from papayacrank.forwarding._target_port import CallFailure
+from papayacrank.forwarding._target_call import CallFailure
 from papayacrank.messages import (
     PartSuspicion,
     PermitReply,
--- a/papayacrank/forwarding/tests/test_target_port.py
+++ b/papayacrank/forwarding/tests/test_target_port.py
@@ -12,12 +12,8 @@
 from structlog.testing import capture_logs
 
 from papayacrank.forwarding import _target_port as port_module
-from papayacrank.forwarding._target_port import (
-    CallListener,
-    StartCheck,
-    TargetCall,
-    TargetPort,
-)
+from papayacrank.forwarding._target_call import CallListener, StartCheck, TargetCall
+from papayacrank.forwarding._target_port import TargetPort
 from papayacrank.kernel import MonotonicClock
 from papayacrank.testing import ScriptedTarget, build_endless_script
 from papayacrank.transport import Timers, install_process_handlers
