Keep a concluded version when requests in flight are refused too

A request sent before the first refusal names the older version, too. Its refusal ended the conclusion of the first one, found by reading the diff: the conclusion is ended only by a refusal of the concluded version itself.

test_refusals_of_the_same_version_keep_the_conclusion fails before.

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -1004,8 +1004,9 @@
             return
         # The engine refuses the version that the table shows for it; assume for some
         # time that it runs the current one.
-        version = self._weights.get(model)
-        if version is not None and self._table.assume_weights(name, model, version):
+        version = self._weights.get(model, 0)
+        refused = attempt.target.weights.get(model, 0)
+        if self._table.assume_weights(name, model, version, refused):
             log_event(WEIGHTS_ASSUMED, target=name, model=model, version=version)
             self._timers.set(
                 f"assumed-weights {name} {model}",
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -156,18 +156,29 @@
         self._refresh_target(name)
         return self._targets[name].weights.get(model, 0) > before.weights.get(model, 0)
 
-    def assume_weights(self, name: str, model: str, version: int) -> bool:
+    def assume_weights(
+        self, name: str, model: str, version: int, refused_version: int
+    ) -> bool:
         """Record a version that a refusal suggests; return whether it is newer.
 
         The assumption holds until the target states a version, refuses the assumed one
         as well, or `forget_assumed_weights` is called.
+
+        Parameters
+        ----------
+        name, model : str
+            Target and model.
+        version : int
+            Version that the target is assumed to run.
+        refused_version : int
+            Version that it has refused.
         """
-        target = self._targets.get(name)
         key = (name, model)
-        if target is None or key in self._assumed_weights:
+        if self._assumed_weights.get(key) == refused_version:
             self.forget_assumed_weights(name, model)
             return False
-        if target.weights.get(model, version) >= version:
+        target = self._targets.get(name)
+        if target is None or target.weights.get(model, version) >= version:
             return False
         self._assumed_weights[key] = version
         self._refresh_target(name)
--- a/papayacrank/forwarding/tests/test_forwarder.py
+++ b/papayacrank/forwarding/tests/test_forwarder.py
@@ -327,6 +327,17 @@
     assert bench.protocol.dispatches[-1].weights_version == 1
 
 
+def test_refusals_of_the_same_version_keep_the_conclusion():
+    """Guards against requests in flight that undo what the first refusal showed."""
+    bench = Bench(build_target("e1", "engines"), weights={MODEL: 2})
+    for _ in range(3):
+        bench.send("/appraise/x", tokens=100)
+    for call in bench.port.calls[:3]:
+        bench.respond(421, b"", call=call, server="e1")
+    versions = [d.weights_version for d in bench.protocol.dispatches]
+    assert versions == [1, 1, 1, 2, 2, 2]
+
+
 def test_target_with_another_identity_is_not_used():
     """Guards against a request that runs at another service with a reused address."""
     bench = Bench(*ENGINES)
