--- a/papayacrank/consensus/_core.py
+++ b/papayacrank/consensus/_core.py
@@ -214,7 +214,7 @@
     # Log
 
     def _append_entry(self, entry: Entry) -> None:
-        names_before = {m.name for m in self._members}
+        members_before = self._members
         self._log.append(entry)
         self._records.append(AppendEntry(entry))
         if entry.kind == KIND_MEMBERSHIP:
@@ -222,11 +222,11 @@
                 f"{m.name}/{m.identity}/{_describe_role(m)}" for m in self._members
             ]
             self._log_event(MEMBERSHIP_CHANGED, index=entry.index, members=members)
-            self._remember_former_members(names_before)
+            self._remember_former_members(members_before)
 
-    def _remember_former_members(self, names_before: set[str]) -> None:
+    def _remember_former_members(self, members_before: tuple[Member, ...]) -> None:
         names = {m.name for m in self._members}
-        for name in names_before - names:
+        for name in {m.name for m in members_before} - names:
             self._former_members[name] = self._now_ms
         for name in names & self._former_members.keys():
             del self._former_members[name]
--- a/papayacrank/consensus/tests/_core_simulation.py
+++ b/papayacrank/consensus/tests/_core_simulation.py
@@ -106,17 +106,15 @@
         self._run(CATCH_UP_MS)
         self._lost_until_ms.clear()
 
-    def _count_lost(self) -> int:
+    def _find_lost(self) -> set[str]:
         now_ms = self.cluster.now_ms
-        return sum(until_ms > now_ms for until_ms in self._lost_until_ms.values())
+        return {n for n, until_ms in self._lost_until_ms.items() if until_ms > now_ms}
 
     def _list_free(self) -> list[str]:
-        now_ms = self.cluster.now_ms
-        lost = {n for n, until_ms in self._lost_until_ms.items() if until_ms > now_ms}
-        return sorted(set(self.cluster.hosts) - lost)
+        return sorted(set(self.cluster.hosts) - self._find_lost())
 
     def _may_lose(self, count: int) -> bool:
-        if self._count_lost() + count <= self.losses:
+        if len(self._find_lost()) + count <= self.losses:
             return True
         self._settle()
         return count <= self.losses
--- a/papayacrank/consensus/tests/test_discovery.py
+++ b/papayacrank/consensus/tests/test_discovery.py
@@ -22,6 +22,14 @@
     return cluster
 
 
+def find_follower(cluster: Cluster) -> Host:
+    """Return a voter that does not lead."""
+    leader = cluster.lease_holder()
+    return next(
+        h for h in cluster.hosts.values() if h.name in DURABLE and h is not leader
+    )
+
+
 def set_peers(host: Host, *names: str) -> None:
     """Change the settings with which the process starts the next time."""
     host.settings = replace(host.settings, peers=names, initial_voters=())
@@ -62,11 +70,7 @@
 def test_empty_member_finds_the_group_through_messages_to_its_old_folder():
     """Guards against an empty folder that never rejoins if no seed is left."""
     cluster = build_cluster(1)
-    host = next(
-        h
-        for h in cluster.hosts.values()
-        if h.name in DURABLE and h is not cluster.lease_holder()
-    )
+    host = find_follower(cluster)
     set_peers(host, "n8", "n9")
     cluster.lose_disk(host)
     check_vote(cluster, host)
@@ -76,11 +80,7 @@
 def test_member_follows_new_peers_while_it_runs():
     """Guards against a restart that is needed before new seeds are used."""
     cluster = build_cluster(2)
-    host = next(
-        h
-        for h in cluster.hosts.values()
-        if h.name in DURABLE and h is not cluster.lease_holder()
-    )
+    host = find_follower(cluster)
     set_peers(host, "n8", "n9")
     leader = cluster.lease_holder().name
     cluster.blocked = {(leader, host.name), (host.name, leader)}
