Report the phases of an entry process's start and its early link traffic

The slow start of a large fleet cannot be read from the log: the traffic of a start is mixed with the nine seconds after it, or lost with the process, and no event says whether heartbeat, configuration or target list came late. forwarding_ready now has the time to each of them, and link_traffic comes 1, 2, 4 and 10 s after a start. No decision depends on either.

--- a/papayacrank/forwarding/_events.py
+++ b/papayacrank/forwarding/_events.py
@@ -36,7 +36,12 @@
     2106, "fleet_applied", "info", "This instance applies a new list of targets."
 )
 FORWARDING_READY = LogEvent(
-    2107, "forwarding_ready", "info", "This instance is ready to forward requests."
+    2107,
+    "forwarding_ready",
+    "info",
+    "This instance is ready to forward requests. Fields that end in `_after_ms` are "
+    "the times from the start of the process to its first acknowledged heartbeat, "
+    "configuration, list of targets and readiness.",
 )
 STOP_STARTED = LogEvent(
     2108, "forwarding_stopping", "info", "A graceful stop began; open requests finish."
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -56,6 +56,7 @@
 )
 from ._forwarder import Forwarder, ForwardingSettings
 from ._quota import QuotaEnforcer
+from ._start_phases import StartPhases
 from ._suspects import SuspectTracker
 from ._target_port import TargetPort
 
@@ -165,6 +166,7 @@
         self._ticks = 0
         self._stopping_since_ms: int | None = None
         self._has_contact = False
+        self._phases = StartPhases(self._clock.now_ms())
         install_process_handlers(self)
         self._timers = Timers(self._clock).register(self)
         self._shares = LocalShares()
@@ -362,6 +364,7 @@
     def _apply_routing(self) -> None:
         configuration = self._contact.routing
         self._forwarder.apply_routing(configuration)
+        self._phases.reach("configuration", self._clock.now_ms())
         limits = configuration.limits
         self._caller_port.set_limits(
             HttpLimits(
@@ -373,6 +376,7 @@
         )
 
     def _on_grants(self, grants: GrantsReceived) -> None:
+        self._phases.reach("acknowledgement", self._clock.now_ms())
         self._shares.apply_grants(list(grants.grants), grants.sent_ms, grants.lease_ms)
         self._poll_quota()
 
@@ -400,6 +404,7 @@
         self._releases.set_mixed(view.mixed)
         self._contact.set_fleet_position(view.term, view.sequence)
         self._leader_hint.extend(view.control)
+        self._phases.reach("targets", self._clock.now_ms())
         log_event(
             FLEET_APPLIED,
             term=view.term,
@@ -413,7 +418,12 @@
     def _report_serving(self) -> None:
         """Set the status to serving once this process is ready."""
         if self._contact.status == "starting" and self._forwarder.is_ready:
-            log_event(FORWARDING_READY, feed_version=self._contact.feed_version)
+            self._phases.reach("ready", self._clock.now_ms())
+            log_event(
+                FORWARDING_READY,
+                feed_version=self._contact.feed_version,
+                **self._phases.to_fields(),
+            )
             self._control.set_status("serving")
 
     # Periodic work
--- a/papayacrank/transport/_link.py
+++ b/papayacrank/transport/_link.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import chain, repeat
 from typing import Any
 
 import zmq
@@ -26,7 +27,9 @@
 # The kernel retransmits a lost SYN only after a second or more, which would delay the
 # connection to an instance that was down.
 CONNECT_TIMEOUT_MS = 200
-# Interval between two LINK_TRAFFIC events of a process.
+# Intervals between the first LINK_TRAFFIC events of a process, so that the traffic of a
+# start is reported apart, and between all later ones.
+START_TRAFFIC_LOG_INTERVALS_MS = (1_000, 1_000, 2_000, 6_000)
 TRAFFIC_LOG_INTERVAL_MS = 10_000
 
 
@@ -293,12 +296,16 @@
 
 
 def start_traffic_log(link: Link, clock: Clock, timers: Timers) -> None:
-    """Log the traffic of a link every `TRAFFIC_LOG_INTERVAL_MS`."""
+    """Log the traffic of a link, more often after the start of the process."""
+    intervals_ms = chain(
+        START_TRAFFIC_LOG_INTERVALS_MS, repeat(TRAFFIC_LOG_INTERVAL_MS)
+    )
+
+    def schedule() -> None:
+        timers.set("link-traffic", clock.now_ms() + next(intervals_ms), log_traffic)
 
-    def log_and_reschedule() -> None:
+    def log_traffic() -> None:
         link.log_traffic()
-        start_traffic_log(link, clock, timers)
+        schedule()
 
-    timers.set(
-        "link-traffic", clock.now_ms() + TRAFFIC_LOG_INTERVAL_MS, log_and_reschedule
-    )
+    schedule()
