Simulate the start of a fleet over limited links, which fails from 87 instances

Callers of a large fleet wait until its leader has sent each instance the configuration. The simulation runs the leader's and the instances' decisions over links of 100 and 5 Mbit/s. With 1,444 routes the heartbeats of the log wait 1.1, 4.2 and 7.2 s behind the feed at 87, 200 and 300 instances, longer than an election timeout, and the last instance is ready after 3.2, 6.3 and 9.3 s, without the elections that would follow.

--- /dev/null
+++ b/papayacrank/control/tests/test_fleet_start.py
@@ -0,0 +1,42 @@
+"""Starts of whole fleets, with the decisions of the leader over limited links."""
+
+import pytest
+
+from papayacrank.config import ControlSettings
+from papayacrank.control.tests.start_simulation import FleetStart
+
+# Time within which instances have to be in contact again after a disturbance, as the
+# users state it for their large deployment.
+CONTACT_MS = 5_000
+ELECTION_TIMEOUT_MS = ControlSettings.model_fields["election_timeout_ms"].default
+MANY_ROUTES = 1_444
+SIZES = (9, 30, 87, 200, 300)
+
+
+@pytest.fixture(scope="module", params=SIZES)
+def large_start(request):
+    """Return a fleet with a long list of routes, `CONTACT_MS` after its start."""
+    fleet = FleetStart(request.param, MANY_ROUTES, seed=request.param)
+    fleet.run(CONTACT_MS)
+    return fleet
+
+
+def test_all_instances_are_ready_in_time_with_many_routes(large_start):
+    assert len(large_start.ready) == len(large_start.entries)
+
+
+def test_feed_does_not_delay_the_heartbeats_of_the_log(large_start):
+    # Half of the time after which followers start an election.
+    assert max(large_start.probe_delays_ms) < ELECTION_TIMEOUT_MS / 2
+
+
+def test_a_change_of_the_routes_reaches_a_large_fleet_without_an_election():
+    fleet = FleetStart(200, MANY_ROUTES, seed=7)
+    fleet.run(30_000)
+    fleet.probe_delays_ms.clear()
+    for at_ms in (30_000, 30_330, 30_660):
+        fleet.run(at_ms)
+        fleet.change_routing()
+    fleet.run(36_000)
+    assert max(fleet.probe_delays_ms) < ELECTION_TIMEOUT_MS / 2
+    assert {entry.contact.routing.version for entry in fleet.entries} == {4}
