Compress the feed, send it at a limited rate, and merge changes that wait

What callers saw: after a final fault on the large site, no service for longer than recovery_s. Cause: the leader sent each of 200 instances the whole routing configuration (289 KB with 1,444 routes) and each row of the others at once. The heartbeats of its log waited behind these messages on the same link, so that it lost its majority, and the next leader began again.

Fix: the publisher serves all processes that lack changes from one queue, at half of the link's rate. A process that waits gets all changes committed meanwhile in one message. A retry waits for the time that the unconfirmed bytes take on a slow link. Acknowledgements that arrive before the feed version they name are kept, up to 64, so that a copy that lags still confirms contact.

--- a/papayacrank/control/_contact.py
+++ b/papayacrank/control/_contact.py
@@ -1,15 +1,18 @@
 """Heartbeats, contact and feed copy of an entry process, without I/O."""
 
 import hmac
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from papayacrank.config import Configuration, parse_configuration
-from papayacrank.kernel import Effect, SetTimer
+from papayacrank.kernel import Effect, SetTimer, log_event
 from papayacrank.messages import (
     ConfigurationChange,
     EntryAddress,
+    FeedBatch,
+    FeedBatchError,
     FeedChange,
     FeedSnapshot,
     FeedUpdate,
@@ -25,8 +28,10 @@
     ShareReport,
     TargetsChange,
     WeightsChange,
+    decompress_feed,
 )
 
+from ._events import FEED_BATCH_UNREADABLE
 from ._leader import LeaderHint
 
 HEARTBEAT_TIMER = "control-contact:heartbeat"
@@ -36,6 +41,7 @@
 # starts.
 FIRST_SEARCH_INTERVAL_MS = 60
 DIGEST_PREFIX_CHARACTERS = 16
+MAX_UNCONFIRMED_ACKS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,9 +146,11 @@
         self._last_ack_ms: int | None = None
         self._contact_from_ms: int | None = None
         self._term = 0
-        # Feed version and send time of an acknowledged heartbeat, which extends contact
-        # once the feed copy has reached the version.
-        self._unconfirmed_ack: tuple[int, int] | None = None
+        # Feed version and send time of acknowledged heartbeats, each of which extends
+        # contact once the feed copy has reached the version.
+        self._unconfirmed_acks: deque[tuple[int, int]] = deque(
+            maxlen=MAX_UNCONFIRMED_ACKS
+        )
         self._feed_version = 0
         self._configuration: Configuration | None = None
         self._configuration_version = 0
@@ -291,6 +299,8 @@
         """Handle a message; messages of other protocols are ignored."""
         if isinstance(message, HeartbeatAck):
             return self._on_ack(sender, message, now_ms)
+        if isinstance(message, FeedBatch):
+            return self._on_batch(sender, message, now_ms)
         if isinstance(message, FeedUpdate):
             return self._on_update(message)
         if isinstance(message, FeedSnapshot):
@@ -315,6 +325,7 @@
             *self._fleet_position,
             *self._rates_position,
             *self._quarantine_position,
+            accepts_batches=True,
         )
         interval_ms = self._settings.heartbeat_interval_ms
         if self._is_searching(now_ms):
@@ -343,7 +354,7 @@
         if ack.feed_version <= self._feed_version:
             self._extend_contact(ack.sent_ms)
         else:
-            self._unconfirmed_ack = (ack.feed_version, ack.sent_ms)
+            self._unconfirmed_acks.append((ack.feed_version, ack.sent_ms))
         # An acknowledgement without grants still extends the lease of the shares.
         return [GrantsReceived(tuple(ack.grants), ack.sent_ms, ack.lease_ms)]
 
@@ -356,6 +367,14 @@
             return []
         return self._send_heartbeat(now_ms)
 
+    def _on_batch(self, sender: str, batch: FeedBatch, now_ms: int) -> list:
+        try:
+            message = decompress_feed(batch)
+        except FeedBatchError as error:
+            log_event(FEED_BATCH_UNREADABLE, sender=sender, error=str(error))
+            return []
+        return self.receive(sender, message, now_ms)
+
     def _on_update(self, update: FeedUpdate) -> list:
         stale = update.to_version <= self._feed_version
         if stale or update.from_version > self._feed_version:
@@ -419,9 +438,8 @@
         if InstanceChange in change_types:
             by_name = self._instances_by_name
             self._instances = tuple(by_name[name] for name in sorted(by_name))
-        if self._unconfirmed_ack is not None and self._unconfirmed_ack[0] <= version:
-            self._extend_contact(self._unconfirmed_ack[1])
-            self._unconfirmed_ack = None
+        while self._unconfirmed_acks and self._unconfirmed_acks[0][0] <= version:
+            self._extend_contact(self._unconfirmed_acks.popleft()[1])
         withdrawn = [
             entry for name, entry in previous_keys.items() if name not in self._keys
         ]
--- a/papayacrank/control/_events.py
+++ b/papayacrank/control/_events.py
@@ -166,7 +166,16 @@
     " began it; the request is refused.",
 )
 
+FEED_BATCH_UNREADABLE = LogEvent(
+    3034,
+    "feed_batch_unreadable",
+    "warning",
+    "A compressed part of the feed is damaged and was discarded; the leader sends it "
+    "again.",
+    "Check that all instances run compatible versions.",
+)
 declare_events(
+    FEED_BATCH_UNREADABLE,
     RELEASE_LISTED,
     RELEASE_ENDED,
     RELEASE_NOT_FOUND,
--- a/papayacrank/control/_leases.py
+++ b/papayacrank/control/_leases.py
@@ -22,8 +22,13 @@
         Time at which the last heartbeat was received.
     feed_version : int
         Version of the feed copy that the last heartbeat reported.
+    accepts_batches : bool
+        Whether the process understands `FeedBatch`.
     sent_version, pushed_ms : int
         Feed version that was last sent to the process, and the time of sending.
+    unconfirmed_bytes, unconfirmed_since_ms : int
+        Size of the pushes since the process last reported `sent_version`, and the time
+        of the first of them.
     expiring : bool
         Whether the expiry of the lease was proposed to the log.
     """
@@ -33,8 +38,11 @@
     sequence: int
     last_heartbeat_ms: int
     feed_version: int
+    accepts_batches: bool = False
     sent_version: int = 0
     pushed_ms: int = -1_000_000
+    unconfirmed_bytes: int = 0
+    unconfirmed_since_ms: int = 0
     expiring: bool = False
 
 
@@ -132,6 +140,7 @@
             heartbeat.sequence,
             now_ms,
             heartbeat.feed_version,
+            heartbeat.accepts_batches,
         )
         self._leases[heartbeat.instance] = lease
         return lease
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -71,11 +71,14 @@
 LEADER_TASKS_TIMER = "control.leader-tasks"
 BATCH_TIMER = "control.batch"
 FLEET_TIMER = "control.fleet"
+FEED_TIMER = "control.feed"
 LEADER_TASKS_INTERVAL_MS = 100
 # Heartbeats that change the state are batched for this time, so that the log grows by
 # at most 50 entries/s regardless of the number of entry processes.
 BATCH_DELAY_MS = 20
 MAX_HEARTBEATS_PER_ENTRY = 50
+# Shortest interval between two rounds of feed messages to waiting entry processes.
+FEED_INTERVAL_MS = 5
 MAX_QUEUED_HEARTBEATS = 2_000
 
 
@@ -128,7 +131,7 @@
         if fleet is not None:
             fleet.set_releases(self._releases)
         self._leases = EntryLeases(settings.entry_lease_ms, settings.clock_drift)
-        self._publisher = FeedPublisher(machine)
+        self._publisher = FeedPublisher(machine, settings.feed_bytes_per_s)
         self._requests = RequestHandler(
             raft,
             machine,
@@ -212,6 +215,8 @@
             return []
         if timer_name == FLEET_TIMER:
             return self._poll_fleet(now_ms)
+        if timer_name == FEED_TIMER:
+            return self._poll_feed(now_ms)
         if timer_name == LEADER_TASKS_TIMER:
             next_timer = SetTimer(LEADER_TASKS_TIMER, now_ms + LEADER_TASKS_INTERVAL_MS)
             return [next_timer, *self._run_leader_tasks(now_ms)]
@@ -313,6 +318,7 @@
         self._published_version = self._machine.feed_version
         self._queued_heartbeats.clear()
         self._leases.reset(now_ms)
+        self._publisher.reset()
         self._orders.reset(self._raft.term, now_ms)
         self._platform_list.reset()
         self._permits.reset(self._raft.term)
@@ -416,6 +422,7 @@
         if lease is None:
             return []
         missing_updates = self._publisher.resend_missing(lease, now_ms)
+        missing_updates += self._schedule_feed(now_ms)
         # The limits come before the view, after which a new process sends requests.
         position = (heartbeat.rates_term, heartbeat.rates_revision)
         missing_updates += self._permits.resend(sender, *position, now_ms)
@@ -471,7 +478,20 @@
         if version == self._published_version or not self._may_serve(now_ms):
             return []
         self._published_version = version
-        return self._publisher.push(self._leases.all, now_ms)
+        sends = self._publisher.push(self._leases.all, now_ms)
+        return [*sends, *self._schedule_feed(now_ms)]
+
+    def _poll_feed(self, now_ms: int) -> list[Any]:
+        if not self._may_serve(now_ms):
+            return []
+        return [*self._publisher.poll(now_ms), *self._schedule_feed(now_ms)]
+
+    def _schedule_feed(self, now_ms: int) -> list[Any]:
+        """Set the timer for the processes that the publisher could not serve yet."""
+        next_ms = self._publisher.next_ms(now_ms)
+        if next_ms is None:
+            return []
+        return [SetTimer(FEED_TIMER, max(next_ms, now_ms + FEED_INTERVAL_MS))]
 
     def _on_permit_message(self, sender: str, message, now_ms: int) -> list[Any]:
         if not self._may_serve(now_ms):
--- a/papayacrank/control/tests/start_simulation.py
+++ b/papayacrank/control/tests/start_simulation.py
@@ -1,4 +1,4 @@
-"""Simulated start of a fleet: the leader's decisions over links of limited bandwidth."""
+"""Simulated start of a fleet, with the leader's decisions over limited links."""
 
 import heapq
 import itertools
--- a/papayacrank/control/tests/test_fleet_start.py
+++ b/papayacrank/control/tests/test_fleet_start.py
@@ -2,13 +2,13 @@
 
 import pytest
 
-from papayacrank.config import ControlSettings
 from papayacrank.control.tests.start_simulation import FleetStart
+from papayacrank.messages import FeedBatch
+from papayacrank.platform._settings import ELECTION_TIMEOUT_MS
 
 # Time within which instances have to be in contact again after a disturbance, as the
 # users state it for their large deployment.
 CONTACT_MS = 5_000
-ELECTION_TIMEOUT_MS = ControlSettings.model_fields["election_timeout_ms"].default
 MANY_ROUTES = 1_444
 SIZES = (9, 30, 87, 200, 300)
 
@@ -40,3 +40,17 @@
     fleet.run(36_000)
     assert max(fleet.probe_delays_ms) < ELECTION_TIMEOUT_MS / 2
     assert {entry.contact.routing.version for entry in fleet.entries} == {4}
+
+
+def test_a_lost_part_of_the_feed_is_sent_again():
+    lost = set()
+
+    def drop(to, message):
+        is_lost = isinstance(message, FeedBatch) and to not in lost
+        lost.add(to)
+        return is_lost
+
+    fleet = FleetStart(30, MANY_ROUTES, seed=3, drop=drop)
+    fleet.run(CONTACT_MS)
+    assert len(lost) == len(fleet.ready) == 30
+    assert all(entry.contact.has_contact(fleet.now_ms) for entry in fleet.entries)
--- a/papayacrank/messages/__init__.py
+++ b/papayacrank/messages/__init__.py
@@ -26,6 +26,7 @@
 from ._feed import (
     ConfigurationChange,
     EntryAddress,
+    FeedBatch,
     FeedChange,
     FeedSnapshot,
     FeedUpdate,
@@ -36,6 +37,13 @@
     TargetsChange,
     WeightsChange,
 )
+from ._feed_codec import (
+    MIN_BATCH_BYTES,
+    FeedBatchError,
+    compress_feed,
+    decompress_feed,
+    encode_feed,
+)
 from ._fleet import (
     EntryLoad,
     FleetChange,
@@ -111,6 +119,7 @@
     HeartbeatAck,
     FeedUpdate,
     FeedSnapshot,
+    FeedBatch,
     WarmupRequest,
     WarmupReply,
     FleetView,
@@ -139,6 +148,10 @@
     "ReleaseFound",
     "StreamsBegun",
     "CONTROL_MESSAGES",
+    "MIN_BATCH_BYTES",
+    "compress_feed",
+    "decompress_feed",
+    "encode_feed",
     "AbandonAction",
     "ActionRecord",
     "BeginAction",
@@ -155,6 +168,8 @@
     "EntryAddress",
     "EntryLoad",
     "FailureRecord",
+    "FeedBatch",
+    "FeedBatchError",
     "FeedChange",
     "FeedSnapshot",
     "FeedUpdate",
--- a/papayacrank/messages/_feed.py
+++ b/papayacrank/messages/_feed.py
@@ -99,3 +99,12 @@
     instances: list[EntryAddress]
     routing: RoutingChange | None = None
     weights: WeightsChange | None = None
+
+
+class FeedBatch(msgspec.Struct, tag=True, frozen=True):
+    """A `FeedUpdate` or `FeedSnapshot`, encoded and compressed with zlib.
+
+    It is sent only to processes whose heartbeats state that they accept it.
+    """
+
+    data: bytes
--- a/papayacrank/messages/_requests.py
+++ b/papayacrank/messages/_requests.py
@@ -148,6 +148,8 @@
         Term and revision of the newest `TargetRates` that the sender has in full.
     quarantine_term, quarantine_revision : int
         Term and revision of the newest `QuarantineTable` that the sender has in full.
+    accepts_batches : bool
+        Whether the sender understands `FeedBatch`.
     """
 
     instance: str
@@ -165,6 +167,7 @@
     rates_revision: int = 0
     quarantine_term: int = 0
     quarantine_revision: int = 0
+    accepts_batches: bool = False
 
 
 class HeartbeatAck(msgspec.Struct, tag=True, frozen=True):
--- a/papayacrank/platform/_settings.py
+++ b/papayacrank/platform/_settings.py
@@ -23,6 +23,10 @@
 # Without a leader, there are no new weights and grants. Pauses of a process under
 # load stay well below 400 ms.
 ELECTION_TIMEOUT_MS = 400
+# The feed leaves the rest of the link to the log, to load reports and to callers.
+FEED_SHARE_OF_LINK = 0.5
+BYTES_PER_S_AND_MBPS = 125_000
+MIN_FEED_BYTES_PER_S = 10_000
 LEADER_LEASE_MS = 320
 
 
@@ -59,6 +63,12 @@
     rate_per_s: float = 40.0
 
 
+class Limits(WireModel):
+    """Resources of the machine."""
+
+    link_mbps: float = Field(default=100.0, gt=0)
+
+
 class FaultTolerance(WireModel):
     """Number of machines, zones or regions that may be lost at the same time."""
 
@@ -95,6 +105,7 @@
     listen: Listen = Listen()
     bounds: Bounds = Bounds()
     cloud: Cloud = Cloud()
+    limits: Limits = Limits()
     zones: dict[str, str] = {}
     fault_tolerance: FaultTolerance = FaultTolerance()
 
@@ -149,6 +160,10 @@
             election_timeout_ms=ELECTION_TIMEOUT_MS,
             leader_lease_ms=LEADER_LEASE_MS,
             entry_lease_ms=self.bounds.contact_ms,
+            feed_bytes_per_s=max(
+                MIN_FEED_BYTES_PER_S,
+                int(FEED_SHARE_OF_LINK * self.limits.link_mbps * BYTES_PER_S_AND_MBPS),
+            ),
         )
 
 
