--- a/papayacrank/config/_settings.py
+++ b/papayacrank/config/_settings.py
@@ -92,7 +92,7 @@
         URL at which the platform publishes its list of live and leaving targets.
     feed_bytes_per_s : int
         Highest rate in bytes per second at which a leader sends the feed to all entry
-        processes together; about half of the bandwidth of its link.
+        processes together; about a third of the bandwidth of its link.
     """
 
     instance: Name
@@ -117,4 +117,4 @@
     voter_silence_ms: int = Field(default=10_000, ge=100)
     entry_lease_ms: int = Field(default=3_000, ge=100)
     snapshot_every_entries: int = Field(default=2_000, ge=10)
-    feed_bytes_per_s: int = Field(default=6_000_000, ge=10_000)
+    feed_bytes_per_s: int = Field(default=3_750_000, ge=10_000)
--- a/papayacrank/platform/_settings.py
+++ b/papayacrank/platform/_settings.py
@@ -24,7 +24,7 @@
 # load stay well below 400 ms.
 ELECTION_TIMEOUT_MS = 400
 # The feed leaves the rest of the link to the log, to load reports and to callers.
-FEED_SHARE_OF_LINK = 0.5
+FEED_SHARE_OF_LINK = 0.3
 BYTES_PER_S_AND_MBPS = 125_000
 MIN_FEED_BYTES_PER_S = 10_000
 LEADER_LEASE_MS = 320
