Recognize a lost path to all targets and pass requests on to other instances

What callers saw: while five of nine instances were partitioned from all targets, these served 11 of 171 first tries, the others 436 of 439. Each request tried five targets for 250 ms each, callers went on getting the addresses, and reports of the cut instances made all others avoid all 13 targets.

Cause: each target was judged by itself, and each instance spoke for all. Class of fault: an observer takes its own failure for that of what it observes.

Fix: PathMonitor counts targets that could not be connected to since one could. After a failure it probes targets of other services and failure domains; five different ones in a row mean that the path is lost. A silent target is reported to the others only once another target was reached. An instance without a path reports the status isolated, so that no directory names it, and passes requests on to a serving instance, with the remaining time and a mark that forbids passing them on again. The peer handles quota, retries and placement. A request of which a byte was sent to a peer is not sent to another. Connections are probed each 250 ms until one succeeds.

--- a/papayacrank/control/_contact.py
+++ b/papayacrank/control/_contact.py
@@ -280,7 +280,7 @@
         Parameters
         ----------
         status : str
-            ``"starting"``, ``"serving"`` or ``"draining"``.
+            ``"starting"``, ``"serving"``, ``"isolated"`` or ``"draining"``.
         """
         self._status = status
         return self._send_heartbeat(now_ms)
--- a/papayacrank/forwarding/_base.py
+++ b/papayacrank/forwarding/_base.py
@@ -58,6 +58,8 @@
         Id of the last event that the caller received.
     begun_by : str or None
         Identifier of the caller's attempt that brought the first event.
+    is_relayed : bool
+        Whether another instance passed the request on.
     """
 
     request_id: str
@@ -74,6 +76,7 @@
     parts: tuple[PromptPart, ...] = ()
     resume_after: str | None = None
     begun_by: str | None = None
+    is_relayed: bool = False
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
@@ -195,6 +198,18 @@
     def target_headers(self, request: ForwardRequest, dispatch: Dispatch) -> HeaderList:
         """Return the headers of a request to a target, without framing headers."""
 
+    @abstractmethod
+    def relay_headers(self, head: RequestHead, remaining_ms: int) -> HeaderList:
+        """Return the headers of a request that is passed on to another instance.
+
+        Parameters
+        ----------
+        head : RequestHead
+            Head of the request as the caller sent it.
+        remaining_ms : int
+            Remaining time of the request in milliseconds.
+        """
+
     @abstractmethod
     def read_response(self, status: int, headers: HeaderList) -> ResponseMetadata:
         """Parse the head of a target's response."""
--- a/papayacrank/forwarding/_directory.py
+++ b/papayacrank/forwarding/_directory.py
@@ -3,6 +3,8 @@
 from papayacrank.messages import EntryAddress
 
 SERVING = "serving"
+# Status of an instance that has no path to any target.
+ISOLATED = "isolated"
 MAX_ADDRESSES = 64
 # Callers are kept in their failure domain while it has this many serving instances,
 # because traffic between failure domains costs latency and bandwidth.
@@ -24,9 +26,12 @@
     Returns
     -------
     list of str
-        Addresses of at most `MAX_ADDRESSES` serving instances, without duplicates.
+        Addresses of at most `MAX_ADDRESSES` serving instances, without duplicates;
+        those of isolated instances if none is serving.
     """
     serving = [item for item in instances if item.status == SERVING]
+    if not serving:
+        serving = [item for item in instances if item.status == ISOLATED]
     local = [item for item in serving if item.failure_domain == failure_domain]
     chosen = local if len(local) >= MIN_LOCAL_INSTANCES else serving
     return list(dict.fromkeys(item.address for item in chosen))[:MAX_ADDRESSES]
--- a/papayacrank/forwarding/_events.py
+++ b/papayacrank/forwarding/_events.py
@@ -94,7 +94,28 @@
     "Check the target at `address`: it may send bytes without end.",
 )
 
+PATH_LOST = LogEvent(
+    2116,
+    "path_lost",
+    "warning",
+    "No target can be reached from this instance; requests are passed on to other"
+    " instances, and callers get the addresses of those.",
+    "Check the network between this instance and the targets.",
+)
+PATH_REGAINED = LogEvent(
+    2117, "path_regained", "info", "A target can be reached from this instance again."
+)
+REQUEST_RELAYED = LogEvent(
+    2118,
+    "request_relayed",
+    "info",
+    "A request was passed on to another instance, which has a path to the targets.",
+)
+
 declare_events(
+    PATH_LOST,
+    PATH_REGAINED,
+    REQUEST_RELAYED,
     TARGET_PAUSED,
     TARGET_LEAVING,
     WEIGHTS_ASSUMED,
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -53,9 +53,11 @@
 from ._health import TargetHealth
 from ._job import Attempt, Job
 from ._metrics import ForwardingMetrics
+from ._path_port import PathPort
 from ._pauses import TargetPauses
 from ._placement import Choice, KnownPartLocations, PlacementRequest, build_cache_salt
 from ._quota import QuotaDecision, QuotaEnforcer
+from ._relay import Relay, RelayedRequest
 from ._retry_budget import RetryBudget
 from ._routes import RouteIndex
 from ._selection import RETRY_JITTER, TargetSelection
@@ -157,6 +159,10 @@
         Quarantine of requests and prompt parts that crash targets.
     continuity : StreamContinuity
         Releases of the targets that began streams.
+    paths : PathPort
+        Whether this instance has a path to the targets.
+    relay : Relay
+        Passes requests on to other instances while it has none.
     clock : Clock
         Clock of `timers`.
     timers : Timers
@@ -174,6 +180,8 @@
         permits: PermitPort,
         suspects: SuspectTracker,
         continuity: StreamContinuity,
+        paths: PathPort,
+        relay: Relay,
         clock: Clock,
         timers: Timers,
         random_state: random.Random,
@@ -185,10 +193,13 @@
         self._permits = permits
         self._suspects = suspects
         self._continuity = continuity
+        self._paths = paths
+        self._relay = relay
         self._clock = clock
         self._timers = timers
         self._random = random_state
         self._table = TargetTable()
+        self._paths.on_silent = self._table.report_unreachable
         self._health = TargetHealth()
         self._parts = KnownPartLocations()
         self._store_incarnations: dict[str, int] = {}
@@ -234,7 +245,7 @@
     @property
     def open_jobs(self) -> int:
         """Number of requests without a final response."""
-        return len(self._jobs)
+        return len(self._jobs) + self._relay.open_requests
 
     @property
     def is_ready(self) -> bool:
@@ -278,10 +289,15 @@
             self._parts.engines.forget_location(target.name)
             self._port.drop_idle(target.address)
         self._permits.client.retain((t.name, t.born_ms) for t in view.targets)
+        self._paths.set_targets(view.targets)
         self._update_stores(view.stores)
         self._release_held_requests()
         return True
 
+    def readmit_targets(self) -> None:
+        """Use all targets again after the path to them was lost."""
+        self._health.readmit_all()
+
     def _update_stores(self, incarnations: dict[str, int]) -> None:
         """Drop the known contents of stores that restarted or became unavailable.
 
@@ -336,6 +352,7 @@
 
         Requests without a response get a failure; a stream that has begun is cut.
         """
+        self._relay.end_open_requests()
         for job in list(self._jobs.values()):
             self._end_silent_attempt(job, "stopped")
             attempt = job.attempt
@@ -362,6 +379,9 @@
         if not self.is_ready:
             self._hold_until_ready(exchange, request)
             return
+        if self._paths.is_isolated and self._relay.accepts(request):
+            self._relay.forward(exchange, request)
+            return
         route_or_failure = self._find_route(request)
         if isinstance(route_or_failure, Failure):
             self._refuse(exchange, route_or_failure, request.request_id)
@@ -508,6 +528,10 @@
             self._give_back(permit)
             self._give_up(job, "deadline", "no time is left")
             return
+        if self._paths.is_isolated and not job.has_events:
+            self._give_back(permit)
+            self._leave_to_peer(job)
+            return
         if not (self._knows_release(job) and self._may_send_parts(job)):
             self._give_back(permit)
             return
@@ -534,6 +558,16 @@
         else:
             self._request_permit(job, choice.target.name, max_wait_ms, now_ms)
 
+    def _leave_to_peer(self, job: Job) -> None:
+        """Pass a request on that no target can be reached for, or refuse it at once."""
+        if not self._relay.accepts(job.request):
+            self._give_up(job, "no_path", "no target can be reached from this instance")
+            return
+        self._finish(job, None, "relayed", 0)
+        self._relay.forward(
+            job.exchange, job.request, job.deadline_at_ms, job.may_have_run
+        )
+
     def _knows_release(self, job: Job) -> bool:
         """Whether targets for a request are known; otherwise find out or refuse it."""
         if not self._continuity.is_begin_certain(job, self._clock.now_ms()):
@@ -972,6 +1006,8 @@
         attempt.status = status
         attempt.headers = headers
         attempt.metadata = self._protocol.read_response(status, headers)
+        if not call.reused:
+            self._paths.on_reached(attempt.target.name)
         if attempt.skipped_response and not job.route.is_repeatable:
             self._timers.cancel(_response_timer(job, attempt))
         self._observe_weights(job, attempt)
@@ -1122,9 +1158,8 @@
             self._suspects.on_lost(job, attempt, failure)
         if failure.may_have_run and not has_no_connection:
             self._record_target_failure(job, attempt, now_ms)
-        if is_unreachable:
-            self._table.report_unreachable(name)
         if is_unreachable or has_no_connection:
+            self._paths.on_unreached(name, is_unreachable, attempt.sent_ms)
             self._health.on_unreachable(name, now_ms)
             self._port.drop_idle(attempt.target.address)
         if failure.may_have_run:
@@ -1312,6 +1347,9 @@
 
     def on_caller_left(self, exchange: HttpExchange) -> None:
         """Cancel the request of a caller that disconnected."""
+        if isinstance(exchange.state, RelayedRequest):
+            self._relay.on_caller_left(exchange.state)
+            return
         job: Job | None = exchange.state
         if job is None or job.is_done:
             return
--- a/papayacrank/forwarding/_health.py
+++ b/papayacrank/forwarding/_health.py
@@ -81,6 +81,12 @@
         ):
             self._eject(name, health, "failures", now_ms)
 
+    def readmit_all(self) -> None:
+        """End all ejections and reset their backoff."""
+        for health in self._targets.values():
+            health.ejected_until_ms = 0
+            health.ejection_ms = INITIAL_EJECTION_MS
+
     def forget(self, name: str) -> None:
         """Remove the statistics of a target that was removed."""
         self._targets.pop(name, None)
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -46,7 +46,7 @@
 
 from ._base import CallerProtocol
 from ._continuity import StreamContinuity
-from ._directory import choose_addresses
+from ._directory import ISOLATED, SERVING, choose_addresses
 from ._events import (
     CONTROL_LOST,
     CONTROL_REGAINED,
@@ -55,7 +55,10 @@
     STOP_STARTED,
 )
 from ._forwarder import Forwarder, ForwardingSettings
+from ._path_monitor import PathMonitor
+from ._path_port import ConnectProber, PathPort
 from ._quota import QuotaEnforcer
+from ._relay import Relay
 from ._start_phases import StartPhases
 from ._suspects import SuspectTracker
 from ._target_port import TargetPort
@@ -191,6 +194,22 @@
             self._timers,
         )
         address_check = ConnectionCheck(self._clock, self._timers)
+        self._paths = PathPort(
+            PathMonitor(self._random),
+            ConnectProber(self._clock, self._timers),
+            self._clock,
+            self._timers,
+        )
+        self._paths.on_change = self._report_path
+        self._relay = Relay(
+            settings.forwarding.instance,
+            settings.forwarding.failure_domain,
+            protocol,
+            self._target_port,
+            self._clock,
+            self._timers,
+            self._random,
+        )
         self._forwarder = Forwarder(
             settings.forwarding,
             protocol,
@@ -199,6 +218,8 @@
             self._permits,
             SuspectTracker(self._quarantine, address_check, self._clock),
             StreamContinuity(self._releases, lambda: self._contact.contacted_ms),
+            self._paths,
+            self._relay,
             self._clock,
             self._timers,
             self._random,
@@ -334,6 +355,11 @@
             "Whether the control group acknowledges heartbeats",
             lambda: int(self._has_contact),
         )
+        metrics.add_gauge(
+            "target_path",
+            "Whether targets can be reached from this instance",
+            lambda: int(not self._paths.is_isolated),
+        )
         metrics.add_gauge(
             "rate_limited_targets",
             "Targets with a request rate limit",
@@ -359,6 +385,7 @@
             self._forwarder.apply_weights(self._contact.weights)
         if change.instances:
             self._forwarder.set_instances(len(self._contact.instances))
+            self._relay.set_instances(self._contact.instances)
         self._report_serving()
 
     def _apply_routing(self) -> None:
@@ -424,7 +451,15 @@
                 feed_version=self._contact.feed_version,
                 **self._phases.to_fields(),
             )
-            self._control.set_status("serving")
+            self._control.set_status(SERVING)
+
+    def _report_path(self) -> None:
+        """Tell the others whether this process has a path to the targets."""
+        if self._contact.status in (SERVING, ISOLATED):
+            status = ISOLATED if self._paths.is_isolated else SERVING
+            self._control.set_status(status)
+        if not self._paths.is_isolated:
+            self._forwarder.readmit_targets()
 
     # Periodic work
 
--- a/papayacrank/forwarding/tests/builders.py
+++ b/papayacrank/forwarding/tests/builders.py
@@ -15,7 +15,10 @@
     StartQuery,
 )
 from papayacrank.forwarding._continuity import StreamContinuity
+from papayacrank.forwarding._path_monitor import PathMonitor
+from papayacrank.forwarding._path_port import PathPort, Prober
 from papayacrank.forwarding._quota import QuotaEnforcer
+from papayacrank.forwarding._relay import Relay
 from papayacrank.forwarding._suspects import SuspectTracker
 from papayacrank.kernel import ManualClock
 from papayacrank.messages import (
@@ -130,6 +133,7 @@
             tuple(PromptPart(name, int(count)) for name, count in parts),
             known.get("after"),
             known.get("first"),
+            "relayed" in known,
         )
 
     def target_headers(self, request, dispatch):
@@ -137,6 +141,12 @@
         self.dispatches.append(dispatch)
         return list(request.headers)
 
+    def relay_headers(self, head, remaining_ms):
+        """Return the headers with the remaining time and the mark."""
+        kept = [pair for pair in head.headers if pair[0] != b"deadline"]
+        added = [(b"deadline", str(remaining_ms).encode()), (b"relayed", b"1")]
+        return [*kept, *added]
+
     def read_response(self, status, headers):
         """Parse the head of a response with short header names."""
         known = {n.decode(): v.decode() for n, v in headers}
@@ -217,6 +227,25 @@
             callback(is_refused)
 
 
+class FakeProber(Prober):
+    """Prober that records addresses; the test supplies the outcomes."""
+
+    def __init__(self):
+        self.addresses = []
+        self._callbacks = []
+
+    def start(self, address, callback):
+        """Record a probe."""
+        self.addresses.append(address)
+        self._callbacks.append(callback)
+
+    def finish(self, outcome):
+        """End all open probes with an outcome."""
+        callbacks, self._callbacks = self._callbacks, []
+        for callback in callbacks:
+            callback(outcome)
+
+
 class FakeTimers:
     """Timers that `Bench.advance` fires."""
 
@@ -288,6 +317,19 @@
             "i1@1", self._send_to_leader, self.clock, self.timers
         )
         self.address_check = FakeAddressCheck()
+        self.prober = FakeProber()
+        self.paths = PathPort(
+            PathMonitor(random.Random(1)), self.prober, self.clock, self.timers
+        )
+        self.relay = Relay(
+            "i1@1",
+            "east",
+            self.protocol,
+            self.port,
+            self.clock,
+            self.timers,
+            random.Random(1),
+        )
         self.forwarder = Forwarder(
             ForwardingSettings("i1", "east"),
             self.protocol,
@@ -296,6 +338,8 @@
             self.permits,
             SuspectTracker(self.quarantine, self.address_check, self.clock),
             StreamContinuity(self.releases),
+            self.paths,
+            self.relay,
             self.clock,
             self.timers,
             random.Random(1),
--- a/papayacrank/messages/_feed.py
+++ b/papayacrank/messages/_feed.py
@@ -22,7 +22,7 @@
     address : str
         Address for callers as ``ip:port``.
     status : str
-        ``"starting"``, ``"serving"`` or ``"draining"``.
+        ``"starting"``, ``"serving"``, ``"isolated"`` or ``"draining"``.
     """
 
     instance: str
--- a/papayacrank/messages/_requests.py
+++ b/papayacrank/messages/_requests.py
@@ -141,7 +141,7 @@
     address : str
         Address for callers as ``ip:port``.
     status : str
-        ``"starting"``, ``"serving"`` or ``"draining"``.
+        ``"starting"``, ``"serving"``, ``"isolated"`` or ``"draining"``.
     fleet_term, fleet_sequence : int
         Term and sequence of the newest `FleetView` of the sender.
     rates_term, rates_revision : int
--- a/papayacrank/platform/_caller_protocol.py
+++ b/papayacrank/platform/_caller_protocol.py
@@ -46,6 +46,8 @@
 CACHE_SALT = b"papayacrank-cache-salt"
 KV_FETCH = b"papayacrank-kv-fetch"
 KV_SAVE = b"papayacrank-kv-save"
+# Marks a request that an instance passes on to another one, which must not pass it on.
+RELAYED = b"papayacrank-relayed"
 HOST = b"host"
 RETRY_AFTER = b"retry-after"
 CONTENT_ENCODING = b"content-encoding"
@@ -56,6 +58,10 @@
 # Longer numbers exceed the integers of messages between processes.
 MAX_DIGITS = 15
 
+# Headers that are set anew for a request that is passed on to another instance.
+_RELAY_REPLACES = CONNECTION_HEADERS | frozenset(
+    {DEADLINE_MS, RELAYED, b"content-length", b"expect"}
+)
 # Headers that only the system may set, and connection-specific or framing headers.
 _NOT_FORWARDED = CONNECTION_HEADERS | frozenset(
     {
@@ -69,6 +75,7 @@
         KV_FETCH,
         KV_SAVE,
         LAST_EVENT_ID,
+        RELAYED,
         b"papayacrank-kv-hold",
         b"papayacrank-kv-backup",
         b"papayacrank-pin-ms",
@@ -107,6 +114,7 @@
             _read_parts(known.get(PROMPT_PREFIX)),
             known.get(LAST_EVENT_ID),
             known.get(RESUMES),
+            RELAYED in known,
         )
 
     def target_headers(self, request: ForwardRequest, dispatch: Dispatch) -> HeaderList:
@@ -131,6 +139,13 @@
             ),
         ]
 
+    def relay_headers(self, head: RequestHead, remaining_ms: int) -> HeaderList:
+        """Return the headers of the caller with the remaining time and the mark."""
+        headers = drop_headers(head.headers, _RELAY_REPLACES)
+        if head.find(DEADLINE_MS) is not None:
+            headers.append((DEADLINE_MS, str(remaining_ms).encode()))
+        return [*headers, (RELAYED, b"1")]
+
     def read_response(self, status: int, headers: HeaderList) -> ResponseMetadata:
         """Parse the head of the response of a target."""
         pairs = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in headers]
--- a/papayacrank/platform/tests/faulty_servers.py
+++ b/papayacrank/platform/tests/faulty_servers.py
@@ -13,7 +13,10 @@
 from papayacrank.forwarding import Forwarder, ForwardingSettings
 from papayacrank.forwarding._continuity import StreamContinuity
 from papayacrank.forwarding._health import TargetHealth
+from papayacrank.forwarding._path_monitor import PathMonitor
+from papayacrank.forwarding._path_port import ConnectProber, PathPort
 from papayacrank.forwarding._quota import QuotaEnforcer
+from papayacrank.forwarding._relay import Relay
 from papayacrank.forwarding._suspects import SuspectTracker
 from papayacrank.forwarding._target_port import TargetPort
 from papayacrank.forwarding.tests.builders import (
@@ -144,17 +147,26 @@
             QuarantineClient("i1"), lambda _: True, clock, timers
         )
         address_check = ConnectionCheck(clock, timers)
+        protocol, random_state = PlatformCallerProtocol(), random.Random(1)
+        paths = PathPort(
+            PathMonitor(random_state), ConnectProber(clock, timers), clock, timers
+        )
+        self.relay = Relay(
+            "i1@1", "east", protocol, self.port, clock, timers, random_state
+        )
         self.forwarder = Forwarder(
             ForwardingSettings("i1", "east", retry_slack=1_000.0),
-            PlatformCallerProtocol(),
+            protocol,
             self.port,
             QuotaEnforcer(LocalShares()),
             permits,
             SuspectTracker(quarantine, address_check, clock),
             StreamContinuity(ReleasePort("i1", lambda _: True, clock, timers)),
+            paths,
+            self.relay,
             clock,
             timers,
-            random.Random(1),
+            random_state,
         )
         self._apply(service, route_fields)
         self._http = HttpPort(
