--- a/papayacrank/transport/_codec.py
+++ b/papayacrank/transport/_codec.py
@@ -1,5 +1,6 @@
 """MessagePack codec for a fixed set of message types."""
 
+import zlib
 from collections.abc import Iterable
 from functools import reduce
 from operator import or_
@@ -7,6 +8,14 @@
 
 import msgspec
 
+# Below this size, compression saves less than it costs.
+MIN_COMPRESSED_BYTES = 2_000
+MAX_DECOMPRESSED_BYTES = 64 * 1024 * 1024
+FASTEST_LEVEL = 1
+# First byte of the zlib format. A MessagePack message begins with another one, because
+# it is a map or an array.
+ZLIB_MARK = 0x78
+
 
 class MessageDecodeError(ValueError):
     """The bytes are not a valid message of the codec."""
@@ -19,10 +28,14 @@
     ----------
     types : iterable of type
         Struct types declared with a tag. Messages of other types are rejected.
+    compressed : iterable of type
+        Types whose large messages are sent compressed; all receivers must run a version
+        that decodes these.
     """
 
-    def __init__(self, types: Iterable[type]):
+    def __init__(self, types: Iterable[type], compressed: Iterable[type] = ()):
         self._types = tuple(types)
+        self._compressed = tuple(compressed)
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(reduce(or_, self._types))
 
@@ -36,7 +49,10 @@
         """
         if not isinstance(message, self._types):
             raise TypeError(f"unsupported message type {type(message).__name__}")
-        return self._encoder.encode(message)
+        data = self._encoder.encode(message)
+        if len(data) >= MIN_COMPRESSED_BYTES and isinstance(message, self._compressed):
+            return zlib.compress(data, FASTEST_LEVEL)
+        return data
 
     def decode(self, data: bytes) -> Any:
         """Decode one message.
@@ -46,7 +62,20 @@
         MessageDecodeError
             If the bytes are not a valid message of one of the types.
         """
+        if data[:1] == bytes([ZLIB_MARK]):
+            data = _decompress(data)
         try:
             return self._decoder.decode(data)
         except (msgspec.DecodeError, RecursionError) as error:
             raise MessageDecodeError(str(error)) from error
+
+
+def _decompress(data: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    try:
+        decompressed = decompressor.decompress(data, MAX_DECOMPRESSED_BYTES)
+    except zlib.error as error:
+        raise MessageDecodeError(str(error)) from error
+    if not decompressor.eof:
+        raise MessageDecodeError("the message is incomplete or too large")
+    return decompressed
