Leave the leadership to a voter with a path to the targets

A leader on a machine that is partitioned from all targets cannot order new weights, and takes stores for dead that all others reach, so that shared prompt parts are read again. It now resigns as soon as its own entry process reports isolated while the entry process of another voter is serving, and starts no election for five election timeouts.

--- a/papayacrank/consensus/_election.py
+++ b/papayacrank/consensus/_election.py
@@ -6,6 +6,9 @@
 # An election takes a network round trip and a sync on both sides, which is about
 # 10 ms within one region.
 INITIAL_ELECTION_TIMEOUT_MS = 80
+# A member that resigned starts no election for this many election timeouts, in which
+# the others have had time for several.
+RESIGNED_TIMEOUTS = 5
 
 
 class Election(NodeCore):
@@ -15,6 +18,7 @@
     _randomized_timeout_ms = 0
     _is_initial_election = False
     _last_vote_ms = -INITIAL_ELECTION_TIMEOUT_MS
+    _resigned_until_ms = 0
 
     def _reset_election_timeout(self) -> None:
         """Draw a new random election timeout and restart it now."""
@@ -63,10 +67,16 @@
         is_voter = self._log.is_voter_since(self._commit_index, self._identity)
         return (
             is_voter
+            and self._now_ms >= self._resigned_until_ms
             and self._is_verified
             and self._meets_log_lower_bounds(self._log.last)
         )
 
+    def _resign(self) -> None:
+        pause_ms = RESIGNED_TIMEOUTS * self._settings.election_timeout_ms
+        self._resigned_until_ms = self._now_ms + pause_ms
+        self._become_follower(self._term, "", "resigned")
+
     def _campaign(self) -> None:
         self._leader = ""
         if self._protections.pre_vote:
--- a/papayacrank/consensus/_node.py
+++ b/papayacrank/consensus/_node.py
@@ -305,6 +305,24 @@
         self._now_ms = max(self._now_ms, now_ms)
         return self._change_member(change)
 
+    def resign(self, now_ms: int) -> list[Any]:
+        """Give up leadership, and leave the next election to the other members.
+
+        Parameters
+        ----------
+        now_ms : int
+            Current time in milliseconds.
+
+        Returns
+        -------
+        list
+            Effects.
+        """
+        self._now_ms = max(self._now_ms, now_ms)
+        if self.is_leader:
+            self._resign()
+        return self._take_effects()
+
     def flush(self, now_ms: int) -> list[Any]:
         """Replicate and persist all buffered entries as one batch.
 
--- a/papayacrank/consensus/tests/test_faults.py
+++ b/papayacrank/consensus/tests/test_faults.py
@@ -470,3 +470,16 @@
     cluster.run(3_000)
     assert len(cluster.voters()) == 3
     cluster.finish()
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_member_that_resigns_is_followed_by_another(seed):
+    """Guards against a leader that wins the election after its own resignation."""
+    cluster = Cluster(seed, 5).start()
+    cluster.write_and_wait()
+    first = cluster.lease_holder()
+    first.call("resign")
+    assert cluster.lease_holder() is None
+    cluster.write_and_wait()
+    assert cluster.lease_holder() is not first
+    cluster.finish()
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -16,6 +16,8 @@
 )
 from papayacrank.kernel import Failure, Send, SetTimer
 from papayacrank.messages import (
+    ISOLATED,
+    SERVING,
     ChangeReleases,
     ConfirmOrder,
     ControlReply,
@@ -517,6 +519,8 @@
         effects = self._update_role(now_ms)
         if not self._may_serve(now_ms):
             return effects
+        if self._should_resign():
+            return effects + self._advance(self._raft.resign, now_ms=now_ms)
         effects += self._publish_feed(now_ms)
         effects += self._expire_leases(now_ms)
         effects += self._platform_list.poll(now_ms)
@@ -528,6 +532,24 @@
         effects += self._quarantine.push(self._entry_names, now_ms)
         return effects + self._requests.poll()
 
+    def _should_resign(self) -> bool:
+        """Whether this machine has lost its path to the targets and others have not.
+
+        Orders to targets and checks of stores by this leader would fail.
+        """
+        if self._fleet is None:
+            return False
+        status_by_host = {
+            row.address.rpartition(":")[0]: row.status
+            for row in self._machine.instances.rows
+        }
+        if status_by_host.get(self._settings.instance) != ISOLATED:
+            return False
+        return any(
+            member.voter and status_by_host.get(member.name) == SERVING
+            for member in self._raft.members
+        )
+
     def _poll_fleet(self, now_ms: int) -> list[Any]:
         if self._fleet is None or not self._may_serve(now_ms):
             return []
--- a/papayacrank/forwarding/_directory.py
+++ b/papayacrank/forwarding/_directory.py
@@ -1,10 +1,7 @@
 """Selection of the entry addresses that the directory returns to callers."""
 
-from papayacrank.messages import EntryAddress
+from papayacrank.messages import ISOLATED, SERVING, EntryAddress
 
-SERVING = "serving"
-# Status of an instance that has no path to any target.
-ISOLATED = "isolated"
 MAX_ADDRESSES = 64
 # Callers are kept in their failure domain while it has this many serving instances,
 # because traffic between failure domains costs latency and bandwidth.
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -19,6 +19,8 @@
 from papayacrank.kernel import MonotonicClock, log_event
 from papayacrank.messages import (
     CONTROL_MESSAGES,
+    ISOLATED,
+    SERVING,
     FleetChange,
     FleetLoad,
     FleetView,
@@ -46,7 +48,7 @@
 
 from ._base import CallerProtocol
 from ._continuity import StreamContinuity
-from ._directory import ISOLATED, SERVING, choose_addresses
+from ._directory import choose_addresses
 from ._events import (
     CONTROL_LOST,
     CONTROL_REGAINED,
--- a/papayacrank/forwarding/_relay.py
+++ b/papayacrank/forwarding/_relay.py
@@ -5,11 +5,10 @@
 from dataclasses import dataclass, field
 
 from papayacrank.kernel import Clock, Failure, Verdict, log_event
-from papayacrank.messages import EntryAddress
+from papayacrank.messages import SERVING, EntryAddress
 from papayacrank.transport import HttpExchange, Timers
 
 from ._base import CallerProtocol, ForwardRequest
-from ._directory import SERVING
 from ._events import REQUEST_RELAYED
 from ._headers import CONNECTION_HEADERS, HeaderList, drop_headers
 from ._target_call import CallFailure, CallListener, TargetCall
--- a/papayacrank/messages/__init__.py
+++ b/papayacrank/messages/__init__.py
@@ -24,6 +24,8 @@
     WithdrawKey,
 )
 from ._feed import (
+    ISOLATED,
+    SERVING,
     ConfigurationChange,
     EntryAddress,
     FeedBatch,
@@ -148,7 +150,9 @@
     "ReleaseFound",
     "StreamsBegun",
     "CONTROL_MESSAGES",
+    "ISOLATED",
     "MIN_BATCH_BYTES",
+    "SERVING",
     "compress_feed",
     "decompress_feed",
     "encode_feed",
--- a/papayacrank/messages/_feed.py
+++ b/papayacrank/messages/_feed.py
@@ -5,6 +5,10 @@
 from ._commands import TargetStatus
 from ._routing import RoutingConfiguration
 
+# Status of an entry process that serves callers, and of one that cannot reach targets.
+SERVING = "serving"
+ISOLATED = "isolated"
+
 
 class KeyEntry(msgspec.Struct, frozen=True):
     """A live API key."""
