Bound the bytes of log entries in flight to each member

Up to eight batches could be in flight, each one entry of any size, to 16 members. Now a further batch is sent only while less than 512 KB are unacknowledged.

--- a/papayacrank/consensus/_progress.py
+++ b/papayacrank/consensus/_progress.py
@@ -3,9 +3,11 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from ._messages import Member, Snapshot
+from ._messages import Entry, Member, Snapshot
 
 MAX_BATCHES_IN_FLIGHT = 8
+# A member on a slow link must not make the leader hold much of the log in its queue.
+MAX_BYTES_IN_FLIGHT = 512 * 1024
 NEVER_MS = -(10**15)
 
 
@@ -35,8 +37,8 @@
         Time at which `match_index` last increased or sending resumed.
     records_sent_ms : int
         Time at which peer records were last sent.
-    in_flight : deque of int
-        Last index of each batch that is not acknowledged yet.
+    in_flight : deque of (int, int)
+        Last index and size in bytes of each batch that is not acknowledged yet.
     resends : int
         Number of resends since `match_index` last increased. Each one doubles the
         delay before the next.
@@ -54,7 +56,7 @@
     acknowledged_sent_ms: int = NEVER_MS
     last_progress_ms: int = NEVER_MS
     records_sent_ms: int = NEVER_MS
-    in_flight: deque[int] = field(default_factory=deque)
+    in_flight: deque[tuple[int, int]] = field(default_factory=deque)
     resends: int = 0
     snapshot: Snapshot | None = None
     snapshot_offset: int = 0
@@ -66,8 +68,17 @@
             not self.probing
             and self.snapshot is None
             and len(self.in_flight) < MAX_BATCHES_IN_FLIGHT
+            and sum(size for _, size in self.in_flight) < MAX_BYTES_IN_FLIGHT
         )
 
+    def on_sent(self, entries: tuple[Entry, ...], now_ms: int) -> None:
+        """Record that a batch of entries is sent."""
+        if not self.in_flight:
+            self.last_progress_ms = now_ms
+        last_index = entries[-1].index
+        self.in_flight.append((last_index, sum(len(entry.data) for entry in entries)))
+        self.next_index = last_index + 1
+
     def accept(self, match_index: int, now_ms: int) -> None:
         """Record that the log was acknowledged up to `match_index`."""
         if match_index > self.match_index or self.probing:
@@ -77,7 +88,7 @@
         self.match_index = max(self.match_index, match_index)
         self.next_index = max(self.next_index, self.match_index + 1)
         self.probing = False
-        while self.in_flight and self.in_flight[0] <= self.match_index:
+        while self.in_flight and self.in_flight[0][0] <= self.match_index:
             self.in_flight.popleft()
 
     def probe_from(self, next_index: int) -> None:
--- a/papayacrank/consensus/_replication.py
+++ b/papayacrank/consensus/_replication.py
@@ -142,10 +142,7 @@
                 self._start_snapshot(progress)
                 return
             entries = self._log.batch(first, MAX_BATCH_ENTRIES, MAX_BATCH_BYTES)
-            if not progress.in_flight:
-                progress.last_progress_ms = self._now_ms
-            progress.in_flight.append(entries[-1].index)
-            progress.next_index = entries[-1].index + 1
+            progress.on_sent(entries, self._now_ms)
             self._send_append(progress, first - 1, entries)
 
     def _on_append_reply(self, sender: str, reply: AppendReply) -> None:
