Answer a repeated configuration without another log entry

An operator that gets no acknowledgement sends the same configuration again, to other instances first. A version that is not newer than the one in force changes nothing, so the leader answers it from its state, which its lease makes current.

--- a/papayacrank/control/_requests.py
+++ b/papayacrank/control/_requests.py
@@ -11,6 +11,7 @@
     ControlRequest,
     Done,
     FailureRecord,
+    FileRouting,
     GrantKey,
     KeyChanged,
     LiftVerdict,
@@ -85,6 +86,11 @@
         recorded = self._machine.find_outcome(request.request_id)
         if recorded is not None:
             return [Send(sender, recorded)]
+        in_force = self._machine.routing.version
+        if _is_superseded(request.command, in_force):
+            return [
+                Send(sender, ControlReply(request.request_id, RoutingFiled(in_force)))
+            ]
         if request.request_id in self._pending:
             _add_sender(self._pending[request.request_id], sender)
             return []
@@ -186,6 +192,13 @@
         return command.new in voters and command.old not in voters
 
 
+def _is_superseded(command: Command, in_force: int) -> bool:
+    """Whether a command would not change the state, whatever its document."""
+    return (
+        isinstance(command, FileRouting) and command.configuration.version <= in_force
+    )
+
+
 def build_change_notices(command: Command, reply: ControlReply) -> list[EmitEvent]:
     """Return the log events of a change by an operator, or of a failed command."""
     if reply.failure is not None and reply.failure.code == "internal_error":
--- a/papayacrank/control/tests/test_node.py
+++ b/papayacrank/control/tests/test_node.py
@@ -16,12 +16,14 @@
     Done,
     FeedSnapshot,
     FeedUpdate,
+    FileRouting,
     GrantKey,
     Heartbeat,
     HeartbeatAck,
     NotLeader,
     ReadState,
     ReplaceMember,
+    RoutingConfiguration,
     ShareReport,
 )
 from papayacrank.state import StateMachine, decode_entry
@@ -244,6 +246,18 @@
     assert any(isinstance(m, FeedSnapshot) for m in initial_messages)
 
 
+def test_repeated_configuration_is_answered_without_a_log_entry(harness):
+    """Guards against a large entry for each repetition by an operator."""
+    command = FileRouting(RoutingConfiguration(3), b"{}")
+    harness.receive("a", ControlRequest("first", "a", 1, command))
+    count = len(harness.raft.entries)
+    again = harness.receive("a", ControlRequest("again", "a", 1, command))
+    older = FileRouting(RoutingConfiguration(2), b"{}")
+    late = harness.receive("a", ControlRequest("late", "a", 1, older))
+    assert len(harness.raft.entries) == count
+    assert [m.result.version for _, m in again + late] == [3, 3]
+
+
 def test_requested_shares_are_granted_through_the_log(harness):
     """Guards against grants that are unknown to a new leader."""
     report = ShareReport("nobody", 0, 0, 0, 10, 0)
