Keep connections to targets that read nothing for a second or two

What callers saw: a request with a large body got 502, may have run, from a sound target that read nothing for 1.5 s. Cause: TCP_USER_TIMEOUT of 700 ms also counts while the receive window is full, although each probe is acknowledged (shown with plain sockets: 8 MB to a reader that starts after 1 s end with ETIMEDOUT at 700 ms and arrive at 2,500 ms). Requests with a body above 16 KB, which may fill a window, get 2.5 s; all others keep 700 ms, by which a broken path is noticed. The new test got 502 before.

--- a/papayacrank/forwarding/_target_port.py
+++ b/papayacrank/forwarding/_target_port.py
@@ -29,6 +29,10 @@
 # A connection fails if data stays unacknowledged for this long, which shows that the
 # target or the network path is down.
 USER_TIMEOUT_MS = 700
+# The same for requests with a body that may fill the receive window: a sound target
+# that reads nothing for a second or two then acknowledges nothing new either.
+LARGE_BODY_BYTES = 16 * 1024
+LARGE_BODY_USER_TIMEOUT_MS = 2_500
 KEEPALIVE_S = 1
 MAX_IDLE_PER_TARGET = 16
 MAX_IDLE = 600
@@ -258,6 +262,7 @@
         if limit_ms is not None and self._clock.now_ms() >= limit_ms:
             self._drop(connection, CallFailure("permit_expired", False))
             return
+        _set_user_timeout(connection.sock, len(call.body))
         connection.queue(_encode(connection.protocol, call))
         self._write(connection)
 
@@ -581,6 +586,13 @@
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, 1)
 
 
+def _set_user_timeout(sock: socket.socket, body_bytes: int) -> None:
+    """Set the time for which data may stay unacknowledged, for the next request."""
+    is_large = body_bytes > LARGE_BODY_BYTES
+    timeout_ms = LARGE_BODY_USER_TIMEOUT_MS if is_large else USER_TIMEOUT_MS
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
 def _encode(protocol: h11.Connection, call: TargetCall) -> bytes:
     headers = list(call.headers)
     if call.body or call.method not in ("GET", "HEAD", "DELETE"):
--- a/papayacrank/platform/tests/test_faulty_servers.py
+++ b/papayacrank/platform/tests/test_faulty_servers.py
@@ -447,3 +447,19 @@
     assert b"transfer-encoding" not in received.lower()
     assert build_event(1) in received
     assert has_reset is is_broken
+
+
+def test_target_that_reads_nothing_for_a_second_keeps_its_connection():
+    """Guards against a user timeout that ends a connection whose window is full."""
+    body = bytes(4_000_000)
+
+    def read_late(sock, data, number):
+        time.sleep(1.5)
+        received = len(data)
+        while received < len(body):
+            received += len(sock.recv(1_000_000))
+        sock.sendall(build_answer(request_id_of(data)))
+
+    with Entry(read_late) as entry:
+        reply = entry.ask("/claim/x", deadline_ms=5_000, body=body)
+    assert (reply.status, reply.body) == (200, b"whole")
