--- a/papayacrank/kernel/__init__.py
+++ b/papayacrank/kernel/__init__.py
@@ -1,6 +1,7 @@
 """Clocks, failures, plug-in registry, effects and numbered log events."""
 
 from ._clock import Clock, ManualClock, MonotonicClock
+from ._compression import CompressionError, compress, decompress
 from ._digest import Digest, hash_fields
 from ._effects import CancelTimer, Effect, Send, SetTimer
 from ._events import (
@@ -19,6 +20,7 @@
     "GuardedLogStream",
     "CancelTimer",
     "Clock",
+    "CompressionError",
     "Digest",
     "Effect",
     "Failure",
@@ -30,8 +32,10 @@
     "Verdict",
     "hash_fields",
     "list_registered",
+    "compress",
     "configure_logging",
     "create",
+    "decompress",
     "declare_events",
     "declared_events",
     "log_event",
--- a/papayacrank/transport/_codec.py
+++ b/papayacrank/transport/_codec.py
@@ -1,6 +1,5 @@
 """MessagePack codec for a fixed set of message types."""
 
-import zlib
 from collections.abc import Iterable
 from functools import reduce
 from operator import or_
@@ -8,13 +7,14 @@
 
 import msgspec
 
+from papayacrank.kernel import CompressionError, compress, decompress
+
 # Below this size, compression saves less than it costs.
 MIN_COMPRESSED_BYTES = 2_000
 MAX_DECOMPRESSED_BYTES = 64 * 1024 * 1024
-FASTEST_LEVEL = 1
 # First byte of the zlib format. A MessagePack message begins with another one, because
 # it is a map or an array.
-ZLIB_MARK = 0x78
+ZLIB_MARK = b"\x78"
 
 
 class MessageDecodeError(ValueError):
@@ -51,7 +51,7 @@
             raise TypeError(f"unsupported message type {type(message).__name__}")
         data = self._encoder.encode(message)
         if len(data) >= MIN_COMPRESSED_BYTES and isinstance(message, self._compressed):
-            return zlib.compress(data, FASTEST_LEVEL)
+            return compress(data)
         return data
 
     def decode(self, data: bytes) -> Any:
@@ -62,20 +62,9 @@
         MessageDecodeError
             If the bytes are not a valid message of one of the types.
         """
-        if data[:1] == bytes([ZLIB_MARK]):
-            data = _decompress(data)
         try:
+            if data[:1] == ZLIB_MARK:
+                data = decompress(data, MAX_DECOMPRESSED_BYTES)
             return self._decoder.decode(data)
-        except (msgspec.DecodeError, RecursionError) as error:
+        except (CompressionError, msgspec.DecodeError, RecursionError) as error:
             raise MessageDecodeError(str(error)) from error
-
-
-def _decompress(data: bytes) -> bytes:
-    decompressor = zlib.decompressobj()
-    try:
-        decompressed = decompressor.decompress(data, MAX_DECOMPRESSED_BYTES)
-    except zlib.error as error:
-        raise MessageDecodeError(str(error)) from error
-    if not decompressor.eof:
-        raise MessageDecodeError("the message is incomplete or too large")
-    return decompressed
