Refuse what may outlast a stop before it is passed on

A stopping instance without a path passed requests on that last longer than its own time left, so that their callers would have been cut. The stop is checked first now. A process that loses the path before it is ready also reports isolated instead of serving. Found by reading; the test got no response before.

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -379,9 +379,6 @@
         if not self.is_ready:
             self._hold_until_ready(exchange, request)
             return
-        if self._paths.is_isolated and self._relay.accepts(request):
-            self._relay.forward(exchange, request)
-            return
         route_or_failure = self._find_route(request)
         if isinstance(route_or_failure, Failure):
             self._refuse(exchange, route_or_failure, request.request_id)
@@ -392,6 +389,9 @@
             failure = _refusal("stopping", text, 503, RETRY_ELSEWHERE_MS)
             self._refuse(exchange, failure, request.request_id, closes=True)
             return
+        if self._paths.is_isolated and self._relay.accepts(request):
+            self._relay.forward(exchange, request)
+            return
         self._admit(exchange, request, route, workspace)
 
     def _hold_until_ready(
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -453,13 +453,16 @@
                 feed_version=self._contact.feed_version,
                 **self._phases.to_fields(),
             )
-            self._control.set_status(SERVING)
+            self._set_serving_status()
+
+    def _set_serving_status(self) -> None:
+        status = ISOLATED if self._paths.is_isolated else SERVING
+        self._control.set_status(status)
 
     def _report_path(self) -> None:
         """Tell the others whether this process has a path to the targets."""
         if self._contact.status in (SERVING, ISOLATED):
-            status = ISOLATED if self._paths.is_isolated else SERVING
-            self._control.set_status(status)
+            self._set_serving_status()
         if not self._paths.is_isolated:
             self._forwarder.readmit_targets()
 
--- a/papayacrank/forwarding/tests/test_lost_path.py
+++ b/papayacrank/forwarding/tests/test_lost_path.py
@@ -187,6 +187,15 @@
     assert cut_off.forwarder.open_jobs == 0
 
 
+def test_stopping_instance_passes_on_nothing_that_may_outlast_it(cut_off):
+    add_peers(cut_off, "i2")
+    calls = len(cut_off.port.calls)
+    cut_off.forwarder.begin_stop(cut_off.clock.now_ms() + 1_000)
+    caller = cut_off.send(id="later")
+    assert (caller.status, caller.headers["code"]) == (503, "stopping")
+    assert len(cut_off.port.calls) == calls
+
+
 def test_target_is_used_at_once_when_the_path_is_regained(cut_off):
     add_peers(cut_off, "i2")
     cut_off.prober.finish(ConnectOutcome.SILENT)
