--- a/papayacrank/control/tests/test_fleet_start.py
+++ b/papayacrank/control/tests/test_fleet_start.py
@@ -3,7 +3,8 @@
 import pytest
 
 from papayacrank.control.tests.start_simulation import FleetStart
-from papayacrank.messages import FeedBatch
+from papayacrank.kernel import compress
+from papayacrank.messages import FeedBatch, encode_feed
 from papayacrank.platform._settings import ELECTION_TIMEOUT_MS
 
 # Time within which instances have to be in contact again after a disturbance, as the
@@ -54,3 +55,20 @@
     fleet.run(CONTACT_MS)
     assert len(lost) == len(fleet.ready) == 30
     assert all(entry.contact.has_contact(fleet.now_ms) for entry in fleet.entries)
+
+
+def test_process_that_keeps_up_is_sent_nothing_twice():
+    fleet = FleetStart(9, MANY_ROUTES, seed=4)
+    fleet.run(CONTACT_MS)
+    fleet.bytes_by_receiver.clear()
+    fleet.bytes_by_type.clear()
+    # Each change is on its way while the one before is confirmed.
+    for number in range(20):
+        fleet.run(CONTACT_MS + 100 * number)
+        fleet.change_routing()
+    fleet.run(2 * CONTACT_MS)
+    assert {entry.contact.routing.version for entry in fleet.entries} == {21}
+    one_change = fleet.bytes_by_type["FeedBatch"] / len(fleet.entries) / 20
+    assert one_change < 1.2 * len(
+        compress(encode_feed(fleet.node.machine.feed_since(0)))
+    )
