Count a crash of a target apart from one before its restart

Cause: reports on the same start number of a target within 3 s counted as one crash. An instance that uses a target again before the list shows its new start reports the former number, so a second crash 2.2 s after the first added no evidence, and the trial that caused it ended without a decision.

A report now states when the last of its lost connections was opened. One opened after a known crash belongs to a later start, so that its loss is a crash of its own.

test_crash_soon_after_a_start_that_is_not_known_yet_is_counted fails without the condition.

--- a/papayacrank/entry/_flow.py
+++ b/papayacrank/entry/_flow.py
@@ -415,7 +415,8 @@
     def _check_crash(self, target: str, failure: TargetFailure) -> None:
         """Check whether a target has crashed on the request."""
         if failure.bytes_written and failure.code in LOST_CONNECTION_CODES:
-            self._parts.on_lost(target, self._find_target_address(target))
+            address = self._find_target_address(target)
+            self._parts.on_lost(target, address, failure.opened_ms)
 
     def _give_back(self, permit: Permit | None) -> None:
         if permit is not None:
--- a/papayacrank/entry/_part_trials.py
+++ b/papayacrank/entry/_part_trials.py
@@ -136,7 +136,7 @@
         self._quarantine.on_begun(self.names)
         self.end_trial()
 
-    def on_lost(self, target: str, address: str) -> None:
+    def on_lost(self, target: str, address: str, opened_ms: int | None) -> None:
         """Check whether a target has crashed that lost the connection of the attempt.
 
         The trial of the attempt goes on until the crash is reported.
@@ -155,7 +155,7 @@
 
         suspect = SuspectRequest(self._workspace, list(self.names), trial)
         self._crash_checks.on_lost(
-            target, address, self._target_start, suspect, on_checked
+            target, address, self._target_start, opened_ms, suspect, on_checked
         )
 
     def end_trial(self) -> None:
--- a/papayacrank/entry/tests/test_prompt_trials.py
+++ b/papayacrank/entry/tests/test_prompt_trials.py
@@ -210,7 +210,7 @@
     assert (bench.attempts, bench.count(TrialEnded)) == (2, 0)
     assert bench.count(TrialRequest) == 1
     bench.flow.on_failed(LOST)
-    assert bench.checks[0][3].trial
+    assert bench.checks[0][4].trial
     bench.checks[0][-1](False)
     assert bench.count(TrialEnded) == 1
 
@@ -229,11 +229,11 @@
     """Guards against the next trial while the crash of this one is not reported."""
     bench.run_trial()
     bench.flow.on_failed(LOST)
-    [(target, address, start, suspect, callback)] = bench.checks
+    [(target, address, start, _, suspect, callback)] = bench.checks
     assert (target, address, start) == ("e1", "address of e1", 5)
     assert suspect.parts == list(PARTS) and suspect.trial
     assert not bench.count(TrialEnded)
-    bench.quarantine.report_crash(target, start, 0, [suspect])
+    bench.quarantine.report_crash(target, start, 0, None, [suspect])
     callback(True)
     assert (bench.count(CrashReport), bench.count(TrialEnded)) == (1, 0)
 
--- a/papayacrank/entry/tests/test_service_quarantine.py
+++ b/papayacrank/entry/tests/test_service_quarantine.py
@@ -86,7 +86,7 @@
     bench = Bench(is_action)
     bench.start()
     bench.flow.on_failed(LOST)
-    _, _, start, suspect, _ = bench.losses[0]
+    _, _, start, _, suspect, _ = bench.losses[0]
     assert (start, suspect.workspace, suspect.parts) == (5, "team-a", [NAME])
 
 
--- a/papayacrank/forwarding/_suspects.py
+++ b/papayacrank/forwarding/_suspects.py
@@ -165,7 +165,12 @@
 
         suspect = SuspectRequest(job.workspace_name, list(job.suspect_names), trial)
         self._checks.on_lost(
-            target.name, target.address, target.born_ms, suspect, on_checked
+            target.name,
+            target.address,
+            target.born_ms,
+            attempt.call.opened_ms,
+            suspect,
+            on_checked,
         )
 
     def may_repeat(self, job: Job) -> bool:
--- a/papayacrank/forwarding/_target_port.py
+++ b/papayacrank/forwarding/_target_port.py
@@ -74,7 +74,6 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self.call: TargetCall | None = None
-        self.opened_ms = 0
         # Name and start time of the target that was checked on this connection.
         self.checked_start: tuple[str, int] | None = None
         self.max_idle_ms = DEFAULT_IDLE_TIMEOUT_MS
--- a/papayacrank/forwarding/tests/test_suspects.py
+++ b/papayacrank/forwarding/tests/test_suspects.py
@@ -138,6 +138,17 @@
     assert len(sent(bench, TrialEnded)) == 1
 
 
+def test_report_of_a_crash_states_when_the_connection_was_opened(bench):
+    """Guards against a crash of a new start that is taken for one of the former."""
+    send(bench)
+    bench.call.opened_ms = bench.clock.now_ms()
+    bench.advance(30)
+    bench.fail()
+    bench.address_check.finish(is_refused=True)
+    (report,) = sent(bench, CrashReport)
+    assert (report.age_ms, report.opened_age_ms) == (0, 30)
+
+
 def test_losses_at_one_target_need_one_check(bench):
     """Guards against a connection attempt for each request on a crashed target."""
     bench = Bench(ENGINES[0])
--- a/papayacrank/messages/_quarantine.py
+++ b/papayacrank/messages/_quarantine.py
@@ -37,6 +37,9 @@
         Time in milliseconds since the connections of the target were lost.
     suspects : list of SuspectRequest
         Requests of this entry process that the target had not begun to answer.
+    opened_age_ms : int or None
+        Time in milliseconds since the last of these connections was opened; None if
+        unknown.
     """
 
     instance: str
@@ -44,6 +47,7 @@
     start: int
     age_ms: int
     suspects: list[SuspectRequest]
+    opened_age_ms: int | None = None
 
 
 class PartsCleared(msgspec.Struct, tag=True, frozen=True):
--- a/papayacrank/quarantine/_crash_checks.py
+++ b/papayacrank/quarantine/_crash_checks.py
@@ -16,6 +16,7 @@
     target: str
     start: int
     lost_ms: int
+    opened_ms: int | None = None
     suspects: list[SuspectRequest] = field(default_factory=list)
     callbacks: list[Callable[[bool], None]] = field(default_factory=list)
 
@@ -33,14 +34,14 @@
     clock : Clock
         Clock of the process.
     report : callable
-        ``report(target, start, lost_ms, suspects)`` reports a crash.
+        ``report(target, start, lost_ms, opened_ms, suspects)`` reports a crash.
     """
 
     def __init__(
         self,
         check: AddressCheck,
         clock: Clock,
-        report: Callable[[str, int, int, list[SuspectRequest]], None],
+        report: Callable[[str, int, int, int | None, list[SuspectRequest]], None],
     ):
         self._check = check
         self._clock = clock
@@ -52,6 +53,7 @@
         target: str,
         address: str,
         start: int,
+        opened_ms: int | None,
         suspect: SuspectRequest,
         callback: Callable[[bool], None],
     ) -> None:
@@ -63,6 +65,8 @@
             Name and address of the target.
         start : int
             Start number of the target; 0 if unknown.
+        opened_ms : int or None
+            Time at which the connection of the attempt was opened; None if unknown.
         suspect : SuspectRequest
             Request of the attempt; without parts it is not reported.
         callback : callable
@@ -76,6 +80,8 @@
             self._check.start(
                 address, lambda is_refused: self._on_checked(key, is_refused)
             )
+        if opened_ms is not None:
+            loss.opened_ms = max(opened_ms, loss.opened_ms or opened_ms)
         if suspect.parts:
             loss.suspects.append(suspect)
         loss.callbacks.append(callback)
@@ -83,6 +89,8 @@
     def _on_checked(self, key: tuple[str, str, int], is_refused: bool) -> None:
         loss = self._losses.pop(key)
         if is_refused and loss.suspects:
-            self._report(loss.target, loss.start, loss.lost_ms, loss.suspects)
+            self._report(
+                loss.target, loss.start, loss.lost_ms, loss.opened_ms, loss.suspects
+            )
         for callback in loss.callbacks:
             callback(is_refused)
--- a/papayacrank/quarantine/_port.py
+++ b/papayacrank/quarantine/_port.py
@@ -57,6 +57,7 @@
     target: str
     start: int
     lost_ms: int
+    opened_ms: int | None
     suspects: list[SuspectRequest]
     term: int
     is_sent: bool
@@ -262,7 +263,12 @@
         self._send_all(self._client.on_begun(parts, self._clock.now_ms()))
 
     def report_crash(
-        self, target: str, start: int, lost_ms: int, suspects: list[SuspectRequest]
+        self,
+        target: str,
+        start: int,
+        lost_ms: int,
+        opened_ms: int | None,
+        suspects: list[SuspectRequest],
     ) -> None:
         """Report a crash of a target to the leader.
 
@@ -274,6 +280,8 @@
             Start number of the target; 0 if unknown.
         lost_ms : int
             Time at which the connections were lost, on the clock of this process.
+        opened_ms : int or None
+            Time at which the last of them was opened; None if unknown.
         suspects : list of SuspectRequest
             Requests that the target had not written past their beginning.
         """
@@ -295,14 +303,22 @@
             parts=format_parts({name for s in suspects for name in s.parts}),
         )
         self.count("crash_reported")
-        report = _SentReport(target, start, lost_ms, suspects, self._term, False)
+        report = _SentReport(
+            target, start, lost_ms, opened_ms, suspects, self._term, False
+        )
         self._reports.append(report)
         self._send_report(report)
 
     def _send_report(self, report: _SentReport) -> None:
-        age_ms = max(0, self._clock.now_ms() - report.lost_ms)
+        now_ms = self._clock.now_ms()
+        opened_ms = report.opened_ms
         message = CrashReport(
-            self._client.instance, report.target, report.start, age_ms, report.suspects
+            self._client.instance,
+            report.target,
+            report.start,
+            max(0, now_ms - report.lost_ms),
+            report.suspects,
+            None if opened_ms is None else max(0, now_ms - opened_ms),
         )
         report.term = self._term
         report.is_sent = bool(self._send(message))
--- a/papayacrank/quarantine/_suspicions.py
+++ b/papayacrank/quarantine/_suspicions.py
@@ -8,9 +8,12 @@
 
 from ._names import MAX_NAMES_PER_REQUEST, is_request
 
-# Reports on the same start of a target within this time tell of the same crash; a
-# target takes some seconds to start again.
+# Reports on the same start of a target within this time tell of the same crash, unless
+# a connection was opened after the crash: the target has started again since, and its
+# start number is out of date.
 SAME_CRASH_MS = 3_000
+# Bound on the difference between the delays of two reports.
+REPORT_DELAY_MS = 1_000
 # Crashes after which a request or a part is on trial, and the same for a part that was
 # sound before. Hot parts are in many crashes of other causes.
 CRASHES_ON_TRIAL = 2
@@ -188,7 +191,7 @@
             Requests that no earlier report has told of.
         """
         at_ms = now_ms - max(0, report.age_ms)
-        crash = self._find_crash(report, at_ms)
+        crash = self._find_crash(report, at_ms, now_ms)
         if crash is None:
             self._last_crash += 1
             crash = Crash(self._last_crash, report.target, report.start, at_ms, now_ms)
@@ -208,12 +211,19 @@
             added.append(suspect)
         return crash, added
 
-    def _find_crash(self, report: CrashReport, at_ms: int) -> Crash | None:
-        for crash in reversed(self._crashes.values()):
-            is_same = crash.target == report.target and crash.start == report.start
-            if is_same and abs(crash.at_ms - at_ms) <= SAME_CRASH_MS:
-                return crash
-        return None
+    def _find_crash(self, report: CrashReport, at_ms: int, now_ms: int) -> Crash | None:
+        opened_ms = None
+        if report.opened_age_ms is not None:
+            opened_ms = now_ms - report.opened_age_ms
+        same = [
+            crash
+            for crash in self._crashes.values()
+            if crash.target == report.target
+            and crash.start == report.start
+            and abs(crash.at_ms - at_ms) <= SAME_CRASH_MS
+            and (opened_ms is None or opened_ms <= crash.at_ms + REPORT_DELAY_MS)
+        ]
+        return min(same, key=lambda crash: abs(crash.at_ms - at_ms), default=None)
 
     def _move_back(self, crash: Crash, at_ms: int) -> None:
         """Record that a crash was earlier; responses since then clear their parts."""
--- a/papayacrank/quarantine/tests/builders.py
+++ b/papayacrank/quarantine/tests/builders.py
@@ -14,7 +14,9 @@
 START_MS = 1_000_000
 
 
-def build_report(*requests, target="t", start=1, age_ms=0, instance="i0@1"):
+def build_report(
+    *requests, target="t", start=1, age_ms=0, instance="i0@1", opened_age_ms=None
+):
     """Return a crash report; a request is a tuple of its parts or a suspect."""
     suspects = [
         request
@@ -22,7 +24,7 @@
         else SuspectRequest("w", list(request))
         for request in requests
     ]
-    return CrashReport(instance, target, start, age_ms, suspects)
+    return CrashReport(instance, target, start, age_ms, suspects, opened_age_ms)
 
 
 class Group:
--- a/papayacrank/quarantine/tests/fleet.py
+++ b/papayacrank/quarantine/tests/fleet.py
@@ -714,7 +714,7 @@
             SuspectRequest(a.request.workspace, list(a.request.names), a.trial)
             for a in attempts
         ]
-        instance.port.report_crash(target.name, start, lost_ms, suspects)
+        instance.port.report_crash(target.name, start, lost_ms, None, suspects)
         for attempt in attempts:
             attempt.request.crashes += 1
             self._admit_again(attempt)
--- a/papayacrank/quarantine/tests/test_crash_checks.py
+++ b/papayacrank/quarantine/tests/test_crash_checks.py
@@ -48,10 +48,12 @@
         self.checked.append(address)
         callback(self.outcomes.pop(0))
 
-    def lose(self, target="e1", start=1, parts=("p",), trial=0):
+    def lose(self, target="e1", start=1, parts=("p",), trial=0, opened_ms=None):
         """Lose an attempt."""
         suspect = SuspectRequest("team-a", list(parts), trial)
-        self.checks.on_lost(target, "127.0.0.1:9", start, suspect, self.results.append)
+        self.checks.on_lost(
+            target, "127.0.0.1:9", start, opened_ms, suspect, self.results.append
+        )
 
     def run(self):
         """Run all timers."""
@@ -59,6 +61,15 @@
             self.timers.run_next()
 
 
+def test_report_states_when_the_last_connection_was_opened():
+    """Guards against a crash of a new start that is taken for one of the former."""
+    bench = Bench(ConnectOutcome.REFUSED)
+    for opened_ms in (None, 20, 10):
+        bench.lose(opened_ms=opened_ms)
+    bench.run()
+    assert [report[3] for report in bench.reports] == [20]
+
+
 def test_lost_attempts_of_one_crash_are_reported_together():
     """Guards against several crashes counted for one."""
     bench = Bench(ConnectOutcome.REFUSED)
@@ -66,7 +77,7 @@
     bench.lose(parts=("p", "q"))
     bench.lose(parts=("p", "r"), trial=4)
     bench.run()
-    [(target, start, reported_ms, suspects)] = bench.reports
+    [(target, start, reported_ms, _, suspects)] = bench.reports
     assert (target, start, reported_ms) == ("e1", 1, lost_ms)
     assert [s.trial for s in suspects] == [0, 4]
     assert bench.results == [True, True]
--- a/papayacrank/quarantine/tests/test_port.py
+++ b/papayacrank/quarantine/tests/test_port.py
@@ -196,18 +196,20 @@
     """Guards against a late report that counts as a new crash."""
     setup.has_leader = False
     suspect = SuspectRequest("w", ["x"], 0)
-    setup.port.report_crash("t", 1, setup.clock.now_ms() - 50, [suspect])
+    now_ms = setup.clock.now_ms()
+    setup.port.report_crash("t", 1, now_ms - 50, now_ms - 80, [suspect])
     setup.clock.advance(700)
     setup.has_leader = True
     setup.port.poll(1)
     setup.port.poll(1)
-    assert setup.sent_of(CrashReport) == [CrashReport("i1@1", "t", 1, 750, [suspect])]
+    report = CrashReport("i1@1", "t", 1, 750, [suspect], 780)
+    assert setup.sent_of(CrashReport) == [report]
 
 
 def test_crash_is_reported_to_a_new_leader_too(setup):
     """Guards against evidence that a change of the leader loses."""
     for number in range(MAX_KEPT_REPORTS + 5):
-        setup.port.report_crash(f"t{number}", 1, setup.clock.now_ms(), [])
+        setup.port.report_crash(f"t{number}", 1, setup.clock.now_ms(), None, [])
     setup.sent.clear()
     setup.port.poll(2)
     assert len(setup.sent_of(CrashReport)) == MAX_KEPT_REPORTS
@@ -223,6 +225,6 @@
     setup.reply(True)
     trial = setup.decisions[0].trial
     suspect = SuspectRequest("w", ["x"], trial)
-    setup.port.report_crash("t", 1, setup.clock.now_ms(), [suspect])
+    setup.port.report_crash("t", 1, setup.clock.now_ms(), None, [suspect])
     setup.port.end_trial(trial)
     assert setup.sent_of(TrialEnded) == []
--- a/papayacrank/quarantine/tests/test_registry.py
+++ b/papayacrank/quarantine/tests/test_registry.py
@@ -57,6 +57,24 @@
     assert group.check("x") is NEEDS_TRIAL
 
 
+def test_crash_soon_after_a_start_that_is_not_known_yet_is_counted(group):
+    """Guards against a deadly request whose crashes of one target count once."""
+    group.crash(["x"], target="t", opened_age_ms=5_000)
+    group.advance(2_200)
+    group.crash(["x"], target="t", instance=1, opened_age_ms=100)
+    assert group.check("x") is NEEDS_TRIAL
+
+
+def test_late_report_counts_for_the_crash_that_ended_its_connection(group):
+    """Guards against a crash that is counted twice since the target is up again."""
+    group.crash(["x"], target="t", opened_age_ms=5_000)
+    group.advance(2_000)
+    group.crash(["y"], target="t", instance=1, opened_age_ms=0)
+    group.advance(200)
+    group.crash(["x"], target="t", instance=1, age_ms=2_200, opened_age_ms=6_000)
+    assert group.check("x") is ALLOWED
+
+
 def test_repeated_report_is_not_counted_again(group):
     """Guards against evidence that grows by messages sent again."""
     report = build_report(["x"])
--- a/papayacrank/targets/_client.py
+++ b/papayacrank/targets/_client.py
@@ -209,6 +209,7 @@
         except OSError as error:
             self._fail(connection.exchange, "connect_failed", str(error))
             return
+        connection.opened_ms = self._clock.now_ms()
         self._poller.removeWriter(connection.sock)
         self._send(connection, connection.exchange)
 
@@ -537,6 +538,7 @@
             message,
             head.status if head is not None else None,
             bytes(attempt.refusal_body),
+            connection.opened_ms if connection is not None else None,
         )
         self._fire_for_attempt(attempt, target_failed, failure)
 
--- a/papayacrank/targets/_request.py
+++ b/papayacrank/targets/_request.py
@@ -143,6 +143,8 @@
         HTTP status of the response, if its head was received.
     body : bytes
         First bytes of the body of a refused stream, at most 4 KiB.
+    opened_ms : int or None
+        Time at which the connection was opened, if it was.
     """
 
     code: str
@@ -150,6 +152,7 @@
     message: str = ""
     status: int | None = None
     body: bytes = b""
+    opened_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/papayacrank/targets/tests/test_client.py
+++ b/papayacrank/targets/tests/test_client.py
@@ -63,6 +63,14 @@
     assert [entry.request_id for entry in service.journal] == ["r0"] * is_kept
 
 
+def test_failure_states_when_the_connection_was_opened(bench):
+    """Guards against a crash of a new start that is taken for one of the former."""
+    with ScriptedServer(["read"]) as server:
+        before_ms = bench.clock.now_ms()
+        failure = bench.run_request(plain_request(server.address, idempotent=False))
+        assert before_ms <= failure.opened_ms <= bench.clock.now_ms()
+
+
 def test_request_with_a_permit_is_sent_once(bench):
     """Guards against a second sending on the permit of the first."""
     request_ends = [b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "read"]
--- a/papayacrank/transport/_connection.py
+++ b/papayacrank/transport/_connection.py
@@ -41,6 +41,7 @@
         self.broken = False
         self.returned_ids = False
         self.has_sent = False
+        self.opened_ms: int | None = None
         self.idle_since_ms = 0
         self.deadline_ms: int | None = None
         self.timer_at_ms: int | None = None
