Use connections that were established while the process was stalled

Callers of an instance that was suspended or short of processor time for longer than the connect timeout (250 ms) lost an attempt at a sound target, and the target counted as unreachable: evidence against it, and for a lost path of the instance.

Cause: after a stall, timers run before the poller reports that a socket is writable, so that the timeout closed a connection that stood for long. Class: a timeout is taken as evidence without a look at what has arrived meanwhile; reads had that look already.

At the timeout, both clients of targets ask the socket for the result of the connect and go on with it if there is one. ConnectCheck, which probes addresses and paths, did so before.

--- a/papayacrank/forwarding/_target_port.py
+++ b/papayacrank/forwarding/_target_port.py
@@ -216,9 +216,25 @@
 
     def _on_connect_timeout(self, connection: _HttpConnection) -> None:
         call = connection.call
-        if call is not None and connection.state is ConnectionState.CONNECTING:
+        if call is None or connection.state is not ConnectionState.CONNECTING:
+            return
+        # After a stall of this process, the poller has not reported the result yet.
+        if connection.has_connect_result():
+            self._on_connect_result(connection)
+        else:
             self._drop(connection, CallFailure("connect_timeout", False))
 
+    def _on_connect_result(self, connection: _HttpConnection) -> None:
+        self._timers.cancel(_timer(connection))
+        try:
+            connection.check_connected()
+        except OSError as error:
+            self._drop(connection, CallFailure("connect_failed", False, str(error)))
+            return
+        self._poller.addReader(self, connection.sock)
+        connection.opened_ms = self._clock.now_ms()
+        self._begin(connection, connection.call)
+
     def _begin(self, connection: _HttpConnection, call: TargetCall) -> None:
         """Send a call, after the check that it needs."""
         needed = call.start_check
@@ -289,19 +305,10 @@
         connection = self._connections.get(sock)
         if connection is None:
             return
-        if connection.state is not ConnectionState.CONNECTING:
-            if connection.call is not None:
-                self._write(connection)
-            return
-        self._timers.cancel(_timer(connection))
-        try:
-            connection.check_connected()
-        except OSError as error:
-            self._drop(connection, CallFailure("connect_failed", False, str(error)))
-            return
-        self._poller.addReader(self, sock)
-        connection.opened_ms = self._clock.now_ms()
-        self._begin(connection, connection.call)
+        if connection.state is ConnectionState.CONNECTING:
+            self._on_connect_result(connection)
+        elif connection.call is not None:
+            self._write(connection)
 
     @handler("_read")
     def _on_read(self, sock):
--- a/papayacrank/forwarding/tests/test_target_port.py
+++ b/papayacrank/forwarding/tests/test_target_port.py
@@ -58,7 +58,7 @@
 
 
 class submit_call(Event):  # noqa: N801 - circuits events are lower case
-    """Submit a call within the event loop: ``submit_call(call)``."""
+    """Submit a call within the event loop: ``submit_call(call, stall_s)``."""
 
 
 class Submitter(BaseComponent):
@@ -71,8 +71,9 @@
         self._port = port
 
     @handler("submit_call")
-    def _on_submit_call(self, call):
+    def _on_submit_call(self, call, stall_s=0.0):
         self._port.submit(call)
+        time.sleep(stall_s)
 
 
 class Bench:
@@ -91,8 +92,8 @@
         self.thread.start()
         time.sleep(0.2)
 
-    def run(self, address, request_id, body=b"", method="POST", **fields):
-        """Send a request and return its outcome."""
+    def run(self, address, request_id, body=b"", method="POST", stall_s=0.0, **fields):
+        """Send a request and return its outcome; the event loop may stall after it."""
         call = TargetCall(
             address,
             method,
@@ -103,7 +104,7 @@
             state=request_id,
             **fields,
         )
-        self.submitter.fire(submit_call(call), "submitter")
+        self.submitter.fire(submit_call(call, stall_s), "submitter")
         return self.collector.outcomes.get(timeout=10)
 
     def stop(self):
@@ -154,6 +155,16 @@
     assert b"b" not in received
 
 
+def test_connection_that_was_established_during_a_stall_is_used(bench):
+    """Guards against sound targets that seem unreachable to a stalled process."""
+    target = ScriptedTarget(
+        lambda sock, data, n: sock.sendall(OK % request_id_of(data))
+    )
+    stall_s = 2 * port_module.CONNECT_TIMEOUT_MS / 1_000
+    assert bench.run(target.address, "a", stall_s=stall_s) == ("a", "ended", True)
+    assert target.connections == 1
+
+
 def test_late_response_to_an_earlier_request_is_skipped(bench):
     """Guards against a response to an earlier request on a reused connection."""
 
--- a/papayacrank/targets/_client.py
+++ b/papayacrank/targets/_client.py
@@ -486,8 +486,11 @@
     # Timeouts
 
     def _on_deadline(self, connection: Connection) -> None:
-        if self._can_read(connection):
-            # If this process was suspended, the data may already have arrived.
+        # After a suspension, the poller may not have reported what has happened.
+        if connection.state is ConnectionState.CONNECTING:
+            if connection.has_connect_result():
+                self._on_connected(connection)
+        elif self._can_read(connection):
             self._read(connection)
         if self._deadlines.has_passed(connection):
             self._on_timeout(connection)
--- a/papayacrank/targets/tests/test_faults.py
+++ b/papayacrank/targets/tests/test_faults.py
@@ -502,6 +502,15 @@
     assert bench.recorder.outcomes["r1"] is None
 
 
+def test_connection_that_was_established_during_a_stall_is_used(bench):
+    """Guards against sound targets that seem unreachable to a stalled process."""
+    with ScriptedServer(["read", HEAD + b"hello", "hold"]) as server:
+        bench.client.submit(plain_request(server.address, timeouts=SHORT_TIMEOUTS))
+        time.sleep(0.4)
+        bench.run_until(lambda: "r1" in bench.recorder.outcomes)
+    assert bench.recorder.outcomes["r1"] is None
+
+
 def test_paused_attempt_stops_reading_from_the_target(bench):
     """Guards against unbounded buffering for a caller that does not read."""
     body = b"x" * 8_000_000
--- a/papayacrank/transport/_connection.py
+++ b/papayacrank/transport/_connection.py
@@ -1,6 +1,7 @@
 """Non-blocking connections to targets and a pool of idle ones."""
 
 import errno
+import select
 import socket
 from collections import OrderedDict, deque
 from enum import Enum
@@ -68,8 +69,14 @@
         if code not in _IN_PROGRESS:
             raise OSError(code, errno.errorcode.get(code, "connect failed"))
 
+    def has_connect_result(self) -> bool:
+        """Return whether `connect` has succeeded or failed."""
+        poller = select.poll()
+        poller.register(self.sock, select.POLLOUT)
+        return bool(poller.poll(0))
+
     def check_connected(self) -> None:
-        """Check the result of `connect` once the socket is writable.
+        """Check the result of `connect` once it is known.
 
         Raises
         ------
