Stop a stream whose caller's connection has failed in the same turn

A component that writes until the caller blocks never returned if the connection failed meanwhile: the exchange counts as open until the disconnect event is handled, and a closed connection holds no unsent data, so that it did not count as blocked. The entry process would have hung; the flows of the product write a bounded piece a turn, so that no caller has met it.

A caller whose connection has failed now accepts no more data.

--- a/papayacrank/entry/_front_end.py
+++ b/papayacrank/entry/_front_end.py
@@ -116,7 +116,11 @@
         return sum(1 for c in self._connections.values() if c.exchange is not None)
 
     def is_blocked(self, sock) -> bool:
-        """Return whether the unsent data of a caller exceeds the buffer limit."""
+        """Return whether a caller accepts no more data now.
+
+        Its unsent data exceeds the buffer limit, or the connection has failed and the
+        exchange will be told so in a later iteration of the event loop.
+        """
         connection = self._connections.get(sock)
         if connection is None:
             return False
@@ -132,7 +136,7 @@
             connection.is_blocked = (
                 buffered_bytes > self._limits.max_stream_buffer_bytes
             )
-        return connection.is_blocked
+        return connection.is_blocked or not self._listener.is_connected(sock)
 
     def keeps_connection_open(self, exchange: Exchange) -> bool:
         """Return whether the connection is kept open after the response."""
--- a/papayacrank/entry/tests/test_front_end.py
+++ b/papayacrank/entry/tests/test_front_end.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP front end over real sockets."""
 
 import socket
+import struct
 import time
 from contextlib import suppress
 
@@ -14,6 +15,7 @@
 
 GET = b"GET /%s HTTP/1.1\r\nHost: h\r\nConnection: %s\r\n\r\n"
 STREAM_PIECE = b"x" * 65_536
+RESET = struct.pack("ii", 1, 0)
 
 
 class Echo(BaseComponent):
@@ -27,6 +29,7 @@
         self.unanswered = []
         self.written_bytes = 0
         self.blocked_count = 0
+        self.on_write = lambda: None
 
     @handler("caller_request")
     def _on_caller_request(self, opened):
@@ -42,6 +45,7 @@
     @handler("caller_ready")
     def _on_caller_ready(self, opened):
         while opened.is_open and not opened.is_blocked:
+            self.on_write()
             opened.write(STREAM_PIECE)
             self.written_bytes += len(STREAM_PIECE)
         self.blocked_count += 1
@@ -187,6 +191,18 @@
     wait_until(lambda: echo.disconnected, "caller disconnected")
 
 
+def test_stream_stops_when_its_caller_resets_the_connection(served):
+    """Guards against a flow that writes to a lost caller without end."""
+    front_end, echo = served
+    sock = connect(front_end.address)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    echo.on_write = sock.close
+    sock.sendall(GET % (b"stream", b"close"))
+    wait_until(lambda: echo.disconnected, "caller disconnected")
+    assert echo.written_bytes < 16 * 1024 * 1024
+    assert_serves(front_end)
+
+
 def test_reports_callers_who_leave(served):
     """Guards against work for disconnected callers."""
     front_end, echo = served
--- a/papayacrank/transport/_caller_server.py
+++ b/papayacrank/transport/_caller_server.py
@@ -66,6 +66,10 @@
         """Return the size of the send buffer of a connection, in bytes."""
         return self._buffered_bytes.get(sock, 0)
 
+    def is_connected(self, sock) -> bool:
+        """Return whether a connection is open."""
+        return sock in self._buffered_bytes
+
     def send(self, sock, data: bytes) -> None:
         """Send data, buffering the part that the socket does not accept."""
         if sock not in self._buffered_bytes or not data:
