Divide the slots of targets that fail if they refuse requests

Callers lost servers of a service that states that it is brittle: all instances together made each of them refuse more requests than it bears.

Cause: the statement was read nowhere, and each instance sends what it likes to a target, which queues or refuses the rest. What counts is the sum over all instances within a second. Class: a bound on a sum that each process keeps for itself, as with request rates before.

The leader leases the slots of such targets to the instances, so that the open requests of all together are never more than the slots. Requests without a slot wait for a short time in their instance and are refused as not run then.

--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -28,6 +28,7 @@
 from ._push_log import PushLog
 from ._releases import ReleaseMonitor
 from ._rollout import ORDER_KEY, STATUS_KEY, WeightsRollout
+from ._room import RoomAllocator
 from ._stores import STORE_KEY, StoreMonitor
 from ._target_protocol import ListedTarget, RunningRequestPolicy, TargetProtocol
 
@@ -98,6 +99,7 @@
         self._next_list_ms = 0
         self._reports: dict[str, _LoadReport] = {}
         self._silent: dict[str, int] = {}
+        self._room = RoomAllocator()
         self._total_loads: dict[str, TargetLoad] = {}
         self._last_sent: dict[str, tuple] = {}
         self._has_list = False
@@ -143,6 +145,7 @@
         self._new_parts = []
         self._new_pauses = {}
         self._silent.clear()
+        self._room.reset()
         self._total_loads = {}
         self._last_sent.clear()
         self._has_list = False
@@ -281,6 +284,7 @@
         if self._is_local(report.instance):
             for name, pause_ms in report.paused:
                 self._rollout.pause(name, pause_ms, now_ms)
+        self._room.observe(report, now_ms)
         for name in report.silent:
             if name not in self._silent:
                 log_event(TARGET_SILENT, target=name, reported_by=report.instance)
@@ -352,6 +356,12 @@
         silent = sorted(
             self._target_numbers[n] for n in self._silent if n in self._target_numbers
         )
+        brittle = self._room.list_services(now_ms)
+        self._room.divide(
+            [t for t in self._view if not (t.leaving or t.loading)],
+            {name: report.load for name, report in self._reports.items()},
+            now_ms,
+        )
         parts = self._pop_grouped_parts()
         pauses = self._pop_new_pauses(now_ms)
         sends = []
@@ -360,12 +370,21 @@
         for instance, sender in receivers.items():
             report = self._reports.get(instance)
             reported = report.load.sequence if report is not None else 0
-            content = (reported, loads, silent)
+            leases = self._room.leases_of(instance)
+            if leases is not None:
+                leases = {
+                    self._target_numbers[name]: count
+                    for name, count in leases.items()
+                    if name in self._target_numbers
+                }
+            content = (reported, loads, silent, brittle, leases)
             paused = pauses if self._is_local(instance) else []
             if self._last_sent.get(instance) == content and not parts and not paused:
                 continue
             self._last_sent[instance] = content
-            message = FleetLoad(self._term, reported, loads, silent, parts, paused)
+            message = FleetLoad(
+                self._term, reported, loads, silent, parts, paused, brittle, leases
+            )
             sends.append(Send(sender, message))
         return sends
 
--- a/papayacrank/forwarding/_base.py
+++ b/papayacrank/forwarding/_base.py
@@ -155,6 +155,8 @@
         instance, if stated.
     rate : RateStatement or None
         Request rate limit of the target, if stated.
+    refusal_limit : float or None
+        Refusals for want of room in a second that the target bears, if stated.
     """
 
     request_id: str | None = None
@@ -167,6 +169,7 @@
     is_leaving: bool = False
     pause_ms: int | None = None
     rate: RateStatement | None = None
+    refusal_limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -37,6 +37,7 @@
 )
 
 from ._base import CallerProtocol, Dispatch, ForwardRequest, ResponseMetadata
+from ._brittle import BrittleServices, RoomLeases
 from ._continuity import StreamContinuity
 from ._event_stream import EventStreamError
 from ._events import (
@@ -59,12 +60,13 @@
 from ._quota import QuotaDecision, QuotaEnforcer
 from ._relay import Relay, RelayedRequest
 from ._retry_budget import RetryBudget
+from ._room_waits import RoomWaits
 from ._routes import RouteIndex
 from ._selection import RETRY_JITTER, TargetSelection
 from ._suspects import SuspectTracker
 from ._target_call import CallFailure, CallListener, StartCheck, TargetCall
 from ._target_port import TargetPort
-from ._targets import TargetTable
+from ._targets import RoomReport, TargetTable
 from ._unidentified import UnidentifiedResponses
 
 # Attempts per request whatever their outcome; prevents endless loops.
@@ -101,11 +103,14 @@
 # Part of the latency objective for which a request may wait for permits of targets with
 # a request rate limit.
 PERMIT_WAIT_FRACTION = 0.5
+# The same for room at targets that must not be asked to refuse requests.
+ROOM_WAIT_FRACTION = 0.5
 # Retry-After of requests that a stopping instance refuses; others can take them now.
 RETRY_ELSEWHERE_MS = 20
 URGENCY_STEPS = 3
 MAX_URGENCY = 9
 SERVER_ERROR = 500
+SERVICE_UNAVAILABLE = 503
 MAX_LOGGED_ID_CHARS = 64
 # The port to the caller adds its own framing headers.
 DROPPED_RESPONSE_HEADERS = CONNECTION_HEADERS | {b"content-length"}
@@ -211,12 +216,17 @@
         self._forecast = QueueForecast()
         self._stops_at_ms: int | None = None
         self._pauses = TargetPauses(settings.max_pause_ms)
+        self._brittle = BrittleServices()
+        self._leases = RoomLeases()
+        self._room_waits = RoomWaits(clock, timers)
         self._unidentified = UnidentifiedResponses()
         self._selection = TargetSelection(
             self._table,
             self._health,
             self._pauses,
             permits.client,
+            self._brittle,
+            self._leases,
             self._parts,
             settings.failure_domain,
             random_state,
@@ -247,6 +257,11 @@
         """Number of requests without a final response."""
         return len(self._jobs) + self._relay.open_requests
 
+    @property
+    def slot_leases(self) -> dict[str, int]:
+        """Requests that this process may have open at brittle targets, by target."""
+        return self._leases.held
+
     @property
     def is_ready(self) -> bool:
         """Whether a configuration and at least one target are known."""
@@ -546,6 +561,7 @@
                 return
             self._give_back(permit)
         max_wait_ms = self._max_permit_wait_ms(job, now_ms)
+        self._note_demand(job.service.name, now_ms)
         choice = self._selection.choose(request, job.excluded, max_wait_ms, now_ms)
         if choice is None:
             self._give_up_without_target(job, request, now_ms)
@@ -670,6 +686,10 @@
     def _give_up_without_target(
         self, job: Job, request: PlacementRequest, now_ms: int
     ) -> None:
+        max_wait_ms = self._max_permit_wait_ms(job, now_ms)
+        if self._selection.lacks_only_room(request, job.excluded, max_wait_ms, now_ms):
+            self._wait_for_room(job)
+            return
         would_fit = self._selection.choose(
             request, job.excluded, ANY_PERMIT_WAIT_MS, now_ms
         )
@@ -680,6 +700,24 @@
         text = "all targets are at the request rate that they accept"
         self._give_up(job, "targets_limited", text)
 
+    def _note_demand(self, service: str, now_ms: int) -> None:
+        """Record a request of a brittle service beside those that are open or wait."""
+        if self._brittle.is_brittle(service, now_ms):
+            targets = self._table.find_by_service(service)
+            running = sum(self._table.own_running(target.name) for target in targets)
+            waiting = self._room_waits.count(service)
+            self._leases.note_demand(service, running + waiting + 1)
+
+    def _wait_for_room(self, job: Job) -> None:
+        """Look for a target with room for a while; refuse the request after that."""
+        until_ms = job.arrived_ms + int(ROOM_WAIT_FRACTION * job.route.objective_ms)
+        service = job.service.name
+        if not self._room_waits.start(
+            job.number, service, until_ms, lambda: self._dispatch(job)
+        ):
+            text = "the targets have no room"
+            self._give_up(job, "targets_full", text, DEFAULT_RETRY_AFTER_MS)
+
     def _choose_store(self, job: Job) -> ServiceProfile | None:
         """Return the store for a prompt; None for plain services or if none is up."""
         if job.service.engine is None:
@@ -1057,6 +1095,11 @@
         if metadata.is_leaving and self._table.mark_leaving(name):
             log_event(TARGET_LEAVING, target=name, status=attempt.status)
         self._observe_rate(job, attempt, name)
+        if name == attempt.target.name and not metadata.wrong_target:
+            is_full = metadata.not_run and attempt.status == SERVICE_UNAVAILABLE
+            self._brittle.on_response(
+                attempt.target.service, name, metadata.refusal_limit, is_full, now_ms
+            )
         if metadata.pause_ms is not None:
             self._pauses.on_pause_requested(name, metadata.pause_ms, now_ms)
         elif not metadata.wrong_target and attempt.status < SERVER_ERROR:
@@ -1314,6 +1357,13 @@
         """Return the pauses that targets requested since the last call."""
         return self._pauses.take_unreported(self._clock.now_ms())
 
+    def take_room_report(self) -> RoomReport:
+        """Return what the leader needs to divide the room of brittle targets."""
+        brittle, full = self._brittle.take_unreported()
+        services = self._brittle.list_services(self._clock.now_ms())
+        wanted = self._leases.take_demand(services)
+        return RoomReport(brittle, full, wanted, self._leases.held)
+
     def apply_load(self, load: FleetLoad) -> None:
         """Apply the load, pauses and prompt parts that the leader reports."""
         if not self._table.apply_load(load):
@@ -1323,6 +1373,17 @@
             name = self._table.name_of(number)
             if name is not None:
                 self._pauses.on_pause_reported(name, pause_ms, now_ms)
+        self._brittle.on_reported(load.brittle, now_ms)
+        if load.leases is not None:
+            leases = {
+                name: count
+                for number, count in load.leases.items()
+                if (name := self._table.name_of(number)) is not None
+            }
+            self._leases.apply(load.brittle, leases)
+        elif not self._brittle.list_services(now_ms):
+            # Until then a new leader may not have heard of the leases.
+            self._leases.apply((), {})
         for group in load.parts:
             for number, part in group.places:
                 name = self._table.name_of(number)
@@ -1421,6 +1482,7 @@
         self._jobs.pop(job.number, None)
         self._timers.cancel(_deadline_timer(job))
         self._permits.cancel(_quota_id(job))
+        self._room_waits.cancel(job.number)
         self._suspects.on_finished(job)
         self._continuity.on_finished(job)
         now_ms = self._clock.now_ms()
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -362,6 +362,11 @@
             "Whether targets can be reached from this instance",
             lambda: int(not self._paths.is_isolated),
         )
+        metrics.add_gauge(
+            "slot_leases",
+            "Requests that this instance may have open at brittle targets",
+            lambda: sum(self._forwarder.slot_leases.values()),
+        )
         metrics.add_gauge(
             "rate_limited_targets",
             "Targets with a request rate limit",
@@ -490,7 +495,8 @@
             return
         instance = self._settings.forwarding.instance
         paused = self._forwarder.take_new_pauses()
-        report = self._forwarder.table.report(instance, paused)
+        room = self._forwarder.take_room_report()
+        report = self._forwarder.table.report(instance, paused, room)
         if report is None and self._ticks % LOAD_REFRESH_TICKS == 0:
             report = self._forwarder.table.refresh_report(instance)
         if report is not None:
--- a/papayacrank/forwarding/_selection.py
+++ b/papayacrank/forwarding/_selection.py
@@ -6,6 +6,7 @@
 from papayacrank.messages import FleetTarget
 from papayacrank.permits import PermitClient, RetrySpread
 
+from ._brittle import BrittleServices, RoomLeases
 from ._health import TargetHealth
 from ._pauses import TargetPauses
 from ._placement import Choice, KnownPartLocations, Placement, PlacementRequest
@@ -34,6 +35,10 @@
         Pauses that targets requested.
     permits : PermitClient
         Request rate limits of the targets.
+    brittle : BrittleServices
+        Services whose targets must not be asked to refuse requests.
+    leases : RoomLeases
+        Number of requests that this instance may have open at their targets.
     parts : KnownPartLocations
         Known locations of prompt parts.
     failure_domain : str
@@ -48,10 +53,14 @@
         health: TargetHealth,
         pauses: TargetPauses,
         permits: PermitClient,
+        brittle: BrittleServices,
+        leases: RoomLeases,
         parts: KnownPartLocations,
         failure_domain: str,
         random_state: Random,
     ):
+        self._brittle = brittle
+        self._leases = leases
         self._table = table
         self._health = health
         self._pauses = pauses
@@ -99,14 +108,10 @@
         """
         usable = [
             target
-            for target in self._available_targets(request.service.name)
-            if target.name not in excluded
-            and only in (None, target.name)
-            and request.release in (None, target.release)
-            and self._permits.has_permit_within(target.name, max_permit_wait_ms, now_ms)
-            and self._pauses.may_send(
-                target.name, self._table.own_running(target.name), now_ms
+            for target in self._usable_targets(
+                request, excluded, max_permit_wait_ms, now_ms
             )
+            if only in (None, target.name) and self._has_room(target, now_ms)
         ]
         healthy = [t for t in usable if self._is_healthy(t, now_ms)]
         is_engine = request.service.engine is not None
@@ -116,6 +121,49 @@
             choice = placement.choose(request, usable, now_ms)
         return choice
 
+    def lacks_only_room(
+        self,
+        request: PlacementRequest,
+        excluded: set[str],
+        max_permit_wait_ms: int,
+        now_ms: int,
+    ) -> bool:
+        """Whether a target could take a request if it had room.
+
+        The parameters are those of `choose`.
+        """
+        if not self._brittle.is_brittle(request.service.name, now_ms):
+            return False
+        targets = self._usable_targets(request, excluded, max_permit_wait_ms, now_ms)
+        return bool(targets)
+
+    def _usable_targets(
+        self,
+        request: PlacementRequest,
+        excluded: set[str],
+        max_permit_wait_ms: int,
+        now_ms: int,
+    ) -> list[FleetTarget]:
+        return [
+            target
+            for target in self._available_targets(request.service.name)
+            if target.name not in excluded
+            and request.release in (None, target.release)
+            and self._permits.has_permit_within(target.name, max_permit_wait_ms, now_ms)
+            and self._pauses.may_send(
+                target.name, self._table.own_running(target.name), now_ms
+            )
+        ]
+
+    def _has_room(self, target: FleetTarget, now_ms: int) -> bool:
+        """Whether a target can start a request at once, if it must not refuse one."""
+        if not self._brittle.is_brittle(target.service, now_ms):
+            return True
+        running = self._table.own_running(target.name)
+        return not self._brittle.is_full(target.name, now_ms) and self._leases.may_send(
+            target.service, target.name, running
+        )
+
     def estimate_retry_after_ms(
         self, service: str, instances: int, now_ms: int
     ) -> int | None:
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -34,6 +34,35 @@
         return TargetLoad(self.running, self.prefill_tokens, self.memory_tokens)
 
 
+@dataclass(frozen=True, slots=True)
+class RoomReport:
+    """Brittle services and the use of their targets, for the next load report.
+
+    Parameters
+    ----------
+    brittle, full : list of str
+        Brittle services, and targets of them that have refused a request for want of
+        room, since the last report.
+    wanted : dict of str to int
+        Requests that could be open at each brittle service.
+    leases : dict of str to int
+        Leases of this process by target.
+    """
+
+    brittle: list[str] = field(default_factory=list)
+    full: list[str] = field(default_factory=list)
+    wanted: dict[str, int] = field(default_factory=dict)
+    leases: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def is_new(self) -> bool:
+        """Whether the leader must hear of it."""
+        return bool(self.brittle or self.full or self.wanted or self.leases)
+
+
+NO_ROOM_REPORT = RoomReport()
+
+
 class TargetTable:
     """Targets of the last fleet view, with the load of all entry processes.
 
@@ -328,7 +357,10 @@
             self._new_parts.append(location)
 
     def report(
-        self, instance: str, paused: Sequence[tuple[str, int]] = ()
+        self,
+        instance: str,
+        paused: Sequence[tuple[str, int]] = (),
+        room: RoomReport = NO_ROOM_REPORT,
     ) -> EntryLoad | None:
         """Return the next load report; None if nothing changed.
 
@@ -339,16 +371,18 @@
         paused : sequence of (str, int)
             Targets that requested a pause since the last report, with its remaining
             time in milliseconds.
+        room : RoomReport
+            Brittle services and the use of their targets.
         """
         loads = {
             n: own.to_message() for n, own in self._own_loads.items() if own.running > 0
         }
-        is_new = self._newly_unreachable or self._new_parts or paused
+        is_new = self._newly_unreachable or self._new_parts or paused or room.is_new
         is_new = is_new or self._unconfirmed_leaving() != self._reported_leaving
         if loads == self._last_loads and not is_new:
             return None
         self._last_loads = loads
-        return self._build_report(instance, loads, paused)
+        return self._build_report(instance, loads, paused, room)
 
     def refresh_report(self, instance: str) -> EntryLoad:
         """Return a report of the last reported load, so that it does not expire."""
@@ -359,6 +393,7 @@
         instance: str,
         loads: dict[str, TargetLoad],
         paused: Sequence[tuple[str, int]] = (),
+        room: RoomReport = NO_ROOM_REPORT,
     ) -> EntryLoad:
         self._report_sequence += 1
         self._pending_reports[self._report_sequence] = loads
@@ -376,4 +411,8 @@
             parts,
             self._reported_leaving,
             list(paused),
+            room.brittle,
+            room.full,
+            room.wanted,
+            room.leases,
         )
--- a/papayacrank/messages/_fleet.py
+++ b/papayacrank/messages/_fleet.py
@@ -135,6 +135,16 @@
     paused : list of (str, int)
         Targets that requested a pause since the last message, and its remaining time
         in milliseconds.
+    brittle : list of str
+        Services of which a target has stated since the last message that it is brittle.
+    full : list of str
+        Targets of brittle services that have refused a request for want of room since
+        the last message.
+    wanted : dict of str to int
+        Most requests that could have been open at each brittle service at one time
+        since the last message.
+    leases : dict of str to int
+        Leases of the process by target; see `FleetLoad`.
     """
 
     instance: str
@@ -144,6 +154,10 @@
     parts: list[PartLocation] = []
     leaving: list[tuple[str, int]] = []
     paused: list[tuple[str, int]] = []
+    brittle: list[str] = []
+    full: list[str] = []
+    wanted: dict[str, int] = {}
+    leases: dict[str, int] = {}
 
 
 class PartLocationGroup(msgspec.Struct, frozen=True, array_like=True):
@@ -179,6 +193,12 @@
         Numbers of targets that requested a pause from the leader since the last
         message, and its remaining time in milliseconds. It is only sent to entry
         processes on the leader's machine, because the pause applies to that machine.
+    brittle : list of str
+        Services whose targets have stated lately that they are brittle.
+    leases : dict of int to int, or None
+        Number of requests that the receiver may have open at each target of such a
+        service, by target number; 0 for those that are not listed. None if the slots
+        of the targets are not divided.
     """
 
     term: int
@@ -187,3 +207,5 @@
     silent: list[int] = []
     parts: list[PartLocationGroup] = []
     paused: list[tuple[int, int]] = []
+    brittle: list[str] = []
+    leases: dict[int, int] | None = None
--- a/papayacrank/platform/_caller_protocol.py
+++ b/papayacrank/platform/_caller_protocol.py
@@ -18,7 +18,12 @@
 from papayacrank.kernel import Failure, Verdict
 from papayacrank.transport import RequestHead
 
-from ._signals import has_leaving_header, read_pause_ms, read_rate
+from ._signals import (
+    has_leaving_header,
+    read_pause_ms,
+    read_rate,
+    read_refusal_limit,
+)
 
 REPORT_PATH = "/v1/report"
 OK = 200
@@ -165,6 +170,7 @@
             is_leaving=has_leaving_header(pairs),
             pause_ms=read_pause_ms(status, pairs),
             rate=read_rate(pairs),
+            refusal_limit=read_refusal_limit(pairs),
         )
 
     def build_start_query(self, target_name: str) -> StartQuery | None:
--- a/papayacrank/platform/_signals.py
+++ b/papayacrank/platform/_signals.py
@@ -10,6 +10,8 @@
 RETRY_AFTER = "retry-after"
 # Requests per second that the server accepts from all machines together.
 SERVER_LIMIT = "server-limit"
+# Refusals for want of room in a second that the server bears.
+SERVER_BRITTLE = "server-brittle"
 # Status of a response whose RETRY_AFTER requests a pause.
 SERVICE_UNAVAILABLE = 503
 MS_PER_SECOND = 1_000
@@ -68,6 +70,22 @@
     return read_rate_statement(v for n, v in headers if n == SERVER_LIMIT)
 
 
+def read_refusal_limit(headers: list[tuple[str, str]]) -> float | None:
+    """Return how many refusals in a second a target bears, None if it is not brittle.
+
+    A value that is not readable counts as 0.
+
+    Parameters
+    ----------
+    headers : list of (str, str)
+        Headers with names in lower case.
+    """
+    statement = read_rate_statement(v for n, v in headers if n == SERVER_BRITTLE)
+    if statement is None:
+        return None
+    return statement.per_s or 0.0
+
+
 def _read_pause(text: str) -> int | None:
     text = text.strip()
     if _SECONDS.fullmatch(text):
--- a/papayacrank/platform/tests/test_signals.py
+++ b/papayacrank/platform/tests/test_signals.py
@@ -77,6 +77,18 @@
     assert PlatformTargetProtocol("10.0.0.1:1").read_signals(result).rate.per_s == 1.2
 
 
+@pytest.mark.parametrize(
+    ("values", "limit"),
+    [([], None), ([b"5"], 5.0), ([b"7", b"2.5"], 2.5), ([b"many"], 0.0)],
+)
+@pytest.mark.parametrize("status", [200, 503])
+def test_brittle_server_is_recognized_with_any_status(status, values, limit):
+    """Guards against servers that fall over since no process reads their warning."""
+    headers = [(b"server-brittle", value) for value in values]
+    facts = PlatformCallerProtocol().read_response(status, headers)
+    assert facts.refusal_limit == limit
+
+
 def test_signals_are_read_from_responses_to_orders():
     """Guards against orders to a target that is leaving or requested a pause."""
     headers = (("server-leaving", "1"), ("retry-after", "2"))
