Stop sharing cached parts of a workspace that becomes isolated

Cause: workspaces that are not isolated share one cache salt for ever. A workspace that becomes isolated gets a salt of its own, but the parts that it made before stay in use by the others. Class: a permission is withdrawn for the future and not for what was made under it.

The shared salt has an epoch now, which begins with the configuration that isolates a workspace that may have made shared parts.

--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -740,7 +740,7 @@
             request.tokens,
             request.prompt_tokens or 0,
             request.shared_parts,
-            _salt_base(job),
+            self._salt_base(job),
             newest,
             now_ms - since_ms,
             self._settings.max_old_weights_ms,
@@ -828,7 +828,7 @@
         if job.service.engine is None:
             return Dispatch(target.name, remaining_ms, workspace), ""
         version = target.weights.get(request.model, 0)
-        salt = build_cache_salt(_salt_base(job), version)
+        salt = build_cache_salt(self._salt_base(job), version)
         address = store.store.address if store is not None else None
         is_stored = store is None or self._is_stored(request, salt, store.name)
         dispatch = Dispatch(
@@ -844,6 +844,14 @@
         )
         return dispatch, salt
 
+    def _salt_base(self, job: Job) -> str:
+        """Return the prefix of the cache salt by the configuration in force.
+
+        The one at admission may be outdated when a request is sent again.
+        """
+        workspace = job.workspace.name if job.workspace is not None else None
+        return self._index.cache_salt_base(workspace)
+
     def _is_stored(self, request: ForwardRequest, salt: str, store: str) -> bool:
         """Whether a store has all shared parts; saving them again would load its link.
 
@@ -1606,13 +1614,6 @@
     return request.tokens
 
 
-def _salt_base(job: Job) -> str:
-    """Return the prefix of the cache salt that separates isolated workspaces."""
-    if job.workspace is not None and job.workspace.isolated:
-        return f"{job.workspace.name}/"
-    return ""
-
-
 def _urgency(job: Job) -> int:
     """Return the urgency; the workspace's priority outranks that of the route."""
     rank = job.route.priority
--- a/papayacrank/forwarding/_routes.py
+++ b/papayacrank/forwarding/_routes.py
@@ -36,6 +36,7 @@
             for workspace in configuration.workspaces
             for digest in workspace.key_digests
         }
+        self._isolated = {w.name: w.isolated for w in configuration.workspaces}
         self._stores = [item for item in configuration.services if item.store]
 
     @property
@@ -48,6 +49,22 @@
         """Whether routes that are not public need a key."""
         return bool(self._configuration.workspaces)
 
+    def cache_salt_base(self, workspace: str | None) -> str:
+        """Return the prefix of the cache salt of a workspace, without the version.
+
+        Isolated workspaces have one of their own, as have those that were removed. The
+        others share one, which changes when one of them becomes isolated.
+
+        Parameters
+        ----------
+        workspace : str or None
+            Name of the workspace; None for requests without a key.
+        """
+        if workspace is not None and self._isolated.get(workspace, True):
+            return f"{workspace}/"
+        epoch = self._configuration.cache_epoch
+        return f"{epoch}:" if epoch else ""
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest matching path prefix."""
         for route in self._routes.get(host, ()):
--- a/papayacrank/forwarding/tests/test_forwarder.py
+++ b/papayacrank/forwarding/tests/test_forwarder.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from papayacrank.control import digest_key
 from papayacrank.messages import ServiceProfile, StoreProfile, WorkspaceProfile
 
 from .builders import (
@@ -22,8 +23,6 @@
 
 def build_limited_configuration(rate, burst):
     """Return a configuration whose only workspace has a rate limit."""
-    from papayacrank.control import digest_key
-
     workspace = WorkspaceProfile(
         "w1", (digest_key(KEY),), rate_per_s=rate, burst=burst, default_cost=200
     )
@@ -347,6 +346,36 @@
     assert bench.target_of(bench.call) != first
 
 
+def test_salt_of_shared_parts_changes_with_the_epoch():
+    """Guards against parts that a workspace made before it became isolated."""
+    bench = Bench(*ENGINES, weights={MODEL: 3})
+    bench.send("/appraise/x", tokens=100)
+    workspaces = (
+        WorkspaceProfile("w1", (digest_key(KEY),), isolated=True),
+        WorkspaceProfile("w2", (digest_key("secret-2"),)),
+    )
+    bench.forwarder.apply_routing(
+        build_configuration(2, workspaces=workspaces, cache_epoch=2)
+    )
+    bench.send("/appraise/x", tokens=100)
+    bench.send("/appraise/x", tokens=100, key="secret-2")
+    versions = [d.cache_salt for d in bench.protocol.dispatches]
+    assert [salt[:-1] for salt in versions] == ["", "w1/", "2:"]
+
+
+def test_repeated_request_uses_the_salt_of_the_configuration_in_force():
+    """Guards against parts made under the shared salt by an isolated workspace."""
+    bench = Bench(*ENGINES)
+    bench.send("/reply/x", tokens=100)
+    workspaces = (WorkspaceProfile("w1", (digest_key(KEY),), isolated=True),)
+    bench.forwarder.apply_routing(
+        build_configuration(2, workspaces=workspaces, cache_epoch=2)
+    )
+    bench.respond(503, b"", not_run=1)
+    salts = [d.cache_salt for d in bench.protocol.dispatches]
+    assert [salt[:-1] for salt in salts] == ["", "w1/"]
+
+
 def test_salt_separates_versions_and_isolated_workspaces():
     """Guards against cache entries shared between weights or isolated workspaces."""
     bench = Bench(build_target("e1", "engines", version=3), weights={MODEL: 3})
--- a/papayacrank/messages/_routing.py
+++ b/papayacrank/messages/_routing.py
@@ -163,10 +163,17 @@
 
 
 class RoutingConfiguration(msgspec.Struct, frozen=True):
-    """Complete routing configuration; the highest version is the active one."""
+    """Complete routing configuration; the highest version is the active one.
+
+    Attributes
+    ----------
+    cache_epoch : int
+        Epoch of the prompt parts that workspaces share; set by the control group.
+    """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: tuple[ServiceProfile, ...] = ()
     workspaces: tuple[WorkspaceProfile, ...] = ()
     limits: CallerLimits = CallerLimits()
+    cache_epoch: int = 0
--- a/papayacrank/state/_routing.py
+++ b/papayacrank/state/_routing.py
@@ -15,6 +15,7 @@
 
 from ._base import Table, refuse
 from ._limits import MAX_DOCUMENT_BYTES, MAX_MODELS
+from ._shared_cache import SharedCacheEpochs
 
 
 class RoutingDump(msgspec.Struct):
@@ -22,6 +23,8 @@
 
     configuration: RoutingConfiguration | None = None
     source: bytes = b""
+    cache_epoch: int = 0
+    cache_members: list[str] = []
 
 
 class RoutingTable(Table):
@@ -30,6 +33,7 @@
     def __init__(self):
         self._configuration: RoutingConfiguration | None = None
         self._source = b""
+        self._epochs = SharedCacheEpochs()
 
     @property
     def version(self) -> int:
@@ -57,18 +61,29 @@
         if len(command.source) > MAX_DOCUMENT_BYTES:
             return refuse("too_large", f"the limit is {MAX_DOCUMENT_BYTES} bytes", 413)
         if command.configuration.version > self.version:
-            self._configuration = command.configuration
+            self._epochs.apply(command.configuration)
+            self._configuration = msgspec.structs.replace(
+                command.configuration, cache_epoch=self._epochs.epoch
+            )
             self._source = command.source
         return RoutingFiled(self.version)
 
     def dump(self) -> RoutingDump:
         """Return the snapshot."""
-        return RoutingDump(self._configuration, self._source)
+        return RoutingDump(
+            self._configuration,
+            self._source,
+            self._epochs.epoch,
+            sorted(self._epochs.members),
+        )
 
     def load(self, dumped: RoutingDump) -> None:
         """Restore a snapshot."""
         self._configuration = dumped.configuration
         self._source = dumped.source
+        self._epochs = SharedCacheEpochs(
+            dumped.cache_epoch, frozenset(dumped.cache_members)
+        )
 
 
 class WeightsDump(msgspec.Struct):
--- a/papayacrank/state/tests/test_routing.py
+++ b/papayacrank/state/tests/test_routing.py
@@ -20,6 +20,7 @@
     StateMachine,
     encode_entry,
 )
+from papayacrank.state._shared_cache import MAX_REMOVED, SharedCacheEpochs
 
 
 class MachineHarness:
@@ -62,6 +63,56 @@
     assert harness.state.feed_version == feed_version
 
 
+def isolate(harness, version, **workspaces):
+    """Apply a configuration whose workspaces are isolated or not; return the epoch."""
+    profiles = [
+        WorkspaceProfile(n, (), isolated=value) for n, value in workspaces.items()
+    ]
+    harness.replace_routing(version, workspaces=tuple(profiles))
+    return harness.state.routing.configuration.cache_epoch
+
+
+def test_cache_epoch_begins_when_a_workspace_becomes_isolated():
+    """Guards against parts that a workspace made for all before it was isolated."""
+    harness = MachineHarness()
+    assert isolate(harness, 1, a=False, b=True) == 0
+    assert isolate(harness, 2, a=False, b=True, c=False) == 0
+    assert isolate(harness, 3, a=True, b=True, c=False) == 3
+    assert isolate(harness, 4, a=True, b=True, c=False, d=True) == 3
+    assert isolate(harness, 5, a=False, b=True, c=False) == 3
+    assert isolate(harness, 6, a=True, b=True, c=False) == 6
+
+
+def test_cache_epoch_begins_when_a_removed_workspace_returns_as_isolated():
+    """Guards against parts of a workspace that was removed in between."""
+    harness = MachineHarness()
+    isolate(harness, 1, a=False, b=False)
+    assert isolate(harness, 2, b=False) == 0
+    assert isolate(harness, 3, a=True, b=False) == 3
+
+
+def test_cache_epoch_survives_a_snapshot():
+    """Guards against shared parts of a former epoch after a restart."""
+    harness = MachineHarness()
+    isolate(harness, 1, a=False, b=False)
+    isolate(harness, 2, a=True, b=False)
+    restored = MachineHarness()
+    restored.state.restore(harness.state.snapshot())
+    restored.index = harness.index
+    assert restored.state.routing.configuration.cache_epoch == 2
+    assert isolate(restored, 3, a=True, b=True) == 3
+
+
+def test_removed_workspaces_are_remembered_within_a_bound():
+    """Guards against a table that grows with each workspace ever configured."""
+    epochs = SharedCacheEpochs()
+    for version in range(1, MAX_REMOVED + 3):
+        workspaces = (WorkspaceProfile(f"w{version}", ()),)
+        epochs.apply(RoutingConfiguration(version, workspaces=workspaces))
+    assert epochs.epoch == MAX_REMOVED + 2
+    assert len(epochs.members) == 1
+
+
 def test_weight_versions_never_decrease():
     """Guards against ordering engines to load older weights."""
     harness = MachineHarness()
