Ignore SIGHUP before the libraries of a program are imported

A process whose settings changed while it started ended by SIGHUP, the default action, and was restarted by the platform: a start lost.

Cause: the signal was ignored only after the imports, which take most of the time until then. Class: a process is told things before it is ready to hear them.

The new test fails before: the libraries were imported with the default action.

--- a/papayacrank/platform/__main__.py
+++ b/papayacrank/platform/__main__.py
@@ -1,6 +1,12 @@
 """Command line of the programs ``entry`` and ``control`` on the platform."""
 
+# ruff: noqa: E402
 import signal
+
+if __name__ == "__main__":
+    # The default action would end the process, and the imports take a while.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import sys
 import time
 
@@ -172,7 +178,6 @@
 
 def main() -> None:
     """Run the command line."""
-    # The default action would end a process that is starting.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     names = sys.argv[1:]
     if names in (["entry"], ["control"]):
--- a/papayacrank/platform/tests/test_reload.py
+++ b/papayacrank/platform/tests/test_reload.py
@@ -1,6 +1,8 @@
 """Tests of settings that change while a process runs."""
 
 import signal
+import subprocess
+import sys
 
 import pytest
 import structlog
@@ -70,6 +72,26 @@
     assert seen == [signal.SIG_IGN]
 
 
+HOOK = """
+import os, runpy, signal, sys
+
+class Hook:
+    def find_spec(self, name, path, target=None):
+        if name in ("pydantic", "circuits", "msgspec"):
+            ignored = signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+            os._exit(0 if ignored else 7)
+
+sys.meta_path.insert(0, Hook())
+sys.argv = ["papayacrank.platform", "entry"]
+runpy.run_module("papayacrank.platform", run_name="__main__", alter_sys=True)
+"""
+
+
+def test_hangup_is_ignored_before_libraries_are_imported():
+    """Guards against a process that a change of the settings ends while it starts."""
+    assert subprocess.run([sys.executable, "-c", HOOK], timeout=30).returncode == 0
+
+
 def test_new_seeds_are_passed_on_and_other_changes_are_named(tmp_path, hangup_handler):
     """Guards against a process that keeps stale seeds, or says nothing of the rest."""
     path = tmp_path / "local.toml"
