Keep the exit code of a stop when a signal is repeated at its end

A control process that got a second SIGTERM, or a SIGHUP, 10 to 80 ms after the first SIGTERM ended by that signal instead of with 0: a planned stop looked like a crash.

Cause: after the event loop the interpreter restores the default actions before it exits, and SIGHUP has the default action in programs without a settings file. Class: the end of a process is not covered by what protects its middle.

The signals are ignored once the loop has ended.

--- a/papayacrank/platform/tests/fake_platform.py
+++ b/papayacrank/platform/tests/fake_platform.py
@@ -265,9 +265,13 @@
         for sock in self._reserved:
             sock.close()
 
+    def read_log(self, role, ip):
+        """Return all that a process has written."""
+        return (self._folder / f"{role}-{ip}.log").read_text()
+
     def log(self, role, ip):
         """Return the log lines of a process."""
-        lines = (self._folder / f"{role}-{ip}.log").read_text().splitlines()
+        lines = self.read_log(role, ip).splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
 
     def connect(self, ip, timeout_s):
--- a/papayacrank/transport/_process.py
+++ b/papayacrank/transport/_process.py
@@ -77,4 +77,8 @@
     handlers.terminate = on_terminate or root.stop
     log_event(PROCESS_STARTED)
     root.run()
+    # The interpreter restores the default actions before it exits, and a repeated
+    # signal would then change the exit code.
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.SIG_IGN)
     log_event(PROCESS_STOPPED)
