Name services with a refusal limit in the project's own words

They are named by what the target states, a limit on refusals, as request rate limits are. Names only; the tests of the folders concerned and the proof pass as before.

--- a/papayacrank/control/_events.py
+++ b/papayacrank/control/_events.py
@@ -174,15 +174,15 @@
     "again.",
     "Check that all instances run compatible versions.",
 )
-BRITTLE_TARGET_REFUSED = LogEvent(
+TARGET_WITHOUT_ROOM = LogEvent(
     3035,
-    "brittle_target_refused",
+    "target_without_room",
     "info",
-    "A brittle target refused a request for want of room; it is taken to have `slots` "
-    "slots.",
+    "A refusal-limited target refused a request for want of room; it is taken to have"
+    " `slots` slots.",
 )
 declare_events(
-    BRITTLE_TARGET_REFUSED,
+    TARGET_WITHOUT_ROOM,
     FEED_BATCH_UNREADABLE,
     RELEASE_LISTED,
     RELEASE_ENDED,
--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -356,7 +356,7 @@
         silent = sorted(
             self._target_numbers[n] for n in self._silent if n in self._target_numbers
         )
-        brittle = self._room.list_services(now_ms)
+        refusal_limited = self._room.list_services(now_ms)
         self._room.divide(
             [t for t in self._view if not (t.leaving or t.loading)],
             {name: report.load for name, report in self._reports.items()},
@@ -377,13 +377,20 @@
                     for name, count in leases.items()
                     if name in self._target_numbers
                 }
-            content = (reported, loads, silent, brittle, leases)
+            content = (reported, loads, silent, refusal_limited, leases)
             paused = pauses if self._is_local(instance) else []
             if self._last_sent.get(instance) == content and not parts and not paused:
                 continue
             self._last_sent[instance] = content
             message = FleetLoad(
-                self._term, reported, loads, silent, parts, paused, brittle, leases
+                self._term,
+                reported,
+                loads,
+                silent,
+                parts,
+                paused,
+                refusal_limited,
+                leases,
             )
             sends.append(Send(sender, message))
         return sends
--- a/papayacrank/control/_room.py
+++ b/papayacrank/control/_room.py
@@ -1,4 +1,4 @@
-"""Division of the slots of brittle targets among the instances, without I/O."""
+"""Division of the slots of refusal-limited targets among the instances, without I/O."""
 
 import heapq
 from collections.abc import Iterable
@@ -7,10 +7,10 @@
 from papayacrank.kernel import log_event
 from papayacrank.messages import EntryLoad, FleetTarget
 
-from ._events import BRITTLE_TARGET_REFUSED
+from ._events import TARGET_WITHOUT_ROOM
 
-# Entry processes report a brittle service with each of its responses.
-BRITTLE_LIFETIME_MS = 2_000
+# Entry processes report a refusal-limited service with each of its responses.
+STATEMENT_LIFETIME_MS = 2_000
 # Leases are divided anew at this interval; a report and a lease take half of it.
 INTERVAL_MS = 200
 # After a refusal for want of room, a target is taken to have this fraction of the slots
@@ -38,7 +38,7 @@
 
 
 class RoomAllocator:
-    """Leases the slots of brittle targets to entry processes.
+    """Leases the slots of refusal-limited targets to entry processes.
 
     An entry process may have as many requests open at a target as its lease says, so
     that all of them together never send more than the target can start at once. A lease
@@ -61,16 +61,16 @@
         self._next_ms = 0
 
     def observe(self, report: EntryLoad, now_ms: int) -> None:
-        """Record the brittle services and full targets of a report."""
-        if report.brittle and not self._services:
+        """Record the refusal-limited services and full targets of a report."""
+        if report.refusal_limited and not self._services:
             # The first division waits until all processes have reported.
             self._next_ms = now_ms + INTERVAL_MS
-        for service in report.brittle:
-            self._services[service] = now_ms + BRITTLE_LIFETIME_MS
+        for service in report.refusal_limited:
+            self._services[service] = now_ms + STATEMENT_LIFETIME_MS
         self._refused.update(report.full)
 
     def list_services(self, now_ms: int) -> list[str]:
-        """Return the services whose targets are brittle."""
+        """Return the services whose targets are refusal-limited."""
         self._services = {n: end for n, end in self._services.items() if end > now_ms}
         return sorted(self._services)
 
@@ -80,7 +80,7 @@
         reports: dict[str, EntryLoad],
         now_ms: int,
     ) -> None:
-        """Divide the slots of all brittle services anew, if it is time.
+        """Divide the slots of all refusal-limited services anew, if it is time.
 
         Parameters
         ----------
@@ -91,8 +91,8 @@
         now_ms : int
             Current time in milliseconds.
         """
-        brittle = self.list_services(now_ms)
-        if not brittle:
+        refusal_limited = self.list_services(now_ms)
+        if not refusal_limited:
             self._holders.clear()
             self._rooms.clear()
             self._refused.clear()
@@ -100,7 +100,9 @@
         if now_ms < self._next_ms:
             return
         self._next_ms = now_ms + INTERVAL_MS
-        by_service: dict[str, list[FleetTarget]] = {name: [] for name in brittle}
+        by_service: dict[str, list[FleetTarget]] = {
+            name: [] for name in refusal_limited
+        }
         for target in targets:
             if target.service in by_service and target.slots:
                 by_service[target.service].append(target)
@@ -185,7 +187,7 @@
             room.slots = max(1, int(REFUSAL_FACTOR * min(room.slots, in_use)))
             room.raised_ms = now_ms
             log_event(
-                BRITTLE_TARGET_REFUSED,
+                TARGET_WITHOUT_ROOM,
                 target=target.name,
                 slots=room.slots,
                 listed=target.slots,
--- a/papayacrank/control/tests/test_room.py
+++ b/papayacrank/control/tests/test_room.py
@@ -5,9 +5,9 @@
 from hypothesis import strategies as st
 
 from papayacrank.control._room import (
-    BRITTLE_LIFETIME_MS,
     INTERVAL_MS,
     RECOVERY_MS,
+    STATEMENT_LIFETIME_MS,
     RoomAllocator,
     divide_fairly,
 )
@@ -36,7 +36,7 @@
                 name,
                 1,
                 {t: TargetLoad(n) for t, n in self.running[name].items() if n},
-                brittle=["plain"],
+                refusal_limited=["plain"],
                 full=self.full,
                 wanted={"plain": wanted} if wanted else {},
                 leases=dict(self.held[name]),
@@ -148,7 +148,7 @@
     """Guards against a limit that outlasts its reason."""
     fleet = Fleet(20)
     fleet.step()
-    fleet.now_ms += BRITTLE_LIFETIME_MS
+    fleet.now_ms += STATEMENT_LIFETIME_MS
     fleet.allocator.divide(TARGETS, fleet.reports(), fleet.now_ms)
     assert fleet.allocator.list_services(fleet.now_ms) == []
     assert fleet.allocator.leases_of("i0") is None
--- a/papayacrank/forwarding/_events.py
+++ b/papayacrank/forwarding/_events.py
@@ -112,16 +112,16 @@
     "A request was passed on to another instance, which has a path to the targets.",
 )
 
-SERVICE_BRITTLE = LogEvent(
+REFUSAL_LIMIT_STATED = LogEvent(
     2119,
-    "service_brittle",
+    "refusal_limit_stated",
     "warning",
     "A target states that it fails if it refuses more than `limit` requests in a"
     " second; targets of the service get no request that they might not start at once.",
 )
 
 declare_events(
-    SERVICE_BRITTLE,
+    REFUSAL_LIMIT_STATED,
     PATH_LOST,
     PATH_REGAINED,
     REQUEST_RELAYED,
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -37,7 +37,6 @@
 )
 
 from ._base import CallerProtocol, Dispatch, ForwardRequest, ResponseMetadata
-from ._brittle import BrittleServices, RoomLeases
 from ._continuity import StreamContinuity
 from ._event_stream import EventStreamError
 from ._events import (
@@ -58,6 +57,7 @@
 from ._pauses import TargetPauses
 from ._placement import Choice, KnownPartLocations, PlacementRequest, build_cache_salt
 from ._quota import QuotaDecision, QuotaEnforcer
+from ._refusal_limits import RefusalLimitedServices, RoomLeases
 from ._relay import Relay, RelayedRequest
 from ._retry_budget import RetryBudget
 from ._room_waits import RoomWaits
@@ -216,7 +216,7 @@
         self._forecast = QueueForecast()
         self._stops_at_ms: int | None = None
         self._pauses = TargetPauses(settings.max_pause_ms)
-        self._brittle = BrittleServices()
+        self._refusal_limits = RefusalLimitedServices()
         self._leases = RoomLeases()
         self._room_waits = RoomWaits(clock, timers)
         self._unidentified = UnidentifiedResponses()
@@ -225,7 +225,7 @@
             self._health,
             self._pauses,
             permits.client,
-            self._brittle,
+            self._refusal_limits,
             self._leases,
             self._parts,
             settings.failure_domain,
@@ -259,7 +259,7 @@
 
     @property
     def slot_leases(self) -> dict[str, int]:
-        """Requests that this process may have open at brittle targets, by target."""
+        """Leased slots of refusal-limited targets, by target."""
         return self._leases.held
 
     @property
@@ -701,8 +701,8 @@
         self._give_up(job, "targets_limited", text)
 
     def _note_demand(self, service: str, now_ms: int) -> None:
-        """Record a request of a brittle service beside those that are open or wait."""
-        if self._brittle.is_brittle(service, now_ms):
+        """Record the demand for a service, if it is refusal-limited."""
+        if self._refusal_limits.is_refusal_limited(service, now_ms):
             targets = self._table.find_by_service(service)
             running = sum(self._table.own_running(target.name) for target in targets)
             waiting = self._room_waits.count(service)
@@ -1105,7 +1105,7 @@
         self._observe_rate(job, attempt, name)
         if name == attempt.target.name and not metadata.wrong_target:
             is_full = metadata.not_run and attempt.status == SERVICE_UNAVAILABLE
-            self._brittle.on_response(
+            self._refusal_limits.on_response(
                 attempt.target.service, name, metadata.refusal_limit, is_full, now_ms
             )
         if metadata.pause_ms is not None:
@@ -1366,11 +1366,11 @@
         return self._pauses.take_unreported(self._clock.now_ms())
 
     def take_room_report(self) -> RoomReport:
-        """Return what the leader needs to divide the room of brittle targets."""
-        brittle, full = self._brittle.take_unreported()
-        services = self._brittle.list_services(self._clock.now_ms())
+        """Return what the leader needs to divide the slots of targets."""
+        refusal_limited, full = self._refusal_limits.take_unreported()
+        services = self._refusal_limits.list_services(self._clock.now_ms())
         wanted = self._leases.take_demand(services)
-        return RoomReport(brittle, full, wanted, self._leases.held)
+        return RoomReport(refusal_limited, full, wanted, self._leases.held)
 
     def apply_load(self, load: FleetLoad) -> None:
         """Apply the load, pauses and prompt parts that the leader reports."""
@@ -1381,15 +1381,15 @@
             name = self._table.name_of(number)
             if name is not None:
                 self._pauses.on_pause_reported(name, pause_ms, now_ms)
-        self._brittle.on_reported(load.brittle, now_ms)
+        self._refusal_limits.on_reported(load.refusal_limited, now_ms)
         if load.leases is not None:
             leases = {
                 name: count
                 for number, count in load.leases.items()
                 if (name := self._table.name_of(number)) is not None
             }
-            self._leases.apply(load.brittle, leases)
-        elif not self._brittle.list_services(now_ms):
+            self._leases.apply(load.refusal_limited, leases)
+        elif not self._refusal_limits.list_services(now_ms):
             # Until then a new leader may not have heard of the leases.
             self._leases.apply((), {})
         for group in load.parts:
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -364,7 +364,7 @@
         )
         metrics.add_gauge(
             "slot_leases",
-            "Requests that this instance may have open at brittle targets",
+            "Requests that this instance may have open at refusal-limited targets",
             lambda: sum(self._forwarder.slot_leases.values()),
         )
         metrics.add_gauge(
--- a/papayacrank/forwarding/_brittle.py
+++ b/papayacrank/forwarding/_refusal_limits.py
@@ -4,22 +4,22 @@
 
 from papayacrank.kernel import log_event
 
-from ._events import SERVICE_BRITTLE
+from ._events import REFUSAL_LIMIT_STATED
 
-# A target states in each response that it is brittle. A service counts as brittle for
+# A target states its limit in each response. Its service counts as refusal-limited for
 # this long after the last of them.
-BRITTLE_LIFETIME_MS = 3_000
-# A brittle target that has refused a request gets none for this long. Targets count
-# their refusals by the second.
+STATEMENT_LIFETIME_MS = 3_000
+# A refusal-limited target that has refused a request gets none for this long. Targets
+# count their refusals by the second.
 FULL_LIFETIME_MS = 1_000
 MAX_FULL_TARGETS = 5_000
 
 
-class BrittleServices:
-    """Brittle services and their full targets, as known to one entry process.
+class RefusalLimitedServices:
+    """Refusal-limited services and their full targets, as known to one entry process.
 
-    All targets of a service count as brittle once one states it, because a target that
-    has just started has stated nothing yet.
+    All targets of a service count as refusal-limited once one states a limit, because a
+    target that has just started has stated nothing yet.
     """
 
     def __init__(self):
@@ -45,25 +45,27 @@
             Current time in milliseconds.
         """
         if limit is not None:
-            if not self.is_brittle(service, now_ms):
-                log_event(SERVICE_BRITTLE, service=service, target=target, limit=limit)
-            self._services[service] = now_ms + BRITTLE_LIFETIME_MS
+            if not self.is_refusal_limited(service, now_ms):
+                log_event(
+                    REFUSAL_LIMIT_STATED, service=service, target=target, limit=limit
+                )
+            self._services[service] = now_ms + STATEMENT_LIFETIME_MS
             self._stated.add(service)
-        if is_full and self.is_brittle(service, now_ms):
+        if is_full and self.is_refusal_limited(service, now_ms):
             self._mark_full(target, now_ms)
             self._refused.add(target)
 
     def on_reported(self, services: Iterable[str], now_ms: int) -> None:
         """Record the services that targets of other entry processes state."""
         for service in services:
-            self._services[service] = now_ms + BRITTLE_LIFETIME_MS
+            self._services[service] = now_ms + STATEMENT_LIFETIME_MS
 
     def _mark_full(self, target: str, now_ms: int) -> None:
         if len(self._full) >= MAX_FULL_TARGETS:
             self._full = {n: end for n, end in self._full.items() if end > now_ms}
         self._full[target] = now_ms + FULL_LIFETIME_MS
 
-    def is_brittle(self, service: str, now_ms: int) -> bool:
+    def is_refusal_limited(self, service: str, now_ms: int) -> bool:
         """Whether targets of a service must not be asked to refuse requests."""
         until_ms = self._services.get(service)
         if until_ms is None:
@@ -74,9 +76,11 @@
         return True
 
     def list_services(self, now_ms: int) -> list[str]:
-        """Return the brittle services."""
+        """Return the refusal-limited services."""
         return [
-            name for name in sorted(self._services) if self.is_brittle(name, now_ms)
+            name
+            for name in sorted(self._services)
+            if self.is_refusal_limited(name, now_ms)
         ]
 
     def is_full(self, target: str, now_ms: int) -> bool:
@@ -97,7 +101,7 @@
 
 
 class RoomLeases:
-    """Number of requests that this process may have open at brittle targets.
+    """Number of requests that this process may have open at refusal-limited targets.
 
     The leader divides the slots of the targets among the entry processes. Until it has
     done so, the number is not limited.
--- a/papayacrank/forwarding/_room_waits.py
+++ b/papayacrank/forwarding/_room_waits.py
@@ -1,4 +1,4 @@
-"""Requests that wait in this process until a brittle target has room."""
+"""Requests that wait in this process until a refusal-limited target has room."""
 
 from collections.abc import Callable
 
--- a/papayacrank/forwarding/_selection.py
+++ b/papayacrank/forwarding/_selection.py
@@ -6,10 +6,10 @@
 from papayacrank.messages import FleetTarget
 from papayacrank.permits import PermitClient, RetrySpread
 
-from ._brittle import BrittleServices, RoomLeases
 from ._health import TargetHealth
 from ._pauses import TargetPauses
 from ._placement import Choice, KnownPartLocations, Placement, PlacementRequest
+from ._refusal_limits import RefusalLimitedServices, RoomLeases
 from ._targets import TargetTable
 
 # Retry times of refused callers are spread over this fraction of the pause.
@@ -35,7 +35,7 @@
         Pauses that targets requested.
     permits : PermitClient
         Request rate limits of the targets.
-    brittle : BrittleServices
+    refusal_limited : RefusalLimitedServices
         Services whose targets must not be asked to refuse requests.
     leases : RoomLeases
         Number of requests that this instance may have open at their targets.
@@ -53,13 +53,13 @@
         health: TargetHealth,
         pauses: TargetPauses,
         permits: PermitClient,
-        brittle: BrittleServices,
+        refusal_limited: RefusalLimitedServices,
         leases: RoomLeases,
         parts: KnownPartLocations,
         failure_domain: str,
         random_state: Random,
     ):
-        self._brittle = brittle
+        self._refusal_limits = refusal_limited
         self._leases = leases
         self._table = table
         self._health = health
@@ -132,7 +132,7 @@
 
         The parameters are those of `choose`.
         """
-        if not self._brittle.is_brittle(request.service.name, now_ms):
+        if not self._refusal_limits.is_refusal_limited(request.service.name, now_ms):
             return False
         targets = self._usable_targets(request, excluded, max_permit_wait_ms, now_ms)
         return bool(targets)
@@ -157,12 +157,12 @@
 
     def _has_room(self, target: FleetTarget, now_ms: int) -> bool:
         """Whether a target can start a request at once, if it must not refuse one."""
-        if not self._brittle.is_brittle(target.service, now_ms):
+        if not self._refusal_limits.is_refusal_limited(target.service, now_ms):
             return True
         running = self._table.own_running(target.name)
-        return not self._brittle.is_full(target.name, now_ms) and self._leases.may_send(
-            target.service, target.name, running
-        )
+        return not self._refusal_limits.is_full(
+            target.name, now_ms
+        ) and self._leases.may_send(target.service, target.name, running)
 
     def estimate_retry_after_ms(
         self, service: str, instances: int, now_ms: int
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -36,20 +36,20 @@
 
 @dataclass(frozen=True, slots=True)
 class RoomReport:
-    """Brittle services and the use of their targets, for the next load report.
+    """Refusal-limited services and the use of their targets, for the next load report.
 
     Parameters
     ----------
-    brittle, full : list of str
-        Brittle services, and targets of them that have refused a request for want of
-        room, since the last report.
+    refusal_limited, full : list of str
+        Refusal-limited services, and targets of them that have refused a request for
+        want of room, since the last report.
     wanted : dict of str to int
-        Requests that could be open at each brittle service.
+        Requests that could be open at each refusal-limited service.
     leases : dict of str to int
         Leases of this process by target.
     """
 
-    brittle: list[str] = field(default_factory=list)
+    refusal_limited: list[str] = field(default_factory=list)
     full: list[str] = field(default_factory=list)
     wanted: dict[str, int] = field(default_factory=dict)
     leases: dict[str, int] = field(default_factory=dict)
@@ -57,7 +57,7 @@
     @property
     def is_new(self) -> bool:
         """Whether the leader must hear of it."""
-        return bool(self.brittle or self.full or self.wanted or self.leases)
+        return bool(self.refusal_limited or self.full or self.wanted or self.leases)
 
 
 NO_ROOM_REPORT = RoomReport()
@@ -372,7 +372,7 @@
             Targets that requested a pause since the last report, with its remaining
             time in milliseconds.
         room : RoomReport
-            Brittle services and the use of their targets.
+            Refusal-limited services and the use of their targets.
         """
         loads = {
             n: own.to_message() for n, own in self._own_loads.items() if own.running > 0
@@ -411,7 +411,7 @@
             parts,
             self._reported_leaving,
             list(paused),
-            room.brittle,
+            room.refusal_limited,
             room.full,
             room.wanted,
             room.leases,
--- a/papayacrank/forwarding/tests/builders.py
+++ b/papayacrank/forwarding/tests/builders.py
@@ -162,7 +162,7 @@
             "leaving" in known,
             int(known["pause-ms"]) if "pause-ms" in known else None,
             read_rate_statement([known["rate"]] if "rate" in known else []),
-            float(known["brittle"]) if "brittle" in known else None,
+            float(known["refusal-limit"]) if "refusal-limit" in known else None,
         )
 
     def build_start_query(self, target_name):
--- a/papayacrank/forwarding/tests/brittle_simulation.py
+++ b/papayacrank/forwarding/tests/refusal_simulation.py
@@ -1,4 +1,4 @@
-"""Simulated instances that send requests to brittle targets."""
+"""Simulated instances that send requests to refusal-limited targets."""
 
 import heapq
 import itertools
@@ -7,7 +7,7 @@
 from random import Random
 
 from papayacrank.control._room import RoomAllocator
-from papayacrank.forwarding._brittle import BrittleServices, RoomLeases
+from papayacrank.forwarding._refusal_limits import RefusalLimitedServices, RoomLeases
 from papayacrank.forwarding._room_waits import RETRY_INTERVAL_MS
 from papayacrank.messages import EntryLoad, FleetTarget, TargetLoad
 
@@ -44,14 +44,16 @@
     own: list
     totals: list
     in_total: list
-    brittle: BrittleServices = field(default_factory=BrittleServices)
+    refusal_limited: RefusalLimitedServices = field(
+        default_factory=RefusalLimitedServices
+    )
     leases: RoomLeases = field(default_factory=RoomLeases)
     reports: dict = field(default_factory=dict)
     sequence: int = 0
     waiting: int = 0
 
 
-class BrittleSimulation:
+class RefusalSimulation:
     """Instances, targets and a leader that passes on loads with delays.
 
     Parameters
@@ -98,7 +100,7 @@
             for _ in range(instances)
         ]
         for instance in self.instances:
-            instance.brittle.on_response(SERVICE, "t0", 5.0, False, 0)
+            instance.refusal_limited.on_response(SERVICE, "t0", 5.0, False, 0)
         for number in range(instances):
             self._after(self.random.uniform(0, 100), self._report, number)
         self._after(50, self._push)
@@ -131,12 +133,12 @@
         instance.sequence += 1
         loads = list(instance.own)
         instance.reports[instance.sequence] = loads
-        brittle, full = instance.brittle.take_unreported()
+        refusal_limited, full = instance.refusal_limited.take_unreported()
         report = EntryLoad(
             f"i{number}",
             instance.sequence,
             {f"t{n}": TargetLoad(count) for n, count in enumerate(loads) if count},
-            brittle=brittle,
+            refusal_limited=refusal_limited,
             full=full,
             wanted=instance.leases.take_demand([SERVICE]),
             leases=dict(instance.leases.held),
@@ -178,7 +180,7 @@
         instance.totals = totals
         instance.in_total = instance.reports.get(sequence, instance.in_total)
         instance.reports = {n: r for n, r in instance.reports.items() if n >= sequence}
-        instance.brittle.on_reported(services, int(self.now_ms))
+        instance.refusal_limited.on_reported(services, int(self.now_ms))
         if leases is not None:
             instance.leases.apply(services, leases)
 
@@ -217,10 +219,12 @@
     def _may_send(self, instance, target):
         if self.servers[target].down_until_ms > self.now_ms:
             return False
-        if not self.knows or not instance.brittle.is_brittle(SERVICE, self.now_ms):
+        if not self.knows or not instance.refusal_limited.is_refusal_limited(
+            SERVICE, self.now_ms
+        ):
             return True
         name = f"t{target}"
-        return not instance.brittle.is_full(
+        return not instance.refusal_limited.is_full(
             name, self.now_ms
         ) and instance.leases.may_send(SERVICE, name, instance.own[target])
 
@@ -279,4 +283,6 @@
             instance.own[target] = max(0, instance.own[target] - 1)
         if self.knows:
             name = f"t{target}"
-            instance.brittle.on_response(SERVICE, name, 5.0, is_full, int(self.now_ms))
+            instance.refusal_limited.on_response(
+                SERVICE, name, 5.0, is_full, int(self.now_ms)
+            )
--- a/papayacrank/forwarding/tests/test_brittle.py
+++ b/papayacrank/forwarding/tests/test_refusal_limits.py
@@ -2,17 +2,17 @@
 
 import pytest
 
-from papayacrank.forwarding._brittle import (
-    BRITTLE_LIFETIME_MS,
+from papayacrank.forwarding._refusal_limits import (
     FULL_LIFETIME_MS,
-    BrittleServices,
+    STATEMENT_LIFETIME_MS,
+    RefusalLimitedServices,
     RoomLeases,
 )
 from papayacrank.forwarding._room_waits import MAX_WAITING
 from papayacrank.messages import FleetLoad
 
-from .brittle_simulation import BrittleSimulation
 from .builders import Bench, build_target
+from .refusal_simulation import RefusalSimulation
 
 TARGETS = (build_target("p1"), build_target("p2"))
 DURATION_MS = 10_000
@@ -23,7 +23,7 @@
     numbers = {t.name: t.number for t in bench.forwarder.table.targets}
     counts = {numbers[name]: count for name, count in leases.items()}
     bench.forwarder.apply_load(
-        FleetLoad(1, reported, {}, brittle=["plain"], leases=counts)
+        FleetLoad(1, reported, {}, refusal_limited=["plain"], leases=counts)
     )
 
 
@@ -33,28 +33,28 @@
 
 
 @pytest.fixture
-def brittle():
-    """Return a bench whose targets have stated that they are brittle."""
+def limited():
+    """Return a bench whose targets have stated that they are refusal-limited."""
     bench = Bench(*TARGETS)
     bench.send()
-    bench.respond(brittle=5)
+    bench.respond(refusal_limit=5)
     return bench
 
 
 def test_statement_holds_for_all_targets_of_the_service_and_ends():
     """Guards against a restarted target that is overrun before its first response."""
-    services = BrittleServices()
+    services = RefusalLimitedServices()
     services.on_response("plain", "p1", 5.0, False, 0)
-    assert services.is_brittle("plain", BRITTLE_LIFETIME_MS - 1)
-    assert not services.is_brittle("engines", 0)
-    assert not services.is_brittle("plain", BRITTLE_LIFETIME_MS)
+    assert services.is_refusal_limited("plain", STATEMENT_LIFETIME_MS - 1)
+    assert not services.is_refusal_limited("engines", 0)
+    assert not services.is_refusal_limited("plain", STATEMENT_LIFETIME_MS)
     assert services.take_unreported() == (["plain"], [])
     assert services.take_unreported() == ([], [])
 
 
-def test_refusal_counts_only_while_the_service_is_brittle():
+def test_refusal_counts_only_while_the_service_is_refusal_limited():
     """Guards against sound targets that get no requests after a refusal."""
-    services = BrittleServices()
+    services = RefusalLimitedServices()
     services.on_response("plain", "p1", None, True, 0)
     assert not services.is_full("p1", 0)
     services.on_reported(["plain"], 0)
@@ -75,89 +75,89 @@
     assert leases.may_send("engines", "e1", 100)
 
 
-def test_instance_sends_no_more_requests_than_its_leases_say(brittle):
+def test_instance_sends_no_more_requests_than_its_leases_say(limited):
     """Guards against targets that must refuse what all instances send together."""
-    apply_leases(brittle, {"p1": 2, "p2": 1})
-    callers = [brittle.send(id=f"r{n}") for n in range(5)]
-    assert open_targets(brittle) == ["p1", "p1", "p2"]
+    apply_leases(limited, {"p1": 2, "p2": 1})
+    callers = [limited.send(id=f"r{n}") for n in range(5)]
+    assert open_targets(limited) == ["p1", "p1", "p2"]
     assert [c.status for c in callers] == [None] * 5
 
 
-def test_waiting_request_is_sent_when_a_slot_is_free(brittle):
+def test_waiting_request_is_sent_when_a_slot_is_free(limited):
     """Guards against requests refused although a target has room in time."""
-    apply_leases(brittle, {"p1": 1})
-    brittle.send(id="first")
-    first = brittle.call
-    caller = brittle.send(id="second")
-    brittle.advance(40)
-    brittle.respond(call=first, brittle=5)
-    brittle.advance(20)
-    brittle.respond(brittle=5)
+    apply_leases(limited, {"p1": 1})
+    limited.send(id="first")
+    first = limited.call
+    caller = limited.send(id="second")
+    limited.advance(40)
+    limited.respond(call=first, refusal_limit=5)
+    limited.advance(20)
+    limited.respond(refusal_limit=5)
     assert caller.status == 200
 
 
-def test_waiting_request_is_refused_in_time_as_not_run(brittle):
+def test_waiting_request_is_refused_in_time_as_not_run(limited):
     """Guards against requests that are held until their deadline."""
-    apply_leases(brittle, {})
-    caller = brittle.send(id="r2")
+    apply_leases(limited, {})
+    caller = limited.send(id="r2")
     for _ in range(14):
-        brittle.advance(20)
+        limited.advance(20)
     assert caller.status == 503
     assert caller.headers["verdict"] == "not-run"
     assert int(caller.headers["retry-after-ms"]) >= 400
-    assert open_targets(brittle) == []
-    assert not [n for n in brittle.timers.set_timers if n.startswith("room")]
+    assert open_targets(limited) == []
+    assert not [n for n in limited.timers.set_timers if n.startswith("room")]
 
 
-def test_number_of_waiting_requests_is_limited(brittle):
+def test_number_of_waiting_requests_is_limited(limited):
     """Guards against memory that grows with the requests that find no room."""
-    apply_leases(brittle, {})
-    callers = [brittle.send(id=f"r{n}") for n in range(MAX_WAITING + 3)]
+    apply_leases(limited, {})
+    callers = [limited.send(id=f"r{n}") for n in range(MAX_WAITING + 3)]
     assert [c.status for c in callers].count(503) == 3
 
 
-def test_waiting_request_of_a_caller_that_leaves_is_forgotten(brittle):
+def test_waiting_request_of_a_caller_that_leaves_is_forgotten(limited):
     """Guards against requests that are sent for nobody."""
-    apply_leases(brittle, {})
-    caller = brittle.send(id="r2")
-    brittle.forwarder.on_caller_left(caller.exchange)
-    apply_leases(brittle, {"p1": 1})
-    brittle.advance(20)
-    assert open_targets(brittle) == []
+    apply_leases(limited, {})
+    caller = limited.send(id="r2")
+    limited.forwarder.on_caller_left(caller.exchange)
+    apply_leases(limited, {"p1": 1})
+    limited.advance(20)
+    assert open_targets(limited) == []
 
 
-def test_target_that_refused_a_request_gets_none_for_a_while(brittle):
+def test_target_that_refused_a_request_gets_none_for_a_while(limited):
     """Guards against the next refusals of a target that has no room."""
-    brittle.send(id="r2")
-    full = brittle.target_of(brittle.call)
-    brittle.respond(503, b"", not_run=1, brittle=5)
+    limited.send(id="r2")
+    full = limited.target_of(limited.call)
+    limited.respond(503, b"", not_run=1, refusal_limit=5)
     for number in range(4):
-        brittle.send(id=f"later-{number}")
-    assert full not in open_targets(brittle)
-    assert brittle.forwarder.take_room_report().full == [full]
+        limited.send(id=f"later-{number}")
+    assert full not in open_targets(limited)
+    assert limited.forwarder.take_room_report().full == [full]
 
 
-def test_demand_and_leases_are_reported(brittle):
+def test_demand_and_leases_are_reported(limited):
     """Guards against leases that go to instances without requests."""
-    apply_leases(brittle, {"p1": 1})
+    apply_leases(limited, {"p1": 1})
     for number in range(3):
-        brittle.send(id=f"r{number}")
-    report = brittle.forwarder.take_room_report()
+        limited.send(id=f"r{number}")
+    report = limited.forwarder.take_room_report()
     assert report.wanted == {"plain": 3}
     assert report.leases == {"p1": 1}
 
 
-def test_leases_are_kept_while_a_new_leader_knows_of_none(brittle):
+def test_leases_are_kept_while_a_new_leader_knows_of_none(limited):
     """Guards against targets that are overrun during an election."""
-    apply_leases(brittle, {"p1": 1})
-    brittle.forwarder.apply_load(FleetLoad(1, 0, {}))
+    apply_leases(limited, {"p1": 1})
+    limited.forwarder.apply_load(FleetLoad(1, 0, {}))
     for number in range(3):
-        brittle.send(id=f"r{number}")
-    assert open_targets(brittle) == ["p1"]
-    brittle.advance(BRITTLE_LIFETIME_MS)
-    brittle.forwarder.apply_load(FleetLoad(1, 0, {}))
-    brittle.send(id="later")
-    assert brittle.call.state.request.request_id == "later"
+        limited.send(id=f"r{number}")
+    assert open_targets(limited) == ["p1"]
+    limited.advance(STATEMENT_LIFETIME_MS)
+    limited.forwarder.apply_load(FleetLoad(1, 0, {}))
+    limited.send(id="later")
+    assert limited.call.state.request.request_id == "later"
 
 
 SIZES = [(9, 5, 6, 45.0), (87, 23, 6, 200.0), (200, 59, 64, 2_000.0)]
@@ -165,17 +165,17 @@
 
 @pytest.mark.parametrize(("instances", "servers", "slots", "service_ms"), SIZES)
 @pytest.mark.parametrize("load", [1.0, 2.0])
-def test_brittle_targets_of_an_overloaded_fleet_do_not_fail(
+def test_refusal_limited_targets_of_an_overloaded_fleet_do_not_fail(
     instances, servers, slots, service_ms, load
 ):
     """Guards against refusals of all instances together that end their targets."""
-    fleet = BrittleSimulation(instances, servers, slots, 1, load, service_ms)
+    fleet = RefusalSimulation(instances, servers, slots, 1, load, service_ms)
     fleet.run(DURATION_MS)
     assert fleet.falls <= 2 + servers / 10
 
 
 def test_simulated_targets_fail_if_nothing_is_done():
     """Guards against a simulation that shows nothing."""
-    fleet = BrittleSimulation(9, 5, 6, 1, 2.0, 45.0, knows=False)
+    fleet = RefusalSimulation(9, 5, 6, 1, 2.0, 45.0, knows=False)
     fleet.run(DURATION_MS)
     assert fleet.falls > 2 + 5 / 10
--- a/papayacrank/messages/_fleet.py
+++ b/papayacrank/messages/_fleet.py
@@ -135,14 +135,14 @@
     paused : list of (str, int)
         Targets that requested a pause since the last message, and its remaining time
         in milliseconds.
-    brittle : list of str
-        Services of which a target has stated since the last message that it is brittle.
+    refusal_limited : list of str
+        Services of which a target has stated a refusal limit since the last message.
     full : list of str
-        Targets of brittle services that have refused a request for want of room since
-        the last message.
+        Targets of such services that have refused a request for want of room since the
+        last message.
     wanted : dict of str to int
-        Most requests that could have been open at each brittle service at one time
-        since the last message.
+        Most requests that could have been open at each such service at one time since
+        the last message.
     leases : dict of str to int
         Leases of the process by target; see `FleetLoad`.
     """
@@ -154,7 +154,7 @@
     parts: list[PartLocation] = []
     leaving: list[tuple[str, int]] = []
     paused: list[tuple[str, int]] = []
-    brittle: list[str] = []
+    refusal_limited: list[str] = []
     full: list[str] = []
     wanted: dict[str, int] = {}
     leases: dict[str, int] = {}
@@ -193,8 +193,8 @@
         Numbers of targets that requested a pause from the leader since the last
         message, and its remaining time in milliseconds. It is only sent to entry
         processes on the leader's machine, because the pause applies to that machine.
-    brittle : list of str
-        Services whose targets have stated lately that they are brittle.
+    refusal_limited : list of str
+        Services whose targets have stated lately that they are refusal-limited.
     leases : dict of int to int, or None
         Number of requests that the receiver may have open at each target of such a
         service, by target number; 0 for those that are not listed. None if the slots
@@ -207,5 +207,5 @@
     silent: list[int] = []
     parts: list[PartLocationGroup] = []
     paused: list[tuple[int, int]] = []
-    brittle: list[str] = []
+    refusal_limited: list[str] = []
     leases: dict[int, int] | None = None
--- a/papayacrank/platform/_signals.py
+++ b/papayacrank/platform/_signals.py
@@ -71,7 +71,7 @@
 
 
 def read_refusal_limit(headers: list[tuple[str, str]]) -> float | None:
-    """Return how many refusals in a second a target bears, None if it is not brittle.
+    """Return how many refusals in a second a target bears, None if it states none.
 
     A value that is not readable counts as 0.
 
--- a/papayacrank/platform/tests/brittle_service.py
+++ b/papayacrank/platform/tests/refusal_limited_service.py
@@ -11,7 +11,7 @@
 WINDOW_S = 1.0
 
 
-class BrittleService(CrashingService):
+class RefusalLimitedService(CrashingService):
     """Server of a plain service with a limited number of slots and waiting requests.
 
     Parameters
@@ -22,22 +22,22 @@
         Requests that are served at the same time.
     room : int
         Requests that may wait.
-    brittle_room : int
-        The same while the server is brittle, from `CONTACT_S` after it first said so.
+    limited_room : int
+        The same while the server states a limit, from `CONTACT_S` after the first time.
     max_refusals : int
-        Refusals for want of room in a second that the server bears while brittle.
+        Refusals for want of room in a second that the server bears meanwhile.
     """
 
-    def __init__(self, name, slots=2, room=8, brittle_room=1, max_refusals=5):
+    def __init__(self, name, slots=2, room=8, limited_room=1, max_refusals=5):
         super().__init__(name)
         self.slots = slots
         self.room = room
-        self.brittle_room = brittle_room
+        self.limited_room = limited_room
         self.max_refusals = max_refusals
         self.served = 0
         self.refusals = 0
         self.falls = 0
-        self._brittle_since_s = None
+        self._limited_since_s = None
         self._running = 0
         self._waiting = deque()
         self._refused_s = deque()
@@ -46,13 +46,13 @@
         """Return the entry of the server in the target list."""
         return super().entry() | {"slots": self.slots}
 
-    def set_brittle(self, is_brittle):
-        """Begin or stop to state brittleness."""
-        self._brittle_since_s = time.monotonic() if is_brittle else None
+    def set_refusal_limited(self, is_refusal_limited):
+        """Begin or stop to state a refusal limit."""
+        self._limited_since_s = time.monotonic() if is_refusal_limited else None
 
     @property
     def _is_settled(self):
-        since_s = self._brittle_since_s
+        since_s = self._limited_since_s
         return since_s is not None and time.monotonic() >= since_s + CONTACT_S
 
     async def _respond(self, connection, writer, path, headers, body):
@@ -60,9 +60,9 @@
             ("Papayacrank-Request-Id", headers["papayacrank-request-id"]),
             ("Papayacrank-Server-Seal", "seal"),
         ]
-        if self._brittle_since_s is not None:
+        if self._limited_since_s is not None:
             own.append(("Server-Brittle", str(self.max_refusals)))
-        room = self.brittle_room if self._is_settled else self.room
+        room = self.limited_room if self._is_settled else self.room
         if self._running >= self.slots and len(self._waiting) >= room:
             self._reply(
                 connection, writer, 503, b"", [*own, ("Papayacrank-Not-Executed", "1")]
--- a/papayacrank/platform/tests/test_brittle_servers.py
+++ b/papayacrank/platform/tests/test_refusal_limits.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from .brittle_service import CONTACT_S, SERVICE_S, BrittleService
 from .fake_platform import IPS, FakePlatform
+from .refusal_limited_service import CONTACT_S, SERVICE_S, RefusalLimitedService
 
 SERVERS = 3
-# In one time in which they are brittle, servers may fall this often.
+# In one time in which they are refusal-limited, servers may fall this often.
 MAX_FALLS = 2 + SERVERS / 10
 OVERLOAD = 2.0
 DURATION_S = 12.0
@@ -18,10 +18,10 @@
 
 @pytest.fixture
 def platform(tmp_path):
-    """Return a running deployment with brittle servers."""
+    """Return a running deployment with refusal-limited servers."""
     running = FakePlatform(tmp_path)
-    running.brittle = [BrittleService(f"y-{n}") for n in range(SERVERS)]
-    running.cloud.servers = running.brittle
+    running.refusal_limited = [RefusalLimitedService(f"y-{n}") for n in range(SERVERS)]
+    running.cloud.servers = running.refusal_limited
     try:
         running.start()
         running.configure()
@@ -30,7 +30,7 @@
         yield running
     finally:
         running.stop()
-        for server in running.brittle:
+        for server in running.refusal_limited:
             server.close()
 
 
@@ -56,14 +56,14 @@
 
 
 @pytest.mark.prove
-def test_brittle_servers_do_not_fall_over_under_overload(platform):
+def test_refusal_limited_servers_do_not_fall_over_under_overload(platform):
     """Guards against refusals of all instances together that end their servers."""
-    capacity_per_s = sum(s.slots for s in platform.brittle) / SERVICE_S
-    for server in platform.brittle:
-        server.set_brittle(True)
+    capacity_per_s = sum(s.slots for s in platform.refusal_limited) / SERVICE_S
+    for server in platform.refusal_limited:
+        server.set_refusal_limited(True)
     statuses = send_for(platform, OVERLOAD * capacity_per_s, DURATION_S)
-    falls = [server.falls for server in platform.brittle]
-    refusals = [server.refusals for server in platform.brittle]
+    falls = [server.falls for server in platform.refusal_limited]
+    refusals = [server.refusals for server in platform.refusal_limited]
     served = statuses.count(200)
     print(f"falls {falls}, refusals {refusals}, served {served} of {len(statuses)}")
     assert sum(falls) <= MAX_FALLS
--- a/papayacrank/platform/tests/test_signals.py
+++ b/papayacrank/platform/tests/test_signals.py
@@ -82,7 +82,7 @@
     [([], None), ([b"5"], 5.0), ([b"7", b"2.5"], 2.5), ([b"many"], 0.0)],
 )
 @pytest.mark.parametrize("status", [200, 503])
-def test_brittle_server_is_recognized_with_any_status(status, values, limit):
+def test_refusal_limit_is_read_with_any_status(status, values, limit):
     """Guards against servers that fall over since no process reads their warning."""
     headers = [(b"server-brittle", value) for value in values]
     facts = PlatformCallerProtocol().read_response(status, headers)
