Wait for conditions in the test of buffered responses

test_port_is_not_drained_while_response_data_is_buffered failed beside load; no caller was concerned. Cause: fixed waits of 0.2 s for the request and for the last bytes, and a count of received bytes that took the head for a part of the body.

--- a/papayacrank/transport/tests/test_http_port.py
+++ b/papayacrank/transport/tests/test_http_port.py
@@ -358,7 +358,7 @@
     sock = server.connect()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
     sock.sendall(b"GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
-    time.sleep(0.2)
+    wait_until(lambda: server.echo.held, "request arrived")
 
     def respond_and_stop():
         exchange = server.echo.held[0]
@@ -371,11 +371,14 @@
     loop_caller.run(server.port.close_idle)
     assert not server.port.is_drained
     received = b""
-    while len(received) < 900_000:
+    while len(received.partition(b"\r\n\r\n")[2]) < 900_000:
         received += sock.recv(1 << 20)
-    time.sleep(0.2)
-    loop_caller.run(server.port.close_idle)
-    assert server.port.is_drained
+
+    def is_drained():
+        loop_caller.run(server.port.close_idle)
+        return server.port.is_drained
+
+    wait_until(is_drained, "drained")
 
 
 def test_slow_caller_receives_the_complete_response(server):
