--- a/papayacrank/state/_routing.py
+++ b/papayacrank/state/_routing.py
@@ -23,7 +23,6 @@
 
     configuration: RoutingConfiguration | None = None
     source: bytes = b""
-    cache_epoch: int = 0
     cache_members: list[str] = []
 
 
@@ -73,7 +72,6 @@
         return RoutingDump(
             self._configuration,
             self._source,
-            self._epochs.epoch,
             sorted(self._epochs.members),
         )
 
@@ -81,9 +79,8 @@
         """Restore a snapshot."""
         self._configuration = dumped.configuration
         self._source = dumped.source
-        self._epochs = SharedCacheEpochs(
-            dumped.cache_epoch, frozenset(dumped.cache_members)
-        )
+        epoch = dumped.configuration.cache_epoch if dumped.configuration else 0
+        self._epochs = SharedCacheEpochs(epoch, frozenset(dumped.cache_members))
 
 
 class WeightsDump(msgspec.Struct):
