Look at refusal limits once a request, and drop repeated steps around them

Found in a last reading of the change; no behaviour changes.

- The choice of a target asked for each target whether its service is refusal-limited, on each request of every service.
It asks once.
- The leader built lists of all targets and reports for each push of loads, also with no such service.
They are generators now, which a division alone consumes.
- The longest wait for a permit was computed twice when no target was found; waits for permits and for room had a constant and a formula each, of the same value and meaning.
- Leases were translated from numbers to names beside TargetTable's own translation.
- Two look-ups with an expiry were copies of each other; each is one comparison now.

The tests of forwarding, control and state pass unchanged, but for the argument of divide.

--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -358,8 +358,8 @@
         )
         refusal_limited = self._room.list_services(now_ms)
         self._room.divide(
-            [t for t in self._view if not (t.leaving or t.loading)],
-            {name: report.load for name, report in self._reports.items()},
+            (t for t in self._view if not (t.leaving or t.loading)),
+            (report.load for report in self._reports.values()),
             now_ms,
         )
         parts = self._pop_grouped_parts()
--- a/papayacrank/control/_room.py
+++ b/papayacrank/control/_room.py
@@ -77,7 +77,7 @@
     def divide(
         self,
         targets: Iterable[FleetTarget],
-        reports: dict[str, EntryLoad],
+        loads: Iterable[EntryLoad],
         now_ms: int,
     ) -> None:
         """Divide the slots of all refusal-limited services anew, if it is time.
@@ -86,7 +86,7 @@
         ----------
         targets : iterable of FleetTarget
             Targets that get requests.
-        reports : dict of str to EntryLoad
+        loads : iterable of EntryLoad
             Last report of each live entry process.
         now_ms : int
             Current time in milliseconds.
@@ -106,6 +106,7 @@
         for target in targets:
             if target.service in by_service and target.slots:
                 by_service[target.service].append(target)
+        reports = {load.instance: load for load in loads}
         names = {t.name for group in by_service.values() for t in group}
         self._rooms = {n: room for n, room in self._rooms.items() if n in names}
         self._holders = {
--- a/papayacrank/control/tests/test_room.py
+++ b/papayacrank/control/tests/test_room.py
@@ -50,7 +50,7 @@
         for report in reports.values():
             self.allocator.observe(report, self.now_ms)
         self.now_ms += INTERVAL_MS
-        self.allocator.divide(TARGETS, reports, self.now_ms)
+        self.allocator.divide(TARGETS, reports.values(), self.now_ms)
         for name in self.wanted:
             leases = self.allocator.leases_of(name)
             if name not in self.deaf and leases is not None:
@@ -149,7 +149,7 @@
     fleet = Fleet(20)
     fleet.step()
     fleet.now_ms += STATEMENT_LIFETIME_MS
-    fleet.allocator.divide(TARGETS, fleet.reports(), fleet.now_ms)
+    fleet.allocator.divide(TARGETS, fleet.reports().values(), fleet.now_ms)
     assert fleet.allocator.list_services(fleet.now_ms) == []
     assert fleet.allocator.leases_of("i0") is None
 
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -100,11 +100,9 @@
 # Time for which a silent attempt goes on beside the one that replaces it. A target that
 # is full refuses within a few milliseconds; the platform allows 400 ms.
 SILENT_OVERLAP_MS = 300
-# Part of the latency objective for which a request may wait for permits of targets with
-# a request rate limit.
-PERMIT_WAIT_FRACTION = 0.5
-# The same for room at targets that must not be asked to refuse requests.
-ROOM_WAIT_FRACTION = 0.5
+# Part of the latency objective for which a request may wait for a permit or for room,
+# at targets that limit the rate of requests or of refusals.
+TARGET_WAIT_FRACTION = 0.5
 # Retry-After of requests that a stopping instance refuses; others can take them now.
 RETRY_ELSEWHERE_MS = 20
 URGENCY_STEPS = 3
@@ -564,7 +562,7 @@
         self._note_demand(job.service.name, now_ms)
         choice = self._selection.choose(request, job.excluded, max_wait_ms, now_ms)
         if choice is None:
-            self._give_up_without_target(job, request, now_ms)
+            self._give_up_without_target(job, request, max_wait_ms, now_ms)
         elif (late_ms := self._forecast_delay_ms(job, choice, remaining_ms)) > 0:
             job.limited_targets = self._selection.list_limited(job.service.name)
             text = "the queue is longer than the request may wait"
@@ -658,8 +656,7 @@
         """Return how long a request may wait for a permit, `NO_PERMITS` if not."""
         if job.permit_requests >= MAX_PERMIT_REQUESTS:
             return NO_PERMITS
-        limit_ms = int(PERMIT_WAIT_FRACTION * job.route.objective_ms)
-        return max(0, limit_ms - (now_ms - job.arrived_ms))
+        return max(0, _target_wait_end_ms(job) - now_ms)
 
     def _request_permit(
         self, job: Job, target: str, max_wait_ms: int, now_ms: int
@@ -684,9 +681,8 @@
             self._permits.give_back(permit)
 
     def _give_up_without_target(
-        self, job: Job, request: PlacementRequest, now_ms: int
+        self, job: Job, request: PlacementRequest, max_wait_ms: int, now_ms: int
     ) -> None:
-        max_wait_ms = self._max_permit_wait_ms(job, now_ms)
         if self._selection.lacks_only_room(request, job.excluded, max_wait_ms, now_ms):
             self._wait_for_room(job)
             return
@@ -710,8 +706,7 @@
 
     def _wait_for_room(self, job: Job) -> None:
         """Look for a target with room for a while; refuse the request after that."""
-        until_ms = job.arrived_ms + int(ROOM_WAIT_FRACTION * job.route.objective_ms)
-        service = job.service.name
+        until_ms, service = _target_wait_end_ms(job), job.service.name
         if not self._room_waits.start(
             job.number, service, until_ms, lambda: self._dispatch(job)
         ):
@@ -1383,11 +1378,7 @@
                 self._pauses.on_pause_reported(name, pause_ms, now_ms)
         self._refusal_limits.on_reported(load.refusal_limited, now_ms)
         if load.leases is not None:
-            leases = {
-                name: count
-                for number, count in load.leases.items()
-                if (name := self._table.name_of(number)) is not None
-            }
+            leases = self._table.map_to_names(load.leases)
             self._leases.apply(load.refusal_limited, leases)
         elif not self._refusal_limits.list_services(now_ms):
             # Until then a new leader may not have heard of the leases.
@@ -1614,6 +1605,11 @@
     return request.tokens
 
 
+def _target_wait_end_ms(job: Job) -> int:
+    """Return the time until which a request may wait for a permit or for room."""
+    return job.arrived_ms + int(TARGET_WAIT_FRACTION * job.route.objective_ms)
+
+
 def _urgency(job: Job) -> int:
     """Return the urgency; the workspace's priority outranks that of the route."""
     rank = job.route.priority
--- a/papayacrank/forwarding/_refusal_limits.py
+++ b/papayacrank/forwarding/_refusal_limits.py
@@ -67,13 +67,7 @@
 
     def is_refusal_limited(self, service: str, now_ms: int) -> bool:
         """Whether targets of a service must not be asked to refuse requests."""
-        until_ms = self._services.get(service)
-        if until_ms is None:
-            return False
-        if now_ms >= until_ms:
-            del self._services[service]
-            return False
-        return True
+        return now_ms < self._services.get(service, 0)
 
     def list_services(self, now_ms: int) -> list[str]:
         """Return the refusal-limited services."""
@@ -85,13 +79,7 @@
 
     def is_full(self, target: str, now_ms: int) -> bool:
         """Whether a target has just refused a request for want of room."""
-        until_ms = self._full.get(target)
-        if until_ms is None:
-            return False
-        if now_ms >= until_ms:
-            del self._full[target]
-            return False
-        return True
+        return now_ms < self._full.get(target, 0)
 
     def take_unreported(self) -> tuple[list[str], list[str]]:
         """Return the services and the full targets observed since the last call."""
--- a/papayacrank/forwarding/_selection.py
+++ b/papayacrank/forwarding/_selection.py
@@ -106,13 +106,11 @@
         Choice or None
             None if no target may get the request.
         """
-        usable = [
-            target
-            for target in self._usable_targets(
-                request, excluded, max_permit_wait_ms, now_ms
-            )
-            if only in (None, target.name) and self._has_room(target, now_ms)
-        ]
+        usable = self._usable_targets(
+            request, excluded, max_permit_wait_ms, now_ms, only
+        )
+        if self._refusal_limits.is_refusal_limited(request.service.name, now_ms):
+            usable = [target for target in usable if self._has_room(target, now_ms)]
         healthy = [t for t in usable if self._is_healthy(t, now_ms)]
         is_engine = request.service.engine is not None
         placement = self._engine_placement if is_engine else self._plain_placement
@@ -143,11 +141,13 @@
         excluded: set[str],
         max_permit_wait_ms: int,
         now_ms: int,
+        only: str | None = None,
     ) -> list[FleetTarget]:
         return [
             target
             for target in self._available_targets(request.service.name)
             if target.name not in excluded
+            and only in (None, target.name)
             and request.release in (None, target.release)
             and self._permits.has_permit_within(target.name, max_permit_wait_ms, now_ms)
             and self._pauses.may_send(
@@ -156,9 +156,7 @@
         ]
 
     def _has_room(self, target: FleetTarget, now_ms: int) -> bool:
-        """Whether a target can start a request at once, if it must not refuse one."""
-        if not self._refusal_limits.is_refusal_limited(target.service, now_ms):
-            return True
+        """Whether a refusal-limited target can start a request at once."""
         running = self._table.own_running(target.name)
         return not self._refusal_limits.is_full(
             target.name, now_ms
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -294,11 +294,12 @@
             self._pending_reports and next(iter(self._pending_reports)) < load.reported
         ):
             self._pending_reports.popitem(last=False)
-        self._totals = self._map_to_names(load.loads)
-        self._unreachable = frozenset(self._map_to_names(dict.fromkeys(load.silent)))
+        self._totals = self.map_to_names(load.loads)
+        self._unreachable = frozenset(self.map_to_names(dict.fromkeys(load.silent)))
         return True
 
-    def _map_to_names(self, by_number: dict) -> dict:
+    def map_to_names(self, by_number: dict) -> dict:
+        """Return values by target name; those of unknown numbers are left out."""
         target_names = self._names
         return {
             target_names[n]: value
--- a/papayacrank/forwarding/tests/refusal_simulation.py
+++ b/papayacrank/forwarding/tests/refusal_simulation.py
@@ -157,7 +157,7 @@
             for target, server in zip(self._targets, self.servers, strict=True)
             if server.down_until_ms <= now_ms
         ]
-        self._leader.divide(up, self._reported, now_ms)
+        self._leader.divide(up, self._reported.values(), now_ms)
         totals = [0] * len(self.servers)
         for report in self._reported.values():
             for name, load in report.loads.items():
