--- a/papayacrank/forwarding/tests/path_simulation.py
+++ b/papayacrank/forwarding/tests/path_simulation.py
@@ -1,7 +1,5 @@
 """Simulated beliefs of many instances about their paths and about the targets."""
 
-import heapq
-import itertools
 from random import Random
 
 from papayacrank.forwarding._path_monitor import (
@@ -9,6 +7,7 @@
     PathMonitor,
 )
 from papayacrank.messages import FleetTarget
+from papayacrank.replay._schedule import Schedule
 
 DOMAINS = ("east", "west", "north")
 CONNECT_MS = 2
@@ -30,7 +29,6 @@
     """
 
     def __init__(self, instances, targets, seed, requests_per_s=2.0):
-        self.now_ms = 0
         self.random = Random(seed)
         self.targets = [
             FleetTarget(
@@ -44,8 +42,7 @@
         self.false_isolations = 0
         self.silent_reports = []
         self._rate = requests_per_s / 1_000
-        self._events = []
-        self._numbers = itertools.count()
+        self._schedule = Schedule()
         self.monitors = [
             PathMonitor(Random(seed * 1_000 + n)) for n in range(instances)
         ]
@@ -53,6 +50,11 @@
             monitor.set_targets(self.targets)
             self._schedule_request(number)
 
+    @property
+    def now_ms(self):
+        """Simulated time in milliseconds."""
+        return self._schedule.now_ms
+
     @property
     def isolated(self):
         """Instances that believe to have no path."""
@@ -60,17 +62,13 @@
 
     def run(self, until_ms):
         """Run until a time in milliseconds."""
-        while self._events and self._events[0][0] <= until_ms:
-            self.now_ms, _, action = heapq.heappop(self._events)
-            action()
-        self.now_ms = until_ms
-
-    def _at(self, delay_ms, action):
-        event = (self.now_ms + delay_ms, next(self._numbers), action)
-        heapq.heappush(self._events, event)
+        self._schedule.run(until_ms)
+        self._schedule.now_ms = until_ms
 
     def _schedule_request(self, number):
-        self._at(self.random.expovariate(self._rate), lambda: self._request(number))
+        self._schedule.call_later(
+            self.random.expovariate(self._rate), lambda: self._request(number)
+        )
 
     def _request(self, number):
         self._schedule_request(number)
@@ -80,7 +78,9 @@
         """Try the candidates of a request in turn."""
         target = candidates[0]
         if self._is_reached(number, target):
-            self._at(CONNECT_MS, lambda: self._on_reached(number, target.name))
+            self._schedule.call_later(
+                CONNECT_MS, lambda: self._on_reached(number, target.name)
+            )
             return
 
         started_ms = self.now_ms
@@ -90,7 +90,7 @@
             if candidates[1:] and not self.monitors[number].is_isolated:
                 self._connect(number, candidates[1:])
 
-        self._at(CONNECT_TIMEOUT_MS, on_timeout)
+        self._schedule.call_later(CONNECT_TIMEOUT_MS, on_timeout)
 
     def _is_reached(self, number, target):
         return number not in self.cut and target.name not in self.dark
@@ -106,13 +106,17 @@
         if monitor.is_isolated and not was_isolated:
             self.isolated_ms.setdefault(number, self.now_ms)
             self.false_isolations += number not in self.cut
-            self._at(ISOLATED_PROBE_INTERVAL_MS, lambda: self._poll(number))
+            self._schedule.call_later(
+                ISOLATED_PROBE_INTERVAL_MS, lambda: self._poll(number)
+            )
         self._probe(number)
 
     def _poll(self, number):
         self._probe(number)
         if self.monitors[number].is_isolated:
-            self._at(ISOLATED_PROBE_INTERVAL_MS, lambda: self._poll(number))
+            self._schedule.call_later(
+                ISOLATED_PROBE_INTERVAL_MS, lambda: self._poll(number)
+            )
 
     def _probe(self, number):
         for target in self.monitors[number].choose_probes(self.now_ms):
@@ -128,4 +132,4 @@
                 else:
                     self._on_unreached(number, name, started_ms)
 
-            self._at(delay_ms, on_outcome)
+            self._schedule.call_later(delay_ms, on_outcome)
--- a/papayacrank/forwarding/tests/refusal_simulation.py
+++ b/papayacrank/forwarding/tests/refusal_simulation.py
@@ -1,7 +1,5 @@
 """Simulated instances that send requests to refusal-limited targets."""
 
-import heapq
-import itertools
 from collections import deque
 from dataclasses import dataclass, field
 from random import Random
@@ -10,6 +8,7 @@
 from papayacrank.forwarding._refusal_limits import RefusalLimitedServices, RoomLeases
 from papayacrank.forwarding._room_waits import RETRY_INTERVAL_MS
 from papayacrank.messages import EntryLoad, FleetTarget, TargetLoad
+from papayacrank.replay._schedule import Schedule
 
 SERVICE = "llm"
 REPORT_INTERVAL_MS = 100
@@ -79,7 +78,6 @@
         max_refusals=5,
         knows=True,
     ):
-        self.now_ms = 0
         self.random = Random(seed)
         self.knows = knows
         self.refused = 0
@@ -87,8 +85,7 @@
         self.capacity_per_ms = servers * slots / service_ms
         self._service_ms = service_ms
         self._rate = load * self.capacity_per_ms
-        self._events = []
-        self._numbers = itertools.count()
+        self._schedule = Schedule()
         self._leader = RoomAllocator()
         self._targets = [
             FleetTarget(f"t{n}", "", SERVICE, "", slots=slots) for n in range(servers)
@@ -102,9 +99,14 @@
         for instance in self.instances:
             instance.refusal_limited.on_response(SERVICE, "t0", 5.0, False, 0)
         for number in range(instances):
-            self._after(self.random.uniform(0, 100), self._report, number)
-        self._after(50, self._push)
-        self._after(0, self._arrive)
+            self._schedule.call_later(self.random.uniform(0, 100), self._report, number)
+        self._schedule.call_later(50, self._push)
+        self._schedule.call_later(0, self._arrive)
+
+    @property
+    def now_ms(self):
+        """Simulated time in milliseconds."""
+        return self._schedule.now_ms
 
     @property
     def falls(self):
@@ -118,13 +120,7 @@
 
     def run(self, duration_ms):
         """Run for some time."""
-        while self._events and self._events[0][0] <= duration_ms:
-            self.now_ms, _, action, arguments = heapq.heappop(self._events)
-            action(*arguments)
-
-    def _after(self, delay_ms, action, *arguments):
-        event = (self.now_ms + delay_ms, next(self._numbers), action, arguments)
-        heapq.heappush(self._events, event)
+        self._schedule.run(duration_ms)
 
     # Load reports
 
@@ -143,8 +139,8 @@
             wanted=instance.leases.take_demand([SERVICE]),
             leases=dict(instance.leases.held),
         )
-        self._after(LINK_DELAY_MS, self._receive_report, report)
-        self._after(REPORT_INTERVAL_MS, self._report, number)
+        self._schedule.call_later(LINK_DELAY_MS, self._receive_report, report)
+        self._schedule.call_later(REPORT_INTERVAL_MS, self._report, number)
 
     def _receive_report(self, report):
         self._reported[report.instance] = report
@@ -172,8 +168,8 @@
                 services,
                 self._leader.leases_of(f"i{number}"),
             )
-            self._after(LINK_DELAY_MS, self._receive_totals, *arguments)
-        self._after(REPORT_INTERVAL_MS, self._push)
+            self._schedule.call_later(LINK_DELAY_MS, self._receive_totals, *arguments)
+        self._schedule.call_later(REPORT_INTERVAL_MS, self._push)
 
     def _receive_totals(self, number, sequence, totals, services, leases):
         instance = self.instances[number]
@@ -187,7 +183,7 @@
     # Requests
 
     def _arrive(self):
-        self._after(self.random.expovariate(self._rate), self._arrive)
+        self._schedule.call_later(self.random.expovariate(self._rate), self._arrive)
         self.offered += 1
         number = self.random.randrange(len(self.instances))
         self._place(number, self.now_ms + MAX_WAIT_MS)
@@ -204,10 +200,12 @@
                 key=lambda t: (self._estimate(instance, t), self.random.random()),
             )
             instance.own[chosen] += 1
-            self._after(1, self._receive, number, chosen)
+            self._schedule.call_later(1, self._receive, number, chosen)
         elif self.now_ms + RETRY_INTERVAL_MS <= until_ms:
             instance.waiting += 1
-            self._after(RETRY_INTERVAL_MS, self._place, number, until_ms, True)
+            self._schedule.call_later(
+                RETRY_INTERVAL_MS, self._place, number, until_ms, True
+            )
         else:
             self.refused += 1
 
@@ -242,14 +240,16 @@
 
     def _serve(self, number, target):
         delay_ms = self.random.expovariate(1 / self._service_ms)
-        self._after(delay_ms, self._finish, number, target, self.servers[target].start)
+        self._schedule.call_later(
+            delay_ms, self._finish, number, target, self.servers[target].start
+        )
 
     def _finish(self, number, target, start):
         server = self.servers[target]
         if server.start != start:
             return
         server.served += 1
-        self._after(1, self._answer, number, target, start, False)
+        self._schedule.call_later(1, self._answer, number, target, start, False)
         if server.waiting:
             self._serve(server.waiting.popleft(), target)
         else:
@@ -261,7 +261,7 @@
         server.refused_ms.append(self.now_ms)
         while server.refused_ms[0] <= self.now_ms - WINDOW_MS:
             server.refused_ms.popleft()
-        self._after(1, self._answer, number, target, server.start, True)
+        self._schedule.call_later(1, self._answer, number, target, server.start, True)
         is_settled = self.now_ms >= SETTLING_MS
         if is_settled and len(server.refused_ms) > server.max_refusals:
             self._fall(target)
