Probe paths with the connection check itself

Prober and ConnectProber wrapped ConnectCheck without adding to it, for the tests alone. PathPort takes a ConnectCheck now. The two fakes of the tests were copies of each other; one records and the other narrows the outcome.

--- a/papayacrank/forwarding/_path_port.py
+++ b/papayacrank/forwarding/_path_port.py
@@ -1,6 +1,5 @@
 """Connects the path monitor of an entry process to probes and timers."""
 
-from abc import ABC, abstractmethod
 from collections.abc import Callable
 
 from papayacrank.kernel import Clock, log_event
@@ -13,33 +12,6 @@
 PROBE_TIMER = "path-probe"
 
 
-class Prober(ABC):
-    """Interface of the check whether an address accepts connections."""
-
-    @abstractmethod
-    def start(self, address: str, callback: Callable[[ConnectOutcome], None]) -> None:
-        """Connect to an address; report the outcome after this method has returned."""
-
-
-class ConnectProber(Prober):
-    """Prober that opens a connection and closes it again.
-
-    Parameters
-    ----------
-    clock : Clock
-        Clock of `timers`.
-    timers : Timers
-        Timers of the process.
-    """
-
-    def __init__(self, clock: Clock, timers: Timers):
-        self._check = ConnectCheck(clock, timers)
-
-    def start(self, address: str, callback: Callable[[ConnectOutcome], None]) -> None:
-        """Connect to an address."""
-        self._check.start(address, callback)
-
-
 class PathPort:
     """Probes targets while the path to them is in doubt, and reports its state.
 
@@ -47,7 +19,7 @@
     ----------
     monitor : PathMonitor
         Decisions.
-    prober : Prober
+    check : ConnectCheck
         Connections to targets.
     clock : Clock
         Clock of `timers`.
@@ -63,10 +35,10 @@
     """
 
     def __init__(
-        self, monitor: PathMonitor, prober: Prober, clock: Clock, timers: Timers
+        self, monitor: PathMonitor, check: ConnectCheck, clock: Clock, timers: Timers
     ):
         self._monitor = monitor
-        self._prober = prober
+        self._check = check
         self._clock = clock
         self._timers = timers
         self.on_silent: Callable[[str], None] = lambda name: None
@@ -128,4 +100,4 @@
                 is_silent = outcome is ConnectOutcome.SILENT
                 self.on_unreached(target.name, is_silent, started_ms)
 
-        self._prober.start(target.address, on_outcome)
+        self._check.start(target.address, on_outcome)
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -34,6 +34,7 @@
 )
 from papayacrank.releases import ReleasePort
 from papayacrank.transport import (
+    ConnectCheck,
     ExchangeListener,
     HttpExchange,
     HttpLimits,
@@ -58,7 +59,7 @@
 )
 from ._forwarder import Forwarder, ForwardingSettings
 from ._path_monitor import PathMonitor
-from ._path_port import ConnectProber, PathPort
+from ._path_port import PathPort
 from ._quota import QuotaEnforcer
 from ._relay import Relay
 from ._start_phases import StartPhases
@@ -198,7 +199,7 @@
         address_check = ConnectionCheck(self._clock, self._timers)
         self._paths = PathPort(
             PathMonitor(self._random),
-            ConnectProber(self._clock, self._timers),
+            ConnectCheck(self._clock, self._timers),
             self._clock,
             self._timers,
         )
--- a/papayacrank/forwarding/tests/builders.py
+++ b/papayacrank/forwarding/tests/builders.py
@@ -16,7 +16,7 @@
 )
 from papayacrank.forwarding._continuity import StreamContinuity
 from papayacrank.forwarding._path_monitor import PathMonitor
-from papayacrank.forwarding._path_port import PathPort, Prober
+from papayacrank.forwarding._path_port import PathPort
 from papayacrank.forwarding._quota import QuotaEnforcer
 from papayacrank.forwarding._relay import Relay
 from papayacrank.forwarding._suspects import SuspectTracker
@@ -209,8 +209,8 @@
         self.dropped.append(address)
 
 
-class FakeAddressCheck(AddressCheck):
-    """Check that records addresses; the test supplies the results."""
+class FakeConnectCheck:
+    """Check that records addresses; the test supplies the outcomes."""
 
     def __init__(self):
         self.addresses = []
@@ -221,30 +221,19 @@
         self.addresses.append(address)
         self._callbacks.append(callback)
 
-    def finish(self, is_refused):
-        """End all open checks with a result."""
+    def finish(self, outcome):
+        """End all open checks with an outcome."""
         callbacks, self._callbacks = self._callbacks, []
         for callback in callbacks:
-            callback(is_refused)
-
-
-class FakeProber(Prober):
-    """Prober that records addresses; the test supplies the outcomes."""
+            callback(outcome)
 
-    def __init__(self):
-        self.addresses = []
-        self._callbacks = []
 
-    def start(self, address, callback):
-        """Record a probe."""
-        self.addresses.append(address)
-        self._callbacks.append(callback)
+class FakeAddressCheck(FakeConnectCheck, AddressCheck):
+    """The same for checks that tell only whether an address refuses connections."""
 
-    def finish(self, outcome):
-        """End all open probes with an outcome."""
-        callbacks, self._callbacks = self._callbacks, []
-        for callback in callbacks:
-            callback(outcome)
+    def finish(self, is_refused):
+        """End all open checks with a result."""
+        super().finish(is_refused)
 
 
 class FakeTimers:
@@ -318,7 +307,7 @@
             "i1@1", self._send_to_leader, self.clock, self.timers
         )
         self.address_check = FakeAddressCheck()
-        self.prober = FakeProber()
+        self.prober = FakeConnectCheck()
         self.paths = PathPort(
             PathMonitor(random.Random(1)), self.prober, self.clock, self.timers
         )
--- a/papayacrank/platform/tests/faulty_servers.py
+++ b/papayacrank/platform/tests/faulty_servers.py
@@ -14,7 +14,7 @@
 from papayacrank.forwarding._continuity import StreamContinuity
 from papayacrank.forwarding._health import TargetHealth
 from papayacrank.forwarding._path_monitor import PathMonitor
-from papayacrank.forwarding._path_port import ConnectProber, PathPort
+from papayacrank.forwarding._path_port import PathPort
 from papayacrank.forwarding._quota import QuotaEnforcer
 from papayacrank.forwarding._relay import Relay
 from papayacrank.forwarding._suspects import SuspectTracker
@@ -31,7 +31,12 @@
 from papayacrank.quarantine import ConnectionCheck, QuarantineClient, QuarantinePort
 from papayacrank.releases import ReleasePort
 from papayacrank.testing import ScriptedTarget
-from papayacrank.transport import HttpPort, Timers, install_process_handlers
+from papayacrank.transport import (
+    ConnectCheck,
+    HttpPort,
+    Timers,
+    install_process_handlers,
+)
 
 SEALED = b"Papayacrank-Request-Id: %s\r\nPapayacrank-Server-Seal: s\r\n"
 STREAM_HEAD = (
@@ -149,7 +154,7 @@
         address_check = ConnectionCheck(clock, timers)
         protocol, random_state = PlatformCallerProtocol(), random.Random(1)
         paths = PathPort(
-            PathMonitor(random_state), ConnectProber(clock, timers), clock, timers
+            PathMonitor(random_state), ConnectCheck(clock, timers), clock, timers
         )
         self.relay = Relay(
             "i1@1", "east", protocol, self.port, clock, timers, random_state
