--- a/papayacrank/platform/tests/fake_platform.py
+++ b/papayacrank/platform/tests/fake_platform.py
@@ -216,6 +216,13 @@
         for ip in self.entry_ips:
             self.start_process("entry", ip, bootstrap)
 
+    def start_serving(self, **fields):
+        """Start all processes with a configuration, and wait until they serve."""
+        self.start()
+        self.configure(**fields)
+        for ip in IPS:
+            self.wait(lambda ip=ip: self.is_ready(ip))
+
     def start_process(self, role, ip, bootstrap="false", has_disk=True):
         """Start a process that logs to a file."""
         base = self._base
--- a/papayacrank/platform/tests/signal_soak.py
+++ b/papayacrank/platform/tests/signal_soak.py
@@ -139,10 +139,7 @@
     """Play cases in a deployment of their own; return what went wrong."""
     platform = FakePlatform(folder)
     try:
-        platform.start()
-        platform.configure()
-        for ip in IPS:
-            platform.wait(lambda ip=ip: platform.is_ready(ip))
+        platform.start_serving()
         soak = SignalSoak(platform)
         failures = [failure for case in cases if (failure := soak.play(case))]
         return failures + soak.find_tracebacks()
--- a/papayacrank/platform/tests/test_crashing_requests.py
+++ b/papayacrank/platform/tests/test_crashing_requests.py
@@ -131,10 +131,8 @@
     running.crashing = [*engines, *services]
     running.cloud.servers = running.crashing
     try:
-        running.start()
-        running.configure()
+        running.start_serving()
         for ip in IPS:
-            running.wait(lambda ip=ip: running.is_ready(ip))
             for path, parts in KINDS.values():
                 running.wait(
                     lambda ip=ip, path=path, parts=parts: (
--- a/papayacrank/platform/tests/test_deadly_parts.py
+++ b/papayacrank/platform/tests/test_deadly_parts.py
@@ -113,10 +113,8 @@
     running.cloud.servers = [*running.plain, *engines]
     running.engines = engines
     try:
-        running.start()
-        running.configure()
+        running.start_serving()
         for ip in IPS:
-            running.wait(lambda ip=ip: running.is_ready(ip))
             running.wait(
                 lambda ip=ip: (
                     send_stream(running, ip, f"w-{ip}", [COMMON]).status == 200
--- a/papayacrank/platform/tests/test_late_requests.py
+++ b/papayacrank/platform/tests/test_late_requests.py
@@ -73,13 +73,10 @@
     """Guards against requests that are cut at the end of a planned stop."""
     platform = FakePlatform(tmp_path)
     try:
-        platform.start()
         document = build_document()
         document["routes"][0]["timeout_ms"] = 3_000
         document["routes"][2]["timeout_ms"] = 3_000
-        platform.configure(routes=document["routes"])
-        for ip in IPS:
-            platform.wait(lambda ip=ip: platform.is_ready(ip))
+        platform.start_serving(routes=document["routes"])
         for server in (*platform.plain, platform.engine):
             server.delay_s = delay_s
         ends_s = time.monotonic() + STOP_S + 2
--- a/papayacrank/platform/tests/test_odd_entries.py
+++ b/papayacrank/platform/tests/test_odd_entries.py
@@ -217,10 +217,7 @@
     ]
     new = Server("p-9", "plain")
     try:
-        platform.start()
-        platform.configure()
-        for ip in IPS:
-            platform.wait(lambda ip=ip: platform.is_ready(ip))
+        platform.start_serving()
         for name, text in odd_texts().items():
             platform.cloud.texts = [text]
             time.sleep(0.2)
--- a/papayacrank/platform/tests/test_processes.py
+++ b/papayacrank/platform/tests/test_processes.py
@@ -21,10 +21,7 @@
     """Return a running deployment with a configuration."""
     running = FakePlatform(tmp_path_factory.mktemp("platform"))
     try:
-        running.start()
-        running.configure()
-        for ip in IPS:
-            running.wait(lambda ip=ip: running.is_ready(ip))
+        running.start_serving()
         yield running
     finally:
         running.stop()
--- a/papayacrank/platform/tests/test_rate_limits.py
+++ b/papayacrank/platform/tests/test_rate_limits.py
@@ -50,10 +50,7 @@
     """Return a running deployment with a configuration."""
     running = FakePlatform(tmp_path)
     try:
-        running.start()
-        running.configure()
-        for ip in IPS:
-            running.wait(lambda ip=ip: running.is_ready(ip))
+        running.start_serving()
         yield running
     finally:
         running.stop()
--- a/papayacrank/platform/tests/test_refusal_limits.py
+++ b/papayacrank/platform/tests/test_refusal_limits.py
@@ -23,10 +23,7 @@
     running.refusal_limited = [RefusalLimitedService(f"y-{n}") for n in range(SERVERS)]
     running.cloud.servers = running.refusal_limited
     try:
-        running.start()
-        running.configure()
-        for ip in IPS:
-            running.wait(lambda ip=ip: running.is_ready(ip))
+        running.start_serving()
         yield running
     finally:
         running.stop()
--- a/papayacrank/platform/tests/test_releases.py
+++ b/papayacrank/platform/tests/test_releases.py
@@ -108,10 +108,7 @@
     ]
     running.cloud.servers = [*running.plain, *running.engines[:2]]
     try:
-        running.start()
-        running.configure()
-        for ip in IPS:
-            running.wait(lambda ip=ip: running.is_ready(ip))
+        running.start_serving()
         yield running
     finally:
         running.stop()
