Split the forwarder into parts that own their state

Change: FleetState, OpenRequests, AttemptBuilder, AttemptRunner, OverdueAttempts, TargetSignals, ResponseHandler, RequestGate, RequestInterruptions and RequestAdmission in modules of their own; Forwarder connects them. Behaviour is unchanged. A request that waits for a grant is marked in its job instead of in a second table. Tests reach the same objects at their new owners, with unchanged assertions; the test server forgets the health of each target instead of replacing the table.

Tests of forwarding, transport, control, state and messages pass (x86_64).

--- a/papayacrank/forwarding/__init__.py
+++ b/papayacrank/forwarding/__init__.py
@@ -9,9 +9,10 @@
     ResponseMetadata,
     StartQuery,
 )
-from ._forwarder import Forwarder, ForwardingSettings
+from ._forwarder import Forwarder
 from ._headers import CONNECTION_HEADERS, HeaderList, drop_headers
 from ._process import ForwardingProcess, ForwardingProcessSettings
+from ._settings import ForwardingSettings
 
 __all__ = [
     "CONNECTION_HEADERS",
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -161,6 +161,8 @@
         Number of the trial for the next attempt; 0 if none.
     is_done : bool
         Whether the request has its final outcome.
+    awaits_grant : bool
+        Whether the request waits for a grant of tokens.
     """
 
     number: int
@@ -194,6 +196,12 @@
     crashes: int = 0
     trial: int = 0
     is_done: bool = False
+    awaits_grant: bool = False
+
+    @property
+    def quota_id(self) -> str:
+        """Identifier of the request for quota and permits."""
+        return str(self.number)
 
     @property
     def may_have_run(self) -> bool:
@@ -222,3 +230,20 @@
         if silent is not None and silent.call is call:
             return silent
         return self.attempt
+
+
+def time_limit_ms(request: ForwardRequest, route: Route) -> int:
+    """Return the time within which a request must have its final response."""
+    if request.deadline_ms is None:
+        return route.timeout_ms
+    return min(route.timeout_ms, request.deadline_ms)
+
+
+def deadline_timer(job: Job) -> str:
+    """Return the name of the timer for the deadline of a request."""
+    return f"job:{job.number}:deadline"
+
+
+def response_timer(job: Job, attempt: Attempt) -> str:
+    """Return the name of the timer for the response to an attempt."""
+    return f"job:{job.number}:watch:{attempt.number}"
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -57,11 +57,12 @@
     FORWARDING_READY,
     STOP_STARTED,
 )
-from ._forwarder import Forwarder, ForwardingSettings
+from ._forwarder import Forwarder
 from ._path_monitor import PathMonitor
 from ._path_port import PathPort
 from ._quota import QuotaEnforcer
 from ._relay import Relay
+from ._settings import ForwardingSettings
 from ._start_phases import StartPhases
 from ._suspects import SuspectTracker
 from ._target_port import TargetPort
--- a/papayacrank/forwarding/tests/builders.py
+++ b/papayacrank/forwarding/tests/builders.py
@@ -289,10 +289,10 @@
 class Bench:
     """Forwarder with fake port, timers, protocol and callers."""
 
-    def __init__(self, *targets, configuration=None, weights=None):
+    def __init__(self, *targets, configuration=None, weights=None, port=None):
         self.clock = ManualClock(1_000_000)
         self.timers = FakeTimers()
-        self.port = FakePort()
+        self.port = port or FakePort()
         self.protocol = StubProtocol()
         self.shares = LocalShares()
         self.quota = QuotaEnforcer(self.shares)
--- a/papayacrank/forwarding/tests/test_forwarder.py
+++ b/papayacrank/forwarding/tests/test_forwarder.py
@@ -559,7 +559,7 @@
     """Guards against held requests that get neither an answer nor a refusal."""
     bench = Bench()
     callers = [bench.send(id=f"r{number}") for number in (1, 2)]
-    monkeypatch.setattr(bench.forwarder, "_admit", lambda *_: 1 / 0)
+    monkeypatch.setattr(bench.forwarder._admission, "_admit", lambda *_: 1 / 0)
     bench.forwarder.apply_routing(build_configuration())
     with pytest.raises(ZeroDivisionError):
         bench.forwarder.apply_fleet(build_view(*PLAIN))
--- a/papayacrank/forwarding/tests/test_overload.py
+++ b/papayacrank/forwarding/tests/test_overload.py
@@ -59,7 +59,7 @@
         """Set the expected time for the prompts of other instances."""
         tokens = int(queue_ms * PREFILL_TOKENS_PER_MS)
         loads = {"e1": TargetLoad(1, tokens, 0)}
-        self.forwarder.apply_load(build_load(self.forwarder._table, loads))
+        self.forwarder.apply_load(build_load(self.forwarder.table, loads))
 
 
 @pytest.fixture
@@ -113,7 +113,7 @@
     bench = Bench(build_target("e1", "engines"))
     tokens = int(4 * OBJECTIVE_MS * PREFILL_TOKENS_PER_MS)
     loads = {"e1": TargetLoad(1, tokens, 0)}
-    bench.forwarder.apply_load(build_load(bench.forwarder._table, loads))
+    bench.forwarder.apply_load(build_load(bench.forwarder.table, loads))
     bench.send("/reply/x", tokens=100)
     assert len(bench.port.calls) == 1
 
@@ -128,7 +128,7 @@
     calls = len(loaded.port.calls)
     tokens = int(4 * OBJECTIVE_MS * PREFILL_TOKENS_PER_MS)
     loads = {name: TargetLoad(1, tokens, 0) for name in ("e1", "e2")}
-    loaded.forwarder.apply_load(build_load(loaded.forwarder._table, loads))
+    loaded.forwarder.apply_load(build_load(loaded.forwarder.table, loads))
     loaded.fail()
     assert len(loaded.port.calls) == calls + 1
     assert not caller.aborted
--- a/papayacrank/forwarding/tests/test_random_flows.py
+++ b/papayacrank/forwarding/tests/test_random_flows.py
@@ -63,9 +63,7 @@
 
     def __init__(self, seed):
         self.chance = random.Random(seed)
-        self.bench = Bench(*TARGETS)
-        self.bench.port = _Port(self.chance)
-        self.bench.forwarder._port = self.bench.port
+        self.bench = Bench(*TARGETS, port=_Port(self.chance))
         self.callers = []
         self.calls_of = {}
         self.sequence = self.version = self.revision = 1
@@ -240,7 +238,7 @@
         forwarder, now_ms = self.bench.forwarder, self.bench.clock.now_ms()
         running = {}
         open_calls = {}
-        for job in forwarder._jobs.values():
+        for job in forwarder._requests.jobs.values():
             for attempt in filter(None, (job.attempt, job.silent_attempt)):
                 name = attempt.target.name
                 running[name] = running.get(name, 0) + 1
--- a/papayacrank/forwarding/tests/test_rate_limits.py
+++ b/papayacrank/forwarding/tests/test_rate_limits.py
@@ -105,7 +105,7 @@
         bench.respond(rate=PER_S)
         bench.advance(500)
         bench.leader_messages.clear()
-    assert not bench.forwarder._health.is_ejected("p1", bench.clock.now_ms())
+    assert not bench.forwarder.fleet.health.is_ejected("p1", bench.clock.now_ms())
 
 
 def test_refused_request_learns_when_to_return(bench):
--- a/papayacrank/forwarding/tests/test_suspects.py
+++ b/papayacrank/forwarding/tests/test_suspects.py
@@ -197,7 +197,7 @@
 def test_request_takes_part_in_two_crashes_at_most():
     """Guards against a request that takes down one target for each attempt."""
     bench = Bench(*ENGINES)
-    route = bench.forwarder._index.find_route("h", "/reply/x")
+    route = bench.forwarder.fleet.index.find_route("h", "/reply/x")
     assert route.max_attempts == 2
     caller = send(bench)
     for _ in range(2):
--- a/papayacrank/platform/tests/faulty_servers.py
+++ b/papayacrank/platform/tests/faulty_servers.py
@@ -12,7 +12,6 @@
 from papayacrank.admission import LocalShares
 from papayacrank.forwarding import Forwarder, ForwardingSettings
 from papayacrank.forwarding._continuity import StreamContinuity
-from papayacrank.forwarding._health import TargetHealth
 from papayacrank.forwarding._path_monitor import PathMonitor
 from papayacrank.forwarding._path_port import PathPort
 from papayacrank.forwarding._quota import QuotaEnforcer
@@ -210,9 +209,9 @@
         return self._http.address
 
     def forget_failures(self):
-        """Forget the health of all targets and the retries so far."""
-        self.forwarder._health = TargetHealth()
-        self.forwarder._selection._health = self.forwarder._health
+        """Forget the health of all targets."""
+        for target in self.forwarder.table.targets:
+            self.forwarder.fleet.health.forget(target.name)
 
     def connect(self):
         """Return a connection of a caller."""
