--- a/papayacrank/messages/_fleet.py
+++ b/papayacrank/messages/_fleet.py
@@ -2,6 +2,10 @@
 
 import msgspec
 
+from ._costs import ServiceCost, TargetCost
+from ._demand import ServiceDemand
+from ._rollouts import ReleaseReport, RolloutShare
+
 
 class FleetTarget(msgspec.Struct, frozen=True, array_like=True):
     """A target on the platform's list.
@@ -47,6 +51,8 @@
         respond. Stores that were not checked yet are missing.
     mixed : list of str
         Services of which several releases may have begun streams.
+    rollouts : list of RolloutShare
+        Rollouts that are running, and the last one of each service.
     """
 
     term: int
@@ -55,6 +61,7 @@
     control: list[str] = []
     stores: dict[str, int] = {}
     mixed: list[str] = []
+    rollouts: list[RolloutShare] = []
 
 
 class FleetChange(msgspec.Struct, tag=True, frozen=True):
@@ -83,6 +90,7 @@
     control: list[str] = []
     stores: dict[str, int] = {}
     mixed: list[str] = []
+    rollouts: list[RolloutShare] = []
 
 
 class TargetLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -96,11 +104,14 @@
         Prompt tokens of the requests that have not returned a first event.
     memory_tokens : int
         Tokens of all running requests together.
+    decode_tokens : int
+        Expected output tokens that are still to be generated.
     """
 
     running: int = 0
     prefill_tokens: int = 0
     memory_tokens: int = 0
+    decode_tokens: int = 0
 
 
 class PartLocation(msgspec.Struct, frozen=True, array_like=True):
@@ -145,6 +156,14 @@
         the last message.
     leases : dict of str to int
         Leases of the process by target; see `FleetLoad`.
+    releases : list of ReleaseReport
+        Outcomes of the requests of running rollouts.
+    costs : dict of str to TargetCost
+        Speeds of targets that have changed since the last message.
+    service_costs : list of ServiceCost
+        Models of services that have changed since the last message.
+    demand : list of ServiceDemand
+        Demand at the process.
     """
 
     instance: str
@@ -158,6 +177,10 @@
     full: list[str] = []
     wanted: dict[str, int] = {}
     leases: dict[str, int] = {}
+    releases: list[ReleaseReport] = []
+    costs: dict[str, TargetCost] = {}
+    service_costs: list[ServiceCost] = []
+    demand: list[ServiceDemand] = []
 
 
 class PartLocationGroup(msgspec.Struct, frozen=True, array_like=True):
@@ -199,6 +222,12 @@
         Number of requests that the receiver may have open at each target of such a
         service, by target number; 0 for those that are not listed. None if the slots
         of the targets are not divided.
+    costs : dict of int to TargetCost
+        Speeds of targets that have changed since the last message, by target number.
+    service_costs : list of ServiceCost
+        Models of services that have changed since the last message.
+    demand : list of ServiceDemand
+        Demand at all entry processes together, for services with more than they serve.
     """
 
     term: int
@@ -209,3 +238,6 @@
     paused: list[tuple[int, int]] = []
     refusal_limited: list[str] = []
     leases: dict[int, int] | None = None
+    costs: dict[int, TargetCost] = {}
+    service_costs: list[ServiceCost] = []
+    demand: list[ServiceDemand] = []
