Learn how long targets take to load weights

Cause: an engine was put back in service 620 ms after its order. Where loads take 1.3 s it then looked idle, attracted requests and refused them, and the next engines began to load.

Change: LoadTimes learns the time from reports, by service; a first load waits for its report. An order waits for requests that have not started, for 600 ms at most. Reports from before an order are ignored.

--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -27,7 +27,7 @@
 )
 from ._push_log import PushLog
 from ._releases import ReleaseMonitor
-from ._rollout import ORDER_KEY, STATUS_KEY, WeightsRollout
+from ._rollout import MAX_OLD_WEIGHTS_MS, ORDER_KEY, STATUS_KEY, WeightsRollout
 from ._room import RoomAllocator
 from ._stores import STORE_KEY, StoreMonitor
 from ._target_protocol import ListedTarget, RunningRequestPolicy, TargetProtocol
@@ -71,6 +71,8 @@
         fencing tokens.
     permits : PermitAllocator, optional
         Request rate limits, which hold for the calls of this controller as well.
+    max_old_weights_ms : int
+        Time in milliseconds after which no request may start on replaced weights.
     """
 
     def __init__(
@@ -79,13 +81,18 @@
         holder: str,
         order_delay_ms: int = 0,
         permits: PermitAllocator | None = None,
+        max_old_weights_ms: int = MAX_OLD_WEIGHTS_MS,
     ):
         self._protocol = protocol
         self._holder = holder
         self._order_delay_ms = order_delay_ms
         self._permits = permits or PermitAllocator()
         self._rollout = WeightsRollout(
-            protocol, holder, RunningRequestPolicy.CONTINUE, self._permits
+            protocol,
+            holder,
+            RunningRequestPolicy.CONTINUE,
+            self._permits,
+            max_old_weights_ms,
         )
         self._stores = StoreMonitor(protocol, self._permits)
         self._store_starts: dict[str, int] = {}
--- a/papayacrank/control/_rollout.py
+++ b/papayacrank/control/_rollout.py
@@ -1,6 +1,5 @@
 """Rollout of model weights to the engines."""
 
-import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -10,6 +9,8 @@
 
 from ._effects import HttpCall, HttpResult
 from ._events import WEIGHTS_LOADED, WEIGHTS_ORDERED, WEIGHTS_REFUSED
+from ._load_pace import count_loading_slots
+from ._load_times import LoadTimes
 from ._target_protocol import (
     EngineStatus,
     ListedTarget,
@@ -21,20 +22,25 @@
 
 STATUS_KEY = "rollout-status "
 ORDER_KEY = "rollout-order "
-# Entry processes stop routing to an engine this long before it receives the order, so
-# that most of its queued requests have started; the engine refuses the remaining ones.
+# Entry processes stop routing to an engine this long before it receives the order. It
+# waits for up to `MAX_DRAIN_MS` until the queued requests have started; the engine
+# refuses the remaining ones.
 DRAIN_MS = 150
-# The documented load times are 570 and 600 ms. Status reports lag behind, so the engine
-# is put back in service after this time and verified once its report can show the load.
-EXPECTED_LOAD_MS = 620
+MAX_DRAIN_MS = 600
+DRAIN_POLL_MS = 25
+# Status reports lag behind, so the engine is put back in service when its load is
+# expected to have ended, and verified once its report can show that. Reports of the
+# first load of a service are read from `MIN_LOAD_MS` on.
+MIN_LOAD_MS = 400
 REPORT_LAG_MS = 300
+MAX_REPORT_LAG_MS = 1_000
 STATUS_INTERVAL_MS = 60
 # Delay before an engine that did not respond is selected again.
 UNRESPONSIVE_RETRY_MS = 400
 # The order is sent again after this time without progress.
 ATTEMPT_TIMEOUT_MS = 6_000
-# One engine in three of a service may be out of service at a time.
-ENGINES_PER_LOADING_SLOT = 3
+# Requests may start on superseded weights for this long, by default.
+MAX_OLD_WEIGHTS_MS = 6_500
 # Delay with which the platform's list shows what the engines report themselves.
 LIST_LAG_MS = 2_000
 # Limits requested pauses: requests may start on superseded weights for only 8 s.
@@ -67,6 +73,8 @@
     ordered_model: str = ""
     ordered_version: int = 0
     ordered_ms: dict[str, int] = field(default_factory=dict)
+    accepted_ms: int | None = None
+    draining_since_ms: int = 0
     blocked_until_ms: int = 0
     paused_until_ms: int = 0
     is_replaced: bool = False
@@ -113,10 +121,11 @@
 
 
 class WeightsRollout:
-    """Loads the desired versions, on a third of a service's engines at a time.
+    """Loads the desired versions, on a part of a service's engines at a time.
 
-    An engine is first drained, then receives the order for one of its models, and its
-    status is polled until it runs the new version. Engines with a model that is most
+    An engine is first drained, then receives the order for one of its models. It is out
+    of service for the time that earlier loads of the service took, and its status is
+    polled until it runs the new version. Engines with a model that is most
     versions behind come first, then those with the fewest running requests. Each order
     carries the number of orders that the engine has accepted so far, so that a
     duplicate delivered late has no effect.
@@ -131,6 +140,8 @@
         Treatment of the requests that run when an engine loads weights.
     permits : PermitAllocator
         Request rate limits, which hold for status requests and orders as well.
+    max_old_weights_ms : int
+        Time in milliseconds after which no request may start on replaced weights.
     """
 
     def __init__(
@@ -139,11 +150,15 @@
         holder: str,
         policy: RunningRequestPolicy,
         permits: PermitAllocator,
+        max_old_weights_ms: int = MAX_OLD_WEIGHTS_MS,
     ):
         self._protocol = protocol
         self._holder = holder
         self._policy = policy
         self._permits = permits
+        self._max_old_weights_ms = max_old_weights_ms
+        self._load_times = LoadTimes()
+        self._named_ms: dict[tuple[str, int], int] = {}
         self._fencing_token = 0
         self._fenced = False
         self._earliest_order_ms = 0
@@ -163,6 +178,8 @@
         self._fenced = False
         self._earliest_order_ms = earliest_order_ms
         self._engines.clear()
+        self._load_times.reset()
+        self._named_ms.clear()
 
     def update_targets(self, targets: dict[str, ListedTarget], now_ms: int) -> None:
         """Replace the targets by those of the platform's list."""
@@ -238,7 +255,12 @@
                 engine.next_ms = engine.paused_until_ms
                 continue
             if engine.phase is Phase.LOADING:
-                self._assume_loaded(engine, now_ms)
+                if self._load_times.find(engine.target.service) is not None:
+                    self._assume_loaded(engine, now_ms)
+                    continue
+                engine.enter(Phase.CHECKING, now_ms)
+            if self._must_drain_longer(engine, loads, now_ms):
+                engine.next_ms = now_ms + DRAIN_POLL_MS
                 continue
             wait_ms = self._permits.charge_call(engine.target.name, now_ms)
             if wait_ms:
@@ -286,14 +308,20 @@
         by_service: dict[str, list[_Engine]] = {}
         for engine in self._engines.values():
             by_service.setdefault(engine.target.service, []).append(engine)
-        for engines in by_service.values():
-            out_of_service = sum(e.phase not in IN_SERVICE for e in engines)
-            free_slots = (
-                math.ceil(len(engines) / ENGINES_PER_LOADING_SLOT) - out_of_service
-            )
+        for service, engines in by_service.items():
             outdated = [
                 e for e in engines if self._needs_load(e, desired_versions, now_ms)
             ]
+            if not outdated:
+                continue
+            load_ms = self._load_times.find(service) or MIN_LOAD_MS
+            slots = count_loading_slots(
+                [engine.target for engine in engines],
+                loads,
+                DRAIN_MS + load_ms,
+                self._time_left_ms(outdated, desired_versions, now_ms),
+            )
+            free_slots = slots - sum(e.phase not in IN_SERVICE for e in engines)
             outdated.sort(
                 key=lambda e: (
                     -max(e.find_lags(desired_versions).values()),
@@ -302,6 +330,35 @@
             )
             for engine in outdated[: max(0, free_slots)]:
                 engine.enter(Phase.DRAINING, now_ms, DRAIN_MS)
+                engine.draining_since_ms = now_ms
+
+    def _time_left_ms(
+        self, engines: list[_Engine], desired_versions: dict[str, int], now_ms: int
+    ) -> int:
+        """Return the time until the first of the engines may get no more requests.
+
+        The time of a version runs from when this leader first saw that it is desired.
+        """
+        self._named_ms = {
+            key: self._named_ms.get(key, now_ms) for key in desired_versions.items()
+        }
+        since_ms = min(
+            self._named_ms[model, desired_versions[model]]
+            for engine in engines
+            for model in engine.find_lags(desired_versions)
+        )
+        return since_ms + self._max_old_weights_ms - now_ms
+
+    @staticmethod
+    def _must_drain_longer(
+        engine: _Engine, loads: dict[str, TargetLoad], now_ms: int
+    ) -> bool:
+        """Return whether requests that have not started yet delay the order."""
+        if engine.phase is not Phase.DRAINING or engine.orders is None:
+            return False
+        load = loads.get(engine.target.name)
+        is_draining = now_ms - engine.draining_since_ms < MAX_DRAIN_MS
+        return is_draining and load is not None and load.prefill_tokens > 0
 
     def _needs_load(
         self, engine: _Engine, desired_versions: dict[str, int], now_ms: int
@@ -353,7 +410,9 @@
     ) -> None:
         if outcome is OrderOutcome.ACCEPTED:
             engine.orders += 1
-            engine.enter(Phase.LOADING, now_ms, EXPECTED_LOAD_MS)
+            engine.accepted_ms = now_ms
+            load_ms = self._load_times.find(engine.target.service) or MIN_LOAD_MS
+            engine.enter(Phase.LOADING, now_ms, load_ms)
             return
         if outcome is OrderOutcome.ALREADY_LOADED:
             self._on_loaded(engine, now_ms)
@@ -378,6 +437,9 @@
 
     def _on_status(self, engine: _Engine, status: EngineStatus, now_ms: int) -> None:
         previous_orders = engine.orders
+        if self._is_before_order(engine, status, now_ms):
+            engine.next_ms = now_ms + STATUS_INTERVAL_MS
+            return
         engine.orders = status.orders
         engine.weights = dict(status.weights)
         engine.observed_ms = now_ms
@@ -387,6 +449,7 @@
             and running_version >= engine.ordered_version
             and not status.busy
         ):
+            self._observe_load_time(engine, now_ms)
             self._on_loaded(engine, now_ms)
         elif status.busy or (
             previous_orders is not None and status.orders > previous_orders
@@ -395,6 +458,24 @@
         else:
             engine.enter(Phase.DRAINING, now_ms)
 
+    @staticmethod
+    def _is_before_order(engine: _Engine, status: EngineStatus, now_ms: int) -> bool:
+        """Return whether a report lags so much that it lacks the accepted order."""
+        if engine.accepted_ms is None or engine.orders is None:
+            return False
+        is_recent = now_ms - engine.accepted_ms < MAX_REPORT_LAG_MS
+        return is_recent and status.orders < engine.orders
+
+    def _observe_load_time(self, engine: _Engine, now_ms: int) -> None:
+        """Record the time of a load whose end was awaited.
+
+        The first report after a load that was assumed to have ended tells only that it
+        was not longer.
+        """
+        accepted_ms, engine.accepted_ms = engine.accepted_ms, None
+        if accepted_ms is not None and engine.phase is Phase.CHECKING:
+            self._load_times.observe(engine.target.service, now_ms - accepted_ms)
+
     @staticmethod
     def _await_completion(engine: _Engine, now_ms: int) -> None:
         """Poll the engine until it has executed its order."""
--- a/papayacrank/control/tests/test_rollout.py
+++ b/papayacrank/control/tests/test_rollout.py
@@ -1,6 +1,9 @@
 """Tests of the fleet controller: rollout of weights, view of the targets, load."""
 
+from collections import deque
+
 import msgspec
+import pytest
 
 from papayacrank.control import (
     EngineStatus,
@@ -42,11 +45,26 @@
         self.is_replaced = False
         self.is_stuck = False
         self.lost_order_replies = 0
+        self.load_ms = LOAD_MS
+        self.report_lag_ms = 0
         self.headers = ()
         self.calls = 0
+        self._reports = deque()
+
+    @property
+    def lagged_status(self):
+        """Status as of `report_lag_ms` ago."""
+        return self._reports[0][1]
 
     def advance(self, now_ms):
         """Finish a load that is due."""
+        status = EngineStatus(
+            self.loading is not None, self.orders, dict(self.versions)
+        )
+        self._reports.append((now_ms, status))
+        shown_ms = now_ms - self.report_lag_ms
+        while len(self._reports) > 1 and self._reports[1][0] <= shown_ms:
+            self._reports.popleft()
         is_due = self.loading is not None and now_ms >= self.loading[0]
         if is_due and not self.is_stuck:
             self.versions = self.versions | self.loading[1]
@@ -64,7 +82,7 @@
             return OrderOutcome.CONFLICT
         self.fencing_token = order.fencing_token
         self.orders += 1
-        self.loading = (now_ms + LOAD_MS, {order.model: order.version})
+        self.loading = (now_ms + self.load_ms, {order.model: order.version})
         return OrderOutcome.ACCEPTED
 
 
@@ -112,6 +130,8 @@
         if result.status != 200:
             return "down"
         engine = self.engines[result.body.decode()]
+        if engine.report_lag_ms:
+            return engine.lagged_status
         busy = engine.loading is not None
         return EngineStatus(busy, engine.orders, dict(engine.versions))
 
@@ -161,6 +181,8 @@
         self.stores = {}
         self.store_checks = 0
         self.max_loading = 0
+        # Time in milliseconds for which engines were shown in service while they load.
+        self.shown_while_loading_ms = 0
         self.pending = []
         self.order_log = []
 
@@ -180,6 +202,10 @@
             self.pending += calls
             loading_count = sum(target.loading for target in self.controller.targets)
             self.max_loading = max(self.max_loading, loading_count)
+            self.shown_while_loading_ms += 5 * sum(
+                self.engines[target.name].loading is not None and not target.loading
+                for target in self.controller.targets
+            )
 
     def respond(self, call):
         """Return the result of a call to the platform, a store or an engine."""
@@ -332,6 +358,70 @@
     assert not first.loading
 
 
+@pytest.mark.parametrize("load_ms", [300, 570, 1_300, 2_500])
+@pytest.mark.parametrize("report_lag_ms", [100, 300])
+def test_engine_is_out_of_service_while_it_loads(load_ms, report_lag_ms):
+    """Guards against requests to engines that refuse them because they still load.
+
+    An engine that has just lost its queue looks idle, so that it would attract them.
+    """
+    sim = FleetSimulation()
+    for engine in sim.engines.values():
+        engine.load_ms, engine.report_lag_ms = load_ms, report_lag_ms
+    sim.run(500)
+    for version in (2, 3):
+        sim.desired_versions = {MODEL: version}
+        sim.run(12_000)
+        assert sim.versions() == [version] * 9
+    # Reports are read each 60 ms, which limits how well the time can be known.
+    assert sim.shown_while_loading_ms / 18 <= 60
+    assert [e.orders for e in sim.engines.values()] == [2] * 9
+
+
+def test_order_waits_for_requests_that_have_not_started():
+    """Guards against requests that wait at an engine and are then refused."""
+    sim = FleetSimulation(3)
+    sim.run(100)
+    loads = {f"e{n}": TargetLoad(1, 5_000, 5_000) for n in range(3)}
+    sim.controller.observe_load(EntryLoad("i1", 1, loads), sim.now_ms)
+    sim.controller.push_load({"i1": "x"}, sim.now_ms)
+    sim.desired_versions = {MODEL: 2}
+    sim.run(400)
+    assert sim.order_log == []
+    loads = {f"e{n}": TargetLoad(1, 0, 5_000) for n in range(3)}
+    sim.controller.observe_load(EntryLoad("i1", 2, loads), sim.now_ms)
+    sim.controller.push_load({"i1": "x"}, sim.now_ms)
+    sim.run(50)
+    assert len(sim.order_log) == 1
+
+
+def test_order_does_not_wait_for_requests_that_never_start():
+    """Guards against an engine that stays on old weights because of a stuck request."""
+    sim = FleetSimulation(3)
+    sim.run(100)
+    loads = {f"e{n}": TargetLoad(1, 5_000, 5_000) for n in range(3)}
+    sim.controller.observe_load(EntryLoad("i1", 1, loads), sim.now_ms)
+    sim.controller.push_load({"i1": "x"}, sim.now_ms)
+    sim.desired_versions = {MODEL: 2}
+    sim.run(700)
+    assert len(sim.order_log) == 1
+
+
+def test_busy_engines_load_few_at_a_time():
+    """Guards against a service that has too few engines left for its load."""
+    sim = FleetSimulation(12)
+    sim.run(100)
+    loads = {f"e{n}": TargetLoad(42, 0, 42_000) for n in range(12)}
+    sim.controller.observe_load(EntryLoad("i1", 1, loads), sim.now_ms)
+    sim.controller.push_load({"i1": "x"}, sim.now_ms)
+    sim.desired_versions = {MODEL: 2}
+    sim.run(600)
+    assert sim.max_loading == 2
+    sim.run(6_000)
+    # They must not serve old weights for longer than that, whatever their load.
+    assert sim.versions() == [2] * 12
+
+
 def test_order_without_response_is_executed_once():
     """Guards against a second load if an accepted order is sent again."""
     sim = FleetSimulation(3)
--- a/papayacrank/platform/__main__.py
+++ b/papayacrank/platform/__main__.py
@@ -162,7 +162,12 @@
     bounds = settings.bounds
     delay_ms = 0 if bounds.fencing_required else bounds.lease_ms
     protocol = PlatformTargetProtocol(settings.cloud.address)
-    fleet = FleetController(protocol, settings.node_name, delay_ms)
+    fleet = FleetController(
+        protocol,
+        settings.node_name,
+        delay_ms,
+        max_old_weights_ms=bounds.version_ms - OLD_WEIGHTS_MARGIN_MS,
+    )
     process = ControlProcess(
         settings.control_settings(), fleet, settings.resolve_control
     )
