Add the replicated table of rollouts and the operator's calls

The control group could not take an order to move a service to another release, so the old servers would have stopped without one.

RolloutTable keeps the running and the last rollouts of each service; a repeat of an accepted order is acknowledged again while operators may send it, also after a verdict. Another order of the service gets 409 while one runs, an unknown service 404.

--- a/papayacrank/control/_events.py
+++ b/papayacrank/control/_events.py
@@ -181,7 +181,22 @@
     "A refusal-limited target refused a request for want of room; it is taken to have"
     " `slots` slots.",
 )
+ROLLOUT_ORDERED = LogEvent(
+    3040,
+    "rollout_ordered",
+    "info",
+    "An order to move a service to another release was committed, for the first time"
+    " or again.",
+)
+ROLLOUT_CONCLUDED = LogEvent(
+    3041,
+    "rollout_concluded",
+    "info",
+    "A rollout was completed or rolled back, by the leader or by an operator.",
+)
 declare_events(
+    ROLLOUT_ORDERED,
+    ROLLOUT_CONCLUDED,
     TARGET_WITHOUT_ROOM,
     FEED_BATCH_UNREADABLE,
     RELEASE_LISTED,
--- a/papayacrank/control/_requests.py
+++ b/papayacrank/control/_requests.py
@@ -2,10 +2,13 @@
 
 import json
 
+import msgspec
+
 from papayacrank.consensus import EmitEvent, RaftNode, Replace
 from papayacrank.kernel import Send, Verdict
 from papayacrank.messages import (
     Command,
+    ConcludeRollout,
     ConfigurationFiled,
     ControlReply,
     ControlRequest,
@@ -20,6 +23,7 @@
     ReadState,
     ReplaceMember,
     RoutingFiled,
+    StartRollout,
     StateView,
 )
 from papayacrank.state import StateMachine, check_command
@@ -28,6 +32,8 @@
     COMMAND_FAILED,
     CONFIGURATION_ACCEPTED,
     KEY_CHANGED,
+    ROLLOUT_CONCLUDED,
+    ROLLOUT_ORDERED,
     ROUTING_ACCEPTED,
     WEIGHTS_NAMED,
 )
@@ -216,6 +222,11 @@
     if isinstance(command, NameWeights) and reply.failure is None:
         fields = {"model": command.model, "version": command.version}
         return [EmitEvent(WEIGHTS_NAMED, fields)]
+    if isinstance(command, StartRollout) and reply.failure is None:
+        return [EmitEvent(ROLLOUT_ORDERED, msgspec.structs.asdict(command))]
+    if isinstance(command, ConcludeRollout) and reply.failure is None:
+        fields = {"state": command.state, "reason": command.reason}
+        return [EmitEvent(ROLLOUT_CONCLUDED, {"rollout": command.number} | fields)]
     if isinstance(reply.result, KeyChanged):
         change = "granted" if isinstance(command, GrantKey) else "withdrawn"
         fields = {"key_id": command.key_id, "operator": command.operator}
--- a/papayacrank/messages/_commands.py
+++ b/papayacrank/messages/_commands.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from ._releases import BegunStream
+from ._rollouts import ConcludeRollout, StartRollout
 from ._routing import RoutingConfiguration
 
 
@@ -295,7 +296,7 @@
     what : str
         ``"configuration"``, ``"routing"``, ``"keys"``, ``"targets"``,
         ``"instances"``, ``"budgets"``, ``"actions"``, ``"orders"``, ``"members"``,
-        ``"usage"``, ``"releases"``, ``"quarantine"`` or ``"status"``.
+        ``"usage"``, ``"releases"``, ``"rollouts"``, ``"quarantine"`` or ``"status"``.
     """
 
     what: str
@@ -319,5 +320,7 @@
     | LiftVerdict
     | ChangeReleases
     | RecordStreams
+    | StartRollout
+    | ConcludeRollout
     | ReadState
 )
--- a/papayacrank/state/__init__.py
+++ b/papayacrank/state/__init__.py
@@ -15,6 +15,7 @@
 from ._machine import SnapshotError, StateMachine
 from ._orders import MAX_WEIGHT_LOADS, OrderRow
 from ._releases import ReleaseTable
+from ._rollouts import RolloutTable
 
 __all__ = [
     "MAX_WEIGHT_LOADS",
@@ -27,6 +28,7 @@
     "OrderEntry",
     "OrderRow",
     "ReleaseTable",
+    "RolloutTable",
     "SnapshotError",
     "StateMachine",
     "check_command",
--- a/papayacrank/state/_check.py
+++ b/papayacrank/state/_check.py
@@ -10,14 +10,18 @@
 from papayacrank.config import parse_configuration
 from papayacrank.kernel import list_registered
 from papayacrank.messages import (
+    COMPLETED,
+    ROLLED_BACK,
     AbandonAction,
     BeginAction,
     Command,
+    ConcludeRollout,
     FailureRecord,
     FileConfiguration,
     FinishAction,
     GrantKey,
     ReportUsage,
+    StartRollout,
 )
 from papayacrank.routing import RoutingPolicy
 
@@ -31,6 +35,7 @@
 
 MIN_DIGEST_CHARACTERS = 64
 MAX_USAGE_DELTAS = 1_000
+MAX_ROLLOUT_MS = 24 * 60 * 60 * 1000
 
 
 def check_command(command: Command) -> FailureRecord | None:
@@ -123,6 +128,20 @@
     return None
 
 
+def _validate_rollout(command: StartRollout) -> FailureRecord | None:
+    if not command.service or not command.release:
+        return _invalid("service and release must not be empty")
+    if not 0 < command.duration_ms <= MAX_ROLLOUT_MS:
+        return _invalid(f"duration_ms must be from 1 to {MAX_ROLLOUT_MS}")
+    return None
+
+
+def _validate_conclusion(command: ConcludeRollout) -> FailureRecord | None:
+    if command.state not in (COMPLETED, ROLLED_BACK):
+        return _invalid(f"state must be {COMPLETED} or {ROLLED_BACK}")
+    return None
+
+
 def _is_valid_histogram(encoded: bytes) -> bool:
     """Return whether a histogram can be decoded and has the bounds of `new_histogram`.
 
@@ -147,4 +166,6 @@
     AbandonAction: _validate_action,
     FinishAction: _validate_finish,
     ReportUsage: _validate_usage,
+    StartRollout: _validate_rollout,
+    ConcludeRollout: _validate_conclusion,
 }
--- a/papayacrank/state/_machine.py
+++ b/papayacrank/state/_machine.py
@@ -12,6 +12,7 @@
     ActionRecord,
     BeginAction,
     ChangeReleases,
+    ConcludeRollout,
     ConfigurationFiled,
     ConfirmOrder,
     ControlReply,
@@ -37,6 +38,7 @@
     RoutingFiled,
     SetInstanceState,
     ShareGrant,
+    StartRollout,
     StateView,
     TargetsChange,
     WithdrawKey,
@@ -59,6 +61,7 @@
 from ._orders import OrdersDump, OrderTable
 from ._outcomes import OutcomesDump, RequestOutcomes
 from ._releases import ReleasesDump, ReleaseTable
+from ._rollouts import RolloutsDump, RolloutTable
 from ._routing import RoutingDump, RoutingTable, WeightsDump, WeightsTable
 from ._targets import TargetsDump, TargetTable
 from ._usage import UsageDump, UsageTable
@@ -75,6 +78,8 @@
     WithdrawKey,
     SetInstanceState,
     PlaceOrder,
+    StartRollout,
+    ConcludeRollout,
 )
 
 
@@ -99,6 +104,7 @@
     routing: RoutingDump = msgspec.field(default_factory=RoutingDump)
     weights: WeightsDump = msgspec.field(default_factory=WeightsDump)
     releases: ReleasesDump = msgspec.field(default_factory=ReleasesDump)
+    rollouts: RolloutsDump = msgspec.field(default_factory=RolloutsDump)
 
 
 class StateMachine:
@@ -124,6 +130,7 @@
         self._routing = RoutingTable()
         self._weights = WeightsTable()
         self._releases = ReleaseTable()
+        self._rollouts = RolloutTable()
         self._ledger = BudgetLedger()
 
     @property
@@ -161,6 +168,11 @@
         """Releases of targets and the streams that they began."""
         return self._releases
 
+    @property
+    def rollouts(self) -> RolloutTable:
+        """Rollouts of releases."""
+        return self._rollouts
+
     @property
     def keys(self) -> KeyTable:
         """Live and withdrawn keys."""
@@ -348,6 +360,7 @@
             "routing": self._routing,
             "weights": self._weights,
             "releases": self._releases,
+            "rollouts": self._rollouts,
         }
 
     def _apply_request(self, request: ControlRequest, wall_ms: int) -> ControlReply:
@@ -431,6 +444,10 @@
                 return self._releases.change(command)
             case RecordStreams():
                 return self._releases.record(command, self._now_ms)
+            case StartRollout():
+                return self._start_rollout(command)
+            case ConcludeRollout():
+                return self._rollouts.conclude(command)
         return refuse("invalid_command", "the command does not change the state", 400)
 
     def _replace_configuration(
@@ -470,6 +487,19 @@
             self._feed.add(self._weights.change())
         return outcome
 
+    def _start_rollout(self, command: StartRollout) -> Done | FailureRecord:
+        releases = self._releases.possible.get(command.service, [])
+        services = self._list_services()
+        return self._rollouts.start(command, releases, services, self._now_ms)
+
+    def _list_services(self) -> set[str]:
+        routing = self._routing.configuration
+        services = {service.name for service in routing.services} if routing else set()
+        if self._configuration.document:
+            configuration = parse_configuration(self._configuration.document)
+            services |= {service.name for service in configuration.services}
+        return services
+
     def _grant_key(self, command: GrantKey, wall_ms: int) -> KeyChanged | FailureRecord:
         if not self._configuration.has_workspace(command.workspace):
             return refuse("unknown_workspace", f"no workspace {command.workspace}", 404)
--- a/papayacrank/state/_views.py
+++ b/papayacrank/state/_views.py
@@ -104,6 +104,11 @@
     return {"possible": dict(table.possible), "streams": table.stream_count}
 
 
+def _rollouts(state: "StateMachine") -> list[dict]:
+    rollouts = state.rollouts.list()
+    return [msgspec.structs.asdict(rollout) for rollout in rollouts]
+
+
 def _status(state: "StateMachine") -> dict:
     return {
         "applied_index": state.applied_index,
@@ -131,5 +136,6 @@
     "orders": _orders,
     "usage": _usage,
     "releases": _releases,
+    "rollouts": _rollouts,
     "status": _status,
 }
