Propose new types of log entries only if all members read them

So one order for a rollout during an upgrade would have stopped members.

Members state the format of entries that they read in AppendReply and JoinRequest; leaders pass it on with the peer records, so that a new leader knows that of a lost member. The leader refuses a command of a newer format with 503 while a member has not stated it, and does not add processes that lack a format in the log. Repeats and refusals of rollout orders stay out of the log. A dropped message is logged with the tag of its type.

--- a/papayacrank/consensus/_core.py
+++ b/papayacrank/consensus/_core.py
@@ -11,6 +11,7 @@
 
 from ._effects import Committed, EmitEvent, Persist
 from ._events import LEADER_STEPPED_DOWN, MEMBERSHIP_CHANGED
+from ._formats import EntryFormats
 from ._log import RaftLog
 from ._messages import (
     KIND_DATA,
@@ -105,6 +106,7 @@
         self._former_members: dict[str, int] = {}
         self._progress: dict[str, Progress] = {}
         self._peer_records: dict[str, PeerRecord] = {}
+        self._formats = EntryFormats(self._identity, settings.entry_format)
         self._term_start_index = 0
         self._last_leader_contact_ms = 0
         self._now_ms = 0
--- a/papayacrank/consensus/_events.py
+++ b/papayacrank/consensus/_events.py
@@ -82,7 +82,16 @@
     "Another process named a process that is not in the settings; it is queried.",
 )
 
+JOIN_REFUSED = LogEvent(
+    4015,
+    "join_refused",
+    "warning",
+    "A process of an older build cannot read entries in the log and does not join.",
+    "Update the process; it stops if it is a member already.",
+)
+
 declare_events(
+    JOIN_REFUSED,
     TORN_TAIL_TRUNCATED,
     IDENTITY_CREATED,
     IDENTITY_DISCARDED,
--- a/papayacrank/consensus/_membership.py
+++ b/papayacrank/consensus/_membership.py
@@ -8,7 +8,12 @@
 from papayacrank.kernel import Failure
 
 from ._core import NodeCore, Role
-from ._events import LOSS_TOLERANCE_MET, LOSS_TOLERANCE_UNMET, VOTER_SILENT
+from ._events import (
+    JOIN_REFUSED,
+    LOSS_TOLERANCE_MET,
+    LOSS_TOLERANCE_UNMET,
+    VOTER_SILENT,
+)
 from ._log import encode_membership
 from ._member_changes import (
     AddLearner,
@@ -157,6 +162,10 @@
             # The member could never become a voter, so replicating the log to it would
             # waste bandwidth.
             return
+        if not self._formats.may_join(request.entry_format):
+            self._log_event(JOIN_REFUSED, name=sender, format=request.entry_format)
+            return
+        self._formats.state(request.identity, request.entry_format)
         member = Member(
             sender, request.identity, request.failure_domain, False, request.volatile
         )
@@ -411,4 +420,5 @@
                 self._remove(member)
                 return
         del self._pending_learners[identity]
-        self._add_learner(learner)
+        if self._formats.may_join(self._formats.find(identity)):
+            self._add_learner(learner)
--- a/papayacrank/consensus/_messages.py
+++ b/papayacrank/consensus/_messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from ._formats import UNKNOWN_FORMAT
+
 KIND_NO_OP = 0
 KIND_DATA = 1
 KIND_MEMBERSHIP = 2
@@ -219,6 +221,7 @@
     "accepted": "a",
     "match_index": "m",
     "snapshot_offset": "o",
+    "entry_format": "f",
 }
 
 
@@ -272,11 +275,19 @@
 
 
 class PeerRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Highest term and match index that a member has acknowledged."""
+    """Highest term and match index that a member has acknowledged.
+
+    Attributes
+    ----------
+    entry_format : int
+        Highest format of entries that the member reads; `UNKNOWN_FORMAT` if the sender
+        does not know it.
+    """
 
     identity: str
     term: int
     match_index: int
+    entry_format: int = UNKNOWN_FORMAT
 
 
 class AppendRequest(_Message, frozen=True, tag="ra"):
@@ -324,6 +335,8 @@
         Whether the log matched the request, or the snapshot is complete.
     snapshot_offset : int
         Number of bytes received of the snapshot in transfer; -1 if there is none.
+    entry_format : int
+        Highest format of entries that the sender reads.
     """
 
     group: str
@@ -333,6 +346,7 @@
     sent_ms: int
     accepted: bool = True
     snapshot_offset: int = -1
+    entry_format: int = 0
 
 
 class SnapshotChunk(_Message, frozen=True, tag="rs"):
@@ -421,12 +435,19 @@
 
 
 class JoinRequest(_Message, frozen=True, tag="rj"):
-    """Request to the leader to add the sender as a learner."""
+    """Request to the leader to add the sender as a learner.
+
+    Attributes
+    ----------
+    entry_format : int
+        Highest format of entries that the sender reads.
+    """
 
     group: str
     identity: str
     failure_domain: str
     volatile: bool = False
+    entry_format: int = 0
 
 
 CONSENSUS_MESSAGES = (
--- a/papayacrank/consensus/_node.py
+++ b/papayacrank/consensus/_node.py
@@ -28,6 +28,7 @@
     VoteReply,
     VoteRequest,
 )
+from ._progress import NEVER_MS
 from ._recovery import Recovery
 from ._replication import Replication
 from ._settings import RaftSettings
@@ -305,6 +306,43 @@
         self._now_ms = max(self._now_ms, now_ms)
         return self._change_member(change)
 
+    def list_not_reading(self, entry_format: int, now_ms: int) -> list[str]:
+        """Return the members that are not known to read a format of entries.
+
+        A silent member counts with its last statement until it is removed. For one
+        election timeout, a new leader waits for statements to itself, because a member
+        may have restarted with another build.
+
+        Parameters
+        ----------
+        entry_format : int
+            Format of an entry to propose.
+        now_ms : int
+            Current time in milliseconds.
+
+        Returns
+        -------
+        list of str
+            Names of members, voters and learners.
+        """
+        self._now_ms = max(self._now_ms, now_ms)
+        is_new = (
+            self._now_ms - self._leader_since_ms < self._settings.election_timeout_ms
+        )
+        return [
+            member.name
+            for member in self._members
+            if self._formats.find(member.identity) < entry_format
+            or (is_new and self._last_reply_is_missing(member))
+        ]
+
+    def require_format(self, entry_format: int) -> None:
+        """Refuse to add processes that do not read a format that the log may hold."""
+        self._formats.require(entry_format)
+
+    def _last_reply_is_missing(self, member: Member) -> bool:
+        return self._acknowledged_sent_ms_of(member) == NEVER_MS
+
     def resign(self, now_ms: int) -> list[Any]:
         """Give up leadership, and leave the next election to the other members.
 
--- a/papayacrank/consensus/_recovery.py
+++ b/papayacrank/consensus/_recovery.py
@@ -152,6 +152,7 @@
         old = self._identity
         self._become_follower(self._term, "", reason)
         self._identity = self._new_identity()
+        self._formats.rename(self._identity)
         self._log_event(
             IDENTITY_DISCARDED, reason=reason, old=old, identity=self._identity
         )
@@ -300,6 +301,7 @@
                 identity=self._identity,
                 failure_domain=self._settings.failure_domain,
                 volatile=self._settings.volatile,
+                entry_format=self._settings.entry_format,
             )
             self._send(leader, request)
 
--- a/papayacrank/consensus/_replication.py
+++ b/papayacrank/consensus/_replication.py
@@ -1,5 +1,6 @@
 """Log replication, leader lease, check-quorum and snapshot transfer."""
 
+import msgspec
 import xxhash
 
 from ._core import HEARTBEAT_TIMER, NodeCore, Role
@@ -38,6 +39,7 @@
     _heartbeat_due_ms = 0
     _heartbeat_count = 0
     _quorum_check_start_ms = 0
+    _leader_since_ms = 0
 
     # Leader
 
@@ -48,6 +50,7 @@
         self._leader = self._settings.name
         self._progress = {}
         self._quorum_check_start_ms = self._now_ms
+        self._leader_since_ms = self._now_ms
         self._term_start_index = self._log.last_index + 1
         self._track_members()
         self._log_event(LEADER_ELECTED, term=self._term, index=self._log.last_index)
@@ -128,7 +131,13 @@
             return ()
         progress.records_sent_ms = self._now_ms
         known = (self._peer_records.get(m.identity) for m in self._members)
-        return tuple(record for record in known if record is not None)
+        return tuple(
+            msgspec.structs.replace(
+                record, entry_format=self._formats.find(record.identity)
+            )
+            for record in known
+            if record is not None
+        )
 
     def _replicate(self) -> None:
         """Send new entries to every member that is ready to receive them."""
@@ -153,6 +162,7 @@
         if reply.term < self._term or self._role is not Role.LEADER or progress is None:
             return
         progress.last_reply_ms = self._now_ms
+        self._formats.state(reply.identity, reply.entry_format)
         is_newest = reply.sent_ms > progress.acknowledged_sent_ms
         progress.acknowledged_sent_ms = max(
             progress.acknowledged_sent_ms, reply.sent_ms
@@ -275,6 +285,7 @@
             return
         for record in request.records:
             self._update_peer_record(record)
+            self._formats.state(record.identity, record.entry_format)
         if self._lost_acknowledged_entries(request.records):
             self._discard_identity("the leader recorded a later acknowledgement")
             return
@@ -387,6 +398,7 @@
             match_index=match_index,
             sent_ms=request.sent_ms,
             snapshot_offset=snapshot_offset,
+            entry_format=self._settings.entry_format,
         )
 
     # Snapshot transfer
--- a/papayacrank/consensus/_settings.py
+++ b/papayacrank/consensus/_settings.py
@@ -77,6 +77,9 @@
         Number of committed entries after which `RaftNode.wants_snapshot` becomes true.
     protections : Protections
         Safety mechanisms.
+    entry_format : int
+        Highest format of entries that this member reads; a higher one includes the
+        lower ones.
     """
 
     name: str
@@ -93,6 +96,7 @@
     voter_silence_ms: int = 10_000
     snapshot_every_entries: int = 2_000
     protections: Protections = field(default_factory=Protections)
+    entry_format: int = 0
 
     @property
     def safe_lease_ms(self) -> int:
@@ -105,7 +109,9 @@
         return min(self.leader_lease_ms, int(self.election_timeout_ms * ratio) - 1)
 
     @classmethod
-    def from_control(cls, settings: ControlSettings) -> "RaftSettings":
+    def from_control(
+        cls, settings: ControlSettings, entry_format: int = 0
+    ) -> "RaftSettings":
         """Create the settings from those of a control process."""
         return cls(
             name=settings.instance,
@@ -126,4 +132,5 @@
             clock_drift=settings.clock_drift,
             voter_silence_ms=settings.voter_silence_ms,
             snapshot_every_entries=settings.snapshot_every_entries,
+            entry_format=entry_format,
         )
--- /dev/null
+++ b/papayacrank/consensus/tests/test_formats.py
@@ -0,0 +1,221 @@
+"""Tests of groups with members of this build and of the build before the formats."""
+
+from dataclasses import replace
+
+import msgspec
+import pytest
+
+from papayacrank.consensus._formats import MAX_STATED_FORMATS, EntryFormats
+from papayacrank.consensus._messages import (
+    _WIRE_NAMES,
+    AppendReply,
+    AppendRequest,
+    Entry,
+    JoinRequest,
+    Membership,
+    StatusReply,
+)
+from papayacrank.consensus.tests._simulation import Cluster
+
+NEW = 1
+LOST_LIMIT_MS = 2_500  # below the 3,000 ms after which a silent voter is removed
+
+
+class OldMessage(
+    msgspec.Struct, frozen=True, rename=_WIRE_NAMES.get, omit_defaults=True
+):
+    """Base class of the messages as the build before has declared them."""
+
+
+class OldPeerRecord(msgspec.Struct, frozen=True, array_like=True):
+    """`PeerRecord` of the build before."""
+
+    identity: str
+    term: int
+    match_index: int
+
+
+class OldAppendRequest(OldMessage, frozen=True, tag="ra"):
+    """`AppendRequest` of the build before."""
+
+    group: str
+    term: int
+    identity: str
+    recipient: str
+    previous_index: int
+    previous_term: int
+    commit_index: int
+    sent_ms: int
+    entries: tuple[Entry, ...] = ()
+    records: tuple[OldPeerRecord, ...] = ()
+
+
+class OldAppendReply(OldMessage, frozen=True, tag="rb"):
+    """`AppendReply` of the build before."""
+
+    group: str
+    term: int
+    identity: str
+    match_index: int
+    sent_ms: int
+    accepted: bool = True
+    snapshot_offset: int = -1
+
+
+class OldStatusReply(OldMessage, frozen=True, tag="rp"):
+    """`StatusReply` of the build before."""
+
+    identity: str
+    group: str
+    failure_domain: str
+    nonce: int
+    term: int
+    last_index: int
+    last_term: int
+    record: OldPeerRecord
+    leader: str
+    membership: Membership
+    volatile: bool = False
+    known_peers: tuple[str, ...] = ()
+
+
+class OldJoinRequest(OldMessage, frozen=True, tag="rj"):
+    """`JoinRequest` of the build before."""
+
+    group: str
+    identity: str
+    failure_domain: str
+    volatile: bool = False
+
+
+OLD_TYPES = {
+    AppendRequest: OldAppendRequest,
+    AppendReply: OldAppendReply,
+    StatusReply: OldStatusReply,
+    JoinRequest: OldJoinRequest,
+}
+
+
+def pass_through_old_build(message):
+    """Return a message as it is after an old build has decoded or encoded it."""
+    old_type = OLD_TYPES.get(type(message))
+    if old_type is None:
+        return message
+    old = msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=old_type)
+    return msgspec.msgpack.decode(msgspec.msgpack.encode(old), type=type(message))
+
+
+class MixedCluster(Cluster):
+    """Group of three voters and a learner, some of them of the build before."""
+
+    def __init__(self, seed, old=()):
+        super().__init__(seed, 4, 3, target_voters=3, entry_format=NEW)
+        self.old = set()
+        for name in old:
+            self.change_build(name, 0)
+
+    def change_build(self, name, entry_format):
+        """Set the build of a host for its next start."""
+        host = self.hosts[name]
+        host.settings = replace(host.settings, entry_format=entry_format)
+        (self.old.discard if entry_format else self.old.add)(name)
+
+    def send(self, sender, to, message):
+        """Send a message through the codec of the build before if a side has it."""
+        if self.old & {sender, to}:
+            message = pass_through_old_build(message)
+        super().send(sender, to, message)
+
+    def restart_as(self, name, entry_format):
+        """Restart a host with another build."""
+        self.hosts[name].crash()
+        self.change_build(name, entry_format)
+        self.after(100, self.hosts[name].start)
+
+    def missing(self):
+        """Return the members that the leader does not know to read the format."""
+        leader = self.lease_holder()
+        if leader is None:
+            return None
+        return sorted(leader.node.list_not_reading(NEW, leader.now_ms))
+
+    def settle(self):
+        """Run until the group has all members and the leader knows their formats."""
+        self.run_until(lambda: len(self.members()) == len(self.hosts), 10_000)
+        self.write_and_wait()
+        self.run(2_000)
+
+    def members(self):
+        """Return the members as the leader has them."""
+        leader = self.lease_holder()
+        return leader.node.members if leader else ()
+
+
+@pytest.mark.parametrize("old", ["n3", "n1", "n0 n1", "n0 n1 n2 n3"])
+@pytest.mark.parametrize("seed", range(3))
+def test_new_format_waits_for_the_last_member(seed, old):
+    """Guards against entries that stop members of the build before.
+
+    Members are upgraded one after another, the leader last, and may be learners.
+    """
+    cluster = MixedCluster(seed, old.split()).start()
+    cluster.settle()
+    leader = cluster.lease_holder().name
+    for name in sorted(old.split(), key=lambda name: name == leader):
+        assert set(cluster.missing()) >= cluster.old - {leader}
+        cluster.restart_as(name, NEW)
+        cluster.run(1_000)
+        cluster.settle()
+    assert cluster.missing() == []
+    cluster.finish()
+
+
+@pytest.mark.parametrize("name", ["n0", "n1", "n2", "n3"])
+def test_member_that_falls_back_is_known(name):
+    """Guards against entries that a member of the build before gets after all."""
+    cluster = MixedCluster(5).start()
+    cluster.settle()
+    assert cluster.missing() == []
+    cluster.restart_as(name, 0)
+    cluster.run(1_000)
+    cluster.settle()
+    assert cluster.missing() == [name]
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_lost_leader_delays_no_new_format(seed):
+    """Guards against orders that are refused until a lost member is replaced."""
+    cluster = MixedCluster(seed).start()
+    cluster.settle()
+    lost = cluster.lease_holder()
+    lost.crash()
+    cluster.run_until(lambda: cluster.missing() == [], LOST_LIMIT_MS)
+    assert lost.name in {member.name for member in cluster.members()}
+
+
+def test_old_build_does_not_join_once_a_new_format_is_used():
+    """Guards against a new member that stops on the log that it receives."""
+    cluster = MixedCluster(1, old=["n3"]).start()
+    cluster.settle()
+    cluster.hosts["n3"].crash()
+    cluster.run_until(lambda: len(cluster.members()) == 3, 10_000)
+    for name in ("n0", "n1", "n2"):
+        cluster.hosts[name].node.require_format(NEW)
+    cluster.hosts["n3"].start()
+    cluster.run(8_000)
+    assert len(cluster.members()) == 3
+    cluster.restart_as("n3", NEW)
+    cluster.run_until(lambda: len(cluster.members()) == 4, 10_000)
+
+
+def test_statements_are_bounded_and_replaced():
+    """Guards against formats of processes that are gone for good."""
+    formats = EntryFormats("own", 1)
+    formats.state("a", 1)
+    formats.state("a", -1)
+    assert (formats.find("own"), formats.find("a"), formats.find("b")) == (1, 1, -1)
+    formats.state("a", 0)
+    assert formats.find("a") == 0
+    for number in range(MAX_STATED_FORMATS):
+        formats.state(f"m{number}", 1)
+    assert formats.find("a") == -1
--- a/papayacrank/control/_events.py
+++ b/papayacrank/control/_events.py
@@ -194,7 +194,17 @@
     "info",
     "A rollout was completed or rolled back, by the leader or by an operator.",
 )
+ENTRY_FORMAT_NOT_READ = LogEvent(
+    3042,
+    "entry_format_not_read",
+    "warning",
+    "A command was not proposed to the log, because the named members may run a build"
+    " that does not read it.",
+    "Finish the upgrade of the control processes. After an election, and until a lost"
+    " member is replaced, the command is accepted some seconds later.",
+)
 declare_events(
+    ENTRY_FORMAT_NOT_READ,
     ROLLOUT_ORDERED,
     ROLLOUT_CONCLUDED,
     TARGET_WITHOUT_ROOM,
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from expression import Result
+from expression import Error, Result
 
 from papayacrank.config import ControlSettings
 from papayacrank.consensus import (
@@ -14,11 +14,12 @@
     InstallState,
     RaftNode,
 )
-from papayacrank.kernel import Failure, Send, SetTimer
+from papayacrank.kernel import Failure, Send, SetTimer, Verdict, log_event
 from papayacrank.messages import (
     ISOLATED,
     SERVING,
     ChangeReleases,
+    ConcludeRollout,
     ConfirmOrder,
     ControlReply,
     ControlRequest,
@@ -44,10 +45,12 @@
     StateMachine,
     decode_entry,
     encode_entry,
+    find_format,
 )
 
 from ._effects import HttpCall, HttpResult
 from ._events import (
+    ENTRY_FORMAT_NOT_READ,
     INSTANCES_EXPIRED,
     LEADER_ACTIVE,
     LEADER_INACTIVE,
@@ -82,6 +85,10 @@
 # Shortest interval between two rounds of feed messages to waiting entry processes.
 FEED_INTERVAL_MS = 5
 MAX_QUEUED_HEARTBEATS = 2_000
+# Code of the failure if not all members read an entry.
+FORMAT_NOT_READ = "format_not_read"
+# Members state their format with each heartbeat, learners with every fifth.
+FORMAT_RETRY_AFTER_MS = 500
 
 
 class NodeError(Exception):
@@ -316,6 +323,8 @@
         earlier entries are applied and the state has the latest group time.
         """
         self._active_term = self._raft.term
+        if self._machine.used_format:
+            self._raft.require_format(self._machine.used_format)
         self._group_time_offset_ms = self._machine.now_ms - now_ms
         self._published_version = self._machine.feed_version
         self._queued_heartbeats.clear()
@@ -339,9 +348,33 @@
         return [*self._requests.redirect_all(leader), EmitEvent(LEADER_INACTIVE, {})]
 
     def _propose(self, entry: Entry, now_ms: int) -> Result[int, Failure]:
+        failure = self._check_format(find_format(entry), now_ms)
+        if failure is not None:
+            return Error(failure)
         self._has_proposals = True
         return self._raft.propose(encode_entry(entry), now_ms)
 
+    def _check_format(self, entry_format: int, now_ms: int) -> Failure | None:
+        """Return a failure if a member may be unable to read an entry.
+
+        A format that the log has used is needed by all members already.
+        """
+        if entry_format <= self._machine.used_format:
+            return None
+        names = self._raft.list_not_reading(entry_format, now_ms)
+        if names:
+            log_event(ENTRY_FORMAT_NOT_READ, format=entry_format, members=names)
+            return Failure(
+                FORMAT_NOT_READ,
+                Verdict.MAY_HAVE_RUN,
+                f"not all members run a build that reads it: {', '.join(names)}",
+                503,
+                FORMAT_RETRY_AFTER_MS,
+            )
+        # A process of an older build must not join between proposal and commit.
+        self._raft.require_format(entry_format)
+        return None
+
     def _entry_times(self, now_ms: int) -> tuple[int, int]:
         """Return the group time and the wall clock for an entry, in ms."""
         return now_ms + self._group_time_offset_ms, self._wall_clock_ms()
@@ -386,7 +419,7 @@
         outcome = self._propose(entry, now_ms)
         if outcome.is_ok():
             return []
-        if outcome.error.code == ENTRY_TOO_LARGE:
+        if outcome.error.code in (ENTRY_TOO_LARGE, FORMAT_NOT_READ):
             failure = FailureRecord.from_failure(outcome.error)
             return self._requests.complete(
                 ControlReply(request.request_id, failure=failure)
@@ -399,7 +432,11 @@
 
     def _submit_internally(
         self,
-        command: ObserveTargets | ConfirmOrder | ChangeReleases | RecordStreams,
+        command: ObserveTargets
+        | ConfirmOrder
+        | ChangeReleases
+        | ConcludeRollout
+        | RecordStreams,
         now_ms: int,
     ) -> bool:
         """Propose a command of this process; return whether the log accepted it."""
--- a/papayacrank/control/_process.py
+++ b/papayacrank/control/_process.py
@@ -28,7 +28,7 @@
     log_event,
 )
 from papayacrank.messages import CONTROL_MESSAGES, ControlRequest
-from papayacrank.state import StateMachine
+from papayacrank.state import ENTRY_FORMAT, StateMachine
 from papayacrank.transport import (
     Link,
     LinkSettings,
@@ -280,7 +280,7 @@
 
     def _build_node(self) -> ControlNode:
         raft = RaftNode(
-            RaftSettings.from_control(self._settings),
+            RaftSettings.from_control(self._settings, ENTRY_FORMAT),
             self._store.load(),
             random.Random(),
         )
--- a/papayacrank/control/_requests.py
+++ b/papayacrank/control/_requests.py
@@ -97,6 +97,10 @@
             return [
                 Send(sender, ControlReply(request.request_id, RoutingFiled(in_force)))
             ]
+        if isinstance(request.command, StartRollout):
+            answer = self._machine.answer_rollout(request.command)
+            if answer is not None:
+                return [Send(sender, _build_outcome_reply(request.request_id, answer))]
         if request.request_id in self._pending:
             _add_sender(self._pending[request.request_id], sender)
             return []
@@ -198,6 +202,14 @@
         return command.new in voters and command.old not in voters
 
 
+def _build_outcome_reply(
+    request_id: str, outcome: Done | FailureRecord
+) -> ControlReply:
+    if isinstance(outcome, FailureRecord):
+        return ControlReply(request_id, failure=outcome)
+    return ControlReply(request_id, outcome)
+
+
 def _is_superseded(command: Command, in_force: int) -> bool:
     """Whether a command would not change the state, whatever its document."""
     return (
--- a/papayacrank/state/__init__.py
+++ b/papayacrank/state/__init__.py
@@ -2,6 +2,7 @@
 
 from ._check import check_command
 from ._entries import (
+    ENTRY_FORMAT,
     CommandEntry,
     Entry,
     ExpireEntry,
@@ -11,6 +12,7 @@
     OrderEntry,
     decode_entry,
     encode_entry,
+    find_format,
 )
 from ._machine import SnapshotError, StateMachine
 from ._orders import MAX_WEIGHT_LOADS, OrderRow
@@ -18,6 +20,7 @@
 from ._rollouts import RolloutTable
 
 __all__ = [
+    "ENTRY_FORMAT",
     "MAX_WEIGHT_LOADS",
     "CommandEntry",
     "Entry",
@@ -34,4 +37,5 @@
     "check_command",
     "decode_entry",
     "encode_entry",
+    "find_format",
 ]
--- a/papayacrank/state/_entries.py
+++ b/papayacrank/state/_entries.py
@@ -2,7 +2,12 @@
 
 import msgspec
 
-from papayacrank.messages import ControlRequest, Heartbeat
+from papayacrank.messages import (
+    ConcludeRollout,
+    ControlRequest,
+    Heartbeat,
+    StartRollout,
+)
 
 
 class InstanceRef(msgspec.Struct, frozen=True):
@@ -82,6 +87,13 @@
 
 Entry = CommandEntry | HeartbeatEntry | ExpireEntry | LeaderEntry | OrderEntry
 
+# Highest format of entries and snapshots that this build reads. A build that adds a
+# type of entry or command, or a table, raises it by one and lists the new types below.
+# Members state it to the leader, which proposes an entry only if all of them read it.
+ENTRY_FORMAT = 1
+# First format with a type of entry or of command; 0 if it is not listed.
+FORMAT_BY_TYPE: dict[type, int] = {StartRollout: 1, ConcludeRollout: 1}
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Entry)
 
@@ -91,6 +103,15 @@
     return _encoder.encode(entry)
 
 
+def find_format(entry: Entry) -> int:
+    """Return the format that a process must read to apply an entry."""
+    entry_format = FORMAT_BY_TYPE.get(type(entry), 0)
+    if isinstance(entry, CommandEntry):
+        command_format = FORMAT_BY_TYPE.get(type(entry.request.command), 0)
+        entry_format = max(entry_format, command_format)
+    return entry_format
+
+
 def decode_entry(data: bytes) -> Entry:
     """Decode a log entry.
 
--- a/papayacrank/state/_machine.py
+++ b/papayacrank/state/_machine.py
@@ -48,12 +48,15 @@
 from ._base import Table, refuse
 from ._configuration import ConfigurationDump, ConfigurationTable
 from ._entries import (
+    ENTRY_FORMAT,
+    FORMAT_BY_TYPE,
     CommandEntry,
     ExpireEntry,
     HeartbeatEntry,
     LeaderEntry,
     OrderEntry,
     decode_entry,
+    find_format,
 )
 from ._feed import FeedDump, FeedHistory
 from ._instances import InstancesDump, InstanceTable
@@ -67,6 +70,7 @@
 from ._usage import UsageDump, UsageTable
 from ._views import read_view
 
+# Number in snapshots of format 0. Builds before the formats read only this number.
 SNAPSHOT_FORMAT = 1
 # Messages between processes are limited to 8 MiB.
 MAX_VIEW_BYTES = 7 * 1024 * 1024
@@ -132,12 +136,18 @@
         self._releases = ReleaseTable()
         self._rollouts = RolloutTable()
         self._ledger = BudgetLedger()
+        self._used_format = 0
 
     @property
     def applied_index(self) -> int:
         """Log index of the last applied entry."""
         return self._applied_index
 
+    @property
+    def used_format(self) -> int:
+        """Highest format of the entries applied and the snapshot restored."""
+        return self._used_format
+
     @property
     def now_ms(self) -> int:
         """Group time of the last applied entry, in milliseconds."""
@@ -235,6 +245,7 @@
             return None
         entry = decode_entry(data)
         self._now_ms = max(self._now_ms, entry.at_ms)
+        self._used_format = max(self._used_format, find_format(entry))
         if isinstance(entry, CommandEntry):
             return self._apply_request(entry.request, entry.wall_ms)
         if isinstance(entry, HeartbeatEntry):
@@ -251,6 +262,14 @@
         """Return the first outcome of a request id, None if it is not stored."""
         return self._outcomes.find(request_id)
 
+    def answer_rollout(self, command: StartRollout) -> Done | FailureRecord | None:
+        """Return the answer to an order that needs no entry, None if it needs one.
+
+        Repeats and refusals stay out of the log, where they would bind the members to
+        the format of the command.
+        """
+        return self._rollouts.find_answer(command, *self._rollout_context(command))
+
     def grants(self, instance: str, boot: int) -> list[ShareGrant]:
         """Return the total tokens granted to a process, by workspace."""
         row = self._instances.find(instance, boot)
@@ -306,7 +325,7 @@
         ledger = msgspec.msgpack.encode(self._ledger.snapshot())
         return msgspec.msgpack.encode(
             _Snapshot(
-                SNAPSHOT_FORMAT,
+                SNAPSHOT_FORMAT + self._find_table_format(),
                 self._applied_index,
                 self._now_ms,
                 ledger=ledger,
@@ -334,10 +353,13 @@
             snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
         except msgspec.DecodeError as error:
             raise SnapshotError(str(error)) from error
-        if snapshot.format != SNAPSHOT_FORMAT:
+        newest = SNAPSHOT_FORMAT + ENTRY_FORMAT
+        if not SNAPSHOT_FORMAT <= snapshot.format <= newest:
             raise SnapshotError(
-                f"snapshot has format {snapshot.format}; expected {SNAPSHOT_FORMAT}"
+                f"snapshot has format {snapshot.format}; expected {SNAPSHOT_FORMAT} to"
+                f" {newest}"
             )
+        self._used_format = snapshot.format - SNAPSHOT_FORMAT
         self._applied_index = snapshot.applied_index
         self._now_ms = snapshot.now_ms
         for name, table in self._tables().items():
@@ -346,6 +368,14 @@
         self._published_instances = self._addresses_by_instance()
         self._ledger.restore(msgspec.msgpack.decode(snapshot.ledger))
 
+    def _find_table_format(self) -> int:
+        """Return the format that a process must read to keep the content of all tables.
+
+        A build that lacks a table would drop its content silently, so the number makes
+        it refuse the snapshot once the table is in use.
+        """
+        return FORMAT_BY_TYPE[StartRollout] if len(self._rollouts) else 0
+
     def _tables(self) -> dict[str, Table]:
         return {
             "outcomes": self._outcomes,
@@ -488,9 +518,14 @@
         return outcome
 
     def _start_rollout(self, command: StartRollout) -> Done | FailureRecord:
+        return self._rollouts.start(command, *self._rollout_context(command))
+
+    def _rollout_context(
+        self, command: StartRollout
+    ) -> tuple[list[str], set[str], int]:
+        """Return the releases of the service, the known services and the time."""
         releases = self._releases.possible.get(command.service, [])
-        services = self._list_services()
-        return self._rollouts.start(command, releases, services, self._now_ms)
+        return releases, self._list_services(), self._now_ms
 
     def _list_services(self) -> set[str]:
         routing = self._routing.configuration
--- a/papayacrank/state/_rollouts.py
+++ b/papayacrank/state/_rollouts.py
@@ -56,14 +56,14 @@
         rollouts = self._rollouts.get(service)
         return rollouts[-1] if rollouts else None
 
-    def start(
+    def find_answer(
         self,
         command: StartRollout,
         releases: Sequence[str],
         services: Container[str],
         now_ms: int,
-    ) -> Done | FailureRecord:
-        """Start a rollout, unless the order is a repeat.
+    ) -> Done | FailureRecord | None:
+        """Return the answer to an order that starts nothing, None if it starts one.
 
         Parameters
         ----------
@@ -78,9 +78,9 @@
 
         Returns
         -------
-        Done or FailureRecord
-            Done also for a repeat; failure if another rollout of the service runs, if
-            the service is unknown or if the table is full.
+        Done, FailureRecord or None
+            Done for a repeat; failure if another rollout of the service runs, if the
+            service is unknown or if the table is full.
         """
         if self._is_repeat(command, now_ms):
             return Done()
@@ -91,18 +91,35 @@
             return refuse("rollout_running", text, 409, details)
         if command.service not in services and not releases:
             return refuse("unknown_service", f"no service {command.service}", 404)
-        if last is None and not self._make_room():
+        is_full = len(self._rollouts) >= MAX_SERVICES
+        if last is None and is_full and self._find_oldest_ended() is None:
             return refuse("table_full", f"the limit is {MAX_SERVICES} services", 503)
+        return None
+
+    def start(
+        self,
+        command: StartRollout,
+        releases: Sequence[str],
+        services: Container[str],
+        now_ms: int,
+    ) -> Done | FailureRecord:
+        """Start a rollout unless `find_answer` has another answer to the order."""
+        answer = self.find_answer(command, releases, services, now_ms)
+        if answer is not None:
+            return answer
+        bases = self._find_bases(command, releases)
+        kept = self._rollouts.pop(command.service, [])
+        if len(self._rollouts) >= MAX_SERVICES:
+            del self._rollouts[self._find_oldest_ended()]
         self._last_number += 1
         rollout = Rollout(
             self._last_number,
             command.service,
             command.release,
-            self._find_bases(command, releases),
+            bases,
             now_ms,
             command.duration_ms,
         )
-        kept = self._rollouts.pop(command.service, [])
         kept = kept[1 - MAX_ROLLOUTS_PER_SERVICE :]
         self._rollouts[command.service] = [*kept, rollout]
         return Done()
@@ -136,18 +153,10 @@
             for rollout in self._rollouts.get(command.service, ())
         )
 
-    def _make_room(self) -> bool:
-        """Make room for another service; return False if rollouts of all are running.
-
-        The service whose last rollout has ended and began first is dropped.
-        """
-        if len(self._rollouts) < MAX_SERVICES:
-            return True
+    def _find_oldest_ended(self) -> str | None:
+        """Return the service whose last rollout has ended and began first."""
         ended = (name for name, r in self._rollouts.items() if r[-1].state != RUNNING)
-        service = next(ended, None)
-        if service is not None:
-            del self._rollouts[service]
-        return service is not None
+        return next(ended, None)
 
     def _find_bases(self, command: StartRollout, releases: Sequence[str]) -> list[str]:
         """Return the releases that have served the service so far.
--- a/papayacrank/transport/_codec.py
+++ b/papayacrank/transport/_codec.py
@@ -15,10 +15,27 @@
 # First byte of the zlib format. A MessagePack message begins with another one, because
 # it is a map or an array.
 ZLIB_MARK = b"\x78"
+MAX_TAG_CHARACTERS = 64
 
 
 class MessageDecodeError(ValueError):
-    """The bytes are not a valid message of the codec."""
+    """The bytes are not a valid message of the codec.
+
+    Parameters
+    ----------
+    message : str
+        Reason.
+    tag : str
+        Tag of the message type, empty if it cannot be read.
+    """
+
+    def __init__(self, message: str, tag: str = ""):
+        super().__init__(message)
+        self.tag = tag
+
+
+class _Tagged(msgspec.Struct):
+    type: str
 
 
 class MessageCodec:
@@ -67,4 +84,13 @@
                 data = decompress(data, MAX_DECOMPRESSED_BYTES)
             return self._decoder.decode(data)
         except (CompressionError, msgspec.DecodeError, RecursionError) as error:
-            raise MessageDecodeError(str(error)) from error
+            raise MessageDecodeError(str(error), _read_tag(data)) from error
+
+
+def _read_tag(data: bytes) -> str:
+    """Return the tag of a message, which may be of a type of a later build."""
+    try:
+        tag = msgspec.msgpack.decode(data, type=_Tagged).type
+    except (msgspec.DecodeError, RecursionError):
+        return ""
+    return tag[:MAX_TAG_CHARACTERS]
--- a/papayacrank/transport/_events.py
+++ b/papayacrank/transport/_events.py
@@ -6,7 +6,8 @@
     1001,
     "undecodable_message",
     "warning",
-    "A message from another process could not be decoded and was discarded.",
+    "A message from another process could not be decoded and was discarded; `type` is"
+    " the tag of its type.",
     "Check that all instances run compatible versions.",
 )
 HANDLER_FAILED = LogEvent(
--- a/papayacrank/transport/_link.py
+++ b/papayacrank/transport/_link.py
@@ -253,7 +253,9 @@
         try:
             message = self._codec.decode(frames[-1])
         except MessageDecodeError as error:
-            log_event(UNDECODABLE_MESSAGE, sender=sender, error=str(error))
+            log_event(
+                UNDECODABLE_MESSAGE, sender=sender, type=error.tag, error=str(error)
+            )
             return
         self._received.count(message, len(frames[-1]))
         self.fire(received(sender, message), self.channel)
--- a/papayacrank/transport/tests/test_codec.py
+++ b/papayacrank/transport/tests/test_codec.py
@@ -50,3 +50,20 @@
     monkeypatch.setattr(codec_module, "MAX_DECOMPRESSED_BYTES", 1_000)
     with pytest.raises(MessageDecodeError, match="too large"):
         codec.decode(zlib.compress(bytes(1_000_000)))
+
+
+@pytest.mark.parametrize(
+    ("data", "tag"),
+    [
+        (msgspec.msgpack.encode({"type": "Later", "x": 1}), "Later"),
+        (msgspec.msgpack.encode({"type": "Plain"}), "Plain"),
+        (msgspec.msgpack.encode({"type": "x" * 10_000}), "x" * 64),
+        (msgspec.msgpack.encode({"type": 7}), ""),
+        (b"\xc1", ""),
+    ],
+)
+def test_undecodable_message_is_named(codec, data, tag):
+    """Guards against messages of another build that are dropped without a trace."""
+    with pytest.raises(MessageDecodeError) as caught:
+        codec.decode(data)
+    assert caught.value.tag == tag
