--- a/papayacrank/admin/_commands.py
+++ b/papayacrank/admin/_commands.py
@@ -37,6 +37,7 @@
 from ._log_explain import explain_from_lines, format_explanation, read_lines
 from ._output import EXIT_FAILED, EXIT_INVALID, EXIT_UNKNOWN, Output
 from ._quarantine_commands import QuarantineCommands
+from ._rollout_commands import RolloutCommands
 from ._settings import AdminSettings, load_admin_settings
 from ._views import join_targets, summarize_usage
 
@@ -79,6 +80,9 @@
         self.quarantine = QuarantineCommands(
             self._read, self._run, self._operator_name, self._output
         )
+        self.rollouts = RolloutCommands(
+            self._read, self._run, self._operator_name, self._output
+        )
 
     @SetParseFn(str)
     def generate(self, questionnaire, out=None):
--- a/papayacrank/admin/tests/test_admin.py
+++ b/papayacrank/admin/tests/test_admin.py
@@ -13,7 +13,12 @@
 from papayacrank.admin.__main__ import main
 from papayacrank.control import digest_key
 from papayacrank.control.tests.group import ControlGroup
-from papayacrank.messages import CrashReport, ReadState, SuspectRequest
+from papayacrank.messages import (
+    ChangeReleases,
+    CrashReport,
+    ReadState,
+    SuspectRequest,
+)
 from papayacrank.testing import build_questionnaire
 
 
@@ -210,6 +215,35 @@
     assert "1000001" in refused["error"]["message"]
 
 
+def test_rollout_is_started_listed_and_stopped(admin, group):
+    """Guards against an order that is lost, started twice or cannot be stopped."""
+    assert admin("rollouts", "list") == (0, [])
+    start = ("rollouts", "start", "checkout", "v2", "600")
+    code, refused = admin(*start)
+    assert (code, refused["error"]["code"]) == (1, "unknown_service")
+    assert admin("rollouts", "stop", "checkout")[0] == 1
+    group.run(ChangeReleases("checkout", added=["v1"]))
+    assert admin(*start)[0] == admin(*start)[0] == 0
+    [row] = admin("rollouts", "list")[1]
+    assert (row["state"], row["bases"], row["duration_ms"]) == (
+        "running",
+        ["v1"],
+        600_000,
+    )
+    code, refused = admin("rollouts", "start", "checkout", "3", "600")
+    assert (code, refused["error"]["code"]) == (1, "rollout_running")
+    code, stopped = admin("rollouts", "stop", "checkout")
+    assert (code, stopped["rollout"]) == (0, row["number"])
+    [row] = admin("rollouts", "list")[1]
+    assert (row["state"], row["reason"]) == ("rolled_back", "stopped by ann")
+
+
+@pytest.mark.parametrize("duration", ["0", "-1", "soon", "nan", "inf"])
+def test_invalid_duration_of_a_rollout_exits_with_2(admin, duration):
+    """Guards against a rollout with another duration than the operator meant."""
+    assert admin("rollouts", "start", "a", "v2", f"--duration_s={duration}")[0] == 2
+
+
 @pytest.mark.parametrize("number", ["0", "-1", "1.5", "all", "1e3", "", "9" * 40, "٣"])
 def test_invalid_number_of_a_verdict_exits_with_2(admin, number):
     """Guards against a lift of another verdict than the operator meant."""
