--- a/papayacrank/platform/tests/test_processes.py
+++ b/papayacrank/platform/tests/test_processes.py
@@ -1,5 +1,6 @@
 """Integration tests of the processes with a fake platform."""
 
+import json
 import signal
 import threading
 import time
@@ -68,6 +69,33 @@
     assert platform.engine.orders == 1
 
 
+def test_rollout_is_ordered_and_read_at_each_control_process(platform):
+    """Guards against an order that a process refuses, or a state that it does not know.
+
+    The release has no target yet, so that the order changes no traffic.
+    """
+    start, read = "/v1/rollouts/start", "/v1/rollouts/plain/get"
+    order = {"service": "plain", "to": "v9", "duration_s": 600}
+
+    def answer(status, method, path, body=None, ip=IPS[0]):
+        """Return the body once the call is not unavailable."""
+        replies = []
+
+        def is_answered():
+            replies.append(platform.operate(method, path, body, ip))
+            return replies[-1][0] != 503
+
+        platform.wait(is_answered)
+        assert replies[-1][0] == status
+        return json.loads(replies[-1][2])
+
+    for ip in IPS:
+        answer(200, "POST", start, order, ip)
+    for ip in IPS:
+        assert answer(200, "GET", read, ip=ip) == {"state": "running", "to": "v9"}
+    answer(409, "POST", start, order | {"to": "v8"})
+
+
 def test_log_lines_state_request_and_outcome(platform):
     """Guards against failures that cannot be explained from the log."""
     platform.request("/lookup/x", "r-logged", method="GET")
