Record the entry formats of the members in the log

A leader that is elected after all members restarted cannot ask a member that was lost before. If the loss tolerance keeps that member in the group, the first order for a rollout would be refused for good.

The leader records what members state as a field of HeartbeatEntry, which builds before ignore; this replaces the field of the peer records. The members view shows the format.

--- a/papayacrank/consensus/_formats.py
+++ b/papayacrank/consensus/_formats.py
@@ -1,7 +1,9 @@
 """Formats of entries that the members of the group read."""
 
-# A member that has not stated its format to this process, and whose format no leader
-# has passed on. Builds that state none read format 0.
+from collections.abc import Mapping
+
+# Format of a member that has stated none to this process, or to a leader that has
+# recorded it. In messages of builds that state none, the format is 0.
 UNKNOWN_FORMAT = -1
 MAX_STATED_FORMATS = 64
 
@@ -45,13 +47,17 @@
         return self._stated.get(identity, UNKNOWN_FORMAT)
 
     def state(self, identity: str, entry_format: int) -> None:
-        """Store a statement; `UNKNOWN_FORMAT` is ignored.
+        """Store a statement of a process.
 
         Above `MAX_STATED_FORMATS`, the least recently updated ones are evicted.
         """
-        if entry_format == UNKNOWN_FORMAT:
-            return
         self._stated.pop(identity, None)
         self._stated[identity] = entry_format
         while len(self._stated) > MAX_STATED_FORMATS:
             del self._stated[next(iter(self._stated))]
+
+    def learn(self, recorded: Mapping[str, int]) -> None:
+        """Store the recorded formats of processes that have stated none themselves."""
+        for identity, entry_format in recorded.items():
+            if self.find(identity) == UNKNOWN_FORMAT:
+                self.state(identity, entry_format)
--- a/papayacrank/consensus/_messages.py
+++ b/papayacrank/consensus/_messages.py
@@ -6,8 +6,6 @@
 
 import msgspec
 
-from ._formats import UNKNOWN_FORMAT
-
 KIND_NO_OP = 0
 KIND_DATA = 1
 KIND_MEMBERSHIP = 2
@@ -275,19 +273,11 @@
 
 
 class PeerRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Highest term and match index that a member has acknowledged.
-
-    Attributes
-    ----------
-    entry_format : int
-        Highest format of entries that the member reads; `UNKNOWN_FORMAT` if the sender
-        does not know it.
-    """
+    """Highest term and match index that a member has acknowledged."""
 
     identity: str
     term: int
     match_index: int
-    entry_format: int = UNKNOWN_FORMAT
 
 
 class AppendRequest(_Message, frozen=True, tag="ra"):
--- a/papayacrank/consensus/_node.py
+++ b/papayacrank/consensus/_node.py
@@ -1,6 +1,6 @@
 """Raft state machine of a member of the replicated log."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from random import Random
 from typing import Any
 
@@ -10,6 +10,7 @@
 
 from ._core import ELECTION_TIMER, HEARTBEAT_TIMER, QUERY_TIMER, Role
 from ._election import Election
+from ._formats import UNKNOWN_FORMAT
 from ._member_changes import MemberChange, refuse
 from ._membership import MembershipControl
 from ._messages import (
@@ -306,6 +307,16 @@
         self._now_ms = max(self._now_ms, now_ms)
         return self._change_member(change)
 
+    @property
+    def stated_formats(self) -> dict[str, int]:
+        """Highest formats that the members read, by identity, without unknown ones."""
+        found = {m.identity: self._formats.find(m.identity) for m in self._members}
+        return {name: fmt for name, fmt in found.items() if fmt != UNKNOWN_FORMAT}
+
+    def learn_formats(self, recorded: Mapping[str, int]) -> None:
+        """Use formats recorded in the state for members that have stated none."""
+        self._formats.learn(recorded)
+
     def list_not_reading(self, entry_format: int, now_ms: int) -> list[str]:
         """Return the members that are not known to read a format of entries.
 
--- a/papayacrank/consensus/_replication.py
+++ b/papayacrank/consensus/_replication.py
@@ -1,6 +1,5 @@
 """Log replication, leader lease, check-quorum and snapshot transfer."""
 
-import msgspec
 import xxhash
 
 from ._core import HEARTBEAT_TIMER, NodeCore, Role
@@ -131,13 +130,7 @@
             return ()
         progress.records_sent_ms = self._now_ms
         known = (self._peer_records.get(m.identity) for m in self._members)
-        return tuple(
-            msgspec.structs.replace(
-                record, entry_format=self._formats.find(record.identity)
-            )
-            for record in known
-            if record is not None
-        )
+        return tuple(record for record in known if record is not None)
 
     def _replicate(self) -> None:
         """Send new entries to every member that is ready to receive them."""
@@ -285,7 +278,6 @@
             return
         for record in request.records:
             self._update_peer_record(record)
-            self._formats.state(record.identity, record.entry_format)
         if self._lost_acknowledged_entries(request.records):
             self._discard_identity("the leader recorded a later acknowledgement")
             return
--- a/papayacrank/consensus/tests/test_formats.py
+++ b/papayacrank/consensus/tests/test_formats.py
@@ -9,16 +9,13 @@
 from papayacrank.consensus._messages import (
     _WIRE_NAMES,
     AppendReply,
-    AppendRequest,
-    Entry,
     JoinRequest,
-    Membership,
-    StatusReply,
 )
 from papayacrank.consensus.tests._simulation import Cluster
 
 NEW = 1
-LOST_LIMIT_MS = 2_500  # below the 3,000 ms after which a silent voter is removed
+# Below the 3,000 ms after which a silent voter is removed.
+LOST_LIMIT_MS = 2_000
 
 
 class OldMessage(
@@ -27,29 +24,6 @@
     """Base class of the messages as the build before has declared them."""
 
 
-class OldPeerRecord(msgspec.Struct, frozen=True, array_like=True):
-    """`PeerRecord` of the build before."""
-
-    identity: str
-    term: int
-    match_index: int
-
-
-class OldAppendRequest(OldMessage, frozen=True, tag="ra"):
-    """`AppendRequest` of the build before."""
-
-    group: str
-    term: int
-    identity: str
-    recipient: str
-    previous_index: int
-    previous_term: int
-    commit_index: int
-    sent_ms: int
-    entries: tuple[Entry, ...] = ()
-    records: tuple[OldPeerRecord, ...] = ()
-
-
 class OldAppendReply(OldMessage, frozen=True, tag="rb"):
     """`AppendReply` of the build before."""
 
@@ -62,23 +36,6 @@
     snapshot_offset: int = -1
 
 
-class OldStatusReply(OldMessage, frozen=True, tag="rp"):
-    """`StatusReply` of the build before."""
-
-    identity: str
-    group: str
-    failure_domain: str
-    nonce: int
-    term: int
-    last_index: int
-    last_term: int
-    record: OldPeerRecord
-    leader: str
-    membership: Membership
-    volatile: bool = False
-    known_peers: tuple[str, ...] = ()
-
-
 class OldJoinRequest(OldMessage, frozen=True, tag="rj"):
     """`JoinRequest` of the build before."""
 
@@ -89,9 +46,7 @@
 
 
 OLD_TYPES = {
-    AppendRequest: OldAppendRequest,
     AppendReply: OldAppendReply,
-    StatusReply: OldStatusReply,
     JoinRequest: OldJoinRequest,
 }
 
@@ -183,14 +138,42 @@
 
 
 @pytest.mark.parametrize("seed", range(3))
-def test_lost_leader_delays_no_new_format(seed):
-    """Guards against orders that are refused until a lost member is replaced."""
+def test_recorded_format_of_a_lost_member_counts(seed):
+    """Guards against orders that are refused as long as a lost member is in the group.
+
+    A new leader cannot ask it, and does not remove it before `voter_silence_ms`.
+    """
     cluster = MixedCluster(seed).start()
     cluster.settle()
     lost = cluster.lease_holder()
+    recorded = lost.node.stated_formats
+    assert set(recorded.values()) == {NEW}
     lost.crash()
-    cluster.run_until(lambda: cluster.missing() == [], LOST_LIMIT_MS)
-    assert lost.name in {member.name for member in cluster.members()}
+    cluster.run_until(lambda: cluster.missing() == [lost.name], LOST_LIMIT_MS)
+    cluster.run(cluster.lease_holder().settings.election_timeout_ms)
+    assert cluster.missing() == [lost.name]
+    cluster.lease_holder().node.learn_formats(recorded)
+    assert cluster.missing() == []
+    assert len(cluster.members()) == len(cluster.hosts)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_recorded_format_does_not_hide_a_fall_back(seed):
+    """Guards against an entry that a learner gets which restarts during an election."""
+    cluster = MixedCluster(seed).start()
+    cluster.settle()
+    leader = cluster.lease_holder()
+    recorded = leader.node.stated_formats
+    leader.crash()
+    cluster.restart_as("n3", 0)
+    end_ms = cluster.now_ms + LOST_LIMIT_MS
+    while cluster.now_ms < end_ms:
+        cluster.run(20)
+        for host in cluster.hosts.values():
+            if host.node is not None:
+                host.node.learn_formats(recorded)
+        assert "n3" in (cluster.missing() or ["n3"])
+    assert cluster.lease_holder() is not None
 
 
 def test_old_build_does_not_join_once_a_new_format_is_used():
@@ -212,10 +195,10 @@
     """Guards against formats of processes that are gone for good."""
     formats = EntryFormats("own", 1)
     formats.state("a", 1)
-    formats.state("a", -1)
     assert (formats.find("own"), formats.find("a"), formats.find("b")) == (1, 1, -1)
     formats.state("a", 0)
-    assert formats.find("a") == 0
+    formats.learn({"a": 1, "own": 0, "c": 1})
+    assert [formats.find(name) for name in ("a", "own", "c")] == [0, 1, 1]
     for number in range(MAX_STATED_FORMATS):
         formats.state(f"m{number}", 1)
     assert formats.find("a") == -1
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -85,6 +85,8 @@
 # Shortest interval between two rounds of feed messages to waiting entry processes.
 FEED_INTERVAL_MS = 5
 MAX_QUEUED_HEARTBEATS = 2_000
+# Shortest interval between two records of the formats of the members.
+FORMATS_INTERVAL_MS = 500
 # Code of the failure if not all members read an entry.
 FORMAT_NOT_READ = "format_not_read"
 # Members state their format with each heartbeat, learners with every fifth.
@@ -157,6 +159,7 @@
         self._internal_request_count = 0
         self._queued_heartbeats: dict[str, Heartbeat] = {}
         self._snapshot_index = 0
+        self._formats_proposed_ms = 0
         self._has_proposals = False
         self._stopping = False
 
@@ -325,6 +328,8 @@
         self._active_term = self._raft.term
         if self._machine.used_format:
             self._raft.require_format(self._machine.used_format)
+        self._raft.learn_formats(self._machine.member_formats)
+        self._formats_proposed_ms = now_ms - FORMATS_INTERVAL_MS
         self._group_time_offset_ms = self._machine.now_ms - now_ms
         self._published_version = self._machine.feed_version
         self._queued_heartbeats.clear()
@@ -375,6 +380,16 @@
         self._raft.require_format(entry_format)
         return None
 
+    def _record_formats(self, now_ms: int) -> None:
+        """Record what members have stated, for leaders that cannot ask a lost one."""
+        stated = self._raft.stated_formats
+        is_due = now_ms - self._formats_proposed_ms >= FORMATS_INTERVAL_MS
+        if not is_due or stated == self._machine.member_formats:
+            return
+        self._formats_proposed_ms = now_ms
+        entry = HeartbeatEntry(*self._entry_times(now_ms), [], stated)
+        self._propose(entry, now_ms)
+
     def _entry_times(self, now_ms: int) -> tuple[int, int]:
         """Return the group time and the wall clock for an entry, in ms."""
         return now_ms + self._group_time_offset_ms, self._wall_clock_ms()
@@ -558,6 +573,7 @@
             return effects
         if self._should_resign():
             return effects + self._advance(self._raft.resign, now_ms=now_ms)
+        self._record_formats(now_ms)
         effects += self._publish_feed(now_ms)
         effects += self._expire_leases(now_ms)
         effects += self._platform_list.poll(now_ms)
--- a/papayacrank/control/_requests.py
+++ b/papayacrank/control/_requests.py
@@ -157,6 +157,7 @@
         return ControlReply(request.request_id, view)
 
     def _members(self) -> list[dict]:
+        formats = self._raft.stated_formats
         return [
             {
                 "name": member.name,
@@ -164,6 +165,7 @@
                 "failure_domain": member.failure_domain,
                 "role": "voter" if member.voter else "learner",
                 "leader": member.name == self._raft.leader,
+                "entry_format": formats.get(member.identity),
             }
             for member in self._raft.members
         ]
--- a/papayacrank/control/tests/test_node.py
+++ b/papayacrank/control/tests/test_node.py
@@ -45,6 +45,7 @@
         self.commit_index = 0
         self.members = (Member("c1", "x", "east", True), Member("c2", "y", "w", False))
         self.wants_snapshot = False
+        self.stated_formats = {}
         self.rejects_proposals = False
         self.max_entry_bytes = 1_000_000
         self.entries = []
@@ -56,6 +57,9 @@
     def start(self, now_ms):
         return []
 
+    def learn_formats(self, recorded):
+        self.stated_formats = dict(recorded) | self.stated_formats
+
     def propose(self, data, now_ms):
         if self.rejects_proposals or not self.is_leader:
             return Error(Failure("not_leader", Verdict.NOT_RUN, "no"))
--- a/papayacrank/control/tests/test_upgrades.py
+++ b/papayacrank/control/tests/test_upgrades.py
@@ -10,6 +10,7 @@
     Done,
     StartRollout,
 )
+from papayacrank.state import StateMachine, find_format
 
 from .test_node import FakeRaft, NodeHarness
 
@@ -63,6 +64,23 @@
     assert len(harness.machine.rollouts.running) == 1
 
 
+def test_statements_are_recorded_in_an_entry_of_an_old_type(harness):
+    """Guards against a new leader that does not know the format of a lost member."""
+    count = len(harness.raft.entries)
+    harness.raft.stated_formats = {"x": 1}
+    harness.advance(1_000)
+    assert len(harness.raft.entries) == count + 1
+    assert find_format(harness.raft.entries[-1]) == 0
+    harness.raft.stated_formats = {"x": 1, "y": 0}
+    harness.advance(1_000)
+    restored = StateMachine()
+    restored.restore(harness.machine.snapshot())
+    assert restored.member_formats == {"x": 1, "y": 0}
+    harness.raft.stated_formats = {}
+    harness.change_leader()
+    assert harness.raft.stated_formats == {"x": 1, "y": 0}
+
+
 def test_repeats_and_refusals_stay_out_of_the_log(harness):
     """Guards against a refused order that makes a fall back impossible."""
     count = len(harness.raft.entries)
--- a/papayacrank/state/_entries.py
+++ b/papayacrank/state/_entries.py
@@ -42,12 +42,21 @@
     request: ControlRequest
 
 
-class HeartbeatEntry(msgspec.Struct, tag=True, frozen=True):
-    """Batch of heartbeats that change the state."""
+class HeartbeatEntry(msgspec.Struct, tag=True, frozen=True, omit_defaults=True):
+    """Batch of heartbeats that change the state.
+
+    Attributes
+    ----------
+    member_formats : dict of str to int
+        Highest format of entries that each member of the control group reads, by
+        identity; empty if it has not changed. It is a field of this entry because older
+        builds read the entry, ignore the field and do nothing without heartbeats.
+    """
 
     at_ms: int
     wall_ms: int
     heartbeats: list[Heartbeat]
+    member_formats: dict[str, int] = {}
 
 
 class ExpireEntry(msgspec.Struct, tag=True, frozen=True):
--- a/papayacrank/state/_machine.py
+++ b/papayacrank/state/_machine.py
@@ -1,6 +1,7 @@
 """Deterministic replicated state machine of the control group."""
 
 import json
+from collections.abc import Mapping
 
 import msgspec
 
@@ -109,6 +110,7 @@
     weights: WeightsDump = msgspec.field(default_factory=WeightsDump)
     releases: ReleasesDump = msgspec.field(default_factory=ReleasesDump)
     rollouts: RolloutsDump = msgspec.field(default_factory=RolloutsDump)
+    member_formats: dict[str, int] = {}
 
 
 class StateMachine:
@@ -137,6 +139,7 @@
         self._rollouts = RolloutTable()
         self._ledger = BudgetLedger()
         self._used_format = 0
+        self._member_formats: dict[str, int] = {}
 
     @property
     def applied_index(self) -> int:
@@ -148,6 +151,11 @@
         """Highest format of the entries applied and the snapshot restored."""
         return self._used_format
 
+    @property
+    def member_formats(self) -> Mapping[str, int]:
+        """Formats of entries that the members read, by identity, as last recorded."""
+        return self._member_formats
+
     @property
     def now_ms(self) -> int:
         """Group time of the last applied entry, in milliseconds."""
@@ -250,6 +258,7 @@
             return self._apply_request(entry.request, entry.wall_ms)
         if isinstance(entry, HeartbeatEntry):
             self._apply_heartbeats(entry.heartbeats)
+            self._member_formats = entry.member_formats or self._member_formats
         elif isinstance(entry, ExpireEntry):
             self._apply_expiry(entry)
         elif isinstance(entry, LeaderEntry):
@@ -329,6 +338,7 @@
                 self._applied_index,
                 self._now_ms,
                 ledger=ledger,
+                member_formats=self._member_formats,
                 **tables,
             )
         )
@@ -360,6 +370,7 @@
                 f" {newest}"
             )
         self._used_format = snapshot.format - SNAPSHOT_FORMAT
+        self._member_formats = snapshot.member_formats
         self._applied_index = snapshot.applied_index
         self._now_ms = snapshot.now_ms
         for name, table in self._tables().items():
