--- a/papayacrank/control/tests/test_upgrades.py
+++ b/papayacrank/control/tests/test_upgrades.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from papayacrank.consensus import EmitEvent
 from papayacrank.messages import (
     ROLLED_BACK,
     ChangeReleases,
@@ -104,3 +105,16 @@
     assert harness.raft.required_format == 1
     assert send(harness, "r2", ConcludeRollout(1, ROLLED_BACK)).result == Done()
     assert harness.machine.rollouts.running == []
+
+
+def test_orders_and_verdicts_are_logged(harness):
+    """Guards against a rollout whose end cannot be explained from the log."""
+    harness.raft.old_members = []
+    notices = []
+    for command in (ORDER, ConcludeRollout(1, ROLLED_BACK, "slow")):
+        request = ControlRequest(f"log {command}", "admin", 1, command)
+        effects = harness.node.receive("admin", request, harness.now_ms)
+        notices += [e for e in effects + harness.flush() if isinstance(e, EmitEvent)]
+    assert [n.event.name for n in notices] == ["rollout_ordered", "rollout_concluded"]
+    assert notices[0].fields["release"] == "v2"
+    assert (notices[1].fields["rollout"], notices[1].fields["reason"]) == (1, "slow")
