--- a/papayacrank/control/_requests.py
+++ b/papayacrank/control/_requests.py
@@ -2,10 +2,13 @@
 
 import json
 
+import msgspec
+
 from papayacrank.consensus import EmitEvent, RaftNode, Replace
 from papayacrank.kernel import Send, Verdict
 from papayacrank.messages import (
     Command,
+    ConcludeRollout,
     ConfigurationFiled,
     ControlReply,
     ControlRequest,
@@ -20,6 +23,7 @@
     ReadState,
     ReplaceMember,
     RoutingFiled,
+    StartRollout,
     StateView,
 )
 from papayacrank.state import StateMachine, check_command
@@ -28,6 +32,8 @@
     COMMAND_FAILED,
     CONFIGURATION_ACCEPTED,
     KEY_CHANGED,
+    ROLLOUT_CONCLUDED,
+    ROLLOUT_ORDERED,
     ROUTING_ACCEPTED,
     WEIGHTS_NAMED,
 )
@@ -91,6 +97,10 @@
             return [
                 Send(sender, ControlReply(request.request_id, RoutingFiled(in_force)))
             ]
+        if isinstance(request.command, StartRollout):
+            answer = self._machine.answer_rollout(request.command)
+            if answer is not None:
+                return [Send(sender, _build_outcome_reply(request.request_id, answer))]
         if request.request_id in self._pending:
             _add_sender(self._pending[request.request_id], sender)
             return []
@@ -147,6 +157,7 @@
         return ControlReply(request.request_id, view)
 
     def _members(self) -> list[dict]:
+        formats = self._raft.stated_formats
         return [
             {
                 "name": member.name,
@@ -154,6 +165,7 @@
                 "failure_domain": member.failure_domain,
                 "role": "voter" if member.voter else "learner",
                 "leader": member.name == self._raft.leader,
+                "entry_format": formats.get(member.identity),
             }
             for member in self._raft.members
         ]
@@ -192,6 +204,14 @@
         return command.new in voters and command.old not in voters
 
 
+def _build_outcome_reply(
+    request_id: str, outcome: Done | FailureRecord
+) -> ControlReply:
+    if isinstance(outcome, FailureRecord):
+        return ControlReply(request_id, failure=outcome)
+    return ControlReply(request_id, outcome)
+
+
 def _is_superseded(command: Command, in_force: int) -> bool:
     """Whether a command would not change the state, whatever its document."""
     return (
@@ -216,6 +236,11 @@
     if isinstance(command, NameWeights) and reply.failure is None:
         fields = {"model": command.model, "version": command.version}
         return [EmitEvent(WEIGHTS_NAMED, fields)]
+    if isinstance(command, StartRollout) and reply.failure is None:
+        return [EmitEvent(ROLLOUT_ORDERED, msgspec.structs.asdict(command))]
+    if isinstance(command, ConcludeRollout) and reply.failure is None:
+        fields = {"state": command.state, "reason": command.reason}
+        return [EmitEvent(ROLLOUT_CONCLUDED, {"rollout": command.number} | fields)]
     if isinstance(reply.result, KeyChanged):
         change = "granted" if isinstance(command, GrantKey) else "withdrawn"
         fields = {"key_id": command.key_id, "operator": command.operator}
--- a/papayacrank/state/_machine.py
+++ b/papayacrank/state/_machine.py
@@ -1,6 +1,7 @@
 """Deterministic replicated state machine of the control group."""
 
 import json
+from collections.abc import Mapping
 
 import msgspec
 
@@ -12,6 +13,7 @@
     ActionRecord,
     BeginAction,
     ChangeReleases,
+    ConcludeRollout,
     ConfigurationFiled,
     ConfirmOrder,
     ControlReply,
@@ -37,6 +39,7 @@
     RoutingFiled,
     SetInstanceState,
     ShareGrant,
+    StartRollout,
     StateView,
     TargetsChange,
     WithdrawKey,
@@ -46,12 +49,15 @@
 from ._base import Table, refuse
 from ._configuration import ConfigurationDump, ConfigurationTable
 from ._entries import (
+    ENTRY_FORMAT,
+    FORMAT_BY_TYPE,
     CommandEntry,
     ExpireEntry,
     HeartbeatEntry,
     LeaderEntry,
     OrderEntry,
     decode_entry,
+    find_format,
 )
 from ._feed import FeedDump, FeedHistory
 from ._instances import InstancesDump, InstanceTable
@@ -59,11 +65,13 @@
 from ._orders import OrdersDump, OrderTable
 from ._outcomes import OutcomesDump, RequestOutcomes
 from ._releases import ReleasesDump, ReleaseTable
+from ._rollouts import RolloutsDump, RolloutTable
 from ._routing import RoutingDump, RoutingTable, WeightsDump, WeightsTable
 from ._targets import TargetsDump, TargetTable
 from ._usage import UsageDump, UsageTable
 from ._views import read_view
 
+# Number in snapshots of format 0. Builds before the formats read only this number.
 SNAPSHOT_FORMAT = 1
 # Messages between processes are limited to 8 MiB.
 MAX_VIEW_BYTES = 7 * 1024 * 1024
@@ -75,6 +83,8 @@
     WithdrawKey,
     SetInstanceState,
     PlaceOrder,
+    StartRollout,
+    ConcludeRollout,
 )
 
 
@@ -99,6 +109,8 @@
     routing: RoutingDump = msgspec.field(default_factory=RoutingDump)
     weights: WeightsDump = msgspec.field(default_factory=WeightsDump)
     releases: ReleasesDump = msgspec.field(default_factory=ReleasesDump)
+    rollouts: RolloutsDump = msgspec.field(default_factory=RolloutsDump)
+    member_formats: dict[str, int] = {}
 
 
 class StateMachine:
@@ -124,13 +136,26 @@
         self._routing = RoutingTable()
         self._weights = WeightsTable()
         self._releases = ReleaseTable()
+        self._rollouts = RolloutTable()
         self._ledger = BudgetLedger()
+        self._used_format = 0
+        self._member_formats: dict[str, int] = {}
 
     @property
     def applied_index(self) -> int:
         """Log index of the last applied entry."""
         return self._applied_index
 
+    @property
+    def used_format(self) -> int:
+        """Highest format of the entries applied and the snapshot restored."""
+        return self._used_format
+
+    @property
+    def member_formats(self) -> Mapping[str, int]:
+        """Formats of entries that the members read, by identity, as last recorded."""
+        return self._member_formats
+
     @property
     def now_ms(self) -> int:
         """Group time of the last applied entry, in milliseconds."""
@@ -161,6 +186,11 @@
         """Releases of targets and the streams that they began."""
         return self._releases
 
+    @property
+    def rollouts(self) -> RolloutTable:
+        """Rollouts of releases."""
+        return self._rollouts
+
     @property
     def keys(self) -> KeyTable:
         """Live and withdrawn keys."""
@@ -223,10 +253,12 @@
             return None
         entry = decode_entry(data)
         self._now_ms = max(self._now_ms, entry.at_ms)
+        self._used_format = max(self._used_format, find_format(entry))
         if isinstance(entry, CommandEntry):
             return self._apply_request(entry.request, entry.wall_ms)
         if isinstance(entry, HeartbeatEntry):
             self._apply_heartbeats(entry.heartbeats)
+            self._member_formats = entry.member_formats or self._member_formats
         elif isinstance(entry, ExpireEntry):
             self._apply_expiry(entry)
         elif isinstance(entry, LeaderEntry):
@@ -239,6 +271,14 @@
         """Return the first outcome of a request id, None if it is not stored."""
         return self._outcomes.find(request_id)
 
+    def answer_rollout(self, command: StartRollout) -> Done | FailureRecord | None:
+        """Return the answer to an order that needs no entry, None if it needs one.
+
+        Repeats and refusals stay out of the log, where they would bind the members to
+        the format of the command.
+        """
+        return self._rollouts.find_answer(command, *self._rollout_context(command))
+
     def grants(self, instance: str, boot: int) -> list[ShareGrant]:
         """Return the total tokens granted to a process, by workspace."""
         row = self._instances.find(instance, boot)
@@ -294,10 +334,11 @@
         ledger = msgspec.msgpack.encode(self._ledger.snapshot())
         return msgspec.msgpack.encode(
             _Snapshot(
-                SNAPSHOT_FORMAT,
+                SNAPSHOT_FORMAT + self._find_table_format(),
                 self._applied_index,
                 self._now_ms,
                 ledger=ledger,
+                member_formats=self._member_formats,
                 **tables,
             )
         )
@@ -322,10 +363,14 @@
             snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
         except msgspec.DecodeError as error:
             raise SnapshotError(str(error)) from error
-        if snapshot.format != SNAPSHOT_FORMAT:
+        newest = SNAPSHOT_FORMAT + ENTRY_FORMAT
+        if not SNAPSHOT_FORMAT <= snapshot.format <= newest:
             raise SnapshotError(
-                f"snapshot has format {snapshot.format}; expected {SNAPSHOT_FORMAT}"
+                f"snapshot has format {snapshot.format}; expected {SNAPSHOT_FORMAT} to"
+                f" {newest}"
             )
+        self._used_format = snapshot.format - SNAPSHOT_FORMAT
+        self._member_formats = snapshot.member_formats
         self._applied_index = snapshot.applied_index
         self._now_ms = snapshot.now_ms
         for name, table in self._tables().items():
@@ -334,6 +379,14 @@
         self._published_instances = self._addresses_by_instance()
         self._ledger.restore(msgspec.msgpack.decode(snapshot.ledger))
 
+    def _find_table_format(self) -> int:
+        """Return the format that a process must read to keep the content of all tables.
+
+        A build that lacks a table would drop its content silently, so the number makes
+        it refuse the snapshot once the table is in use.
+        """
+        return FORMAT_BY_TYPE[StartRollout] if len(self._rollouts) else 0
+
     def _tables(self) -> dict[str, Table]:
         return {
             "outcomes": self._outcomes,
@@ -348,6 +401,7 @@
             "routing": self._routing,
             "weights": self._weights,
             "releases": self._releases,
+            "rollouts": self._rollouts,
         }
 
     def _apply_request(self, request: ControlRequest, wall_ms: int) -> ControlReply:
@@ -431,6 +485,10 @@
                 return self._releases.change(command)
             case RecordStreams():
                 return self._releases.record(command, self._now_ms)
+            case StartRollout():
+                return self._start_rollout(command)
+            case ConcludeRollout():
+                return self._rollouts.conclude(command)
         return refuse("invalid_command", "the command does not change the state", 400)
 
     def _replace_configuration(
@@ -470,6 +528,24 @@
             self._feed.add(self._weights.change())
         return outcome
 
+    def _start_rollout(self, command: StartRollout) -> Done | FailureRecord:
+        return self._rollouts.start(command, *self._rollout_context(command))
+
+    def _rollout_context(
+        self, command: StartRollout
+    ) -> tuple[list[str], set[str], int]:
+        """Return the releases of the service, the known services and the time."""
+        releases = self._releases.possible.get(command.service, [])
+        return releases, self._list_services(), self._now_ms
+
+    def _list_services(self) -> set[str]:
+        routing = self._routing.configuration
+        services = {service.name for service in routing.services} if routing else set()
+        if self._configuration.document:
+            configuration = parse_configuration(self._configuration.document)
+            services |= {service.name for service in configuration.services}
+        return services
+
     def _grant_key(self, command: GrantKey, wall_ms: int) -> KeyChanged | FailureRecord:
         if not self._configuration.has_workspace(command.workspace):
             return refuse("unknown_workspace", f"no workspace {command.workspace}", 404)
