Grant whole needs in order, and refuse at once what cannot be granted

Cause: a request beyond its workspace's shares waited 250 ms also when the ledger had nothing left, and Retry-After was the same for all. An instance without the ledger admitted one request of any size, which broke the rate over all instances when the leader froze.

Change: the ledger meets whole needs in the order of claims and names the backlog in its replies; instances forecast from it whether to wait; refused requests get times of their own; requests larger than the level of an instance without the ledger are admitted with the probability that keeps its part.

--- a/papayacrank/admission/_ledger.py
+++ b/papayacrank/admission/_ledger.py
@@ -9,6 +9,10 @@
 # that it does not empty the bucket for requests that arrive elsewhere.
 EXPECTED_DEMAND_DIVISOR = 2
 SCARCITY_DURATION_MS = 1_000
+# An instance with a queued request reports every 20 ms, and its report takes up to
+# 100 ms. A claim that is not renewed for longer belongs to a request that was refused,
+# or to an instance that is frozen or cut off.
+CLAIM_LIFETIME_MS = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +42,15 @@
     unneeded: int = 0
 
 
+@dataclass(slots=True)
+class _Claim:
+    """Tokens that the first queued request at an instance still lacks."""
+
+    tokens: int
+    since_ms: int
+    renewed_ms: int
+
+
 @dataclass(slots=True)
 class _Bucket:
     """Token bucket of a workspace.
@@ -57,8 +70,50 @@
     unneeded: int = 0
     scarce_until_ms: int = 0
 
+    # Claims in the order in which they are met.
+    claims: dict[str, _Claim] = field(default_factory=dict)
+
+    def claim(self, key: str, tokens: int, now_ms: int) -> None:
+        """Record or renew the claim of an account, which keeps its place."""
+        known = self.claims.get(key)
+        if known is None:
+            self.claims[key] = _Claim(tokens, now_ms, now_ms)
+        else:
+            known.tokens, known.renewed_ms = tokens, now_ms
+
+    def expire_claims(self, now_ms: int) -> None:
+        """Remove the claims that were not renewed."""
+        oldest_ms = now_ms - CLAIM_LIFETIME_MS
+        for key in [k for k, c in self.claims.items() if c.renewed_ms < oldest_ms]:
+            del self.claims[key]
+
+    def claimed_before(self, key: str) -> int:
+        """Return the tokens of the claims before that of an account, or of all."""
+        tokens = 0
+        for other, claim in self.claims.items():
+            if other == key:
+                break
+            tokens += claim.tokens
+        return tokens
+
+    def backlog(self, key: str, now_ms: int) -> int:
+        """Return the tokens that must be refilled until a claim of an account is met.
+
+        Negative if tokens are free beyond the claims.
+        """
+        oldest_ms = now_ms - CLAIM_LIFETIME_MS
+        claimed = 0
+        for other, claim in self.claims.items():
+            if claim.renewed_ms >= oldest_ms:
+                claimed += claim.tokens
+            if other == key:
+                break
+        refilled = self.rate * max(0, now_ms - self.refilled_ms)
+        return claimed - (self.level_millitokens + refilled) // MILLITOKENS_PER_TOKEN
+
     def remove_account(self, key: str) -> None:
         """Remove an account and subtract it from the sums; unknown keys are ignored."""
+        self.claims.pop(key, None)
         account = self.accounts.pop(key, None)
         if account is not None:
             self.outstanding -= account.outstanding
@@ -144,8 +199,10 @@
             if bucket is None:
                 continue
             bucket.refill(now_ms)
-            account = self._apply_report(bucket, _account_key(instance, boot), report)
-            self._grant(bucket, account, report, now_ms)
+            key = _account_key(instance, boot)
+            account = self._apply_report(bucket, key, report)
+            bucket.expire_claims(now_ms)
+            self._grant(bucket, key, account, report, now_ms)
             grants.append(ShareGrant(report.workspace, account.granted))
         return grants
 
@@ -171,6 +228,9 @@
             grant.granted_tokens,
             scarce=True,
             reclaiming=bucket.unneeded > own_unneeded,
+            reclaimable_tokens=max(0, bucket.unneeded - own_unneeded),
+            backlog_tokens=bucket.backlog(key, now_ms),
+            rate_per_s=bucket.rate,
         )
 
     def expire(self, instance: str, boot: int, now_ms: int) -> None:
@@ -184,9 +244,13 @@
             bucket.remove_account(_account_key(instance, boot))
 
     def reset_refill_clock(self, now_ms: int) -> None:
-        """Continue on the clock of a new leader, without a refill for the gap."""
+        """Continue on the clock of a new leader, without a refill for the gap.
+
+        Claims are made anew, since their instances report every 20 ms.
+        """
         for bucket in self._buckets.values():
             bucket.refilled_ms = now_ms
+            bucket.claims.clear()
 
     def view(self) -> list[dict]:
         """Return the buckets for display to operators."""
@@ -205,15 +269,32 @@
         ]
 
     def snapshot(self) -> dict:
-        """Return the state as plain data."""
-        return {name: asdict(bucket) for name, bucket in self._buckets.items()}
+        """Return the state without the claims as plain data.
 
-    def restore(self, state: dict) -> None:
-        """Replace the state by a result of `snapshot`."""
+        Builds without claims reject unknown fields of a bucket, so that the claims are
+        apart.
+        """
+        state = {name: asdict(bucket) for name, bucket in self._buckets.items()}
+        for bucket in state.values():
+            del bucket["claims"]
+        return state
+
+    def snapshot_claims(self) -> dict:
+        """Return the claims by workspace as plain data."""
+        return {
+            name: {key: asdict(claim) for key, claim in bucket.claims.items()}
+            for name, bucket in self._buckets.items()
+            if bucket.claims
+        }
+
+    def restore(self, state: dict, claims: dict | None = None) -> None:
+        """Replace the state by results of `snapshot` and `snapshot_claims`."""
         self._buckets = {}
         for name, data in state.items():
             accounts = {k: _Account(**a) for k, a in data["accounts"].items()}
             self._buckets[name] = _Bucket(**(data | {"accounts": accounts}))
+        for name, rows in (claims or {}).items():
+            self._buckets[name].claims = {k: _Claim(**c) for k, c in rows.items()}
 
     def _configure_workspace(self, limits: WorkspaceBudget, now_ms: int) -> None:
         bucket = self._buckets.get(limits.name)
@@ -241,7 +322,9 @@
             bucket.accounts[key] = account
         if report.spent_tokens < account.spent:
             return account
-        undelivered = max(0, account.granted - report.granted_tokens)
+        # A leader of another build may have granted more than this one knows of.
+        account.granted = max(account.granted, report.granted_tokens)
+        undelivered = account.granted - report.granted_tokens
         outstanding = report.held_tokens + report.reserved_tokens + undelivered
         spent = report.spent_tokens - account.spent
         returned = account.outstanding - spent - outstanding
@@ -253,24 +336,42 @@
 
     @staticmethod
     def _grant(
-        bucket: _Bucket, account: _Account, report: ShareReport, now_ms: int
+        bucket: _Bucket, key: str, account: _Account, report: ShareReport, now_ms: int
     ) -> None:
         """Grant the need of queued requests, then part of the expected demand.
 
-        Needs are met in the order of the reports. If scarce tokens were divided among
-        the instances, each would have less than one request needs.
+        The first requests of the instances get their whole need in the order in which
+        the ledger learned of them. Parts of a need would lie unused at many instances,
+        and no large request would ever get enough beside small ones.
         """
         available = max(0, bucket.level_millitokens // MILLITOKENS_PER_TOKEN)
         undelivered = max(0, account.granted - report.granted_tokens)
         held = report.held_tokens + undelivered
         deficit = max(0, report.queued_tokens - held)
-        needed = min(available, deficit)
+        free = max(0, available - bucket.claimed_before(key))
+        lack = min(deficit, max(0, report.next_tokens - held))
+        if report.next_tokens == 0:
+            needed = min(free, deficit)
+        elif deficit <= free:
+            needed = deficit
+        elif lack <= free:
+            needed = lack
+        else:
+            needed = 0
         if needed < deficit:
             bucket.scarce_until_ms = now_ms + SCARCITY_DURATION_MS
+        if lack > 0 and needed < lack:
+            bucket.claim(key, lack, now_ms)
+        else:
+            bucket.claims.pop(key, None)
+        free = max(0, available - needed - bucket.claimed_before(""))
         wanted = max(0, report.wanted_tokens - held - needed)
         unneeded = max(0, held - report.queued_tokens)
-        free = available - needed + unneeded
-        expected = min(wanted, max(0, free // EXPECTED_DEMAND_DIVISOR - unneeded))
+        expected = min(
+            wanted,
+            free,
+            max(0, (free + unneeded) // EXPECTED_DEMAND_DIVISOR - unneeded),
+        )
         bucket.set_unneeded(account, unneeded + expected)
         granted = needed + expected
         account.granted += granted
--- a/papayacrank/admission/_shares.py
+++ b/papayacrank/admission/_shares.py
@@ -11,10 +11,37 @@
 # request is refused in between.
 RECLAIM_GRACE_MS = 300
 MIN_REPORT_INTERVAL_MS = 20
+# Replies arrive every 500 ms; what an older one said of the backlog has changed.
+MAX_OUTLOOK_AGE_MS = 600
 MAX_IDLE_REPORTS = 10  # idle shares are reported repeatedly, since reports can be lost
 MS_PER_SECOND = 1000
 
 
+@dataclass(frozen=True, slots=True)
+class RefillOutlook:
+    """When the ledger can meet a need for tokens, by its last reply.
+
+    Parameters
+    ----------
+    backlog_tokens : float
+        Tokens to be refilled before the first queued request is served, or before
+        another request gets tokens if none is queued; negative if tokens are free.
+    reclaimable_tokens : int
+        Unused tokens that other instances will return.
+    rate_per_s : int
+        Rate of the refill in tokens per second.
+    """
+
+    backlog_tokens: float
+    reclaimable_tokens: int
+    rate_per_s: int
+
+    def wait_ms(self, tokens: int) -> float:
+        """Return how long it takes until tokens behind the backlog are refilled."""
+        missing = self.backlog_tokens + tokens
+        return max(0.0, missing * MS_PER_SECOND / self.rate_per_s)
+
+
 @dataclass(slots=True)
 class _Share:
     """Share of the budget of one workspace at this instance, in tokens."""
@@ -24,12 +51,15 @@
     spent: int = 0
     granted: int = 0
     queued: int = 0
+    next_tokens: int = 0
     demand_per_s: float = 0.0
     demand_updated_ms: int = 0
     last_used_ms: int = 0
     idle_reports: int = 0
     scarce: bool = False
     reclaiming_until_ms: int = 0
+    told: RefillOutlook | None = None
+    told_ms: int = 0
 
     @property
     def surplus(self) -> int:
@@ -116,6 +146,45 @@
             share.scarce = grant.scarce
             if grant.reclaiming:
                 share.reclaiming_until_ms = sent_ms + RECLAIM_GRACE_MS
+            if sent_ms >= share.told_ms:
+                share.told_ms = sent_ms
+                share.told = _read_outlook(grant)
+
+    def outlook(self, workspace: str, now_ms: int) -> RefillOutlook | None:
+        """Return when the ledger can meet needs for tokens.
+
+        Returns
+        -------
+        RefillOutlook or None
+            None unless a recent reply said that tokens are scarce.
+        """
+        share = self._shares.get(workspace)
+        if share is None or share.told is None:
+            return None
+        age_ms = now_ms - share.told_ms
+        if age_ms > MAX_OUTLOOK_AGE_MS:
+            return None
+        told = share.told
+        refilled = told.rate_per_s * age_ms / MS_PER_SECOND
+        backlog = told.backlog_tokens - refilled
+        return RefillOutlook(backlog, told.reclaimable_tokens, told.rate_per_s)
+
+    def held(self, workspace: str) -> int:
+        """Return the tokens that are neither reserved nor spent."""
+        share = self._shares.get(workspace)
+        return share.held if share is not None else 0
+
+    def surplus(self, workspace: str) -> int:
+        """Return the tokens held beyond the need of the queued requests."""
+        share = self._shares.get(workspace)
+        return share.surplus if share is not None else 0
+
+    def admitted_per_s(self, workspace: str, now_ms: int) -> float:
+        """Return the moving average of the tokens reserved in a second."""
+        share = self._shares.get(workspace)
+        if share is None:
+            return 0.0
+        return self._predict_demand(share, now_ms) * MS_PER_SECOND / DEMAND_HORIZON_MS
 
     def is_reclaiming(self, workspace: str, now_ms: int) -> bool:
         """Whether other instances are returning tokens or have just done so."""
@@ -204,9 +273,21 @@
         share.spent += remaining
         share.held += reservation.tokens - remaining
 
-    def set_queued(self, workspace: str, tokens: int) -> None:
-        """Set the tokens needed by the queued requests of a workspace."""
-        self._shares.setdefault(workspace, _Share()).queued = tokens
+    def set_queued(self, workspace: str, tokens: int, next_tokens: int = 0) -> None:
+        """Set the tokens needed by the queued requests of a workspace.
+
+        Parameters
+        ----------
+        workspace : str
+            Workspace.
+        tokens : int
+            Tokens that all its queued requests need.
+        next_tokens : int
+            Tokens that the first of them needs; 0 if they may be granted in parts.
+        """
+        share = self._shares.setdefault(workspace, _Share())
+        share.queued = tokens
+        share.next_tokens = next_tokens
 
     def reports(self, now_ms: int) -> list[ShareReport]:
         """Return the reports for the next heartbeat, which give back idle tokens."""
@@ -244,6 +325,7 @@
             wanted_tokens=wanted,
             granted_tokens=share.granted,
             queued_tokens=share.queued,
+            next_tokens=share.next_tokens,
         )
 
     def _expire(self, now_ms: int) -> None:
@@ -271,3 +353,12 @@
         elapsed_ms = max(0, now_ms - share.demand_updated_ms)
         decay = max(0.0, 1.0 - elapsed_ms / DEMAND_HORIZON_MS)
         return int(share.demand_per_s * decay * DEMAND_HORIZON_MS / MS_PER_SECOND)
+
+
+def _read_outlook(grant: ShareGrant) -> RefillOutlook | None:
+    """Return the outlook in a reply; None if it has none or tokens are not scarce."""
+    if not grant.scarce or grant.rate_per_s <= 0:
+        return None
+    return RefillOutlook(
+        grant.backlog_tokens, grant.reclaimable_tokens, grant.rate_per_s
+    )
--- a/papayacrank/admission/tests/test_budget.py
+++ b/papayacrank/admission/tests/test_budget.py
@@ -375,3 +375,70 @@
     full = BURST_TOKENS + RATE_TOKENS_PER_S * 60
     assert serve_long_requests(spend_early=True) > 0.95 * full
     assert serve_long_requests(spend_early=False) < 0.75 * full
+
+
+class Claimants:
+    """Instances with one queued request each, at a ledger without free tokens."""
+
+    def __init__(self):
+        self.ledger = BudgetLedger()
+        self.ledger.configure([WorkspaceBudget("w", 1_000, 1_000)], 0)
+        self.shares = {}
+        self.report("first", 1_000, 0)
+
+    def report(self, name, queued, now_ms):
+        """Report the need of a queued request; return the reply."""
+        shares = self.shares.setdefault(name, LocalShares())
+        shares.set_queued("w", queued, queued)
+        reports = shares.reports(now_ms)
+        grants = self.ledger.apply_reports(name, 1, reports, now_ms)
+        (grant,) = self.ledger.mark_scarcity(name, 1, grants, now_ms)
+        shares.apply_grants([grant], now_ms, LEASE_MS)
+        if queued and shares.try_reserve(f"{name}-{now_ms}", "w", queued, now_ms):
+            shares.set_queued("w", 0)
+            shares.settle(f"{name}-{now_ms}", queued, now_ms)
+        return grant
+
+
+def test_needs_are_granted_whole_and_in_order():
+    """Guards against large needs that smaller ones from elsewhere starve."""
+    group = Claimants()
+    group.report("first", 0, 10)
+    assert group.report("large", 900, 20).granted_tokens == 0
+    for now_ms in range(120, 900, 100):
+        assert group.report("large", 900, now_ms).granted_tokens == 0
+        assert group.report("small", 100, now_ms).granted_tokens == 0
+    assert group.report("small", 100, 920).granted_tokens == 0
+    assert group.report("large", 900, 930).granted_tokens == 900
+    assert group.report("small", 100, 1_010).granted_tokens == 100
+
+
+def test_claim_of_a_frozen_instance_holds_others_up_briefly():
+    """Guards against tokens kept for an instance that does not ask any more."""
+    group = Claimants()
+    group.report("first", 0, 10)
+    group.report("frozen", 900, 20)
+    assert group.report("other", 100, 150).granted_tokens == 0
+    assert group.report("other", 100, 240).granted_tokens == 100
+
+
+def test_reply_names_the_backlog_before_the_claim():
+    """Guards against forecasts that ignore the requests of other instances."""
+    group = Claimants()
+    group.report("first", 0, 0)
+    assert group.report("a", 300, 0).backlog_tokens == 300
+    assert group.report("b", 200, 0).backlog_tokens == 500
+    assert group.report("c", 0, 0).backlog_tokens == 500
+    assert group.report("a", 300, 100).backlog_tokens == 200
+
+
+def test_snapshot_without_claims_is_read_by_older_builds():
+    """Guards against members that fail at fields of a bucket they do not know."""
+    group = Claimants()
+    group.report("first", 0, 0)
+    group.report("a", 300, 0)
+    (bucket,) = group.ledger.snapshot().values()
+    assert "claims" not in bucket
+    restored = BudgetLedger()
+    restored.restore(group.ledger.snapshot(), group.ledger.snapshot_claims())
+    assert restored.snapshot_claims() == group.ledger.snapshot_claims() != {}
--- a/papayacrank/forwarding/_admission.py
+++ b/papayacrank/forwarding/_admission.py
@@ -14,6 +14,7 @@
 from ._gate import RequestGate
 from ._interruptions import RequestInterruptions
 from ._job import Job, deadline_timer, time_limit_ms
+from ._metrics import ForwardingMetrics
 from ._open_requests import RETRY_ELSEWHERE_MS, OpenRequests, build_refusal
 from ._path_port import PathPort
 from ._quota import QuotaDecision, QuotaEnforcer
@@ -49,6 +50,8 @@
         Passes requests on to other instances while it has none.
     retry_budget : RetryBudget
         Budget of retries, which counts the requests of each service.
+    metrics : ForwardingMetrics
+        Metrics of the process.
     clock : Clock
         Clock of `timers`.
     timers : Timers
@@ -69,6 +72,7 @@
         paths: PathPort,
         relay: Relay,
         retry_budget: RetryBudget,
+        metrics: ForwardingMetrics,
         clock: Clock,
         timers: Timers,
         random_state: Random,
@@ -83,6 +87,7 @@
         self._paths = paths
         self._relay = relay
         self._retry_budget = retry_budget
+        self._metrics = metrics
         self._clock = clock
         self._timers = timers
         self._random = random_state
@@ -164,7 +169,9 @@
         if workspace is None:
             self._runner.dispatch(job)
             return
-        decision = self._quota.admit(job.quota_id, workspace.name, job.cost, now_ms)
+        decision = self._quota.admit(
+            job.quota_id, workspace.name, job.cost, now_ms, route.objective_ms
+        )
         if decision is None:
             job.awaits_grant = True
             self.on_quota_wait()
@@ -192,6 +199,8 @@
         text = "the workspace is over its rate"
         retry_after_ms = decision.retry_after_ms
         job.ledger_age_ms = decision.ledger_age_ms
+        job.rate_refusal = decision.reason
+        self._metrics.on_over_rate(job.workspace_name, decision.reason)
         self._requests.fail(job, build_refusal("over_rate", text, 429, retry_after_ms))
 
 
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -165,6 +165,7 @@
             paths,
             relay,
             retry_budget,
+            self._metrics,
             clock,
             timers,
             random_state,
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -138,6 +138,8 @@
     ledger_age_ms : int or None
         Age in milliseconds of the ledger's last reply, if the request was refused by
         its rate.
+    rate_refusal : str or None
+        Why the request was refused by its rate.
     permit_requests : int
         Number of permits requested for the request.
     permit_wait_ms : int
@@ -185,6 +187,7 @@
     first_event_ms: int | None = None
     last_failure: str = ""
     ledger_age_ms: int | None = None
+    rate_refusal: str | None = None
     permit_requests: int = 0
     permit_wait_ms: int = 0
     refused_permits: list[str] = field(default_factory=list)
--- a/papayacrank/forwarding/_metrics.py
+++ b/papayacrank/forwarding/_metrics.py
@@ -5,6 +5,9 @@
 
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0)
 MS_PER_SECOND = 1_000
+# Further workspaces are counted together.
+MAX_LABELLED_WORKSPACES = 64
+OTHER_WORKSPACES = "other"
 
 
 class ForwardingMetrics:
@@ -27,6 +30,13 @@
             ["code"],
             registry=self._registry,
         )
+        self._over_rate = Counter(
+            "papayacrank_forwarding_over_rate",
+            "Requests over the rate of their workspace, by workspace and reason",
+            ["workspace", "reason"],
+            registry=self._registry,
+        )
+        self._labelled_workspaces: set[str] = set()
         self._attempts = Counter(
             "papayacrank_forwarding_attempts_failed",
             "Failed attempts, by service and code",
@@ -108,6 +118,17 @@
         """Count a request that was refused before a service was chosen."""
         self._refused.labels(code).inc()
 
+    def on_over_rate(self, workspace: str, reason: str) -> None:
+        """Count a request that was refused over the rate of its workspace."""
+        self._over_rate.labels(self._label_of(workspace), reason).inc()
+
+    def _label_of(self, workspace: str) -> str:
+        known = self._labelled_workspaces
+        if workspace not in known and len(known) >= MAX_LABELLED_WORKSPACES:
+            return OTHER_WORKSPACES
+        known.add(workspace)
+        return workspace
+
     def on_attempt_failed(self, service: str, code: str) -> None:
         """Count a failed attempt."""
         self._attempts.labels(service, code).inc()
--- a/papayacrank/forwarding/_open_requests.py
+++ b/papayacrank/forwarding/_open_requests.py
@@ -165,6 +165,7 @@
         }
         if job.ledger_age_ms is not None:
             fields["ledger_age_ms"] = job.ledger_age_ms
+            fields["reason"] = job.rate_refusal
         if job.permit_requests:
             fields["permit_wait_ms"] = job.permit_wait_ms
             fields["refused_permits"] = job.refused_permits
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -177,7 +177,7 @@
         install_process_handlers(self)
         self._timers = Timers(self._clock).register(self)
         self._shares = LocalShares()
-        self._quota = QuotaEnforcer(self._shares)
+        self._quota = QuotaEnforcer(self._shares, self._random)
         self._target_port = TargetPort(self._clock, self._timers).register(self)
         self._permits = PermitPort(
             PermitClient(settings.forwarding.instance),
--- a/papayacrank/messages/_requests.py
+++ b/papayacrank/messages/_requests.py
@@ -100,6 +100,8 @@
     queued_tokens : int
         Part of `wanted_tokens` that queued requests need; the rest is predicted
         demand.
+    next_tokens : int
+        Tokens that the first queued request needs; 0 if the sender does not tell.
     """
 
     workspace: str
@@ -109,6 +111,7 @@
     wanted_tokens: int
     granted_tokens: int
     queued_tokens: int = 0
+    next_tokens: int = 0
 
 
 class ShareGrant(msgspec.Struct, frozen=True):
@@ -123,12 +126,23 @@
         returned.
     reclaiming : bool
         Whether other instances hold unused tokens that they will return.
+    backlog_tokens : int
+        Tokens that must be refilled before the next need of the receiver is met: the
+        claims before it and its own, less the free tokens. Negative if tokens are
+        free.
+    reclaimable_tokens : int
+        Unused tokens that other instances will return.
+    rate_per_s : int
+        Rate at which they are refilled; 0 if the sender does not tell the backlog.
     """
 
     workspace: str
     granted_tokens: int
     scarce: bool = False
     reclaiming: bool = False
+    backlog_tokens: int = 0
+    reclaimable_tokens: int = 0
+    rate_per_s: int = 0
 
 
 class Heartbeat(msgspec.Struct, tag=True, frozen=True):
--- a/papayacrank/state/_machine.py
+++ b/papayacrank/state/_machine.py
@@ -99,6 +99,7 @@
     routing: RoutingDump = msgspec.field(default_factory=RoutingDump)
     weights: WeightsDump = msgspec.field(default_factory=WeightsDump)
     releases: ReleasesDump = msgspec.field(default_factory=ReleasesDump)
+    ledger_claims: bytes = b""
 
 
 class StateMachine:
@@ -298,6 +299,7 @@
                 self._applied_index,
                 self._now_ms,
                 ledger=ledger,
+                ledger_claims=msgspec.msgpack.encode(self._ledger.snapshot_claims()),
                 **tables,
             )
         )
@@ -332,7 +334,11 @@
             table.load(getattr(snapshot, name))
         # Each entry publishes its changes, so the feed already covers these instances.
         self._published_instances = self._addresses_by_instance()
-        self._ledger.restore(msgspec.msgpack.decode(snapshot.ledger))
+        claims = snapshot.ledger_claims
+        self._ledger.restore(
+            msgspec.msgpack.decode(snapshot.ledger),
+            msgspec.msgpack.decode(claims) if claims else None,
+        )
 
     def _tables(self) -> dict[str, Table]:
         return {
