Share engines between workspaces by urgency and rate while requests are late

Cause: a request was refused only if the queue of the best engine took its whole objective, so that under overload the queue stayed there and nearly all admitted requests were late, and one workspace at many times its usual delayed all others.

Change: papayacrank/scarcity admits late requests, and those of the same or less urgency beside them, in parts by urgency and rate, with a minimum for each workspace, urgency and size. Idle while no request is late.

--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -13,9 +13,11 @@
     PartLocation,
     PartLocationGroup,
     RoutingConfiguration,
+    ServiceDemand,
     TargetLoad,
 )
 from papayacrank.permits import PermitAllocator
+from papayacrank.scarcity import DemandSums
 
 from ._effects import HttpCall, HttpResult
 from ._events import (
@@ -39,6 +41,8 @@
 # Load reports expire after this time without a newer one from the same process.
 LOAD_LIFETIME_MS = 2_000
 SILENT_LIFETIME_MS = 1_500
+# Demand takes up to 2 kB for each receiver.
+DEMAND_INTERVAL_MS = 1_000
 MAX_PAGES = 200
 # Limit on the new prompt parts forwarded in one message. Further ones are dropped;
 # entry processes learn of them later.
@@ -100,6 +104,8 @@
         self._reports: dict[str, _LoadReport] = {}
         self._silent: dict[str, int] = {}
         self._room = RoomAllocator()
+        self._demand = DemandSums()
+        self._next_demand_ms = 0
         self._total_loads: dict[str, TargetLoad] = {}
         self._last_sent: dict[str, tuple] = {}
         self._has_list = False
@@ -146,6 +152,8 @@
         self._new_pauses = {}
         self._silent.clear()
         self._room.reset()
+        self._demand.reset()
+        self._next_demand_ms = now_ms
         self._total_loads = {}
         self._last_sent.clear()
         self._has_list = False
@@ -285,6 +293,7 @@
             for name, pause_ms in report.paused:
                 self._rollout.pause(name, pause_ms, now_ms)
         self._room.observe(report, now_ms)
+        self._demand.observe(report, now_ms)
         for name in report.silent:
             if name not in self._silent:
                 log_event(TARGET_SILENT, target=name, reported_by=report.instance)
@@ -364,6 +373,7 @@
         )
         parts = self._pop_grouped_parts()
         pauses = self._pop_new_pauses(now_ms)
+        demand = self._pop_demand(now_ms)
         sends = []
         for instance in self._last_sent.keys() - receivers.keys():
             del self._last_sent[instance]
@@ -379,7 +389,8 @@
                 }
             content = (reported, loads, silent, refusal_limited, leases)
             paused = pauses if self._is_local(instance) else []
-            if self._last_sent.get(instance) == content and not parts and not paused:
+            is_new = parts or paused or demand
+            if self._last_sent.get(instance) == content and not is_new:
                 continue
             self._last_sent[instance] = content
             message = FleetLoad(
@@ -391,10 +402,18 @@
                 paused,
                 refusal_limited,
                 leases,
+                demand=demand,
             )
             sends.append(Send(sender, message))
         return sends
 
+    def _pop_demand(self, now_ms: int) -> list[ServiceDemand]:
+        """Return the demand over the fleet if it is due."""
+        if now_ms < self._next_demand_ms:
+            return []
+        self._next_demand_ms = now_ms + DEMAND_INTERVAL_MS
+        return self._demand.rows(now_ms)
+
     def _pop_new_pauses(self, now_ms: int) -> list[tuple[int, int]]:
         """Return and clear the pauses that targets have requested from this process."""
         pauses, self._new_pauses = self._new_pauses, {}
--- a/papayacrank/forwarding/_attempts.py
+++ b/papayacrank/forwarding/_attempts.py
@@ -14,6 +14,7 @@
     PermitPort,
 )
 from papayacrank.quarantine import PartsAdmission
+from papayacrank.scarcity import Candidate, DemandKey, LoadDecision
 from papayacrank.transport import Timers
 
 from ._attempt_builder import AttemptBuilder, urgency_of
@@ -39,6 +40,8 @@
 # Part of the latency objective for which a request may wait for a permit or for room,
 # at targets that limit the rate of requests or of refusals.
 TARGET_WAIT_FRACTION = 0.5
+# Queues change little within a shorter time.
+MIN_OVERLOAD_RETRY_MS = 100
 
 
 class AttemptRunner:
@@ -150,10 +153,10 @@
         )
         if choice is None:
             self._give_up_without_target(job, request, max_wait_ms, now_ms)
-        elif (late_ms := self._forecast_delay_ms(job, choice, remaining_ms)) > 0:
-            job.limited_targets = self._fleet.selection.list_limited(job.service.name)
-            text = "the queue is longer than the request may wait"
-            self._requests.give_up(job, "overloaded", text, late_ms)
+            return
+        decision = self._decide_under_load(job, choice, remaining_ms, now_ms)
+        if decision is not LoadDecision.ADMITTED:
+            self._refuse_under_load(job, decision, remaining_ms)
         elif self._permits.client.rate_of(choice.target.name) is None:
             self.send(job, choice, store, now_ms, remaining_ms)
         else:
@@ -221,19 +224,51 @@
             job, build_refusal("quarantined", text, 503, retry_after_ms)
         )
 
-    def _forecast_delay_ms(self, job: Job, choice: Choice, remaining_ms: int) -> int:
-        """Return by how much a queue is too long for a request, 0 if it is not.
+    def _decide_under_load(
+        self, job: Job, choice: Choice, remaining_ms: int, now_ms: int
+    ) -> LoadDecision:
+        """Decide whether targets that may be behind get a request.
 
-        The queue may take the latency objective and no more than the time left. Without
-        a queue, a long prompt gets as long as it needs.
+        One that may have run, or was admitted before, does not give way to others.
         """
         if job.service.engine is None or job.may_have_run:
-            return 0
+            return LoadDecision.ADMITTED
         wait_ms = self._forecast.wait_ms(
             job.service.name, urgency_of(job), choice.queue_ms
         )
         job.forecast_wait_ms = int(wait_ms)
-        return max(0, int(wait_ms - min(job.route.objective_ms, remaining_ms)))
+        if job.is_load_admitted:
+            is_late = wait_ms > min(job.route.objective_ms, remaining_ms)
+            decision = LoadDecision.TOO_LATE if is_late else LoadDecision.ADMITTED
+        else:
+            candidate = Candidate(
+                DemandKey(job.service.name, job.workspace_name, urgency_of(job)),
+                now_ms - job.arrived_ms,
+                job.route.objective_ms,
+                remaining_ms,
+                wait_ms,
+                choice.expected_ms - choice.queue_ms,
+            )
+            decision = self._fleet.load_admission.decide(candidate, now_ms)
+        job.is_load_admitted = decision is LoadDecision.ADMITTED
+        return decision
+
+    def _refuse_under_load(
+        self, job: Job, decision: LoadDecision, remaining_ms: int
+    ) -> None:
+        job.load_refusal = decision
+        job.limited_targets = self._fleet.selection.list_limited(job.service.name)
+        self._metrics.on_overloaded(job.service.name, decision)
+        # The queue may take the objective and no more than the time left; a request
+        # that gave way to others has room once it takes half of that.
+        allowed_ms = min(job.route.objective_ms, remaining_ms)
+        if decision is LoadDecision.SHARED:
+            allowed_ms //= 2
+        after_ms = max(MIN_OVERLOAD_RETRY_MS, int(job.forecast_wait_ms - allowed_ms))
+        text = "the targets are behind, and others have more claim to the room"
+        if decision is LoadDecision.TOO_LATE:
+            text = "the queue is longer than the request may wait"
+        self._requests.give_up(job, "overloaded", text, after_ms)
 
     def observe_first_event(self, job: Job, attempt: Attempt, has_event: bool) -> None:
         if job.service.engine is not None:
--- a/papayacrank/forwarding/_events.py
+++ b/papayacrank/forwarding/_events.py
@@ -120,7 +120,25 @@
     " second; targets of the service get no request that they might not start at once.",
 )
 
+SERVICE_BEHIND = LogEvent(
+    2125,
+    "service_behind",
+    "warning",
+    "Requests to a service are forecast to be late; it is shared between workspaces"
+    " by urgency and rate.",
+    "Look for targets that are out of service, or a workspace that asks for much more"
+    " than before; otherwise add targets.",
+)
+SERVICE_CAUGHT_UP = LogEvent(
+    2126,
+    "service_caught_up",
+    "info",
+    "Requests to a service are forecast to be in time again.",
+)
+
 declare_events(
+    SERVICE_BEHIND,
+    SERVICE_CAUGHT_UP,
     REFUSAL_LIMIT_STATED,
     PATH_LOST,
     PATH_REGAINED,
--- a/papayacrank/forwarding/_fleet_state.py
+++ b/papayacrank/forwarding/_fleet_state.py
@@ -10,6 +10,7 @@
     RoutingConfiguration,
 )
 from papayacrank.permits import PermitPort
+from papayacrank.scarcity import LoadAdmission
 
 from ._events import ROUTING_APPLIED, STORE_CHANGED
 from ._health import TargetHealth
@@ -71,6 +72,7 @@
         self.refusal_limits = RefusalLimitedServices()
         self.leases = RoomLeases()
         self.unidentified = UnidentifiedResponses()
+        self.load_admission = LoadAdmission()
         self.selection = TargetSelection(
             self.table,
             self.health,
@@ -123,6 +125,9 @@
         """Replace the routing configuration."""
         self._index = RouteIndex(configuration)
         self._quota.configure(configuration)
+        self.load_admission.set_rates(
+            {item.name: item.rate_per_s for item in configuration.workspaces}
+        )
         log_event(
             ROUTING_APPLIED,
             version=configuration.version,
@@ -218,6 +223,7 @@
         if not self.table.apply_load(load):
             return
         now_ms = self._clock.now_ms()
+        self.load_admission.apply_sums(load.demand, now_ms)
         for number, pause_ms in load.paused:
             name = self.table.name_of(number)
             if name is not None:
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -148,6 +148,10 @@
         Targets for which the request got no permit.
     limited_targets : list of str
         Some targets with a request rate limit, if the request was refused.
+    load_refusal : str or None
+        Why the request was refused because targets are behind.
+    is_load_admitted : bool
+        Whether the request was admitted although targets may be behind.
     forecast_wait_ms : int
         Last forecast of the time in the queue of an engine, in milliseconds.
     release : str or None
@@ -192,6 +196,8 @@
     permit_wait_ms: int = 0
     refused_permits: list[str] = field(default_factory=list)
     limited_targets: list[str] = field(default_factory=list)
+    load_refusal: str | None = None
+    is_load_admitted: bool = False
     forecast_wait_ms: int = 0
     release: str | None = None
     begun_on_ms: int | None = None
--- a/papayacrank/forwarding/_metrics.py
+++ b/papayacrank/forwarding/_metrics.py
@@ -36,6 +36,12 @@
             ["workspace", "reason"],
             registry=self._registry,
         )
+        self._overloaded = Counter(
+            "papayacrank_forwarding_overloaded",
+            "Requests refused because targets are behind, by service and reason",
+            ["service", "reason"],
+            registry=self._registry,
+        )
         self._labelled_workspaces: set[str] = set()
         self._attempts = Counter(
             "papayacrank_forwarding_attempts_failed",
@@ -122,6 +128,10 @@
         """Count a request that was refused over the rate of its workspace."""
         self._over_rate.labels(self._label_of(workspace), reason).inc()
 
+    def on_overloaded(self, service: str, reason: str) -> None:
+        """Count a request that was refused because targets are behind."""
+        self._overloaded.labels(service, reason).inc()
+
     def _label_of(self, workspace: str) -> str:
         known = self._labelled_workspaces
         if workspace not in known and len(known) >= MAX_LABELLED_WORKSPACES:
--- a/papayacrank/forwarding/_open_requests.py
+++ b/papayacrank/forwarding/_open_requests.py
@@ -173,6 +173,7 @@
             fields["limited_targets"] = job.limited_targets
         if code == "overloaded":
             fields["forecast_wait_ms"] = job.forecast_wait_ms
+            fields["reason"] = job.load_refusal
         if job.last_failure:
             fields["last_failure"] = job.last_failure
         if job.release is not None:
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -55,6 +55,8 @@
     CONTROL_REGAINED,
     FLEET_APPLIED,
     FORWARDING_READY,
+    SERVICE_BEHIND,
+    SERVICE_CAUGHT_UP,
     STOP_STARTED,
 )
 from ._forwarder import Forwarder
@@ -71,6 +73,7 @@
 # Unchanged load reports are sent again, because they expire at the leader.
 LOAD_REFRESH_TICKS = 8
 SWEEP_TICKS = 10
+DEMAND_TICKS = 5
 QUOTA_POLL_MS = 25
 ADDRESS_TTL_MS = 1_000
 # Callers cache a directory response up to three times as long as its lifetime. After
@@ -173,6 +176,7 @@
         self._ticks = 0
         self._stopping_since_ms: int | None = None
         self._has_contact = False
+        self._behind: set[str] = set()
         self._phases = StartPhases(self._clock.now_ms())
         install_process_handlers(self)
         self._timers = Timers(self._clock).register(self)
@@ -492,18 +496,31 @@
             self._poll_quota()
 
     def _send_load(self) -> None:
+        demand = ()
+        if self._ticks % DEMAND_TICKS == 0:
+            admission = self._forwarder.fleet.load_admission
+            now_ms = self._clock.now_ms()
+            demand = admission.report(now_ms)
+            self._log_services_behind(admission.behind(now_ms))
         leader = self._contact.leader
         if leader is None:
             return
         instance = self._settings.forwarding.instance
         paused = self._forwarder.take_new_pauses()
         room = self._forwarder.take_room_report()
-        report = self._forwarder.table.report(instance, paused, room)
+        report = self._forwarder.table.report(instance, paused, room, demand)
         if report is None and self._ticks % LOAD_REFRESH_TICKS == 0:
             report = self._forwarder.table.refresh_report(instance)
         if report is not None:
             self._link.send(leader, report)
 
+    def _log_services_behind(self, services: set[str]) -> None:
+        for service in sorted(services - self._behind):
+            log_event(SERVICE_BEHIND, service=service)
+        for service in sorted(self._behind - services):
+            log_event(SERVICE_CAUGHT_UP, service=service)
+        self._behind = services
+
     def _update_contact(self, now_ms: int) -> None:
         has_contact = self._contact.has_contact(now_ms)
         if has_contact != self._has_contact:
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -13,6 +13,7 @@
     FleetTarget,
     FleetView,
     PartLocation,
+    ServiceDemand,
     TargetLoad,
 )
 
@@ -362,6 +363,7 @@
         instance: str,
         paused: Sequence[tuple[str, int]] = (),
         room: RoomReport = NO_ROOM_REPORT,
+        demand: Sequence[ServiceDemand] = (),
     ) -> EntryLoad | None:
         """Return the next load report; None if nothing changed.
 
@@ -374,16 +376,24 @@
             time in milliseconds.
         room : RoomReport
             Refusal-limited services and the use of their targets.
+        demand : sequence of ServiceDemand
+            Demand for services that are behind.
         """
         loads = {
             n: own.to_message() for n, own in self._own_loads.items() if own.running > 0
         }
-        is_new = self._newly_unreachable or self._new_parts or paused or room.is_new
+        is_new = (
+            self._newly_unreachable
+            or self._new_parts
+            or paused
+            or room.is_new
+            or demand
+        )
         is_new = is_new or self._unconfirmed_leaving() != self._reported_leaving
         if loads == self._last_loads and not is_new:
             return None
         self._last_loads = loads
-        return self._build_report(instance, loads, paused, room)
+        return self._build_report(instance, loads, paused, room, demand)
 
     def refresh_report(self, instance: str) -> EntryLoad:
         """Return a report of the last reported load, so that it does not expire."""
@@ -395,6 +405,7 @@
         loads: dict[str, TargetLoad],
         paused: Sequence[tuple[str, int]] = (),
         room: RoomReport = NO_ROOM_REPORT,
+        demand: Sequence[ServiceDemand] = (),
     ) -> EntryLoad:
         self._report_sequence += 1
         self._pending_reports[self._report_sequence] = loads
@@ -416,4 +427,5 @@
             room.full,
             room.wanted,
             room.leases,
+            demand=list(demand),
         )
--- a/papayacrank/forwarding/tests/test_overload.py
+++ b/papayacrank/forwarding/tests/test_overload.py
@@ -132,3 +132,18 @@
     loaded.fail()
     assert len(loaded.port.calls) == calls + 1
     assert not caller.aborted
+
+
+def test_late_requests_give_way_in_part_and_are_told_to_return(loaded):
+    """Guards against late work that makes all requests behind it late."""
+    wait_ms = 0.9 * OBJECTIVE_MS
+    loaded.set_queue_ms(wait_ms)
+    tokens = int(0.3 * OBJECTIVE_MS * PREFILL_TOKENS_PER_MS)
+    callers = [
+        loaded.send("/reply/x", id=f"late{number}", tokens=tokens)
+        for number in range(20)
+    ]
+    refused = [caller for caller in callers if caller.status == 503]
+    assert 0 < len(refused) < len(callers)
+    assert {caller.headers["verdict"] for caller in refused} == {"not-run"}
+    assert min(int(c.headers["retry-after-ms"]) for c in refused) >= 100
