Keep the retry times of an overload after an admission in it

Cause: an admission between refusals began the schedule of Retry-After anew, so that the next refused callers got the same times again. Change: it begins anew only once the ledger has said that tokens are not scarce.

--- a/papayacrank/forwarding/_quota.py
+++ b/papayacrank/forwarding/_quota.py
@@ -165,7 +165,7 @@
         # The tokens granted for waiting requests are not for later ones.
         is_next = not ahead or self._shares.surplus(workspace) >= cost
         if is_next and self._shares.try_reserve(request_id, workspace, cost, now_ms):
-            if not ahead:
+            if self._shares.outlook(workspace, now_ms) is None:
                 self._schedule.reset(workspace)
             return QuotaDecision(request_id, True)
         if self._is_stale(now_ms):
--- a/papayacrank/forwarding/tests/test_quota.py
+++ b/papayacrank/forwarding/tests/test_quota.py
@@ -223,3 +223,16 @@
     assert len(set(times[1_000:])) > 1_000
     later_ms = MAX_RETRY_AFTER_MS + 1_000
     assert schedule.retry_after_ms("w", 100, 0, 100, later_ms) < 1_000
+
+
+def test_admission_during_an_overload_does_not_shorten_the_retry_times():
+    """Guards against refused callers that come back together after one admission."""
+    quota = Enforced()
+    quota.answer(0, granted=100, **scarce(RATE))
+    early = [quota.admit(f"r{n}", "w", 200, 10).retry_after_ms for n in range(5)]
+    assert quota.admit("small", "w", 100, 20).admitted
+    assert quota.admit("r9", "w", 200, 30).retry_after_ms > min(early) + 200
+    quota.answer(40, granted=200)
+    assert quota.admit("next", "w", 100, 50).admitted
+    quota.answer(60, **scarce(RATE))
+    assert quota.admit("last", "w", 200, 70).retry_after_ms < 2_000
