--- a/papayacrank/forwarding/_open_requests.py
+++ b/papayacrank/forwarding/_open_requests.py
@@ -165,6 +165,7 @@
         }
         if job.ledger_age_ms is not None:
             fields["ledger_age_ms"] = job.ledger_age_ms
+            fields["reason"] = job.rate_refusal
         if job.permit_requests:
             fields["permit_wait_ms"] = job.permit_wait_ms
             fields["refused_permits"] = job.refused_permits
@@ -172,6 +173,7 @@
             fields["limited_targets"] = job.limited_targets
         if code == "overloaded":
             fields["forecast_wait_ms"] = job.forecast_wait_ms
+            fields["reason"] = job.load_refusal
         if job.last_failure:
             fields["last_failure"] = job.last_failure
         if job.release is not None:
--- a/papayacrank/state/_machine.py
+++ b/papayacrank/state/_machine.py
@@ -111,6 +111,7 @@
     releases: ReleasesDump = msgspec.field(default_factory=ReleasesDump)
     rollouts: RolloutsDump = msgspec.field(default_factory=RolloutsDump)
     member_formats: dict[str, int] = {}
+    ledger_claims: bytes = b""
 
 
 class StateMachine:
@@ -339,6 +340,7 @@
                 self._now_ms,
                 ledger=ledger,
                 member_formats=self._member_formats,
+                ledger_claims=msgspec.msgpack.encode(self._ledger.snapshot_claims()),
                 **tables,
             )
         )
@@ -377,7 +379,11 @@
             table.load(getattr(snapshot, name))
         # Each entry publishes its changes, so the feed already covers these instances.
         self._published_instances = self._addresses_by_instance()
-        self._ledger.restore(msgspec.msgpack.decode(snapshot.ledger))
+        claims = snapshot.ledger_claims
+        self._ledger.restore(
+            msgspec.msgpack.decode(snapshot.ledger),
+            msgspec.msgpack.decode(claims) if claims else None,
+        )
 
     def _find_table_format(self) -> int:
         """Return the format that a process must read to keep the content of all tables.
