Learn the costs of targets and services

Placement takes every target of a service for equally fast and every prompt token for 1/45 ms, so that targets that are slower than others get as much work.

Add papayacrank/costs: a model for each service (ridge regression around the former constants) and one speed factor for each target. Placement and response timeouts use it; load messages share it, and the leader merges it.

pytest -n 2 of forwarding, messages, platform and two files of control passes.

--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -17,6 +17,7 @@
 )
 from papayacrank.permits import PermitAllocator
 
+from ._costs import CostLedger
 from ._effects import HttpCall, HttpResult
 from ._events import (
     PLATFORM_LIST_FAILED,
@@ -100,6 +101,7 @@
         self._reports: dict[str, _LoadReport] = {}
         self._silent: dict[str, int] = {}
         self._room = RoomAllocator()
+        self._costs = CostLedger()
         self._total_loads: dict[str, TargetLoad] = {}
         self._last_sent: dict[str, tuple] = {}
         self._has_list = False
@@ -146,6 +148,7 @@
         self._new_pauses = {}
         self._silent.clear()
         self._room.reset()
+        self._costs.reset()
         self._total_loads = {}
         self._last_sent.clear()
         self._has_list = False
@@ -285,6 +288,7 @@
             for name, pause_ms in report.paused:
                 self._rollout.pause(name, pause_ms, now_ms)
         self._room.observe(report, now_ms)
+        self._costs.observe(report)
         for name in report.silent:
             if name not in self._silent:
                 log_event(TARGET_SILENT, target=name, reported_by=report.instance)
@@ -362,6 +366,7 @@
             (report.load for report in self._reports.values()),
             now_ms,
         )
+        self._costs.begin_round(receivers, now_ms)
         parts = self._pop_grouped_parts()
         pauses = self._pop_new_pauses(now_ms)
         sends = []
@@ -379,7 +384,14 @@
                 }
             content = (reported, loads, silent, refusal_limited, leases)
             paused = pauses if self._is_local(instance) else []
-            if self._last_sent.get(instance) == content and not parts and not paused:
+            by_name, service_costs = self._costs.updates_for(instance)
+            costs = {
+                self._target_numbers[name]: cost
+                for name, cost in by_name.items()
+                if name in self._target_numbers
+            }
+            is_new = parts or paused or costs or service_costs
+            if self._last_sent.get(instance) == content and not is_new:
                 continue
             self._last_sent[instance] = content
             message = FleetLoad(
@@ -391,6 +403,8 @@
                 paused,
                 refusal_limited,
                 leases,
+                costs,
+                service_costs,
             )
             sends.append(Send(sender, message))
         return sends
@@ -425,10 +439,11 @@
         sums: dict[str, list[int]] = {}
         for report in self._reports.values():
             for name, load in report.load.loads.items():
-                total = sums.setdefault(name, [0, 0, 0])
+                total = sums.setdefault(name, [0, 0, 0, 0])
                 total[0] += load.running
                 total[1] += load.prefill_tokens
                 total[2] += load.memory_tokens
+                total[3] += load.decode_tokens
         self._total_loads = {name: TargetLoad(*total) for name, total in sums.items()}
 
     # View
@@ -447,6 +462,7 @@
             )
         for name in self._targets.keys() - targets.keys():
             log_event(TARGET_LEFT, target=name)
+        self._distrust_restarted(targets)
         self._targets = targets
         self._has_list = True
         if self._releases is not None:
@@ -456,6 +472,17 @@
         self._permits.retain(dict.fromkeys(self._stores.names, 0) | starts)
         self._refresh_view()
 
+    def _distrust_restarted(self, targets: dict[str, ListedTarget]) -> None:
+        """Forget the costs of targets that left, and trust those of new starts less."""
+        self._costs.retain(targets)
+        for name, target in targets.items():
+            known = self._targets.get(name)
+            if known is not None and (known.born_ms, known.release) != (
+                target.born_ms,
+                target.release,
+            ):
+                self._costs.distrust(name)
+
     def _unique_targets(self) -> dict[str, ListedTarget]:
         """Return the listed targets by name.
 
--- /dev/null
+++ b/papayacrank/costs/_target_factors.py
@@ -0,0 +1,208 @@
+"""Speeds of targets relative to the cost model of their service."""
+
+import math
+from dataclasses import dataclass
+
+from papayacrank.messages import TargetCost
+
+MAX_FACTOR = 4.0
+MAX_LOG = math.log(MAX_FACTOR)
+# An observation moves the estimate by at most this log ratio times its weight.
+MAX_STEP_LOG = math.log(2.5)
+# Weight of the history in samples; a target that changes its speed is known again
+# after about as many.
+MAX_SAMPLES = 32
+# A restart or another release leaves this much of the confidence.
+RESTART_SAMPLES = 2
+# Variance of the log ratio of one observation, for the shrinkage to 1.
+NOISE_VARIANCE = 0.15
+# Estimates are reported after such a change.
+REPORT_LOG_CHANGE = 0.04
+MAX_REPORTED = 32
+
+
+@dataclass(slots=True)
+class _Estimate:
+    """Mean log ratio of a target, and what has not been reported of it."""
+
+    service: str
+    incarnation: tuple
+    log: float = 0.0
+    samples: float = 0.0
+    reported_log: float = 0.0
+    pending_log: float = 0.0
+    pending: int = 0
+
+
+class TargetFactors:
+    """Speed factors of targets, relative to the geometric mean of their service.
+
+    A factor is shrunk to 1 as far as its deviation may be noise, so that equal targets
+    are treated alike. Instances exchange new observations only, so that the leader
+    needs one value for each target.
+    """
+
+    def __init__(self):
+        self._estimates: dict[str, _Estimate] = {}
+        self._by_service: dict[str, set[str]] = {}
+        self._means: dict[str, float] = {}
+        # Read directly when many targets are compared.
+        self.values: dict[str, float] = {}
+
+    def retain(self, targets) -> None:
+        """Forget other targets; trust those that were started anew less.
+
+        Parameters
+        ----------
+        targets : iterable of FleetTarget
+            Targets of the fleet.
+        """
+        kept: dict[str, _Estimate] = {}
+        by_service: dict[str, set[str]] = {}
+        for target in targets:
+            incarnation = (target.born_ms, target.release)
+            estimate = self._estimates.get(target.name)
+            if estimate is None or estimate.service != target.service:
+                estimate = _Estimate(target.service, incarnation)
+            elif estimate.incarnation != incarnation:
+                estimate.incarnation = incarnation
+                estimate.samples = min(estimate.samples, RESTART_SAMPLES)
+                estimate.pending, estimate.pending_log = 0, 0.0
+            kept[target.name] = estimate
+            by_service.setdefault(target.service, set()).add(target.name)
+        self._estimates, self._by_service = kept, by_service
+        self.values = {n: v for n, v in self.values.items() if n in kept}
+        for service in by_service:
+            self.refresh(service)
+
+    def samples(self, name: str) -> float:
+        """Return the number of observations behind a factor, limited."""
+        estimate = self._estimates.get(name)
+        return estimate.samples if estimate is not None else 0.0
+
+    def observe(
+        self, name: str, log_ratio: float, is_bound: bool, weight: float = 1.0
+    ) -> None:
+        """Record the log ratio of observed time to the model of the service.
+
+        Parameters
+        ----------
+        name : str
+            Target.
+        log_ratio : float
+            Log of the observed time over the expected one at average speed.
+        is_bound : bool
+            Whether the observed time is a lower bound, which never lowers a factor.
+        weight : float
+            Weight of the observation, up to 1.
+        """
+        estimate = self._estimates.get(name)
+        if estimate is None:
+            return
+        difference = log_ratio - estimate.log
+        if is_bound and difference <= 0:
+            return
+        difference = min(MAX_STEP_LOG, max(-MAX_STEP_LOG, difference))
+        value = estimate.log + difference
+        estimate.samples = min(MAX_SAMPLES, estimate.samples + weight)
+        step = difference * weight / max(1.0, estimate.samples)
+        estimate.log = min(MAX_LOG, max(-MAX_LOG, estimate.log + step))
+        estimate.pending += 1
+        estimate.pending_log += value
+        self._update_value(name, estimate)
+
+    def refresh(self, service: str) -> None:
+        """Compute the mean of a service and the factors of its targets anew."""
+        known = [
+            (name, estimate)
+            for name in self._by_service.get(service, ())
+            if (estimate := self._estimates[name]).samples
+        ]
+        if not known:
+            return
+        self._means[service] = sum(e.log for _, e in known) / len(known)
+        for name, estimate in known:
+            self._update_value(name, estimate)
+
+    def _update_value(self, name: str, estimate: _Estimate) -> None:
+        log = estimate.log - self._means.get(estimate.service, 0.0)
+        signal = log * log
+        noise = NOISE_VARIANCE / max(0.5, estimate.samples)
+        shrunk = log * signal / (signal + noise) if signal else 0.0
+        shrunk = min(MAX_LOG, max(-MAX_LOG, shrunk))
+        self.values[name] = math.exp(shrunk)
+
+    def take_report(self) -> dict[str, TargetCost]:
+        """Return what was observed since the last report, by target, and clear it."""
+        changed = [
+            (abs(estimate.log - estimate.reported_log), name)
+            for name, estimate in self._estimates.items()
+            if estimate.pending
+        ]
+        changed = [item for item in changed if item[0] > REPORT_LOG_CHANGE]
+        changed.sort(reverse=True)
+        report = {}
+        for _, name in changed[:MAX_REPORTED]:
+            estimate = self._estimates[name]
+            mean = estimate.pending_log / estimate.pending
+            factor = math.exp(min(MAX_LOG, max(-MAX_LOG, mean)))
+            report[name] = TargetCost(round(factor, 3), estimate.pending)
+            estimate.reported_log = estimate.log
+            estimate.pending, estimate.pending_log = 0, 0.0
+        return report
+
+    def announce(self) -> None:
+        """Report all estimates again, for a leader that has none."""
+        for estimate in self._estimates.values():
+            if estimate.samples and not estimate.pending:
+                estimate.pending, estimate.pending_log = 1, estimate.log
+            estimate.reported_log = math.inf
+
+    def apply(self, costs: dict[str, TargetCost]) -> None:
+        """Replace estimates by those of the fleet, and add what is not reported."""
+        services = set()
+        for name, cost in costs.items():
+            estimate = self._estimates.get(name)
+            if estimate is None or not 0 < cost.factor < math.inf or cost.samples < 1:
+                continue
+            log = min(MAX_LOG, max(-MAX_LOG, math.log(cost.factor)))
+            samples = min(MAX_SAMPLES, cost.samples)
+            if samples < min(estimate.samples, RESTART_SAMPLES):
+                continue
+            own = min(estimate.pending, MAX_SAMPLES)
+            if own:
+                mean = estimate.pending_log / estimate.pending
+                log = (samples * log + own * mean) / (samples + own)
+            estimate.log, estimate.samples = log, min(MAX_SAMPLES, samples + own)
+            estimate.reported_log = math.log(cost.factor)
+            services.add(estimate.service)
+        for service in services:
+            self.refresh(service)
+
+    def spread(self, service: str) -> float:
+        """Return the ratio of the largest to the smallest factor of a service."""
+        values = [
+            self.values[n]
+            for n in self._by_service.get(service, ())
+            if n in self.values
+        ]
+        return max(values) / min(values) if values else 1.0
+
+    @property
+    def widest_spread(self) -> float:
+        """Largest ratio of factors within a service."""
+        return max((self.spread(s) for s in self._by_service), default=1.0)
+
+
+def merge_costs(known: TargetCost | None, new: TargetCost) -> TargetCost:
+    """Return the mean of two estimates in logs, by their samples."""
+    if known is None:
+        return TargetCost(_clip(new.factor), min(MAX_SAMPLES, new.samples))
+    total = known.samples + new.samples
+    log = known.samples * math.log(known.factor)
+    log += new.samples * math.log(_clip(new.factor))
+    return TargetCost(round(math.exp(log / total), 4), min(MAX_SAMPLES, total))
+
+
+def _clip(factor: float) -> float:
+    return min(MAX_FACTOR, max(1 / MAX_FACTOR, factor))
--- a/papayacrank/forwarding/_attempt_builder.py
+++ b/papayacrank/forwarding/_attempt_builder.py
@@ -1,5 +1,6 @@
 """Construction of attempts: placement requests, headers and calls to targets."""
 
+from papayacrank.costs import Work, queued_events
 from papayacrank.kernel import Clock
 from papayacrank.messages import FleetTarget, RequestKind, ServiceProfile
 from papayacrank.permits import Permit, PermitPort
@@ -63,7 +64,9 @@
     ) -> PlacementRequest:
         request = job.request
         if job.service.engine is None:
-            return PlacementRequest(job.service, release=job.release)
+            return PlacementRequest(
+                job.service, release=job.release, route=job.route.name
+            )
         newest = self._fleet.weights.get(request.model, 0)
         since_ms = self._fleet.weights_since_ms.get(request.model, now_ms)
         return PlacementRequest(
@@ -80,6 +83,8 @@
             now_ms - job.arrived_ms,
             store.name if store is not None else "",
             job.release,
+            job.route.name,
+            urgency_of(job),
         )
 
     def build(
@@ -123,6 +128,7 @@
             start_check=self._build_start_check(job, target),
             state=job,
         )
+        work = self._build_work(job, choice)
         return Attempt(
             target,
             choice,
@@ -137,6 +143,36 @@
             permit=permit,
             number=job.tries + 1,
             rate_knowledge=self._permits.client.knowledge_of(target.name),
+            work=work,
+            decode_tokens=int(work.output_events),
+        )
+
+    def _build_work(self, job: Job, choice: Choice) -> Work:
+        """Return the work of a request at the chosen target."""
+        name, request, load = job.service.name, job.request, choice.load
+        if job.service.engine is None:
+            return Work(
+                name,
+                job.route.name,
+                is_engine=False,
+                running=load.running,
+                slots=choice.target.slots,
+            )
+        slots = job.service.engine.slots
+        return Work(
+            name,
+            job.route.name,
+            True,
+            urgency_of(job),
+            choice.missing_tokens,
+            load.prefill_tokens,
+            choice.fetch_tokens,
+            load.running,
+            slots,
+            queued_events(load.running, load.decode_tokens, slots),
+            self._fleet.costs.outputs.expect(
+                job.route.name, request.output_tokens, request.expected_output_tokens
+            ),
         )
 
     def _build_start_check(self, job: Job, target: FleetTarget) -> StartCheck | None:
--- a/papayacrank/forwarding/_attempts.py
+++ b/papayacrank/forwarding/_attempts.py
@@ -236,15 +236,42 @@
         return max(0, int(wait_ms - min(job.route.objective_ms, remaining_ms)))
 
     def observe_first_event(self, job: Job, attempt: Attempt, has_event: bool) -> None:
+        """Learn from the time to a first event or response, or a time without it."""
+        elapsed_ms = self._clock.now_ms() - attempt.sent_ms
+        if has_event:
+            name = job.service.name
+            expected_ms = attempt.choice.expected_ms - attempt.choice.permit_ms
+            self._metrics.on_expectation(name, expected_ms, elapsed_ms)
+        self._fleet.costs.observe(
+            attempt.target.name, attempt.work, elapsed_ms, has_event
+        )
         if job.service.engine is not None:
             self._forecast.observe(
                 job.service.name,
                 urgency_of(job),
                 attempt.choice.expected_ms,
-                self._clock.now_ms() - attempt.sent_ms,
+                elapsed_ms,
                 has_event,
             )
 
+    def observe_stream_end(self, job: Job, attempt: Attempt) -> None:
+        """Learn from the events of a complete stream."""
+        if job.service.engine is None or attempt.is_resume:
+            return
+        request, costs = job.request, self._fleet.costs
+        costs.observe_events(
+            attempt.target.name,
+            attempt.work,
+            attempt.events - 1,
+            self._clock.now_ms() - attempt.first_event_ms,
+        )
+        costs.outputs.observe(
+            job.route.name,
+            request.output_tokens,
+            request.expected_output_tokens,
+            attempt.events,
+        )
+
     def _max_permit_wait_ms(self, job: Job, now_ms: int) -> int:
         """Return how long a request may wait for a permit, `NO_PERMITS` if not."""
         if job.permit_requests >= MAX_PERMIT_REQUESTS:
@@ -327,7 +354,10 @@
         self._suspects.begin_attempt(job, attempt)
         job.tries += 1
         self._fleet.table.begin(
-            target.name, attempt.prefill_tokens, attempt.memory_tokens
+            target.name,
+            attempt.prefill_tokens,
+            attempt.memory_tokens,
+            attempt.decode_tokens,
         )
         if job.route.is_repeatable:
             self.on_repeatable_sent(job, attempt)
@@ -361,6 +391,7 @@
             self._fleet.table.end_prefill(attempt.target.name, attempt.prefill_tokens)
             if attempt.call.bytes_written:
                 self.observe_first_event(job, attempt, False)
+        self._fleet.table.end_decode(attempt.target.name, attempt.decode_tokens)
         self._fleet.table.end(attempt.target.name, attempt.memory_tokens)
         if not attempt.call.bytes_written:
             self._give_back(attempt.permit)
--- a/papayacrank/forwarding/_base.py
+++ b/papayacrank/forwarding/_base.py
@@ -60,6 +60,8 @@
         Identifier of the caller's attempt that brought the first event.
     is_relayed : bool
         Whether another instance passed the request on.
+    expected_output_tokens : int or None
+        Number of output tokens that the caller expects; None if not stated.
     """
 
     request_id: str
@@ -77,6 +79,7 @@
     resume_after: str | None = None
     begun_by: str | None = None
     is_relayed: bool = False
+    expected_output_tokens: int | None = None
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
--- a/papayacrank/forwarding/_fleet_state.py
+++ b/papayacrank/forwarding/_fleet_state.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+from papayacrank.costs import CostModel, CostReport
 from papayacrank.kernel import Clock, log_event
 from papayacrank.messages import (
     FleetLoad,
@@ -67,6 +68,7 @@
         self._paths.on_silent = self.table.report_unreachable
         self.health = TargetHealth()
         self.parts = KnownPartLocations()
+        self.costs = CostModel()
         self.pauses = TargetPauses(settings.max_pause_ms)
         self.refusal_limits = RefusalLimitedServices()
         self.leases = RoomLeases()
@@ -81,6 +83,7 @@
             self.parts,
             settings.failure_domain,
             random_state,
+            self.costs,
         )
         self._index: RouteIndex | None = None
         self._weights: dict[str, int] = {}
@@ -152,6 +155,7 @@
             self.unidentified.forget(target.name)
             self.parts.engines.forget_location(target.name)
             self._port.drop_idle(target.address)
+        self.costs.retain(view.targets)
         self._permits.client.retain((t.name, t.born_ms) for t in view.targets)
         self._paths.set_targets(view.targets)
         self._update_stores(view.stores)
@@ -213,11 +217,16 @@
         wanted = self.leases.take_demand(services)
         return RoomReport(refusal_limited, full, wanted, self.leases.held)
 
+    def take_cost_report(self) -> CostReport:
+        """Return what was learned of costs since the last call."""
+        return self.costs.take_report(self.table.position[0], self._clock.now_ms())
+
     def apply_load(self, load: FleetLoad) -> None:
-        """Apply the load, pauses and prompt parts that the leader reports."""
-        if not self.table.apply_load(load):
-            return
+        """Apply the load, costs, pauses and prompt parts that the leader reports."""
         now_ms = self._clock.now_ms()
+        if not self.table.apply_load(load, now_ms):
+            return
+        self.costs.apply(self.table.map_to_names(load.costs), load.service_costs)
         for number, pause_ms in load.paused:
             name = self.table.name_of(number)
             if name is not None:
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
+from papayacrank.costs import Work
 from papayacrank.messages import FleetTarget, Route, ServiceProfile, WorkspaceProfile
 from papayacrank.permits import Permit, RateKnowledge
 from papayacrank.quarantine import name_request
@@ -69,6 +70,12 @@
         Whether the request may have crashed the target.
     trial : int
         Number of the trial under which the request was sent; 0 if none.
+    work : Work or None
+        Work of the request at its target, from which times are learned.
+    first_event_ms : int
+        Time of the first event in milliseconds; 0 before it.
+    decode_tokens : int
+        Expected events that have not arrived.
     """
 
     target: FleetTarget
@@ -96,6 +103,9 @@
     is_begun: bool = False
     is_suspect: bool = False
     trial: int = 0
+    work: Work | None = None
+    first_event_ms: int = 0
+    decode_tokens: int = 0
 
 
 @dataclass(eq=False)
--- a/papayacrank/forwarding/_metrics.py
+++ b/papayacrank/forwarding/_metrics.py
@@ -4,6 +4,8 @@
 from prometheus_client.exposition import generate_latest
 
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0)
+# Ratios; the expectation is met within 20% between the two about 1.
+EXPECTATION_BUCKETS = (0.25, 0.5, 0.67, 0.8, 1.0, 1.25, 1.5, 2.0, 4.0)
 MS_PER_SECOND = 1_000
 
 
@@ -66,6 +68,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._expectation_error = Histogram(
+            "papayacrank_forwarding_expectation_ratio",
+            "Observed over expected time to the first event or response",
+            ["service"],
+            buckets=EXPECTATION_BUCKETS,
+            registry=self._registry,
+        )
         self._duration = Histogram(
             "papayacrank_forwarding_duration_seconds",
             "Time from the arrival of a request to its final answer",
@@ -132,6 +141,21 @@
         """Observe the time to the first event of a stream."""
         self._ttft.labels(service).observe(ttft_ms / MS_PER_SECOND)
 
+    def on_expectation(
+        self, service: str, expected_ms: float, observed_ms: float
+    ) -> None:
+        """Observe how far a time was from the expected one.
+
+        Parameters
+        ----------
+        service : str
+            Service of the request.
+        expected_ms, observed_ms : float
+            Times from sending to the first event or response, in milliseconds.
+        """
+        ratio = observed_ms / max(1.0, expected_ms)
+        self._expectation_error.labels(service).observe(ratio)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/papayacrank/forwarding/_open_requests.py
+++ b/papayacrank/forwarding/_open_requests.py
@@ -187,6 +187,9 @@
                 "parts_at": choice.parts_at.value,
                 "target_running": choice.load.running,
                 "target_prefill": choice.load.prefill_tokens,
+                "target_decode": choice.load.decode_tokens,
+                "expected_queue_ms": round(choice.queue_ms),
+                "factor": round(choice.factor, 2),
                 "weights": attempt.target.weights.get(job.request.model or "", 0),
                 "sent_after_ms": attempt.sent_ms - job.arrived_ms,
             }
--- a/papayacrank/forwarding/_overdue.py
+++ b/papayacrank/forwarding/_overdue.py
@@ -79,7 +79,8 @@
         """Start the timer that ends an attempt without a response.
 
         It is set for repeatable requests, which are then retried at another target, and
-        for those whose connection returned a response without an id.
+        for those whose connection returned a response without an id. A request that is
+        expected to take long at its target gets the time that it needs.
         """
         objective_ms = job.route.objective_ms
         if not attempt.is_stream:
@@ -90,6 +91,9 @@
             wait_ms = STREAM_IDLE_TIMEOUT_MS
         else:
             wait_ms = FIRST_EVENT_TIMEOUT_FACTOR * objective_ms
+        if not attempt.has_first_event:
+            name = attempt.target.name
+            wait_ms = max(wait_ms, self._fleet.costs.longest_ms(name, attempt.work))
         at_ms = self._clock.now_ms() + int(wait_ms)
         self._timers.set(
             response_timer(job, attempt),
--- a/papayacrank/forwarding/_placement.py
+++ b/papayacrank/forwarding/_placement.py
@@ -9,6 +9,13 @@
 
 import xxhash
 
+from papayacrank.costs import (
+    CostModel,
+    EngineCosts,
+    EngineRates,
+    plain_wait_fraction,
+    queued_events,
+)
 from papayacrank.kernel import register
 from papayacrank.messages import FleetTarget, ServiceProfile, TargetLoad
 from papayacrank.permits import PermitClient
@@ -16,14 +23,6 @@
 from ._base import PromptPart
 from ._targets import TargetTable
 
-# The published prefill rates of the engines are 40.8 and 51.1 tokens/ms.
-PREFILL_TOKENS_PER_MS = 45.0
-# A token takes 160 kB over the link of a store, which has 360 to 450 Gbit/s; transfers
-# across failure domains take twice as long.
-FETCH_TOKENS_PER_MS = 200.0
-FETCH_SETUP_MS = 5.0
-# Scheduling and first decoding step of an engine.
-FIRST_STEP_MS = 25.0
 # Losses are fractions of the value of one request. The probability of a late first
 # event is a logistic curve; midpoint and scale are multiples of the objective.
 LATE_LOSS = 0.6
@@ -47,7 +46,6 @@
 # Random jitter keeps instances that see the same loads from choosing the same target.
 JITTER_LOSS = 0.001
 JITTER_MS = 3.0
-PLAIN_SERVICE_TIME_MS = 45.0
 MAX_KNOWN_PARTS = 50_000
 # Under heavy load, engines evict parts within seconds; a store keeps them longer. A
 # store is empty after a restart, so parts are saved again after their lifetime.
@@ -95,6 +93,10 @@
         Store service that the shared parts are fetched from; empty if none.
     release : str or None
         Release of the targets that may get the request; None for any.
+    route : str
+        Route of the request.
+    urgency : int
+        Scheduling rank from 0, the most urgent.
     """
 
     service: ServiceProfile
@@ -110,6 +112,13 @@
     elapsed_ms: int = 0
     store: str = ""
     release: str | None = None
+    route: str = ""
+    urgency: int = 0
+
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other requests may also contain."""
+        return sum(part.tokens for part in self.shared)
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +139,12 @@
         Known location of the shared parts.
     load : TargetLoad
         Load of the target at the time of the decision.
+    fetch_tokens : int
+        Prompt tokens that the target is expected to fetch from a store.
+    factor : float
+        Time of the target as a multiple of that of its service.
+    permit_ms : float
+        Part of the expected time that passes before the request is sent.
     """
 
     target: FleetTarget
@@ -138,6 +153,9 @@
     missing_tokens: int = 0
     parts_at: PartsLocation = PartsLocation.UNKNOWN
     load: TargetLoad = TargetLoad()
+    fetch_tokens: int = 0
+    factor: float = 1.0
+    permit_ms: float = 0.0
 
 
 class KnownParts:
@@ -202,6 +220,8 @@
         Failure domain of this instance.
     random_state : random.Random
         Source of the jitter.
+    costs : CostModel, optional
+        Expected times at the targets; one without observations if not given.
     """
 
     def __init__(
@@ -211,12 +231,14 @@
         permits: PermitClient,
         failure_domain: str,
         random_state: Random,
+        costs: CostModel | None = None,
     ):
         self.table = table
         self.parts = parts
         self.permits = permits
         self.failure_domain = failure_domain
         self.random_state = random_state
+        self.costs = costs or CostModel()
 
     @abstractmethod
     def choose(
@@ -259,9 +281,13 @@
         if not usable:
             return None
         preferred = self._find_preferred_engines(request, usable)
+        model = self.costs.engine(request.service.name)
+        rates = model.rates(request.urgency)
         best: tuple[float, Choice] | None = None
         for target in usable:
-            choice, recompute_loss = self._estimate(target, request, preferred, now_ms)
+            choice, recompute_loss = self._estimate(
+                target, request, preferred, model, rates, now_ms
+            )
             loss = recompute_loss + self._loss(choice, request)
             if best is None or loss < best[0]:
                 best = (loss, choice)
@@ -295,18 +321,43 @@
         target: FleetTarget,
         request: PlacementRequest,
         preferred: dict[str, str],
+        model: EngineCosts,
+        rates: EngineRates,
         now_ms: int,
     ) -> tuple[Choice, float]:
-        """Return a choice and the loss from recomputing shared parts."""
+        """Return a choice and the loss from recomputing shared parts.
+
+        Parameters
+        ----------
+        target : FleetTarget
+            Candidate.
+        request : PlacementRequest
+            Request to place.
+        preferred : dict of str to str
+            Preferred engine of each shared part.
+        model : EngineCosts
+            Costs of the service.
+        rates : EngineRates
+            Those that depend on the urgency of the request.
+        now_ms : int
+            Current time in milliseconds.
+        """
         load = self.table.load(target.name)
-        shared = sum(part.tokens for part in request.shared)
-        own_tokens = max(0, request.prompt_tokens - shared)
+        factor = self.costs.factor(target.name)
+        own_tokens = max(0, request.prompt_tokens - request.shared_tokens)
         fetched, uncached = self._split_by_source(target, request, now_ms)
         fetch_tokens = sum(part.tokens for part in fetched)
         compute_tokens = sum(part.tokens for part in uncached)
-        fetch_ms = FETCH_SETUP_MS + fetch_tokens / FETCH_TOKENS_PER_MS if fetched else 0
-        queue_ms = load.prefill_tokens / PREFILL_TOKENS_PER_MS
-        compute_ms = (own_tokens + compute_tokens) / PREFILL_TOKENS_PER_MS
+        fetch_ms = 0.0
+        if fetched:
+            fetch_ms = rates.fetch_setup_ms + fetch_tokens * rates.fetch_token_ms
+        queue_ms = factor * load.prefill_tokens * rates.queued_token_ms
+        engine = request.service.engine
+        if engine is not None and load.running >= engine.slots:
+            events = queued_events(load.running, load.decode_tokens, engine.slots)
+            queue_ms += factor * events * model.event_ms(load.running)
+        own_ms = rates.first_step_ms + load.running * rates.running_ms
+        own_ms += (own_tokens + compute_tokens) * rates.token_ms
         recompute_loss = 0.0
         if uncached and preferred[uncached[0].name] != target.name:
             # Parts after the first uncached one are most likely cached nowhere.
@@ -316,11 +367,14 @@
         permit_ms = self.permits.wait_ms(target.name, now_ms)
         choice = Choice(
             target,
-            permit_ms + FIRST_STEP_MS + fetch_ms + queue_ms + compute_ms,
+            permit_ms + fetch_ms + queue_ms + factor * own_ms,
             queue_ms,
             own_tokens + compute_tokens,
             PartsLocation.UNKNOWN if uncached else location,
             load,
+            fetch_tokens,
+            factor,
+            permit_ms,
         )
         return choice, recompute_loss
 
@@ -378,7 +432,9 @@
         self, request: PlacementRequest, targets: list[FleetTarget], now_ms: int
     ) -> Choice | None:
         """Return the target with the least expected response time."""
-        choices = [self._estimate(target, now_ms) for target in targets]
+        model = self.costs.plain(request.service.name)
+        service_ms = model.service_ms(request.route)
+        choices = [self._estimate(target, service_ms, now_ms) for target in targets]
         return min(
             choices,
             key=lambda c: (
@@ -389,15 +445,19 @@
             default=None,
         )
 
-    def _estimate(self, target: FleetTarget, now_ms: int) -> Choice:
+    def _estimate(self, target: FleetTarget, service_ms: float, now_ms: int) -> Choice:
         load = self.table.load(target.name)
-        slots = max(1, target.slots)
-        utilization = load.running / slots
-        wait_ms = PLAIN_SERVICE_TIME_MS * (
-            utilization if load.running < slots else 2 * utilization
+        factor = self.costs.factor(target.name)
+        permit_ms = self.permits.wait_ms(target.name, now_ms)
+        expected_ms = factor * service_ms
+        expected_ms *= 1.0 + plain_wait_fraction(load.running, target.slots)
+        return Choice(
+            target,
+            permit_ms + expected_ms,
+            load=load,
+            factor=factor,
+            permit_ms=permit_ms,
         )
-        wait_ms += self.permits.wait_ms(target.name, now_ms)
-        return Choice(target, wait_ms + PLAIN_SERVICE_TIME_MS, load=load)
 
     def _distance_ms(self, target: FleetTarget) -> float:
         is_local = target.failure_domain == self.failure_domain
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -344,6 +344,11 @@
             "Requests without a final answer",
             lambda: self._forwarder.open_jobs,
         )
+        metrics.add_gauge(
+            "target_factor_spread",
+            "Slowest over fastest target of the service with the largest ratio",
+            lambda: self._forwarder.fleet.costs.factors.widest_spread,
+        )
         metrics.add_gauge(
             "caller_connections",
             "Open connections of callers",
@@ -479,6 +484,7 @@
         now_ms = self._clock.now_ms()
         self._timers.set("tick", now_ms + TICK_INTERVAL_MS, self._tick)
         self._ticks += 1
+        self._forwarder.table.age_totals(now_ms)
         self._send_load()
         self._update_contact(now_ms)
         self._permits.poll(self._contact.term)
@@ -498,7 +504,8 @@
         instance = self._settings.forwarding.instance
         paused = self._forwarder.take_new_pauses()
         room = self._forwarder.take_room_report()
-        report = self._forwarder.table.report(instance, paused, room)
+        costs = self._forwarder.fleet.take_cost_report()
+        report = self._forwarder.table.report(instance, paused, room, costs)
         if report is None and self._ticks % LOAD_REFRESH_TICKS == 0:
             report = self._forwarder.table.refresh_report(instance)
         if report is not None:
--- a/papayacrank/forwarding/_responses.py
+++ b/papayacrank/forwarding/_responses.py
@@ -277,6 +277,9 @@
             self._runner.end_attempt(job, attempt, code, sent=True)
             self._runner.dispatch(job)
             return
+        if is_success and job.service.engine is None and not lacks_stream:
+            attempt.has_first_event = True
+            self._runner.observe_first_event(job, attempt, True)
         self._runner.close_attempt(job, attempt)
         if job.exchange.response_started:
             job.exchange.abort()
@@ -294,6 +297,9 @@
             if not attempt.has_first_event:
                 self._on_first_event(job, attempt)
             self._suspects.on_event(job, attempt)
+            if attempt.decode_tokens > 0:
+                attempt.decode_tokens -= 1
+                self._fleet.table.end_decode(attempt.target.name, 1)
             if job.route.is_repeatable:
                 self._overdue.set_response_timer(job, attempt)
         if event.event_id is not None:
@@ -309,6 +315,7 @@
     def _on_first_event(self, job: Job, attempt: Attempt) -> None:
         now_ms = self._clock.now_ms()
         attempt.has_first_event = True
+        attempt.first_event_ms = now_ms
         self._continuity.on_first_event(job, attempt)
         self._runner.observe_first_event(job, attempt, True)
         self._fleet.table.end_prefill(attempt.target.name, attempt.prefill_tokens)
@@ -328,6 +335,7 @@
             self._overdue.restore_silent_attempt(job)
         job.runs += 1
         self._suspects.on_complete(job, attempt)
+        self._runner.observe_stream_end(job, attempt)
         self._runner.close_attempt(job, attempt)
         job.exchange.end()
         self._requests.finish(job, attempt, "served", attempt.status)
--- a/papayacrank/forwarding/_selection.py
+++ b/papayacrank/forwarding/_selection.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+from papayacrank.costs import CostModel
 from papayacrank.kernel import create
 from papayacrank.messages import FleetTarget
 from papayacrank.permits import PermitClient, RetrySpread
@@ -45,6 +46,8 @@
         Failure domain of this instance.
     random_state : random.Random
         Source of random choices.
+    costs : CostModel, optional
+        Expected times at the targets.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         parts: KnownPartLocations,
         failure_domain: str,
         random_state: Random,
+        costs: CostModel | None = None,
     ):
         self._refusal_limits = refusal_limited
         self._leases = leases
@@ -73,6 +77,7 @@
             "permits": permits,
             "failure_domain": failure_domain,
             "random_state": random_state,
+            "costs": costs or CostModel(),
         }
         self._engine_placement = create(Placement, "expected_loss", **common)
         self._plain_placement = create(Placement, "least_running", **common)
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -1,11 +1,13 @@
 """Table of the targets and their load, as known to one entry process."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import msgspec
 
+from papayacrank.costs import CostReport
 from papayacrank.messages import (
     EntryLoad,
     FleetChange,
@@ -21,6 +23,13 @@
 MAX_NEW_PARTS = 200
 MAX_LEAVING = 2_000
 NO_LOAD = TargetLoad()
+# Remaining output is reported in multiples of this, so that not every event of a stream
+# changes the report.
+DECODE_STEP = 16
+# Totals are pushed up to 10 times a second while they change. Older ones say less and
+# less of a target, and the mean of its service is expected instead.
+FRESH_TOTALS_MS = 500
+TOTALS_DECAY_MS = 1_000
 
 
 @dataclass(slots=True)
@@ -28,10 +37,14 @@
     running: int = 0
     prefill_tokens: int = 0
     memory_tokens: int = 0
+    decode_tokens: int = 0
 
     def to_message(self) -> TargetLoad:
         """Return the load as a message."""
-        return TargetLoad(self.running, self.prefill_tokens, self.memory_tokens)
+        decode_tokens = -(-self.decode_tokens // DECODE_STEP) * DECODE_STEP
+        return TargetLoad(
+            self.running, self.prefill_tokens, self.memory_tokens, decode_tokens
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +74,7 @@
 
 
 NO_ROOM_REPORT = RoomReport()
+NO_COST_REPORT = CostReport()
 
 
 class TargetTable:
@@ -79,6 +93,8 @@
         self._by_service: dict[str, list[FleetTarget]] = {}
         self._own_loads: dict[str, _OwnLoad] = {}
         self._totals: dict[str, TargetLoad] = {}
+        self._received_totals: dict[str, TargetLoad] = {}
+        self._totals_ms = 0
         self._own_in_totals: dict[str, TargetLoad] = {}
         self._pending_reports: OrderedDict[int, dict[str, TargetLoad]] = OrderedDict()
         self._report_sequence = 0
@@ -275,9 +291,16 @@
 
     # Load
 
-    def apply_load(self, load: FleetLoad) -> bool:
+    def apply_load(self, load: FleetLoad, now_ms: int = 0) -> bool:
         """Apply the total load of all entry processes.
 
+        Parameters
+        ----------
+        load : FleetLoad
+            Load message of the leader.
+        now_ms : int
+            Current time in milliseconds.
+
         Returns
         -------
         bool
@@ -294,10 +317,30 @@
             self._pending_reports and next(iter(self._pending_reports)) < load.reported
         ):
             self._pending_reports.popitem(last=False)
-        self._totals = self.map_to_names(load.loads)
+        self._totals = self._received_totals = self.map_to_names(load.loads)
+        self._totals_ms = now_ms
         self._unreachable = frozenset(self.map_to_names(dict.fromkeys(load.silent)))
         return True
 
+    def age_totals(self, now_ms: int) -> None:
+        """Move the prefill load in old totals to the mean of its service.
+
+        Without newer ones, the differences between targets are outdated: their queues
+        have been worked off, and others have formed.
+        """
+        age_ms = now_ms - self._totals_ms - FRESH_TOTALS_MS
+        if age_ms <= 0 or not self._received_totals:
+            return
+        weight = math.exp(-age_ms / TOTALS_DECAY_MS)
+        aged = dict(self._received_totals)
+        for targets in self._by_service.values():
+            loads = [self._received_totals.get(t.name, NO_LOAD) for t in targets]
+            mean = sum(load.prefill_tokens for load in loads) / len(loads)
+            for target, load in zip(targets, loads, strict=True):
+                tokens = int(mean + weight * (load.prefill_tokens - mean))
+                aged[target.name] = msgspec.structs.replace(load, prefill_tokens=tokens)
+        self._totals = aged
+
     def map_to_names(self, by_number: dict) -> dict:
         """Return values by target name; those of unknown numbers are left out."""
         target_names = self._names
@@ -315,12 +358,14 @@
         running = max(0, total.running - own_in_total.running)
         prefill = max(0, total.prefill_tokens - own_in_total.prefill_tokens)
         memory = max(0, total.memory_tokens - own_in_total.memory_tokens)
+        decode = max(0, total.decode_tokens - own_in_total.decode_tokens)
         if own is None:
-            return TargetLoad(running, prefill, memory)
+            return TargetLoad(running, prefill, memory, decode)
         return TargetLoad(
             running + own.running,
             prefill + own.prefill_tokens,
             memory + own.memory_tokens,
+            decode + own.decode_tokens,
         )
 
     def own_running(self, name: str) -> int:
@@ -328,12 +373,25 @@
         own = self._own_loads.get(name)
         return own.running if own is not None else 0
 
-    def begin(self, name: str, prefill_tokens: int, memory_tokens: int) -> None:
+    def begin(
+        self,
+        name: str,
+        prefill_tokens: int,
+        memory_tokens: int,
+        decode_tokens: int = 0,
+    ) -> None:
         """Add a request that is sent to the load of a target."""
         own = self._own_loads.setdefault(name, _OwnLoad())
         own.running += 1
         own.prefill_tokens += prefill_tokens
         own.memory_tokens += memory_tokens
+        own.decode_tokens += decode_tokens
+
+    def end_decode(self, name: str, decode_tokens: int) -> None:
+        """Subtract output that was returned, or that no longer will be."""
+        own = self._own_loads.get(name)
+        if own is not None:
+            own.decode_tokens -= decode_tokens
 
     def end_prefill(self, name: str, prefill_tokens: int) -> None:
         """Subtract the prefill load of a request whose prefill ended."""
@@ -362,6 +420,7 @@
         instance: str,
         paused: Sequence[tuple[str, int]] = (),
         room: RoomReport = NO_ROOM_REPORT,
+        costs: CostReport = NO_COST_REPORT,
     ) -> EntryLoad | None:
         """Return the next load report; None if nothing changed.
 
@@ -374,16 +433,19 @@
             time in milliseconds.
         room : RoomReport
             Refusal-limited services and the use of their targets.
+        costs : CostReport
+            Costs that were learned since the last report.
         """
         loads = {
             n: own.to_message() for n, own in self._own_loads.items() if own.running > 0
         }
         is_new = self._newly_unreachable or self._new_parts or paused or room.is_new
+        is_new = is_new or costs.is_new
         is_new = is_new or self._unconfirmed_leaving() != self._reported_leaving
         if loads == self._last_loads and not is_new:
             return None
         self._last_loads = loads
-        return self._build_report(instance, loads, paused, room)
+        return self._build_report(instance, loads, paused, room, costs)
 
     def refresh_report(self, instance: str) -> EntryLoad:
         """Return a report of the last reported load, so that it does not expire."""
@@ -395,6 +457,7 @@
         loads: dict[str, TargetLoad],
         paused: Sequence[tuple[str, int]] = (),
         room: RoomReport = NO_ROOM_REPORT,
+        costs: CostReport = NO_COST_REPORT,
     ) -> EntryLoad:
         self._report_sequence += 1
         self._pending_reports[self._report_sequence] = loads
@@ -416,4 +479,6 @@
             room.full,
             room.wanted,
             room.leases,
+            costs=costs.targets,
+            service_costs=costs.services,
         )
--- a/papayacrank/forwarding/tests/test_overload.py
+++ b/papayacrank/forwarding/tests/test_overload.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from papayacrank.costs import PRIOR_PREFILL_TOKENS_PER_MS
 from papayacrank.forwarding._forecast import QueueForecast
-from papayacrank.forwarding._placement import PREFILL_TOKENS_PER_MS
 from papayacrank.messages import TargetLoad
 
 from .builders import Bench, build_load, build_target, build_view
@@ -57,7 +57,7 @@
 
     def set_queue_ms(self, queue_ms):
         """Set the expected time for the prompts of other instances."""
-        tokens = int(queue_ms * PREFILL_TOKENS_PER_MS)
+        tokens = int(queue_ms * PRIOR_PREFILL_TOKENS_PER_MS)
         loads = {"e1": TargetLoad(1, tokens, 0)}
         self.forwarder.apply_load(build_load(self.forwarder.table, loads))
 
@@ -103,7 +103,7 @@
 def test_long_prompt_without_a_queue_is_not_refused(loaded):
     """Guards against prompts that no retry can help."""
     loaded.set_queue_ms(0)
-    tokens = int(4 * OBJECTIVE_MS * PREFILL_TOKENS_PER_MS)
+    tokens = int(4 * OBJECTIVE_MS * PRIOR_PREFILL_TOKENS_PER_MS)
     loaded.send("/reply/x", id="r2", tokens=tokens)
     assert loaded.call.state.request.request_id == "r2"
 
@@ -111,7 +111,7 @@
 def test_request_is_not_refused_before_the_speed_of_engines_is_known():
     """Guards against refusals by a guess after a restart."""
     bench = Bench(build_target("e1", "engines"))
-    tokens = int(4 * OBJECTIVE_MS * PREFILL_TOKENS_PER_MS)
+    tokens = int(4 * OBJECTIVE_MS * PRIOR_PREFILL_TOKENS_PER_MS)
     loads = {"e1": TargetLoad(1, tokens, 0)}
     bench.forwarder.apply_load(build_load(bench.forwarder.table, loads))
     bench.send("/reply/x", tokens=100)
@@ -126,7 +126,7 @@
     loaded.begin()
     loaded.event(1)
     calls = len(loaded.port.calls)
-    tokens = int(4 * OBJECTIVE_MS * PREFILL_TOKENS_PER_MS)
+    tokens = int(4 * OBJECTIVE_MS * PRIOR_PREFILL_TOKENS_PER_MS)
     loads = {name: TargetLoad(1, tokens, 0) for name in ("e1", "e2")}
     loaded.forwarder.apply_load(build_load(loaded.forwarder.table, loads))
     loaded.fail()
--- a/papayacrank/platform/_caller_protocol.py
+++ b/papayacrank/platform/_caller_protocol.py
@@ -35,6 +35,8 @@
 TOKEN_COUNT = b"papayacrank-token-count"
 # Comma-separated parts of the prompt, each as ID:TOKENS.
 PROMPT_PREFIX = b"papayacrank-prompt-prefix"
+# Estimate of the number of output tokens; also forwarded to the server.
+LENGTH_HINT = b"papayacrank-length-hint"
 LAST_EVENT_ID = b"last-event-id"
 # Request id of the caller's attempt that brought the first event of a stream.
 RESUMES = b"resumes"
@@ -120,6 +122,7 @@
             known.get(LAST_EVENT_ID),
             known.get(RESUMES),
             RELAYED in known,
+            _read_number(known.get(LENGTH_HINT)),
         )
 
     def target_headers(self, request: ForwardRequest, dispatch: Dispatch) -> HeaderList:
