Test learned costs in the forwarder and at the leader; decode length hints

A length that the caller expects becomes ForwardRequest.expected_output_tokens. A broken-off attempt also teaches the model of the service, or a route whose requests all run into the response timeout would never be learned.

--- a/papayacrank/control/_costs.py
+++ b/papayacrank/control/_costs.py
@@ -1,5 +1,6 @@
 """Costs of targets and services that entry processes learn, merged without I/O."""
 
+import math
 from collections.abc import Iterable, Iterator
 
 from papayacrank.costs import merge_costs
@@ -50,7 +51,7 @@
             is_known = name in self._targets
             if not is_known and len(self._targets) >= MAX_TARGETS:
                 continue
-            if cost.samples > 0 and 0 < cost.factor < float("inf"):
+            if cost.samples > 0 and 0 < cost.factor < math.inf:
                 self._targets[name] = merge_costs(self._aged(name, now_ms), cost)
                 self._observed_ms[name] = now_ms
                 self._is_active = True
@@ -80,6 +81,8 @@
         total = known.samples + new.samples
         merged = dict(known.coefficients)
         for name, value in new.coefficients.items():
+            if not 0 <= value < math.inf:
+                continue
             old = merged.get(name)
             if old is not None:
                 value = (known.samples * old + new.samples * value) / total
--- a/papayacrank/costs/_model.py
+++ b/papayacrank/costs/_model.py
@@ -113,7 +113,7 @@
         queue_fraction = average.queue_ms / max(1.0, average.first_event_ms)
         weight = max(MIN_OBSERVATION_WEIGHT, 1.0 - queue_fraction)
         self.factors.observe(target, math.log(ratio), not has_event, weight)
-        if has_event and service.observe(work, factor, elapsed_ms):
+        if service.observe(work, factor, elapsed_ms):
             self.factors.refresh(work.service)
 
     def observe_events(
--- a/papayacrank/costs/_services.py
+++ b/papayacrank/costs/_services.py
@@ -28,7 +28,7 @@
 MAX_QUEUE_SHARE = 1.5
 QUEUE_SHARE_SAMPLES = 20
 # Samples after which a model says more of a service than its priors.
-MIN_LEARNED_SAMPLES = 16
+MIN_LEARNED_SAMPLES = 8
 MAX_ROUTES = 1_000
 ROUTE_SAMPLES = 50
 MAX_LOG_RATIO = math.log(3.0)
--- a/papayacrank/costs/tests/test_costs.py
+++ b/papayacrank/costs/tests/test_costs.py
@@ -75,7 +75,7 @@
     assert expected.first_event_ms == pytest.approx(
         PRIOR_FIRST_STEP_MS + own_ms + queue_ms
     )
-    plain = Work("till", is_engine=False, running=3, slots=6)
+    plain = Work("llm", is_engine=False, running=3, slots=6)
     expected = build_model().expect("p1", plain)
     assert expected.first_event_ms == pytest.approx(1.5 * PRIOR_SERVICE_TIME_MS)
     assert build_model().longest_ms("e1", work) == 0
@@ -102,11 +102,11 @@
     for _ in range(60):
         for name, factor in FACTORS.items():
             for route, service_ms in (("short", 20), ("long", 90)):
-                work = Work("till", route, is_engine=False, running=0, slots=6)
+                work = Work("llm", route, is_engine=False, running=0, slots=6)
                 noise = math.exp(rng.gauss(0, 0.2))
                 model.observe(name, work, service_ms * factor * noise)
-    short = model.expect("e2", Work("till", "short", False, slots=6)).total_ms
-    long = model.expect("e2", Work("till", "long", False, slots=6)).total_ms
+    short = model.expect("e2", Work("llm", "short", False, slots=6)).total_ms
+    long = model.expect("e2", Work("llm", "long", False, slots=6)).total_ms
     assert short == pytest.approx(20, rel=0.25)
     assert long == pytest.approx(90, rel=0.25)
 
@@ -127,6 +127,16 @@
     assert model.factor("e3") > before
 
 
+def test_route_on_which_all_attempts_are_broken_off_is_learned():
+    """Guards against timeouts that stay too short because no attempt is complete."""
+    model = build_model()
+    work = Work("llm", "slow", is_engine=False, slots=6)
+    for _ in range(20):
+        for name in FACTORS:
+            model.observe(name, work, 300, has_event=False)
+    assert model.longest_ms("e1", work) > 300
+
+
 def test_one_outlier_moves_a_factor_little():
     """Guards against a target that loses its work by one stalled connection."""
     model = teach(build_model(), 20)
--- a/papayacrank/forwarding/_placement.py
+++ b/papayacrank/forwarding/_placement.py
@@ -443,28 +443,25 @@
     ) -> Choice | None:
         """Return the target with the least expected response time."""
         service_ms = self.costs.plain(request.service.name).service_ms(request.route)
-        best: tuple[float, Choice] | None = None
+        factors = self.costs.factors.values
+        best, best_cost = None, math.inf
         for target in targets:
-            choice = self._estimate(target, service_ms, now_ms)
-            cost = choice.expected_ms + self._distance_ms(target)
+            name = target.name
+            load = self.table.load(name)
+            permit_ms = self.permits.wait_ms(name, now_ms)
+            factor = factors.get(name, 1.0)
+            expected_ms = factor * service_ms
+            expected_ms *= 1.0 + plain_wait_fraction(load.running, target.slots)
+            cost = permit_ms + expected_ms + self._distance_ms(target)
             cost += self.random_state.uniform(0, JITTER_MS)
-            if best is None or cost < best[0]:
-                best = (cost, choice)
-        return best[1] if best is not None else None
-
-    def _estimate(self, target: FleetTarget, service_ms: float, now_ms: int) -> Choice:
-        name = target.name
-        load = self.table.load(name)
-        factor = self.costs.factors.values.get(name, 1.0)
-        permit_ms = self.permits.wait_ms(name, now_ms)
-        expected_ms = factor * service_ms
-        expected_ms *= 1.0 + plain_wait_fraction(load.running, target.slots)
+            if cost < best_cost:
+                best_cost = cost
+                best = (target, permit_ms + expected_ms, load, factor, permit_ms)
+        if best is None:
+            return None
+        target, expected_ms, load, factor, permit_ms = best
         return Choice(
-            target,
-            permit_ms + expected_ms,
-            load=load,
-            factor=factor,
-            permit_ms=permit_ms,
+            target, expected_ms, load=load, factor=factor, permit_ms=permit_ms
         )
 
     def _distance_ms(self, target: FleetTarget) -> float:
--- a/papayacrank/platform/tests/test_adapter.py
+++ b/papayacrank/platform/tests/test_adapter.py
@@ -201,6 +201,7 @@
         (b"papayacrank-prompt-prefix", b"5c:800,91:410,e4:250"),
         (b"papayacrank-deadline-ms", b"6000"),
         (b"last-event-id", b"4"),
+        (b"papayacrank-length-hint", b"33"),
     )
     assert (request.host, request.path, request.target) == (
         "h.example",
@@ -214,6 +215,8 @@
     ]
     assert (request.deadline_ms, request.key) == (6_000, KEY)
     assert request.resume_after == "4"
+    assert request.expected_output_tokens == 33
+    assert (b"papayacrank-length-hint", b"33") in request.headers
 
 
 FORGED = [
