--- a/papayacrank/costs/_model.py
+++ b/papayacrank/costs/_model.py
@@ -114,7 +114,7 @@
         weight = max(MIN_OBSERVATION_WEIGHT, 1.0 - queue_fraction)
         self.factors.observe(target, math.log(ratio), not has_event, weight)
         if service.observe(work, factor, elapsed_ms):
-            self.factors.refresh(work.service)
+            self.factors.refresh_if_due(work.service)
 
     def observe_events(
         self, target: str, work: Work, events: int, elapsed_ms: float
--- a/papayacrank/costs/_target_factors.py
+++ b/papayacrank/costs/_target_factors.py
@@ -24,6 +24,7 @@
 # So many observations are reported without a change, because estimates age.
 CONFIRMING_SAMPLES = 8
 MAX_REPORTED = 32
+REFRESHED_PER_OBSERVATION = 8
 
 
 @dataclass(slots=True)
@@ -51,6 +52,8 @@
         self._estimates: dict[str, _Estimate] = {}
         self._by_service: dict[str, set[str]] = {}
         self._means: dict[str, float] = {}
+        # Observations of a service since its factors were last refreshed.
+        self._observed: dict[str, int] = {}
         # Read directly when many targets are compared.
         self.values: dict[str, float] = {}
 
@@ -77,6 +80,9 @@
             by_service.setdefault(target.service, set()).add(target.name)
         self._estimates, self._by_service = kept, by_service
         self.values = {n: v for n, v in self.values.items() if n in kept}
+        for table in (self._means, self._observed):
+            for service in table.keys() - by_service.keys():
+                del table[service]
         for service in by_service:
             self.refresh(service)
 
@@ -113,11 +119,23 @@
         step = difference * weight / max(1.0, estimate.samples)
         estimate.log = min(MAX_LOG, max(-MAX_LOG, estimate.log + step))
         estimate.pending += 1
+        service = estimate.service
+        self._observed[service] = self._observed.get(service, 0) + 1
         estimate.pending_log += value
         self._update_value(name, estimate)
 
+    def refresh_if_due(self, service: str) -> None:
+        """Call `refresh` unless it would cost more than the observations since then.
+
+        It visits all targets of a service, and there may be thousands.
+        """
+        targets = len(self._by_service.get(service, ()))
+        if self._observed.get(service, 0) * REFRESHED_PER_OBSERVATION >= targets:
+            self.refresh(service)
+
     def refresh(self, service: str) -> None:
         """Compute the mean of a service and the factors of its targets anew."""
+        self._observed[service] = 0
         known = [
             (name, estimate)
             for name in self._by_service.get(service, ())
--- a/papayacrank/costs/tests/test_placement_load.py
+++ b/papayacrank/costs/tests/test_placement_load.py
@@ -8,7 +8,7 @@
 from .builders import Fleet, errors, late_share, median, quantile
 
 SEEDS = (1, 2, 3)
-# Prompt tokens, output events and urgency, as the customers of a grown fleet have them.
+# Prompt tokens, output events and urgency, as large fleets have them.
 MIX = ((900, 49, 0), (3_000, 9, 1), (9_000, 9, 1))
 OBJECTIVE_MS = 600
 TWO_TIMES_APART = [0.6, 0.8, 1.0, 1.2] * 2
