--- a/papayacrank/costs/_target_factors.py
+++ b/papayacrank/costs/_target_factors.py
@@ -19,12 +19,20 @@
 # Variance that more observations do not remove. In simulations of eight equal targets,
 # factors 2% apart drew the requests of all instances to the same idle target.
 SYSTEMATIC_VARIANCE = 0.02
+# Estimates of the fleet only support own ones. Instances that rank the targets alike
+# choose the same few between two load messages: in simulations of 70 targets and 63
+# instances, 15% of the requests were late when the fleet's estimates replaced own ones.
+MIN_OWN_SAMPLES = 2
+SHARED_SAMPLES = 2
 # Estimates are reported after such a change.
 REPORT_LOG_CHANGE = 0.04
 # So many observations are reported without a change, because estimates age.
 CONFIRMING_SAMPLES = 8
 MAX_REPORTED = 32
 REFRESHED_PER_OBSERVATION = 8
+# Half-life of 30 s, at one call a second, so that a slow target gets requests again
+# that show whether it has become faster.
+IDLE_DECAY = 0.977
 
 
 @dataclass(slots=True)
@@ -38,14 +46,17 @@
     reported_log: float = 0.0
     pending_log: float = 0.0
     pending: int = 0
+    shared_log: float | None = None
+    is_fresh: bool = False
 
 
 class TargetFactors:
     """Speed factors of targets, relative to the geometric mean of their service.
 
     A factor is shrunk to 1 as far as its deviation may be noise, so that equal targets
-    are treated alike. Instances exchange new observations only, so that the leader
-    needs one value for each target.
+    are treated alike. It follows own observations, which estimates of the fleet support.
+    Instances report new observations only, so that the leader needs one value for each
+    target.
     """
 
     def __init__(self):
@@ -76,6 +87,7 @@
                 estimate.incarnation = incarnation
                 estimate.samples = min(estimate.samples, RESTART_SAMPLES)
                 estimate.pending, estimate.pending_log = 0, 0.0
+                estimate.shared_log = None
             kept[target.name] = estimate
             by_service.setdefault(target.service, set()).add(target.name)
         self._estimates, self._by_service = kept, by_service
@@ -119,6 +131,7 @@
         step = difference * weight / max(1.0, estimate.samples)
         estimate.log = min(MAX_LOG, max(-MAX_LOG, estimate.log + step))
         estimate.pending += 1
+        estimate.is_fresh = True
         service = estimate.service
         self._observed[service] = self._observed.get(service, 0) + 1
         estimate.pending_log += value
@@ -148,16 +161,29 @@
             self._update_value(name, estimate)
 
     def _update_value(self, name: str, estimate: _Estimate) -> None:
-        log = estimate.log - self._means.get(estimate.service, 0.0)
+        log, samples = estimate.log, estimate.samples
+        if estimate.shared_log is not None and samples >= MIN_OWN_SAMPLES:
+            log = samples * log + SHARED_SAMPLES * estimate.shared_log
+            samples += SHARED_SAMPLES
+            log /= samples
+        log -= self._means.get(estimate.service, 0.0)
         # The square makes the step from noise to a known factor steeper.
         signal = log**4
-        noise = SYSTEMATIC_VARIANCE + NOISE_VARIANCE / max(0.5, estimate.samples)
+        noise = SYSTEMATIC_VARIANCE + NOISE_VARIANCE / max(0.5, samples)
         shrunk = log * signal / (signal + noise**2)
         shrunk = min(MAX_LOG, max(-MAX_LOG, shrunk))
         self.values[name] = math.exp(shrunk)
 
     def take_report(self) -> dict[str, TargetCost]:
-        """Return what was observed since the last report, by target, and clear it."""
+        """Return what was observed since the last report, by target, and clear it.
+
+        Called once a second; estimates without a new observation fade meanwhile.
+        """
+        for estimate in self._estimates.values():
+            if not estimate.is_fresh:
+                estimate.log *= IDLE_DECAY
+                estimate.samples *= IDLE_DECAY
+            estimate.is_fresh = False
         changed = [
             (change, name)
             for name, estimate in self._estimates.items()
@@ -187,21 +213,14 @@
             estimate.reported_log = math.inf
 
     def apply(self, costs: dict[str, TargetCost]) -> None:
-        """Replace estimates by those of the fleet, and add what is not reported."""
+        """Use the estimates of the fleet beside own observations."""
         services = set()
         for name, cost in costs.items():
             estimate = self._estimates.get(name)
             if estimate is None or not 0 < cost.factor < math.inf or cost.samples < 1:
                 continue
             log = min(MAX_LOG, max(-MAX_LOG, math.log(cost.factor)))
-            samples = min(MAX_SAMPLES, cost.samples)
-            if samples < min(estimate.samples, RESTART_SAMPLES):
-                continue
-            own = min(estimate.pending, MAX_SAMPLES)
-            if own:
-                mean = estimate.pending_log / estimate.pending
-                log = (samples * log + own * mean) / (samples + own)
-            estimate.log, estimate.samples = log, min(MAX_SAMPLES, samples + own)
+            estimate.shared_log = log
             estimate.reported_log = math.log(cost.factor)
             services.add(estimate.service)
         for service in services:
