Spread prompts with the same beginning over a large service

Cause: an uncached part had one preferred engine.

Change: a part has one preferred engine for nine engines of the service; the last shared part of a prompt chooses among them. Services of up to nine engines are served as before. Preferred engines are computed only for parts that are not cached.

Result: the new test fails before (one engine instead of five).

--- a/papayacrank/forwarding/_placement.py
+++ b/papayacrank/forwarding/_placement.py
@@ -1,8 +1,10 @@
 """Placement policies that choose the target of a request."""
 
+import heapq
 import math
 from abc import ABC, abstractmethod
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
@@ -38,6 +40,9 @@
 RECOMPUTE_LOSS_PER_TOKEN = 0.0002
 # Probability that another engine caches a part whose locations are unknown here.
 CACHED_ELSEWHERE_PROBABILITY = 0.5
+# Demand for a part that most prompts begin with grows with the service, so one engine in
+# this many computes it.
+ENGINES_PER_COPY = 9
 USABLE_MEMORY_FRACTION = 0.95
 FULL_MEMORY_LOSS = 0.3
 FULL_SLOTS_LOSS = 0.5
@@ -267,14 +272,55 @@
         """
 
 
+class _PreferredEngines:
+    """Engines that compute uncached parts of a prompt, by rendezvous hashing.
+
+    Many prompts begin with the same part. Instances that do not know yet where it is
+    cached would all send them to one engine, so in a large service each part has a group
+    of engines, among which the last shared part of a prompt chooses.
+
+    Parameters
+    ----------
+    request : PlacementRequest
+        Request to place.
+    targets : list of FleetTarget
+        Candidates; those with the newest weights count.
+    """
+
+    def __init__(self, request: PlacementRequest, targets: list[FleetTarget]):
+        self._request = request
+        self._targets = targets
+        self._names: list[str] = []
+        self._found: dict[str, str] = {}
+
+    def find(self, part: PromptPart) -> str:
+        """Return the preferred engine of a shared part of the request."""
+        if part.name not in self._found:
+            self._found[part.name] = self._choose(part)
+        return self._found[part.name]
+
+    def _choose(self, part: PromptPart) -> str:
+        model = self._request.model
+        if not self._names:
+            newest = max(t.weights[model] for t in self._targets)
+            self._names = [t.name for t in self._targets if t.weights[model] == newest]
+        size = math.ceil(len(self._names) / ENGINES_PER_COPY)
+        group = heapq.nlargest(size, self._names, self._hash_with(part))
+        return max(group, key=self._hash_with(self._request.shared[-1]))
+
+    def _hash_with(self, part: PromptPart) -> Callable[[str], int]:
+        prefix = f"{self._request.salt}/{part.name}/"
+        return lambda name: xxhash.xxh3_64_intdigest((prefix + name).encode())
+
+
 @register(Placement, "expected_loss")
 class ExpectedLossPlacement(Placement):
     """Engine with the least expected loss, for this request and for others.
 
     The policy handles heavy load, roll-outs of weights and popular prompt parts. Loss
     comes from a late first event, from replaced weights, and from computing what
-    another engine has cached. Rendezvous hashing gives each shared part a preferred
-    engine, so that instances agree on it without communication; another engine is
+    another engine has cached. Rendezvous hashing gives each shared part preferred
+    engines, so that instances agree on them without communication; another engine is
     chosen once the queue of the preferred one costs more.
     """
 
@@ -285,7 +331,7 @@
         usable = [t for t in targets if self._may_run(t, request)]
         if not usable:
             return None
-        preferred = self._find_preferred_engines(request, usable)
+        preferred = _PreferredEngines(request, usable)
         model = self.costs.engine(request.service.name)
         rates, is_learned = model.rates(request.urgency), model.is_learned
         best: tuple[float, Choice] | None = None
@@ -309,26 +355,11 @@
         is_old = version < request.newest_version
         return not is_old or request.newest_age_ms < request.max_old_age_ms
 
-    @staticmethod
-    def _find_preferred_engines(
-        request: PlacementRequest, targets: list[FleetTarget]
-    ) -> dict[str, str]:
-        """Return the preferred engine of each shared part, by rendezvous hashing."""
-        newest = max(t.weights[request.model] for t in targets)
-        names = [t.name for t in targets if t.weights[request.model] == newest]
-        preferred = {}
-        for part in request.shared:
-            key = f"{request.salt}/{part.name}/"
-            preferred[part.name] = max(
-                names, key=lambda n: xxhash.xxh3_64_intdigest((key + n).encode())
-            )
-        return preferred
-
     def _estimate(
         self,
         target: FleetTarget,
         request: PlacementRequest,
-        preferred: dict[str, str],
+        preferred: _PreferredEngines,
         model: EngineCosts,
         rates: EngineRates,
         now_ms: int,
@@ -341,7 +372,7 @@
             Candidate.
         request : PlacementRequest
             Request to place.
-        preferred : dict of str to str
+        preferred : _PreferredEngines
             Preferred engine of each shared part.
         model : EngineCosts
             Costs of the service.
@@ -367,7 +398,7 @@
         own_ms = rates.first_step_ms + load.running * rates.running_ms
         own_ms += (own_tokens + compute_tokens) * rates.token_ms
         recompute_loss = 0.0
-        if uncached and preferred[uncached[0].name] != target.name:
+        if uncached and preferred.find(uncached[0]) != target.name:
             # Parts after the first uncached one are most likely cached nowhere.
             recomputed_tokens = CACHED_ELSEWHERE_PROBABILITY * uncached[0].tokens
             recompute_loss = recomputed_tokens * RECOMPUTE_LOSS_PER_TOKEN
--- a/papayacrank/forwarding/tests/test_placement.py
+++ b/papayacrank/forwarding/tests/test_placement.py
@@ -26,11 +26,11 @@
 class Bench:
     """Placement among engines whose load the test sets."""
 
-    def __init__(self, versions=None):
+    def __init__(self, versions=None, names=NAMES):
         versions = versions or {}
         self.targets = [
             build_target(name, "engines", version=versions.get(name, 1))
-            for name in NAMES
+            for name in names
         ]
         self.table = TargetTable()
         self.table.update(build_view(*self.targets))
@@ -92,6 +92,19 @@
     assert len(chosen) == 1
 
 
+def test_prompts_with_the_same_beginning_spread_over_a_large_service():
+    """Guards against a queue at one engine after a change of weights.
+
+    Instances learn only later where a part is cached, and send meanwhile what arrives.
+    """
+    bench = Bench(names=[f"e{number}" for number in range(45)])
+    counts = Counter(
+        bench.choose([("a", 2_500), (f"b{n}", 3_800)]).target.name for n in range(100)
+    )
+    assert len(counts) == 5
+    assert max(counts.values()) <= 2 * 100 / 5
+
+
 def test_burst_on_one_part_spreads_once_the_store_has_it():
     """Guards against a queue at one engine while others are idle."""
     bench = Bench()
