--- a/papayacrank/forwarding/_placement.py
+++ b/papayacrank/forwarding/_placement.py
@@ -40,8 +40,8 @@
 RECOMPUTE_LOSS_PER_TOKEN = 0.0002
 # Probability that another engine caches a part whose locations are unknown here.
 CACHED_ELSEWHERE_PROBABILITY = 0.5
-# Demand for a part that most prompts begin with grows with the service, so one engine in
-# this many computes it.
+# Demand for a part that most prompts begin with grows with the service, so one engine
+# in this many computes it.
 ENGINES_PER_COPY = 9
 USABLE_MEMORY_FRACTION = 0.95
 FULL_MEMORY_LOSS = 0.3
@@ -276,8 +276,8 @@
     """Engines that compute uncached parts of a prompt, by rendezvous hashing.
 
     Many prompts begin with the same part. Instances that do not know yet where it is
-    cached would all send them to one engine, so in a large service each part has a group
-    of engines, among which the last shared part of a prompt chooses.
+    cached would all send them to one engine, so in a large service each part has
+    several engines, among which the last shared part of a prompt chooses.
 
     Parameters
     ----------
