Count all buffered bytes of a process in one account

Cause: a process of 128 MB, of which it uses 40 to 45 MB itself, allowed 24 MiB of request bodies, 24 MiB of responses, 24 MiB of unsent bytes for each port and an unlimited amount of unsent requests and of requests sent ahead. memory_mb and max_fds of the settings were not read, a caller that stopped reading held its response for good, and a sent request stayed in memory until the next one on its connection, because an empty memoryview refers to its buffer.

Change: ByteAccount holds the sum over all buffers, with a soft and a hard limit from memory_mb. Reading a stream is slowed for a slow caller, large bodies wait for each other, a body that does not fit gets 503 (not run, Retry-After 1 s) when its head arrives, and above the hard limit the buffer that takes longest to empty ends, by a reset. Readers without progress end after 5 s. At most 16 MiB are outstanding to one target. max_fds limits the connections of callers and idle connections to targets. Without settings the limits of before hold.

--- a/papayacrank/forwarding/_events.py
+++ b/papayacrank/forwarding/_events.py
@@ -120,7 +120,17 @@
     " second; targets of the service get no request that they might not start at once.",
 )
 
+REQUEST_UNREAD = LogEvent(
+    2141,
+    "request_unread",
+    "warning",
+    "A request was ended because its target has stopped reading it, or reads it the"
+    " slowest while the buffers of the process are at their limit.",
+    "Check the target at `address`.",
+)
+
 declare_events(
+    REQUEST_UNREAD,
     REFUSAL_LIMIT_STATED,
     PATH_LOST,
     PATH_REGAINED,
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 from random import Random
 
-from papayacrank.kernel import Clock
+from papayacrank.kernel import Clock, Failure
 from papayacrank.messages import FleetLoad, FleetView, RoutingConfiguration
 from papayacrank.permits import PermitPort
-from papayacrank.transport import ExchangeListener, HttpExchange, Timers
+from papayacrank.transport import ExchangeListener, HttpExchange, RequestHead, Timers
 
 from ._admission import RequestAdmission
 from ._attempt_builder import AttemptBuilder
@@ -81,6 +81,7 @@
         random_state: Random,
     ):
 
+        self._protocol = protocol
         self._relay = relay
         self._random = random_state
         self._continuity = continuity
@@ -276,6 +277,15 @@
         """Cancel the request of a caller that disconnected."""
         self._interruptions.on_caller_left(exchange)
 
+    def build_refusal(
+        self, head: RequestHead, failure: Failure
+    ) -> tuple[HeaderList, bytes]:
+        """Return the response to a request whose body does not fit into memory."""
+        request = self._protocol.read_request(head)
+        request_id = "" if isinstance(request, Failure) else request.request_id
+        response = self._protocol.build_failure(failure, request_id)
+        return response.headers, response.body
+
     def poll_quota(self) -> None:
         """Continue requests that waited for a grant of tokens."""
         self._admission.poll_quota()
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -21,9 +21,11 @@
     CONTROL_MESSAGES,
     ISOLATED,
     SERVING,
+    UNKNOWN_CAPACITY,
     FleetChange,
     FleetLoad,
     FleetView,
+    InstanceCapacity,
     ReleaseFound,
 )
 from papayacrank.permits import PermitClient, PermitPort
@@ -34,6 +36,9 @@
 )
 from papayacrank.releases import ReleasePort
 from papayacrank.transport import (
+    BufferKind,
+    ByteAccount,
+    ByteLimits,
     ConnectCheck,
     ExchangeListener,
     HttpExchange,
@@ -58,6 +63,7 @@
     STOP_STARTED,
 )
 from ._forwarder import Forwarder
+from ._instance_load import count_caller_descriptors, count_idle_descriptors
 from ._path_monitor import PathMonitor
 from ._path_port import PathPort
 from ._quota import QuotaEnforcer
@@ -79,6 +85,7 @@
 # From this time of a graceful stop on, connections are closed after their responses.
 CLOSE_CONNECTIONS_AFTER_MS = 1_100
 STOP_POLL_MS = 50
+BYTES_PER_MB = 1_000_000
 
 
 @dataclass(frozen=True)
@@ -102,6 +109,8 @@
         the control group counts as lost.
     stop_timeout_ms : int
         Maximum duration of a graceful stop in milliseconds.
+    capacity : InstanceCapacity
+        Resources of the process.
     """
 
     forwarding: ForwardingSettings
@@ -114,6 +123,7 @@
     boot: int
     contact_ms: int = 3_000
     stop_timeout_ms: int = 7_600
+    capacity: InstanceCapacity = UNKNOWN_CAPACITY
 
 
 class _ReadinessEndpoint(ExchangeListener):
@@ -178,7 +188,14 @@
         self._timers = Timers(self._clock).register(self)
         self._shares = LocalShares()
         self._quota = QuotaEnforcer(self._shares)
-        self._target_port = TargetPort(self._clock, self._timers).register(self)
+        memory_bytes = int(settings.capacity.memory_mb * BYTES_PER_MB)
+        self._account = ByteAccount(ByteLimits.from_memory(memory_bytes))
+        self._target_port = TargetPort(
+            self._clock,
+            self._timers,
+            self._account,
+            count_idle_descriptors(settings.capacity),
+        ).register(self)
         self._permits = PermitPort(
             PermitClient(settings.forwarding.instance),
             lambda message: self._control.send_to_leader(message),
@@ -318,8 +335,12 @@
         self._control.on_message = self._on_message
 
     def _build_ports(self) -> None:
+        max_callers = count_caller_descriptors(self._settings.capacity)
         self._caller_port = self._open_port(
-            self._settings.callers, "callers", self._forwarder
+            self._settings.callers,
+            "callers",
+            self._forwarder,
+            HttpLimits(max_connections=max_callers),
         )
         self._open_port(self._settings.readiness, "readiness", _ReadinessEndpoint(self))
         self._open_port(
@@ -331,10 +352,18 @@
             self._settings.metrics, "metrics", _MetricsEndpoint(self._forwarder)
         )
 
-    def _open_port(self, address: str, name: str, listener: ExchangeListener):
+    def _open_port(
+        self,
+        address: str,
+        name: str,
+        listener: ExchangeListener,
+        limits: HttpLimits | None = None,
+    ):
         if not address:
             return None
-        port = HttpPort(address, name, listener, self._clock, self._timers)
+        port = HttpPort(
+            address, name, listener, self._clock, self._timers, limits, self._account
+        )
         return port.register(self)
 
     def _add_gauges(self) -> None:
@@ -354,6 +383,22 @@
             "Open connections to targets",
             lambda: self._target_port.open_connections,
         )
+        for kind in BufferKind:
+            metrics.add_gauge(
+                f"buffered_{kind.value}_bytes",
+                f"Bytes in buffers of the kind {kind.value}",
+                lambda kind=kind: self._account.total_of(kind),
+            )
+        metrics.add_gauge(
+            "buffered_bytes_limit",
+            "Bytes in all buffers above which the slowest exchange is ended",
+            lambda: self._account.limits.hard_bytes,
+        )
+        metrics.add_gauge(
+            "ended_for_memory",
+            "Exchanges that were ended because the buffers were at their limit",
+            lambda: self._account.ended,
+        )
         metrics.add_gauge(
             "control_contact",
             "Whether the control group acknowledges heartbeats",
--- a/papayacrank/forwarding/_relay.py
+++ b/papayacrank/forwarding/_relay.py
@@ -205,6 +205,7 @@
         relayed.is_stream = 200 <= status < 300 and metadata.is_event_stream
         call.is_buffered = not relayed.is_stream
         if relayed.is_stream:
+            call.unsent_bytes = lambda: relayed.exchange.unsent_bytes
             relayed.exchange.begin(status, relayed.headers)
 
     def on_data(self, call: TargetCall, data: bytes) -> None:
--- a/papayacrank/forwarding/_responses.py
+++ b/papayacrank/forwarding/_responses.py
@@ -139,6 +139,8 @@
         was_stream = attempt.is_stream
         attempt.is_stream = was_stream and _is_usable_stream(attempt)
         call.is_buffered = not attempt.is_stream
+        if attempt.is_stream:
+            call.unsent_bytes = lambda: job.exchange.unsent_bytes
         metadata = attempt.metadata
         is_usable = is_success and metadata.is_valid and not metadata.not_run
         if not is_usable or attempt.is_stream != was_stream:
--- a/papayacrank/forwarding/_target_call.py
+++ b/papayacrank/forwarding/_target_call.py
@@ -17,7 +17,8 @@
     code : str
         ``"connect_failed"``, ``"connect_timeout"``, ``"connection_lost"``,
         ``"malformed_answer"``, ``"answer_too_large"``, ``"too_many_connections"``,
-        ``"permit_expired"`` or ``"other_start"``.
+        ``"too_many_bytes"``, ``"request_unread"``, ``"permit_expired"`` or
+        ``"other_start"``.
     may_have_run : bool
         Whether any byte of the request was handed to the operating system.
     message : str
@@ -110,6 +111,8 @@
     held_bytes : int
         Bytes of a body that is not buffered which the listener holds, such as an
         incomplete event.
+    unsent_bytes : callable or None
+        Returns the bytes of a forwarded stream that its caller has not accepted yet.
     send_before_ms : int or None
         Time from which the request must not be sent any more, because its permit has
         expired, for example while the process was suspended.
@@ -139,6 +142,7 @@
     needs_new_connection: bool = False
     is_buffered: bool = False
     held_bytes: int = 0
+    unsent_bytes: Callable[[], int] | None = None
     send_before_ms: int | None = None
     start_check: StartCheck | None = None
     opened_ms: int | None = None
--- a/papayacrank/forwarding/_target_port.py
+++ b/papayacrank/forwarding/_target_port.py
@@ -11,14 +11,20 @@
 
 from papayacrank.kernel import Clock, log_event
 from papayacrank.transport import (
+    MAX_READ_PAUSE_MS,
+    MAX_TARGET_BYTES,
+    READ_PAUSE_POLL_MS,
+    BufferKind,
+    ByteAccount,
     Connection,
     ConnectionState,
+    Holding,
     IdlePool,
     Timers,
     encode_request,
 )
 
-from ._events import RESPONSES_TOO_LARGE
+from ._events import REQUEST_UNREAD, RESPONSES_TOO_LARGE
 from ._headers import HeaderList
 from ._start_check import build_start_check
 from ._target_call import CallFailure, TargetCall
@@ -78,6 +84,10 @@
         self.checked_start: tuple[str, int] | None = None
         self.max_idle_ms = DEFAULT_IDLE_TIMEOUT_MS
         self.reusable = True
+        self.response = Holding(BufferKind.RESPONSE, None)
+        self.request = Holding(BufferKind.TO_TARGET, None)
+        self.outstanding_bytes = 0
+        self.paused_ms: int | None = None
         self.begin_call(None)
 
     def begin_call(self, call: TargetCall | None) -> None:
@@ -85,7 +95,6 @@
         self.call = call
         self.reusable = True
         self.body_bytes = 0
-        self.held_bytes = 0
         self.event_count = 0
         self.interim_responses = 0
         self.stale_responses = 0
@@ -106,21 +115,34 @@
         Clock of `timers`.
     timers : Timers
         Timers of the process.
+    account : ByteAccount, optional
+        Account of the process for buffered bytes.
+    max_idle : int
+        Maximum number of idle connections.
     """
 
     channel = "target-port"
 
-    def __init__(self, clock: Clock, timers: Timers):
+    def __init__(
+        self,
+        clock: Clock,
+        timers: Timers,
+        account: ByteAccount | None = None,
+        max_idle: int = MAX_IDLE,
+    ):
         super().__init__()
         self._clock = clock
         self._timers = timers
+        self._account = account or ByteAccount()
         self._poller: BasePoller | None = None
         self._connections: dict[object, _HttpConnection] = {}
         self._by_call: dict[TargetCall, _HttpConnection] = {}
         # Check in progress by the call that waits for it.
         self._checks: dict[TargetCall, TargetCall] = {}
         self._connection_counts: dict[str, int] = {}
-        self._pool = IdlePool(MAX_IDLE_PER_TARGET, MAX_IDLE)
+        # Bytes of the requests that each target has not answered yet.
+        self._outstanding_bytes: dict[str, int] = {}
+        self._pool = IdlePool(MAX_IDLE_PER_TARGET, max_idle)
         self._held_bytes = 0
         self._numbers = itertools.count(1)
 
@@ -138,6 +160,12 @@
         """Send a request; the listener may be called before this method returns."""
         if self._poller is None:
             self._poller = findcmp(self.root, BasePoller)
+        outstanding_bytes = self._outstanding_bytes.get(call.address, 0)
+        if outstanding_bytes and outstanding_bytes + len(call.body) > MAX_TARGET_BYTES:
+            # A target crashes if the requests that it holds exceed its memory.
+            call.is_open = False
+            call.listener.on_failed(call, CallFailure("too_many_bytes", False))
+            return
         connection = None
         if not call.needs_new_connection:
             connection = self._take_idle(call.address)
@@ -170,10 +198,15 @@
             self._close(connection)
 
     def close_expired(self) -> None:
-        """Close connections that exceeded the idle timeout of their targets."""
+        """Close connections that exceeded the idle timeout of their targets.
+
+        Those to targets that have stopped reading a request are closed as well.
+        """
         now_ms = self._clock.now_ms()
         for connection in list(self._connections.values()):
-            if connection.state is ConnectionState.IDLE and not self._is_fresh(
+            if connection.request.is_silent(now_ms):
+                self._end_request(connection)
+            elif connection.state is ConnectionState.IDLE and not self._is_fresh(
                 connection, now_ms
             ):
                 self._pool.remove(connection)
@@ -195,6 +228,8 @@
 
     def _open(self, call: TargetCall) -> None:
         connection = _HttpConnection(next(self._numbers), call.address)
+        connection.response.end = lambda: self._end_response(connection)
+        connection.request.end = lambda: self._end_request(connection)
         try:
             connection.connect()
             _set_tcp_timeouts(connection.sock)
@@ -270,6 +305,7 @@
 
     def _send(self, connection: _HttpConnection, call: TargetCall) -> None:
         connection.begin_call(call)
+        self._set_outstanding(connection, len(call.body))
         call.opened_ms = connection.opened_ms
         connection.state = ConnectionState.BUSY
         self._by_call[call] = connection
@@ -280,12 +316,15 @@
         _set_user_timeout(connection.sock, len(call.body))
         connection.queue(_encode(connection.protocol, call))
         self._write(connection)
+        self._account.enforce(self._clock.now_ms())
 
     def _write(self, connection: _HttpConnection) -> None:
         call = connection.call
         try:
-            connection.send()
+            sent = connection.send()
             call.bytes_written |= connection.has_sent
+            now_ms = self._clock.now_ms()
+            self._account.set(connection.request, connection.unsent_bytes, now_ms, sent)
         except OSError as error:
             call.bytes_written |= connection.has_sent
             # The response may have arrived before the target closed the connection.
@@ -351,7 +390,9 @@
             # The error that a reset sets on a socket is reported once, here to `send`.
             self._on_connection_lost(connection, "reset")
             return
+        call = connection.call
         self._parse(connection, data)
+        self._limit_unread_bytes(connection, call)
 
     # Responses
 
@@ -387,19 +428,68 @@
         held = len(connection.protocol.trailing_data[0]) + call.held_bytes
         if call.is_buffered and connection.state is not ConnectionState.ENDING:
             held += connection.body_bytes
-        self._held_bytes += held - connection.held_bytes
-        connection.held_bytes = held
+        added = held - connection.response.held
+        self._held_bytes += added
+        now_ms = self._clock.now_ms()
+        self._account.set(connection.response, held, now_ms, max(0, added))
         while self._held_bytes > MAX_HELD_BYTES:
-            largest = max(self._by_call.values(), key=lambda c: c.held_bytes)
-            message = "all open responses together are too large"
-            log_event(
-                RESPONSES_TOO_LARGE,
-                address=largest.address,
-                bytes=largest.held_bytes,
-                all_bytes=self._held_bytes,
+            self._end_response(
+                max(self._by_call.values(), key=lambda c: c.response.held)
             )
-            may_have_run = largest.call.bytes_written
-            self._drop(largest, CallFailure("answer_too_large", may_have_run, message))
+        self._account.enforce(now_ms)
+
+    def _end_response(self, connection: _HttpConnection) -> None:
+        """End a response to limit what all of them hold."""
+        log_event(
+            RESPONSES_TOO_LARGE,
+            address=connection.address,
+            bytes=connection.response.held,
+            all_bytes=self._held_bytes,
+        )
+        message = "all open responses together are too large"
+        may_have_run = connection.call.bytes_written
+        self._drop(connection, CallFailure("answer_too_large", may_have_run, message))
+
+    def _end_request(self, connection: _HttpConnection) -> None:
+        """End a request that its target reads too slowly."""
+        log_event(
+            REQUEST_UNREAD,
+            address=connection.address,
+            bytes=connection.request.held,
+            all_bytes=self._account.total,
+        )
+        may_have_run = connection.call.bytes_written
+        self._drop(connection, CallFailure("request_unread", may_have_run))
+
+    def _limit_unread_bytes(
+        self, connection: _HttpConnection, call: TargetCall
+    ) -> None:
+        """Pause reading a stream whose caller reads too slowly."""
+        if connection.call is not call or connection.paused_ms is not None:
+            return
+        if self._is_over_share(call):
+            connection.paused_ms = self._clock.now_ms()
+            self._poller.removeReader(connection.sock)
+            self._schedule_resume(connection, READ_PAUSE_POLL_MS)
+
+    def _is_over_share(self, call: TargetCall) -> bool:
+        unsent_bytes = 0 if call.unsent_bytes is None else call.unsent_bytes()
+        return unsent_bytes > self._account.share_bytes
+
+    def _schedule_resume(self, connection: _HttpConnection, delay_ms: int) -> None:
+        at_ms = self._clock.now_ms() + delay_ms
+        self._timers.set(
+            _timer(connection), at_ms, lambda: self._resume_reading(connection)
+        )
+
+    def _set_outstanding(self, connection: _HttpConnection, size: int) -> None:
+        """Set the size of the request of a connection that its target holds."""
+        address = connection.address
+        total = self._outstanding_bytes.get(address, 0)
+        self._outstanding_bytes[address] = total + size - connection.outstanding_bytes
+        connection.outstanding_bytes = size
+        if not self._outstanding_bytes[address]:
+            del self._outstanding_bytes[address]
 
     def _process_events(self, connection: _HttpConnection, call: TargetCall) -> None:
         """Handle parsed events, up to the limit of one loop iteration."""
@@ -420,15 +510,18 @@
     def _pause_reading(self, connection: _HttpConnection) -> None:
         """Stop reading for a short time, so that other connections get their turn."""
         self._poller.removeReader(connection.sock)
-        at_ms = self._clock.now_ms() + RESUME_READING_DELAY_MS
-        self._timers.set(
-            _timer(connection), at_ms, lambda: self._resume_reading(connection)
-        )
+        connection.paused_ms = self._clock.now_ms()
+        self._schedule_resume(connection, RESUME_READING_DELAY_MS)
 
     def _resume_reading(self, connection: _HttpConnection) -> None:
         call = connection.call
         if call is None or connection.state is ConnectionState.CLOSED:
             return
+        paused_for_ms = self._clock.now_ms() - connection.paused_ms
+        if paused_for_ms < MAX_READ_PAUSE_MS and self._is_over_share(call):
+            self._schedule_resume(connection, READ_PAUSE_POLL_MS)
+            return
+        connection.paused_ms = None
         self._poller.addReader(self, connection.sock)
         self._handle(connection, call, b"")
 
@@ -478,8 +571,10 @@
 
     def _release_held(self, connection: _HttpConnection) -> None:
         """Subtract what a response held that has ended."""
-        self._held_bytes -= connection.held_bytes
-        connection.held_bytes = 0
+        self._held_bytes -= connection.response.held
+        self._account.release(connection.response)
+        self._account.release(connection.request)
+        self._set_outstanding(connection, 0)
 
     def _process_head(
         self, connection: _HttpConnection, call: TargetCall, event
--- a/papayacrank/forwarding/tests/test_target_port.py
+++ b/papayacrank/forwarding/tests/test_target_port.py
@@ -79,12 +79,12 @@
 class Bench:
     """Port that runs in its own thread."""
 
-    def __init__(self):
+    def __init__(self, account=None):
         self.root = BaseComponent()
         install_process_handlers(self.root)
         clock = MonotonicClock()
         self.timers = Timers(clock).register(self.root)
-        self.port = TargetPort(clock, self.timers).register(self.root)
+        self.port = TargetPort(clock, self.timers, account).register(self.root)
         self.submitter = Submitter(self.port).register(self.root)
         self.collector = Collector()
         self.clock = clock
--- a/papayacrank/messages/_feed.py
+++ b/papayacrank/messages/_feed.py
@@ -18,7 +18,31 @@
     digest: str
 
 
-class EntryAddress(msgspec.Struct, frozen=True):
+class InstanceCapacity(msgspec.Struct, frozen=True, array_like=True):
+    """Resources of an entry process; a value of 0 is unknown.
+
+    Attributes
+    ----------
+    processor : float
+        Share of a core times its relative speed.
+    memory_mb : float
+        Memory in units of 1,000,000 bytes.
+    descriptors : int
+        Maximum number of open descriptors.
+    link_mbps : float
+        Bandwidth of the machine's link in Mbit/s.
+    """
+
+    processor: float = 0.0
+    memory_mb: float = 0.0
+    descriptors: int = 0
+    link_mbps: float = 0.0
+
+
+UNKNOWN_CAPACITY = InstanceCapacity()
+
+
+class EntryAddress(msgspec.Struct, frozen=True, omit_defaults=True):
     """A live entry process.
 
     Attributes
@@ -27,6 +51,8 @@
         Address for callers as ``ip:port``.
     status : str
         ``"starting"``, ``"serving"``, ``"isolated"`` or ``"draining"``.
+    capacity : InstanceCapacity
+        Resources of the process, as it stated them when it registered.
     """
 
     instance: str
@@ -34,6 +60,7 @@
     failure_domain: str
     address: str
     status: str
+    capacity: InstanceCapacity = UNKNOWN_CAPACITY
 
 
 class ConfigurationChange(msgspec.Struct, tag=True, frozen=True):
--- a/papayacrank/platform/__main__.py
+++ b/papayacrank/platform/__main__.py
@@ -120,6 +120,7 @@
         boot,
         bounds.contact_ms,
         int(bounds.grace_s * MS_PER_SECOND) - STOP_MARGIN_MS,
+        settings.capacity,
     )
     return ForwardingProcess(node, PlatformCallerProtocol())
 
--- a/papayacrank/platform/_settings.py
+++ b/papayacrank/platform/_settings.py
@@ -8,6 +8,7 @@
 from pydantic import Field, ValidationError
 
 from papayacrank.config import ControlSettings, PeerAddress, SettingsError
+from papayacrank.messages import InstanceCapacity
 
 from ._wire_model import WireModel
 
@@ -64,8 +65,26 @@
 
 
 class Limits(WireModel):
-    """Resources of the machine."""
+    """Resources of the machine and, for memory and descriptors, of each process.
 
+    Attributes
+    ----------
+    cpu_share : float
+        Share of a core; 0 if unknown, as for the other fields.
+    cores : float
+        Speed of the core, relative to others.
+    memory_mb : float
+        Memory above which a process is killed, in units of 1,000,000 bytes.
+    max_fds : int
+        Maximum number of descriptors of a process.
+    link_mbps : float
+        Bandwidth of the machine's link in Mbit/s.
+    """
+
+    cpu_share: float = Field(default=0.0, ge=0)
+    cores: float = Field(default=1.0, gt=0)
+    memory_mb: float = Field(default=0.0, ge=0)
+    max_fds: int = Field(default=0, ge=0)
     link_mbps: float = Field(default=100.0, gt=0)
 
 
@@ -136,6 +155,18 @@
             return None
         return f"{name}:{self.port(CONTROL_LINK_PORT)}"
 
+    @property
+    def capacity(self) -> InstanceCapacity:
+        """Resources of an entry process on this machine."""
+        limits = self.limits
+        has_link = "link_mbps" in limits.model_fields_set
+        return InstanceCapacity(
+            limits.cpu_share * limits.cores,
+            limits.memory_mb,
+            limits.max_fds,
+            limits.link_mbps if has_link else 0.0,
+        )
+
     def control_settings(self) -> ControlSettings:
         """Return the settings of a control process on this machine."""
         others = [name for name in self.control_names if name != self.ip]
--- a/papayacrank/platform/tests/faulty_servers.py
+++ b/papayacrank/platform/tests/faulty_servers.py
@@ -137,15 +137,17 @@
         Service of the servers: ``"plain"`` or ``"engines"``.
     route_fields : dict
         Fields of each route that differ from the default.
+    account : ByteAccount, optional
+        Account for the buffers of the entry.
     """
 
-    def __init__(self, *scripts, service="plain", **route_fields):
+    def __init__(self, *scripts, service="plain", account=None, **route_fields):
         self.servers = [ScriptedTarget(script) for script in scripts]
         clock = MonotonicClock()
         self._root = BaseComponent()
         install_process_handlers(self._root)
         timers = Timers(clock).register(self._root)
-        self.port = TargetPort(clock, timers).register(self._root)
+        self.port = TargetPort(clock, timers, account).register(self._root)
         permits = PermitPort(PermitClient("i1"), lambda _: True, clock, timers)
         quarantine = QuarantinePort(
             QuarantineClient("i1"), lambda _: True, clock, timers
@@ -174,7 +176,7 @@
         )
         self._apply(service, route_fields)
         self._http = HttpPort(
-            "127.0.0.1:0", "front", self.forwarder, clock, timers
+            "127.0.0.1:0", "front", self.forwarder, clock, timers, account=account
         ).register(self._root)
         self._thread = threading.Thread(target=self._root.run, daemon=True)
         self._thread.start()
--- a/papayacrank/transport/__init__.py
+++ b/papayacrank/transport/__init__.py
@@ -1,5 +1,14 @@
 """HTTP server, connections to targets, ZeroMQ messaging and timers for circuits."""
 
+from ._byte_account import (
+    MAX_READ_PAUSE_MS,
+    MAX_TARGET_BYTES,
+    READ_PAUSE_POLL_MS,
+    BufferKind,
+    ByteAccount,
+    ByteLimits,
+    Holding,
+)
 from ._caller_server import CallerServer, caller_progress
 from ._codec import MessageCodec, MessageDecodeError
 from ._connect_check import ConnectCheck, ConnectOutcome
@@ -19,12 +28,19 @@
 
 __all__ = [
     "CLOSE_HEADER",
+    "MAX_READ_PAUSE_MS",
+    "MAX_TARGET_BYTES",
+    "READ_PAUSE_POLL_MS",
+    "BufferKind",
+    "ByteAccount",
+    "ByteLimits",
     "CallerServer",
     "ConnectCheck",
     "ConnectOutcome",
     "Connection",
     "ConnectionState",
     "ExchangeListener",
+    "Holding",
     "HttpExchange",
     "HttpLimits",
     "HttpPort",
--- a/papayacrank/transport/_caller_server.py
+++ b/papayacrank/transport/_caller_server.py
@@ -1,15 +1,23 @@
 """TCP server for the connections of callers, with bounded send buffers."""
 
-from socket import MSG_PEEK, SHUT_WR
+import struct
+from socket import MSG_PEEK, SHUT_WR, SO_LINGER, SOL_SOCKET
 
 from circuits import Event, handler
 from circuits.net.events import connect, disconnect, read
 from circuits.net.sockets import TCPServer
 
+from papayacrank.kernel import Clock, MonotonicClock, log_event
+
+from ._byte_account import BufferKind, ByteAccount, Holding, find_slowest
+from ._events import READER_ENDED
+
 READ_BYTES = 65_536
+PIECE_BYTES = 65_536
 ACCEPTS_PER_WAKEUP = 64
-# Total size of the send buffers. Above this limit, the connection with the largest
-# buffer is closed, so that slow readers cannot exhaust the memory.
+# Total size of the send buffers. Above this limit, the connection whose caller is the
+# slowest for the size of its buffer is closed, so that slow readers cannot exhaust the
+# memory.
 MAX_TOTAL_BUFFERED_BYTES = 256 * 1024 * 1024
 
 
@@ -37,6 +45,10 @@
         Maximum size of the send buffers of all connections, in bytes.
     channel : str
         circuits channel for the events of this server.
+    account : ByteAccount, optional
+        Account of the process for buffered bytes.
+    clock : Clock, optional
+        Clock of the account.
     """
 
     channel = "web"
@@ -48,47 +60,74 @@
         refusal: bytes,
         max_total_buffered_bytes: int = MAX_TOTAL_BUFFERED_BYTES,
         channel: str = "web",
+        account: ByteAccount | None = None,
+        clock: Clock | None = None,
     ):
         super().__init__(bind, channel=channel, bufsize=READ_BYTES)
         self._max_connections = max_connections
         self._refusal = refusal
         self._max_total_buffered_bytes = max_total_buffered_bytes
-        self._buffered_bytes: dict = {}
+        self._account = account or ByteAccount()
+        self._clock = clock or MonotonicClock()
+        self._holdings: dict[object, Holding] = {}
         self._total_buffered_bytes = 0
         self._unhandled_reads: set = set()
 
     @property
     def connection_count(self) -> int:
         """Number of open connections."""
-        return len(self._buffered_bytes)
+        return len(self._holdings)
 
     def buffered_bytes(self, sock) -> int:
         """Return the size of the send buffer of a connection, in bytes."""
-        return self._buffered_bytes.get(sock, 0)
+        holding = self._holdings.get(sock)
+        return 0 if holding is None else holding.held
 
     def is_connected(self, sock) -> bool:
         """Return whether a connection is open."""
-        return sock in self._buffered_bytes
+        return sock in self._holdings
 
     def send(self, sock, data: bytes) -> None:
         """Send data, buffering the part that the socket does not accept."""
-        if sock not in self._buffered_bytes or not data:
+        if sock not in self._holdings or not data:
             return
-        if not self._buffered_bytes[sock]:
-            data = data[self._send_now(sock, data) :]
-        if data and sock in self._buffered_bytes:
+        if not self._holdings[sock].held:
+            sent = self._send_now(sock, data)
+            data = memoryview(data)[sent:]
+        if data and sock in self._holdings:
             self._buffer(sock, data)
 
     def abort(self, sock) -> None:
         """Close a connection immediately, discarding its send buffer."""
+        if self.buffered_bytes(sock):
+            # Without a reset, the end of the connection would complete a response that
+            # has neither a length nor chunks.
+            reset_on_close(sock)
         self._close(sock)
 
+    def pause_reading(self, sock) -> None:
+        """Stop reading from a connection."""
+        if sock in self._holdings and self._poller.isReading(sock):
+            self._poller.removeReader(sock)
+
+    def resume_reading(self, sock) -> None:
+        """Read from a connection again."""
+        if sock in self._holdings and not self._poller.isReading(sock):
+            self._poller.addReader(self, sock)
+
+    def end_silent_readers(self) -> None:
+        """Close the connections whose callers have stopped reading their responses."""
+        now_ms = self._clock.now_ms()
+        for sock, holding in list(self._holdings.items()):
+            if holding.is_silent(now_ms):
+                self._end_reader(sock, "no_progress")
+
     def end_unless_input(self, sock) -> None:
         """Close a connection once its send buffer is empty, unless input has arrived.
 
         Input that was read already is handled by a later event of the loop.
         """
-        if sock not in self._buffered_bytes or sock in self._unhandled_reads:
+        if sock not in self._holdings or sock in self._unhandled_reads:
             return
         if self._has_no_unread_data(sock):
             self.close(sock)
@@ -120,16 +159,40 @@
             return True
 
     def _buffer(self, sock, data: bytes) -> None:
-        self._buffers[sock].append(data)
-        self._buffered_bytes[sock] += len(data)
-        self._total_buffered_bytes += len(data)
+        # In pieces, so that the memory of a large response is freed as it is sent.
+        self._buffers[sock].extend(
+            bytes(data[start : start + PIECE_BYTES])
+            for start in range(0, len(data), PIECE_BYTES)
+        )
+        self._count(sock, len(data))
         if not self._poller.isWriting(sock):
             self._poller.addWriter(self, sock)
-        self._enforce_total_limit()
-
-    def _enforce_total_limit(self) -> None:
+        self._enforce_limits()
+
+    def _count(self, sock, added: int) -> None:
+        """Add bytes to the account, or subtract those that were sent."""
+        holding = self._holdings[sock]
+        self._total_buffered_bytes += added
+        self._account.set(
+            holding, holding.held + added, self._clock.now_ms(), max(0, -added)
+        )
+
+    def _enforce_limits(self) -> None:
+        now_ms = self._clock.now_ms()
         while self._total_buffered_bytes > self._max_total_buffered_bytes:
-            self._close(max(self._buffered_bytes, key=self._buffered_bytes.get))
+            find_slowest(self._holdings.values(), now_ms).end()
+        self._account.enforce(now_ms)
+
+    def _end_reader(self, sock, reason: str) -> None:
+        """End the response to a caller that reads too slowly."""
+        log_event(
+            READER_ENDED,
+            port=self.channel,
+            reason=reason,
+            bytes=self.buffered_bytes(sock),
+            all_bytes=self._account.total,
+        )
+        self.abort(sock)
 
     def _send_now(self, sock, data: bytes) -> int:
         try:
@@ -143,7 +206,7 @@
     def _read(self, sock) -> None:
         # The circuits base class keeps polling a connection at end of file while its
         # send buffer is not empty, a busy loop until the caller resets the connection.
-        if sock not in self._buffered_bytes:
+        if sock not in self._holdings:
             return
         try:
             data = sock.recv(READ_BYTES)
@@ -158,10 +221,11 @@
             self._close(sock)
 
     def _close(self, sock) -> None:
-        buffered = self._buffered_bytes.pop(sock, None)
-        if buffered is None:
+        holding = self._holdings.pop(sock, None)
+        if holding is None:
             return
-        self._total_buffered_bytes -= buffered
+        self._total_buffered_bytes -= holding.held
+        self._account.release(holding)
         self._unhandled_reads.discard(sock)
         self._poller.discard(sock)
         self._buffers.pop(sock, None)
@@ -174,7 +238,7 @@
     @handler("stopped", channel="*", override=True)
     def _on_stopped(self, component):
         self.stop_listening()
-        for sock in list(self._buffered_bytes):
+        for sock in list(self._holdings):
             self._close(sock)
 
     @handler("read", priority=-1)
@@ -193,13 +257,13 @@
     @handler("_write", priority=1, override=True)
     def _on_write(self, sock):
         buffer = self._buffers[sock]
-        while buffer and sock in self._buffered_bytes:
+        while buffer and sock in self._holdings:
             data = buffer.popleft()
             sent = self._send_now(sock, data)
-            if sock not in self._buffered_bytes:
+            if sock not in self._holdings:
                 return
-            self._buffered_bytes[sock] -= sent
-            self._total_buffered_bytes -= sent
+            if sent:
+                self._count(sock, -sent)
             if sent < len(data):
                 buffer.appendleft(data[sent:])
                 break
@@ -219,10 +283,12 @@
         except OSError:
             return False
         sock.setblocking(False)
-        if len(self._buffered_bytes) >= self._max_connections:
+        if len(self._holdings) >= self._max_connections:
             self._refuse(sock)
             return True
-        self._buffered_bytes[sock] = 0
+        self._holdings[sock] = Holding(
+            BufferKind.TO_CALLER, lambda: self._end_reader(sock, "memory")
+        )
         self._clients.append(sock)
         self._poller.addReader(self, sock)
         self.fire(connect(sock, host, port))
@@ -236,3 +302,12 @@
             pass
         finally:
             sock.close()
+
+
+def reset_on_close(sock, value: bool = True) -> None:
+    """Set whether closing a socket resets its connection and drops unsent data."""
+    try:
+        sock.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", value, 0))
+    except OSError:
+        # The caller has closed the connection.
+        return
--- a/papayacrank/transport/_connection.py
+++ b/papayacrank/transport/_connection.py
@@ -47,6 +47,12 @@
         self.deadline_ms: int | None = None
         self.timer_at_ms: int | None = None
         self._unsent = memoryview(b"")
+        self._queued_bytes = 0
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Size of the send buffer, which is kept until all of it was sent."""
+        return self._queued_bytes
 
     @property
     def has_unsent(self) -> bool:
@@ -113,11 +119,13 @@
     def queue(self, data: bytes) -> None:
         """Replace the send buffer with `data`, of which nothing has been sent."""
         self._unsent = memoryview(data)
+        self._queued_bytes = len(data)
         self.has_sent = False
 
     def drop_unsent(self) -> None:
         """Clear the send buffer."""
         self._unsent = memoryview(b"")
+        self._queued_bytes = 0
 
     def send(self) -> int:
         """Write as much as the socket accepts and return the number of bytes sent.
@@ -136,6 +144,9 @@
             sent += count
             self.has_sent = True
             self._unsent = self._unsent[count:]
+        if not len(self._unsent):
+            # An empty view would keep the request in memory.
+            self.drop_unsent()
         return sent
 
     def receive(self) -> bytes | None:
--- a/papayacrank/transport/_events.py
+++ b/papayacrank/transport/_events.py
@@ -48,7 +48,18 @@
     "Report the error; the process continues to serve requests.",
 )
 
+READER_ENDED = LogEvent(
+    1009,
+    "reader_ended",
+    "info",
+    "A response to a caller was cut off, because the caller has stopped reading it "
+    "(`no_progress`), or because it is the slowest reader while the buffers of the "
+    "process are at their limit (`memory`).",
+    "If it occurs often, compare `memory_mb` of the settings with the responses.",
+)
+
 declare_events(
+    READER_ENDED,
     EXCHANGE_FAILED,
     CALLER_INPUT_REFUSED,
     LINK_TRAFFIC,
--- a/papayacrank/transport/_http_port.py
+++ b/papayacrank/transport/_http_port.py
@@ -1,7 +1,5 @@
 """HTTP/1.1 server for circuits that parses and frames messages with h11."""
 
-import socket
-import struct
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -10,9 +8,15 @@
 import h11
 from circuits import BaseComponent, handler
 
-from papayacrank.kernel import Clock, log_event
+from papayacrank.kernel import Clock, Failure, Verdict, log_event
 
-from ._caller_server import CallerServer
+from ._byte_account import (
+    READ_PAUSE_POLL_MS,
+    BufferKind,
+    ByteAccount,
+    Holding,
+)
+from ._caller_server import CallerServer, reset_on_close
 from ._events import CALLER_INPUT_REFUSED, EXCHANGE_FAILED
 from ._timers import Timers
 
@@ -28,7 +32,8 @@
 MAX_PORT_BUFFERED_BYTES = 25_165_824
 # Retry-After of a request that is refused because the request bodies in memory are at
 # their limit. Most running requests end within this time.
-BODY_MEMORY_RETRY_S = 1
+BODY_MEMORY_RETRY_MS = 1_000
+MS_PER_SECOND = 1_000
 TOO_MANY_CONNECTIONS = (
     b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
     b"Retry-After: 1\r\nConnection: close\r\n\r\n"
@@ -128,6 +133,11 @@
     response_started: bool = False
     state: Any = None
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes that the caller has not accepted yet."""
+        return self.port.unsent_bytes(self)
+
     def respond(self, status: int, headers: HeaderList, body: bytes = b"") -> None:
         """Send a complete response."""
         framed = [*headers, (b"content-length", b"%d" % len(body))]
@@ -167,6 +177,21 @@
         Listeners that respond synchronously need not override this method.
         """
 
+    def build_refusal(
+        self, head: RequestHead, failure: Failure
+    ) -> tuple[HeaderList, bytes]:
+        """Return headers and body of a refusal of the port, without framing headers.
+
+        Parameters
+        ----------
+        head : RequestHead
+            Head of a request whose body is not read.
+        failure : Failure
+            Reason, with the time until a retry.
+        """
+        seconds = -(-failure.retry_after_ms // MS_PER_SECOND)
+        return [(b"retry-after", b"%d" % seconds)], b""
+
 
 @dataclass(eq=False)
 class _CallerConnection:
@@ -180,6 +205,19 @@
     close_requested: bool = False
     is_reading: bool = False
     linger_until_ms: int | None = None
+    holding: Holding | None = None
+    pipelined: Holding | None = None
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether the body of a request is incomplete."""
+        return self.head is not None and self.linger_until_ms is None
+
+    @property
+    def missing_bytes(self) -> float:
+        """Number of missing bytes of the body, infinite if its length is unknown."""
+        length = self.head.find(b"content-length")
+        return float("inf") if length is None else int(length) - self.body_bytes
 
 
 class HttpPort(BaseComponent):
@@ -201,6 +239,8 @@
         Timers of the process.
     limits : HttpLimits, optional
         Size limits and timeouts.
+    account : ByteAccount, optional
+        Account of the process for buffered bytes.
     """
 
     def __init__(
@@ -211,6 +251,7 @@
         clock: Clock,
         timers: Timers,
         limits: HttpLimits | None = None,
+        account: ByteAccount | None = None,
     ):
         super().__init__(channel=name)
         self._name = name
@@ -221,6 +262,8 @@
         self._callers: dict[Any, _CallerConnection] = {}
         self._close_all_requested = False
         self._total_body_bytes = 0
+        self._account = account or ByteAccount()
+        self._paused: set = set()
         host, port = address.rsplit(":", 1)
         self._server = CallerServer(
             (host, int(port)),
@@ -228,6 +271,8 @@
             TOO_MANY_CONNECTIONS,
             MAX_PORT_BUFFERED_BYTES,
             channel=name,
+            account=self._account,
+            clock=clock,
         ).register(self)
         self._schedule_sweep()
 
@@ -278,6 +323,10 @@
             if not self._server.buffered_bytes(sock):
                 self._server.end_unless_input(sock)
 
+    def unsent_bytes(self, exchange: HttpExchange) -> int:
+        """Return the number of bytes that the caller has not accepted yet."""
+        return self._server.buffered_bytes(exchange.sock)
+
     # Responses
 
     def begin_response(self, exchange: HttpExchange, status: int, headers) -> None:
@@ -291,7 +340,7 @@
         response = h11.Response(status_code=status, headers=headers, reason=reason)
         if caller.protocol.their_http_version == b"1.0":
             # Without chunks, the end of the connection completes the response.
-            _set_reset_on_close(exchange.sock, True)
+            reset_on_close(exchange.sock)
         self._write(exchange.sock, caller, response)
 
     def send_body(self, exchange: HttpExchange, data: bytes) -> None:
@@ -317,16 +366,18 @@
         sock = exchange.sock
         self._write(sock, caller, h11.EndOfMessage())
         if caller.protocol.their_http_version == b"1.0":
-            _set_reset_on_close(sock, False)
+            reset_on_close(sock, False)
         exchange.is_open = False
         caller.exchange = None
         self._set_body_size(caller, 0)
+        caller.holding.end = lambda: self._refuse_for_memory(sock, caller)
         caller.last_active_ms = self._clock.now_ms()
         protocol = caller.protocol
         if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
             self._lingering_close(sock, caller)
             return
         protocol.start_next_cycle()
+        self._account.release(caller.pipelined)
         self._read_requests(sock, caller)
 
     def abort(self, exchange: HttpExchange) -> None:
@@ -365,7 +416,14 @@
         protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
         )
-        self._callers[sock] = _CallerConnection(protocol, self._clock.now_ms())
+        caller = _CallerConnection(protocol, self._clock.now_ms())
+        caller.holding = Holding(
+            BufferKind.REQUEST_BODY, lambda: self._refuse_for_memory(sock, caller)
+        )
+        caller.pipelined = Holding(
+            BufferKind.REQUEST_BODY, lambda: self._server.abort(sock)
+        )
+        self._callers[sock] = caller
 
     @handler("disconnect")
     def _on_disconnect(self, sock):
@@ -373,6 +431,8 @@
         if caller is None:
             return
         self._set_body_size(caller, 0)
+        self._paused.discard(sock)
+        self._account.release(caller.pipelined)
         if caller.exchange is None:
             return
         exchange = caller.exchange
@@ -393,9 +453,18 @@
             return
         if caller.exchange is None:
             self._read_requests(sock, caller)
-        elif len(caller.protocol.trailing_data[0]) > self._limits.max_body_bytes:
-            # Limits the buffer for pipelined requests.
+        else:
+            self._limit_pipelined(sock, caller, len(data))
+
+    def _limit_pipelined(self, sock, caller: _CallerConnection, added: int) -> None:
+        """Limit the buffer for requests that follow an unanswered one."""
+        size = len(caller.protocol.trailing_data[0])
+        if size > self._limits.max_body_bytes:
             self._server.abort(sock)
+            return
+        now_ms = self._clock.now_ms()
+        self._account.set(caller.pipelined, size, now_ms, added)
+        self._account.enforce(now_ms)
 
     def _read_requests(self, sock, caller: _CallerConnection) -> None:
         if caller.is_reading:
@@ -436,6 +505,7 @@
             caller.body.append(bytes(event.data))
             self._set_body_size(caller, caller.body_bytes + len(event.data))
             self._check_body_size(sock, caller, caller.body_bytes)
+            self._limit_bodies(sock, caller)
         elif isinstance(event, h11.EndOfMessage):
             self._open_exchange(sock, caller)
 
@@ -460,6 +530,8 @@
         length = caller.head.find(b"content-length")
         if length is not None:
             self._check_body_size(sock, caller, int(length))
+            if caller.is_receiving and not self._account.fits(int(length)):
+                self._refuse_for_memory(sock, caller)
 
     def _check_body_size(self, sock, caller: _CallerConnection, size: int) -> None:
         """Refuse the request if a body of `size` bytes exceeds a limit.
@@ -470,16 +542,61 @@
         if size > self._limits.max_body_bytes:
             self._refuse_request(sock, caller, 413, "body too large")
         elif total > self._limits.max_total_body_bytes:
-            self._refuse_request(
-                sock, caller, 503, "total size of request bodies too large"
-            )
+            self._refuse_for_memory(sock, caller)
 
     def _set_body_size(self, caller: _CallerConnection, body_bytes: int) -> None:
         """Update the body size of a request, which counts until the response ends."""
-        self._total_body_bytes += body_bytes - caller.body_bytes
+        added = body_bytes - caller.body_bytes
+        self._total_body_bytes += added
         caller.body_bytes = body_bytes
+        self._account.set(
+            caller.holding, body_bytes, self._clock.now_ms(), max(0, added)
+        )
+
+    def _limit_bodies(self, sock, caller: _CallerConnection) -> None:
+        """Pause reading a large body while the buffers of the process are tight."""
+        if not caller.is_receiving:
+            return
+        self._account.enforce(self._clock.now_ms())
+        if caller.is_receiving and self._must_wait(caller):
+            self._server.pause_reading(sock)
+            if not self._paused:
+                self._schedule_resume()
+            self._paused.add(sock)
+
+    def _must_wait(self, caller: _CallerConnection) -> bool:
+        """Return whether a body waits for memory.
+
+        The body with the fewest missing bytes is always read, so that not all of them
+        wait for each other.
+        """
+        is_within_share = caller.body_bytes <= self._account.share_bytes
+        if not self._account.is_tight or is_within_share:
+            return False
+        receiving = (item for item in self._callers.values() if item.is_receiving)
+        nearest = min(receiving, key=lambda item: item.missing_bytes)
+        return caller is not nearest
+
+    def _schedule_resume(self) -> None:
+        at_ms = self._clock.now_ms() + READ_PAUSE_POLL_MS
+        self._timers.set(f"http_port_resume:{self._name}", at_ms, self._resume_bodies)
+
+    def _resume_bodies(self) -> None:
+        """Read the paused bodies that need not wait any longer."""
+        for sock in list(self._paused):
+            caller = self._callers[sock]
+            if caller.is_receiving and self._must_wait(caller):
+                # The caller is not late while this process does not read.
+                caller.last_active_ms = self._clock.now_ms()
+            else:
+                self._paused.remove(sock)
+                self._server.resume_reading(sock)
+        if self._paused:
+            self._schedule_resume()
 
     def _open_exchange(self, sock, caller: _CallerConnection) -> None:
+        # The request runs from now on.
+        caller.holding.end = None
         body = b"".join(caller.body)
         exchange = HttpExchange(
             self, sock, caller.head, body, caller.request_started_ms
@@ -505,21 +622,40 @@
         else:
             exchange.respond(HTTPStatus.INTERNAL_SERVER_ERROR, [])
 
+    def _refuse_for_memory(self, sock, caller: _CallerConnection) -> None:
+        text = "total size of request bodies too large"
+        failure = Failure(
+            "memory_full", Verdict.NOT_RUN, text, 503, BODY_MEMORY_RETRY_MS
+        )
+        headers, body = self._listener.build_refusal(caller.head, failure)
+        self._refuse_request(sock, caller, failure.status, text, headers, body)
+
     def _refuse_request(
-        self, sock, caller: _CallerConnection, status: int, reason: str
+        self,
+        sock,
+        caller: _CallerConnection,
+        status: int,
+        reason: str,
+        headers: HeaderList | None = None,
+        body: bytes = b"",
     ) -> None:
         log_event(CALLER_INPUT_REFUSED, port=self._name, status=status, reason=reason)
         caller.request_started_ms = None
         caller.body = []
         self._set_body_size(caller, 0)
+        if sock in self._paused:
+            self._paused.remove(sock)
+            self._server.resume_reading(sock)
         if caller.protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            headers = [(b"content-length", b"0"), CLOSE_HEADER]
-            if status == HTTPStatus.SERVICE_UNAVAILABLE:
-                headers.append((b"retry-after", b"%d" % BODY_MEMORY_RETRY_S))
+            length = (b"content-length", b"%d" % len(body))
             response = h11.Response(
-                status_code=status, headers=headers, reason=_reason_phrase(status)
+                status_code=status,
+                headers=[length, CLOSE_HEADER, *(headers or [])],
+                reason=_reason_phrase(status),
             )
             self._write(sock, caller, response)
+            if body:
+                self._write(sock, caller, h11.Data(data=body))
             self._write(sock, caller, h11.EndOfMessage())
         self._lingering_close(sock, caller)
 
@@ -530,6 +666,7 @@
     def _sweep(self) -> None:
         """Apply the timeouts to all connections."""
         now_ms = self._clock.now_ms()
+        self._server.end_silent_readers()
         for sock, caller in list(self._callers.items()):
             self._check_timeouts(sock, caller, now_ms)
         self._schedule_sweep()
@@ -555,17 +692,6 @@
             self._server.end_unless_input(sock)
 
 
-def _set_reset_on_close(sock, value: bool) -> None:
-    """Set whether closing a socket resets its connection and drops unsent data."""
-    try:
-        sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", value, 0)
-        )
-    except OSError:
-        # The caller has closed the connection.
-        return
-
-
 def _reason_phrase(status: int) -> bytes:
     try:
         return HTTPStatus(status).phrase.encode()
--- a/papayacrank/transport/tests/test_http_port.py
+++ b/papayacrank/transport/tests/test_http_port.py
@@ -72,14 +72,14 @@
 class Server:
     """HTTP port whose event loop runs in a separate thread."""
 
-    def __init__(self, limits=LIMITS):
+    def __init__(self, limits=LIMITS, account=None):
         self.root = BaseComponent()
         install_process_handlers(self.root)
         clock = MonotonicClock()
         self.timers = Timers(clock).register(self.root)
         self.echo = Echo()
         self.port = HttpPort(
-            "127.0.0.1:0", "test", self.echo, clock, self.timers, limits
+            "127.0.0.1:0", "test", self.echo, clock, self.timers, limits, account
         ).register(self.root)
         self.thread = threading.Thread(target=self.root.run, daemon=True)
         self.thread.start()
