--- a/papayacrank/forwarding/_target_port.py
+++ b/papayacrank/forwarding/_target_port.py
@@ -243,6 +243,7 @@
         )
         connection.call = call
         self._by_call[call] = connection
+        self._set_outstanding(connection, len(call.body))
         self._poller.addWriter(self, connection.sock)
         at_ms = self._clock.now_ms() + CONNECT_TIMEOUT_MS
         self._timers.set(
