Return addresses of instances by their free capacity

Cause: the directory returned all serving instances of a failure domain alike, although on one deployment they have 0.387 to 1.38 cores and 3.75 to 100 Mbit/s; callers choose one of the addresses at random.

Change: instances state their capacity in heartbeats; the state takes it over at registration, so that no further log entries arise. Utilization goes with the load reports to the leader, which names the busy instances (six eighths and more) to all at most once a second. The directory includes an instance in a part of the responses that is proportional to its free capacity; equal ones are always included. The choice depends on caller, directory instance and period of 30 s alone, because a caller closes connections to addresses that a new response lacks. A failure domain without room gets the others' addresses as well.

--- a/papayacrank/control/_contact.py
+++ b/papayacrank/control/_contact.py
@@ -9,6 +9,7 @@
 from papayacrank.config import Configuration, parse_configuration
 from papayacrank.kernel import Effect, SetTimer, log_event
 from papayacrank.messages import (
+    UNKNOWN_CAPACITY,
     ConfigurationChange,
     EntryAddress,
     FeedBatch,
@@ -18,6 +19,7 @@
     FeedUpdate,
     Heartbeat,
     HeartbeatAck,
+    InstanceCapacity,
     InstanceChange,
     KeyChange,
     KeyEntry,
@@ -63,6 +65,8 @@
     contact_ms : int
         Time for which keys remain valid after the send time of an acknowledged
         heartbeat.
+    capacity : InstanceCapacity
+        Resources of the process.
     """
 
     instance: str
@@ -71,6 +75,7 @@
     address: str
     heartbeat_interval_ms: int = 500
     contact_ms: int = 3_000
+    capacity: InstanceCapacity = UNKNOWN_CAPACITY
 
 
 @dataclass(frozen=True, slots=True)
@@ -326,6 +331,7 @@
             *self._rates_position,
             *self._quarantine_position,
             accepts_batches=True,
+            capacity=self._settings.capacity,
         )
         interval_ms = self._settings.heartbeat_interval_ms
         if self._is_searching(now_ms):
--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -5,6 +5,7 @@
 
 from papayacrank.kernel import Send, log_event
 from papayacrank.messages import (
+    BUSY_EIGHTHS,
     EntryLoad,
     FleetChange,
     FleetLoad,
@@ -38,6 +39,7 @@
 LIST_RETRY_MS = 300
 # Load reports expire after this time without a newer one from the same process.
 LOAD_LIFETIME_MS = 2_000
+BUSY_INTERVAL_MS = 1_000
 SILENT_LIFETIME_MS = 1_500
 MAX_PAGES = 200
 # Limit on the new prompt parts forwarded in one message. Further ones are dropped;
@@ -102,6 +104,8 @@
         self._room = RoomAllocator()
         self._total_loads: dict[str, TargetLoad] = {}
         self._last_sent: dict[str, tuple] = {}
+        self._busy: dict[str, int] = {}
+        self._next_busy_ms = 0
         self._has_list = False
         self._target_numbers: dict[str, int] = {}
         self._last_pushed = FleetView(0, 0, [])
@@ -356,6 +360,7 @@
         silent = sorted(
             self._target_numbers[n] for n in self._silent if n in self._target_numbers
         )
+        self._update_busy(now_ms)
         refusal_limited = self._room.list_services(now_ms)
         self._room.divide(
             (t for t in self._view if not (t.leaving or t.loading)),
@@ -377,7 +382,7 @@
                     for name, count in leases.items()
                     if name in self._target_numbers
                 }
-            content = (reported, loads, silent, refusal_limited, leases)
+            content = (reported, loads, silent, refusal_limited, leases, self._busy)
             paused = pauses if self._is_local(instance) else []
             if self._last_sent.get(instance) == content and not parts and not paused:
                 continue
@@ -391,10 +396,25 @@
                 paused,
                 refusal_limited,
                 leases,
+                busy=self._busy,
             )
             sends.append(Send(sender, message))
         return sends
 
+    def _update_busy(self, now_ms: int) -> None:
+        """Take over which entry processes are busy, at most once a second.
+
+        Callers keep the addresses of a directory response for a second or longer.
+        """
+        if now_ms < self._next_busy_ms:
+            return
+        self._next_busy_ms = now_ms + BUSY_INTERVAL_MS
+        self._busy = {
+            name: report.load.utilization
+            for name, report in self._reports.items()
+            if report.load.utilization >= BUSY_EIGHTHS
+        }
+
     def _pop_new_pauses(self, now_ms: int) -> list[tuple[int, int]]:
         """Return and clear the pauses that targets have requested from this process."""
         pauses, self._new_pauses = self._new_pauses, {}
--- a/papayacrank/control/tests/test_contact.py
+++ b/papayacrank/control/tests/test_contact.py
@@ -26,6 +26,7 @@
     GrantKey,
     Heartbeat,
     HeartbeatAck,
+    InstanceCapacity,
     InstanceChange,
     KeyChange,
     KeyEntry,
@@ -174,6 +175,22 @@
     assert contact.drain_requested
 
 
+def test_heartbeat_states_the_capacity():
+    """Guards against instances that all count as equal."""
+    capacity = InstanceCapacity(0.387, 136.0, 1_638, 3.75)
+    identity = ContactSettings("i1", 7, "east", "127.0.0.1:80", capacity=capacity)
+    contact = ControlContact(identity, LeaderHint(["c1"]))
+    [heartbeat] = [e.message for e in contact.start(0) if isinstance(e, Send)]
+    assert heartbeat.capacity == capacity
+    encoded = msgspec.msgpack.encode(heartbeat)
+    assert msgspec.msgpack.decode(encoded, type=Heartbeat) == heartbeat
+    # A process of an older build states nothing.
+    fields = msgspec.msgpack.decode(encoded)
+    del fields["capacity"]
+    older = msgspec.convert(fields, Heartbeat)
+    assert older.capacity == InstanceCapacity()
+
+
 def test_instance_changes_are_applied_individually():
     """Guards against redirecting callers to a process that no longer exists."""
     contact = build_contact()
--- a/papayacrank/control/tests/test_rollout.py
+++ b/papayacrank/control/tests/test_rollout.py
@@ -748,3 +748,28 @@
         sim.controller.observe_load(load, sim.now_ms)
         sim.controller.push_load({instance: "x"}, sim.now_ms)
     assert len(sim.controller._last_sent) == 1
+
+
+def test_busy_processes_are_told_to_all_at_most_once_a_second():
+    """Guards against messages for each change of a utilization, or about lost ones."""
+    sim = FleetSimulation()
+    sim.run(100)
+    receivers = {f"i{n}": f"link{n}" for n in range(3)}
+
+    def push(now_ms, *eighths):
+        for number, value in enumerate(eighths):
+            report = EntryLoad(f"i{number}", now_ms, {}, utilization=value)
+            sim.controller.observe_load(report, now_ms)
+        sends = sim.controller.push_load(receivers, now_ms)
+        return [send.message.busy for send in sends]
+
+    assert push(10_000, 5, 0, 0) == [{}] * 3
+    assert push(11_000, 7, 5, 8) == [{"i0": 7, "i2": 8}] * 3
+    seen = [push(11_000 + delay, 6, 6, 6) for delay in (100, 500, 900)]
+    assert all(busy == {"i0": 7, "i2": 8} for busies in seen for busy in busies)
+    assert push(12_000, 1, 1, 1) == [{}] * 3
+    push(13_000, 8, 8, 8)
+    # Reports that are too old count as not busy.
+    assert [s.message.busy for s in sim.controller.push_load(receivers, 16_000)] == [
+        {}
+    ] * 3
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -1,9 +1,11 @@
 """Circuits component of an entry process that forwards requests."""
 
 import random
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
 from circuits import BaseComponent
 
 from papayacrank.admission import LocalShares
@@ -63,7 +65,12 @@
     STOP_STARTED,
 )
 from ._forwarder import Forwarder
-from ._instance_load import count_caller_descriptors, count_idle_descriptors
+from ._instance_load import (
+    InstanceLoad,
+    LoadSample,
+    count_caller_descriptors,
+    count_idle_descriptors,
+)
 from ._path_monitor import PathMonitor
 from ._path_port import PathPort
 from ._quota import QuotaEnforcer
@@ -79,6 +86,13 @@
 SWEEP_TICKS = 10
 QUOTA_POLL_MS = 25
 ADDRESS_TTL_MS = 1_000
+# Time for which a caller gets the same choice of addresses: each change closes some of
+# its connections.
+ADDRESS_PERIOD_MS = 30_000
+LOAD_SAMPLE_TICKS = 5
+NS_PER_MS = 1_000_000
+# Longest delay of a timer that counts as load.
+MAX_LATE_MS = 500
 # Callers cache a directory response up to three times as long as its lifetime. After
 # that, no request is accepted, so that the longest responses end before the stop.
 STOP_LISTENING_AFTER_MS = 3_200
@@ -143,7 +157,7 @@
     def on_exchange(self, exchange: HttpExchange) -> None:
         """Respond with the addresses that a caller may connect to."""
         domain = self._protocol.read_failure_domain(exchange.head)
-        addresses = self._process.addresses_for(domain)
+        addresses = self._process.addresses_for(domain, exchange.peer)
         if not addresses:
             exchange.respond(503, [])
             return
@@ -181,6 +195,10 @@
         self._clock = MonotonicClock()
         self._random = random.Random()
         self._ticks = 0
+        self._busy: dict[str, int] = {}
+        self._load = InstanceLoad(settings.capacity)
+        self._late_ms = 0
+        self._tick_at_ms: int | None = None
         self._stopping_since_ms: int | None = None
         self._has_contact = False
         self._phases = StartPhases(self._clock.now_ms())
@@ -268,9 +286,20 @@
         """Clock of the process."""
         return self._clock
 
-    def addresses_for(self, failure_domain: str) -> list[str]:
-        """Return the addresses for a caller of a failure domain."""
-        return choose_addresses(self._contact.instances, failure_domain)
+    def addresses_for(self, failure_domain: str, caller: str = "") -> list[str]:
+        """Return the addresses for a caller of a failure domain.
+
+        Parameters
+        ----------
+        caller : str
+            IP address of the caller.
+        """
+        period = self._clock.now_ms() // ADDRESS_PERIOD_MS
+        # The name of this instance varies the choice among callers with one address.
+        key = f"{caller}|{self._settings.forwarding.instance}|{period}"
+        # Without contact, the utilization of the others is unknown.
+        busy = self._busy if self._has_contact else {}
+        return choose_addresses(self._contact.instances, failure_domain, busy, key)
 
     def add_control_names(self, names: tuple[str, ...]) -> None:
         """Add names of control processes."""
@@ -324,6 +353,7 @@
             forwarding.failure_domain,
             settings.callers,
             contact_ms=settings.contact_ms,
+            capacity=settings.capacity,
         )
         self._contact = ControlContact(contact, self._leader_hint, self._shares.reports)
         client = ControlClient(name, settings.boot, self._leader_hint, self._random)
@@ -389,6 +419,11 @@
                 f"Bytes in buffers of the kind {kind.value}",
                 lambda kind=kind: self._account.total_of(kind),
             )
+        metrics.add_gauge(
+            "instance_utilization",
+            "Utilization of the scarcest resource of this instance; 1 is full",
+            lambda: self._load.utilization,
+        )
         metrics.add_gauge(
             "buffered_bytes_limit",
             "Bytes in all buffers above which the slowest exchange is ended",
@@ -470,6 +505,7 @@
                 self._on_fleet(view)
         elif isinstance(message, FleetLoad):
             self._forwarder.apply_load(message)
+            self._busy = message.busy
         elif isinstance(message, ReleaseFound):
             self._releases.receive(message)
         else:
@@ -522,7 +558,9 @@
 
     def _tick(self) -> None:
         now_ms = self._clock.now_ms()
-        self._timers.set("tick", now_ms + TICK_INTERVAL_MS, self._tick)
+        self._observe_load(now_ms)
+        self._tick_at_ms = now_ms + TICK_INTERVAL_MS
+        self._timers.set("tick", self._tick_at_ms, self._tick)
         self._ticks += 1
         self._send_load()
         self._update_contact(now_ms)
@@ -547,8 +585,29 @@
         if report is None and self._ticks % LOAD_REFRESH_TICKS == 0:
             report = self._forwarder.table.refresh_report(instance)
         if report is not None:
+            report = msgspec.structs.replace(report, utilization=self._load.eighths)
             self._link.send(leader, report)
 
+    def _observe_load(self, now_ms: int) -> None:
+        """Update the utilization of this instance."""
+        if self._tick_at_ms is not None:
+            # A freeze of the machine is no load.
+            self._late_ms += min(now_ms - self._tick_at_ms, MAX_LATE_MS)
+        if self._ticks % LOAD_SAMPLE_TICKS:
+            return
+        limits = self._account.limits
+        connections = self._caller_port.connection_count if self._caller_port else 0
+        self._load.observe(
+            LoadSample(
+                now_ms,
+                time.process_time_ns() / NS_PER_MS,
+                self._account.total / limits.hard_bytes,
+                connections + self._target_port.open_connections,
+                self._late_ms / LOAD_SAMPLE_TICKS,
+            )
+        )
+        self._late_ms = 0
+
     def _update_contact(self, now_ms: int) -> None:
         has_contact = self._contact.has_contact(now_ms)
         if has_contact != self._has_contact:
--- a/papayacrank/messages/__init__.py
+++ b/papayacrank/messages/__init__.py
@@ -51,6 +51,7 @@
     encode_feed,
 )
 from ._fleet import (
+    BUSY_EIGHTHS,
     EntryLoad,
     FleetChange,
     FleetLoad,
@@ -158,6 +159,7 @@
 
 __all__ = [
     "COMPLETED",
+    "BUSY_EIGHTHS",
     "CONTROL_MESSAGES",
     "ISOLATED",
     "MIN_BATCH_BYTES",
--- a/papayacrank/messages/_fleet.py
+++ b/papayacrank/messages/_fleet.py
@@ -164,6 +164,8 @@
         Models of services that have changed since the last message.
     demand : list of ServiceDemand
         Demand at the process.
+    utilization : int
+        Utilization of the scarcest resource of the process, in eighths.
     """
 
     instance: str
@@ -181,6 +183,7 @@
     costs: dict[str, TargetCost] = {}
     service_costs: list[ServiceCost] = []
     demand: list[ServiceDemand] = []
+    utilization: int = 0
 
 
 class PartLocationGroup(msgspec.Struct, frozen=True, array_like=True):
@@ -197,6 +200,10 @@
     places: list[tuple[int, str]]
 
 
+# Utilization in eighths from which an entry process counts as busy.
+BUSY_EIGHTHS = 6
+
+
 class FleetLoad(msgspec.Struct, tag=True, frozen=True):
     """Load of all entry processes together.
 
@@ -228,6 +235,8 @@
         Models of services that have changed since the last message.
     demand : list of ServiceDemand
         Demand at all entry processes together, for services with more than they serve.
+    busy : dict of str to int
+        Utilization of the busy entry processes in eighths, by instance.
     """
 
     term: int
@@ -241,3 +250,4 @@
     costs: dict[int, TargetCost] = {}
     service_costs: list[ServiceCost] = []
     demand: list[ServiceDemand] = []
+    busy: dict[str, int] = {}
--- a/papayacrank/messages/_requests.py
+++ b/papayacrank/messages/_requests.py
@@ -5,6 +5,7 @@
 from papayacrank.kernel import Failure, Verdict
 
 from ._commands import Command
+from ._feed import UNKNOWN_CAPACITY, InstanceCapacity
 from ._results import Result
 
 
@@ -150,6 +151,8 @@
         Term and revision of the newest `QuarantineTable` that the sender has in full.
     accepts_batches : bool
         Whether the sender understands `FeedBatch`.
+    capacity : InstanceCapacity
+        Resources of the process. The state takes them over when it registers.
     """
 
     instance: str
@@ -168,6 +171,7 @@
     quarantine_term: int = 0
     quarantine_revision: int = 0
     accepts_batches: bool = False
+    capacity: InstanceCapacity = UNKNOWN_CAPACITY
 
 
 class HeartbeatAck(msgspec.Struct, tag=True, frozen=True):
--- a/papayacrank/state/_instances.py
+++ b/papayacrank/state/_instances.py
@@ -3,9 +3,11 @@
 import msgspec
 
 from papayacrank.messages import (
+    UNKNOWN_CAPACITY,
     EntryAddress,
     FailureRecord,
     Heartbeat,
+    InstanceCapacity,
     SetInstanceState,
     ShareGrant,
     ShareReport,
@@ -30,6 +32,8 @@
         Latest budget report that the ledger has applied.
     grants : list of ShareGrant
         Total tokens that the ledger has granted to the process.
+    capacity : InstanceCapacity
+        Resources of the process when it registered.
     """
 
     instance: str
@@ -39,6 +43,7 @@
     status: str
     shares: list[ShareReport] = []
     grants: list[ShareGrant] = []
+    capacity: InstanceCapacity = UNKNOWN_CAPACITY
 
     def has_same_feed_entry(self, other: "InstanceRow") -> bool:
         """Return whether the feed entry of both rows is the same."""
@@ -106,6 +111,7 @@
                 row.failure_domain,
                 row.address,
                 DRAINING if row.instance in self._draining else row.status,
+                row.capacity,
             )
             for row in self.rows
         ]
@@ -139,6 +145,7 @@
             heartbeat.failure_domain,
             heartbeat.address,
             heartbeat.status,
+            capacity=heartbeat.capacity,
         )
         self._rows[heartbeat.instance] = row
         self._record_boot(heartbeat.instance, heartbeat.boot)
--- a/papayacrank/state/tests/test_machine.py
+++ b/papayacrank/state/tests/test_machine.py
@@ -20,6 +20,7 @@
     FinishAction,
     GrantKey,
     Heartbeat,
+    InstanceCapacity,
     KeyChange,
     ObserveTargets,
     PlaceOrder,
@@ -661,3 +662,28 @@
     assert json.loads(harness.machine.read("keys").document)[0]["key_id"] == "key"
     assert DIGEST not in harness.machine.read("keys").document
     assert harness.machine.read("unknown").code == "invalid_command"
+
+
+def test_capacity_is_kept_from_the_registration_and_costs_no_entries():
+    """Guards against a log that grows with the load of instances, and a lost value."""
+    harness = MachineHarness()
+    capacity = InstanceCapacity(0.387, 136.0, 1_638, 3.75)
+    heartbeat = Heartbeat("i1", 1, 1, 0, 0, "east", "127.0.0.1:1", "serving")
+    heartbeat = msgspec.structs.replace(heartbeat, capacity=capacity)
+    harness.append(HeartbeatEntry, [heartbeat])
+    table = harness.machine.instances
+    assert table.addresses()[0].capacity == capacity
+    changed = msgspec.structs.replace(
+        heartbeat, capacity=InstanceCapacity(0.5), sequence=2
+    )
+    assert table.is_unchanged(changed)
+    dumped = msgspec.msgpack.encode(table.dump())
+    restored = type(table)()
+    restored.load(msgspec.msgpack.decode(dumped, type=type(table.dump())))
+    assert restored.addresses() == table.addresses()
+    # A snapshot of an older build has no capacity.
+    fields = msgspec.msgpack.decode(dumped)
+    for row in fields["rows"]:
+        del row["capacity"]
+    restored.load(msgspec.convert(fields, type(table.dump())))
+    assert restored.addresses()[0].capacity == InstanceCapacity()
--- a/papayacrank/transport/_http_port.py
+++ b/papayacrank/transport/_http_port.py
@@ -138,6 +138,14 @@
         """Number of bytes that the caller has not accepted yet."""
         return self.port.unsent_bytes(self)
 
+    @property
+    def peer(self) -> str:
+        """IP address of the caller, empty if it has disconnected."""
+        try:
+            return self.sock.getpeername()[0]
+        except OSError:
+            return ""
+
     def respond(self, status: int, headers: HeaderList, body: bytes = b"") -> None:
         """Send a complete response."""
         framed = [*headers, (b"content-length", b"%d" % len(body))]
