--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -5,6 +5,7 @@
 
 from papayacrank.kernel import Send, log_event
 from papayacrank.messages import (
+    BUSY_EIGHTHS,
     EntryLoad,
     FleetChange,
     FleetLoad,
@@ -41,6 +42,7 @@
 LIST_RETRY_MS = 300
 # Load reports expire after this time without a newer one from the same process.
 LOAD_LIFETIME_MS = 2_000
+BUSY_INTERVAL_MS = 1_000
 SILENT_LIFETIME_MS = 1_500
 # Demand takes up to 2 kB for each receiver.
 DEMAND_INTERVAL_MS = 1_000
@@ -117,6 +119,10 @@
         self._costs = CostLedger()
         self._total_loads: dict[str, TargetLoad] = {}
         self._last_sent: dict[str, tuple] = {}
+        self._busy: dict[str, int] = {}
+        self._next_busy_ms = 0
+        # Time of the next change of `_busy` when it was last sent, by instance.
+        self._busy_sent: dict[str, int] = {}
         self._has_list = False
         self._target_numbers: dict[str, int] = {}
         self._last_pushed = FleetView(0, 0, [])
@@ -376,6 +382,7 @@
         silent = sorted(
             self._target_numbers[n] for n in self._silent if n in self._target_numbers
         )
+        self._update_busy(now_ms)
         refusal_limited = self._room.list_services(now_ms)
         self._room.divide(
             (t for t in self._view if not (t.leaving or t.loading)),
@@ -389,6 +396,7 @@
         sends = []
         for instance in self._last_sent.keys() - receivers.keys():
             del self._last_sent[instance]
+            self._busy_sent.pop(instance, None)
         for instance, sender in receivers.items():
             report = self._reports.get(instance)
             reported = report.load.sequence if report is not None else 0
@@ -399,7 +407,7 @@
                     for name, count in leases.items()
                     if name in self._target_numbers
                 }
-            content = (reported, loads, silent, refusal_limited, leases)
+            content = (reported, loads, silent, refusal_limited, leases, self._busy)
             paused = pauses if self._is_local(instance) else []
             by_name, service_costs = self._costs.updates_for(instance)
             costs = {
@@ -411,6 +419,8 @@
             if self._last_sent.get(instance) == content and not is_new:
                 continue
             self._last_sent[instance] = content
+            is_busy_sent = self._busy_sent.get(instance) == self._next_busy_ms
+            self._busy_sent[instance] = self._next_busy_ms
             message = FleetLoad(
                 self._term,
                 reported,
@@ -423,6 +433,7 @@
                 costs,
                 service_costs,
                 demand,
+                busy=None if is_busy_sent else self._busy,
             )
             sends.append(Send(sender, message))
         return sends
@@ -434,6 +445,20 @@
         self._next_demand_ms = now_ms + DEMAND_INTERVAL_MS
         return self._demand.rows(now_ms)
 
+    def _update_busy(self, now_ms: int) -> None:
+        """Take over which entry processes are busy, at most once a second.
+
+        Callers keep the addresses of a directory response for a second or longer.
+        """
+        if now_ms < self._next_busy_ms:
+            return
+        self._next_busy_ms = now_ms + BUSY_INTERVAL_MS
+        self._busy = {
+            name: report.load.utilization
+            for name, report in self._reports.items()
+            if report.load.utilization >= BUSY_EIGHTHS
+        }
+
     def _pop_new_pauses(self, now_ms: int) -> list[tuple[int, int]]:
         """Return and clear the pauses that targets have requested from this process."""
         pauses, self._new_pauses = self._new_pauses, {}
--- a/papayacrank/forwarding/_events.py
+++ b/papayacrank/forwarding/_events.py
@@ -136,9 +136,19 @@
     "Requests to a service are forecast to be in time again.",
 )
 
+REQUEST_UNREAD = LogEvent(
+    2141,
+    "request_unread",
+    "warning",
+    "A request was ended because its target has stopped reading it, or reads it the"
+    " slowest while the buffers of the process are at their limit.",
+    "Check the target at `address`.",
+)
+
 declare_events(
     SERVICE_BEHIND,
     SERVICE_CAUGHT_UP,
+    REQUEST_UNREAD,
     REFUSAL_LIMIT_STATED,
     PATH_LOST,
     PATH_REGAINED,
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -1,9 +1,11 @@
 """Circuits component of an entry process that forwards requests."""
 
 import random
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
 from circuits import BaseComponent
 
 from papayacrank.admission import LocalShares
@@ -21,9 +23,11 @@
     CONTROL_MESSAGES,
     ISOLATED,
     SERVING,
+    UNKNOWN_CAPACITY,
     FleetChange,
     FleetLoad,
     FleetView,
+    InstanceCapacity,
     ReleaseFound,
 )
 from papayacrank.permits import PermitClient, PermitPort
@@ -34,6 +38,9 @@
 )
 from papayacrank.releases import ReleasePort
 from papayacrank.transport import (
+    BufferKind,
+    ByteAccount,
+    ByteLimits,
     ConnectCheck,
     ExchangeListener,
     HttpExchange,
@@ -49,7 +56,7 @@
 
 from ._base import CallerProtocol
 from ._continuity import StreamContinuity
-from ._directory import choose_addresses
+from ._directory import FULL_EIGHTHS, choose_addresses, has_room_elsewhere
 from ._events import (
     CONTROL_LOST,
     CONTROL_REGAINED,
@@ -60,6 +67,12 @@
     STOP_STARTED,
 )
 from ._forwarder import Forwarder
+from ._instance_load import (
+    InstanceLoad,
+    LoadSample,
+    count_caller_descriptors,
+    count_idle_descriptors,
+)
 from ._path_monitor import PathMonitor
 from ._path_port import PathPort
 from ._quota import QuotaEnforcer
@@ -76,12 +89,23 @@
 DEMAND_TICKS = 5
 QUOTA_POLL_MS = 25
 ADDRESS_TTL_MS = 1_000
+# Time for which a caller gets the same choice of addresses: each change closes some of
+# its connections.
+ADDRESS_PERIOD_MS = 30_000
+LOAD_SAMPLE_TICKS = 5
+# While an instance is full and others have room, the connection of one response in this
+# many is closed, so that its caller chooses anew. All at once would overload others.
+SHED_INTERVAL = 8
+NS_PER_MS = 1_000_000
+# Longest delay of a timer that counts as load.
+MAX_LATE_MS = 500
 # Callers cache a directory response up to three times as long as its lifetime. After
 # that, no request is accepted, so that the longest responses end before the stop.
 STOP_LISTENING_AFTER_MS = 3_200
 # From this time of a graceful stop on, connections are closed after their responses.
 CLOSE_CONNECTIONS_AFTER_MS = 1_100
 STOP_POLL_MS = 50
+BYTES_PER_MB = 1_000_000
 
 
 @dataclass(frozen=True)
@@ -105,6 +129,8 @@
         the control group counts as lost.
     stop_timeout_ms : int
         Maximum duration of a graceful stop in milliseconds.
+    capacity : InstanceCapacity
+        Resources of the process.
     """
 
     forwarding: ForwardingSettings
@@ -117,6 +143,7 @@
     boot: int
     contact_ms: int = 3_000
     stop_timeout_ms: int = 7_600
+    capacity: InstanceCapacity = UNKNOWN_CAPACITY
 
 
 class _ReadinessEndpoint(ExchangeListener):
@@ -136,7 +163,7 @@
     def on_exchange(self, exchange: HttpExchange) -> None:
         """Respond with the addresses that a caller may connect to."""
         domain = self._protocol.read_failure_domain(exchange.head)
-        addresses = self._process.addresses_for(domain)
+        addresses = self._process.addresses_for(domain, exchange.peer)
         if not addresses:
             exchange.respond(503, [])
             return
@@ -174,6 +201,10 @@
         self._clock = MonotonicClock()
         self._random = random.Random()
         self._ticks = 0
+        self._busy: dict[str, int] = {}
+        self._load = InstanceLoad(settings.capacity)
+        self._late_ms = 0
+        self._tick_at_ms: int | None = None
         self._stopping_since_ms: int | None = None
         self._has_contact = False
         self._behind: set[str] = set()
@@ -182,7 +213,14 @@
         self._timers = Timers(self._clock).register(self)
         self._shares = LocalShares()
         self._quota = QuotaEnforcer(self._shares, self._random)
-        self._target_port = TargetPort(self._clock, self._timers).register(self)
+        memory_bytes = int(settings.capacity.memory_mb * BYTES_PER_MB)
+        self._account = ByteAccount(ByteLimits.from_memory(memory_bytes))
+        self._target_port = TargetPort(
+            self._clock,
+            self._timers,
+            self._account,
+            count_idle_descriptors(settings.capacity),
+        ).register(self)
         self._permits = PermitPort(
             PermitClient(settings.forwarding.instance),
             lambda message: self._control.send_to_leader(message),
@@ -255,9 +293,20 @@
         """Clock of the process."""
         return self._clock
 
-    def addresses_for(self, failure_domain: str) -> list[str]:
-        """Return the addresses for a caller of a failure domain."""
-        return choose_addresses(self._contact.instances, failure_domain)
+    def addresses_for(self, failure_domain: str, caller: str = "") -> list[str]:
+        """Return the addresses for a caller of a failure domain.
+
+        Parameters
+        ----------
+        caller : str
+            IP address of the caller.
+        """
+        period = self._clock.now_ms() // ADDRESS_PERIOD_MS
+        # The name of this instance varies the choice among callers with one address.
+        key = f"{caller}|{self._settings.forwarding.instance}|{period}"
+        # Without contact, the utilization of the others is unknown.
+        busy = self._busy if self._has_contact else {}
+        return choose_addresses(self._contact.instances, failure_domain, busy, key)
 
     def add_control_names(self, names: tuple[str, ...]) -> None:
         """Add names of control processes."""
@@ -311,6 +360,7 @@
             forwarding.failure_domain,
             settings.callers,
             contact_ms=settings.contact_ms,
+            capacity=settings.capacity,
         )
         self._contact = ControlContact(contact, self._leader_hint, self._shares.reports)
         client = ControlClient(name, settings.boot, self._leader_hint, self._random)
@@ -322,23 +372,50 @@
         self._control.on_message = self._on_message
 
     def _build_ports(self) -> None:
+        max_callers = count_caller_descriptors(self._settings.capacity)
         self._caller_port = self._open_port(
-            self._settings.callers, "callers", self._forwarder
+            self._settings.callers,
+            "callers",
+            self._forwarder,
+            HttpLimits(max_connections=max_callers),
+        )
+        # Callers give up a look-up after one second.
+        self._open_port(
+            self._settings.readiness,
+            "readiness",
+            _ReadinessEndpoint(self),
+            is_urgent=True,
         )
-        self._open_port(self._settings.readiness, "readiness", _ReadinessEndpoint(self))
         self._open_port(
             self._settings.directory,
             "directory",
             _DirectoryEndpoint(self, self._protocol),
+            is_urgent=True,
         )
         self._open_port(
             self._settings.metrics, "metrics", _MetricsEndpoint(self._forwarder)
         )
 
-    def _open_port(self, address: str, name: str, listener: ExchangeListener):
+    def _open_port(
+        self,
+        address: str,
+        name: str,
+        listener: ExchangeListener,
+        limits: HttpLimits | None = None,
+        is_urgent: bool = False,
+    ):
         if not address:
             return None
-        port = HttpPort(address, name, listener, self._clock, self._timers)
+        port = HttpPort(
+            address,
+            name,
+            listener,
+            self._clock,
+            self._timers,
+            limits,
+            self._account,
+            is_urgent,
+        )
         return port.register(self)
 
     def _add_gauges(self) -> None:
@@ -363,6 +440,27 @@
             "Open connections to targets",
             lambda: self._target_port.open_connections,
         )
+        for kind in BufferKind:
+            metrics.add_gauge(
+                f"buffered_{kind.value}_bytes",
+                f"Bytes in buffers of the kind {kind.value}",
+                lambda kind=kind: self._account.total_of(kind),
+            )
+        metrics.add_gauge(
+            "instance_utilization",
+            "Utilization of the scarcest resource of this instance; 1 is full",
+            lambda: self._load.utilization,
+        )
+        metrics.add_gauge(
+            "buffered_bytes_limit",
+            "Bytes in all buffers above which the slowest exchange is ended",
+            lambda: self._account.limits.hard_bytes,
+        )
+        metrics.add_gauge(
+            "ended_for_memory",
+            "Exchanges that were ended because the buffers were at their limit",
+            lambda: self._account.ended,
+        )
         metrics.add_gauge(
             "control_contact",
             "Whether the control group acknowledges heartbeats",
@@ -434,6 +532,8 @@
                 self._on_fleet(view)
         elif isinstance(message, FleetLoad):
             self._forwarder.apply_load(message)
+            if message.busy is not None:
+                self._busy = message.busy
         elif isinstance(message, ReleaseFound):
             self._releases.receive(message)
         else:
@@ -486,7 +586,9 @@
 
     def _tick(self) -> None:
         now_ms = self._clock.now_ms()
-        self._timers.set("tick", now_ms + TICK_INTERVAL_MS, self._tick)
+        self._observe_load(now_ms)
+        self._tick_at_ms = now_ms + TICK_INTERVAL_MS
+        self._timers.set("tick", self._tick_at_ms, self._tick)
         self._ticks += 1
         self._forwarder.table.age_totals(now_ms)
         self._send_load()
@@ -519,6 +621,7 @@
         if report is None and self._ticks % LOAD_REFRESH_TICKS == 0:
             report = self._forwarder.table.refresh_report(instance)
         if report is not None:
+            report = msgspec.structs.replace(report, utilization=self._load.eighths)
             self._link.send(leader, report)
 
     def _log_services_behind(self, services: set[str]) -> None:
@@ -528,6 +631,34 @@
             log_event(SERVICE_CAUGHT_UP, service=service)
         self._behind = services
 
+    def _observe_load(self, now_ms: int) -> None:
+        """Update the utilization of this instance."""
+        if self._tick_at_ms is not None:
+            # A freeze of the machine is no load.
+            self._late_ms += min(now_ms - self._tick_at_ms, MAX_LATE_MS)
+        if self._ticks % LOAD_SAMPLE_TICKS:
+            return
+        limits = self._account.limits
+        connections = self._caller_port.connection_count if self._caller_port else 0
+        self._load.observe(
+            LoadSample(
+                now_ms,
+                time.process_time_ns() / NS_PER_MS,
+                self._account.total / limits.hard_bytes,
+                connections + self._target_port.open_connections,
+                self._late_ms / LOAD_SAMPLE_TICKS,
+            )
+        )
+        self._late_ms = 0
+        if self._caller_port is not None:
+            self._caller_port.set_shedding(SHED_INTERVAL if self._must_shed() else 0)
+
+    def _must_shed(self) -> bool:
+        """Return whether this instance is full and another one has room."""
+        is_full = self._load.eighths >= FULL_EIGHTHS and self._has_contact
+        own = self._settings.forwarding.instance
+        return is_full and has_room_elsewhere(own, self._contact.instances, self._busy)
+
     def _update_contact(self, now_ms: int) -> None:
         has_contact = self._contact.has_contact(now_ms)
         if has_contact != self._has_contact:
--- a/papayacrank/messages/__init__.py
+++ b/papayacrank/messages/__init__.py
@@ -28,12 +28,14 @@
 from ._feed import (
     ISOLATED,
     SERVING,
+    UNKNOWN_CAPACITY,
     ConfigurationChange,
     EntryAddress,
     FeedBatch,
     FeedChange,
     FeedSnapshot,
     FeedUpdate,
+    InstanceCapacity,
     InstanceChange,
     KeyChange,
     KeyEntry,
@@ -49,6 +51,7 @@
     encode_feed,
 )
 from ._fleet import (
+    BUSY_EIGHTHS,
     EntryLoad,
     FleetChange,
     FleetLoad,
@@ -156,12 +159,14 @@
 
 __all__ = [
     "COMPLETED",
+    "BUSY_EIGHTHS",
     "CONTROL_MESSAGES",
     "ISOLATED",
     "MIN_BATCH_BYTES",
     "ROLLED_BACK",
     "RUNNING",
     "SERVING",
+    "UNKNOWN_CAPACITY",
     "AbandonAction",
     "ActionRecord",
     "BeginAction",
@@ -197,6 +202,7 @@
     "GrantKey",
     "Heartbeat",
     "HeartbeatAck",
+    "InstanceCapacity",
     "InstanceChange",
     "KeyChange",
     "KeyChanged",
--- a/papayacrank/platform/_settings.py
+++ b/papayacrank/platform/_settings.py
@@ -8,6 +8,7 @@
 from pydantic import Field, ValidationError
 
 from papayacrank.config import ControlSettings, PeerAddress, SettingsError
+from papayacrank.messages import InstanceCapacity
 
 from ._wire_model import WireModel
 
@@ -28,6 +29,9 @@
 BYTES_PER_S_AND_MBPS = 125_000
 MIN_FEED_BYTES_PER_S = 10_000
 LEADER_LEASE_MS = 320
+# Part of the processor that a control process may need. It runs on machines with a disk
+# only. An estimate, not measured; instances that differ by it alone count as equal.
+CONTROL_SHARE = 0.15
 
 
 class Listen(WireModel):
@@ -64,8 +68,26 @@
 
 
 class Limits(WireModel):
-    """Resources of the machine."""
+    """Resources of the machine and, for memory and descriptors, of each process.
 
+    Attributes
+    ----------
+    cpu_share : float
+        Share of a core; 0 if unknown, as for the other fields.
+    cores : float
+        Speed of the core, relative to others.
+    memory_mb : float
+        Memory above which a process is killed, in units of 1,000,000 bytes.
+    max_fds : int
+        Maximum number of descriptors of a process.
+    link_mbps : float
+        Bandwidth of the machine's link in Mbit/s.
+    """
+
+    cpu_share: float = Field(default=0.0, ge=0)
+    cores: float = Field(default=1.0, gt=0)
+    memory_mb: float = Field(default=0.0, ge=0)
+    max_fds: int = Field(default=0, ge=0)
     link_mbps: float = Field(default=100.0, gt=0)
 
 
@@ -136,6 +158,21 @@
             return None
         return f"{name}:{self.port(CONTROL_LINK_PORT)}"
 
+    @property
+    def capacity(self) -> InstanceCapacity:
+        """Resources of an entry process on this machine."""
+        limits = self.limits
+        has_link = "link_mbps" in limits.model_fields_set
+        processor = limits.cpu_share * limits.cores
+        if self.data_dir:
+            processor *= 1 - CONTROL_SHARE
+        return InstanceCapacity(
+            processor,
+            limits.memory_mb,
+            limits.max_fds,
+            limits.link_mbps if has_link else 0.0,
+        )
+
     def control_settings(self) -> ControlSettings:
         """Return the settings of a control process on this machine."""
         others = [name for name in self.control_names if name != self.ip]
