Grant whole needs only if all members of the group do

Cause: the ledger of this build grants the whole need of a request or nothing, that of the build before grants parts. In a group of both, replicas would hold different budgets until the next reports.

Change: while a member is not known to read format 1, the leader proposes reports without next_tokens, for which both ledgers grant the same.

Result: the new test fails without the change; tests of upgrades and of the node pass.

--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from expression import Error, Result
+from msgspec.structs import replace
 
 from papayacrank.config import ControlSettings
 from papayacrank.consensus import (
@@ -36,6 +37,7 @@
 from papayacrank.permits import PermitAllocator
 from papayacrank.quarantine import QuarantineRegistry
 from papayacrank.state import (
+    WHOLE_NEEDS_FORMAT,
     CommandEntry,
     Entry,
     ExpireEntry,
@@ -499,6 +501,8 @@
         self._queued_heartbeats.clear()
         if not self.is_active:
             return
+        if self._raft.list_not_reading(WHOLE_NEEDS_FORMAT, now_ms):
+            heartbeats = [_without_next_tokens(item) for item in heartbeats]
         for start in range(0, len(heartbeats), MAX_HEARTBEATS_PER_ENTRY):
             chunk = heartbeats[start : start + MAX_HEARTBEATS_PER_ENTRY]
             self._propose(HeartbeatEntry(*self._entry_times(now_ms), chunk), now_ms)
@@ -686,3 +690,9 @@
             return EmitEvent(ORDER_RELEASED, fields | {"reason": decision.reason})
         event = ORDER_OVERWRITTEN if decision.reason else ORDER_ISSUED
         return EmitEvent(event, fields)
+
+
+def _without_next_tokens(heartbeat: Heartbeat) -> Heartbeat:
+    """Return a heartbeat whose needs the ledgers of all builds grant alike."""
+    shares = [replace(report, next_tokens=0) for report in heartbeat.shares]
+    return replace(heartbeat, shares=shares)
--- a/papayacrank/control/tests/test_node.py
+++ b/papayacrank/control/tests/test_node.py
@@ -60,6 +60,9 @@
     def learn_formats(self, recorded):
         self.stated_formats = dict(recorded) | self.stated_formats
 
+    def list_not_reading(self, entry_format, now_ms):
+        return []
+
     def propose(self, data, now_ms):
         if self.rejects_proposals or not self.is_leader:
             return Error(Failure("not_leader", Verdict.NOT_RUN, "no"))
--- a/papayacrank/control/tests/test_upgrades.py
+++ b/papayacrank/control/tests/test_upgrades.py
@@ -9,6 +9,8 @@
     ConcludeRollout,
     ControlRequest,
     Done,
+    Heartbeat,
+    ShareReport,
     StartRollout,
 )
 from papayacrank.state import StateMachine, find_format
@@ -82,6 +84,22 @@
     assert harness.raft.stated_formats == {"x": 1, "y": 0}
 
 
+@pytest.mark.parametrize(("old_members", "next_tokens"), [(["c2"], 0), ([], 700)])
+def test_needs_are_recorded_as_all_members_grant_them(
+    harness, old_members, next_tokens
+):
+    """Guards against ledgers of two builds that grant different tokens."""
+    harness.raft.old_members = old_members
+    report = ShareReport("w1", 0, 0, 0, 1_000, 0, 1_000, 700)
+    heartbeat = Heartbeat("i1", 1, 1, 7, 0, "east", "127.0.0.1:80", "serving", [report])
+    harness.receive("entry-i1", heartbeat)
+    harness.advance(50)
+    [entry] = [e for e in harness.raft.entries if getattr(e, "heartbeats", None)]
+    [recorded] = entry.heartbeats[0].shares
+    assert recorded.next_tokens == next_tokens
+    assert recorded.queued_tokens == 1_000
+
+
 def test_repeats_and_refusals_stay_out_of_the_log(harness):
     """Guards against a refused order that makes a fall back impossible."""
     count = len(harness.raft.entries)
--- a/papayacrank/state/__init__.py
+++ b/papayacrank/state/__init__.py
@@ -3,6 +3,7 @@
 from ._check import check_command
 from ._entries import (
     ENTRY_FORMAT,
+    WHOLE_NEEDS_FORMAT,
     CommandEntry,
     Entry,
     ExpireEntry,
@@ -21,6 +22,7 @@
 
 __all__ = [
     "ENTRY_FORMAT",
+    "WHOLE_NEEDS_FORMAT",
     "MAX_WEIGHT_LOADS",
     "CommandEntry",
     "Entry",
--- a/papayacrank/state/_entries.py
+++ b/papayacrank/state/_entries.py
@@ -100,6 +100,9 @@
 # type of entry or command, or a table, raises it by one and lists the new types below.
 # Members state it to the leader, which proposes an entry only if all of them read it.
 ENTRY_FORMAT = 1
+# First format whose ledger grants the whole need of a request, `next_tokens` of a
+# report. Earlier ledgers grant parts of it, and the replicas would differ.
+WHOLE_NEEDS_FORMAT = 1
 # First format with a type of entry or of command; 0 if it is not listed.
 FORMAT_BY_TYPE: dict[type, int] = {StartRollout: 1, ConcludeRollout: 1}
 
