--- a/papayacrank/control/_events.py
+++ b/papayacrank/control/_events.py
@@ -166,6 +166,23 @@
     " began it; the request is refused.",
 )
 
+ROLLOUT_SHARE_CHANGED = LogEvent(
+    3051,
+    "rollout_share_changed",
+    "info",
+    "The leader has changed the share of a new release in the requests of its service."
+    " `phase` is `waiting` while no target of the release can be used, then `probe`,"
+    " `partial` and `last`; `at_release` of `requests` were sent to it so far.",
+)
+ROLLOUT_JUDGED = LogEvent(
+    3052,
+    "rollout_judged",
+    "info",
+    "The leader proposes the verdict on a rollout; `reason` names the responses that"
+    " led to it.",
+    "For `rolled_back`, see docs/OPERATIONS.md.",
+)
+
 FEED_BATCH_UNREADABLE = LogEvent(
     3034,
     "feed_batch_unreadable",
@@ -187,6 +204,8 @@
     RELEASE_LISTED,
     RELEASE_ENDED,
     RELEASE_NOT_FOUND,
+    ROLLOUT_SHARE_CHANGED,
+    ROLLOUT_JUDGED,
     PROMPT_STORE_RESPONSIVE,
     PROMPT_STORE_UNRESPONSIVE,
     TARGET_LISTED,
