Send new requests to the releases that rollouts allow

Cause: entry processes used targets of all releases of a service, so a new release got its full part of the requests as soon as its targets were listed. Change: views carry the share of each rollout, TargetSelection restricts new requests to it, load reports carry outcomes by route and release, and the leader proposes the verdict. Services without a rollout are served by all releases as before.

--- a/papayacrank/config/_settings.py
+++ b/papayacrank/config/_settings.py
@@ -93,6 +93,11 @@
     feed_bytes_per_s : int
         Highest rate in bytes per second at which a leader sends the feed to all entry
         processes together; about a third of the bandwidth of its link.
+    release_exposure, release_exposure_slack : float
+        Fraction of the requests of a service that a bad release may get while it is
+        rolled out, and number of requests in addition.
+    rollback_ms : int
+        Time in milliseconds after its 50th bad response from which it may get none.
     """
 
     instance: Name
@@ -118,3 +123,6 @@
     entry_lease_ms: int = Field(default=3_000, ge=100)
     snapshot_every_entries: int = Field(default=2_000, ge=10)
     feed_bytes_per_s: int = Field(default=3_750_000, ge=10_000)
+    release_exposure: float = Field(default=0.1, gt=0, le=1)
+    release_exposure_slack: float = Field(default=50, ge=0)
+    rollback_ms: int = Field(default=5_000, ge=100)
--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -12,6 +12,7 @@
     FleetView,
     PartLocation,
     PartLocationGroup,
+    RolloutShare,
     RoutingConfiguration,
     TargetLoad,
 )
@@ -26,6 +27,7 @@
     TARGET_SILENT,
 )
 from ._push_log import PushLog
+from ._release_rollouts import ReleaseRollouts
 from ._releases import ReleaseMonitor
 from ._rollout import ORDER_KEY, STATUS_KEY, WeightsRollout
 from ._room import RoomAllocator
@@ -112,11 +114,17 @@
         self._leaving: OrderedDict[tuple[str, int], None] = OrderedDict()
         self._releases: ReleaseMonitor | None = None
         self._mixed: list[str] = []
+        self._release_rollouts: ReleaseRollouts | None = None
+        self._shares: list[RolloutShare] = []
 
     def set_releases(self, releases: ReleaseMonitor) -> None:
         """Show only targets of releases that the log has."""
         self._releases = releases
 
+    def set_release_rollouts(self, rollouts: ReleaseRollouts) -> None:
+        """Show the shares of new releases beside their targets."""
+        self._release_rollouts = rollouts
+
     @property
     def permits(self) -> PermitAllocator:
         """Request rate limits and permits."""
@@ -156,6 +164,7 @@
         self._stores.reset()
         self._store_starts = {}
         self._mixed = []
+        self._shares = []
         self._leaving.clear()
         if self._releases is not None:
             self._releases.reset(term)
@@ -169,6 +178,7 @@
             control,
             self._store_starts,
             self._mixed,
+            self._shares,
         )
 
     def pop_change(
@@ -198,6 +208,7 @@
             control if control != base.control else [],
             self._store_starts,
             self._mixed,
+            self._shares,
         )
 
     def needs_view(self, term: int, sequence: int, now_ms: int) -> bool:
@@ -496,10 +507,18 @@
         ]
         starts = self._stores.starts
         mixed = [] if self._releases is None else self._releases.mixed
-        if (view, starts, mixed) != (self._view, self._store_starts, self._mixed):
+        rollouts = self._release_rollouts
+        shares = [] if rollouts is None else rollouts.shares
+        if (view, starts, mixed, shares) != (
+            self._view,
+            self._store_starts,
+            self._mixed,
+            self._shares,
+        ):
             self._view = view
             self._store_starts = starts
             self._mixed = mixed
+            self._shares = shares
             self._sequence += 1
 
 
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -19,6 +19,7 @@
     ISOLATED,
     SERVING,
     ChangeReleases,
+    ConcludeRollout,
     ConfirmOrder,
     ControlReply,
     ControlRequest,
@@ -31,9 +32,11 @@
     ObserveTargets,
     RecordStreams,
     ReplaceMember,
+    StartRollout,
 )
 from papayacrank.permits import PermitAllocator
 from papayacrank.quarantine import QuarantineRegistry
+from papayacrank.rollouts import ExposureLimits
 from papayacrank.state import (
     CommandEntry,
     Entry,
@@ -66,6 +69,7 @@
 from ._publisher import FeedPublisher
 from ._quarantine_calls import QuarantineCalls
 from ._quarantine_service import QUARANTINE_MESSAGES, QuarantineService
+from ._release_rollouts import ReleaseRollouts
 from ._releases import RELEASE_MESSAGES, ReleaseMonitor
 from ._requests import RequestHandler, build_change_notices
 
@@ -82,6 +86,8 @@
 # Shortest interval between two rounds of feed messages to waiting entry processes.
 FEED_INTERVAL_MS = 5
 MAX_QUEUED_HEARTBEATS = 2_000
+# Commands that change what the view shows to entry processes.
+VIEW_COMMANDS = (ChangeReleases, StartRollout, ConcludeRollout)
 
 
 class NodeError(Exception):
@@ -130,8 +136,17 @@
         self._permits = PermitService(permits)
         self._quarantine = QuarantineService(QuarantineRegistry())
         self._releases = ReleaseMonitor(machine.releases)
+        self._release_rollouts = ReleaseRollouts(
+            machine.rollouts,
+            ExposureLimits(
+                settings.release_exposure,
+                settings.release_exposure_slack,
+                settings.rollback_ms,
+            ),
+        )
         if fleet is not None:
             fleet.set_releases(self._releases)
+            fleet.set_release_rollouts(self._release_rollouts)
         self._leases = EntryLeases(settings.entry_lease_ms, settings.clock_drift)
         self._publisher = FeedPublisher(machine, settings.feed_bytes_per_s)
         self._requests = RequestHandler(
@@ -206,6 +221,7 @@
             return self._releases.receive(sender, message)
         if isinstance(message, EntryLoad) and self.is_active and self._fleet:
             self._fleet.observe_load(message, now_ms)
+            self._release_rollouts.observe_load(message, now_ms)
         return []
 
     def tick(self, timer_name: str, now_ms: int) -> list[Any]:
@@ -288,7 +304,7 @@
             if reply is None:
                 return []
             notices = build_change_notices(entry.request.command, reply)
-            if isinstance(entry.request.command, ChangeReleases):
+            if isinstance(entry.request.command, VIEW_COMMANDS):
                 notices += self._poll_fleet(now_ms)
             return [*self._requests.complete(reply), *notices]
         if isinstance(entry, HeartbeatEntry):
@@ -325,6 +341,7 @@
         self._platform_list.reset()
         self._permits.reset(self._raft.term)
         self._quarantine.reset(self._raft.term)
+        self._release_rollouts.reset(self._raft.term)
         if self._fleet is not None:
             self._fleet.reset(self._raft.term, now_ms)
         self._propose(
@@ -399,7 +416,11 @@
 
     def _submit_internally(
         self,
-        command: ObserveTargets | ConfirmOrder | ChangeReleases | RecordStreams,
+        command: ObserveTargets
+        | ConfirmOrder
+        | ChangeReleases
+        | RecordStreams
+        | ConcludeRollout,
         now_ms: int,
     ) -> bool:
         """Propose a command of this process; return whether the log accepted it."""
@@ -554,7 +575,13 @@
         if self._fleet is None or not self._may_serve(now_ms):
             return []
         configuration = self._machine.routing.configuration
-        for command in self._releases.poll(configuration, now_ms):
+        verdicts = self._release_rollouts.poll(
+            self._fleet.targets,
+            [row.instance for row in self._machine.instances.rows],
+            now_ms,
+            self._entry_times(now_ms)[0],
+        )
+        for command in [*self._releases.poll(configuration, now_ms), *verdicts]:
             self._submit_internally(command, now_ms)
         effects: list[Any] = [
             *self._fleet.poll(self._machine.weights.versions, configuration, now_ms),
--- a/papayacrank/forwarding/_attempt_builder.py
+++ b/papayacrank/forwarding/_attempt_builder.py
@@ -63,7 +63,11 @@
     ) -> PlacementRequest:
         request = job.request
         if job.service.engine is None:
-            return PlacementRequest(job.service, release=job.release)
+            return PlacementRequest(
+                job.service,
+                release=job.release,
+                may_use_new=self._fleet.rollouts.may_use_new(job),
+            )
         newest = self._fleet.weights.get(request.model, 0)
         since_ms = self._fleet.weights_since_ms.get(request.model, now_ms)
         return PlacementRequest(
@@ -80,6 +84,7 @@
             now_ms - job.arrived_ms,
             store.name if store is not None else "",
             job.release,
+            self._fleet.rollouts.may_use_new(job),
         )
 
     def build(
--- a/papayacrank/forwarding/_attempts.py
+++ b/papayacrank/forwarding/_attempts.py
@@ -325,6 +325,7 @@
         job.sent_to.add(target.address)
         job.attempt = attempt
         self._suspects.begin_attempt(job, attempt)
+        self._fleet.rollouts.on_sent(job, attempt)
         job.tries += 1
         self._fleet.table.begin(
             target.name, attempt.prefill_tokens, attempt.memory_tokens
@@ -357,6 +358,7 @@
     def close_attempt(self, job: Job, attempt: Attempt) -> None:
         self._timers.cancel(response_timer(job, attempt))
         self._suspects.on_attempt_closed(job, attempt)
+        self._fleet.rollouts.on_closed(attempt)
         if not attempt.has_first_event:
             self._fleet.table.end_prefill(attempt.target.name, attempt.prefill_tokens)
             if attempt.call.bytes_written:
--- a/papayacrank/forwarding/_events.py
+++ b/papayacrank/forwarding/_events.py
@@ -2,6 +2,12 @@
 
 from papayacrank.kernel import LogEvent, declare_events
 
+ROLLOUT_STATE_APPLIED = LogEvent(
+    2121,
+    "rollout_state_applied",
+    "info",
+    "New requests of a service follow the start or the verdict of a rollout.",
+)
 REQUEST_ENDED = LogEvent(
     2101,
     "request_ended",
@@ -131,6 +137,7 @@
     RESPONSES_TOO_LARGE,
     STORE_CHANGED,
     REQUEST_ENDED,
+    ROLLOUT_STATE_APPLIED,
     ATTEMPT_FAILED,
     TARGET_AVOIDED,
     REQUEST_REFUSED,
--- a/papayacrank/forwarding/_fleet_state.py
+++ b/papayacrank/forwarding/_fleet_state.py
@@ -19,6 +19,7 @@
 from ._placement import KnownPartLocations
 from ._quota import QuotaEnforcer
 from ._refusal_limits import RefusalLimitedServices, RoomLeases
+from ._release_traffic import ReleaseTraffic
 from ._routes import RouteIndex
 from ._selection import TargetSelection
 from ._settings import ForwardingSettings
@@ -46,6 +47,8 @@
         Clock of the process.
     random_state : random.Random
         Source of random choices.
+    rollouts : ReleaseTraffic
+        Releases that new requests may use.
     """
 
     def __init__(
@@ -57,12 +60,14 @@
         paths: PathPort,
         clock: Clock,
         random_state: Random,
+        rollouts: ReleaseTraffic,
     ):
         self._port = port
         self._quota = quota
         self._permits = permits
         self._paths = paths
         self._clock = clock
+        self.rollouts = rollouts
         self.table = TargetTable()
         self._paths.on_silent = self.table.report_unreachable
         self.health = TargetHealth()
@@ -81,6 +86,7 @@
             self.parts,
             settings.failure_domain,
             random_state,
+            rollouts,
         )
         self._index: RouteIndex | None = None
         self._weights: dict[str, int] = {}
@@ -155,6 +161,7 @@
         self._permits.client.retain((t.name, t.born_ms) for t in view.targets)
         self._paths.set_targets(view.targets)
         self._update_stores(view.stores)
+        self.rollouts.apply(view.rollouts)
         return True
 
     def readmit_targets(self) -> None:
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -4,7 +4,12 @@
 from random import Random
 
 from papayacrank.kernel import Clock
-from papayacrank.messages import FleetLoad, FleetView, RoutingConfiguration
+from papayacrank.messages import (
+    FleetLoad,
+    FleetView,
+    ReleaseReport,
+    RoutingConfiguration,
+)
 from papayacrank.permits import PermitPort
 from papayacrank.transport import ExchangeListener, HttpExchange, Timers
 
@@ -23,6 +28,7 @@
 from ._path_port import PathPort
 from ._quota import QuotaEnforcer
 from ._relay import Relay
+from ._release_traffic import ReleaseTraffic
 from ._responses import ResponseHandler
 from ._retry_budget import RetryBudget
 from ._room_waits import RoomWaits
@@ -63,6 +69,8 @@
         Timers of the process.
     random_state : random.Random
         Source of random choices.
+    contacted_ms : callable, optional
+        Returns when the leader was last heard of, in milliseconds; None before that.
     """
 
     def __init__(
@@ -79,14 +87,17 @@
         clock: Clock,
         timers: Timers,
         random_state: Random,
+        contacted_ms: Callable[[], int | None] = lambda: None,
     ):
 
         self._relay = relay
         self._random = random_state
         self._continuity = continuity
         self._metrics = ForwardingMetrics()
+        rollouts = ReleaseTraffic(clock, random_state, contacted_ms)
+        suspects.on_checked = rollouts.on_checked
         self._fleet = FleetState(
-            settings, port, quota, permits, paths, clock, random_state
+            settings, port, quota, permits, paths, clock, random_state, rollouts
         )
         room_waits = RoomWaits(clock, timers)
         retry_budget = RetryBudget(
@@ -243,6 +254,10 @@
         """Return the pauses that targets requested since the last call."""
         return self._fleet.take_new_pauses()
 
+    def report_releases(self) -> list[ReleaseReport]:
+        """Return the outcomes of requests of running rollouts."""
+        return self._fleet.rollouts.report()
+
     def take_room_report(self) -> RoomReport:
         """Return what the leader needs to divide the slots of targets."""
         return self._fleet.take_room_report()
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -148,6 +148,9 @@
         Some targets with a request rate limit, if the request was refused.
     forecast_wait_ms : int
         Last forecast of the time in the queue of an engine, in milliseconds.
+    is_drawn : bool or None
+        Whether the request is one of the share of a new release; None before that is
+        drawn.
     release : str or None
         Release that began the stream of the request; None before its first event.
     begun_on_ms : int or None
@@ -190,6 +193,7 @@
     refused_permits: list[str] = field(default_factory=list)
     limited_targets: list[str] = field(default_factory=list)
     forecast_wait_ms: int = 0
+    is_drawn: bool | None = None
     release: str | None = None
     begun_on_ms: int | None = None
     is_begun: bool = False
--- a/papayacrank/forwarding/_placement.py
+++ b/papayacrank/forwarding/_placement.py
@@ -95,6 +95,8 @@
         Store service that the shared parts are fetched from; empty if none.
     release : str or None
         Release of the targets that may get the request; None for any.
+    may_use_new : bool
+        Whether the request is one of the share of a new release.
     """
 
     service: ServiceProfile
@@ -110,6 +112,7 @@
     elapsed_ms: int = 0
     store: str = ""
     release: str | None = None
+    may_use_new: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -227,6 +227,7 @@
             self._clock,
             self._timers,
             self._random,
+            lambda: self._contact.contacted_ms,
         )
         self._permits.count = self._forwarder.metrics.on_permit
         self._quarantine.count = self._forwarder.metrics.on_quarantine
@@ -498,9 +499,10 @@
         instance = self._settings.forwarding.instance
         paused = self._forwarder.take_new_pauses()
         room = self._forwarder.take_room_report()
-        report = self._forwarder.table.report(instance, paused, room)
+        releases = self._forwarder.report_releases()
+        report = self._forwarder.table.report(instance, paused, room, releases)
         if report is None and self._ticks % LOAD_REFRESH_TICKS == 0:
-            report = self._forwarder.table.refresh_report(instance)
+            report = self._forwarder.table.refresh_report(instance, releases)
         if report is not None:
             self._link.send(leader, report)
 
--- a/papayacrank/forwarding/_responses.py
+++ b/papayacrank/forwarding/_responses.py
@@ -197,6 +197,7 @@
         elif metadata.not_run or metadata.wrong_target:
             self._on_not_run(job, attempt)
         elif not metadata.is_valid:
+            self._fleet.rollouts.on_failed(attempt)
             self._overdue.on_incomplete_response(job, attempt, "spoiled answer")
         elif attempt.is_stream:
             self._complete_stream(job, attempt)
@@ -309,6 +310,7 @@
     def _on_first_event(self, job: Job, attempt: Attempt) -> None:
         now_ms = self._clock.now_ms()
         attempt.has_first_event = True
+        self._fleet.rollouts.on_first_event(attempt)
         self._continuity.on_first_event(job, attempt)
         self._runner.observe_first_event(job, attempt, True)
         self._fleet.table.end_prefill(attempt.target.name, attempt.prefill_tokens)
--- a/papayacrank/forwarding/_selection.py
+++ b/papayacrank/forwarding/_selection.py
@@ -10,6 +10,7 @@
 from ._pauses import TargetPauses
 from ._placement import Choice, KnownPartLocations, Placement, PlacementRequest
 from ._refusal_limits import RefusalLimitedServices, RoomLeases
+from ._release_traffic import ReleaseTraffic
 from ._targets import TargetTable
 
 # Retry times of refused callers are spread over this fraction of the pause.
@@ -45,6 +46,8 @@
         Failure domain of this instance.
     random_state : random.Random
         Source of random choices.
+    rollouts : ReleaseTraffic
+        Releases that new requests may use.
     """
 
     def __init__(
@@ -58,7 +61,9 @@
         parts: KnownPartLocations,
         failure_domain: str,
         random_state: Random,
+        rollouts: ReleaseTraffic,
     ):
+        self._rollouts = rollouts
         self._refusal_limits = refusal_limited
         self._leases = leases
         self._table = table
@@ -106,9 +111,18 @@
         Choice or None
             None if no target may get the request.
         """
-        usable = self._usable_targets(
-            request, excluded, max_permit_wait_ms, now_ms, only
-        )
+        for allowed in self._allowed_groups(request):
+            usable = self._usable_targets(
+                request, allowed, excluded, max_permit_wait_ms, now_ms, only
+            )
+            choice = self._choose_usable(request, usable, now_ms)
+            if choice is not None:
+                return choice
+        return None
+
+    def _choose_usable(
+        self, request: PlacementRequest, usable: list[FleetTarget], now_ms: int
+    ) -> Choice | None:
         if self._refusal_limits.is_refusal_limited(request.service.name, now_ms):
             usable = [target for target in usable if self._has_room(target, now_ms)]
         healthy = [t for t in usable if self._is_healthy(t, now_ms)]
@@ -132,12 +146,23 @@
         """
         if not self._refusal_limits.is_refusal_limited(request.service.name, now_ms):
             return False
-        targets = self._usable_targets(request, excluded, max_permit_wait_ms, now_ms)
-        return bool(targets)
+        return any(
+            self._usable_targets(request, allowed, excluded, max_permit_wait_ms, now_ms)
+            for allowed in self._allowed_groups(request)
+        )
+
+    def _allowed_groups(self, request: PlacementRequest) -> list[list[FleetTarget]]:
+        """Return the targets of releases that may get a request, the best first."""
+        service = request.service.name
+        listed = self._table.find_by_service(service)
+        return self._rollouts.restrict(
+            service, listed, request.release, request.may_use_new
+        )
 
     def _usable_targets(
         self,
         request: PlacementRequest,
+        allowed: list[FleetTarget],
         excluded: set[str],
         max_permit_wait_ms: int,
         now_ms: int,
@@ -145,8 +170,9 @@
     ) -> list[FleetTarget]:
         return [
             target
-            for target in self._available_targets(request.service.name)
-            if target.name not in excluded
+            for target in allowed
+            if not (target.leaving or target.loading)
+            and target.name not in excluded
             and only in (None, target.name)
             and request.release in (None, target.release)
             and self._permits.has_permit_within(target.name, max_permit_wait_ms, now_ms)
--- a/papayacrank/forwarding/_suspects.py
+++ b/papayacrank/forwarding/_suspects.py
@@ -41,6 +41,12 @@
         Check of a target's address.
     clock : Clock
         Clock of the process.
+
+    Attributes
+    ----------
+    on_checked : callable
+        Called with an attempt whose connection was lost and whether its target has
+        crashed, once that is known.
     """
 
     def __init__(
@@ -49,6 +55,7 @@
         self._quarantine = quarantine
         self._clock = clock
         self._checks = CrashChecks(address_check, clock, quarantine.report_crash)
+        self.on_checked: Callable[[Attempt, bool], None] = lambda *_: None
 
     # Admission
 
@@ -159,6 +166,7 @@
         attempt.trial = 0
 
         def on_checked(has_crashed: bool) -> None:
+            self.on_checked(attempt, has_crashed)
             if not has_crashed:
                 job.crashes -= 1
                 self._quarantine.end_trial(trial)
--- a/papayacrank/forwarding/_target_signals.py
+++ b/papayacrank/forwarding/_target_signals.py
@@ -44,6 +44,7 @@
             for target in self._fleet.table.find_by_service(job.service.name)
         ]
         self._fleet.health.on_failure(attempt.target.name, peers, now_ms)
+        self._fleet.rollouts.on_failed(attempt)
 
     def observe_weights(self, job: Job, attempt: Attempt) -> None:
         """Update the version of the weights of a target from its response."""
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -13,6 +13,7 @@
     FleetTarget,
     FleetView,
     PartLocation,
+    ReleaseReport,
     TargetLoad,
 )
 
@@ -83,6 +84,7 @@
         self._pending_reports: OrderedDict[int, dict[str, TargetLoad]] = OrderedDict()
         self._report_sequence = 0
         self._last_loads: dict[str, TargetLoad] | None = None
+        self._last_releases: list[ReleaseReport] = []
         self._unreachable: frozenset[str] = frozenset()
         self._newly_unreachable: set[str] = set()
         self._new_parts: list[PartLocation] = []
@@ -161,6 +163,7 @@
             change.control or self._view.control,
             change.stores,
             change.mixed,
+            change.rollouts,
         )
 
     def name_of(self, number: int) -> str | None:
@@ -362,6 +365,7 @@
         instance: str,
         paused: Sequence[tuple[str, int]] = (),
         room: RoomReport = NO_ROOM_REPORT,
+        releases: Sequence[ReleaseReport] = (),
     ) -> EntryLoad | None:
         """Return the next load report; None if nothing changed.
 
@@ -374,20 +378,25 @@
             time in milliseconds.
         room : RoomReport
             Refusal-limited services and the use of their targets.
+        releases : sequence of ReleaseReport
+            Outcomes of the requests of running rollouts.
         """
         loads = {
             n: own.to_message() for n, own in self._own_loads.items() if own.running > 0
         }
         is_new = self._newly_unreachable or self._new_parts or paused or room.is_new
         is_new = is_new or self._unconfirmed_leaving() != self._reported_leaving
+        is_new = is_new or list(releases) != self._last_releases
         if loads == self._last_loads and not is_new:
             return None
         self._last_loads = loads
-        return self._build_report(instance, loads, paused, room)
+        return self._build_report(instance, loads, paused, room, releases)
 
-    def refresh_report(self, instance: str) -> EntryLoad:
+    def refresh_report(
+        self, instance: str, releases: Sequence[ReleaseReport] = ()
+    ) -> EntryLoad:
         """Return a report of the last reported load, so that it does not expire."""
-        return self._build_report(instance, self._last_loads or {})
+        return self._build_report(instance, self._last_loads or {}, releases=releases)
 
     def _build_report(
         self,
@@ -395,8 +404,10 @@
         loads: dict[str, TargetLoad],
         paused: Sequence[tuple[str, int]] = (),
         room: RoomReport = NO_ROOM_REPORT,
+        releases: Sequence[ReleaseReport] = (),
     ) -> EntryLoad:
         self._report_sequence += 1
+        self._last_releases = list(releases)
         self._pending_reports[self._report_sequence] = loads
         while len(self._pending_reports) > MAX_PENDING_REPORTS:
             self._pending_reports.popitem(last=False)
@@ -416,4 +427,5 @@
             room.full,
             room.wanted,
             room.leases,
+            self._last_releases,
         )
--- a/papayacrank/platform/_settings.py
+++ b/papayacrank/platform/_settings.py
@@ -28,6 +28,7 @@
 BYTES_PER_S_AND_MBPS = 125_000
 MIN_FEED_BYTES_PER_S = 10_000
 LEADER_LEASE_MS = 320
+ROLLOUT_CONTRACT = "rollout"
 
 
 class Listen(WireModel):
@@ -54,6 +55,9 @@
     fencing_required: bool = True
     lease_ms: int = 3_000
     version_ms: int = 8_000
+    expose_share: float = Field(default=0.1, gt=0, le=1)
+    expose_slack: float = Field(default=50, ge=0)
+    rollback_ms: int = 5_000
 
 
 class Cloud(WireModel):
@@ -92,6 +96,8 @@
         Region of each zone.
     internal_ports : list of int
         First and last port of the range for traffic between instances.
+    contracts : list of str
+        Parts of the platform's rules that are in force.
     """
 
     node_name: str
@@ -108,12 +114,18 @@
     limits: Limits = Limits()
     zones: dict[str, str] = {}
     fault_tolerance: FaultTolerance = FaultTolerance()
+    contracts: list[str] = []
 
     @property
     def control_names(self) -> tuple[str, ...]:
         """Link names of the control processes among the seeds."""
         return tuple(dict.fromkeys(seed.rsplit(":", 1)[0] for seed in self.seeds))
 
+    @property
+    def controls_releases(self) -> bool:
+        """Whether operators order which release serves a service."""
+        return ROLLOUT_CONTRACT in self.contracts
+
     def port(self, offset: int) -> int:
         """Return the internal port with an offset, at most the last of the range."""
         return min(self.internal_ports[0] + offset, self.internal_ports[1])
@@ -160,6 +172,9 @@
             election_timeout_ms=ELECTION_TIMEOUT_MS,
             leader_lease_ms=LEADER_LEASE_MS,
             entry_lease_ms=self.bounds.contact_ms,
+            release_exposure=self.bounds.expose_share,
+            release_exposure_slack=self.bounds.expose_slack,
+            rollback_ms=self.bounds.rollback_ms,
             feed_bytes_per_s=max(
                 MIN_FEED_BYTES_PER_S,
                 int(FEED_SHARE_OF_LINK * self.limits.link_mbps * BYTES_PER_S_AND_MBPS),
--- a/papayacrank/rollouts/_observer.py
+++ b/papayacrank/rollouts/_observer.py
@@ -16,6 +16,7 @@
     counts: Counts
     sent_ms: int
     late_ms: int
+    scale: float = 1.0
     has_time: bool = False
     has_failed: bool = False
     is_checked: bool = False
@@ -52,6 +53,7 @@
         late_after_ms: int,
         is_retry: bool,
         now_ms: int,
+        scale: float = 1.0,
     ) -> None:
         """Count a request that is sent.
 
@@ -64,6 +66,10 @@
         is_retry : bool
             Whether the request was sent before. At old releases, such requests do not
             count, so that failures of the new release add none.
+        now_ms : int
+            Current time in milliseconds.
+        scale : float
+            Factor of the response time, which makes requests of different work alike.
         """
         share = self._shares.get(service)
         if share is None or (is_retry and release != share.release):
@@ -74,7 +80,9 @@
         counts = self._counts.setdefault(key, Counts())
         counts.sent += 1
         if len(self._open) < MAX_OPEN:
-            self._open[attempt] = _Observed(counts, now_ms, now_ms + late_after_ms)
+            self._open[attempt] = _Observed(
+                counts, now_ms, now_ms + late_after_ms, scale
+            )
 
     def on_first_response(self, attempt: Hashable, now_ms: int) -> None:
         """Record the time of the first part of a response."""
@@ -154,7 +162,8 @@
 def _record_time(observed: _Observed, now_ms: int) -> None:
     if not observed.has_time:
         observed.has_time = True
-        observed.counts.times[time_bucket(now_ms - observed.sent_ms)] += 1
+        time_ms = (now_ms - observed.sent_ms) * observed.scale
+        observed.counts.times[time_bucket(time_ms)] += 1
 
 
 def _record_failure(observed: _Observed) -> None:
