Keep the group time while rollouts run, and test both sides of rollouts

Cause: a new leader continues the group time from the last entry, so the deadline of a rollout moved by the time without entries. Bounds for the old release used a factor that hid faults where the old one fails often. Change: an entry each second while a rollout runs; a new leader assumes 1.5 s more; the bound is two standard errors.

--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -86,6 +86,8 @@
 # Shortest interval between two rounds of feed messages to waiting entry processes.
 FEED_INTERVAL_MS = 5
 MAX_QUEUED_HEARTBEATS = 2_000
+# A new leader continues the group time from the last entry.
+TIME_ENTRY_INTERVAL_MS = 1_000
 # Commands that change what the view shows to entry processes.
 VIEW_COMMANDS = (ChangeReleases, StartRollout, ConcludeRollout)
 
@@ -161,6 +163,7 @@
         )
         self._active_term: int | None = None
         self._group_time_offset_ms = 0
+        self._last_time_entry_ms = 0
         self._published_version = 0
         self._internal_request_count = 0
         self._queued_heartbeats: dict[str, Heartbeat] = {}
@@ -575,6 +578,7 @@
         if self._fleet is None or not self._may_serve(now_ms):
             return []
         configuration = self._machine.routing.configuration
+        self._keep_group_time(now_ms)
         verdicts = self._release_rollouts.poll(
             self._fleet.targets,
             [row.instance for row in self._machine.instances.rows],
@@ -592,6 +596,13 @@
             effects.append(SetTimer(FLEET_TIMER, max(next_ms, now_ms + 1)))
         return effects
 
+    def _keep_group_time(self, now_ms: int) -> None:
+        """Write the time to the log while the deadline of a rollout depends on it."""
+        is_due = now_ms >= self._last_time_entry_ms + TIME_ENTRY_INTERVAL_MS
+        if is_due and self._machine.rollouts.running:
+            self._last_time_entry_ms = now_ms
+            self._propose(HeartbeatEntry(*self._entry_times(now_ms), []), now_ms)
+
     def _push_fleet(self, now_ms: int) -> list[Any]:
         change = self._fleet.pop_change(self._member_names(), now_ms)
         if change is None:
--- a/papayacrank/forwarding/_forwarder.py
+++ b/papayacrank/forwarding/_forwarder.py
@@ -95,6 +95,7 @@
         self._continuity = continuity
         self._metrics = ForwardingMetrics()
         rollouts = ReleaseTraffic(clock, random_state, contacted_ms)
+        rollouts.count = self._metrics.on_rollout_sent
         suspects.on_checked = rollouts.on_checked
         self._fleet = FleetState(
             settings, port, quota, permits, paths, clock, random_state, rollouts
--- a/papayacrank/forwarding/_metrics.py
+++ b/papayacrank/forwarding/_metrics.py
@@ -52,6 +52,13 @@
             ["outcome"],
             registry=self._registry,
         )
+        self._rollout_sent = Counter(
+            "papayacrank_rollout_sent",
+            "Requests sent while a rollout of their service runs, by service and by"
+            " whether the target has the new release or an old one",
+            ["service", "release"],
+            registry=self._registry,
+        )
         self._releases = Counter(
             "papayacrank_releases",
             "Requests that take up streams by whether the release that began them is"
@@ -124,6 +131,10 @@
         """Count a decision on suspected parts, a reported crash or cleared parts."""
         self._quarantine.labels(outcome).inc()
 
+    def on_rollout_sent(self, service: str, is_new: bool) -> None:
+        """Count a request that is sent while a rollout of its service runs."""
+        self._rollout_sent.labels(service, "new" if is_new else "old").inc()
+
     def on_release(self, outcome: str) -> None:
         """Count a decision on a stream that is taken up, or a report of streams."""
         self._releases.labels(outcome).inc()
--- a/papayacrank/forwarding/_release_traffic.py
+++ b/papayacrank/forwarding/_release_traffic.py
@@ -5,6 +5,7 @@
 
 from papayacrank.kernel import Clock, log_event
 from papayacrank.messages import (
+    RUNNING,
     FleetTarget,
     ReleaseReport,
     RolloutShare,
@@ -34,6 +35,12 @@
         Source of random choices.
     contacted_ms : callable, optional
         Returns when the leader was last heard of, in milliseconds; None before that.
+
+    Attributes
+    ----------
+    count : callable
+        Called with the service of each request that is sent while a rollout of it runs,
+        and whether its target has the new release.
     """
 
     def __init__(
@@ -45,6 +52,7 @@
         self._clock = clock
         self._limiter = ReleaseLimiter(random_state, contacted_ms)
         self._observer = ReleaseObserver()
+        self.count: Callable[[str, bool], None] = lambda service, is_new: None
 
     def apply(self, shares: Iterable[RolloutShare]) -> None:
         """Apply the rollouts of a new view."""
@@ -107,6 +115,10 @@
 
     def on_sent(self, job: Job, attempt: Attempt) -> None:
         """Count an attempt that is sent."""
+        share = self._limiter.shares.get(job.service.name)
+        if share is None or share.state != RUNNING:
+            return
+        self.count(share.service, attempt.target.release == share.release)
         scale = 1.0
         if job.service.engine is not None:
             scale = EXPECTED_MS / max(MIN_EXPECTED_MS, attempt.choice.expected_ms)
--- a/papayacrank/messages/_rollouts.py
+++ b/papayacrank/messages/_rollouts.py
@@ -72,7 +72,7 @@
     Attributes
     ----------
     step : int
-        Number of the step within the term of the leader; increases with each change.
+        Number of the step; increases with each change and with the term of the leader.
     share : float
         Fraction of the new requests for targets of `release`.
     bases : list of str
@@ -106,7 +106,8 @@
     sent, ended, failed : int
         Requests sent, ended, and failed by the target.
     times : list of int
-        Number of responses by the power of two of their time in milliseconds.
+        Number of responses by their time, in buckets of a quarter of a doubling from
+        1 ms on.
     """
 
     number: int
--- a/papayacrank/rollouts/_evidence.py
+++ b/papayacrank/rollouts/_evidence.py
@@ -21,8 +21,9 @@
 # the old one. New targets begin with empty caches and are then slow at times.
 TOLERATED_FAILED = 0.02
 TOLERATED_SLOW = 0.06
-OLD_RATE_FACTOR = 1.5
-# Old responses added to the denominator, so that few of them prove nothing.
+# Standard errors by which the fraction of the old release may be underestimated, and
+# responses added to the denominator, so that few old responses prove nothing.
+OLD_RATE_ERRORS = 2.0
 PRIOR_RESPONSES = 10
 # Exponent of the Chernoff bound on the chance that a sound release looks like this. The
 # bound is looked at some hundred times in a rollout, mostly on the same responses; the
@@ -231,7 +232,10 @@
 
 
 def _old_rate(bad: int, count: int) -> float:
-    return OLD_RATE_FACTOR * (bad + 1) / (count + PRIOR_RESPONSES)
+    """Return an upper bound of the fraction of bad responses."""
+    count += PRIOR_RESPONSES
+    rate = min(1.0, (bad + 1) / count)
+    return rate + OLD_RATE_ERRORS * math.sqrt(rate * (1 - rate) / count)
 
 
 def is_excess(
--- a/papayacrank/rollouts/_judge.py
+++ b/papayacrank/rollouts/_judge.py
@@ -47,6 +47,9 @@
 MIN_ENDED = 10
 # A new leader waits this long for the counts of all live processes.
 RESUME_WAIT_MS = 1_000
+# Time without a leader, and since the last entry before it, that a new leader assumes:
+# the clock of the control group stands still then.
+RESUME_LAG_MS = 1_500
 # Without contact for this time, an entry process uses the old releases; heartbeats are
 # more frequent.
 LAPSE_MS = 1_500
@@ -108,6 +111,7 @@
         now_ms: int,
     ):
         self._rollout = rollout
+        self._begun_ms = rollout.started_ms - (RESUME_LAG_MS if is_resumed else 0)
         self._limits = limits
         self._evidence = ReleaseEvidence(rollout.release)
         self._step = first_step
@@ -169,7 +173,7 @@
         if self._verdict:
             return
         self._evidence.update(self._part(WARM_UP), now_ms)
-        elapsed_ms = now_ms - self._rollout.started_ms
+        elapsed_ms = now_ms - self._begun_ms
         if fault := self._evidence.find_fault(self._min_exponent(elapsed_ms)):
             self._conclude(ROLLED_BACK, fault, now_ms)
             return
@@ -246,7 +250,7 @@
 
         The time that is left shows faults under the whole load.
         """
-        elapsed_ms = now_ms - self._rollout.started_ms
+        elapsed_ms = now_ms - self._begun_ms
         is_early = elapsed_ms < self._rollout.duration_ms - self._part(RESERVE)
         if is_early or now_ms - self._phase_since_ms < MIN_LAST_MS:
             return
--- a/papayacrank/rollouts/tests/simulation.py
+++ b/papayacrank/rollouts/tests/simulation.py
@@ -21,6 +21,8 @@
 MAX_DELAY_MS = 60
 TARGETS_SHOWN_MS = 900
 LEASE_MS = 3_000
+# Time from the last entry of a leader to its end.
+ENTRY_LAG_MS = 500
 OBJECTIVE_MS = 400
 OLD, NEW = "v1", "v2"
 SERVICE, OTHER_SERVICE = "app", "other"
@@ -111,6 +113,8 @@
         self._event_count = 0
         self._now_ms = 0
         self._term = 1
+        # Time for which the clock of the group stood still.
+        self._lag_ms = 0
         self._instances = [
             _Instance(f"i{n}", seed * 1_000 + n) for n in range(plan.instances)
         ]
@@ -199,6 +203,7 @@
             return
         if self._leader is None:
             self._term += 1
+            self._lag_ms = self._now_ms - self._plan.leader_gone_ms[0] + ENTRY_LAG_MS
             self._leader = self._elect()
         live = [
             instance.name
@@ -207,7 +212,7 @@
             or self._now_ms - self._plan.cut_instance_ms[0] < LEASE_MS
         ]
         verdicts = self._leader.poll(
-            self._shown_targets(), live, self._now_ms, self._now_ms
+            self._shown_targets(), live, self._now_ms, self._now_ms - self._lag_ms
         )
         for verdict in verdicts:
             self._at(self._now_ms + self._delay_ms(), lambda v=verdict: self._commit(v))
