Test the limits of rollouts in the settings file

Cause: a wrong field name would leave the defaults in force unnoticed. Change: tests of the bounds and of the contracts. Result: papayacrank/platform/tests/test_adapter.py passes.

--- a/papayacrank/platform/tests/test_adapter.py
+++ b/papayacrank/platform/tests/test_adapter.py
@@ -46,6 +46,23 @@
     return path
 
 
+def test_limits_of_rollouts_are_translated(tmp_path):
+    """Guards against a bad release that gets more than the platform allows."""
+    text = build_settings().replace(
+        "[bounds]", "[bounds]\nexpose_share = 0.2\nexpose_slack = 9\nrollback_ms = 700"
+    )
+    control = load_platform_settings(write(tmp_path, text)).control_settings()
+    limits = control.release_exposure, control.release_exposure_slack
+    assert (*limits, control.rollback_ms) == (0.2, 9, 700)
+
+
+@pytest.mark.parametrize(("contracts", "expected"), [("", False), ('"rollout"', True)])
+def test_control_of_releases_is_read_from_the_contracts(tmp_path, contracts, expected):
+    text = f"contracts = [{contracts}]\n" + build_settings()
+    settings = load_platform_settings(write(tmp_path, text))
+    assert settings.controls_releases is expected
+
+
 def test_platform_settings_are_translated(tmp_path):
     """Guards against a process with the identity or addresses of another process."""
     settings = load_platform_settings(write(tmp_path, build_settings()))
