--- a/papayacrank/consensus/_messages.py
+++ b/papayacrank/consensus/_messages.py
@@ -219,6 +219,7 @@
     "accepted": "a",
     "match_index": "m",
     "snapshot_offset": "o",
+    "entry_format": "f",
 }
 
 
@@ -324,6 +325,8 @@
         Whether the log matched the request, or the snapshot is complete.
     snapshot_offset : int
         Number of bytes received of the snapshot in transfer; -1 if there is none.
+    entry_format : int
+        Highest format of entries that the sender reads.
     """
 
     group: str
@@ -333,6 +336,7 @@
     sent_ms: int
     accepted: bool = True
     snapshot_offset: int = -1
+    entry_format: int = 0
 
 
 class SnapshotChunk(_Message, frozen=True, tag="rs"):
@@ -421,12 +425,19 @@
 
 
 class JoinRequest(_Message, frozen=True, tag="rj"):
-    """Request to the leader to add the sender as a learner."""
+    """Request to the leader to add the sender as a learner.
+
+    Attributes
+    ----------
+    entry_format : int
+        Highest format of entries that the sender reads.
+    """
 
     group: str
     identity: str
     failure_domain: str
     volatile: bool = False
+    entry_format: int = 0
 
 
 CONSENSUS_MESSAGES = (
--- a/papayacrank/consensus/_replication.py
+++ b/papayacrank/consensus/_replication.py
@@ -38,6 +38,7 @@
     _heartbeat_due_ms = 0
     _heartbeat_count = 0
     _quorum_check_start_ms = 0
+    _leader_since_ms = 0
 
     # Leader
 
@@ -47,7 +48,9 @@
         self._prior_lease_possible = False
         self._leader = self._settings.name
         self._progress = {}
+        self._formats.forget()
         self._quorum_check_start_ms = self._now_ms
+        self._leader_since_ms = self._now_ms
         self._term_start_index = self._log.last_index + 1
         self._track_members()
         self._log_event(LEADER_ELECTED, term=self._term, index=self._log.last_index)
@@ -153,6 +156,7 @@
         if reply.term < self._term or self._role is not Role.LEADER or progress is None:
             return
         progress.last_reply_ms = self._now_ms
+        self._formats.state(reply.identity, reply.entry_format)
         is_newest = reply.sent_ms > progress.acknowledged_sent_ms
         progress.acknowledged_sent_ms = max(
             progress.acknowledged_sent_ms, reply.sent_ms
@@ -387,6 +391,7 @@
             match_index=match_index,
             sent_ms=request.sent_ms,
             snapshot_offset=snapshot_offset,
+            entry_format=self._settings.entry_format,
         )
 
     # Snapshot transfer
--- a/papayacrank/control/_requests.py
+++ b/papayacrank/control/_requests.py
@@ -97,6 +97,10 @@
             return [
                 Send(sender, ControlReply(request.request_id, RoutingFiled(in_force)))
             ]
+        if isinstance(request.command, StartRollout):
+            answer = self._machine.answer_rollout(request.command)
+            if answer is not None:
+                return [Send(sender, _build_outcome_reply(request.request_id, answer))]
         if request.request_id in self._pending:
             _add_sender(self._pending[request.request_id], sender)
             return []
@@ -153,6 +157,7 @@
         return ControlReply(request.request_id, view)
 
     def _members(self) -> list[dict]:
+        formats = self._raft.stated_formats
         return [
             {
                 "name": member.name,
@@ -160,6 +165,7 @@
                 "failure_domain": member.failure_domain,
                 "role": "voter" if member.voter else "learner",
                 "leader": member.name == self._raft.leader,
+                "entry_format": formats.get(member.identity),
             }
             for member in self._raft.members
         ]
@@ -198,6 +204,14 @@
         return command.new in voters and command.old not in voters
 
 
+def _build_outcome_reply(
+    request_id: str, outcome: Done | FailureRecord
+) -> ControlReply:
+    if isinstance(outcome, FailureRecord):
+        return ControlReply(request_id, failure=outcome)
+    return ControlReply(request_id, outcome)
+
+
 def _is_superseded(command: Command, in_force: int) -> bool:
     """Whether a command would not change the state, whatever its document."""
     return (
