--- a/papayacrank/forwarding/_release_traffic.py
+++ b/papayacrank/forwarding/_release_traffic.py
@@ -79,7 +79,7 @@
         costs its caller one attempt.
         """
         if job.is_drawn is None:
-            job.is_drawn = self._limiter.draw(job.service.name)
+            job.is_drawn = self._limiter.draw(job.service.name, job.route.name)
         return job.is_drawn and job.tries == 0
 
     def restrict(
--- a/papayacrank/messages/_rollouts.py
+++ b/papayacrank/messages/_rollouts.py
@@ -80,6 +80,9 @@
     lapse_ms : int
         Time in milliseconds after the last contact from which the share of a running
         rollout is 0.
+    route_factors : dict of str to float
+        Factors of the share by route, 1 for the others; their mean over the requests
+        is 1. They do not hold for a share of 1.
     """
 
     number: int
@@ -90,6 +93,7 @@
     share: float
     bases: list[str] = []
     lapse_ms: int = 0
+    route_factors: dict[str, float] = {}
 
 
 class ReleaseReport(msgspec.Struct, frozen=True, array_like=True):
--- a/papayacrank/rollouts/_evidence.py
+++ b/papayacrank/rollouts/_evidence.py
@@ -35,6 +35,8 @@
 SNAPSHOT_INTERVAL_MS = 250
 RECENT_MS = 1_500
 MAX_REPORTING = 2_000
+# Limit on the factor of the share of a route with few requests.
+MAX_ROUTE_FACTOR = 4.0
 MAX_ROUTES = 64
 
 
@@ -167,6 +169,23 @@
         while len(snapshots) > 1 and now_ms - snapshots[1][0] >= RECENT_MS:
             snapshots.popleft()
 
+    def route_factors(self) -> dict[str, float]:
+        """Return factors by which each route gets as many outcomes as the others.
+
+        Without them, a fault on a route with few requests shows late.
+        """
+        sent: dict[str, int] = {}
+        for (route, _), counts in self._totals.items():
+            if counts.sent:
+                sent[route] = sent.get(route, 0) + counts.sent
+        mean = sum(sent.values()) / max(1, len(sent))
+        factors = {
+            route: min(MAX_ROUTE_FACTOR, mean / count) for route, count in sent.items()
+        }
+        weighted = sum(factors[route] * count for route, count in sent.items())
+        scale = sum(sent.values()) / weighted if weighted else 1.0
+        return {route: round(scale * factor, 2) for route, factor in factors.items()}
+
     def slow_end_ms(self, fraction: float) -> float | None:
         """Return a quantile of the old response times, the longest of any route."""
         ends = [
--- a/papayacrank/rollouts/_judge.py
+++ b/papayacrank/rollouts/_judge.py
@@ -116,6 +116,7 @@
         self._evidence = ReleaseEvidence(rollout.release)
         self._step = first_step
         self._share = 0.0
+        self._route_factors: dict[str, float] = {}
         self._phase = Phase.WAITING
         self._phase_since_ms = now_ms
         self._share_since_ms = now_ms
@@ -162,6 +163,7 @@
             self._share,
             rollout.bases,
             LAPSE_MS,
+            self._route_factors,
         )
 
     def observe(self, instance: str, reports: Iterable[ReleaseReport]) -> None:
@@ -301,6 +303,7 @@
         share = round(share, 4)
         if share != self._share:
             self._share = share
+            self._route_factors = self._evidence.route_factors()
             self._step += 1
             self._share_since_ms = now_ms
 
--- a/papayacrank/rollouts/_limiter.py
+++ b/papayacrank/rollouts/_limiter.py
@@ -49,10 +49,13 @@
         """Replace the shares."""
         self._shares = {share.service: share for share in shares}
 
-    def draw(self, service: str) -> bool:
+    def draw(self, service: str, route: str) -> bool:
         """Draw whether a new request is one of the share of the new release."""
         share = self._shares.get(service)
-        return share is not None and self._random.random() < share.share
+        if share is None:
+            return False
+        factor = share.route_factors.get(route, 1.0)
+        return self._random.random() < factor * share.share
 
     def may_continue(self, service: str, release: str) -> bool:
         """Whether streams of a release may go on at it."""
