--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -33,9 +33,11 @@
     ObserveTargets,
     RecordStreams,
     ReplaceMember,
+    StartRollout,
 )
 from papayacrank.permits import PermitAllocator
 from papayacrank.quarantine import QuarantineRegistry
+from papayacrank.rollouts import ExposureLimits
 from papayacrank.state import (
     WHOLE_NEEDS_FORMAT,
     CommandEntry,
@@ -71,6 +73,7 @@
 from ._publisher import FeedPublisher
 from ._quarantine_calls import QuarantineCalls
 from ._quarantine_service import QUARANTINE_MESSAGES, QuarantineService
+from ._release_rollouts import ReleaseRollouts
 from ._releases import RELEASE_MESSAGES, ReleaseMonitor
 from ._requests import RequestHandler, build_change_notices
 
@@ -87,6 +90,10 @@
 # Shortest interval between two rounds of feed messages to waiting entry processes.
 FEED_INTERVAL_MS = 5
 MAX_QUEUED_HEARTBEATS = 2_000
+# A new leader continues the group time from the last entry.
+TIME_ENTRY_INTERVAL_MS = 1_000
+# Commands that change what the view shows to entry processes.
+VIEW_COMMANDS = (ChangeReleases, StartRollout, ConcludeRollout)
 # Shortest interval between two records of the formats of the members.
 FORMATS_INTERVAL_MS = 500
 # Code of the failure if not all members read an entry.
@@ -141,8 +148,17 @@
         self._permits = PermitService(permits)
         self._quarantine = QuarantineService(QuarantineRegistry())
         self._releases = ReleaseMonitor(machine.releases)
+        self._release_rollouts = ReleaseRollouts(
+            machine.rollouts,
+            ExposureLimits(
+                settings.release_exposure,
+                settings.release_exposure_slack,
+                settings.rollback_ms,
+            ),
+        )
         if fleet is not None:
             fleet.set_releases(self._releases)
+            fleet.set_release_rollouts(self._release_rollouts)
         self._leases = EntryLeases(settings.entry_lease_ms, settings.clock_drift)
         self._publisher = FeedPublisher(machine, settings.feed_bytes_per_s)
         self._requests = RequestHandler(
@@ -157,6 +173,7 @@
         )
         self._active_term: int | None = None
         self._group_time_offset_ms = 0
+        self._last_time_entry_ms = 0
         self._published_version = 0
         self._internal_request_count = 0
         self._queued_heartbeats: dict[str, Heartbeat] = {}
@@ -218,6 +235,7 @@
             return self._releases.receive(sender, message)
         if isinstance(message, EntryLoad) and self.is_active and self._fleet:
             self._fleet.observe_load(message, now_ms)
+            self._release_rollouts.observe_load(message, now_ms)
         return []
 
     def tick(self, timer_name: str, now_ms: int) -> list[Any]:
@@ -300,7 +318,7 @@
             if reply is None:
                 return []
             notices = build_change_notices(entry.request.command, reply)
-            if isinstance(entry.request.command, ChangeReleases):
+            if isinstance(entry.request.command, VIEW_COMMANDS):
                 notices += self._poll_fleet(now_ms)
             return [*self._requests.complete(reply), *notices]
         if isinstance(entry, HeartbeatEntry):
@@ -341,6 +359,7 @@
         self._platform_list.reset()
         self._permits.reset(self._raft.term)
         self._quarantine.reset(self._raft.term)
+        self._release_rollouts.reset(self._raft.term)
         if self._fleet is not None:
             self._fleet.reset(self._raft.term, now_ms)
         self._propose(
@@ -611,7 +630,14 @@
         if self._fleet is None or not self._may_serve(now_ms):
             return []
         configuration = self._machine.routing.configuration
-        for command in self._releases.poll(configuration, now_ms):
+        self._keep_group_time(now_ms)
+        verdicts = self._release_rollouts.poll(
+            self._fleet.targets,
+            [row.instance for row in self._machine.instances.rows],
+            now_ms,
+            self._entry_times(now_ms)[0],
+        )
+        for command in [*self._releases.poll(configuration, now_ms), *verdicts]:
             self._submit_internally(command, now_ms)
         effects: list[Any] = [
             *self._fleet.poll(self._machine.weights.versions, configuration, now_ms),
@@ -622,6 +648,13 @@
             effects.append(SetTimer(FLEET_TIMER, max(next_ms, now_ms + 1)))
         return effects
 
+    def _keep_group_time(self, now_ms: int) -> None:
+        """Write the time to the log while the deadline of a rollout depends on it."""
+        is_due = now_ms >= self._last_time_entry_ms + TIME_ENTRY_INTERVAL_MS
+        if is_due and self._machine.rollouts.running:
+            self._last_time_entry_ms = now_ms
+            self._propose(HeartbeatEntry(*self._entry_times(now_ms), []), now_ms)
+
     def _push_fleet(self, now_ms: int) -> list[Any]:
         change = self._fleet.pop_change(self._member_names(), now_ms)
         if change is None:
--- a/papayacrank/forwarding/_attempt_builder.py
+++ b/papayacrank/forwarding/_attempt_builder.py
@@ -65,7 +65,10 @@
         request = job.request
         if job.service.engine is None:
             return PlacementRequest(
-                job.service, release=job.release, route=job.route.name
+                job.service,
+                release=job.release,
+                route=job.route.name,
+                may_use_new=self._fleet.rollouts.may_use_new(job),
             )
         newest = self._fleet.weights.get(request.model, 0)
         since_ms = self._fleet.weights_since_ms.get(request.model, now_ms)
@@ -85,6 +88,7 @@
             job.release,
             job.route.name,
             urgency_of(job),
+            self._fleet.rollouts.may_use_new(job),
         )
 
     def build(
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -164,6 +164,9 @@
         Whether the request was admitted although targets may be behind.
     forecast_wait_ms : int
         Last forecast of the time in the queue of an engine, in milliseconds.
+    is_drawn : bool or None
+        Whether the request is one of the share of a new release; None before that is
+        drawn.
     release : str or None
         Release that began the stream of the request; None before its first event.
     begun_on_ms : int or None
@@ -209,6 +212,7 @@
     load_refusal: str | None = None
     is_load_admitted: bool = False
     forecast_wait_ms: int = 0
+    is_drawn: bool | None = None
     release: str | None = None
     begun_on_ms: int | None = None
     is_begun: bool = False
--- a/papayacrank/forwarding/_placement.py
+++ b/papayacrank/forwarding/_placement.py
@@ -106,6 +106,8 @@
         Route of the request.
     urgency : int
         Scheduling rank from 0, the most urgent.
+    may_use_new : bool
+        Whether the request is one of the share of a new release.
     """
 
     service: ServiceProfile
@@ -129,6 +131,8 @@
         """Tokens of the parts that other requests may also contain."""
         return sum(part.tokens for part in self.shared)
 
+    may_use_new: bool = False
+
 
 @dataclass(frozen=True, slots=True)
 class Choice:
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -269,6 +269,7 @@
             self._clock,
             self._timers,
             self._random,
+            lambda: self._contact.contacted_ms,
         )
         self._permits.count = self._forwarder.metrics.on_permit
         self._quarantine.count = self._forwarder.metrics.on_quarantine
@@ -617,9 +618,12 @@
         paused = self._forwarder.take_new_pauses()
         room = self._forwarder.take_room_report()
         costs = self._forwarder.fleet.take_cost_report()
-        report = self._forwarder.table.report(instance, paused, room, demand, costs)
+        releases = self._forwarder.report_releases()
+        report = self._forwarder.table.report(
+            instance, paused, room, demand, costs, releases
+        )
         if report is None and self._ticks % LOAD_REFRESH_TICKS == 0:
-            report = self._forwarder.table.refresh_report(instance)
+            report = self._forwarder.table.refresh_report(instance, releases)
         if report is not None:
             report = msgspec.structs.replace(report, utilization=self._load.eighths)
             self._link.send(leader, report)
--- a/papayacrank/forwarding/_responses.py
+++ b/papayacrank/forwarding/_responses.py
@@ -199,6 +199,7 @@
         elif metadata.not_run or metadata.wrong_target:
             self._on_not_run(job, attempt)
         elif not metadata.is_valid:
+            self._fleet.rollouts.on_failed(attempt)
             self._overdue.on_incomplete_response(job, attempt, "spoiled answer")
         elif attempt.is_stream:
             self._complete_stream(job, attempt)
@@ -318,6 +319,7 @@
         now_ms = self._clock.now_ms()
         attempt.has_first_event = True
         attempt.first_event_ms = now_ms
+        self._fleet.rollouts.on_first_event(attempt)
         self._continuity.on_first_event(job, attempt)
         self._runner.observe_first_event(job, attempt, True)
         self._fleet.table.end_prefill(attempt.target.name, attempt.prefill_tokens)
--- a/papayacrank/forwarding/_targets.py
+++ b/papayacrank/forwarding/_targets.py
@@ -15,6 +15,7 @@
     FleetTarget,
     FleetView,
     PartLocation,
+    ReleaseReport,
     ServiceDemand,
     TargetLoad,
 )
@@ -100,6 +101,7 @@
         self._pending_reports: OrderedDict[int, dict[str, TargetLoad]] = OrderedDict()
         self._report_sequence = 0
         self._last_loads: dict[str, TargetLoad] | None = None
+        self._last_releases: list[ReleaseReport] = []
         self._unreachable: frozenset[str] = frozenset()
         self._newly_unreachable: set[str] = set()
         self._new_parts: list[PartLocation] = []
@@ -178,6 +180,7 @@
             change.control or self._view.control,
             change.stores,
             change.mixed,
+            change.rollouts,
         )
 
     def name_of(self, number: int) -> str | None:
@@ -423,6 +426,7 @@
         room: RoomReport = NO_ROOM_REPORT,
         demand: Sequence[ServiceDemand] = (),
         costs: CostReport = NO_COST_REPORT,
+        releases: Sequence[ReleaseReport] = (),
     ) -> EntryLoad | None:
         """Return the next load report; None if nothing changed.
 
@@ -439,6 +443,8 @@
             Demand for services that are behind.
         costs : CostReport
             Costs that were learned since the last report.
+        releases : sequence of ReleaseReport
+            Outcomes of the requests of running rollouts.
         """
         loads = {
             n: own.to_message() for n, own in self._own_loads.items() if own.running > 0
@@ -452,14 +458,19 @@
             or costs.is_new
         )
         is_new = is_new or self._unconfirmed_leaving() != self._reported_leaving
+        is_new = is_new or list(releases) != self._last_releases
         if loads == self._last_loads and not is_new:
             return None
         self._last_loads = loads
-        return self._build_report(instance, loads, paused, room, demand, costs)
+        return self._build_report(
+            instance, loads, paused, room, demand, costs, releases
+        )
 
-    def refresh_report(self, instance: str) -> EntryLoad:
+    def refresh_report(
+        self, instance: str, releases: Sequence[ReleaseReport] = ()
+    ) -> EntryLoad:
         """Return a report of the last reported load, so that it does not expire."""
-        return self._build_report(instance, self._last_loads or {})
+        return self._build_report(instance, self._last_loads or {}, releases=releases)
 
     def _build_report(
         self,
@@ -469,8 +480,10 @@
         room: RoomReport = NO_ROOM_REPORT,
         demand: Sequence[ServiceDemand] = (),
         costs: CostReport = NO_COST_REPORT,
+        releases: Sequence[ReleaseReport] = (),
     ) -> EntryLoad:
         self._report_sequence += 1
+        self._last_releases = list(releases)
         self._pending_reports[self._report_sequence] = loads
         while len(self._pending_reports) > MAX_PENDING_REPORTS:
             self._pending_reports.popitem(last=False)
@@ -490,7 +503,8 @@
             room.full,
             room.wanted,
             room.leases,
-            costs=costs.targets,
-            service_costs=costs.services,
-            demand=list(demand),
+            self._last_releases,
+            costs.targets,
+            costs.services,
+            list(demand),
         )
--- a/papayacrank/messages/_rollouts.py
+++ b/papayacrank/messages/_rollouts.py
@@ -72,7 +72,7 @@
     Attributes
     ----------
     step : int
-        Number of the step within the term of the leader; increases with each change.
+        Number of the step; increases with each change and with the term of the leader.
     share : float
         Fraction of the new requests for targets of `release`.
     bases : list of str
@@ -80,6 +80,9 @@
     lapse_ms : int
         Time in milliseconds after the last contact from which the share of a running
         rollout is 0.
+    route_factors : dict of str to float
+        Factors of the share by route, 1 for the others; their mean over the requests
+        is 1. They do not hold for a share of 1.
     """
 
     number: int
@@ -90,6 +93,7 @@
     share: float
     bases: list[str] = []
     lapse_ms: int = 0
+    route_factors: dict[str, float] = {}
 
 
 class ReleaseReport(msgspec.Struct, frozen=True, array_like=True):
@@ -106,7 +110,8 @@
     sent, ended, failed : int
         Requests sent, ended, and failed by the target.
     times : list of int
-        Number of responses by the power of two of their time in milliseconds.
+        Number of responses by their time, in buckets of a quarter of a doubling from
+        1 ms on.
     """
 
     number: int
