Split process, placement and rollout of weights into smaller modules

Endpoints and settings of the entry process, known parts, preferred engines and the state of a loading engine have modules of their own. Behaviour is unchanged, except that a comment no longer says how a value was found.

--- a/papayacrank/control/_rollout.py
+++ b/papayacrank/control/_rollout.py
@@ -1,8 +1,5 @@
 """Rollout of model weights to the engines."""
 
-from dataclasses import dataclass, field
-from enum import Enum
-
 from papayacrank.kernel import log_event
 from papayacrank.messages import TargetLoad
 from papayacrank.permits import PermitAllocator
@@ -11,6 +8,7 @@
 from ._events import WEIGHTS_LOADED, WEIGHTS_ORDERED, WEIGHTS_REFUSED
 from ._load_pace import count_loading_slots
 from ._load_times import LoadTimes
+from ._loading_engine import IN_SERVICE, LoadingEngine, Phase
 from ._target_protocol import (
     EngineStatus,
     ListedTarget,
@@ -47,79 +45,6 @@
 MAX_PAUSE_MS = 4_000
 
 
-class Phase(Enum):
-    """Phase of the load of one engine."""
-
-    IDLE = "idle"
-    DRAINING = "draining"
-    CHECKING = "checking"
-    LOADING = "loading"
-    CONFIRMING = "confirming"
-
-
-IN_SERVICE = (Phase.IDLE, Phase.CONFIRMING)
-
-
-@dataclass(slots=True)
-class _Engine:
-    target: ListedTarget
-    phase: Phase = Phase.IDLE
-    since_ms: int = 0
-    next_ms: int = 0
-    call_pending: bool = False
-    orders: int | None = None
-    weights: dict[str, int] | None = None
-    observed_ms: int = 0
-    ordered_model: str = ""
-    ordered_version: int = 0
-    ordered_ms: dict[str, int] = field(default_factory=dict)
-    accepted_ms: int | None = None
-    draining_since_ms: int = 0
-    blocked_until_ms: int = 0
-    paused_until_ms: int = 0
-    is_replaced: bool = False
-
-    def enter(self, phase: Phase, now_ms: int, delay_ms: int = 0) -> None:
-        """Enter a phase; its first action is due after a delay."""
-        self.phase = phase
-        self.since_ms = now_ms
-        self.next_ms = now_ms + delay_ms
-
-    def mark_loaded(self, now_ms: int) -> None:
-        """Record that the engine runs the ordered version of the ordered model."""
-        weights = dict(self.known_weights)
-        known_version = weights.get(self.ordered_model)
-        if known_version is not None:
-            weights[self.ordered_model] = max(known_version, self.ordered_version)
-        self.weights = weights
-        self.observed_ms = now_ms
-
-    @property
-    def known_weights(self) -> dict[str, int]:
-        """Version by model, observed at the engine or taken from the list."""
-        return self.target.weights if self.weights is None else self.weights
-
-    def find_lags(self, desired_versions: dict[str, int]) -> dict[str, int]:
-        """Return how many versions each outdated model is behind the desired one."""
-        return {
-            model: desired_versions[model] - version
-            for model, version in self.known_weights.items()
-            if version < desired_versions.get(model, 0)
-        }
-
-    def select_model(self, desired_versions: dict[str, int]) -> str | None:
-        """Return the outdated model that was ordered longest ago; None if none is.
-
-        Models take turns, so that one with frequent new versions delays no other.
-        """
-        lags = self.find_lags(desired_versions)
-        return min(
-            lags,
-            key=lambda model: (self.ordered_ms.get(model, 0), -lags[model], model),
-            default=None,
-        )
-
-
 class WeightsRollout:
     """Loads the desired versions, on a part of a service's engines at a time.
 
@@ -162,7 +87,7 @@
         self._fencing_token = 0
         self._fenced = False
         self._earliest_order_ms = 0
-        self._engines: dict[str, _Engine] = {}
+        self._engines: dict[str, LoadingEngine] = {}
 
     def reset(self, fencing_token: int, earliest_order_ms: int) -> None:
         """Discard all state and continue under a new fencing token.
@@ -189,7 +114,7 @@
                 continue
             known = self._engines.get(name)
             if known is None or known.target.born_ms != target.born_ms:
-                engines[name] = _Engine(target)
+                engines[name] = LoadingEngine(target)
                 continue
             known.target = target
             if now_ms - known.observed_ms > LIST_LAG_MS and known.phase is Phase.IDLE:
@@ -305,7 +230,7 @@
         now_ms: int,
     ) -> None:
         """Start draining outdated engines, those with the oldest weights first."""
-        by_service: dict[str, list[_Engine]] = {}
+        by_service: dict[str, list[LoadingEngine]] = {}
         for engine in self._engines.values():
             by_service.setdefault(engine.target.service, []).append(engine)
         for service, engines in by_service.items():
@@ -333,7 +258,10 @@
                 engine.draining_since_ms = now_ms
 
     def _time_left_ms(
-        self, engines: list[_Engine], desired_versions: dict[str, int], now_ms: int
+        self,
+        engines: list[LoadingEngine],
+        desired_versions: dict[str, int],
+        now_ms: int,
     ) -> int:
         """Return the time until the first of the engines may get no more requests.
 
@@ -351,7 +279,7 @@
 
     @staticmethod
     def _must_drain_longer(
-        engine: _Engine, loads: dict[str, TargetLoad], now_ms: int
+        engine: LoadingEngine, loads: dict[str, TargetLoad], now_ms: int
     ) -> bool:
         """Return whether requests that have not started yet delay the order."""
         if engine.phase is not Phase.DRAINING or engine.orders is None:
@@ -361,7 +289,7 @@
         return is_draining and load is not None and load.prefill_tokens > 0
 
     def _needs_load(
-        self, engine: _Engine, desired_versions: dict[str, int], now_ms: int
+        self, engine: LoadingEngine, desired_versions: dict[str, int], now_ms: int
     ) -> bool:
         if engine.phase is not Phase.IDLE or engine.target.leaving:
             return False
@@ -371,7 +299,7 @@
         return bool(engine.find_lags(desired_versions))
 
     def _next_call(
-        self, engine: _Engine, desired_versions: dict[str, int], now_ms: int
+        self, engine: LoadingEngine, desired_versions: dict[str, int], now_ms: int
     ) -> HttpCall | None:
         """Return the next status request or order; None if no model is outdated."""
         name, address = engine.target.name, engine.target.address
@@ -406,7 +334,7 @@
         return self._protocol.build_load(ORDER_KEY + name, order)
 
     def _on_order_outcome(
-        self, engine: _Engine, outcome: OrderOutcome, now_ms: int
+        self, engine: LoadingEngine, outcome: OrderOutcome, now_ms: int
     ) -> None:
         if outcome is OrderOutcome.ACCEPTED:
             engine.orders += 1
@@ -427,7 +355,7 @@
         engine.enter(Phase.CHECKING, now_ms, 0)
 
     @staticmethod
-    def _assume_loaded(engine: _Engine, now_ms: int) -> None:
+    def _assume_loaded(engine: LoadingEngine, now_ms: int) -> None:
         """Put an engine back in service before its report can show the load.
 
         The engine refuses requests that arrive too early without running them.
@@ -435,7 +363,9 @@
         engine.mark_loaded(now_ms)
         engine.enter(Phase.CONFIRMING, now_ms, REPORT_LAG_MS)
 
-    def _on_status(self, engine: _Engine, status: EngineStatus, now_ms: int) -> None:
+    def _on_status(
+        self, engine: LoadingEngine, status: EngineStatus, now_ms: int
+    ) -> None:
         previous_orders = engine.orders
         if self._is_before_order(engine, status, now_ms):
             engine.next_ms = now_ms + STATUS_INTERVAL_MS
@@ -459,14 +389,16 @@
             engine.enter(Phase.DRAINING, now_ms)
 
     @staticmethod
-    def _is_before_order(engine: _Engine, status: EngineStatus, now_ms: int) -> bool:
+    def _is_before_order(
+        engine: LoadingEngine, status: EngineStatus, now_ms: int
+    ) -> bool:
         """Return whether a report lags so much that it lacks the accepted order."""
         if engine.accepted_ms is None or engine.orders is None:
             return False
         is_recent = now_ms - engine.accepted_ms < MAX_REPORT_LAG_MS
         return is_recent and status.orders < engine.orders
 
-    def _observe_load_time(self, engine: _Engine, now_ms: int) -> None:
+    def _observe_load_time(self, engine: LoadingEngine, now_ms: int) -> None:
         """Record the time of a load whose end was awaited.
 
         The first report after a load that was assumed to have ended tells only that it
@@ -477,7 +409,7 @@
             self._load_times.observe(engine.target.service, now_ms - accepted_ms)
 
     @staticmethod
-    def _await_completion(engine: _Engine, now_ms: int) -> None:
+    def _await_completion(engine: LoadingEngine, now_ms: int) -> None:
         """Poll the engine until it has executed its order."""
         if engine.phase is not Phase.CHECKING:
             engine.enter(Phase.CHECKING, now_ms)
@@ -486,13 +418,13 @@
         engine.next_ms = now_ms + STATUS_INTERVAL_MS
 
     @staticmethod
-    def _on_unresponsive(engine: _Engine, now_ms: int) -> None:
+    def _on_unresponsive(engine: LoadingEngine, now_ms: int) -> None:
         """Release the loading slot of an engine that does not respond."""
         engine.orders = None
         engine.blocked_until_ms = now_ms + UNRESPONSIVE_RETRY_MS
         engine.enter(Phase.IDLE, now_ms)
 
-    def _on_loaded(self, engine: _Engine, now_ms: int) -> None:
+    def _on_loaded(self, engine: LoadingEngine, now_ms: int) -> None:
         engine.mark_loaded(now_ms)
         log_event(
             WEIGHTS_LOADED,
--- a/papayacrank/costs/tests/builders.py
+++ b/papayacrank/costs/tests/builders.py
@@ -9,11 +9,8 @@
 
 from papayacrank.control._costs import CostLedger
 from papayacrank.costs import CostModel, Work, queued_events
-from papayacrank.forwarding._placement import (
-    ExpectedLossPlacement,
-    KnownPartLocations,
-    PlacementRequest,
-)
+from papayacrank.forwarding._known_parts import KnownPartLocations
+from papayacrank.forwarding._placement import ExpectedLossPlacement, PlacementRequest
 from papayacrank.forwarding._targets import TargetTable
 from papayacrank.messages import (
     EngineProfile,
--- a/papayacrank/forwarding/__init__.py
+++ b/papayacrank/forwarding/__init__.py
@@ -11,7 +11,8 @@
 )
 from ._forwarder import Forwarder
 from ._headers import CONNECTION_HEADERS, HeaderList, drop_headers
-from ._process import ForwardingProcess, ForwardingProcessSettings
+from ._process import ForwardingProcess
+from ._process_settings import ForwardingProcessSettings
 from ._settings import ForwardingSettings
 
 __all__ = [
--- a/papayacrank/forwarding/_fleet_state.py
+++ b/papayacrank/forwarding/_fleet_state.py
@@ -16,9 +16,9 @@
 from ._events import ROUTING_APPLIED, STORE_CHANGED
 from ._health import TargetHealth
 from ._job import Attempt, Job
+from ._known_parts import KnownPartLocations
 from ._path_port import PathPort
 from ._pauses import TargetPauses
-from ._placement import KnownPartLocations
 from ._quota import QuotaEnforcer
 from ._refusal_limits import RefusalLimitedServices, RoomLeases
 from ._release_traffic import ReleaseTraffic
--- a/papayacrank/forwarding/_placement.py
+++ b/papayacrank/forwarding/_placement.py
@@ -1,16 +1,11 @@
 """Placement policies that choose the target of a request."""
 
-import heapq
 import math
 from abc import ABC, abstractmethod
-from collections import OrderedDict
-from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
 
-import xxhash
-
 from papayacrank.costs import (
     CostModel,
     EngineCosts,
@@ -23,6 +18,8 @@
 from papayacrank.permits import PermitClient
 
 from ._base import PromptPart
+from ._known_parts import KnownPartLocations
+from ._preferred_engines import PreferredEngines
 from ._targets import TargetTable
 
 # Losses are fractions of the value of one request. The probability of a late first
@@ -40,9 +37,6 @@
 RECOMPUTE_LOSS_PER_TOKEN = 0.0002
 # Probability that another engine caches a part whose locations are unknown here.
 CACHED_ELSEWHERE_PROBABILITY = 0.5
-# Demand for a part that most prompts begin with grows with the service, so one engine
-# in this many computes it.
-ENGINES_PER_COPY = 9
 USABLE_MEMORY_FRACTION = 0.95
 FULL_MEMORY_LOSS = 0.3
 FULL_SLOTS_LOSS = 0.5
@@ -55,11 +49,6 @@
 # of each other's requests. With this relative jitter, the share of late requests in
 # simulations of eight equal targets was 0.039, not 0.057 (0.043 without learning).
 EXPECTATION_JITTER = 0.4
-MAX_KNOWN_PARTS = 50_000
-# Under heavy load, engines evict parts within seconds; a store keeps them longer. A
-# store is empty after a restart, so parts are saved again after their lifetime.
-ENGINE_PART_LIFETIME_MS = 8_000
-STORE_PART_LIFETIME_MS = 20_000
 
 
 class PartsLocation(Enum):
@@ -171,53 +160,6 @@
     permit_ms: float = 0.0
 
 
-class KnownParts:
-    """Bounded index of the prompt parts that engines or stores are known to cache.
-
-    Parameters
-    ----------
-    lifetime_ms : int
-        Time in milliseconds after which a part is assumed to be evicted.
-    refreshes : bool
-        Whether recording a known part again restarts its lifetime.
-    """
-
-    def __init__(self, lifetime_ms: int, refreshes: bool):
-        self._lifetime_ms = lifetime_ms
-        self._refreshes = refreshes
-        self._seen: OrderedDict[tuple[str, str, str], int] = OrderedDict()
-
-    def record(self, location: str, salt: str, part: str, now_ms: int) -> bool:
-        """Record that a location caches a part; return whether that was unknown."""
-        key = (location, salt, part)
-        is_new = not self.has(location, salt, part, now_ms)
-        if not is_new and not self._refreshes:
-            return False
-        self._seen[key] = now_ms
-        self._seen.move_to_end(key)
-        while len(self._seen) > MAX_KNOWN_PARTS:
-            self._seen.popitem(last=False)
-        return is_new
-
-    def has(self, location: str, salt: str, part: str, now_ms: int) -> bool:
-        """Whether a location is expected to cache a part."""
-        seen_ms = self._seen.get((location, salt, part))
-        return seen_ms is not None and now_ms - seen_ms < self._lifetime_ms
-
-    def forget_location(self, location: str) -> None:
-        """Remove all parts of a location that lost its cache."""
-        for key in [key for key in self._seen if key[0] == location]:
-            del self._seen[key]
-
-
-class KnownPartLocations:
-    """Known parts of engines, by target name, and of stores, by service name."""
-
-    def __init__(self):
-        self.engines = KnownParts(ENGINE_PART_LIFETIME_MS, refreshes=True)
-        self.stores = KnownParts(STORE_PART_LIFETIME_MS, refreshes=False)
-
-
 class Placement(ABC):
     """Policy that chooses the target of a request.
 
@@ -275,47 +217,6 @@
         """
 
 
-class _PreferredEngines:
-    """Engines that compute uncached parts of a prompt, by rendezvous hashing.
-
-    Many prompts begin with the same part. Instances that do not know yet where it is
-    cached would all send them to one engine, so in a large service each part has
-    several engines, among which the last shared part of a prompt chooses.
-
-    Parameters
-    ----------
-    request : PlacementRequest
-        Request to place.
-    targets : list of FleetTarget
-        Candidates; those with the newest weights count.
-    """
-
-    def __init__(self, request: PlacementRequest, targets: list[FleetTarget]):
-        self._request = request
-        self._targets = targets
-        self._names: list[str] = []
-        self._found: dict[str, str] = {}
-
-    def find(self, part: PromptPart) -> str:
-        """Return the preferred engine of a shared part of the request."""
-        if part.name not in self._found:
-            self._found[part.name] = self._choose(part)
-        return self._found[part.name]
-
-    def _choose(self, part: PromptPart) -> str:
-        model = self._request.model
-        if not self._names:
-            newest = max(t.weights[model] for t in self._targets)
-            self._names = [t.name for t in self._targets if t.weights[model] == newest]
-        size = math.ceil(len(self._names) / ENGINES_PER_COPY)
-        group = heapq.nlargest(size, self._names, self._hash_with(part))
-        return max(group, key=self._hash_with(self._request.shared[-1]))
-
-    def _hash_with(self, part: PromptPart) -> Callable[[str], int]:
-        prefix = f"{self._request.salt}/{part.name}/"
-        return lambda name: xxhash.xxh3_64_intdigest((prefix + name).encode())
-
-
 @register(Placement, "expected_loss")
 class ExpectedLossPlacement(Placement):
     """Engine with the least expected loss, for this request and for others.
@@ -334,7 +235,9 @@
         usable = [t for t in targets if self._may_run(t, request)]
         if not usable:
             return None
-        preferred = _PreferredEngines(request, usable)
+        preferred = PreferredEngines(
+            request.salt, request.model, request.shared, usable
+        )
         model = self.costs.engine(request.service.name)
         rates, is_learned = model.rates(request.urgency), model.is_learned
         best: tuple[float, Choice] | None = None
@@ -362,7 +265,7 @@
         self,
         target: FleetTarget,
         request: PlacementRequest,
-        preferred: _PreferredEngines,
+        preferred: PreferredEngines,
         model: EngineCosts,
         rates: EngineRates,
         now_ms: int,
@@ -375,7 +278,7 @@
             Candidate.
         request : PlacementRequest
             Request to place.
-        preferred : _PreferredEngines
+        preferred : PreferredEngines
             Preferred engine of each shared part.
         model : EngineCosts
             Costs of the service.
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -2,8 +2,6 @@
 
 import random
 import time
-from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 from circuits import BaseComponent
@@ -23,11 +21,9 @@
     CONTROL_MESSAGES,
     ISOLATED,
     SERVING,
-    UNKNOWN_CAPACITY,
     FleetChange,
     FleetLoad,
     FleetView,
-    InstanceCapacity,
     ReleaseFound,
 )
 from papayacrank.permits import PermitClient, PermitPort
@@ -43,7 +39,6 @@
     ByteLimits,
     ConnectCheck,
     ExchangeListener,
-    HttpExchange,
     HttpLimits,
     HttpPort,
     Link,
@@ -57,6 +52,7 @@
 from ._base import CallerProtocol
 from ._continuity import StreamContinuity
 from ._directory import FULL_EIGHTHS, choose_addresses, has_room_elsewhere
+from ._endpoints import DirectoryEndpoint, MetricsEndpoint, ReadinessEndpoint
 from ._events import (
     CONTROL_LOST,
     CONTROL_REGAINED,
@@ -75,9 +71,9 @@
 )
 from ._path_monitor import PathMonitor
 from ._path_port import PathPort
+from ._process_settings import ForwardingProcessSettings
 from ._quota import QuotaEnforcer
 from ._relay import Relay
-from ._settings import ForwardingSettings
 from ._start_phases import StartPhases
 from ._suspects import SuspectTracker
 from ._target_port import TargetPort
@@ -88,7 +84,6 @@
 SWEEP_TICKS = 10
 DEMAND_TICKS = 5
 QUOTA_POLL_MS = 25
-ADDRESS_TTL_MS = 1_000
 # Time for which a caller gets the same choice of addresses: each change closes some of
 # its connections.
 ADDRESS_PERIOD_MS = 30_000
@@ -108,79 +103,6 @@
 BYTES_PER_MB = 1_000_000
 
 
-@dataclass(frozen=True)
-class ForwardingProcessSettings:
-    """Addresses and limits of an entry process.
-
-    Parameters
-    ----------
-    forwarding : ForwardingSettings
-        Settings of the forwarder.
-    callers, readiness, directory, metrics : str
-        Listening addresses as ``ip:port``; an empty string disables the listener.
-    control : tuple of str
-        Link names of control processes.
-    resolve : callable
-        Function that returns the link address of a control process, given its name.
-    boot : int
-        Start number, which increases with each start.
-    contact_ms : int
-        Time in milliseconds without an acknowledged heartbeat after which contact to
-        the control group counts as lost.
-    stop_timeout_ms : int
-        Maximum duration of a graceful stop in milliseconds.
-    capacity : InstanceCapacity
-        Resources of the process.
-    """
-
-    forwarding: ForwardingSettings
-    callers: str
-    readiness: str
-    directory: str
-    metrics: str
-    control: tuple[str, ...]
-    resolve: Callable[[str], str | None]
-    boot: int
-    contact_ms: int = 3_000
-    stop_timeout_ms: int = 7_600
-    capacity: InstanceCapacity = UNKNOWN_CAPACITY
-
-
-class _ReadinessEndpoint(ExchangeListener):
-    def __init__(self, process: "ForwardingProcess"):
-        self._process = process
-
-    def on_exchange(self, exchange: HttpExchange) -> None:
-        """Respond with 200 while this process accepts callers, with 503 otherwise."""
-        exchange.respond(200 if self._process.is_serving else 503, [])
-
-
-class _DirectoryEndpoint(ExchangeListener):
-    def __init__(self, process: "ForwardingProcess", protocol: CallerProtocol):
-        self._process = process
-        self._protocol = protocol
-
-    def on_exchange(self, exchange: HttpExchange) -> None:
-        """Respond with the addresses that a caller may connect to."""
-        domain = self._protocol.read_failure_domain(exchange.head)
-        addresses = self._process.addresses_for(domain, exchange.peer)
-        if not addresses:
-            exchange.respond(503, [])
-            return
-        response = self._protocol.build_addresses(addresses, ADDRESS_TTL_MS)
-        exchange.respond(response.status, response.headers, response.body)
-
-
-class _MetricsEndpoint(ExchangeListener):
-    def __init__(self, forwarder: Forwarder):
-        self._forwarder = forwarder
-
-    def on_exchange(self, exchange: HttpExchange) -> None:
-        """Respond with the metrics in the Prometheus text format."""
-        content_type = (b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
-        exchange.respond(200, [content_type], self._forwarder.metrics.render())
-
-
 class ForwardingProcess(BaseComponent):
     """Entry process that forwards requests as configured by the control group.
 
@@ -384,18 +306,17 @@
         self._open_port(
             self._settings.readiness,
             "readiness",
-            _ReadinessEndpoint(self),
+            ReadinessEndpoint(lambda: self.is_serving),
             is_urgent=True,
         )
         self._open_port(
             self._settings.directory,
             "directory",
-            _DirectoryEndpoint(self, self._protocol),
+            DirectoryEndpoint(self.addresses_for, self._protocol),
             is_urgent=True,
         )
-        self._open_port(
-            self._settings.metrics, "metrics", _MetricsEndpoint(self._forwarder)
-        )
+        metrics = MetricsEndpoint(self._forwarder.metrics)
+        self._open_port(self._settings.metrics, "metrics", metrics)
 
     def _open_port(
         self,
--- a/papayacrank/forwarding/_selection.py
+++ b/papayacrank/forwarding/_selection.py
@@ -8,8 +8,9 @@
 from papayacrank.permits import PermitClient, RetrySpread
 
 from ._health import TargetHealth
+from ._known_parts import KnownPartLocations
 from ._pauses import TargetPauses
-from ._placement import Choice, KnownPartLocations, Placement, PlacementRequest
+from ._placement import Choice, Placement, PlacementRequest
 from ._refusal_limits import RefusalLimitedServices, RoomLeases
 from ._release_traffic import ReleaseTraffic
 from ._targets import TargetTable
--- a/papayacrank/forwarding/tests/test_placement.py
+++ b/papayacrank/forwarding/tests/test_placement.py
@@ -6,9 +6,9 @@
 import pytest
 
 from papayacrank.forwarding import PromptPart
+from papayacrank.forwarding._known_parts import KnownPartLocations
 from papayacrank.forwarding._placement import (
     ExpectedLossPlacement,
-    KnownPartLocations,
     LeastRunningPlacement,
     PlacementRequest,
 )
--- a/papayacrank/platform/_settings.py
+++ b/papayacrank/platform/_settings.py
@@ -29,8 +29,8 @@
 BYTES_PER_S_AND_MBPS = 125_000
 MIN_FEED_BYTES_PER_S = 10_000
 LEADER_LEASE_MS = 320
-# Part of the processor that a control process may need. It runs on machines with a disk
-# only. An estimate, not measured; instances that differ by it alone count as equal.
+# Part of the processor that a control process may need; it runs on machines with a disk
+# only. Instances that differ by it alone count as equal.
 CONTROL_SHARE = 0.15
 ROLLOUT_CONTRACT = "rollout"
 
