Test crashing requests with listening sockets that close last

A server that crashes may end its connections before its listening socket is closed. Stand-in servers can now keep the listening socket for a given time.

--- a/papayacrank/platform/tests/crashing_engine.py
+++ b/papayacrank/platform/tests/crashing_engine.py
@@ -51,13 +51,16 @@
         self.resets = False
         self.release = release
         self.events = events
+        # Time in s for which the operating system accepts connections after a crash.
+        self.listen_close_delay_s = 0.0
         # Time in s after each event.
         self.event_interval_s = EVENT_INTERVAL_S
         self._version = 1
         self._orders = 0
         self._born = 1_700_000_000_000
         self._stale_entry = None
-        self._down_s = DOWN_S
+        # Time in s from a crash until the engine serves again.
+        self.down_s = DOWN_S
         self._server = None
         self._port = 0
         self._writers = set()
@@ -94,7 +97,7 @@
             Time in s for which the engine is down.
         """
         self._stale_entry = self.entry()
-        self._down_s = down_s
+        self.down_s = down_s
         self.crash()
         self.release = release
         time.sleep(down_s + 0.1)
@@ -137,11 +140,13 @@
         if not self._server.is_serving():
             return
         self.crashes.append((time.monotonic(), part))
+        listening = [sock.dup() for sock in self._server.sockets]
         self._server.close()
+        self._loop.call_later(self.listen_close_delay_s, _close_sockets, listening)
         self.resets = not self.resets
         self._close_all()
         self._loop.call_later(
-            self._down_s, lambda: self._loop.create_task(self._restart())
+            self.down_s, lambda: self._loop.create_task(self._restart())
         )
 
     async def _restart(self):
@@ -244,6 +249,11 @@
         writer.write(connection.send(h11.EndOfMessage()))
 
 
+def _close_sockets(sockets):
+    for sock in sockets:
+        sock.close()
+
+
 class CrashingService(CrashingEngine):
     """Server of a plain service that crashes on given bodies."""
 
--- a/papayacrank/platform/tests/test_crashing_requests.py
+++ b/papayacrank/platform/tests/test_crashing_requests.py
@@ -199,3 +199,17 @@
 def test_two_deadly_requests_do_not_hide_each_other(platform, kind):
     """Guards against crashes that are blamed on no request because of another one."""
     run_outbreak(platform, kind, [DEADLY, OTHER_DEADLY], 5)
+
+
+@pytest.mark.prove
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+@pytest.mark.parametrize("delay_s", [0.02, 0.1, 0.4])
+def test_socket_that_closes_last_hides_no_crash(platform, kind, delay_s):
+    """Guards against crashes unseen because the address accepts connections at first.
+
+    The servers' connections end first and their listening sockets later.
+    """
+    for server in platform.crashing:
+        server.listen_close_delay_s = delay_s
+        server.down_s = 2.5 + delay_s
+    run_outbreak(platform, kind, [DEADLY], 1)
