Check for 1 s whether a target that lost connections refuses new ones

A lost connection counted as a crash only if the address refused one connection 20 ms later. If the listening socket was closed later, the loss of the deadly request counted for nothing, and the crash was blamed on sound requests that were lost when the socket was closed.

The address is checked six times within 1 s while it accepts. Connections that are lost meanwhile share the report if it refuses, and are checked for a further second if not. The completions interface, which had two checks within 160 ms, uses the same ones. A loss that is no crash is logged (2220). The test of an accepting address now expects each of the six connections to be left, and no further one.

--- a/papayacrank/entry/_process.py
+++ b/papayacrank/entry/_process.py
@@ -75,8 +75,6 @@
 )
 
 CHECK_INTERVAL_MS = 100
-# An engine that exits may close its listening socket last, so it is checked once more.
-ADDRESS_CHECK_DELAYS_MS = (10, 150)
 USAGE_INTERVAL_MS = 2_000
 USAGE_TIMEOUT_MS = 3_000
 # Limits the wait for the confirmation of the last usage report.
@@ -211,7 +209,7 @@
             permits=self._permits,
             quarantine=self._quarantine,
             crash_checks=CrashChecks(
-                ConnectionCheck(clock, timers, ADDRESS_CHECK_DELAYS_MS),
+                ConnectionCheck(clock, timers),
                 clock,
                 self._quarantine.report_crash,
             ),
--- a/papayacrank/quarantine/_address_check.py
+++ b/papayacrank/quarantine/_address_check.py
@@ -6,9 +6,11 @@
 from papayacrank.kernel import Clock
 from papayacrank.transport import ConnectCheck, ConnectOutcome, Timers
 
-# A process that ends may close its connections before its listening socket. The delay
-# also joins the connections that are lost with the same crash.
-CHECK_DELAYS_MS = (20,)
+# A process that ends may close its connections before its listening socket: with one
+# check after 20 ms, no crash was seen of servers that closed it 100 ms later. The first
+# delay also joins the connections that are lost with the same crash. The others are
+# shorter than the time for which the leader waits for the reports of other instances.
+CHECK_DELAYS_MS = (20, 130, 200, 200, 200, 250)
 MAX_CHECKS = 64
 
 
--- a/papayacrank/quarantine/_events.py
+++ b/papayacrank/quarantine/_events.py
@@ -81,6 +81,14 @@
     "info",
     "A request was refused because it or its prompt parts crash targets.",
 )
+LOSS_NOT_COUNTED = LogEvent(
+    2220,
+    "loss_not_counted",
+    "info",
+    "A target lost connections with requests that it had not begun to answer, and its"
+    " address did not refuse connections within `checked_ms`. This is no crash:"
+    " nothing is reported to the leader.",
+)
 
 declare_events(
     CRASH_SEEN,
@@ -92,4 +100,5 @@
     VERDICT_CHANGED,
     VERDICT_LIFTED,
     REQUEST_REFUSED,
+    LOSS_NOT_COUNTED,
 )
--- a/papayacrank/quarantine/tests/test_address_check.py
+++ b/papayacrank/quarantine/tests/test_address_check.py
@@ -9,6 +9,7 @@
 
 from papayacrank.kernel import MonotonicClock
 from papayacrank.quarantine import ConnectionCheck
+from papayacrank.quarantine._address_check import CHECK_DELAYS_MS
 from papayacrank.transport import Timers, install_process_handlers
 
 TIMEOUT_S = 5
@@ -66,15 +67,27 @@
     with socket.create_server(("127.0.0.1", 0)) as server:
         address = f"127.0.0.1:{server.getsockname()[1]}"
         assert not check(checker, address)
-        connection, _ = server.accept()
-        connection.settimeout(TIMEOUT_S)
-        assert connection.recv(1) == b""
-        connection.close()
+        for _ in CHECK_DELAYS_MS:
+            connection, _ = server.accept()
+            connection.settimeout(TIMEOUT_S)
+            assert connection.recv(1) == b""
+            connection.close()
         server.settimeout(0.1)
         with pytest.raises(TimeoutError):
             server.accept()
 
 
+@pytest.mark.parametrize("close_s", [0.1, 0.5, 0.8])
+def test_socket_that_closes_later_has_refused(checker, close_s):
+    """Guards against crashes unseen because the listening socket is closed last."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        timer = threading.Timer(close_s, server.close)
+        timer.start()
+        assert check(checker, address)
+        timer.join()
+
+
 def test_silent_address_has_not_refused(checker):
     """Guards against parts that are blamed for a cut link or a frozen target."""
     with socket.socket() as server, socket.socket() as first, socket.socket() as second:
--- a/papayacrank/quarantine/tests/test_crash_checks.py
+++ b/papayacrank/quarantine/tests/test_crash_checks.py
@@ -1,10 +1,12 @@
 """Tests of the difference between crashes and single lost connections."""
 
 import pytest
+from structlog.testing import capture_logs
 
 from papayacrank.kernel import ManualClock
 from papayacrank.messages import SuspectRequest
 from papayacrank.quarantine import ConnectionCheck, CrashChecks
+from papayacrank.quarantine._crash_checks import JOIN_MS
 from papayacrank.transport import ConnectOutcome
 
 
@@ -109,6 +111,48 @@
     assert (len(bench.reports), bench.results) == (1, [True])
 
 
+def lose_later(bench, **fields):
+    """Lose an attempt, and another one after the first connection was accepted."""
+    bench.lose(parts=("p",), **fields)
+    bench.timers.run_next()
+    bench.clock.advance(JOIN_MS)
+    bench.lose(parts=("q",), opened_ms=bench.clock.now_ms())
+
+
+def test_later_loss_of_a_closing_target_belongs_to_its_crash():
+    """Guards against one crash counted as two while its socket still accepts."""
+    bench = Bench(ConnectOutcome.ACCEPTED, ConnectOutcome.REFUSED)
+    lost_ms = bench.clock.now_ms()
+    lose_later(bench, opened_ms=lost_ms)
+    bench.run()
+    [(_, _, reported_ms, opened_ms, suspects)] = bench.reports
+    assert (reported_ms, opened_ms) == (lost_ms, lost_ms)
+    assert [s.parts for s in suspects] == [["p"], ["q"]]
+    assert bench.results == [True, True]
+
+
+def test_loss_during_a_check_is_checked_to_its_own_end():
+    """Guards against a crash unseen because an earlier loss was being checked."""
+    accepted = [ConnectOutcome.ACCEPTED] * 3
+    bench = Bench(*accepted, ConnectOutcome.REFUSED)
+    lose_later(bench)
+    bench.run()
+    [(_, _, _, _, suspects)] = bench.reports
+    assert [s.parts for s in suspects] == [["q"]]
+    assert bench.results == [False, True]
+
+
+def test_loss_that_is_no_crash_is_logged():
+    """Guards against crashes that leave no trace if they are not recognized."""
+    bench = Bench(ConnectOutcome.ACCEPTED, ConnectOutcome.ACCEPTED)
+    bench.lose()
+    with capture_logs() as lines:
+        bench.run()
+    assert [(line["event"], line["checked_ms"]) for line in lines] == [
+        ("loss_not_counted", 160)
+    ]
+
+
 def test_silent_target_has_not_crashed():
     """Guards against parts blamed for a cut path."""
     bench = Bench(ConnectOutcome.SILENT)
