Keep requests in failure domains with many engines

Cause: preferred engines were drawn from all failure domains, and a difference of 20 ms in the expected time moved a request to another one, which is less than the error of that time.

Smaller domains are served as before.

Result: the new test fails before.

--- a/papayacrank/forwarding/_placement.py
+++ b/papayacrank/forwarding/_placement.py
@@ -19,7 +19,7 @@
 
 from ._base import PromptPart
 from ._known_parts import KnownPartLocations
-from ._preferred_engines import PreferredEngines
+from ._preferred_engines import ENGINES_PER_COPY, PreferredEngines
 from ._targets import TargetTable
 
 # Losses are fractions of the value of one request. The probability of a late first
@@ -41,6 +41,9 @@
 FULL_MEMORY_LOSS = 0.3
 FULL_SLOTS_LOSS = 0.5
 CROSS_DOMAIN_LOSS = 0.004
+# In a failure domain with many engines, one nearby is as good as one elsewhere unless
+# their queues differ by more than the error of the expected times.
+LARGE_DOMAIN_LOSS = 0.015
 CROSS_DOMAIN_LATENCY_MS = 2.0
 # Random jitter keeps instances that see the same loads from choosing the same target.
 JITTER_LOSS = 0.001
@@ -235,8 +238,11 @@
         usable = [t for t in targets if self._may_run(t, request)]
         if not usable:
             return None
+        local = [t for t in usable if t.failure_domain == self.failure_domain]
+        has_many = len(local) >= ENGINES_PER_COPY
+        remote_loss = LARGE_DOMAIN_LOSS if has_many else CROSS_DOMAIN_LOSS
         preferred = PreferredEngines(
-            request.salt, request.model, request.shared, usable
+            request.salt, request.model, request.shared, local if has_many else usable
         )
         model = self.costs.engine(request.service.name)
         rates, is_learned = model.rates(request.urgency), model.is_learned
@@ -249,6 +255,8 @@
             if is_learned:
                 expected_ms *= 1.0 + EXPECTATION_JITTER * self.random_state.random()
             loss = recompute_loss + self._loss(choice, request, expected_ms)
+            if target.failure_domain != self.failure_domain:
+                loss += remote_loss
             if best is None or loss < best[0]:
                 best = (loss, choice)
         return best[1]
@@ -358,8 +366,6 @@
             )
             loss += FULL_MEMORY_LOSS if request.tokens > free_tokens else 0.0
             loss += FULL_SLOTS_LOSS if load.running >= engine.slots else 0.0
-        if target.failure_domain != self.failure_domain:
-            loss += CROSS_DOMAIN_LOSS
         return loss + self.random_state.uniform(0, JITTER_LOSS)
 
     @staticmethod
--- a/papayacrank/forwarding/tests/test_placement.py
+++ b/papayacrank/forwarding/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from itertools import cycle
 
 import pytest
 
@@ -26,11 +27,11 @@
 class Bench:
     """Placement among engines whose load the test sets."""
 
-    def __init__(self, versions=None, names=NAMES):
+    def __init__(self, versions=None, names=NAMES, domains=("east",)):
         versions = versions or {}
         self.targets = [
-            build_target(name, "engines", version=versions.get(name, 1))
-            for name in names
+            build_target(name, "engines", domain, version=versions.get(name, 1))
+            for name, domain in zip(names, cycle(domains))
         ]
         self.table = TargetTable()
         self.table.update(build_view(*self.targets))
@@ -105,6 +106,20 @@
     assert max(counts.values()) <= 2 * 100 / 5
 
 
+def test_requests_stay_in_a_failure_domain_with_many_engines():
+    """Guards against bytes between failure domains that help no caller."""
+    names = [f"e{number}" for number in range(45)]
+    bench = Bench(names=names, domains=("east", "west", "north"))
+    loads = {name: 100 * (number % 11) for number, name in enumerate(names)}
+    bench.set_loads(**loads)
+    for number in range(100):
+        target = bench.choose([("a", 2_500), (f"b{number}", 3_800)]).target
+        assert target.failure_domain == "east"
+    bench.set_loads(**{t.name: 30_000 for t in bench.targets if t.name in names[::3]})
+    target = bench.choose([("a", 2_500), ("b", 3_800)]).target
+    assert target.failure_domain != "east"
+
+
 def test_burst_on_one_part_spreads_once_the_store_has_it():
     """Guards against a queue at one engine while others are idle."""
     bench = Bench()
