Check every response in a test of faulty engines, and share a step of load reports in tests

Cause: since the test asks again until a stream begins, and the responses before it were no longer checked for text of the engine's error.

Change: each response is checked; FleetSimulation.report_loads has the two calls.

--- a/papayacrank/control/tests/test_rollout.py
+++ b/papayacrank/control/tests/test_rollout.py
@@ -239,6 +239,11 @@
             return HttpResult(call.key, 0, error="timeout")
         return HttpResult(call.key, 200, outcome.value.encode())
 
+    def report_loads(self, sequence, loads):
+        """Apply a load report of one entry process and the totals with it."""
+        self.controller.observe_load(EntryLoad("i1", sequence, loads), self.now_ms)
+        self.controller.push_load({"i1": "x"}, self.now_ms)
+
     def versions(self):
         """Return the versions that the engines run."""
         return [engine.versions[MODEL] for engine in self.engines.values()]
@@ -338,8 +343,7 @@
     sim = FleetSimulation()
     sim.run(100)
     loads = {f"e{n}": TargetLoad(5, 0, 100) for n in range(6)}
-    sim.controller.observe_load(EntryLoad("i1", 1, loads), sim.now_ms)
-    sim.controller.push_load({"i1": "x"}, sim.now_ms)
+    sim.report_loads(1, loads)
     sim.desired_versions = {MODEL: 2}
     sim.run(200)
     loading_engines = {
@@ -383,14 +387,12 @@
     sim = FleetSimulation(3)
     sim.run(100)
     loads = {f"e{n}": TargetLoad(1, 5_000, 5_000) for n in range(3)}
-    sim.controller.observe_load(EntryLoad("i1", 1, loads), sim.now_ms)
-    sim.controller.push_load({"i1": "x"}, sim.now_ms)
+    sim.report_loads(1, loads)
     sim.desired_versions = {MODEL: 2}
     sim.run(400)
     assert sim.order_log == []
     loads = {f"e{n}": TargetLoad(1, 0, 5_000) for n in range(3)}
-    sim.controller.observe_load(EntryLoad("i1", 2, loads), sim.now_ms)
-    sim.controller.push_load({"i1": "x"}, sim.now_ms)
+    sim.report_loads(2, loads)
     sim.run(50)
     assert len(sim.order_log) == 1
 
@@ -400,8 +402,7 @@
     sim = FleetSimulation(3)
     sim.run(100)
     loads = {f"e{n}": TargetLoad(1, 5_000, 5_000) for n in range(3)}
-    sim.controller.observe_load(EntryLoad("i1", 1, loads), sim.now_ms)
-    sim.controller.push_load({"i1": "x"}, sim.now_ms)
+    sim.report_loads(1, loads)
     sim.desired_versions = {MODEL: 2}
     sim.run(700)
     assert len(sim.order_log) == 1
@@ -412,8 +413,7 @@
     sim = FleetSimulation(12)
     sim.run(100)
     loads = {f"e{n}": TargetLoad(42, 0, 42_000) for n in range(12)}
-    sim.controller.observe_load(EntryLoad("i1", 1, loads), sim.now_ms)
-    sim.controller.push_load({"i1": "x"}, sim.now_ms)
+    sim.report_loads(1, loads)
     sim.desired_versions = {MODEL: 2}
     sim.run(600)
     assert sim.max_loading == 2
--- a/papayacrank/entry/tests/test_faulty_targets.py
+++ b/papayacrank/entry/tests/test_faulty_targets.py
@@ -239,12 +239,12 @@
     inject_fault(address, kind="stop_mid_stream", after=5, how="reset", count=4)
     for _ in range(10):
         body = system.open_stream(max_tokens=30).read()
+        assert b"out of order" not in body and b"HTTP/1.1" not in body
         if body.startswith((b"data", b"event", b"id")):
             break
         # The request was placed at the failing engine first, so that no stream began.
     tokens, _ = expected_output([{"role": "user", "content": "hello"}], 30, 30)
     assert failing.requests
-    assert b"out of order" not in body and b"HTTP/1.1" not in body
     events = read_sse(body)
     found = [e["choices"][0]["delta"]["content"] for e in events if "choices" in e]
     assert found == tokens[: len(found)]
