--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -430,15 +430,17 @@
     ----------
     folder : Path
         Folder of the case, for the record.
+    cloud_type : type
+        Class of the target list.
     """
 
-    def __init__(self, folder):
+    def __init__(self, folder, cloud_type=Cloud):
         self.record = Record(Path(folder) / "record.txt")
         self._temporary = tempfile.TemporaryDirectory(prefix="review-")
         self._folder = Path(self._temporary.name)
         self.servers = []
         self.more_entries = list
-        self.cloud = Cloud(self.record, self._entries)
+        self.cloud = cloud_type(self.record, self._entries)
         self._base = _find_base()
         self._processes = {}
         self._next = 0
@@ -681,7 +683,7 @@
 }
 
 
-def run_case(folder, play):
+def run_case(folder, play, cloud_type=Cloud):
     """Play a case and return its exit code.
 
     Parameters
@@ -691,10 +693,12 @@
     play : callable
         Called with the deployment and whether the disruption happens; returns the
         breaks of the rule as texts.
+    cloud_type : type
+        Class of the target list.
     """
     deployment = None
     try:
-        deployment = Deployment(folder)
+        deployment = Deployment(folder, cloud_type)
         breaks = play(deployment, os.environ.get("TROUBLE", "1") != "0")
         for text in breaks:
             deployment.record.add(f"BROKEN: {text}")
