Log why a request is sent to a further target

Change: `request_repeated` (2122) names the attempt, the outcome before it, the runs so far, what allows the repeat, and the event at which a stream goes on.

--- a/papayacrank/forwarding/_attempts.py
+++ b/papayacrank/forwarding/_attempts.py
@@ -19,7 +19,7 @@
 
 from ._attempt_builder import AttemptBuilder, urgency_of
 from ._continuity import StreamContinuity
-from ._events import ATTEMPT_FAILED
+from ._events import ATTEMPT_FAILED, REQUEST_REPEATED
 from ._fleet_state import FleetState
 from ._forecast import QueueForecast
 from ._job import Attempt, Job, response_timer
@@ -384,6 +384,8 @@
         """Send a request to the chosen target; see `AttemptBuilder.build`."""
         target = choice.target
         attempt = self._builder.build(job, choice, store, now_ms, remaining_ms, permit)
+        if job.tries:
+            _log_repeat(job, attempt)
         job.sent_to.add(target.address)
         job.attempt = attempt
         self._suspects.begin_attempt(job, attempt)
@@ -460,6 +462,23 @@
             self._requests.give_up(job, job.last_failure, "all attempts failed")
 
 
+def _log_repeat(job: Job, attempt: Attempt) -> None:
+    is_silent = job.silent_attempt is not None
+    allowed_by = "not_run"
+    if job.may_have_run or is_silent:
+        allowed_by = "resumable" if job.route.resumable else job.route.kind.value
+    log_event(
+        REQUEST_REPEATED,
+        request_id=job.request.request_id,
+        target=attempt.target.name,
+        attempt=attempt.number,
+        runs=job.runs,
+        after="silent" if is_silent else job.last_failure,
+        allowed_by=allowed_by,
+        resume_after=job.last_event_id,
+    )
+
+
 def _target_wait_end_ms(job: Job) -> int:
     """Return the time until which a request may wait for a permit or for room."""
     return job.arrived_ms + int(TARGET_WAIT_FRACTION * job.route.objective_ms)
--- a/papayacrank/forwarding/_events.py
+++ b/papayacrank/forwarding/_events.py
@@ -22,6 +22,14 @@
     "A target refused a request or failed while running it; the request may be"
     " retried.",
 )
+REQUEST_REPEATED = LogEvent(
+    2122,
+    "request_repeated",
+    "info",
+    "A request is sent to a further target. `after` is the outcome of the attempt"
+    " before, `allowed_by` why it may be sent again: it has not run (`not_run`), its"
+    " route is idempotent, or its stream is resumable.",
+)
 TARGET_AVOIDED = LogEvent(
     2103,
     "target_avoided",
@@ -167,6 +175,7 @@
     REQUEST_ENDED,
     ROLLOUT_STATE_APPLIED,
     ATTEMPT_FAILED,
+    REQUEST_REPEATED,
     TARGET_AVOIDED,
     REQUEST_REFUSED,
     ROUTING_APPLIED,
