Repeat requests of resumable routes only if they are streams

Cause: Route.is_repeatable was "idempotent, or resumable", whatever the kind. All decisions on further attempts ask it.

Why this works: Route.is_resumable is "a stream, and resumable"; is_repeatable and the record of begun streams ask it, and nothing else reads the field. Stored configurations of earlier builds are covered, since the field stays as it was sent.

--- a/papayacrank/forwarding/_attempts.py
+++ b/papayacrank/forwarding/_attempts.py
@@ -466,7 +466,7 @@
     is_silent = job.silent_attempt is not None
     allowed_by = "not_run"
     if job.may_have_run or is_silent:
-        allowed_by = "resumable" if job.route.resumable else job.route.kind.value
+        allowed_by = "resumable" if job.route.is_resumable else job.route.kind.value
     log_event(
         REQUEST_REPEATED,
         request_id=job.request.request_id,
--- a/papayacrank/forwarding/_continuity.py
+++ b/papayacrank/forwarding/_continuity.py
@@ -101,7 +101,7 @@
         target = attempt.target
         job.release = target.release
         job.begun_on_ms = attempt.call.opened_ms
-        if job.route.resumable:
+        if job.route.is_resumable:
             self._releases.on_begun(
                 name_stream(job.workspace_name, job.request.request_id),
                 job.service.name,
--- a/papayacrank/messages/_routing.py
+++ b/papayacrank/messages/_routing.py
@@ -48,7 +48,8 @@
     public : bool
         Whether requests need no key.
     resumable : bool
-        Whether another target may resume an interrupted stream.
+        Whether another target may resume an interrupted stream; has no meaning for
+        other kinds of requests.
     """
 
     name: str
@@ -64,10 +65,15 @@
     resumable: bool = False
     max_gap_ms: int = 0
 
+    @property
+    def is_resumable(self) -> bool:
+        """Whether a request is a stream that may be resumed."""
+        return self.kind is RequestKind.STREAM and self.resumable
+
     @property
     def is_repeatable(self) -> bool:
         """Whether a request may run more than once."""
-        return self.kind is RequestKind.IDEMPOTENT or self.resumable
+        return self.kind is RequestKind.IDEMPOTENT or self.is_resumable
 
 
 class EngineProfile(msgspec.Struct, frozen=True):
