Apply the stricter route to the repeats of a request whose route has changed

A request that had been admitted on an idempotent route was still sent again after a configuration had made the route non-idempotent.

Cause: the decision on a further attempt asked only the route at admission.

Evidence: two of four cases of the new test failed before (after a lost connection, and while the target is silent).

Why this works: Route.max_runs states how many targets may have run a request, and the smaller value of the route at admission and the route in force limits the runs. A request whose route was removed goes on as admitted, as before.

Result (x86_64): the tests of papayacrank/forwarding pass.

--- a/papayacrank/forwarding/_attempts.py
+++ b/papayacrank/forwarding/_attempts.py
@@ -440,15 +440,25 @@
 
         A positive result takes one retry from the budget.
         """
-        if not job.route.is_repeatable or job.tries >= MAX_TRIES:
+        if runs + 1 > self._max_runs(job) or job.tries >= MAX_TRIES:
             return False
         if job.has_events and job.last_event_id is None:
             return False
-        if runs + 1 > job.route.max_attempts or not self._suspects.may_repeat(job):
+        if not self._suspects.may_repeat(job):
             return False
         remaining_ms = job.deadline_at_ms - self._clock.now_ms()
         return remaining_ms > 2 * MIN_REMAINING_MS and self.consume_retry(job)
 
+    def _max_runs(self, job: Job) -> int:
+        """Return how often a request may run in total.
+
+        A configuration may change its route meanwhile; the stricter one holds then.
+        """
+        request = job.request
+        current = self._fleet.index.find_route(request.host, request.path)
+        routes = [job.route] if current is None else [job.route, current]
+        return min(route.max_runs for route in routes)
+
     def consume_retry(self, job: Job) -> bool:
         now_ms = self._clock.now_ms()
         return self._retry_budget.try_consume(
--- a/papayacrank/forwarding/tests/test_repeats.py
+++ b/papayacrank/forwarding/tests/test_repeats.py
@@ -107,3 +107,23 @@
     )
     assert len(bench.port.calls) == (2 if may_repeat else 1)
     assert caller.headers.get("verdict") != "not-run"
+
+
+@pytest.mark.parametrize("lose", [lose_before_the_head, stay_silent])
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [
+        (RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT),
+        (RequestKind.NON_IDEMPOTENT, RequestKind.IDEMPOTENT),
+    ],
+)
+def test_request_of_a_route_that_has_changed_follows_the_stricter_kind(
+    before, after, lose
+):
+    """Guards against a repeat that the configuration in force forbids (TWICE)."""
+    bench, caller = send_on_route(before, False, "plain")
+    route = build_route("work", after, max_attempts=3, objective_ms=400)
+    bench.forwarder.apply_routing(build_configuration(2, routes=(route,)))
+    lose(bench)
+    assert len(bench.port.calls) == 1
+    assert caller.headers.get("verdict") != "not-run"
--- a/papayacrank/messages/_routing.py
+++ b/papayacrank/messages/_routing.py
@@ -75,6 +75,11 @@
         """Whether a request may run more than once."""
         return self.kind is RequestKind.IDEMPOTENT or self.is_resumable
 
+    @property
+    def max_runs(self) -> int:
+        """Maximum number of targets that may have run a request."""
+        return self.max_attempts if self.is_repeatable else 1
+
 
 class EngineProfile(msgspec.Struct, frozen=True):
     """Published properties of the engines of a service.
