Count the runs of a request over the instances that handle it

An instance that loses its path to the targets while a request runs passes the repeat on to another instance. That one did not know of the earlier run: it repeated the request up to `max_attempts` times again, and its 503 or 429, which promises callers that the request has not run, was returned although a target may have run it.

Cause: the runs of a request were kept by one instance; a request that is passed on carried only the mark that it is.

Why this works: the request carries the number of earlier runs, from which the other instance counts on and states "may have run". A refusal by that instance, which older builds and paths before its admission still give, is replaced by 502 if there were such runs. The header is read only from requests that are passed on, and never sent to targets.

--- a/papayacrank/forwarding/_admission.py
+++ b/papayacrank/forwarding/_admission.py
@@ -157,6 +157,7 @@
             exchange.arrived_ms,
             exchange.arrived_ms + wait_ms,
             cost=_cost(request, workspace),
+            runs=request.prior_runs,
             last_event_id=request.resume_after,
         )
         exchange.state = job
--- a/papayacrank/forwarding/_attempts.py
+++ b/papayacrank/forwarding/_attempts.py
@@ -170,9 +170,7 @@
             )
             return
         self._requests.finish(job, None, "relayed", 0)
-        self._relay.forward(
-            job.exchange, job.request, job.deadline_at_ms, job.may_have_run
-        )
+        self._relay.forward(job.exchange, job.request, job.deadline_at_ms, job.runs)
 
     def _knows_release(self, job: Job) -> bool:
         """Whether targets for a request are known; otherwise find out or refuse it."""
--- a/papayacrank/forwarding/_base.py
+++ b/papayacrank/forwarding/_base.py
@@ -62,6 +62,9 @@
         Whether another instance passed the request on.
     expected_output_tokens : int or None
         Number of output tokens that the caller expects; None if not stated.
+    prior_runs : int
+        Number of targets that may have run the request before another instance passed
+        it on.
     """
 
     request_id: str
@@ -80,6 +83,7 @@
     begun_by: str | None = None
     is_relayed: bool = False
     expected_output_tokens: int | None = None
+    prior_runs: int = 0
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
@@ -160,6 +164,8 @@
         Request rate limit of the target, if stated.
     refusal_limit : float or None
         Refusals for want of room in a second that the target bears, if stated.
+    promises_not_run : bool
+        Whether callers take the status as a promise that the request has not run.
     """
 
     request_id: str | None = None
@@ -173,6 +179,7 @@
     pause_ms: int | None = None
     rate: RateStatement | None = None
     refusal_limit: float | None = None
+    promises_not_run: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,7 +212,9 @@
         """Return the headers of a request to a target, without framing headers."""
 
     @abstractmethod
-    def relay_headers(self, head: RequestHead, remaining_ms: int) -> HeaderList:
+    def relay_headers(
+        self, head: RequestHead, remaining_ms: int, prior_runs: int
+    ) -> HeaderList:
         """Return the headers of a request that is passed on to another instance.
 
         Parameters
@@ -214,6 +223,8 @@
             Head of the request as the caller sent it.
         remaining_ms : int
             Remaining time of the request in milliseconds.
+        prior_runs : int
+            Number of targets that may have run the request.
         """
 
     @abstractmethod
--- a/papayacrank/forwarding/_relay.py
+++ b/papayacrank/forwarding/_relay.py
@@ -40,8 +40,10 @@
         Parsed request.
     until_ms : int
         Time by which the caller must have its final response, in milliseconds.
+    prior_runs : int
+        Number of targets that may have run the request before it was passed on.
     may_have_run : bool
-        Whether a target may have started to run the request.
+        Whether a target may have started to run the request, before or at a peer.
     tried : set of str
         Addresses of the peers that it was passed on to.
     """
@@ -49,12 +51,14 @@
     exchange: HttpExchange
     request: ForwardRequest
     until_ms: int
+    prior_runs: int = 0
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
     call: TargetCall | None = None
     status: int = 0
     headers: HeaderList = field(default_factory=list)
     body: bytearray = field(default_factory=bytearray)
+    promises_not_run: bool = False
     is_stream: bool = False
     is_done: bool = False
 
@@ -123,7 +127,7 @@
         exchange: HttpExchange,
         request: ForwardRequest,
         until_ms: int | None = None,
-        may_have_run: bool = False,
+        prior_runs: int = 0,
     ) -> None:
         """Pass a request on to a peer and return its response to the caller.
 
@@ -136,13 +140,15 @@
         until_ms : int, optional
             Time by which the caller must have its final response; the deadline of the
             request by default.
-        may_have_run : bool
-            Whether a target may have started to run the request.
+        prior_runs : int
+            Number of targets that may have run the request.
         """
         if until_ms is None:
             limit_ms = request.deadline_ms or DEFAULT_TIME_LIMIT_MS
             until_ms = exchange.arrived_ms + limit_ms
-        relayed = RelayedRequest(exchange, request, until_ms, may_have_run)
+        relayed = RelayedRequest(
+            exchange, request, until_ms, prior_runs, may_have_run=prior_runs > 0
+        )
         exchange.state = relayed
         self._open.add(relayed)
         at_ms = max(self._clock.now_ms(), until_ms - RESPONSE_MARGIN_MS)
@@ -176,7 +182,7 @@
             peer.address,
             head.method,
             head.target,
-            self._protocol.relay_headers(head, remaining_ms),
+            self._protocol.relay_headers(head, remaining_ms, relayed.prior_runs),
             relayed.exchange.body,
             self,
             MAX_CONNECTIONS_PER_PEER,
@@ -202,6 +208,7 @@
         relayed.status = status
         relayed.headers = drop_headers(headers, _DROPPED_HEADERS)
         metadata = self._protocol.read_response(status, headers)
+        relayed.promises_not_run = metadata.promises_not_run
         relayed.is_stream = 200 <= status < 300 and metadata.is_event_stream
         call.is_buffered = not relayed.is_stream
         if relayed.is_stream:
@@ -219,6 +226,10 @@
     def on_ended(self, call: TargetCall) -> None:
         """Handle the end of a response."""
         relayed: RelayedRequest = call.state
+        if relayed.prior_runs and relayed.promises_not_run:
+            # True of the peer, but not of the targets before.
+            self._fail(relayed, "target_failed", f"status {relayed.status} of a peer")
+            return
         if relayed.is_stream:
             relayed.exchange.end()
         else:
--- a/papayacrank/forwarding/tests/builders.py
+++ b/papayacrank/forwarding/tests/builders.py
@@ -113,7 +113,7 @@
         """Parse the headers that `build_head` writes.
 
         These are ``id``, ``host``, ``key``, ``deadline``, ``tokens``, ``parts``,
-        ``after`` and ``first``.
+        ``after``, ``first``, ``relayed`` and ``runs``.
         """
         known = {n.decode(): v.decode() for n, v in head.headers}
         tokens = known.get("tokens")
@@ -134,6 +134,7 @@
             known.get("after"),
             known.get("first"),
             "relayed" in known,
+            prior_runs=int(known.get("runs", 0)),
         )
 
     def target_headers(self, request, dispatch):
@@ -141,11 +142,15 @@
         self.dispatches.append(dispatch)
         return list(request.headers)
 
-    def relay_headers(self, head, remaining_ms):
-        """Return the headers with the remaining time and the mark."""
+    def relay_headers(self, head, remaining_ms, prior_runs):
+        """Return the headers with the remaining time, the runs and the mark."""
         kept = [pair for pair in head.headers if pair[0] != b"deadline"]
-        added = [(b"deadline", str(remaining_ms).encode()), (b"relayed", b"1")]
-        return [*kept, *added]
+        return [
+            *kept,
+            (b"deadline", str(remaining_ms).encode()),
+            (b"runs", str(prior_runs).encode()),
+            (b"relayed", b"1"),
+        ]
 
     def read_response(self, status, headers):
         """Parse the head of a response with short header names."""
@@ -163,6 +168,7 @@
             int(known["pause-ms"]) if "pause-ms" in known else None,
             read_rate_statement([known["rate"]] if "rate" in known else []),
             float(known["refusal-limit"]) if "refusal-limit" in known else None,
+            status in (429, 503),
         )
 
     def build_start_query(self, target_name):
--- a/papayacrank/forwarding/tests/test_lost_path.py
+++ b/papayacrank/forwarding/tests/test_lost_path.py
@@ -167,6 +167,56 @@
     assert caller.headers["verdict"] != "not-run"
 
 
+@pytest.fixture
+def repeated():
+    """Return an instance that passes a request on which a target may have run."""
+    bench = Bench(*TARGETS)
+    add_peers(bench, "i2")
+    bench.caller = bench.send()
+    lost = bench.call
+    for number in range(FIRST_REQUESTS):
+        bench.send(id=f"first-{number}")
+        while calls := [c for c in bench.port.calls if c.is_open and c is not lost]:
+            if calls[-1].address not in TARGET_ADDRESSES:
+                break
+            bench.advance(1)
+            bench.fail("connect_timeout", sent=False, call=calls[-1])
+            bench.prober.finish(ConnectOutcome.SILENT)
+    assert bench.paths.is_isolated
+    bench.fail("connection_lost", sent=True, call=lost)
+    assert bench.call.address not in TARGET_ADDRESSES
+    return bench
+
+
+def test_runs_of_a_request_are_counted_over_the_instances(repeated):
+    """Guards against more runs than the route allows after a request was passed on."""
+    runs = dict(repeated.call.headers)[b"runs"]
+    assert runs == b"1"
+    peer = Bench(*TARGETS)
+    peer.send(relayed="1", runs=runs.decode())
+    peer.fail("connection_lost", sent=True)
+    assert len(peer.port.calls) == 1
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_refusal_of_a_peer_is_not_returned_for_a_request_that_may_have_run(
+    repeated, status
+):
+    """Guards against a false "not run" after another instance has refused."""
+    respond(repeated.call, status)
+    assert repeated.caller.status == 502
+    assert repeated.caller.headers["verdict"] != "not-run"
+
+
+def test_peer_does_not_say_that_a_request_has_not_run_that_ran_before():
+    """Guards against a false "not run" of an instance that got a passed-on request."""
+    peer = Bench(build_target("p1"))
+    caller = peer.send(relayed="1", runs="1")
+    peer.respond(503, not_run="1")
+    assert caller.status == 502
+    assert caller.headers["verdict"] != "not-run"
+
+
 def test_caller_that_leaves_cancels_its_request_at_the_peer(cut_off):
     add_peers(cut_off, "i2")
     caller = cut_off.send(id="later")
--- a/papayacrank/platform/_caller_protocol.py
+++ b/papayacrank/platform/_caller_protocol.py
@@ -55,19 +55,23 @@
 KV_SAVE = b"papayacrank-kv-save"
 # Marks a request that an instance passes on to another one, which must not pass it on.
 RELAYED = b"papayacrank-relayed"
+# Number of servers that may have run such a request; absent if none.
+PRIOR_RUNS = b"papayacrank-prior-runs"
 HOST = b"host"
 RETRY_AFTER = b"retry-after"
 CONTENT_ENCODING = b"content-encoding"
 CONTENT_TYPE = b"content-type"
 EVENT_STREAM = "text/event-stream"
 MISDIRECTED = 421
+# Statuses that promise a client that the request has not run and never will.
+PROMISES_NOT_RUN = frozenset({408, MISDIRECTED, 429, 503})
 MS_PER_SECOND = 1_000
 # Longer numbers exceed the integers of messages between processes.
 MAX_DIGITS = 15
 
 # Headers that are set anew for a request that is passed on to another instance.
 _RELAY_REPLACES = CONNECTION_HEADERS | frozenset(
-    {DEADLINE_MS, RELAYED, b"content-length", b"expect"}
+    {DEADLINE_MS, RELAYED, PRIOR_RUNS, b"content-length", b"expect"}
 )
 # Headers that only the system may set, and connection-specific or framing headers.
 _NOT_FORWARDED = CONNECTION_HEADERS | frozenset(
@@ -83,6 +87,7 @@
         KV_SAVE,
         LAST_EVENT_ID,
         RELAYED,
+        PRIOR_RUNS,
         b"papayacrank-kv-hold",
         b"papayacrank-kv-backup",
         b"papayacrank-pin-ms",
@@ -106,6 +111,8 @@
                 return _bad_request("the request id is given twice")
             known.setdefault(name, value.decode("latin-1"))
         prompt_tokens, output_tokens = _read_token_count(known.get(TOKEN_COUNT))
+        is_relayed = RELAYED in known
+        prior_runs = _read_number(known.get(PRIOR_RUNS)) if is_relayed else None
         return ForwardRequest(
             known.get(REQUEST_ID, ""),
             head.method,
@@ -121,8 +128,9 @@
             _read_parts(known.get(PROMPT_PREFIX)),
             known.get(LAST_EVENT_ID),
             known.get(RESUMES),
-            RELAYED in known,
+            is_relayed,
             _read_number(known.get(LENGTH_HINT)),
+            prior_runs or 0,
         )
 
     def target_headers(self, request: ForwardRequest, dispatch: Dispatch) -> HeaderList:
@@ -147,11 +155,15 @@
             ),
         ]
 
-    def relay_headers(self, head: RequestHead, remaining_ms: int) -> HeaderList:
+    def relay_headers(
+        self, head: RequestHead, remaining_ms: int, prior_runs: int
+    ) -> HeaderList:
         """Return the headers of the caller with the remaining time and the mark."""
         headers = drop_headers(head.headers, _RELAY_REPLACES)
         if head.find(DEADLINE_MS) is not None:
             headers.append((DEADLINE_MS, str(remaining_ms).encode()))
+        if prior_runs:
+            headers.append((PRIOR_RUNS, str(prior_runs).encode()))
         return [*headers, (RELAYED, b"1")]
 
     def read_response(self, status: int, headers: HeaderList) -> ResponseMetadata:
@@ -174,6 +186,7 @@
             pause_ms=read_pause_ms(status, pairs),
             rate=read_rate(pairs),
             refusal_limit=read_refusal_limit(pairs),
+            promises_not_run=status in PROMISES_NOT_RUN,
         )
 
     def build_start_query(self, target_name: str) -> StartQuery | None:
--- a/papayacrank/platform/tests/test_adapter.py
+++ b/papayacrank/platform/tests/test_adapter.py
@@ -564,17 +564,18 @@
         (b"papayacrank-deadline-ms", b"900"),
     ]
     head = RequestHead("POST", "/reply/x?a=1", kept + replaced)
-    relayed = RequestHead("POST", head.target, protocol.relay_headers(head, 640))
+    relayed = RequestHead("POST", head.target, protocol.relay_headers(head, 640, 2))
     assert relayed.headers[: len(kept)] == kept
     request = protocol.read_request(relayed)
     assert (request.is_relayed, request.deadline_ms) == (True, 640)
+    assert request.prior_runs == 2
     assert (request.resume_after, request.begun_by, request.key) == ("7", "r0", "k")
     sent = protocol.target_headers(request, Dispatch("t1", 600))
-    assert not [name for name, _ in sent if b"relayed" in name]
+    assert not [n for n, _ in sent if b"relayed" in n or b"prior-runs" in n]
     undated = RequestHead("GET", "/lookup/x", kept)
     assert (
         protocol.read_request(
-            RequestHead("GET", "/lookup/x", protocol.relay_headers(undated, 640))
+            RequestHead("GET", "/lookup/x", protocol.relay_headers(undated, 640, 0))
         ).deadline_ms
         is None
     )
