Tell targets of all services where a stream goes on

Cause: the data for a target were built twice, for engines with the event at which a stream goes on, and for other services by an early return without it. The filter for events that the caller has hid the first events of the new run.

Why this works: what every target is told is built once, and engines get their fields on top.

--- a/papayacrank/forwarding/_attempt_builder.py
+++ b/papayacrank/forwarding/_attempt_builder.py
@@ -1,5 +1,7 @@
 """Construction of attempts: placement requests, headers and calls to targets."""
 
+from dataclasses import replace
+
 from papayacrank.costs import Work, queued_events
 from papayacrank.kernel import Clock
 from papayacrank.messages import FleetTarget, RequestKind, ServiceProfile
@@ -203,22 +205,22 @@
     ) -> tuple[Dispatch, str]:
         target, request = choice.target, job.request
         workspace = job.workspace.name if job.workspace else None
+        dispatch = Dispatch(
+            target.name, remaining_ms, workspace, resume_after=job.last_event_id
+        )
         if job.service.engine is None:
-            return Dispatch(target.name, remaining_ms, workspace), ""
+            return dispatch, ""
         version = target.weights.get(request.model, 0)
         salt = build_cache_salt(self._salt_base(job), version)
         address = store.store.address if store is not None else None
         is_stored = store is None or self._is_stored(request, salt, store.name)
-        dispatch = Dispatch(
-            target.name,
-            remaining_ms,
-            workspace,
-            urgency_of(job),
-            salt,
-            version,
-            address,
-            None if is_stored else address,
-            job.last_event_id,
+        dispatch = replace(
+            dispatch,
+            urgency=urgency_of(job),
+            cache_salt=salt,
+            weights_version=version,
+            fetch_from=address,
+            save_to=None if is_stored else address,
         )
         return dispatch, salt
 
--- a/papayacrank/forwarding/tests/builders.py
+++ b/papayacrank/forwarding/tests/builders.py
@@ -23,9 +23,11 @@
 from papayacrank.kernel import ManualClock
 from papayacrank.messages import (
     EngineProfile,
+    FindRelease,
     FleetLoad,
     FleetTarget,
     FleetView,
+    ReleaseFound,
     RequestKind,
     Route,
     RoutingConfiguration,
@@ -349,6 +351,16 @@
         self.leader_messages.append(message)
         return True
 
+    @property
+    def release_questions(self):
+        """Questions to the leader for the releases that began streams."""
+        return [m for m in self.leader_messages if isinstance(m, FindRelease)]
+
+    def reply_release(self, release, service=""):
+        """Reply to the last question."""
+        number = self.release_questions[-1].number
+        self.releases.receive(ReleaseFound(1, number, release, service))
+
     @property
     def call(self):
         """Last call at the port."""
--- a/papayacrank/forwarding/tests/test_continuity.py
+++ b/papayacrank/forwarding/tests/test_continuity.py
@@ -4,8 +4,6 @@
 import pytest
 
 from papayacrank.messages import (
-    FindRelease,
-    ReleaseFound,
     RequestKind,
     ServiceShare,
     StreamsBegun,
@@ -45,16 +43,6 @@
     return bench.send("/reply/x", tokens=10, **({"after": 3, "first": "r0"} | fields))
 
 
-def questions(bench):
-    """Return the questions to the leader."""
-    return [m for m in bench.leader_messages if isinstance(m, FindRelease)]
-
-
-def reply(bench, release):
-    """Reply to the last question."""
-    bench.releases.receive(ReleaseFound(1, questions(bench)[-1].number, release))
-
-
 def release_of(bench):
     """Return the release of the target of the last call."""
     return bench.call.state.attempt.target.release
@@ -86,11 +74,11 @@
     """Guards against a take-up that is joined from two releases."""
     for _ in range(6):
         take_up(bench)
-        question = questions(bench)[-1]
+        question = bench.release_questions[-1]
         assert question.stream == name_stream("w1", "r0")
         assert question.service == "engines"
         count = len(bench.port.calls)
-        reply(bench, release)
+        bench.reply_release(release)
         assert len(bench.port.calls) == count + 1
         assert release_of(bench) == release
 
@@ -98,7 +86,7 @@
 def test_take_up_of_an_unknown_stream_is_refused_at_once(bench):
     """Guards against a guess, and against callers that wait for nothing."""
     caller = take_up(bench)
-    reply(bench, "")
+    bench.reply_release("")
     assert bench.port.calls == []
     assert (caller.status, caller.headers["code"]) == (503, "unknown_release")
     assert caller.headers["verdict"] == "not-run"
@@ -117,8 +105,8 @@
 def test_take_up_that_does_not_name_its_stream_asks_for_its_service(bench):
     """Guards against refusals where one release began all streams."""
     take_up(bench, first=None)
-    assert questions(bench)[-1].stream == ""
-    reply(bench, "v1")
+    assert bench.release_questions[-1].stream == ""
+    bench.reply_release("v1")
     assert release_of(bench) == "v1"
 
 
@@ -126,7 +114,7 @@
     """Guards against requests that run for nobody."""
     caller = take_up(bench)
     bench.forwarder.on_caller_left(caller.exchange)
-    reply(bench, "v1")
+    bench.reply_release("v1")
     assert bench.port.calls == []
 
 
@@ -136,7 +124,7 @@
     began = release_of(bench)
     bench.event(2)
     take_up(bench, id="r2")
-    reply(bench, "v1")
+    bench.reply_release("v1")
     bench.begin()
     bench.event(4)
     bench.advance(10)
@@ -212,8 +200,7 @@
         bench = Bench(*targets, configuration=configuration)
         bench.forwarder._random.seed(seed)
         take_up(bench)
-        question = questions(bench)[-1]
+        question = bench.release_questions[-1]
         assert sorted(question.services) == sorted(services)
-        found = ReleaseFound(1, question.number, "v2", "others")
-        bench.releases.receive(found)
+        bench.reply_release("v2", "others")
         assert bench.call.state.attempt.target.name == "x5"
