Do not join runs that begin anew to the stream they were to continue

A target that is told where a stream goes on and begins at its first event all the same had its first events dropped and the others joined to the run before, in one answer or behind a caller's take-up (ORDER).

Cause: an event whose id the caller has was taken for the same event, whatever it holds.

A run that repeats all of them is accepted as before; any other one ends with `not_resumed`. The stream then goes on at another target, or is broken off, which its caller can tell from a complete one.

--- a/papayacrank/forwarding/_admission.py
+++ b/papayacrank/forwarding/_admission.py
@@ -158,8 +158,8 @@
             exchange.arrived_ms + wait_ms,
             cost=_cost(request, workspace),
             runs=request.prior_runs,
-            last_event_id=request.resume_after,
         )
+        job.position.last_event_id = request.resume_after
         exchange.state = job
         self._requests.add(job)
         self._retry_budget.on_request(service.name, now_ms)
--- a/papayacrank/forwarding/_attempt_builder.py
+++ b/papayacrank/forwarding/_attempt_builder.py
@@ -12,6 +12,7 @@
 from ._job import Attempt, Job
 from ._placement import Choice, PlacementRequest, build_cache_salt
 from ._settings import ForwardingSettings
+from ._stream_position import ResumedRun
 from ._target_call import CallListener, StartCheck, TargetCall
 
 URGENCY_STEPS = 3
@@ -135,6 +136,7 @@
             state=job,
         )
         work = self._build_work(job, choice)
+        resume_after = job.position.last_event_id
         return Attempt(
             target,
             choice,
@@ -145,7 +147,7 @@
             salt=salt,
             store=store.name if dispatch.save_to is not None else "",
             is_stream=job.route.kind is RequestKind.STREAM,
-            is_resume=job.has_events,
+            resumed_run=ResumedRun() if resume_after is not None else None,
             permit=permit,
             number=job.tries + 1,
             rate_knowledge=self._permits.client.knowledge_of(target.name),
@@ -206,7 +208,10 @@
         target, request = choice.target, job.request
         workspace = job.workspace.name if job.workspace else None
         dispatch = Dispatch(
-            target.name, remaining_ms, workspace, resume_after=job.last_event_id
+            target.name,
+            remaining_ms,
+            workspace,
+            resume_after=job.position.last_event_id,
         )
         if job.service.engine is None:
             return dispatch, ""
--- a/papayacrank/forwarding/_attempts.py
+++ b/papayacrank/forwarding/_attempts.py
@@ -289,7 +289,7 @@
 
     def observe_stream_end(self, job: Job, attempt: Attempt) -> None:
         """Learn from the events of a complete stream."""
-        if job.service.engine is None or attempt.is_resume:
+        if job.service.engine is None or attempt.resumed_run is not None:
             return
         request, costs = job.request, self._fleet.costs
         costs.observe_events(
@@ -440,7 +440,7 @@
         """
         if runs + 1 > self._max_runs(job) or job.tries >= MAX_TRIES:
             return False
-        if job.has_events and job.last_event_id is None:
+        if job.has_events and not job.can_resume:
             return False
         if not self._suspects.may_repeat(job):
             return False
@@ -483,7 +483,7 @@
         runs=job.runs,
         after="silent" if is_silent else job.last_failure,
         allowed_by=allowed_by,
-        resume_after=job.last_event_id,
+        resume_after=job.position.last_event_id,
     )
 
 
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -13,6 +13,7 @@
 from ._event_stream import EventSplitter
 from ._headers import HeaderList
 from ._placement import Choice
+from ._stream_position import ResumedRun, StreamPosition
 from ._target_call import TargetCall
 
 
@@ -50,8 +51,9 @@
         Whether the first event of a stream arrived.
     is_stream : bool
         Whether the response is forwarded event by event.
-    is_resume : bool
-        Whether the attempt continues a stream of which the caller has events.
+    resumed_run : ResumedRun or None
+        Check of an attempt that continues a stream of which the caller has events; None
+        for other attempts.
     skipped_response : bool
         Whether the connection returned a response that was not accepted.
     permit : Permit or None
@@ -93,7 +95,7 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     has_first_event: bool = False
     is_stream: bool = False
-    is_resume: bool = False
+    resumed_run: ResumedRun | None = None
     skipped_response: bool = False
     permit: Permit | None = None
     number: int = 1
@@ -137,8 +139,8 @@
     silent_attempt : Attempt or None
         Earlier attempt without a response, which goes on until the target of `attempt`
         takes the request.
-    last_event_id : str or None
-        Id of the last event that the caller received.
+    position : StreamPosition
+        Events of the stream that the caller has.
     has_events : bool
         Whether any event was sent to the caller.
     first_event_ms : int or None
@@ -199,7 +201,7 @@
     sent_to: set[str] = field(default_factory=set)
     attempt: Attempt | None = None
     silent_attempt: Attempt | None = None
-    last_event_id: str | None = None
+    position: StreamPosition = field(default_factory=StreamPosition)
     has_events: bool = False
     first_event_ms: int | None = None
     last_failure: str = ""
@@ -231,6 +233,11 @@
         """Whether a target may have started to run the request."""
         return self.runs > 0
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether another run can continue the stream."""
+        return self.position.last_event_id is not None
+
     @property
     def workspace_name(self) -> str:
         """Name of the caller's workspace; empty on routes without a key."""
--- a/papayacrank/forwarding/_responses.py
+++ b/papayacrank/forwarding/_responses.py
@@ -7,7 +7,7 @@
 from ._attempts import MAX_TRIES, AttemptRunner
 from ._base import CallerProtocol, ResponseMetadata
 from ._continuity import StreamContinuity
-from ._event_stream import EventStreamError
+from ._event_stream import EventStreamError, StreamEvent
 from ._fleet_state import FleetState
 from ._headers import CONNECTION_HEADERS, HeaderList, drop_headers
 from ._job import Attempt, Job, response_timer
@@ -176,13 +176,12 @@
                 self._port.cancel(call)
                 self._overdue.on_incomplete_response(job, attempt, "other_release")
                 return
-            if attempt.is_resume and event.has_content and event.event_id is None:
-                # Without an id its place in the stream is unknown.
-                self._port.cancel(call)
-                self._overdue.on_incomplete_response(
-                    job, attempt, "event without an id"
-                )
-                return
+            if event.has_content and attempt.resumed_run is not None:
+                error = _find_resume_error(job, attempt, event)
+                if error is not None:
+                    self._port.cancel(call)
+                    self._overdue.on_incomplete_response(job, attempt, error)
+                    return
             self._forward_event(job, attempt, event)
 
     def on_ended(self, call: TargetCall) -> None:
@@ -294,7 +293,7 @@
 
     # Streams
 
-    def _forward_event(self, job: Job, attempt: Attempt, event) -> None:
+    def _forward_event(self, job: Job, attempt: Attempt, event: StreamEvent) -> None:
         if event.has_content:
             attempt.is_silent = False
             if not attempt.has_first_event:
@@ -305,10 +304,10 @@
                 self._fleet.table.end_decode(attempt.target.name, 1)
             if job.route.is_repeatable:
                 self._overdue.set_response_timer(job, attempt)
-        if event.event_id is not None:
-            if _is_duplicate(event.event_id, job.last_event_id):
-                return
-            job.last_event_id = event.event_id
+        if event.event_id is not None and job.position.has(event.event_id):
+            return
+        if event.has_content:
+            job.position.add(event.event_id, event.data)
         if not job.exchange.response_started:
             headers = drop_headers(attempt.headers, DROPPED_RESPONSE_HEADERS)
             job.exchange.begin(attempt.status, headers)
@@ -358,8 +357,11 @@
     )
 
 
-def _is_duplicate(event_id: str, last_id: str | None) -> bool:
-    """Whether the caller already received an event."""
-    if last_id is None or not (event_id.isdigit() and last_id.isdigit()):
-        return False
-    return int(event_id) <= int(last_id)
+def _find_resume_error(job: Job, attempt: Attempt, event: StreamEvent) -> str | None:
+    """Return why an event of a resumed run may not be joined to the stream."""
+    if event.event_id is None:
+        # Its place in the stream is unknown.
+        return "event without an id"
+    if not attempt.resumed_run.accepts(job.position, event.event_id, event.data):
+        return "not_resumed"
+    return None
--- a/papayacrank/forwarding/tests/test_resumes.py
+++ b/papayacrank/forwarding/tests/test_resumes.py
@@ -87,3 +87,68 @@
         bench.event(number)
     bench.fail("connection_lost")
     assert bench.protocol.dispatches[-1].resume_after == resume_after
+
+
+def send_events(bench, numbers, text="x"):
+    """Send events of a run, whose text names it, until the run is cancelled."""
+    call = bench.call
+    bench.begin(call=call)
+    for number in numbers:
+        if call.is_open:
+            bench.event(number, call, text)
+
+
+@pytest.mark.parametrize("numbers", [(1, 2, 3), (2, 3), (1, 3)])
+def test_run_that_does_not_continue_the_stream_is_not_joined_to_it(service, numbers):
+    """Guards against pieces of two runs in one answer (ORDER)."""
+    bench, caller = send_stream(service)
+    send_events(bench, (1, 2))
+    bench.fail("connection_lost")
+    anew = bench.call
+    send_events(bench, numbers, text="other")
+    assert anew in bench.port.cancelled
+    assert bench.call is not anew
+    assert bench.protocol.dispatches[-1].resume_after == "2"
+    send_events(bench, (3,))
+    bench.end()
+    assert caller.ended
+    assert b"other" not in caller.body
+    assert caller.body.count(b"data:") == 3
+
+
+def test_stream_that_no_target_continues_is_broken_off(service):
+    """Guards against a joined stream that ends as complete (ORDER)."""
+    bench, caller = send_stream(service)
+    send_events(bench, (1, 2))
+    bench.fail("connection_lost")
+    for run in ("second", "third"):
+        send_events(bench, (1, 2, 3), text=run)
+    assert caller.aborted
+    assert not caller.ended
+    assert caller.body.count(b"data:") == 2
+
+
+@pytest.mark.parametrize(
+    ("numbers", "is_whole"), [((1, 2, 3), True), ((2, 3), False), ((1, 3), False)]
+)
+def test_run_that_repeats_what_the_caller_has_must_repeat_all_of_it(
+    service, numbers, is_whole
+):
+    """Guards against a run of which only a part is known to be the same."""
+    bench, caller = send_stream(service)
+    send_events(bench, (1, 2))
+    bench.fail("connection_lost")
+    send_events(bench, numbers)
+    assert caller.body.count(b"data:") == (3 if is_whole else 2)
+
+
+def test_run_that_begins_anew_is_not_joined_to_a_stream_that_is_taken_up(service):
+    """Guards against a stream that goes on with another run for its caller (ORDER)."""
+    bench, caller = send_stream(service, after="2")
+    bench.reply_release("v1")
+    for _ in range(3):
+        send_events(bench, (1, 2, 3))
+    assert len(bench.port.calls) == 3
+    assert caller.body == b""
+    assert caller.status == 502
+    assert caller.headers["verdict"] != "not-run"
