Do not resume a stream behind an event without an id

If a target sent an event without an id and then broke off, the stream was resumed behind the last event with one, so that the event without an id could come twice (ORDER).

Cause: an event without an id left the place of the stream as it was.

Evidence: the new test failed before, with and without an engine.

Why this works: behind such an event the place is unknown until an event with an id follows; the stream is broken off instead.

--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -236,7 +236,7 @@
     @property
     def can_resume(self) -> bool:
         """Whether another run can continue the stream."""
-        return self.position.last_event_id is not None
+        return self.position.is_known and self.position.last_event_id is not None
 
     @property
     def workspace_name(self) -> str:
--- a/papayacrank/forwarding/_stream_position.py
+++ b/papayacrank/forwarding/_stream_position.py
@@ -14,11 +14,15 @@
     ----------
     last_event_id : str or None
         Id of the last event with one; None before it.
+    is_known : bool
+        Whether a run can continue behind `last_event_id`. It cannot if events without
+        an id followed.
     digests : array of int
         Chained digest of the events up to each one, in the order of the response.
     """
 
     last_event_id: str | None = None
+    is_known: bool = True
     digests: array = field(default_factory=lambda: array("Q"))
 
     def has(self, event_id: str) -> bool:
@@ -34,6 +38,7 @@
         """Record an event that was sent to the caller."""
         previous = self.digests[-1] if self.digests else 0
         self.digests.append(_chain(previous, data))
+        self.is_known = event_id is not None
         if event_id is not None:
             self.last_event_id = event_id
 
--- a/papayacrank/forwarding/tests/test_resumes.py
+++ b/papayacrank/forwarding/tests/test_resumes.py
@@ -152,3 +152,23 @@
     assert caller.body == b""
     assert caller.status == 502
     assert caller.headers["verdict"] != "not-run"
+
+
+def test_stream_is_not_resumed_behind_an_event_without_an_id(service):
+    """Guards against an event that comes twice because its place is not known."""
+    bench, caller = send_stream(service)
+    send_events(bench, (1,))
+    bench.forwarder.on_data(bench.call, b"data: no id\n\n")
+    bench.fail("connection_lost")
+    assert len(bench.port.calls) == 1
+    assert caller.aborted
+
+
+def test_stream_is_resumed_if_an_event_with_an_id_follows_one_without(service):
+    """Guards against streams broken off although their place is known again."""
+    bench, _ = send_stream(service)
+    send_events(bench, (1,))
+    bench.forwarder.on_data(bench.call, b"data: no id\n\n")
+    bench.event(2)
+    bench.fail("connection_lost")
+    assert bench.protocol.dispatches[-1].resume_after == "2"
