Read event ids that are no ASCII numbers or very long

What callers saw: nothing yet; the review noticed it. An event id with a digit such as U+00B2, or of more than 4,300 digits, raised an exception in the handling of its stream, which then waited for its deadline.

Cause: `str.isdigit` holds for digits that `int` does not read, and `int` limits the length.

Why this works: only ASCII digits up to the length of a 64-bit number count as a number; other ids are compared as text.

--- a/papayacrank/forwarding/_stream_position.py
+++ b/papayacrank/forwarding/_stream_position.py
@@ -5,6 +5,9 @@
 
 import xxhash
 
+# Longer ids exceed the conversion limit of `int`, which raises an error.
+MAX_ID_DIGITS = 18
+
 
 @dataclass(slots=True)
 class StreamPosition:
@@ -79,4 +82,5 @@
 
 
 def _parse_number(event_id: str) -> int | None:
-    return int(event_id) if event_id.isdigit() else None
+    is_number = event_id.isascii() and event_id.isdigit()
+    return int(event_id) if is_number and len(event_id) <= MAX_ID_DIGITS else None
--- a/papayacrank/forwarding/tests/test_resumes.py
+++ b/papayacrank/forwarding/tests/test_resumes.py
@@ -172,3 +172,15 @@
     bench.event(2)
     bench.fail("connection_lost")
     assert bench.protocol.dispatches[-1].resume_after == "2"
+
+
+@pytest.mark.parametrize("event_id", ["\u00b2", "1" * 5_000, "a", "-1", ""])
+def test_odd_event_ids_are_passed_on(service, event_id):
+    """Guards against an event id that ends the handling of its stream."""
+    bench, caller = send_stream(service)
+    send_events(bench, (1,))
+    data = f"id: {event_id}\ndata: x\n\n".encode("latin-1")
+    bench.forwarder.on_data(bench.call, data)
+    bench.end()
+    assert caller.ended
+    assert data in caller.body
