Report how old the leader's list of targets is

Change: the reading of the list moves from FleetController to TargetListReader, with the same behaviour. It logs `target_list_outdated` (3043) once when no whole list has been read for 3 s, with the state of the reading, and `target_list_read` (3044) after that. The age reaches entry processes with their load, once a second at most, as the metric papayacrank_target_list_age_seconds.

--- a/papayacrank/control/_events.py
+++ b/papayacrank/control/_events.py
@@ -220,7 +220,26 @@
     "Finish the upgrade of the control processes. After an election, and until a lost"
     " member is replaced, the command is accepted some seconds later.",
 )
+TARGET_LIST_OUTDATED = LogEvent(
+    3043,
+    "target_list_outdated",
+    "warning",
+    "The leader has not read the whole list of targets for some time, or since its"
+    " election. `called_ms_ago` is the time since its last call for the list,"
+    " `is_reading` whether the result of a call is awaited, `pages` the number of pages"
+    " read so far.",
+    "With a `last_error`, check the platform and the network to it; without one, report"
+    " the log of this process.",
+)
+TARGET_LIST_READ = LogEvent(
+    3044,
+    "target_list_read",
+    "info",
+    "The list of targets was read again after it had been outdated.",
+)
 declare_events(
+    TARGET_LIST_OUTDATED,
+    TARGET_LIST_READ,
     ENTRY_FORMAT_NOT_READ,
     ROLLOUT_ORDERED,
     ROLLOUT_CONCLUDED,
--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -24,7 +24,6 @@
 from ._costs import CostLedger
 from ._effects import HttpCall, HttpResult
 from ._events import (
-    PLATFORM_LIST_FAILED,
     TARGET_LEAVING_REPORTED,
     TARGET_LEFT,
     TARGET_LISTED,
@@ -36,19 +35,15 @@
 from ._rollout import MAX_OLD_WEIGHTS_MS, ORDER_KEY, STATUS_KEY, WeightsRollout
 from ._room import RoomAllocator
 from ._stores import STORE_KEY, StoreMonitor
+from ._target_list import LISTING_KEY, TargetListReader
 from ._target_protocol import ListedTarget, RunningRequestPolicy, TargetProtocol
 
-LISTING_KEY = "fleet-list "
-# Calls to the platform are charged, and the list itself lags by 800 ms.
-LIST_INTERVAL_MS = 1_000
-LIST_RETRY_MS = 300
 # Load reports expire after this time without a newer one from the same process.
 LOAD_LIFETIME_MS = 2_000
 BUSY_INTERVAL_MS = 1_000
 SILENT_LIFETIME_MS = 1_500
 # Demand takes up to 2 kB for each receiver.
 DEMAND_INTERVAL_MS = 1_000
-MAX_PAGES = 200
 # Limit on the new prompt parts forwarded in one message. Further ones are dropped;
 # entry processes learn of them later.
 MAX_NEW_PARTS = 500
@@ -109,10 +104,7 @@
         self._sequence = 0
         self._targets: dict[str, ListedTarget] = {}
         self._view: list[FleetTarget] = []
-        self._listed_targets: list[ListedTarget] = []
-        self._page_count = 0
-        self._list_pending = False
-        self._next_list_ms = 0
+        self._list = TargetListReader(protocol)
         self._reports: dict[str, _LoadReport] = {}
         self._silent: dict[str, int] = {}
         self._room = RoomAllocator()
@@ -167,9 +159,7 @@
         self._sequence = 0
         self._targets = {}
         self._view = []
-        self._listed_targets = []
-        self._list_pending = False
-        self._next_list_ms = now_ms
+        self._list.reset(now_ms)
         self._reports.clear()
         self._new_parts = []
         self._new_pauses = {}
@@ -260,11 +250,7 @@
         """
         calls = self._rollout.poll(desired_versions, self._total_loads, now_ms)
         calls += self._stores.poll(configuration, now_ms)
-        if not self._list_pending and now_ms >= self._next_list_ms:
-            self._list_pending = True
-            self._listed_targets = []
-            self._page_count = 0
-            calls.append(self._protocol.build_listing(LISTING_KEY, None))
+        calls += self._list.poll(now_ms)
         self._refresh_view()
         return calls
 
@@ -289,19 +275,11 @@
             self._rollout.handle(result, now_ms)
             self._refresh_view()
             return []
-        page = self._protocol.read_listing(result)
-        if isinstance(page, str):
-            log_event(PLATFORM_LIST_FAILED, error=page)
-            self._list_pending = False
-            self._next_list_ms = now_ms + LIST_RETRY_MS
-            return []
-        self._listed_targets += page.targets
-        self._page_count += 1
-        if page.next_page is not None and self._page_count < MAX_PAGES:
-            return [self._protocol.build_listing(LISTING_KEY, page.next_page)]
-        self._list_pending = False
-        self._next_list_ms = now_ms + LIST_INTERVAL_MS
-        self._apply_list(now_ms)
+        outcome = self._list.handle(result, now_ms)
+        if isinstance(outcome, HttpCall):
+            return [outcome]
+        if outcome is not None:
+            self._apply_list(outcome, now_ms)
         return []
 
     # Load
@@ -403,6 +381,7 @@
         self._costs.begin_round(receivers, now_ms)
         parts = self._pop_grouped_parts()
         pauses = self._pop_new_pauses(now_ms)
+        list_age_s = self._list.outdated_s(now_ms)
         demand = self._pop_demand(now_ms)
         sends = []
         for instance in self._last_sent.keys() - receivers.keys():
@@ -418,7 +397,15 @@
                     for name, count in leases.items()
                     if name in self._target_numbers
                 }
-            content = (reported, loads, silent, refusal_limited, leases, self._busy)
+            content = (
+                reported,
+                loads,
+                silent,
+                refusal_limited,
+                leases,
+                self._busy,
+                list_age_s,
+            )
             paused = pauses if self._is_local(instance) else []
             by_name, service_costs = self._costs.updates_for(instance)
             costs = {
@@ -445,6 +432,7 @@
                 service_costs,
                 demand,
                 busy=None if is_busy_sent else self._busy,
+                list_age_s=list_age_s,
             )
             sends.append(Send(sender, message))
         return sends
@@ -509,8 +497,8 @@
 
     # View
 
-    def _apply_list(self, now_ms: int) -> None:
-        targets = self._unique_targets()
+    def _apply_list(self, listed_targets: list[ListedTarget], now_ms: int) -> None:
+        targets = self._unique_targets(listed_targets)
         for name in targets.keys() - self._targets.keys():
             listed = targets[name]
             log_event(
@@ -544,14 +532,16 @@
             ):
                 self._costs.distrust(name)
 
-    def _unique_targets(self) -> dict[str, ListedTarget]:
+    def _unique_targets(
+        self, listed_targets: list[ListedTarget]
+    ) -> dict[str, ListedTarget]:
         """Return the listed targets by name.
 
         If another writer has used the name of a target, the entry with the known
         address is kept, or else the first one.
         """
         targets: dict[str, ListedTarget] = {}
-        for listed in self._listed_targets:
+        for listed in listed_targets:
             first, known = targets.get(listed.name), self._targets.get(listed.name)
             is_known = known is not None and known.address == listed.address
             if first is None or (is_known and first.address != listed.address):
--- a/papayacrank/forwarding/_fleet_state.py
+++ b/papayacrank/forwarding/_fleet_state.py
@@ -93,6 +93,7 @@
             rollouts,
             self.costs,
         )
+        self._list_age_s = 0
         self._index: RouteIndex | None = None
         self._weights: dict[str, int] = {}
         self._weights_since_ms: dict[str, int] = {}
@@ -105,6 +106,11 @@
         """Routes of the configuration in force; None before the first one."""
         return self._index
 
+    @property
+    def list_age_s(self) -> int:
+        """Age of the leader's list of targets in seconds; 0 while it is up to date."""
+        return self._list_age_s
+
     @property
     def weights(self) -> dict[str, int]:
         """Current version of the weights of each model."""
@@ -238,6 +244,7 @@
         now_ms = self._clock.now_ms()
         if not self.table.apply_load(load, now_ms):
             return
+        self._list_age_s = load.list_age_s
         self.load_admission.apply_sums(load.demand, now_ms)
         self.costs.apply(self.table.map_to_names(load.costs), load.service_costs)
         for number, pause_ms in load.paused:
--- a/papayacrank/forwarding/_process.py
+++ b/papayacrank/forwarding/_process.py
@@ -393,6 +393,11 @@
             "Whether targets can be reached from this instance",
             lambda: int(not self._paths.is_isolated),
         )
+        metrics.add_gauge(
+            "target_list_age_seconds",
+            "Age of the leader's list of targets; 0 while it is up to date",
+            lambda: self._forwarder.fleet.list_age_s,
+        )
         metrics.add_gauge(
             "slot_leases",
             "Requests that this instance may have open at refusal-limited targets",
--- a/papayacrank/messages/_fleet.py
+++ b/papayacrank/messages/_fleet.py
@@ -238,6 +238,8 @@
     busy : dict of str to int, or None
         Utilization of the busy entry processes in eighths, by instance; others are not
         busy. None if it has not changed since the last message.
+    list_age_s : int
+        Age of the leader's list of targets in seconds; 0 while it is up to date.
     """
 
     term: int
@@ -252,3 +254,4 @@
     service_costs: list[ServiceCost] = []
     demand: list[ServiceDemand] = []
     busy: dict[str, int] | None = None
+    list_age_s: int = 0
