Read the next page of the list once the leader may make calls again

The list was not read again in that term.

Cause: the result of a page set the state "the next page is being called" and returned the call, which the node dropped since the lease had lapsed. Only an election ends that state.

Why this works: results only change state, whether or not the leader holds its lease; all calls come from `poll`, which is asked only while they may be made.

The simulation of the rollout polls after a page, as the node does, so that its timing is the same; no assertion has changed.

--- a/papayacrank/control/_events.py
+++ b/papayacrank/control/_events.py
@@ -226,7 +226,7 @@
     "warning",
     "The leader has not read the whole list of targets for some time, or since its"
     " election. `called_ms_ago` is the time since its last call for the list,"
-    " `is_reading` whether the result of a call is awaited, `pages` the number of pages"
+    " `is_call_open` whether its result is awaited, `pages` the number of pages"
     " read so far.",
     "With a `last_error`, check the platform and the network to it; without one, report"
     " the log of this process.",
--- a/papayacrank/control/_fleet.py
+++ b/papayacrank/control/_fleet.py
@@ -263,24 +263,23 @@
         """Return whether a result belongs to a call of this controller."""
         return key.startswith((LISTING_KEY, ORDER_KEY, STATUS_KEY, STORE_KEY))
 
-    def handle(self, result: HttpResult, now_ms: int) -> list[HttpCall]:
-        """Handle the result of a call and return the next calls."""
+    def handle(self, result: HttpResult, now_ms: int) -> None:
+        """Handle the result of a call; `poll` returns the calls that follow from it.
+
+        The result counts whether or not this process may make calls at the moment.
+        """
         self._observe_rate(result, now_ms)
-        if result.key.startswith(STORE_KEY):
+        if result.key.startswith(LISTING_KEY):
+            listed_targets = self._list.handle(result, now_ms)
+            if listed_targets is not None:
+                self._apply_list(listed_targets, now_ms)
+        elif result.key.startswith(STORE_KEY):
             self._stores.handle(result, now_ms)
             self._refresh_view()
-            return []
-        if not result.key.startswith(LISTING_KEY):
+        else:
             self._apply_signals(result, now_ms)
             self._rollout.handle(result, now_ms)
             self._refresh_view()
-            return []
-        outcome = self._list.handle(result, now_ms)
-        if isinstance(outcome, HttpCall):
-            return [outcome]
-        if outcome is not None:
-            self._apply_list(outcome, now_ms)
-        return []
 
     # Load
 
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -272,10 +272,10 @@
         """Handle the result of an `HttpCall`."""
         if self._fleet is not None and self._fleet.owns(result.key):
             # Required without the lease too: the controller tracks its pending calls.
-            calls = self._fleet.handle(result, now_ms)
+            self._fleet.handle(result, now_ms)
             if not self._may_serve(now_ms):
                 return []
-            return [*calls, *self._push_rates(now_ms), *self._poll_fleet(now_ms)]
+            return [*self._push_rates(now_ms), *self._poll_fleet(now_ms)]
         if not self._may_serve(now_ms):
             return []
         if result.key == PLATFORM_LIST_KEY:
--- a/papayacrank/control/_target_list.py
+++ b/papayacrank/control/_target_list.py
@@ -19,6 +19,9 @@
 class TargetListReader:
     """Reads the list at regular intervals while this process leads.
 
+    Only `poll` returns calls: a result may arrive while the leader must not make any,
+    and the next page is then read once it may.
+
     Parameters
     ----------
     protocol : TargetProtocol
@@ -29,7 +32,8 @@
         self._protocol = protocol
         self._targets: list[ListedTarget] = []
         self._page_count = 0
-        self._is_reading = False
+        self._next_page: str | None = None
+        self._is_call_open = False
         self._next_ms = 0
         self._read_ms = 0
         self._called_ms = 0
@@ -38,9 +42,8 @@
 
     def reset(self, now_ms: int) -> None:
         """Discard all state after an election."""
-        self._targets = []
-        self._is_reading = False
-        self._next_ms = now_ms
+        self._begin(now_ms)
+        self._is_call_open = False
         self._read_ms = now_ms
         self._is_outdated = False
         self._error = ""
@@ -56,41 +59,37 @@
     def poll(self, now_ms: int) -> list[HttpCall]:
         """Return the call that is due."""
         self._check_age(now_ms)
-        if self._is_reading or now_ms < self._next_ms:
+        if self._is_call_open or now_ms < self._next_ms:
             return []
-        self._is_reading = True
+        self._is_call_open = True
         self._called_ms = now_ms
-        self._targets = []
-        self._page_count = 0
-        return [self._protocol.build_listing(LISTING_KEY, None)]
-
-    def handle(
-        self, result: HttpResult, now_ms: int
-    ) -> list[ListedTarget] | HttpCall | None:
-        """Handle the result of a call.
-
-        Returns
-        -------
-        list of ListedTarget, HttpCall or None
-            The list once it is complete, the call for the next page, None after a
-            failure.
-        """
+        return [self._protocol.build_listing(LISTING_KEY, self._next_page)]
+
+    def handle(self, result: HttpResult, now_ms: int) -> list[ListedTarget] | None:
+        """Handle the result of a call; return the list once it is complete."""
+        self._is_call_open = False
         page = self._protocol.read_listing(result)
         if isinstance(page, str):
             log_event(PLATFORM_LIST_FAILED, error=page)
             self._error = page
-            self._is_reading = False
-            self._next_ms = now_ms + LIST_RETRY_MS
+            self._begin(now_ms + LIST_RETRY_MS)
             return None
         self._targets += page.targets
         self._page_count += 1
         if page.next_page is not None and self._page_count < MAX_PAGES:
-            self._called_ms = now_ms
-            return self._protocol.build_listing(LISTING_KEY, page.next_page)
-        self._is_reading = False
-        self._next_ms = now_ms + LIST_INTERVAL_MS
+            self._next_page = page.next_page
+            return None
+        targets = self._targets
+        self._begin(now_ms + LIST_INTERVAL_MS)
         self._on_read(now_ms)
-        return self._targets
+        return targets
+
+    def _begin(self, at_ms: int) -> None:
+        """Read the list from its first page on at a later time."""
+        self._targets = []
+        self._page_count = 0
+        self._next_page = None
+        self._next_ms = at_ms
 
     def _on_read(self, now_ms: int) -> None:
         if self._is_outdated:
@@ -107,7 +106,7 @@
         log_event(
             TARGET_LIST_OUTDATED,
             age_ms=age_ms,
-            is_reading=self._is_reading,
+            is_call_open=self._is_call_open,
             pages=self._page_count,
             called_ms_ago=now_ms - self._called_ms,
             last_error=self._error,
--- a/papayacrank/control/tests/test_node.py
+++ b/papayacrank/control/tests/test_node.py
@@ -88,18 +88,19 @@
 class NodeHarness:
     """Control node with a fake log and a simulated clock."""
 
-    def __init__(self):
+    def __init__(self, fleet=None, **fields):
         settings = ControlSettings(
             instance="c1",
             failure_domain="east",
             link="127.0.0.1:1",
             data_folder="unused",
             initial_voters=["c1"],
+            **fields,
         )
         self.raft = FakeRaft()
         self.machine = StateMachine()
         self.now_ms = 50_000
-        self.node = ControlNode(settings, self.raft, self.machine, lambda: 0)
+        self.node = ControlNode(settings, self.raft, self.machine, lambda: 0, fleet)
         self.node.start(self.now_ms)
         self.flush()
 
--- a/papayacrank/control/tests/test_rollout.py
+++ b/papayacrank/control/tests/test_rollout.py
@@ -192,14 +192,12 @@
             self.now_ms += 5
             for engine in self.engines.values():
                 engine.advance(self.now_ms)
-            calls = self.controller.poll(
-                self.desired_versions, self.configuration, self.now_ms
-            )
-            due, self.pending = self.pending, []
-            for call in due:
-                result = self.respond(call)
-                calls += self.controller.handle(result, self.now_ms)
-            self.pending += calls
+            calls = self.poll()
+            for call in self.pending:
+                self.controller.handle(self.respond(call), self.now_ms)
+                if call.url.startswith("list"):
+                    calls += self.poll()
+            self.pending = calls
             loading_count = sum(target.loading for target in self.controller.targets)
             self.max_loading = max(self.max_loading, loading_count)
             self.shown_while_loading_ms += 5 * sum(
@@ -207,6 +205,12 @@
                 for target in self.controller.targets
             )
 
+    def poll(self):
+        """Return the calls that are due."""
+        return self.controller.poll(
+            self.desired_versions, self.configuration, self.now_ms
+        )
+
     def respond(self, call):
         """Return the result of a call to the platform, a store or an engine."""
         kind, _, name = call.url.partition(" ")
