End calls of the own interface with results that arrive without the lease

A result of the list at `platform_list_url`, or of an order to a target, that arrived while the leader's lease had lapsed was dropped. The call counted as open until the next election: the list was not read again, and the order was not confirmed.

Cause: the node dropped such results before the owner of the call saw them.

Why this works: the owner gets each result. What follows from it needs the lease: a list is read again, and a proposal counts as rejected, after which it is made again.

--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -269,18 +269,24 @@
         return effects + self._take_snapshot(now_ms)
 
     def http_finished(self, result: HttpResult, now_ms: int) -> list[Any]:
-        """Handle the result of an `HttpCall`."""
+        """Handle the result of an `HttpCall`.
+
+        The result ends its call without the lease too; only what follows from it waits
+        until this member may act again.
+        """
         if self._fleet is not None and self._fleet.owns(result.key):
-            # Required without the lease too: the controller tracks its pending calls.
             self._fleet.handle(result, now_ms)
             if not self._may_serve(now_ms):
                 return []
             return [*self._push_rates(now_ms), *self._poll_fleet(now_ms)]
-        if not self._may_serve(now_ms):
-            return []
         if result.key == PLATFORM_LIST_KEY:
             return self._on_platform_list(result, now_ms)
-        return self._execute_decisions(self._orders.handle(result, now_ms), now_ms)
+        decisions = self._orders.handle(result, now_ms)
+        if self._may_serve(now_ms):
+            return self._execute_decisions(decisions, now_ms)
+        for decision in decisions:
+            self._orders.proposal_rejected(decision.order_id)
+        return []
 
     # Replicated log
 
@@ -695,7 +701,7 @@
         outcome = self._platform_list.handle(result)
         if isinstance(outcome, str):
             return [EmitEvent(PLATFORM_LIST_FAILED, {"error": outcome})]
-        if outcome is not None:
+        if outcome is not None and self._may_serve(now_ms):
             self._submit_internally(outcome, now_ms)
         return []
 
--- a/papayacrank/control/_orders.py
+++ b/papayacrank/control/_orders.py
@@ -147,13 +147,15 @@
         attempt.target_checked = issued
 
     def proposal_rejected(self, order_id: str) -> None:
-        """Handle a proposal that the log rejected; it is made again."""
+        """Handle a proposal that was not made or not accepted; it is made again."""
         attempt = self._attempts.get(order_id)
         if attempt is not None:
             attempt.pending_proposal = ""
 
-    def handle(self, result: HttpResult, now_ms: int) -> list[Decision]:
-        """Handle the result of a call."""
+    def handle(
+        self, result: HttpResult, now_ms: int
+    ) -> list[ProposeOrder | ConfirmOrder]:
+        """Handle the result of a call and return the proposals that follow from it."""
         kind, order_id = result.key.removeprefix(KEY_PREFIX).split(" ", 1)
         row = self._machine.orders.find(order_id)
         if row is not None and kind == "verify":
--- a/papayacrank/control/tests/call_simulation.py
+++ b/papayacrank/control/tests/call_simulation.py
@@ -25,7 +25,7 @@
 # Longer than the lease, shorter than the time until an election.
 PAUSE_MS = 400
 TASKS_INTERVAL_MS = 100
-TARGET = "sample-llm-0"
+TARGET = "sample-llm-1"
 STATUS_TARGET = "t1"
 
 
@@ -45,6 +45,7 @@
         self.made = []
         self._open = []
         self._faults = {}
+        self.broken_calls = []
         super().__init__(
             FleetController(self.protocol, "c1"), platform_list_url="http://platform"
         )
@@ -92,6 +93,7 @@
     def _take_fault(self, call):
         for key in list(self._faults):
             if call.key.startswith(key):
+                self.broken_calls.append(key)
                 return self._faults.pop(key)
         return None
 
