Make calls of the leader again whose results are lost

If the result of a call never came, or its handling failed, its owner waited for it until the next election: the list of targets, reports of engines, orders, checks of stores, and list and orders of the own interface.

Cause: each owner kept a flag that only a result cleared. The HTTP client reports a result for each call that it gets, but a step that fails after the flag is set never hands the call over.

Why this works: OpenCall has the key and the time limit of a call. A result ends it only with its key; without one in time, the call counts as lost, is logged, and is made again. Calls for the list have keys of their own, so that a late page is not taken for another one.

The test of odd entries passes the key of the call it got, instead of a fixed one.

--- a/papayacrank/control/_events.py
+++ b/papayacrank/control/_events.py
@@ -237,7 +237,15 @@
     "info",
     "The list of targets was read again after it had been outdated.",
 )
+CALL_RESULT_LOST = LogEvent(
+    3045,
+    "call_result_lost",
+    "error",
+    "A call of the leader has no result after its time limit; it is made again.",
+    "Look for `handler_failed` before it, and report both.",
+)
 declare_events(
+    CALL_RESULT_LOST,
     TARGET_LIST_OUTDATED,
     TARGET_LIST_READ,
     ENTRY_FORMAT_NOT_READ,
--- a/papayacrank/control/_loading_engine.py
+++ b/papayacrank/control/_loading_engine.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from ._open_call import OpenCall
 from ._target_protocol import ListedTarget
 
 
@@ -31,8 +32,8 @@
         Phase of the load.
     since_ms, next_ms : int
         Begin of the phase and time of its next action, in milliseconds.
-    call_pending : bool
-        Whether a call has no result yet.
+    call : OpenCall
+        Call whose result is awaited.
     orders : int or None
         Number of orders that the engine has accepted, None if unknown.
     weights : dict of str to int or None
@@ -57,7 +58,7 @@
     phase: Phase = Phase.IDLE
     since_ms: int = 0
     next_ms: int = 0
-    call_pending: bool = False
+    call: OpenCall = field(default_factory=OpenCall)
     orders: int | None = None
     weights: dict[str, int] | None = None
     observed_ms: int = 0
--- a/papayacrank/control/_orders.py
+++ b/papayacrank/control/_orders.py
@@ -1,13 +1,14 @@
 """Execution of orders to targets, confirmed by reading the state back."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from papayacrank.config import TargetAddress, parse_configuration
 from papayacrank.messages import ConfirmOrder
 from papayacrank.state import MAX_WEIGHT_LOADS, OrderEntry, OrderRow, StateMachine
 
 from ._effects import HttpCall, HttpResult
+from ._open_call import OpenCall
 from ._order_calls import (
     KEY_PREFIX,
     build_read,
@@ -54,13 +55,15 @@
         Kind of the entry that was proposed and is not applied yet; empty if none.
     accepted : bool
         Whether the target has accepted the order.
+    call : OpenCall
+        Call whose result is awaited.
     """
 
     target_checked: bool = False
     fencing_token: int = 0
     pending_proposal: str = ""
     accepted: bool = False
-    call_pending: bool = False
+    call: OpenCall = field(default_factory=OpenCall)
     started_ms: int = 0
     next_ms: int = 0
 
@@ -163,8 +166,7 @@
         attempt = self._attempts.get(order_id)
         if attempt is None or row is None:
             return []
-        attempt.call_pending = False
-        if row.state not in (WAITING, ISSUED):
+        if not attempt.call.end(result) or row.state not in (WAITING, ISSUED):
             return []
         if kind == "send":
             return self._on_sent(row, attempt, result, now_ms)
@@ -174,23 +176,24 @@
         attempt = self._attempts.setdefault(row.order_id, _Attempt())
         target = self._targets.get(row.target)
         is_waiting = (
-            attempt.pending_proposal or attempt.call_pending or now_ms < attempt.next_ms
+            attempt.call.is_open(now_ms)
+            or attempt.pending_proposal
+            or now_ms < attempt.next_ms
         )
         if target is None or is_waiting or self._open_calls >= MAX_OPEN_CALLS:
             return []
         if not attempt.target_checked:
-            attempt.call_pending = True
-            return [build_read("read", row, target)]
+            return [attempt.call.begin(build_read("read", row, target), now_ms)]
         if not target.checks_fencing and now_ms < self._takeover_end_ms:
             return []
         if not attempt.fencing_token:
             return self._propose_issue(row, attempt, now_ms)
         if now_ms - attempt.started_ms >= ATTEMPT_TIMEOUT_MS:
             return self._propose_release(row, attempt, "not confirmed", now_ms)
-        attempt.call_pending = True
+        call = build_send(row, target, self._term)
         if attempt.accepted:
-            return [build_read("read", row, target)]
-        return [build_send(row, target, self._term)]
+            call = build_read("read", row, target)
+        return [attempt.call.begin(call, now_ms)]
 
     def _propose_issue(
         self, row: OrderRow, attempt: _Attempt, now_ms: int
@@ -279,7 +282,7 @@
 
     @property
     def _open_calls(self) -> int:
-        return sum(attempt.call_pending for attempt in self._attempts.values())
+        return sum(attempt.call.is_awaited for attempt in self._attempts.values())
 
     def _may_load(self, target: str) -> bool:
         """Return whether a load may start while enough of the service keeps serving."""
--- a/papayacrank/control/_platform_list.py
+++ b/papayacrank/control/_platform_list.py
@@ -6,6 +6,7 @@
 from papayacrank.state import StateMachine
 
 from ._effects import HttpCall, HttpResult
+from ._open_call import OpenCall
 
 # Four times the size of a list of 3,300 targets at about 300 bytes each.
 MAX_LIST_BYTES = 4 * 1024 * 1024
@@ -31,20 +32,20 @@
         self._interval_ms = interval_ms
         self._machine = machine
         self._next_ms = 0
-        self._call_pending = False
+        self._call = OpenCall()
 
     def reset(self) -> None:
         """Discard the polling state after an election."""
         self._next_ms = 0
-        self._call_pending = False
+        self._call = OpenCall()
 
     def poll(self, now_ms: int) -> list[HttpCall]:
         """Return the call that reads the list, if it is due."""
-        if self._url is None or self._call_pending or now_ms < self._next_ms:
+        if self._url is None or now_ms < self._next_ms or self._call.is_open(now_ms):
             return []
-        self._call_pending = True
         self._next_ms = now_ms + self._interval_ms
-        return [HttpCall(PLATFORM_LIST_KEY, "GET", self._url, max_bytes=MAX_LIST_BYTES)]
+        call = HttpCall(PLATFORM_LIST_KEY, "GET", self._url, max_bytes=MAX_LIST_BYTES)
+        return [self._call.begin(call, now_ms)]
 
     def handle(self, result: HttpResult) -> ObserveTargets | str | None:
         """Handle the result of a call.
@@ -55,7 +56,8 @@
             Command if the list has changed, the reason if it could not be read, None if
             it is unchanged.
         """
-        self._call_pending = False
+        if not self._call.end(result):
+            return None
         if result.status != 200:
             return result.error or f"status {result.status}"
         try:
--- a/papayacrank/control/_rollout.py
+++ b/papayacrank/control/_rollout.py
@@ -167,7 +167,7 @@
         calls = []
         for engine in self._engines.values():
             if (
-                engine.call_pending
+                engine.call.is_open(now_ms)
                 or engine.phase is Phase.IDLE
                 or now_ms < engine.next_ms
             ):
@@ -195,7 +195,7 @@
             if call is None:
                 engine.enter(Phase.IDLE, now_ms)
             else:
-                calls.append(call)
+                calls.append(engine.call.begin(call, now_ms))
         return calls
 
     def next_ms(self) -> int | None:
@@ -203,7 +203,7 @@
         due = [
             e.next_ms
             for e in self._engines.values()
-            if e.phase is not Phase.IDLE and not e.call_pending
+            if e.phase is not Phase.IDLE and not e.call.is_awaited
         ]
         return min(due, default=None)
 
@@ -211,9 +211,8 @@
         """Handle the result of a call."""
         kind, name = result.key.split(" ", 1)
         engine = self._engines.get(name)
-        if engine is None or not engine.call_pending:
+        if engine is None or not engine.call.end(result):
             return
-        engine.call_pending = False
         if kind + " " == ORDER_KEY:
             self._on_order_outcome(engine, self._protocol.read_load(result), now_ms)
             return
@@ -304,13 +303,11 @@
         """Return the next status request or order; None if no model is outdated."""
         name, address = engine.target.name, engine.target.address
         if engine.orders is None or engine.phase is not Phase.DRAINING:
-            engine.call_pending = True
             return self._protocol.build_status(STATUS_KEY + name, name, address)
         model = engine.select_model(desired_versions)
         if model is None:
             return None
         version = desired_versions[model]
-        engine.call_pending = True
         engine.ordered_model, engine.ordered_version = model, version
         engine.ordered_ms[model] = now_ms
         order = LoadOrder(
--- a/papayacrank/control/_stores.py
+++ b/papayacrank/control/_stores.py
@@ -1,6 +1,6 @@
 """Health checks of the stores of cached prompt parts, made by the leader."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from papayacrank.kernel import log_event
 from papayacrank.messages import RoutingConfiguration
@@ -8,6 +8,7 @@
 
 from ._effects import HttpCall, HttpResult
 from ._events import PROMPT_STORE_RESPONSIVE, PROMPT_STORE_UNRESPONSIVE
+from ._open_call import OpenCall
 from ._target_protocol import TargetProtocol
 
 STORE_KEY = "store-check "
@@ -29,7 +30,7 @@
     address: str
     next_ms: int
     start: int | None = None
-    call_pending: bool = False
+    call: OpenCall = field(default_factory=OpenCall)
     failures: int = 0
 
 
@@ -78,24 +79,22 @@
             store = self._stores.get(name)
             if store is None or store.address != store_profile.address:
                 store = self._stores[name] = _Store(store_profile.address, now_ms)
-            if store.call_pending or now_ms < store.next_ms:
+            if store.call.is_open(now_ms) or now_ms < store.next_ms:
                 continue
             wait_ms = self._permits.charge_call(name, now_ms)
             if wait_ms:
                 store.next_ms = now_ms + wait_ms
                 continue
-            store.call_pending = True
-            key = STORE_KEY + name
-            calls.append(self._protocol.build_store_check(key, store.address))
+            call = self._protocol.build_store_check(STORE_KEY + name, store.address)
+            calls.append(store.call.begin(call, now_ms))
         return calls
 
     def handle(self, result: HttpResult, now_ms: int) -> None:
         """Handle the result of a check."""
         name = result.key.removeprefix(STORE_KEY)
         store = self._stores.get(name)
-        if store is None or not store.call_pending:
+        if store is None or not store.call.end(result):
             return
-        store.call_pending = False
         start = self._protocol.read_store_check(result)
         if isinstance(start, str):
             self._on_failed_check(name, store, start, now_ms)
--- a/papayacrank/control/_target_list.py
+++ b/papayacrank/control/_target_list.py
@@ -1,9 +1,12 @@
 """Reading of the platform's list of targets, page by page."""
 
+import itertools
+
 from papayacrank.kernel import log_event
 
 from ._effects import HttpCall, HttpResult
 from ._events import PLATFORM_LIST_FAILED, TARGET_LIST_OUTDATED, TARGET_LIST_READ
+from ._open_call import OpenCall
 from ._target_protocol import ListedTarget, TargetProtocol
 
 LISTING_KEY = "fleet-list "
@@ -33,7 +36,9 @@
         self._targets: list[ListedTarget] = []
         self._page_count = 0
         self._next_page: str | None = None
-        self._is_call_open = False
+        self._call = OpenCall()
+        # Each call has a key of its own, so that a late result belongs to no other one.
+        self._numbers = itertools.count(1)
         self._next_ms = 0
         self._read_ms = 0
         self._called_ms = 0
@@ -43,7 +48,7 @@
     def reset(self, now_ms: int) -> None:
         """Discard all state after an election."""
         self._begin(now_ms)
-        self._is_call_open = False
+        self._call = OpenCall()
         self._read_ms = now_ms
         self._is_outdated = False
         self._error = ""
@@ -59,15 +64,17 @@
     def poll(self, now_ms: int) -> list[HttpCall]:
         """Return the call that is due."""
         self._check_age(now_ms)
-        if self._is_call_open or now_ms < self._next_ms:
+        if self._call.is_open(now_ms) or now_ms < self._next_ms:
             return []
-        self._is_call_open = True
         self._called_ms = now_ms
-        return [self._protocol.build_listing(LISTING_KEY, self._next_page)]
+        key = f"{LISTING_KEY}{next(self._numbers)}"
+        call = self._protocol.build_listing(key, self._next_page)
+        return [self._call.begin(call, now_ms)]
 
     def handle(self, result: HttpResult, now_ms: int) -> list[ListedTarget] | None:
         """Handle the result of a call; return the list once it is complete."""
-        self._is_call_open = False
+        if not self._call.end(result):
+            return None
         page = self._protocol.read_listing(result)
         if isinstance(page, str):
             log_event(PLATFORM_LIST_FAILED, error=page)
@@ -106,7 +113,7 @@
         log_event(
             TARGET_LIST_OUTDATED,
             age_ms=age_ms,
-            is_call_open=self._is_call_open,
+            is_call_open=self._call.is_awaited,
             pages=self._page_count,
             called_ms_ago=now_ms - self._called_ms,
             last_error=self._error,
--- a/papayacrank/control/tests/call_simulation.py
+++ b/papayacrank/control/tests/call_simulation.py
@@ -1,5 +1,6 @@
 """Leader whose calls can lose their results, or get them at the wrong moment."""
 
+import contextlib
 import json
 
 from papayacrank.config import canonical_json, generate_configuration
@@ -25,6 +26,8 @@
 # Longer than the lease, shorter than the time until an election.
 PAUSE_MS = 400
 TASKS_INTERVAL_MS = 100
+# Longer than the time limit of any call and the margin for its result.
+LATE_MS = 4_000
 TARGET = "sample-llm-1"
 STATUS_TARGET = "t1"
 
@@ -190,3 +193,31 @@
     simulation.deliver(result)
     simulation.execute(simulation.node.tick("control.leader-tasks", simulation.now_ms))
     simulation.raft.holds_lease = True
+
+
+def lose(simulation, call):
+    """Lose the result, as if the call had never been made."""
+
+
+def fail_in_handler(simulation, call):
+    """Let the handling of the result fail."""
+    result = simulation.respond(call)
+    broken = HttpResult(result.key, result.status, None, headers=None)
+    with contextlib.suppress(Exception):
+        simulation.deliver(broken)
+
+
+def deliver_late(simulation, call):
+    """Deliver the result after the call has been made again."""
+    result = simulation.respond(call)
+    for _ in range(int(LATE_MS / STEP_MS)):
+        simulation.run(STEP_MS)
+    simulation.deliver(result)
+
+
+def deliver_in_next_term(simulation, call):
+    """Deliver the result after an election that this process has won again."""
+    result = simulation.respond(call)
+    simulation.change_leader()
+    simulation.execute(simulation.node.tick("control.leader-tasks", simulation.now_ms))
+    simulation.deliver(result)
--- a/papayacrank/control/tests/test_lost_results.py
+++ b/papayacrank/control/tests/test_lost_results.py
@@ -2,7 +2,15 @@
 
 import pytest
 
-from .call_simulation import STEP_MS, CallSimulation, pause
+from .call_simulation import (
+    STEP_MS,
+    CallSimulation,
+    deliver_in_next_term,
+    deliver_late,
+    fail_in_handler,
+    lose,
+    pause,
+)
 
 SETTLE_MS = 3_000
 # The limit of a call, and the time in which the work that follows is done.
@@ -25,7 +33,9 @@
 
 
 @pytest.mark.parametrize("key", CALLS)
-@pytest.mark.parametrize("fault", [pause])
+@pytest.mark.parametrize(
+    "fault", [pause, lose, fail_in_handler, deliver_late, deliver_in_next_term]
+)
 def test_call_without_a_usable_result_is_made_again(key, fault):
     """Guards against a leader that waits for a result until the next election."""
     change, is_done = CALLS[key]
--- a/papayacrank/platform/tests/test_odd_entries.py
+++ b/papayacrank/platform/tests/test_odd_entries.py
@@ -114,9 +114,9 @@
     fleet.reset(1, 0)
     moved = GOOD | {"address": "10.0.0.9:80"}
     for entries in ([GOOD], [GOOD, moved], [moved, GOOD]):
-        fleet.poll({}, None, 10_000)
+        (call,) = fleet.poll({}, None, 10_000)
         body = render(*map(json.dumps, entries))
-        fleet.handle(HttpResult("fleet-list ", 200, body), 0)
+        fleet.handle(HttpResult(call.key, 200, body), 0)
         assert [target.address for target in fleet.targets] == [GOOD["address"]]
 
 
@@ -153,9 +153,9 @@
     fleet = FleetController(protocol, "i")
     fleet.set_releases(monitor)
     fleet.reset(1, 0)
-    fleet.poll({"m1": 2}, None, 1)
+    (call,) = fleet.poll({"m1": 2}, None, 1)
     body = render(*map(json.dumps, [GOOD, *odd]))
-    fleet.handle(HttpResult("fleet-list ", 200, body), 1)
+    fleet.handle(HttpResult(call.key, 200, body), 1)
     for command in monitor.poll(None, 1):
         assert isinstance(command, ChangeReleases)
         table.change(command)
