Report a result for calls that cannot be made

A store whose port is above 65,535, or a header that cannot be sent, raised an exception when the leader handed the call over. All later effects of the same step were lost with it, among them the call for the list, which then counted as open until the next election.

Cause: HttpCaller.submit reported only some of the errors as results.

Why this works: a call is encoded and connected in one function, whose errors all become the result of the call.

--- a/papayacrank/control/_http.py
+++ b/papayacrank/control/_http.py
@@ -76,34 +76,17 @@
         self._calls: dict[int, _Call] = {}
 
     def submit(self, call: HttpCall) -> None:
-        """Start a call; an `http_finished` event reports its result."""
+        """Start a call; an `http_finished` event reports its result in any case."""
         if len(self._calls) >= MAX_OPEN_CALLS:
             self._report(HttpResult(call.key, 0, error="too many open calls"))
             return
-        parts = urlsplit(call.url)
-        if parts.scheme != "http" or not _is_address(parts.hostname):
-            error = "the URL must be http://<IP address>[:<port>]/..."
-            self._report(HttpResult(call.key, 0, error=error))
-            return
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
         try:
-            status = sock.connect_ex((parts.hostname, parts.port or 80))
-        except OSError as error:
-            sock.close()
+            open_call = _open(call)
+        except (OSError, ValueError, h11.LocalProtocolError) as error:
             self._report(HttpResult(call.key, 0, error=str(error)))
             return
-        if status not in (0, errno.EINPROGRESS):
-            sock.close()
-            self._report(HttpResult(call.key, 0, error=os.strerror(status)))
-            return
-        protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        request = _encode_call(protocol, call, parts)
-        open_call = _Call(
-            call.key, sock, request, protocol, call.max_bytes, call.needs_lease
-        )
-        self._calls[sock.fileno()] = open_call
-        self._find_poller().addWriter(self, sock.fileno())
+        self._calls[open_call.sock.fileno()] = open_call
+        self._find_poller().addWriter(self, open_call.sock.fileno())
         deadline_ms = self._clock.now_ms() + call.timeout_ms
         self._timers.set(
             _timer_name(open_call),
@@ -227,6 +210,36 @@
         return self._poller
 
 
+def _open(call: HttpCall) -> _Call:
+    """Encode a call and begin to connect.
+
+    Raises
+    ------
+    ValueError
+        If the URL is no address that can be called.
+    h11.LocalProtocolError
+        If a header or the path cannot be sent.
+    OSError
+        If there is no socket, or the connection is refused at once.
+    """
+    parts = urlsplit(call.url)
+    if parts.scheme != "http" or not _is_address(parts.hostname):
+        raise ValueError("the URL must be http://<IP address>[:<port>]/...")
+    address = (parts.hostname, parts.port or 80)
+    protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+    request = _encode_call(protocol, call, parts)
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        status = sock.connect_ex(address)
+        if status not in (0, errno.EINPROGRESS):
+            raise OSError(status, os.strerror(status))
+    except OSError:
+        sock.close()
+        raise
+    return _Call(call.key, sock, request, protocol, call.max_bytes, call.needs_lease)
+
+
 def _is_address(hostname: str | None) -> bool:
     """Return whether this is an IPv4 address; resolving a name would block."""
     try:
--- a/papayacrank/control/tests/test_http.py
+++ b/papayacrank/control/tests/test_http.py
@@ -173,3 +173,21 @@
     result = make_blocking_call(driver, script, b"{}", needs_lease=needs_lease)
     assert len(received) == (0 if needs_lease else 1)
     assert result.status == (0 if needs_lease else 200)
+
+
+@pytest.mark.parametrize(
+    ("url", "headers"),
+    [
+        ("http://127.0.0.1:99999/x", ()),
+        ("http://127.0.0.1:port/x", ()),
+        ("http://[::1/x", ()),
+        ("http://127.0.0.1:9/x", (("X-Name", "line\nbreak"),)),
+        ("http://127.0.0.1:9/x", (("X-Name", "\u20ac"),)),
+    ],
+)
+def test_call_that_cannot_be_made_has_a_result(driver, url, headers):
+    """Guards against a call whose owner waits for it, and ends the others of a step."""
+    driver.fire(make_call(HttpCall("k", "GET", url, headers=headers)), "http-caller")
+    result = driver.results.get(timeout=5)
+    assert (result.key, result.status) == ("k", 0)
+    assert result.error
