Keep the periodic tasks of the leader running after an exception

An exception in one of the periodic tasks of a leader ended all of them for the rest of the process: the timer is set together with their effects, which were lost.

Cause: the timer depended on the tasks that it runs.

Why this works: an exception is logged with its traceback (`leader_tasks_failed`, 3046) and the timer is set in any case. After ten failed runs in a row, one second, the leader resigns, since a new leader builds its state anew.

--- a/papayacrank/control/_events.py
+++ b/papayacrank/control/_events.py
@@ -244,7 +244,16 @@
     "A call of the leader has no result after its time limit; it is made again.",
     "Look for `handler_failed` before it, and report both.",
 )
+LEADER_TASKS_FAILED = LogEvent(
+    3046,
+    "leader_tasks_failed",
+    "error",
+    "A periodic task of the leader raised an exception. After several in a row, the"
+    " leader resigns.",
+    "Report the traceback.",
+)
 declare_events(
+    LEADER_TASKS_FAILED,
     CALL_RESULT_LOST,
     TARGET_LIST_OUTDATED,
     TARGET_LIST_READ,
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -1,5 +1,6 @@
 """State machine of a control process, without I/O."""
 
+import traceback
 from collections.abc import Callable
 from typing import Any
 
@@ -58,6 +59,7 @@
     INSTANCES_EXPIRED,
     LEADER_ACTIVE,
     LEADER_INACTIVE,
+    LEADER_TASKS_FAILED,
     ORDER_CONFIRMED,
     ORDER_ISSUED,
     ORDER_OVERWRITTEN,
@@ -83,6 +85,8 @@
 FLEET_TIMER = "control.fleet"
 FEED_TIMER = "control.feed"
 LEADER_TASKS_INTERVAL_MS = 100
+# The state of a new leader is built anew, so that its tasks may succeed.
+MAX_FAILED_TASK_RUNS = 10
 # Heartbeats that change the state are batched for this time, so that the log grows by
 # at most 50 entries/s regardless of the number of entry processes.
 BATCH_DELAY_MS = 20
@@ -180,6 +184,7 @@
         self._snapshot_index = 0
         self._formats_proposed_ms = 0
         self._has_proposals = False
+        self._failed_task_runs = 0
         self._stopping = False
 
     @property
@@ -251,7 +256,7 @@
             return self._poll_feed(now_ms)
         if timer_name == LEADER_TASKS_TIMER:
             next_timer = SetTimer(LEADER_TASKS_TIMER, now_ms + LEADER_TASKS_INTERVAL_MS)
-            return [next_timer, *self._run_leader_tasks(now_ms)]
+            return [next_timer, *self._try_leader_tasks(now_ms)]
         return []
 
     def persisted(self, token: int, now_ms: int) -> list[Any]:
@@ -596,6 +601,25 @@
 
     # Periodic tasks of the leader
 
+    def _try_leader_tasks(self, now_ms: int) -> list[Any]:
+        """Run the tasks; an exception must not end the timer that runs them again."""
+        try:
+            effects = self._run_leader_tasks(now_ms)
+        except NodeError:
+            raise
+        except Exception:
+            self._failed_task_runs += 1
+            event = EmitEvent(
+                LEADER_TASKS_FAILED,
+                {"runs": self._failed_task_runs, "traceback": traceback.format_exc()},
+            )
+            if self._failed_task_runs < MAX_FAILED_TASK_RUNS:
+                return [event]
+            self._failed_task_runs = 0
+            return [event, *self._advance(self._raft.resign, now_ms=now_ms)]
+        self._failed_task_runs = 0
+        return effects
+
     def _run_leader_tasks(self, now_ms: int) -> list[Any]:
         effects = self._update_role(now_ms)
         if not self._may_serve(now_ms):
--- a/papayacrank/control/tests/test_lost_results.py
+++ b/papayacrank/control/tests/test_lost_results.py
@@ -2,8 +2,12 @@
 
 import pytest
 
+from papayacrank.control._node import LEADER_TASKS_TIMER
+from papayacrank.kernel import SetTimer
+
 from .call_simulation import (
     STEP_MS,
+    TASKS_INTERVAL_MS,
     CallSimulation,
     deliver_in_next_term,
     deliver_late,
@@ -59,3 +63,28 @@
     simulation.run(RECOVERY_MS)
     assert simulation.broken_calls == ["order read"]
     assert simulation.has_confirmed_order()
+
+
+def fail_task(now_ms):
+    """Raise the exception of a task."""
+    raise ValueError("odd state")
+
+
+@pytest.mark.parametrize(("runs", "leads"), [(3, True), (10, False)])
+def test_leader_whose_tasks_fail_goes_on_or_resigns(runs, leads):
+    """Guards against a leader that keeps its office and does nothing."""
+    simulation = CallSimulation()
+    simulation.run(SETTLE_MS)
+    node = simulation.node
+    failing, node._quarantine.tick = node._quarantine.tick, fail_task
+    for _ in range(runs):
+        simulation.now_ms += TASKS_INTERVAL_MS
+        effects = node.tick(LEADER_TASKS_TIMER, simulation.now_ms)
+        timers = [e.name for e in effects if isinstance(e, SetTimer)]
+        assert LEADER_TASKS_TIMER in timers
+    node._quarantine.tick = failing
+    assert simulation.raft.is_leader == leads
+    if leads:
+        simulation.let_target_leave()
+        simulation.run(RECOVERY_MS)
+        assert simulation.sees_target_leave()
--- a/papayacrank/control/tests/test_node.py
+++ b/papayacrank/control/tests/test_node.py
@@ -71,6 +71,10 @@
         self._buffer.append(data)
         return Ok(len(self.entries) + len(self._buffer))
 
+    def resign(self, now_ms):
+        self.is_leader = False
+        return []
+
     def change_member(self, change, now_ms):
         promoted = msgspec.structs.replace(self.members[1], voter=True)
         self.members = (promoted,)
