Collect an expiry of entry processes again that the log has rejected

If the log of the leader was overloaded, for example by a slow disk, at the moment when the lease of an entry process ran out, the leader did not acknowledge that process again in its term, although it sent heartbeats.

Cause: the lease was marked as expiring before the entry was proposed, and only the applied entry ends that mark.

Evidence: the new test failed before.

Why this works: a rejected proposal takes the mark back. The expiry is collected again if it is still due, and a heartbeat renews the lease otherwise.

--- a/papayacrank/control/_leases.py
+++ b/papayacrank/control/_leases.py
@@ -119,6 +119,12 @@
             expired.append(InstanceRef(row.instance, row.boot))
         return expired
 
+    def cancel_expiry(self, instance: str, boot: int) -> None:
+        """Handle an expiry that the log rejected; it is collected again if still due."""
+        lease = self.find(instance, boot)
+        if lease is not None:
+            lease.expiring = False
+
     def expire(self, instance: str, boot: int) -> None:
         """Apply a committed expiry; a later heartbeat starts a new lease.
 
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -717,7 +717,11 @@
         expired = self._leases.collect_expired(self._machine, now_ms)
         if not expired:
             return []
-        self._propose(ExpireEntry(*self._entry_times(now_ms), expired), now_ms)
+        entry = ExpireEntry(*self._entry_times(now_ms), expired)
+        if self._propose(entry, now_ms).is_error():
+            for instance_ref in expired:
+                self._leases.cancel_expiry(instance_ref.instance, instance_ref.boot)
+            return []
         names = [instance_ref.instance for instance_ref in expired]
         return [EmitEvent(INSTANCES_EXPIRED, {"instances": names})]
 
--- a/papayacrank/control/tests/test_node.py
+++ b/papayacrank/control/tests/test_node.py
@@ -215,6 +215,15 @@
     assert harness.machine.instances.current("i1") is None
 
 
+def test_expiry_that_the_log_rejects_does_not_silence_the_leader(harness):
+    """Guards against a process that is never acknowledged again in a term."""
+    harness.send_heartbeat()
+    harness.raft.rejects_proposals = True
+    harness.advance(2 * LEASE_MS)
+    harness.raft.rejects_proposals = False
+    assert find_acks(harness.send_heartbeat(2))
+
+
 def test_outdated_and_duplicate_heartbeats_do_not_renew_the_lease(harness):
     """Guards against a lease that is renewed by delayed duplicates."""
     harness.send_heartbeat(5)
