Keep reports of begun streams while the leader cannot record them

Entry processes report a begun stream once a term. A report that the leader read while its lease had lapsed, or whose record the log rejected, was lost, and the stream could not be taken up while several releases served.

Cause: the node dropped the report without the lease, and took the streams out of the queue before it knew whether the log accepted them.

Why this works: a report is only queued, which needs no lease, and streams whose record is rejected go back to the queue.

--- a/papayacrank/control/_leases.py
+++ b/papayacrank/control/_leases.py
@@ -120,7 +120,7 @@
         return expired
 
     def cancel_expiry(self, instance: str, boot: int) -> None:
-        """Handle an expiry that the log rejected; it is collected again if still due."""
+        """Take the mark of an expiry back that the log has rejected."""
         lease = self.find(instance, boot)
         if lease is not None:
             lease.expiring = False
--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -27,6 +27,7 @@
     ControlRequest,
     EntryLoad,
     FailureRecord,
+    FindRelease,
     Heartbeat,
     HeartbeatAck,
     LiftVerdict,
@@ -35,6 +36,7 @@
     RecordStreams,
     ReplaceMember,
     StartRollout,
+    StreamsBegun,
 )
 from papayacrank.permits import PermitAllocator
 from papayacrank.quarantine import QuarantineRegistry
@@ -76,7 +78,7 @@
 from ._quarantine_calls import QuarantineCalls
 from ._quarantine_service import QUARANTINE_MESSAGES, QuarantineService
 from ._release_rollouts import ReleaseRollouts
-from ._releases import RELEASE_MESSAGES, ReleaseMonitor
+from ._releases import ReleaseMonitor
 from ._requests import RequestHandler, build_change_notices
 
 RAFT_TIMER_PREFIX = "raft."
@@ -236,7 +238,10 @@
             return self._on_permit_message(sender, message, now_ms)
         if isinstance(message, QUARANTINE_MESSAGES):
             return self._on_quarantine_message(sender, message, now_ms)
-        if isinstance(message, RELEASE_MESSAGES) and self._may_serve(now_ms):
+        if isinstance(message, FindRelease) and self._may_serve(now_ms):
+            return self._releases.receive(sender, message)
+        if isinstance(message, StreamsBegun) and self.is_active:
+            # Sent once a term, so it counts without the lease too.
             return self._releases.receive(sender, message)
         if isinstance(message, EntryLoad) and self.is_active and self._fleet:
             self._fleet.observe_load(message, now_ms)
@@ -668,7 +673,9 @@
             self._entry_times(now_ms)[0],
         )
         for command in [*self._releases.poll(configuration, now_ms), *verdicts]:
-            self._submit_internally(command, now_ms)
+            is_accepted = self._submit_internally(command, now_ms)
+            if isinstance(command, RecordStreams) and not is_accepted:
+                self._releases.return_streams(command)
         effects: list[Any] = [
             *self._fleet.poll(self._machine.weights.versions, configuration, now_ms),
             *self._push_fleet(now_ms),
--- a/papayacrank/control/_releases.py
+++ b/papayacrank/control/_releases.py
@@ -18,7 +18,6 @@
 from ._events import RELEASE_ENDED, RELEASE_LISTED, RELEASE_NOT_FOUND
 from ._target_protocol import ListedTarget
 
-RELEASE_MESSAGES = (StreamsBegun, FindRelease)
 # Streams that begin within this time are one entry of the log.
 BATCH_INTERVAL_MS = 50
 MAX_BATCH = 1_000
@@ -112,6 +111,11 @@
             commands.append(RecordStreams(streams, kept_ms))
         return commands
 
+    def return_streams(self, command: RecordStreams) -> None:
+        """Handle streams whose record the log has rejected; they are due again."""
+        for begun in command.streams:
+            self._queue(begun)
+
     def _may_propose(self, key: tuple[str, str], now_ms: int) -> bool:
         proposed_ms = self._proposed_ms.get(key)
         if proposed_ms is not None and now_ms - proposed_ms < PROPOSAL_TIMEOUT_MS:
--- a/papayacrank/control/tests/test_lost_results.py
+++ b/papayacrank/control/tests/test_lost_results.py
@@ -4,6 +4,15 @@
 
 from papayacrank.control._node import LEADER_TASKS_TIMER
 from papayacrank.kernel import SetTimer
+from papayacrank.messages import (
+    BegunStream,
+    ChangeReleases,
+    FileRouting,
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    StreamsBegun,
+)
 
 from .call_simulation import (
     STEP_MS,
@@ -21,6 +30,8 @@
 RECOVERY_MS = 8_000
 LIST = (CallSimulation.let_target_leave, CallSimulation.sees_target_leave)
 # Calls by the begin of their keys, with what has to be done in spite of a lost one.
+STREAM_ROUTE = Route("r", "h", "/", RequestKind.STREAM, (), 10_000, 500)
+ROUTING = RoutingConfiguration(2, (STREAM_ROUTE,))
 WEIGHTS = (CallSimulation.name_weights, CallSimulation.has_loaded_weights)
 STORE = (CallSimulation.restart_store, CallSimulation.sees_store_restart)
 STATUS_LIST = (CallSimulation.change_status, CallSimulation.sees_status)
@@ -88,3 +99,30 @@
         simulation.let_target_leave()
         simulation.run(RECOVERY_MS)
         assert simulation.sees_target_leave()
+
+
+def deny_lease(raft):
+    """Let the lease lapse, as after a pause."""
+    raft.holds_lease = False
+
+
+def reject_proposals(raft):
+    """Reject entries, as while the disk is slow."""
+    raft.rejects_proposals = True
+
+
+@pytest.mark.parametrize("disturb", [deny_lease, reject_proposals])
+def test_streams_are_recorded_although_the_leader_could_not_act(disturb):
+    """Guards against streams that cannot be taken up because their report was lost."""
+    simulation = CallSimulation()
+    simulation.command(FileRouting(ROUTING, b"{}"))
+    simulation.command(ChangeReleases("s", added=["v1", "v2"]))
+    simulation.run(SETTLE_MS)
+    disturb(simulation.raft)
+    report = StreamsBegun("i1", [BegunStream("stream", "s", "v1")])
+    simulation.execute(simulation.node.receive("entry", report, simulation.now_ms))
+    simulation.run(10 * STEP_MS)
+    simulation.raft.holds_lease = True
+    simulation.raft.rejects_proposals = False
+    simulation.run(10 * STEP_MS)
+    assert simulation.machine.releases.has_stream("stream")
