Keep evidence against prompt parts that arrives while the leader cannot act

A report of a crash, of a cleared part or of the end of a trial that the leader read while its lease had lapsed was answered with NotLeader and lost for the term, since entry processes send it once a term.

Cause: the node asked for the lease before it handled any message of the quarantine, also those that only add knowledge.

Evidence: the new test failed before.

Why this works: evidence is recorded by the leader of the term with or without the lease; trials are granted and changes are pushed only with it, as before.

--- a/papayacrank/control/_node.py
+++ b/papayacrank/control/_node.py
@@ -37,6 +37,7 @@
     ReplaceMember,
     StartRollout,
     StreamsBegun,
+    TrialRequest,
 )
 from papayacrank.permits import PermitAllocator
 from papayacrank.quarantine import QuarantineRegistry
@@ -594,6 +595,9 @@
 
     def _on_quarantine_message(self, sender: str, message, now_ms: int) -> list[Any]:
         if not self._may_serve(now_ms):
+            if self.is_active and not isinstance(message, TrialRequest):
+                # Evidence is sent once a term, so it counts without the lease too.
+                self._quarantine.receive(sender, message, now_ms)
             return [Send(sender, NotLeader("", self._other_leader()))]
         replies = self._quarantine.receive(sender, message, now_ms)
         return [*self._quarantine.push(self._entry_names, now_ms), *replies]
--- a/papayacrank/control/tests/test_quarantine_service.py
+++ b/papayacrank/control/tests/test_quarantine_service.py
@@ -58,6 +58,18 @@
     assert pushed[0][1].suspicions[0].name == "a"
 
 
+def test_report_that_arrives_without_the_lease_is_kept():
+    """Guards against a crash that no instance learns of after a pause of the leader."""
+    harness = NodeHarness()
+    harness.send_heartbeat(instance="i1")
+    harness.raft.holds_lease = False
+    refusals = harness.receive("entry/i1", build_report())
+    assert [type(message) for _, message in refusals] == [NotLeader]
+    harness.raft.holds_lease = True
+    pushed = of_type(harness.advance(100), QuarantineTable)
+    assert pushed[0][1].suspicions[0].name == "a"
+
+
 def test_cleared_part_is_sent_to_all_entry_processes():
     """Guards against instances that keep sound parts on trial."""
     harness = NodeHarness()
