Require all fields of an entry of the target list

Cause: `slots` had a default, and `cold_remaining_ms` was not read.

Evidence: in the new table of fields, those two failed before, and three odd values of fields that were not read.

Why this works: an entry that lacks a field of each server, or has one of another type, is left out before anything else looks at it. The lists of the stand-ins have all fields now.

--- a/papayacrank/platform/_target_protocol.py
+++ b/papayacrank/platform/_target_protocol.py
@@ -59,6 +59,8 @@
 
 
 class _ListEntry(StrictWireModel):
+    """Entry of a server. Entries of other writers lack fields that each server has."""
+
     id: WireName
     service: WireName
     address: SocketAddress
@@ -66,7 +68,11 @@
     # Version of the server's software.
     version: WireName
     state: Literal["ready", "draining"]
-    slots: Slots = 0
+    slots: Slots
+    # Time for which the server remains slow after its start.
+    cold_remaining_ms: float = Field(ge=0)
+    # The following two are those of engines.
+    stage: WireName | None = None
     models: list[_LoadedModel] = Field(default=[], max_length=MAX_MODELS)
     # Start time of the process in Unix milliseconds.
     born: Count = 0
--- a/papayacrank/platform/tests/crashing_engine.py
+++ b/papayacrank/platform/tests/crashing_engine.py
@@ -78,6 +78,7 @@
             "version": self.release,
             "slots": 16,
             "state": "ready",
+            "cold_remaining_ms": 0,
             "models": [{"name": "m1", "version": self._version}],
             "born": self._born,
         }
--- a/papayacrank/platform/tests/fake_platform.py
+++ b/papayacrank/platform/tests/fake_platform.py
@@ -102,6 +102,7 @@
             "version": "v1",
             "slots": 6,
             "state": "ready",
+            "cold_remaining_ms": 0,
             "models": models if self.service == "llm" else [],
         }
 
--- a/papayacrank/platform/tests/test_adapter.py
+++ b/papayacrank/platform/tests/test_adapter.py
@@ -380,6 +380,7 @@
     "version": "v1",
     "slots": 64,
     "state": "ready",
+    "cold_remaining_ms": 0,
     "models": [{"name": "m1", "version": 3, "adapters": []}],
     "born": 17,
 }
--- a/papayacrank/platform/tests/test_odd_entries.py
+++ b/papayacrank/platform/tests/test_odd_entries.py
@@ -25,6 +25,7 @@
     "version": "v1",
     "slots": 6,
     "state": "ready",
+    "cold_remaining_ms": 0,
     "models": [{"name": "m1", "version": 1}],
     "born": 5,
 }
@@ -48,6 +49,9 @@
     "no version": {"version": None},
     "version of odd characters": {"version": "v\ud800"},
     "unknown state": {"state": "asleep"},
+    "negative time that a server is slow": {"cold_remaining_ms": -1},
+    "time that a server is slow as text": {"cold_remaining_ms": "0"},
+    "stage as a number": {"stage": 1},
     "model of odd characters": {"models": [{"name": "\ud800", "version": 1}]},
     "list": [],
     "text": "ready",
@@ -99,6 +103,21 @@
     assert read(render(good, odd_texts()[name], other)) == ["i-1", "i-2"]
 
 
+REQUIRED = [name for name in GOOD if name not in ("models", "born")]
+OTHER_TYPES = (None, [], {}, True, "x" * 300)
+
+
+@pytest.mark.parametrize("field", REQUIRED)
+def test_entry_without_a_field_of_each_server_names_no_target(field):
+    """Guards against requests to the address of an entry of another writer (ROUTE)."""
+    missing = {key: value for key, value in GOOD.items() if key != field}
+    others = [GOOD | {field: value} for value in OTHER_TYPES]
+    odd = [json.dumps(entry | {"service": "app"}) for entry in (missing, *others)]
+    if field == "service":
+        odd = [json.dumps(entry) for entry in (missing, *others)]
+    assert read(render(*odd, json.dumps(GOOD | {"id": "i-2"}))) == ["i-2"]
+
+
 @pytest.mark.parametrize("next_page", ["7", "[]", '"\\ud800"', '"a\\r\\nb"', "1e999"])
 def test_odd_next_page_is_an_error_of_the_list(next_page):
     """Guards against a reader that stops for good after one odd page."""
