Do not resume a stream whose first target turns out to have another release

Cause: the release of a begin was kept as the view showed it at the first event. A later view that contradicts it corrected the report to the leader, but not the open request. On the way over a silent target, nothing asked whether the begin is certain.

Why this works: the request keeps the target that began its stream until another one has gone on. If the view shows another start and release of it, the stream is not sent again; a lost one is broken off, a silent one stays with its target. The common decision on further attempts asks this now.

--- a/papayacrank/forwarding/_attempts.py
+++ b/papayacrank/forwarding/_attempts.py
@@ -174,7 +174,7 @@
 
     def _knows_release(self, job: Job) -> bool:
         """Whether targets for a request are known; otherwise find out or refuse it."""
-        if not self._continuity.is_begin_certain(job, self._clock.now_ms()):
+        if not self._is_begin_certain(job):
             text = "the release that began the stream is not certain"
             self._requests.give_up(job, "unknown_release", text)
             return False
@@ -187,6 +187,12 @@
         )
         return False
 
+    def _is_begin_certain(self, job: Job) -> bool:
+        if job.begun_at is None:
+            return True
+        current = self._fleet.table.find(job.begun_at.name)
+        return self._continuity.is_begin_certain(job, current, self._clock.now_ms())
+
     def _take_up_at(self, job: Job, service: str) -> None:
         """Send a request to the service that began its stream, not one drawn by lot."""
         job.service = self._fleet.index.find_service(service) or job.service
@@ -440,7 +446,7 @@
         """
         if runs + 1 > self._max_runs(job) or job.tries >= MAX_TRIES:
             return False
-        if job.has_events and not job.can_resume:
+        if job.has_events and not (job.can_resume and self._is_begin_certain(job)):
             return False
         if not self._suspects.may_repeat(job):
             return False
--- a/papayacrank/forwarding/_continuity.py
+++ b/papayacrank/forwarding/_continuity.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from papayacrank.messages import RequestKind
+from papayacrank.messages import FleetTarget, RequestKind
 from papayacrank.releases import (
     VIEW_LAG_MS,
     ReleaseDecision,
@@ -49,12 +49,26 @@
         is_take_up = is_stream and job.request.resume_after is not None
         return is_take_up and job.release is None
 
-    def is_begin_certain(self, job: Job, now_ms: int) -> bool:
-        """Whether the target that began a stream had the release that the view shows.
+    def is_begin_certain(
+        self, job: Job, current: FleetTarget | None, now_ms: int
+    ) -> bool:
+        """Whether the target that began a stream had the release that the view showed.
 
-        While this instance is out of step, a target may have restarted with another
-        release before the connection of the stream was opened.
+        A target may have restarted with another release before the connection of the
+        stream was opened. The view shows that later, or not at all while this instance
+        is out of step.
+
+        Parameters
+        ----------
+        job : Job
+            Request.
+        current : FleetTarget or None
+            Target that began the stream, as the view shows it now.
+        now_ms : int
+            Current time in milliseconds.
         """
+        if current is not None and _has_restarted(job.begun_at, current):
+            return False
         contacted_ms = self._contacted_ms()
         if job.begun_on_ms is None or contacted_ms is None:
             return True
@@ -100,10 +114,13 @@
     def on_first_event(self, job: Job, attempt: Attempt) -> None:
         """Note the release that begins a stream."""
         if job.release is not None:
+            # The stream has gone on at another target of the release.
+            job.begun_at = None
             return
         target = attempt.target
         job.release = target.release
         job.begun_on_ms = attempt.call.opened_ms
+        job.begun_at = target
         if job.route.is_resumable:
             self._releases.on_begun(
                 name_stream(job.workspace_name, job.request.request_id),
@@ -120,3 +137,9 @@
     def on_finished(self, job: Job) -> None:
         """Forget the question of a request that has ended."""
         self._releases.cancel(str(job.number))
+
+
+def _has_restarted(begun_at: FleetTarget, current: FleetTarget) -> bool:
+    """Whether a target has started again with another release."""
+    is_new_start = begun_at.born_ms != current.born_ms
+    return is_new_start and begun_at.release != current.release
--- a/papayacrank/forwarding/_job.py
+++ b/papayacrank/forwarding/_job.py
@@ -174,6 +174,8 @@
     begun_on_ms : int or None
         Time at which the connection was opened that brought the first event of the
         stream; None if another request began it.
+    begun_at : FleetTarget or None
+        Target that sent that event, as known then; None once another one goes on.
     is_begun : bool
         Whether any response to the request was written past its beginning.
     crashes : int
@@ -217,6 +219,7 @@
     is_drawn: bool | None = None
     release: str | None = None
     begun_on_ms: int | None = None
+    begun_at: FleetTarget | None = None
     is_begun: bool = False
     crashes: int = 0
     trial: int = 0
--- a/papayacrank/forwarding/tests/test_continuity.py
+++ b/papayacrank/forwarding/tests/test_continuity.py
@@ -204,3 +204,71 @@
         assert sorted(question.services) == sorted(services)
         bench.reply_release("v2", "others")
         assert bench.call.state.attempt.target.name == "x5"
+
+
+@pytest.mark.parametrize("loses_connection", [True, False])
+@pytest.mark.parametrize(("release", "goes_on"), [("v2", False), ("v1", True)])
+def test_stream_of_a_target_that_has_restarted_goes_on_at_the_same_release_only(
+    release, goes_on, loses_connection
+):
+    """Guards against a release of a begin that a later view contradicts (ORDER)."""
+    targets = [
+        build_target(f"e{n}", "engines", born_ms=n, release="v1") for n in (1, 2)
+    ]
+    bench = Bench(*targets)
+    caller = open_stream(bench)
+    begun_at = bench.target_of(bench.call)
+    restarted = [
+        msgspec.structs.replace(target, born_ms=9, release=release)
+        if target.name == begun_at
+        else target
+        for target in targets
+    ]
+    bench.forwarder.apply_fleet(build_view(*restarted, sequence=2))
+    bench.event(2)
+    if loses_connection:
+        bench.fail()
+    else:
+        bench.advance(1_300)
+    assert (len(bench.port.calls) == 2) == goes_on
+    assert caller.aborted == (loses_connection and not goes_on)
+
+
+def test_silent_stream_that_began_out_of_step_stays_with_its_target(bench):
+    """Guards against a second run of another release beside a silent one (ORDER)."""
+    now_ms = bench.clock.now_ms()
+    bench.forwarder._continuity._contacted_ms = lambda: now_ms - 2_000
+    caller = bench.send("/reply/x", tokens=10)
+    bench.call.opened_ms = now_ms
+    bench.begin()
+    bench.event(1)
+    bench.advance(1_300)
+    assert len(bench.port.calls) == 1
+    bench.event(2)
+    bench.end()
+    assert caller.ended
+
+
+def test_stream_that_has_gone_on_elsewhere_does_not_depend_on_its_first_target():
+    """Guards against streams broken off because servers are upgraded in turn."""
+    targets = [
+        build_target(f"e{n}", "engines", born_ms=n, release="v1") for n in (1, 2, 3)
+    ]
+    route = build_route(
+        "reply", RequestKind.STREAM, "engines", resumable=True, max_attempts=3
+    )
+    bench = Bench(*targets, configuration=build_configuration(routes=(route,)))
+    open_stream(bench)
+    first = bench.target_of(bench.call)
+    bench.fail()
+    bench.begin()
+    bench.event(2)
+    upgraded = [
+        msgspec.structs.replace(target, born_ms=9, release="v2")
+        if target.name == first
+        else target
+        for target in targets
+    ]
+    bench.forwarder.apply_fleet(build_view(*upgraded, sequence=2))
+    bench.advance(1_300)
+    assert len(bench.port.calls) == 3
