Play random flows over routes of all kinds

The suite had no case of the faults that the review showed, since its routes were the usual ones and the oracle asked Route.is_repeatable, which had the fault itself. The new play has a route of each kind, with and without `resumable`, with and without an engine. It knows from the configuration how often a request may run, checks that each target is told where a stream goes on, and lets targets begin anew although they were told.

--- a/papayacrank/forwarding/tests/test_random_flows.py
+++ b/papayacrank/forwarding/tests/test_random_flows.py
@@ -1,5 +1,6 @@
 """Random sequences of events at the ports of the forwarder."""
 
+import itertools
 import random
 
 import pytest
@@ -36,6 +37,18 @@
     *(build_target(f"p{n}", born_ms=5) for n in (1, 2, 3)),
     *(build_target(f"e{n}", "engines", born_ms=5) for n in (1, 2, 3)),
 )
+ALL_ROUTES = tuple(
+    build_route(
+        f"{kind.value}-{resumable}-{service}",
+        kind,
+        service,
+        resumable=resumable,
+        max_attempts=3,
+    )
+    for kind, resumable, service in itertools.product(
+        RequestKind, (False, True), ("plain", "engines")
+    )
+)
 FAILURES = ("connection_lost", "malformed_answer", "answer_too_large")
 UNSENT = ("connect_failed", "connect_timeout", "permit_expired")
 
@@ -46,9 +59,11 @@
     def __init__(self, chance):
         super().__init__()
         self._chance = chance
+        self.on_submit = lambda call: None
 
     def submit(self, call):
         super().submit(call)
+        self.on_submit(call)
         call.head, call.number, call.was_refused = None, 0, False
         if self._chance.random() < 0.1:
             call.is_open = False
@@ -63,12 +78,31 @@
 
     def __init__(self, seed):
         self.chance = random.Random(seed)
-        self.bench = Bench(*TARGETS, port=_Port(self.chance))
+        self.bench = Bench(
+            *TARGETS, port=_Port(self.chance), configuration=self.configuration(1)
+        )
         self.callers = []
         self.calls_of = {}
         self.sequence = self.version = self.revision = 1
         self.answered = 0
 
+    # Configuration
+
+    def configuration(self, version, **fields):
+        """Return the configuration of a version."""
+        return build_configuration(version, **fields)
+
+    def paths(self):
+        """Return the paths that requests are sent to."""
+        return PATHS
+
+    def max_runs(self, route):
+        """Return how often a request of a route may run."""
+        is_repeatable = route.kind is RequestKind.IDEMPOTENT or (
+            route.kind is RequestKind.STREAM and route.resumable
+        )
+        return route.max_attempts if is_repeatable else 1
+
     # Steps
 
     def step(self):
@@ -88,9 +122,9 @@
         self.check()
 
     def send(self):
-        path = self.chance.choice(PATHS)
+        path = self.chance.choice(self.paths())
         fields = {"id": f"r{len(self.callers)}"}
-        if path in ("/reply/x", "/appraise/x"):
+        if path in ("/reply/x", "/appraise/x") or "engines" in path:
             fields |= {"tokens": 10, "parts": "a:3,b:3,own:4"}
         if self.chance.random() < 0.3:
             fields["deadline"] = self.chance.choice((30, 700, 2_000))
@@ -119,8 +153,8 @@
         fields = {}
         if self.chance.random() < 0.5:
             fields["routes"] = (build_route("other"),)
-        forwarder.apply_routing(build_configuration(self.version, **fields))
-        forwarder.apply_routing(build_configuration(self.version + 1))
+        forwarder.apply_routing(self.configuration(self.version, **fields))
+        forwarder.apply_routing(self.configuration(self.version + 1))
         self.version += 1
         self.revision += 1
         rates = [TargetRate("p1", 0, 3.0, 1)] if self.chance.random() < 0.5 else []
@@ -207,7 +241,7 @@
                 self.bench.end(call)
             return
         if not call.number:
-            call.number = int(self.after(call) or 0)
+            call.number = self.begin_events(call)
             call.first = call.number
         if call.number >= EVENTS and call.number > call.first:
             self.bench.end(call)
@@ -218,7 +252,7 @@
                 data += b": ping\n\n"
             if call.number < EVENTS:
                 call.number += 1
-                data += b"id: %d\ndata: %d\n\n" % (call.number, call.number)
+                data += self.event(call)
         if self.chance.random() < 0.05:
             # The end of the response in the middle of an event.
             forwarder.on_data(call, data + b"id: 9\nda")
@@ -227,6 +261,14 @@
             return
         forwarder.on_data(call, data)
 
+    def begin_events(self, call):
+        """Return the number of the event behind which a run begins."""
+        return int(self.after(call) or 0)
+
+    def event(self, call):
+        """Return the next event of a run."""
+        return b"id: %d\ndata: %d\n\n" % (call.number, call.number)
+
     def after(self, call):
         index = self.bench.port.calls.index(call)
         return self.bench.protocol.dispatches[index].resume_after
@@ -273,7 +315,7 @@
             for call in self.bench.port.calls
             if call.state is job and call.bytes_written and not call.was_refused
         ]
-        assert len(runs) <= (job.route.max_attempts if job.route.is_repeatable else 1)
+        assert len(runs) <= self.max_runs(job.route)
         if is_failure and caller.headers["verdict"] == "not-run":
             assert runs == []
 
@@ -303,3 +345,52 @@
     for _ in range(STEPS):
         play.step()
     play.finish()
+
+
+class _AllRoutesPlay(_Play):
+    """Play with routes of all kinds, and runs that begin anew when they must not."""
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.bench.port.on_submit = self.check_place
+
+    def configuration(self, version, **fields):
+        """Return the configuration with a route of each kind."""
+        return build_configuration(version, **({"routes": ALL_ROUTES} | fields))
+
+    def paths(self):
+        """Return the paths of these routes."""
+        return [f"{route.prefix}x" for route in ALL_ROUTES]
+
+    def begin_events(self, call):
+        """Begin a run behind the event that it was told, or anew."""
+        call.is_anew = self.after(call) is not None and self.chance.random() < 0.5
+        return 0 if call.is_anew else super().begin_events(call)
+
+    def event(self, call):
+        """Return the next event, whose text tells a run that has begun anew."""
+        text = b"anew" if call.is_anew else b"%d" % call.number
+        return b"id: %d\ndata: %s\n\n" % (call.number, text)
+
+    def check_place(self, call):
+        """Check that a target is told where its stream goes on."""
+        job = call.state
+        if job.route.kind is not RequestKind.STREAM or not job.route.resumable:
+            return
+        known = [c for c in self.callers if c.job is job]
+        events = known[0].body.count(b"data:") if known else 0
+        assert self.after(call) == (str(events) if events else None)
+
+    def check_answer(self, caller):
+        """Check that no run that has begun anew is joined to another."""
+        super().check_answer(caller)
+        assert b"anew" not in caller.body
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_kind_of_route_runs_twice_or_joins_runs(seed):
+    """Guards against decisions that hold for some kinds of routes only."""
+    play = _AllRoutesPlay(seed)
+    for _ in range(3 * STEPS):
+        play.step()
+    play.finish()
