--- a/papayacrank/control/_target_list.py
+++ b/papayacrank/control/_target_list.py
@@ -14,13 +14,13 @@
 LIST_INTERVAL_MS = 1_000
 LIST_RETRY_MS = 300
 MAX_PAGES = 200
-# Targets that leave may get requests for 3 s after the list shows it.
-OUTDATED_MS = 3_000
+# Two reads in a row may fail or be late.
+OUTDATED_MS = 3 * LIST_INTERVAL_MS
 MS_PER_SECOND = 1_000
 
 
 class TargetListReader:
-    """Reads the list at regular intervals while this process leads.
+    """Reads the whole list once a second while this process leads.
 
     Only `poll` returns calls: a result may arrive while the leader must not make any,
     and the next page is then read once it may.
@@ -92,7 +92,7 @@
         return targets
 
     def _begin(self, at_ms: int) -> None:
-        """Read the list from its first page on at a later time."""
+        """Read the list from its first page on, at a given time."""
         self._targets = []
         self._page_count = 0
         self._next_page = None
