Encode an order only when it is sent

Reading an accepted order back encoded its body as well, and threw it away. The calls are the same as before; the tests of orders and of lost results pass (x86_64).

--- a/papayacrank/control/_orders.py
+++ b/papayacrank/control/_orders.py
@@ -190,9 +190,10 @@
             return self._propose_issue(row, attempt, now_ms)
         if now_ms - attempt.started_ms >= ATTEMPT_TIMEOUT_MS:
             return self._propose_release(row, attempt, "not confirmed", now_ms)
-        call = build_send(row, target, self._term)
         if attempt.accepted:
             call = build_read("read", row, target)
+        else:
+            call = build_send(row, target, self._term)
         return [attempt.call.begin(call, now_ms)]
 
     def _propose_issue(
