--- a/papayacrank/forwarding/_admission.py
+++ b/papayacrank/forwarding/_admission.py
@@ -159,7 +159,8 @@
             cost=_cost(request, workspace),
             runs=request.prior_runs,
         )
-        job.position.last_event_id = request.resume_after
+        if route.is_resumable:
+            job.position.last_event_id = request.resume_after
         exchange.state = job
         self._requests.add(job)
         self._retry_budget.on_request(service.name, now_ms)
--- a/papayacrank/forwarding/_continuity.py
+++ b/papayacrank/forwarding/_continuity.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from papayacrank.messages import RequestKind
 from papayacrank.releases import (
     VIEW_LAG_MS,
     ReleaseDecision,
@@ -44,7 +45,9 @@
     @staticmethod
     def needs_release(job: Job) -> bool:
         """Whether a request takes up a stream whose release is not known yet."""
-        return job.release is None and job.request.resume_after is not None
+        is_stream = job.route.kind is RequestKind.STREAM
+        is_take_up = is_stream and job.request.resume_after is not None
+        return is_take_up and job.release is None
 
     def is_begin_certain(self, job: Job, now_ms: int) -> bool:
         """Whether the target that began a stream had the release that the view shows.
--- a/papayacrank/forwarding/tests/test_resumes.py
+++ b/papayacrank/forwarding/tests/test_resumes.py
@@ -184,3 +184,26 @@
     bench.end()
     assert caller.ended
     assert data in caller.body
+
+
+@pytest.mark.parametrize("kind", [RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT])
+def test_place_in_a_stream_means_nothing_for_other_kinds(service, kind):
+    """Guards against plain requests that are refused as take-ups of a stream."""
+    route = build_route("work", kind, service, resumable=True)
+    bench = Bench(*TARGETS, configuration=build_configuration(routes=(route,)))
+    fields = {"tokens": 10} if service == "engines" else {}
+    caller = bench.send("/work/x", after="3", **fields)
+    bench.respond()
+    assert caller.status == 200
+
+
+def test_response_of_a_route_without_resumable_streams_is_whole(service):
+    """Guards against events that are dropped although no run is to continue."""
+    route = build_route("work", RequestKind.STREAM, service)
+    bench = Bench(*TARGETS, configuration=build_configuration(routes=(route,)))
+    fields = {"tokens": 10} if service == "engines" else {}
+    caller = bench.send("/work/x", after="2", **fields)
+    bench.reply_release("v1")
+    send_events(bench, (1, 2, 3))
+    bench.end()
+    assert caller.body.count(b"data:") == 3
